Add the job scheduler, its entry process and the adapter to the users' platform

The platform runs jobs, not requests: steps of tasks on workers under leases. The scheduler is a subsystem of its own with pure decisions; platform/ translates names and calls; packages/entry wires both.

--- /dev/null
+++ b/packages/entry/src/entry-process.ts
@@ -0,0 +1,121 @@
+/**
+One process of an entry host on the users' platform: answers callers, and schedules the fleet's work while it holds the lease.
+*/
+import {
+	type Clock, LifecycleManager, listenOn, type Logger, type MetricsRegistry, OperationsServer,
+} from '@poplarnotch/common';
+import {
+	createReadinessServer, HttpClient, type HostSettings, JobFront, MachineHttpControl, OperatorOrdersSource, StatusRows, TableStore, WorkerEntriesSource, WorkerHttpControl,
+} from '@poplarnotch/platform-adapter';
+import {SchedulerProcess} from '@poplarnotch/scheduler';
+
+/** Connections to the store: long calls that wait for changes hold four of them. */
+const storeConnections = 24;
+
+/** Connections to one worker: one for looks, the others for orders. New ones are slow and counted. */
+const workerConnections = 3;
+
+/** A process whose view of the operator's orders is older than this sends callers to others: two waiting calls have failed by then. */
+const readyMaxAgeMs = 3500;
+
+/** The balancer needs two missed answers, one a second, to stop sending connections. */
+const balancerNoticeMs = 2500;
+
+/** Left for closing after the last answer. */
+const closeReserveMs = 1000;
+
+export type EntryProcessOptions = {
+	readonly settings: HostSettings;
+	readonly metricsPort: number;
+	readonly clock: Clock;
+	readonly log: Logger;
+	readonly metrics: MetricsRegistry;
+};
+
+export class EntryProcess {
+	readonly #options: EntryProcessOptions;
+	readonly #lifecycle: LifecycleManager;
+	readonly #scheduler: SchedulerProcess;
+	readonly #front: JobFront;
+	#isDraining = false;
+	#stopped: Promise<void> | undefined;
+
+	constructor(options: EntryProcessOptions) {
+		const {settings, clock, log, metrics} = options;
+		this.#options = options;
+		this.#lifecycle = new LifecycleManager(clock);
+		const storeClient = this.#own(new HttpClient({connections: storeConnections}));
+		const workerClient = this.#own(new HttpClient({connections: workerConnections}));
+		const table = new TableStore({client: storeClient, url: settings.tableServiceUrl});
+		this.#scheduler = new SchedulerProcess({
+			processId: settings.host,
+			table,
+			orders: new OperatorOrdersSource({table, log}),
+			workers: new WorkerEntriesSource({table, log}),
+			workerControl: new WorkerHttpControl(workerClient),
+			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
+			waveReporter: new StatusRows(table),
+			clock,
+			log,
+			metrics,
+		});
+		this.#front = new JobFront({
+			desk: this.#scheduler.desk, clock, log, metrics, isLeaving: () => !this.isReady,
+		});
+	}
+
+	get isReady(): boolean {
+		return !this.#isDraining && this.#scheduler.isReady(readyMaxAgeMs);
+	}
+
+	async start(): Promise<void> {
+		const {settings, metrics, log, metricsPort} = this.#options;
+		this.#scheduler.start();
+		this.#lifecycle.own('scheduler', async () => this.#scheduler.close());
+		const readiness = createReadinessServer(() => this.isReady);
+		const operations = new OperationsServer({
+			metrics, isReady: () => this.isReady, dump: () => this.#scheduler.dump(),
+		});
+		await listenOn(readiness, settings.readinessAddress.ip, settings.readinessAddress.port);
+		await listenOn(this.#front.server, settings.callersAddress.ip, settings.callersAddress.port);
+		await operations.listen(settings.callersAddress.ip, metricsPort);
+		this.#lifecycle.own('operations port', async () => operations.close());
+		this.#lifecycle.own('readiness port', () => {
+			readiness.close();
+			readiness.closeAllConnections();
+		});
+		this.#lifecycle.own('callers port', () => {
+			this.#front.server.close();
+			this.#front.server.closeAllConnections();
+		});
+		log.info({event: 'process_started', host: settings.host, dataCentre: settings.dataCentre});
+	}
+
+	/** Hands the lease over, finishes what callers have sent and closes. */
+	async stop(): Promise<void> {
+		this.#stopped ??= this.#drainAndClose();
+		return this.#stopped;
+	}
+
+	async #drainAndClose(): Promise<void> {
+		const {settings, clock, log} = this.#options;
+		const startedAtMs = clock.nowMs();
+		this.#isDraining = true;
+		log.info({event: 'process_stopping', inFlight: this.#front.inFlight});
+		await this.#scheduler.handOver();
+		const latestMs = startedAtMs + settings.stopGraceMs - closeReserveMs;
+		while (clock.nowMs() < latestMs && (this.#front.inFlight > 0 || clock.nowMs() < startedAtMs + balancerNoticeMs)) {
+			await new Promise<void>(resolve => {
+				clock.schedule(50, resolve);
+			});
+		}
+
+		const failures = await this.#lifecycle.releaseAll();
+		log.info({event: 'process_stopped', inFlight: this.#front.inFlight, failures: failures.length, durationMs: Math.round(clock.nowMs() - startedAtMs)});
+	}
+
+	#own(client: HttpClient): HttpClient {
+		this.#lifecycle.own('connections', async () => client.close());
+		return client;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,46 @@
+/**
+The binary `poplarnotch-entry`: runs the process of one entry host. The platform names its settings file in `POPLARNOTCH_CONFIG`. Exit codes: 0 after a stop by signal, 2 for bad settings.
+*/
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import * as E from 'fp-ts/lib/Either.js';
+import {
+	createLogger, formatFinding, MetricsRegistry, SystemClock,
+} from '@poplarnotch/common';
+import {readHostSettings} from '@poplarnotch/platform-adapter';
+import yargs from 'yargs';
+import {EntryProcess} from './entry-process.js';
+
+const badSettingsExitCode = 2;
+const defaultMetricsPort = 9464;
+
+const {metricsPort} = await yargs(process.argv.slice(2))
+	.scriptName('poplarnotch-entry')
+	.option('metricsPort', {type: 'number', default: defaultMetricsPort, describe: 'Port that serves /metrics and /dump'})
+	.strict()
+	.parse();
+
+const fileName = process.env['POPLARNOTCH_CONFIG'] ?? '/etc/poplarnotch/boot.conf';
+const settings = readHostSettings(await readFile(fileName, 'utf8'), fileName);
+if (E.isLeft(settings)) {
+	process.stderr.write(`${settings.left.map(formatFinding).join('\n')}\n`);
+	process.exitCode = badSettingsExitCode;
+} else {
+	const log = createLogger(settings.right.host, 'info', process.stdout);
+	const entry = new EntryProcess({
+		settings: settings.right, metricsPort, clock: new SystemClock(), log, metrics: new MetricsRegistry(),
+	});
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void entry.stop().then(() => {
+				process.exit(0);
+			});
+		});
+	}
+
+	// The settings of a running process do not change: addresses are fixed, and operators' settings come from the store.
+	process.on('SIGHUP', () => {
+		log.info({event: 'settings_reload_ignored', fileName});
+	});
+	await entry.start();
+}
--- a/packages/platform/src/http/connection.ts
+++ b/packages/platform/src/http/connection.ts
@@ -52,17 +52,20 @@
 	return cause === undefined ? undefined : codeOf(cause);
 };
 
-const describe = (call: PlatformCall): string => `${call.method} ${call.path}`;
-
-const missingAnswer = (call: PlatformCall, cause: unknown): PlatformError => {
+/** What a call that failed without an answer comes to; its effect is unknown only where it was a write that may have been sent. */
+export const classifyMissingAnswer = (description: string, isWrite: boolean, cause: unknown): PlatformError => {
 	const code = codeOf(cause);
 	if (code !== undefined && notSentCodes.has(code)) {
-		return new UnavailableError(`${describe(call)}: the platform was not reached (${code})`, {cause});
+		return new UnavailableError(`${description}: the platform was not reached (${code})`, {cause});
 	}
 
-	return withoutAnswer(call, 'no answer', cause);
+	return isWrite
+		? new WriteOutcomeUnknownError(`${description}: no answer`, {cause})
+		: new UnavailableError(`${description}: no answer`, {cause});
 };
 
+const describe = (call: PlatformCall): string => `${call.method} ${call.path}`;
+
 const withoutAnswer = (call: PlatformCall, reason: string, cause?: unknown): PlatformError => call.isWrite
 	? new WriteOutcomeUnknownError(`${describe(call)}: ${reason}`, {cause})
 	: new UnavailableError(`${describe(call)}: ${reason}`, {cause});
@@ -149,7 +152,7 @@
 			});
 			return {status: response.statusCode, text: await response.body.text()};
 		} catch (error) {
-			throw missingAnswer(call, error);
+			throw classifyMissingAnswer(describe(call), call.isWrite, error);
 		}
 	}
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -18,11 +18,12 @@
 	type TableService,
 	type Transaction,
 } from './table-service.js';
+export {HistoryLostError, type RowListing, type WatchableTable} from './watchable-table.js';
 export {
 	type TaskReport, type TaskResources, type TaskSpec, type WorkerReport, type Workers,
 } from './workers.js';
 export {
-	clientNameHeader, PlatformConnection, type PlatformCall, type PlatformConnectionOptions,
+	classifyMissingAnswer, clientNameHeader, PlatformConnection, type PlatformCall, type PlatformConnectionOptions,
 } from './http/connection.js';
 export {HttpHostList} from './http/http-host-list.js';
 export {HttpObjectStore} from './http/http-object-store.js';
--- /dev/null
+++ b/packages/scheduler/src/core/events.ts
@@ -0,0 +1,61 @@
+/**
+Events that the scheduler decides on and effects that it asks for.
+*/
+import {type LookAnswer, type MachineAnswer, type OrderAnswer, type StartAnswer} from '../ports.js';
+import {
+	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type WaveOrder, type WorkerEntry,
+} from '../types.js';
+
+/** When an event happened: on the process's steady clock and on the wall clock. */
+type At = {readonly nowMs: number; readonly wallMs: number};
+
+/** A change of one job's rows. */
+export type JobChange
+	= | {readonly type: 'accepted'; readonly job: JobSpec}
+		| {readonly type: 'progressed'; readonly jobId: string; readonly progress: JobProgress}
+		| {readonly type: 'cancelled'; readonly jobId: string}
+		| {readonly type: 'removed'; readonly jobId: string};
+
+export type SchedulerEvent = At & (
+	| {readonly type: 'configured'; readonly configuration: FleetConfiguration}
+	| {readonly type: 'wavesOrdered'; readonly waves: readonly WaveOrder[]}
+	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
+	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
+	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
+	| {readonly type: 'leaseWon'; readonly fencingToken: number}
+	/** The lease could not be renewed in time and may pass to another process. */
+	| {readonly type: 'leaseSuspended'}
+	/** The lease is another's. */
+	| {readonly type: 'leaseLost'}
+	| {readonly type: 'looked'; readonly workerId: string; readonly answer: LookAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number}
+	| {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer}
+	| {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer}
+	| {readonly type: 'saved'; readonly saveNumber: number}
+	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly sentAtMs: number}
+	| {readonly type: 'machineAnswered'; readonly machineId: string; readonly answer: MachineAnswer}
+	| {readonly type: 'waveReported'; readonly waveId: number; readonly state: 'running' | 'completed'}
+	| {readonly type: 'tick'}
+);
+
+/** Progress to store; the shell keeps saving until it succeeds or the lease is lost. */
+export type ProgressSave = {
+	readonly saveNumber: number;
+	readonly jobs: ReadonlyArray<{readonly jobId: string; readonly progress: JobProgress}>;
+	readonly waves: ReadonlyArray<{readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}>;
+};
+
+export type SchedulerEffect
+	= | {
+		readonly type: 'start'; readonly workerId: string; readonly taskKey: string; readonly attempt: number;
+		readonly payload: string; readonly checkpoint: string; readonly deadlineClockMs: number; readonly fencingToken: number;
+		/** Why now: how long the task has waited, and how many wait in its pool. */
+		readonly waitedMs: number;
+	}
+	| {readonly type: 'stop'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly reason: string}
+	| {readonly type: 'pace'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly percent: number}
+	| {readonly type: 'save'; readonly save: ProgressSave}
+	| {readonly type: 'move'; readonly machineId: string; readonly pool: string; readonly fencingToken: number; readonly reason: string}
+	| {readonly type: 'maintain'; readonly machineId: string; readonly waveId: number; readonly fencingToken: number}
+	| {readonly type: 'reportWave'; readonly waveId: number; readonly state: 'running' | 'completed'}
+	| {readonly type: 'stepDown'; readonly reason: string}
+	| {readonly type: 'note'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
--- /dev/null
+++ b/packages/scheduler/src/core/pools.ts
@@ -0,0 +1,93 @@
+/**
+Sizes pools by moving machines between them and the standby pool.
+
+Answers demand that rises by turns: a pool that lacks room gets machines from standby, then idle ones of pools that lack nothing; a machine that has had no work for a while goes to standby, where it costs nothing. A move ends everything on a machine, so only machines on which nothing runs are moved.
+*/
+import {type Shortage} from './dispatch.js';
+import {
+	isIdle, isOrderable, isStandby, orderMove, workerOn,
+} from './machines.js';
+import {type MachineRecord} from './records.js';
+import {type SchedulerState} from './scheduler-state.js';
+
+/** A machine without work for this long leaves its pool: a move costs about as much as a machine in a pool for 1.2 s. */
+const idleBeforeStandbyMs = 1200;
+
+/** Machines that stay in a pool without work, so that its next job can start at once. */
+const keptIdleMachines = 1;
+
+const waveMachines = (state: SchedulerState): ReadonlySet<string> => {
+	const busy = new Set<string>();
+	for (const wave of state.waves.values()) {
+		if (wave.state === 'running') {
+			for (const machineId of wave.reserved) {
+				busy.add(machineId);
+			}
+		}
+	}
+
+	return busy;
+};
+
+const isComing = (machine: MachineRecord, pool: string): boolean =>
+	(machine.order?.type === 'move' && machine.order.pool === pool) || (machine.entry.state === 'moving' && machine.entry.pool === pool);
+
+/** How many machines of the given size would take the shortage. */
+const machinesFor = (shortage: Shortage, machine: MachineRecord): number => Math.ceil(Math.max(
+	shortage.needs.cpuMillicores / Math.max(1, machine.entry.capacity.cpuMillicores),
+	shortage.needs.memoryMb / Math.max(1, machine.entry.capacity.memoryMb),
+	machine.entry.capacity.accelerators === 0 ? 0 : shortage.needs.accelerators / machine.entry.capacity.accelerators,
+));
+
+const idleForMs = (state: SchedulerState, machine: MachineRecord, nowMs: number): number => {
+	const worker = workerOn(state, machine);
+	return worker === undefined ? 0 : nowMs - worker.idleSinceMs;
+};
+
+const growPools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, movable: MachineRecord[], nowMs: number): void => {
+	const machines = [...state.machines.values()];
+	for (const [pool, shortage] of shortages) {
+		const donors = movable.filter(machine => machine.order === undefined && machine.entry.pool !== pool && (isStandby(state, machine) || !shortages.has(machine.entry.pool)))
+			.toSorted((a, b) => Number(isStandby(state, b)) - Number(isStandby(state, a)) || idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
+		let missing = donors.length === 0 ? 0 : machinesFor(shortage, donors[0]!) - machines.filter(machine => isComing(machine, pool)).length;
+		for (const donor of donors) {
+			if (missing > 0) {
+				missing--;
+				orderMove(state, donor, pool, nowMs, `shortage of ${shortage.taskCount} tasks`);
+			}
+		}
+	}
+};
+
+const shrinkPools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, movable: readonly MachineRecord[], standby: string, nowMs: number): void => {
+	const idleByPool = new Map<string, MachineRecord[]>();
+	for (const machine of movable) {
+		if (!isStandby(state, machine) && machine.order === undefined && !shortages.has(machine.entry.pool)) {
+			idleByPool.set(machine.entry.pool, [...idleByPool.get(machine.entry.pool) ?? [], machine]);
+		}
+	}
+
+	for (const idle of idleByPool.values()) {
+		const longIdle = idle.toSorted((a, b) => idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
+		for (const machine of longIdle.slice(0, Math.max(0, idle.length - keptIdleMachines))) {
+			if (idleForMs(state, machine, nowMs) >= idleBeforeStandbyMs) {
+				orderMove(state, machine, standby, nowMs, 'idle');
+			}
+		}
+	}
+};
+
+/** Orders the moves that the present demand asks for. */
+export const sizePools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, nowMs: number): void => {
+	if (!state.isSettled || state.machinesListedAtMs === undefined || state.machinesListedAtMs < state.term!.wonAtMs) {
+		return;
+	}
+
+	const reserved = waveMachines(state);
+	const movable = [...state.machines.values()].filter(machine => isOrderable(state, machine, nowMs) && isIdle(state, machine) && !reserved.has(machine.entry.machineId));
+	growPools(state, shortages, movable, nowMs);
+	const standby = [...state.configuration.pools.values()].find(pool => pool.isStandby)?.name;
+	if (standby !== undefined) {
+		shrinkPools(state, shortages, movable, standby, nowMs);
+	}
+};
--- /dev/null
+++ b/packages/scheduler/src/core/relocating.ts
@@ -0,0 +1,81 @@
+/**
+Moves lasting tasks away from workers that leave or are about to be maintained, and stops runs that make no progress.
+
+A lasting task at work is ended only while fewer of its step are away than the step may miss, and only where another worker has room for it.
+*/
+import {stalledTaskMs} from '../constants.js';
+import {orderStop} from './jobs.js';
+import {chooseWorker} from './placing.js';
+import {type Run, type StepRun, type WorkerRecord} from './records.js';
+import {type SchedulerState} from './scheduler-state.js';
+import {isUsable} from './workers.js';
+
+/** Percent that a lasting task shows once it is at work. */
+const atWorkPercent = 100;
+
+/** A lasting task takes this long to be at work at the most; one that takes longer stands still. */
+const stalledLastingTaskMs = 4000;
+
+/** How long a stop may take before it is ordered again. */
+const stopRetryMs = 600;
+
+const isAtWork = (run: Run | undefined): boolean =>
+	run?.phase === 'running' && run.percent >= atWorkPercent && run.worker.silentSinceMs === undefined;
+
+/** Tasks of the step that serve nobody at the moment. */
+export const awayCount = (step: StepRun): number => step.tasks.filter(task => !isAtWork(task.run)).length;
+
+/** Whether one more task of the step may be ended. */
+const mayEndOne = (step: StepRun): boolean => awayCount(step) < Math.max(1, step.spec.mayMiss);
+
+const relocateFrom = (state: SchedulerState, worker: WorkerRecord, usable: readonly WorkerRecord[], nowMs: number): void => {
+	for (const run of worker.runs.values()) {
+		const step = run.task?.step;
+		if (step === undefined || !step.spec.isLasting || run.phase !== 'running') {
+			continue;
+		}
+
+		const mayEnd = worker.entry.isDraining || !isAtWork(run) || mayEndOne(step);
+		if (mayEnd && chooseWorker(state, run.task!, usable.filter(other => other.entry.pool === worker.entry.pool)) !== undefined) {
+			orderStop(state, run, nowMs, worker.entry.isDraining ? 'worker-draining' : 'machine-reserved');
+		}
+	}
+};
+
+const stopStalled = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
+	for (const run of worker.runs.values()) {
+		if (run.phase !== 'running' || run.task === undefined || worker.silentSinceMs !== undefined) {
+			continue;
+		}
+
+		const {isLasting, isGang} = run.task.step.spec;
+		const stalledForMs = Math.min(worker.lastAnswerAtMs, nowMs) - run.percentChangedAtMs;
+		const isStalled = isLasting
+			? run.percent < atWorkPercent && stalledForMs >= stalledLastingTaskMs
+			: !isGang && run.pacePercent > 0 && stalledForMs >= stalledTaskMs;
+		if (isStalled) {
+			run.task.avoidedWorkerId = worker.entry.workerId;
+			orderStop(state, run, nowMs, 'no-progress');
+		}
+	}
+};
+
+const repeatStops = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
+	for (const run of worker.runs.values()) {
+		if (run.stopOrderedAtMs !== undefined && nowMs - run.stopOrderedAtMs >= stopRetryMs) {
+			orderStop(state, run, nowMs, 'repeated');
+		}
+	}
+};
+
+/** Looks after what runs: relocations, runs without progress, stops that got no answer. */
+export const reviewRuns = (state: SchedulerState, nowMs: number): void => {
+	const usable = [...state.workers.values()].filter(worker => isUsable(worker, nowMs));
+	for (const worker of state.workers.values()) {
+		repeatStops(state, worker, nowMs);
+		stopStalled(state, worker, nowMs);
+		if (worker.entry.isDraining || worker.isReserved) {
+			relocateFrom(state, worker, usable, nowMs);
+		}
+	}
+};
--- /dev/null
+++ b/packages/scheduler/src/core/resources.ts
@@ -0,0 +1,27 @@
+/**
+Arithmetic on resources.
+*/
+import {type Resources} from '../types.js';
+
+export const noResources: Resources = {cpuMillicores: 0, memoryMb: 0, accelerators: 0};
+
+export const addResources = (a: Resources, b: Resources): Resources => ({
+	cpuMillicores: a.cpuMillicores + b.cpuMillicores,
+	memoryMb: a.memoryMb + b.memoryMb,
+	accelerators: a.accelerators + b.accelerators,
+});
+
+export const subtractResources = (a: Resources, b: Resources): Resources => ({
+	cpuMillicores: a.cpuMillicores - b.cpuMillicores,
+	memoryMb: a.memoryMb - b.memoryMb,
+	accelerators: a.accelerators - b.accelerators,
+});
+
+export const fitsInto = (needs: Resources, room: Resources): boolean =>
+	needs.cpuMillicores <= room.cpuMillicores && needs.memoryMb <= room.memoryMb && needs.accelerators <= room.accelerators;
+
+/** Whether `used` and `more` stay within a limit in which 0 means no limit. */
+export const staysWithin = (limit: Resources, used: Resources, more: Resources): boolean =>
+	(limit.cpuMillicores === 0 || used.cpuMillicores + more.cpuMillicores <= limit.cpuMillicores)
+	&& (limit.memoryMb === 0 || used.memoryMb + more.memoryMb <= limit.memoryMb)
+	&& (limit.accelerators === 0 || used.accelerators + more.accelerators <= limit.accelerators);
--- /dev/null
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -0,0 +1,89 @@
+/**
+Rows of jobs. `jobs/{shard}/{jobId}` holds the specification and is written once, when the job is accepted; `…/progress` is written by the holder of the scheduler's lease; `…/cancel` by whoever takes a cancellation. The shard comes from the job's id, so that writes spread over the parts of the table service.
+*/
+import * as E from 'fp-ts/lib/Either.js';
+import {type JsonObject, parseWith, z} from '@poplarnotch/common';
+import {type RowChange} from '@poplarnotch/platform';
+import {type JobChange} from '../core/events.js';
+import {type JobProgress, type JobSpec} from '../types.js';
+
+export const jobsPrefix = 'jobs/';
+
+/** Key of a job's specification. Ids are hexadecimal; their first digit names the shard. */
+export const jobKey = (jobId: string): string => `${jobsPrefix}${jobId.slice(0, 1)}/${jobId}`;
+
+export const progressKey = (jobId: string): string => `${jobKey(jobId)}/progress`;
+
+export const cancelKey = (jobId: string): string => `${jobKey(jobId)}/cancel`;
+
+const resourcesSchema = z.object({cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number()});
+
+const stepSchema = z.object({
+	taskCount: z.number().int().positive(),
+	needs: resourcesSchema,
+	estimateMs: z.number(),
+	after: z.array(z.number().int()),
+	isCheckpointing: z.boolean(),
+	isGang: z.boolean(),
+	prefersOneRack: z.boolean(),
+	requiredLabel: z.string(),
+	dataRack: z.string(),
+	maxPerWorker: z.number(),
+	isLasting: z.boolean(),
+	image: z.string(),
+	targetMs: z.number(),
+	isFilling: z.boolean(),
+	mayMiss: z.number(),
+});
+
+const jobSchema = z.object({
+	jobId: z.string(),
+	queue: z.string(),
+	customer: z.string(),
+	payload: z.string(),
+	steps: z.array(stepSchema),
+	recurrence: z.object({count: z.number(), firstDueWallMs: z.number(), periodMs: z.number()}),
+	acceptedWallMs: z.number(),
+});
+
+const factsSchema = z.record(z.string(), z.array(z.number().int()));
+
+const progressSchema = z.object({
+	outcome: z.enum(['completed', 'failed', 'cancelled']).optional(),
+	endedWallMs: z.number().optional(),
+	hasBegun: z.boolean(),
+	doneTasks: factsSchema,
+	failures: factsSchema,
+}).transform(({outcome, endedWallMs, ...facts}): JobProgress => ({...facts, outcome, endedWallMs}));
+
+export const jobToJson = (job: JobSpec): JsonObject => job as unknown as JsonObject;
+
+/** Fields that are not set are left out. */
+export const progressToJson = (progress: JobProgress): JsonObject => JSON.parse(JSON.stringify(progress)) as JsonObject;
+
+const keyPattern = /^jobs\/[^\/]+\/(?<jobId>[^\/]+)(?:\/(?<part>progress|cancel))?$/v;
+
+/** What a changed row means; `undefined` where the row is not one of a job or cannot be read. */
+export const jobChangeFrom = ({key, value}: RowChange): JobChange | undefined => {
+	const groups = keyPattern.exec(key)?.groups;
+	if (groups === undefined) {
+		return undefined;
+	}
+
+	const {jobId, part} = groups as {readonly jobId: string; readonly part?: string};
+	if (part === 'cancel') {
+		return value === undefined ? undefined : {type: 'cancelled', jobId};
+	}
+
+	if (part === 'progress') {
+		const progress = parseWith(progressSchema, value, key);
+		return E.isRight(progress) ? {type: 'progressed', jobId, progress: progress.right} : undefined;
+	}
+
+	if (value === undefined) {
+		return {type: 'removed', jobId};
+	}
+
+	const job = parseWith(jobSchema, value, key);
+	return E.isRight(job) ? {type: 'accepted', job: job.right} : undefined;
+};
--- /dev/null
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -0,0 +1,462 @@
+/**
+Runs the scheduler of one process: follows what the platform keeps, contends for the lease, performs the reducer's effects and turns their results into events.
+*/
+import {
+	assertNever, type CancelTimer, type Clock, type JsonObject, LifecycleManager, type Logger, type MetricsRegistry, ReducerRuntime,
+} from '@poplarnotch/common';
+import {
+	ConflictError, PlatformError, type RowChange, type RowCondition, type WatchableTable,
+} from '@poplarnotch/platform';
+import {type HeldLease, LeaseContender, TableReplica} from '@poplarnotch/state';
+import {keepEndedJobsMs} from '../constants.js';
+import {type ProgressSave, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {reduceScheduler} from '../core/reducer.js';
+import {SchedulerState} from '../core/scheduler-state.js';
+import {JobDesk} from '../jobs/job-desk.js';
+import {JobStore} from '../jobs/job-store.js';
+import {jobChangeFrom, jobsPrefix} from '../jobs/rows.js';
+import {
+	type Followed, type MachineControl, type OperatorOrders, type WaveReporter, type WorkerControl,
+} from '../ports.js';
+import {type WorkerEntry} from '../types.js';
+import {WorkerLinks} from './worker-links.js';
+import {waveChangeFrom, wavesPrefix} from './wave-rows.js';
+
+/** Name of the lease whose holder schedules. */
+export const schedulerLease = 'scheduler';
+
+/** A holder that does not renew for this long is replaced: two renewals may be lost, and nothing on the workers lapses meanwhile. */
+const leaseMs = 2400;
+
+/** Pace of decisions while holding the lease, and otherwise. */
+const decideEveryMs = 25;
+const idleTickMs = 250;
+
+/** How long one call waits for changes; a connection that has gone silent is noticed soon after. */
+const followWaitMs = 1500;
+
+/** Pause between two reads of job changes: short for the holder, which starts what arrives, long for the others, which refresh when they are asked. */
+const holderPauseMs = 20;
+const othersPauseMs = 400;
+
+/** Pace at which machines are listed. */
+const listMachinesEveryMs = 400;
+
+/** Pause after a save that failed. */
+const saveRetryMs = 150;
+
+/** Ended jobs are removed this often. */
+const sweepEveryMs = 5000;
+const maxSweptJobs = 20;
+
+export type SchedulerProcessOptions = {
+	readonly processId: string;
+	readonly table: WatchableTable;
+	readonly orders: Followed<OperatorOrders>;
+	readonly workers: Followed<readonly WorkerEntry[]>;
+	readonly workerControl: WorkerControl;
+	readonly machineControl: MachineControl;
+	readonly waveReporter: WaveReporter;
+	readonly clock: Clock;
+	readonly log: Logger;
+	readonly metrics: MetricsRegistry;
+};
+
+export class SchedulerProcess {
+	readonly desk: JobDesk;
+	readonly #options: SchedulerProcessOptions;
+	readonly #runtime: ReducerRuntime<SchedulerState, SchedulerEvent, SchedulerEffect>;
+	readonly #lifecycle: LifecycleManager;
+	readonly #leases: LeaseContender;
+	readonly #store: JobStore;
+	readonly #jobs: TableReplica;
+	readonly #waves: TableReplica;
+	readonly #links: WorkerLinks;
+	#fence: RowCondition | undefined;
+	#cancelTick: CancelTimer | undefined;
+	#isListing = false;
+	#nextListingAtMs = 0;
+	#nextSweepAtMs = 0;
+	#isClosed = false;
+
+	constructor(options: SchedulerProcessOptions) {
+		const {table, clock, log, processId} = options;
+		this.#options = options;
+		this.#lifecycle = new LifecycleManager(clock);
+		this.#runtime = new ReducerRuntime(new SchedulerState(), reduceScheduler, effect => {
+			this.#perform(effect);
+		});
+		this.#store = new JobStore({table, clock, log});
+		this.#leases = new LeaseContender({
+			table, holder: `${processId}@${clock.wallTimeMs()}`, leaseMs, clock, log,
+		});
+		this.#jobs = new TableReplica({
+			table, prefix: jobsPrefix, waitMs: followWaitMs, clock, log,
+			pauseMs: () => this.#runtime.state.term === undefined ? othersPauseMs : holderPauseMs,
+			onChanges: changes => {
+				this.#applyJobRows(changes);
+			},
+		});
+		this.#waves = new TableReplica({
+			table, prefix: wavesPrefix, waitMs: followWaitMs, clock, log, pauseMs: () => othersPauseMs,
+			onChanges: changes => {
+				this.#applyWaveRows(changes);
+			},
+		});
+		this.#links = new WorkerLinks({
+			control: options.workerControl, clock, state: () => this.#runtime.state, dispatch: event => {
+				this.#runtime.dispatch(event);
+			},
+		});
+		this.desk = new JobDesk({
+			state: () => this.#runtime.state, store: this.#store, refresh: async () => this.#jobs.refresh(), clock, log,
+		});
+	}
+
+	get state(): SchedulerState {
+		return this.#runtime.state;
+	}
+
+	/** A configuration and all jobs are known, and the table service answered lately. */
+	isReady(maxAgeMs: number): boolean {
+		const confirmedAtMs = this.#options.orders.confirmedAtMs;
+		return this.state.configuration.version > 0
+			&& this.#jobs.confirmedAtMs !== undefined
+			&& confirmedAtMs !== undefined
+			&& this.#options.clock.nowMs() - confirmedAtMs <= maxAgeMs;
+	}
+
+	start(): void {
+		const {orders, workers} = this.#options;
+		orders.start(({configuration, waves}) => {
+			if (configuration !== undefined && configuration.version !== this.state.configuration.version) {
+				this.#options.log.info({event: 'configuration_in_force', version: configuration.version, replaces: this.state.configuration.version, queues: configuration.queues.size});
+				this.#runtime.dispatch({type: 'configured', configuration, ...this.#now()});
+			}
+
+			this.#runtime.dispatch({type: 'wavesOrdered', waves, ...this.#now()});
+		});
+		workers.start(entries => {
+			this.#runtime.dispatch({type: 'workersListed', workers: entries, ...this.#now()});
+		});
+		this.#jobs.start();
+		this.#waves.start();
+		for (const [name, followed] of Object.entries({orders, workers, jobs: this.#jobs, waves: this.#waves})) {
+			this.#lifecycle.own(name, () => {
+				followed.stop();
+			});
+		}
+
+		this.#leases.contend(schedulerLease, lease => {
+			this.#leaseChanged(lease);
+		});
+		this.#keepTicking();
+	}
+
+	/** Gives up the lease, so that another process takes over at once, and goes on answering callers. */
+	async handOver(): Promise<void> {
+		this.#fence = undefined;
+		this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
+		await this.#leases.withdrawAll();
+	}
+
+	async close(): Promise<void> {
+		this.#isClosed = true;
+		this.#cancelTick?.();
+		this.#leases.close();
+		await this.#lifecycle.releaseAll();
+	}
+
+	/** What the process believes, without payloads and keys. */
+	dump(): JsonObject {
+		const {state} = this;
+		return {
+			configuration: state.configuration.version,
+			fencingToken: state.term?.fencingToken ?? 0,
+			isSettled: state.isSettled,
+			openJobs: [...state.openJobs].map(job => ({
+				jobId: job.spec.jobId, queue: job.spec.queue, ageMs: Math.round(this.#options.clock.nowMs() - job.seenAtMs), hasBegun: job.hasBegun,
+			})),
+			workers: [...state.workers.values()].map(worker => ({
+				workerId: worker.entry.workerId, pool: worker.entry.pool, isListed: worker.isListed, isFenced: worker.isFenced, isReserved: worker.isReserved, runs: worker.runs.size, acknowledged: worker.acknowledgedSequence,
+			})),
+			waves: [...state.waves.values()].map(wave => ({waveId: wave.order.waveId, state: wave.state, maintained: wave.maintained.size, machines: wave.order.machineIds.length})),
+		};
+	}
+
+	#now(): {readonly nowMs: number; readonly wallMs: number} {
+		return {nowMs: this.#options.clock.nowMs(), wallMs: this.#options.clock.wallTimeMs()};
+	}
+
+	#keepTicking(): void {
+		const delayMs = this.state.term === undefined ? idleTickMs : decideEveryMs;
+		this.#cancelTick = this.#options.clock.schedule(delayMs, () => {
+			this.#tick();
+			if (!this.#isClosed) {
+				this.#keepTicking();
+			}
+		});
+	}
+
+	#tick(): void {
+		const now = this.#now();
+		this.#runtime.dispatch({type: 'tick', ...now});
+		this.#links.lookAround();
+		if (this.state.term === undefined) {
+			return;
+		}
+
+		if (now.nowMs >= this.#nextListingAtMs && !this.#isListing) {
+			void this.#listMachines();
+		}
+
+		if (now.nowMs >= this.#nextSweepAtMs) {
+			this.#nextSweepAtMs = now.nowMs + sweepEveryMs;
+			void this.#sweepEndedJobs(now.wallMs);
+		}
+	}
+
+	#leaseChanged(lease: HeldLease | undefined): void {
+		this.#fence = lease?.fence;
+		if (lease === undefined) {
+			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
+			return;
+		}
+
+		void this.#beginTerm(lease);
+	}
+
+	/** Orders are given only on a replica that holds everything the earlier holder stored. */
+	async #beginTerm({fence}: HeldLease): Promise<void> {
+		while (this.#fence?.version === fence.version) {
+			try {
+				await Promise.all([this.#jobs.refresh(), this.#waves.refresh()]);
+				this.#runtime.dispatch({type: 'leaseWon', fencingToken: fence.version, ...this.#now()});
+				return;
+			} catch (error) {
+				if (!(error instanceof PlatformError)) {
+					throw error;
+				}
+
+				this.#options.log.warn({event: 'takeover_waits', reason: error.message});
+				await this.#pause(saveRetryMs);
+			}
+		}
+	}
+
+	async #pause(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#options.clock.schedule(durationMs, resolve);
+		});
+	}
+
+	#applyJobRows(changes: readonly RowChange[]): void {
+		const read = changes.map(change => ({change, job: jobChangeFrom(change)}));
+		for (const {change, job} of read) {
+			if (job === undefined && change.value !== undefined) {
+				this.#options.log.warn({event: 'row_unreadable', key: change.key, version: change.version});
+			}
+		}
+
+		this.#runtime.dispatch({type: 'jobsChanged', changes: read.flatMap(({job}) => job ?? []), ...this.#now()});
+	}
+
+	#applyWaveRows(changes: readonly RowChange[]): void {
+		for (const change of changes) {
+			const progress = waveChangeFrom(change);
+			if (progress !== undefined) {
+				this.#runtime.dispatch({type: 'waveProgressed', ...progress, ...this.#now()});
+			}
+		}
+	}
+
+	async #listMachines(): Promise<void> {
+		this.#isListing = true;
+		const sentAtMs = this.#options.clock.nowMs();
+		try {
+			const machines = await this.#options.machineControl.list();
+			this.#runtime.dispatch({
+				type: 'machinesListed', machines, sentAtMs, ...this.#now(),
+			});
+		} catch (error) {
+			if (!(error instanceof PlatformError)) {
+				throw error;
+			}
+
+			this.#options.log.warn({event: 'machines_not_listed', reason: error.message});
+		}
+
+		this.#isListing = false;
+		this.#nextListingAtMs = this.#options.clock.nowMs() + listMachinesEveryMs;
+	}
+
+	async #sweepEndedJobs(wallMs: number): Promise<void> {
+		const ended = [...this.state.jobs.values()].filter(job => job.isOutcomeStored && job.endedWallMs !== undefined && wallMs - job.endedWallMs > keepEndedJobsMs);
+		const fence = this.#fence;
+		if (ended.length === 0 || fence === undefined) {
+			return;
+		}
+
+		try {
+			await this.#store.remove(ended.slice(0, maxSweptJobs).map(job => job.spec.jobId), fence);
+		} catch (error) {
+			if (!(error instanceof PlatformError)) {
+				throw error;
+			}
+
+			this.#options.log.warn({event: 'sweep_failed', jobs: ended.length, reason: error.message});
+		}
+	}
+
+	#perform(effect: SchedulerEffect): void {
+		switch (effect.type) {
+			case 'start': {
+				void this.#start(effect);
+				break;
+			}
+
+			case 'stop': {
+				void this.#stop(effect);
+				break;
+			}
+
+			case 'pace': {
+				void this.#pace(effect);
+				break;
+			}
+
+			case 'save': {
+				void this.#save(effect.save);
+				break;
+			}
+
+			case 'move':
+			case 'maintain': {
+				void this.#orderMachine(effect);
+				break;
+			}
+
+			case 'reportWave': {
+				void this.#reportWave(effect.waveId, effect.state);
+				break;
+			}
+
+			case 'stepDown': {
+				this.#options.log.warn({event: 'lease_superseded', reason: effect.reason});
+				this.#fence = undefined;
+				break;
+			}
+
+			case 'note': {
+				this.#options.log.info(effect.fields);
+				break;
+			}
+
+			default: {
+				assertNever(effect);
+			}
+		}
+	}
+
+	#addressOf(workerId: string): {readonly workerId: string; readonly address: string} | undefined {
+		const worker = this.state.workers.get(workerId);
+		return worker === undefined ? undefined : {workerId, address: worker.entry.address};
+	}
+
+	async #start({type: _type, waitedMs, ...order}: Extract<SchedulerEffect, {readonly type: 'start'}>): Promise<void> {
+		const {workerId, taskKey, attempt} = order;
+		const worker = this.#addressOf(workerId);
+		const sentAtMs = this.#options.clock.nowMs();
+		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.start(worker, order);
+		const durationMs = this.#options.clock.nowMs() - sentAtMs;
+		this.#options.metrics.recordMs('task_wait_ms', waitedMs);
+		this.#options.metrics.recordMs('worker_start_ms', durationMs);
+		this.#options.log.info({
+			event: 'task_start', taskKey, attempt, workerId, answer, waitedMs, durationMs: Math.round(durationMs), fencingToken: order.fencingToken,
+		});
+		this.#runtime.dispatch({
+			type: 'startAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
+		});
+	}
+
+	async #stop({type: _type, reason, ...order}: Extract<SchedulerEffect, {readonly type: 'stop'}>): Promise<void> {
+		const {workerId, taskKey, attempt} = order;
+		const worker = this.#addressOf(workerId);
+		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.stop(worker, order);
+		this.#options.log.info({
+			event: 'task_stop', taskKey, attempt, workerId, reason, answer,
+		});
+		this.#runtime.dispatch({
+			type: 'stopAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
+		});
+	}
+
+	async #pace({type: _type, ...order}: Extract<SchedulerEffect, {readonly type: 'pace'}>): Promise<void> {
+		const worker = this.#addressOf(order.workerId);
+		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.pace(worker, order);
+		this.#options.log.info({
+			event: 'task_pace', taskKey: order.taskKey, workerId: order.workerId, percent: order.percent, answer,
+		});
+	}
+
+	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
+		const holder = {holder: this.#options.processId, fencingToken: effect.fencingToken};
+		const answer = effect.type === 'move'
+			? await this.#options.machineControl.move(effect.machineId, effect.pool, holder)
+			: await this.#options.machineControl.maintain(effect.machineId, effect.waveId, holder);
+		this.#options.log.info({
+			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, fencingToken: effect.fencingToken,
+			...(effect.type === 'move' ? {pool: effect.pool, reason: effect.reason} : {waveId: effect.waveId}),
+		});
+		this.#runtime.dispatch({
+			type: 'machineAnswered', machineId: effect.machineId, answer, ...this.#now(),
+		});
+	}
+
+	async #save(save: ProgressSave): Promise<void> {
+		for (let fence = this.#fence; this.#isSaveWanted(save); fence = this.#fence) {
+			try {
+				if (fence !== undefined) {
+					await this.#store.save(save, fence);
+					this.#runtime.dispatch({type: 'saved', saveNumber: save.saveNumber, ...this.#now()});
+					return;
+				}
+			} catch (error) {
+				if (error instanceof ConflictError) {
+					this.#options.log.warn({event: 'save_fenced', saveNumber: save.saveNumber});
+					this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
+					return;
+				}
+
+				if (!(error instanceof PlatformError)) {
+					throw error;
+				}
+
+				this.#options.log.warn({event: 'save_failed', saveNumber: save.saveNumber, jobs: save.jobs.length, reason: error.message});
+			}
+
+			await this.#pause(saveRetryMs);
+		}
+	}
+
+	#isSaveWanted(save: ProgressSave): boolean {
+		return this.state.term !== undefined && this.state.saveUnderWay === save.saveNumber && !this.#isClosed;
+	}
+
+	async #reportWave(waveId: number, state: 'running' | 'completed'): Promise<void> {
+		while (this.state.term !== undefined && !this.#isClosed) {
+			try {
+				await this.#options.waveReporter.report(waveId, state);
+				this.#options.log.info({event: 'wave_reported', waveId, state});
+				return;
+			} catch (error) {
+				if (!(error instanceof PlatformError)) {
+					throw error;
+				}
+
+				this.#options.log.warn({event: 'wave_report_failed', waveId, state, reason: error.message});
+				await this.#pause(saveRetryMs);
+			}
+		}
+	}
+}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -32,3 +32,4 @@
 export type {MemberIdentity} from './membership/rows.js';
 export {LeaseContender, type LeaseContenderOptions} from './leases/lease-contender.js';
 export {AllotmentManager, type AllotmentManagerOptions} from './allotments/allotment-manager.js';
+export {TableReplica, type TableReplicaOptions} from './replicas/table-replica.js';
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,9 +1,10 @@
 /**
-Bundles each binary into one file under `dist/`.
+Bundles each binary into one file under `dist/`, or only those that are named, into the folder that `--out` names.
 */
 import {chmod} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
+import {parseArgs} from 'node:util';
 import {build} from 'esbuild';
 
 /**
@@ -14,10 +15,18 @@
 const binaries = [
 	{name: 'poplarnotch-gate', entryPoint: 'packages/gate/src/main.ts', nodeFlags: daemonFlags},
 	{name: 'poplarnotch-controller', entryPoint: 'packages/controller/src/main.ts', nodeFlags: daemonFlags},
+	{name: 'poplarnotch-entry', entryPoint: 'packages/entry/src/main.ts', nodeFlags: daemonFlags},
 	{name: 'poplarnotch', entryPoint: 'packages/cli/src/main.ts', nodeFlags: ''},
 	{name: 'poplarnotch-standin', entryPoint: 'packages/standin/src/main.ts', nodeFlags: ''},
 ];
 
+const {values: options, positionals: namedBinaries} = parseArgs({
+	options: {out: {type: 'string', default: 'dist'}},
+	allowPositionals: true,
+});
+
+const isWanted = ({name}) => namedBinaries.length === 0 || namedBinaries.includes(name);
+
 const shebang = nodeFlags => nodeFlags === '' ? '#!/usr/bin/env node' : `#!/usr/bin/env -S node ${nodeFlags}`;
 
 // Bundled CommonJS dependencies call `require`, which an ES module does not have.
@@ -43,7 +52,7 @@
 const executableMode = 0o755;
 
 const buildBinary = async ({name, entryPoint, nodeFlags}) => {
-	const outfile = `dist/${name}.mjs`;
+	const outfile = path.join(options.out, `${name}.mjs`);
 	await build({
 		entryPoints: [entryPoint],
 		outfile,
@@ -63,7 +72,7 @@
 };
 
 try {
-	await Promise.all(binaries.map(buildBinary));
+	await Promise.all(binaries.filter(isWanted).map(buildBinary));
 } catch {
 	process.exitCode = 1;
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -3,7 +3,7 @@
 */
 const config = [
 	{
-		ignores: ['dist/**', 'coverage/**'],
+		ignores: ['dist/**', 'target/**', 'coverage/**'],
 	},
 	{
 		rules: {
@@ -35,7 +35,7 @@
 		},
 	},
 	{
-		files: ['packages/*/tests/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts'],
+		files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts'],
 		rules: {
 			// Test tools and the workspace's own packages are installed at the root; knip checks that each is listed.
 			'import-x/no-extraneous-dependencies': 'off',
