Reach the store through a peer where the own path is lost, and settle takeovers from the list of machines

Change: table calls go through a peer while the own path fails; workers that no machine names any more have ended; moves need only an idle machine; an unknown commit is repeated under its condition; stranded lasting tasks count as shortage; the end of a run is taken off its worker before its job ends.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -2,12 +2,15 @@
 One process of an entry host on the users' platform: answers callers, and schedules the fleet's work while it holds the lease.
 */
 import {
-	type Clock, LifecycleManager, listenOn, type Logger, type MetricsRegistry, OperationsServer,
+	type Clock, type JsonValue, LifecycleManager, listenOn, type Logger, type MetricsRegistry, type OperationsRoute, OperationsServer,
 } from '@poplarnotch/common';
 import {
 	createReadinessServer, HttpClient, type HostSettings, JobFront, MachineHttpControl, OperatorOrdersSource, StatusRows, TableStore, WorkerEntriesSource, WorkerHttpControl,
 } from '@poplarnotch/platform-adapter';
 import {SchedulerProcess} from '@poplarnotch/scheduler';
+import {
+	createRpcRoute, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
+} from '@poplarnotch/state';
 
 /** Connections to the store: long calls that wait for changes hold four of them. */
 const storeConnections = 24;
@@ -37,6 +40,10 @@
 	readonly #lifecycle: LifecycleManager;
 	readonly #scheduler: SchedulerProcess;
 	readonly #front: JobFront;
+	readonly #ownTable: TableStore;
+	readonly #peers: RelayDirectory;
+	#rpcClient: RpcClient | undefined;
+	#route: OperationsRoute | undefined;
 	#isDraining = false;
 	#stopped: Promise<void> | undefined;
 
@@ -46,7 +53,13 @@
 		this.#lifecycle = new LifecycleManager(clock);
 		const storeClient = this.#own(new HttpClient({connections: storeConnections}));
 		const workerClient = this.#own(new HttpClient({connections: workerConnections}));
-		const table = new TableStore({client: storeClient, url: settings.tableServiceUrl});
+		this.#ownTable = new TableStore({client: storeClient, url: settings.tableServiceUrl});
+		const table = new RelayedTable({
+			own: this.#ownTable, peers: () => this.#peers.peerUrls, callPeer: async (...call) => this.#callPeer(...call), clock, log,
+		});
+		this.#peers = new RelayDirectory({
+			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, clock, log,
+		});
 		this.#scheduler = new SchedulerProcess({
 			processId: settings.host,
 			table,
@@ -55,6 +68,9 @@
 			workerControl: new WorkerHttpControl(workerClient),
 			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
 			waveReporter: new StatusRows(table),
+			onControlRows: changes => {
+				this.#peers.apply(changes);
+			},
 			clock,
 			log,
 			metrics,
@@ -71,14 +87,20 @@
 	async start(): Promise<void> {
 		const {settings, metrics, log, metricsPort} = this.#options;
 		this.#scheduler.start();
+		this.#peers.start();
 		this.#lifecycle.own('scheduler', async () => this.#scheduler.close());
-		const readiness = createReadinessServer(() => this.isReady);
-		const operations = new OperationsServer({
-			metrics, isReady: () => this.isReady, dump: () => this.#scheduler.dump(),
+		this.#lifecycle.own('peer directory', () => {
+			this.#peers.stop();
 		});
+		const readiness = createReadinessServer(() => this.isReady);
+		const source = {metrics, isReady: () => this.isReady, dump: () => this.#scheduler.dump()};
+		const operations = new OperationsServer(source);
+		const peers = new OperationsServer(source, [this.#relayRoute()]);
 		await listenOn(readiness, settings.readinessAddress.ip, settings.readinessAddress.port);
 		await listenOn(this.#front.server, settings.callersAddress.ip, settings.callersAddress.port);
 		await operations.listen(settings.callersAddress.ip, metricsPort);
+		await peers.listen(settings.peersAddress.ip, settings.peersAddress.port);
+		this.#lifecycle.own('peers port', async () => peers.close());
 		this.#lifecycle.own('operations port', async () => operations.close());
 		this.#lifecycle.own('readiness port', () => {
 			readiness.close();
@@ -111,10 +133,35 @@
 		}
 
 		const failures = await this.#lifecycle.releaseAll();
-		log.info({event: 'process_stopped', inFlight: this.#front.inFlight, failures: failures.length, durationMs: Math.round(clock.nowMs() - startedAtMs)});
+		log.info({
+			event: 'process_stopped', inFlight: this.#front.inFlight, failures: failures.length, durationMs: Math.round(clock.nowMs() - startedAtMs),
+		});
+	}
+
+	/** Peers show the secret, which this process may learn after it has started to listen. */
+	#relayRoute(): OperationsRoute {
+		return {
+			method: 'POST',
+			path: rpcPath,
+			handle: (request, response) => {
+				const {secret} = this.#peers;
+				if (secret === undefined) {
+					response.writeHead(503).end();
+					return;
+				}
+
+				this.#route ??= createRpcRoute(secret, {[relayMethod]: async parameters => performRelayed(this.#ownTable, parameters)});
+				this.#route.handle(request, response);
+			},
+		};
+	}
+
+	async #callPeer(...call: readonly [baseUrl: string, method: string, parameters: JsonValue, timeoutMs: number]): Promise<unknown> {
+		this.#rpcClient ??= this.#own(new RpcClient({secret: this.#peers.secret ?? '', metrics: this.#options.metrics}));
+		return this.#rpcClient.call(...call);
 	}
 
-	#own(client: HttpClient): HttpClient {
+	#own<Client extends {close(): Promise<void>}>(client: Client): Client {
 		this.#lifecycle.own('connections', async () => client.close());
 		return client;
 	}
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -20,7 +20,7 @@
 	.strict()
 	.parse();
 
-const fileName = process.env['POPLARNOTCH_CONFIG'] ?? '/etc/poplarnotch/boot.conf';
+const fileName = process.env.POPLARNOTCH_CONFIG ?? '/etc/poplarnotch/boot.conf';
 const settings = readHostSettings(await readFile(fileName, 'utf8'), fileName);
 if (E.isLeft(settings)) {
 	process.stderr.write(`${settings.left.map(formatFinding).join('\n')}\n`);
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -152,9 +152,27 @@
 	return plan.length === taskCount ? plan : undefined;
 };
 
-/** Offers room to all waiting work once; returns the shortage of each pool. */
-export const dispatch = (state: SchedulerState, nowMs: number): ReadonlyMap<string, Shortage> => {
+/** Adds tasks without room to the shortage of their pool. */
+const addShortage = (shortages: Map<string, Shortage>, pool: string, step: StepRun, taskCount: number): void => {
+	const known = shortages.get(pool) ?? {needs: noResources, taskCount: 0};
+	let {needs} = known;
+	for (let index = 0; index < taskCount; index++) {
+		needs = addResources(needs, occupiedBy(step));
+	}
+
+	shortages.set(pool, {needs, taskCount: known.taskCount + taskCount});
+};
+
+/** Offers room to all waiting work once; returns the shortage of each pool, in which `stranded` tasks count that have to leave their worker. */
+export const dispatch = (state: SchedulerState, stranded: readonly Task[], nowMs: number): ReadonlyMap<string, Shortage> => {
 	const shortages = new Map<string, Shortage>();
+	for (const {step} of stranded) {
+		const pool = state.poolOf(step.job);
+		if (pool !== undefined) {
+			addShortage(shortages, pool, step, 1);
+		}
+	}
+
 	const usable = new UsableWorkers(state, nowMs);
 	for (const queued of orderQueue(state, nowMs)) {
 		if (!mayStart(state, queued.step)) {
@@ -166,13 +184,7 @@
 			? startGang(state, queued, workers, nowMs)
 			: startSingles(state, queued, workers, nowMs);
 		if (unplaced > 0) {
-			const known = shortages.get(queued.pool) ?? {needs: noResources, taskCount: 0};
-			let needs = known.needs;
-			for (let index = 0; index < unplaced; index++) {
-				needs = addResources(needs, occupiedBy(queued.step));
-			}
-
-			shortages.set(queued.pool, {needs, taskCount: known.taskCount + unplaced});
+			addShortage(shortages, queued.pool, queued.step, unplaced);
 		}
 	}
 
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -1,7 +1,9 @@
 /**
 Events that the scheduler decides on and effects that it asks for.
 */
-import {type LookAnswer, type MachineAnswer, type OrderAnswer, type StartAnswer} from '../ports.js';
+import {
+	type LookAnswer, type MachineAnswer, type OrderAnswer, type StartAnswer,
+} from '../ports.js';
 import {
 	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type WaveOrder, type WorkerEntry,
 } from '../types.js';
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -143,7 +143,11 @@
 	job.endedWallMs = wallMs;
 	state.openJobs.delete(job);
 	markDirty(job);
-	state.emit({type: 'note', fields: {event: 'job_ended', jobId: job.spec.jobId, queue: job.spec.queue, outcome, ageMs: Math.round(nowMs - job.seenAtMs)}});
+	state.emit({
+		type: 'note', fields: {
+			event: 'job_ended', jobId: job.spec.jobId, queue: job.spec.queue, outcome, ageMs: Math.round(nowMs - job.seenAtMs),
+		},
+	});
 	for (const step of stepsOf(job)) {
 		for (const {run} of step.tasks) {
 			if (run !== undefined && run.phase !== 'stopping') {
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -6,7 +6,7 @@
 import {type MachineEntry} from '../types.js';
 import {type MachineRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
-import {loseRuns} from './workers.js';
+import {endWorker} from './workers.js';
 
 /** Takes a listing of all machines into account. */
 export const applyMachineList = (state: SchedulerState, entries: readonly MachineEntry[], sentAtMs: number): void => {
@@ -19,6 +19,14 @@
 			continue;
 		}
 
+		if (known.entry.state !== entry.state) {
+			state.emit({
+				type: 'note', fields: {
+					event: 'machine_state', machineId: entry.machineId, pool: entry.pool, state: entry.state, replaces: known.entry.state, workerId: entry.workerId, ordered: known.order?.type,
+				},
+			});
+		}
+
 		known.entry = entry;
 		const {order} = known;
 		if (order?.phase === 'accepted' && entry.state === 'up' && sentAtMs >= order.answeredAtMs! + machineAwayMinMs) {
@@ -33,6 +41,26 @@
 	}
 
 	state.machinesListedAtMs = sentAtMs;
+	endUnnamedWorkers(state, sentAtMs);
+};
+
+/** A worker that a machine carried and none carries any more has ended. */
+const endUnnamedWorkers = (state: SchedulerState, nowMs: number): void => {
+	const named = new Map<string, string>();
+	for (const {entry} of state.machines.values()) {
+		if (entry.workerId !== undefined) {
+			named.set(entry.workerId, entry.machineId);
+		}
+	}
+
+	for (const [workerId, worker] of state.workers) {
+		const machineId = named.get(workerId);
+		if (machineId === undefined && worker.machineId !== undefined) {
+			endWorker(state, worker, nowMs, 'machine-runs-another-worker');
+		}
+
+		worker.machineId = machineId ?? worker.machineId;
+	}
 };
 
 /** The worker that lives on the machine. */
@@ -92,7 +120,7 @@
 			order.phase = 'accepted';
 			const worker = workerOn(state, machine);
 			if (worker !== undefined) {
-				loseRuns(state, worker, nowMs, 'machine-ordered-away');
+				endWorker(state, worker, nowMs, 'machine-ordered-away');
 			}
 
 			if (order.waveId !== undefined) {
--- a/packages/scheduler/src/core/placing.ts
+++ b/packages/scheduler/src/core/placing.ts
@@ -41,7 +41,7 @@
 	const onRack = siblings.filter(run => run.worker.entry.rack === rack).length;
 	const roomLeft = state.room(worker).cpuMillicores;
 	if (spec.isLasting) {
-		return [isAvoided, isFarFromData, onRack, isBusy(worker), roomLeft];
+		return [isAvoided, worker.isDue ? 1 : 0, isFarFromData, onRack, isBusy(worker), roomLeft];
 	}
 
 	const isOffRack = spec.prefersOneRack && siblings.length > 0 && onRack === 0 ? 1 : 0;
--- a/packages/scheduler/src/core/pools.ts
+++ b/packages/scheduler/src/core/pools.ts
@@ -79,7 +79,7 @@
 
 /** Orders the moves that the present demand asks for. */
 export const sizePools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, nowMs: number): void => {
-	if (!state.isSettled || state.machinesListedAtMs === undefined || state.machinesListedAtMs < state.term!.wonAtMs) {
+	if (state.machinesListedAtMs === undefined || state.machinesListedAtMs < state.term!.wonAtMs) {
 		return;
 	}
 
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -104,6 +104,12 @@
 	sentAcknowledgement: number;
 	readonly recentFailuresMs: number[];
 	quarantinedUntilMs: number;
+	/** The platform's list of machines names the worker, or did. */
+	machineId: string | undefined;
+	/** This life of the worker is over: its machine was ordered away or runs another worker. */
+	isEnded: boolean;
+	/** The machine is to be maintained soon: lasting tasks go elsewhere. */
+	isDue: boolean;
 	/** No new work: the machine is about to be maintained or moved. */
 	isReserved: boolean;
 	idleSinceMs: number;
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -22,7 +22,11 @@
 			state.waves.set(order.waveId, {
 				order, orderedAtMs: nowMs, maintained: new Set(stored?.maintained), reserved: new Set(), state: stored?.isCompleted === true ? 'completed' : 'running', reportedState: undefined, isDirty: false,
 			});
-			state.emit({type: 'note', fields: {event: 'wave_ordered', waveId: order.waveId, machines: order.machineIds.length, withinMs: order.withinMs, concurrency: order.concurrency}});
+			state.emit({
+				type: 'note', fields: {
+					event: 'wave_ordered', waveId: order.waveId, machines: order.machineIds.length, withinMs: order.withinMs, concurrency: order.concurrency,
+				},
+			});
 		}
 	}
 };
@@ -45,9 +49,9 @@
 	reviewWorkers(state, nowMs);
 	reviewSettled(state, nowMs);
 	reviewJobs(state, now);
-	reviewRuns(state, nowMs);
+	const stranded = reviewRuns(state, nowMs);
 	repeatMachineOrders(state, nowMs);
-	const shortages = dispatch(state, nowMs);
+	const shortages = dispatch(state, stranded, nowMs);
 	advanceWaves(state, nowMs);
 	sizePools(state, shortages, nowMs);
 	noteProcessedEnds(state);
--- a/packages/scheduler/src/core/relocating.ts
+++ b/packages/scheduler/src/core/relocating.ts
@@ -6,7 +6,9 @@
 import {stalledTaskMs} from '../constants.js';
 import {orderStop} from './jobs.js';
 import {chooseWorker} from './placing.js';
-import {type Run, type StepRun, type WorkerRecord} from './records.js';
+import {
+	type Run, type StepRun, type Task, type WorkerRecord,
+} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {isUsable} from './workers.js';
 
@@ -28,7 +30,9 @@
 /** Whether one more task of the step may be ended. */
 const mayEndOne = (step: StepRun): boolean => awayCount(step) < Math.max(1, step.spec.mayMiss);
 
-const relocateFrom = (state: SchedulerState, worker: WorkerRecord, usable: readonly WorkerRecord[], nowMs: number): void => {
+/** Stops lasting tasks that another worker has room for; returns the tasks that found none. */
+const relocateFrom = (state: SchedulerState, worker: WorkerRecord, usable: readonly WorkerRecord[], nowMs: number): readonly Task[] => {
+	const stranded: Task[] = [];
 	for (const run of worker.runs.values()) {
 		const step = run.task?.step;
 		if (step === undefined || !step.spec.isLasting || run.phase !== 'running') {
@@ -36,10 +40,15 @@
 		}
 
 		const mayEnd = worker.entry.isDraining || !isAtWork(run) || mayEndOne(step);
-		if (mayEnd && chooseWorker(state, run.task!, usable.filter(other => other.entry.pool === worker.entry.pool)) !== undefined) {
+		const target = chooseWorker(state, run.task!, usable.filter(other => other.entry.pool === worker.entry.pool && !other.isDue));
+		if (target === undefined) {
+			stranded.push(run.task!);
+		} else if (mayEnd) {
 			orderStop(state, run, nowMs, worker.entry.isDraining ? 'worker-draining' : 'machine-reserved');
 		}
 	}
+
+	return stranded;
 };
 
 const stopStalled = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
@@ -68,14 +77,17 @@
 	}
 };
 
-/** Looks after what runs: relocations, runs without progress, stops that got no answer. */
-export const reviewRuns = (state: SchedulerState, nowMs: number): void => {
+/** Looks after what runs: relocations, runs without progress, stops that got no answer. Returns the tasks that have to move and find no room. */
+export const reviewRuns = (state: SchedulerState, nowMs: number): readonly Task[] => {
+	const stranded: Task[] = [];
 	const usable = [...state.workers.values()].filter(worker => isUsable(worker, nowMs));
 	for (const worker of state.workers.values()) {
 		repeatStops(state, worker, nowMs);
 		stopStalled(state, worker, nowMs);
 		if (worker.entry.isDraining || worker.isReserved) {
-			relocateFrom(state, worker, usable, nowMs);
+			stranded.push(...relocateFrom(state, worker, usable, nowMs));
 		}
 	}
+
+	return stranded;
 };
--- a/packages/scheduler/src/core/reports.ts
+++ b/packages/scheduler/src/core/reports.ts
@@ -62,7 +62,11 @@
 		case 'unreachable': {
 			if (worker.silentSinceMs === undefined) {
 				worker.silentSinceMs = event.sentAtMs;
-				state.emit({type: 'note', fields: {event: 'worker_silent', workerId: event.workerId, runs: worker.runs.size, lastAnswerAgeMs: Math.round(event.nowMs - worker.lastAnswerAtMs)}});
+				state.emit({
+					type: 'note', fields: {
+						event: 'worker_silent', workerId: event.workerId, runs: worker.runs.size, lastAnswerAgeMs: Math.round(event.nowMs - worker.lastAnswerAtMs),
+					},
+				});
 			}
 
 			break;
@@ -111,8 +115,8 @@
 
 const applyRunning = (state: SchedulerState, worker: WorkerRecord, entry: RunningEntry, {nowMs}: Now): void => {
 	const known = worker.runs.get(entry.taskKey);
-	if (known === undefined || known.attempt !== entry.attempt) {
-		if (known === undefined || entry.attempt > known.attempt) {
+	if (known?.attempt !== entry.attempt) {
+		if (entry.attempt > (known?.attempt ?? 0)) {
 			adoptRun(state, worker, entry, nowMs);
 		}
 
@@ -179,15 +183,15 @@
 
 const applyEnd = (state: SchedulerState, worker: WorkerRecord, entry: FinishedEntry, event: Looked): void => {
 	const run = worker.runs.get(entry.taskKey);
-	const task = run?.attempt === entry.attempt && run.task !== undefined ? run.task : findTask(state, entry.taskKey);
-	if (task !== undefined && task.step.job.outcome === undefined) {
-		applyTaskEnd(state, task, worker, entry, event);
-	}
-
-	if (run !== undefined && run.attempt === entry.attempt) {
+	const task = findTask(state, entry.taskKey);
+	if (run?.attempt === entry.attempt) {
 		run.checkpoint = entry.checkpoint;
 		state.removeRun(run, event.nowMs);
 	}
+
+	if (task !== undefined && task.step.job.outcome === undefined) {
+		applyTaskEnd(state, task, worker, entry, event);
+	}
 };
 
 const applyTaskEnd = (state: SchedulerState, task: Task, worker: WorkerRecord, entry: FinishedEntry, now: Now): void => {
@@ -219,9 +223,11 @@
 		}
 	}
 
-	state.emit({type: 'note', fields: {
-		event: 'run_ended', taskKey: entry.taskKey, attempt: entry.attempt, end: entry.end, workerId: worker.entry.workerId,
-	}});
+	state.emit({
+		type: 'note', fields: {
+			event: 'run_ended', taskKey: entry.taskKey, attempt: entry.attempt, end: entry.end, workerId: worker.entry.workerId,
+		},
+	});
 };
 
 /** A worker on which several runs fail in short time gets no new work for a while. */
@@ -231,16 +237,24 @@
 	worker.recentFailuresMs.splice(0, worker.recentFailuresMs.length, ...recent);
 	if (recent.length >= quarantineFailures && nowMs >= worker.quarantinedUntilMs) {
 		worker.quarantinedUntilMs = nowMs + quarantineMs;
-		state.emit({type: 'note', fields: {event: 'worker_quarantined', workerId: worker.entry.workerId, failures: recent.length, forMs: quarantineMs}});
+		state.emit({
+			type: 'note', fields: {
+				event: 'worker_quarantined', workerId: worker.entry.workerId, failures: recent.length, forMs: quarantineMs,
+			},
+		});
 	}
 };
 
 /** Runs that the worker listed before and lists no longer: it has forgotten them, so they have ended. */
 const forgetVanished = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, event: Looked): void => {
-	for (const run of [...worker.runs.values()]) {
+	for (const run of worker.runs.values()) {
 		const wasThere = run.phase !== 'unconfirmed' && run.startedAtMs !== undefined && run.startedAtMs < event.sentAtMs;
 		if (wasThere && !listed.has(run.taskKey)) {
-			state.emit({type: 'note', fields: {event: 'run_vanished', taskKey: run.taskKey, attempt: run.attempt, workerId: event.workerId}});
+			state.emit({
+				type: 'note', fields: {
+					event: 'run_vanished', taskKey: run.taskKey, attempt: run.attempt, workerId: event.workerId,
+				},
+			});
 			state.removeRun(run, event.nowMs);
 		}
 	}
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -139,7 +139,7 @@
 	/** Drops what was believed of runs, for a process that begins to schedule. */
 	forgetRuns(nowMs: number): void {
 		for (const worker of this.workers.values()) {
-			for (const run of [...worker.runs.values()]) {
+			for (const run of worker.runs.values()) {
 				this.removeRun(run, nowMs);
 			}
 
--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -34,10 +34,21 @@
 	}
 };
 
+/** Lasting tasks are kept off machines whose maintenance is still to come. */
+const markDue = (state: SchedulerState, remaining: readonly MachineRecord[]): void => {
+	for (const machine of remaining) {
+		const worker = workerOn(state, machine);
+		if (worker !== undefined) {
+			worker.isDue = true;
+		}
+	}
+};
+
 const advance = (state: SchedulerState, wave: WaveRecord, nowMs: number): void => {
 	const machines = machinesOf(state, wave);
 	const remaining = machines.filter(({entry}) => !wave.maintained.has(entry.machineId));
 	const downCount = machines.filter(machine => isDownFor(machine, wave)).length;
+	markDue(state, remaining);
 	if (remaining.length === 0 && downCount === 0) {
 		complete(state, wave, nowMs);
 		return;
@@ -66,7 +77,11 @@
 const complete = (state: SchedulerState, wave: WaveRecord, nowMs: number): void => {
 	wave.state = 'completed';
 	wave.isDirty = true;
-	state.emit({type: 'note', fields: {event: 'wave_completed', waveId: wave.order.waveId, machines: wave.maintained.size, afterMs: Math.round(nowMs - wave.orderedAtMs)}});
+	state.emit({
+		type: 'note', fields: {
+			event: 'wave_completed', waveId: wave.order.waveId, machines: wave.maintained.size, afterMs: Math.round(nowMs - wave.orderedAtMs),
+		},
+	});
 };
 
 /** Advances all waves. Needs a listing of machines from this term, so that a machine that another holder sent away is not counted as up. */
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -1,7 +1,9 @@
 /**
 What is believed of workers: who is listed, who answers, and when something on a silent worker has surely ended.
 */
-import {leaseMarginMs, leaseStretch, silentWorkerMs, taskLeaseMs} from '../constants.js';
+import {
+	leaseMarginMs, leaseStretch, silentWorkerMs, taskLeaseMs,
+} from '../constants.js';
 import {type WorkerEntry} from '../types.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -23,6 +25,9 @@
 	sentAcknowledgement: 0,
 	recentFailuresMs: [],
 	quarantinedUntilMs: 0,
+	machineId: undefined,
+	isEnded: false,
+	isDue: false,
 	isReserved: false,
 	idleSinceMs: nowMs,
 });
@@ -37,8 +42,12 @@
 			continue;
 		}
 
-		if (known.entry.isDraining !== entry.isDraining) {
-			state.emit({type: 'note', fields: {event: 'worker_state', workerId: entry.workerId, pool: entry.pool, isDraining: entry.isDraining, runs: known.runs.size}});
+		if (known.entry.isDraining !== entry.isDraining && state.term !== undefined) {
+			state.emit({
+				type: 'note', fields: {
+					event: 'worker_state', workerId: entry.workerId, pool: entry.pool, isDraining: entry.isDraining, runs: known.runs.size,
+				},
+			});
 		}
 
 		known.entry = entry;
@@ -53,7 +62,15 @@
 		if (!listed.has(workerId) && worker.isListed) {
 			worker.isListed = false;
 			worker.unlistedAtMs = nowMs;
-			state.emit({type: 'note', fields: {event: 'worker_unlisted', workerId, pool: worker.entry.pool, runs: worker.runs.size}});
+			if (state.term === undefined || worker.isEnded) {
+				continue;
+			}
+
+			state.emit({
+				type: 'note', fields: {
+					event: 'worker_unlisted', workerId, pool: worker.entry.pool, runs: worker.runs.size,
+				},
+			});
 		}
 	}
 };
@@ -62,6 +79,8 @@
 export const beginNewLife = (state: SchedulerState, worker: WorkerRecord, bornWallMs: number | undefined, nowMs: number): void => {
 	loseRuns(state, worker, nowMs, 'worker-restarted');
 	worker.bornWallMs = bornWallMs;
+	worker.isEnded = false;
+	worker.isReserved = false;
 	worker.isFenced = false;
 	worker.clock = undefined;
 	worker.processedSequence = 0;
@@ -73,13 +92,27 @@
 	worker.quarantinedUntilMs = 0;
 };
 
+/** The worker is gone for good, with everything on it. */
+export const endWorker = (state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: string): void => {
+	if (!worker.isEnded) {
+		worker.isEnded = true;
+		worker.isFenced = true;
+		worker.leaseOverAtMs = nowMs;
+		loseRuns(state, worker, nowMs, reason);
+	}
+};
+
 /** Everything on the worker has surely ended without a known end. */
 export const loseRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: string): void => {
 	if (worker.runs.size > 0) {
-		state.emit({type: 'note', fields: {event: 'runs_lost', workerId: worker.entry.workerId, runs: worker.runs.size, reason}});
+		state.emit({
+			type: 'note', fields: {
+				event: 'runs_lost', workerId: worker.entry.workerId, runs: worker.runs.size, reason,
+			},
+		});
 	}
 
-	for (const run of [...worker.runs.values()]) {
+	for (const run of worker.runs.values()) {
 		state.removeRun(run, nowMs);
 	}
 };
@@ -95,6 +128,7 @@
 
 /** Whether the worker may be given work. */
 export const isUsable = (worker: WorkerRecord, nowMs: number): boolean => worker.isListed
+	&& !worker.isEnded
 	&& !worker.entry.isDraining
 	&& worker.isFenced
 	&& !worker.isReserved
@@ -130,6 +164,10 @@
 	const areAllSeen = workers.every(worker => worker.isFenced) && machinesKnown && unseen.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
 	if (areAllSeen || nowMs >= earlierLeaseOverAtMs) {
 		state.isSettled = true;
-		state.emit({type: 'note', fields: {event: 'takeover_settled', workers: workers.length, unanswered: workers.filter(worker => !worker.isFenced).length, afterMs: Math.round(nowMs - state.term.wonAtMs)}});
+		state.emit({
+			type: 'note', fields: {
+				event: 'takeover_settled', workers: workers.length, unanswered: workers.filter(worker => !worker.isFenced).length, afterMs: Math.round(nowMs - state.term.wonAtMs),
+			},
+		});
 	}
 };
--- a/packages/scheduler/src/jobs/job-desk.ts
+++ b/packages/scheduler/src/jobs/job-desk.ts
@@ -7,7 +7,9 @@
 import {ConflictError, PlatformError, WriteOutcomeUnknownError} from '@poplarnotch/platform';
 import {type JobRecord} from '../core/records.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
-import {type FleetConfiguration, type JobSpec, type JobState, type Queue} from '../types.js';
+import {
+	type FleetConfiguration, type JobSpec, type JobState, type Queue,
+} from '../types.js';
 import {type JobStore} from './job-store.js';
 
 /** Who calls, for which queue. */
@@ -144,7 +146,9 @@
 				}
 
 				mayBeStored ||= error instanceof WriteOutcomeUnknownError;
-				this.#options.log.warn({event: 'job_cancel_not_stored', jobId, attempt, reason: error.message});
+				this.#options.log.warn({
+					event: 'job_cancel_not_stored', jobId, attempt, reason: error.message,
+				});
 			}
 		}
 
@@ -165,7 +169,9 @@
 				throw error;
 			}
 
-			this.#options.log.warn({event: 'refresh_failed', purpose, subject, reason: error.message});
+			this.#options.log.warn({
+				event: 'refresh_failed', purpose, subject, reason: error.message,
+			});
 			return false;
 		}
 	}
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -6,6 +6,7 @@
 	absentVersion, ConflictError, type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {type ProgressSave} from '../core/events.js';
+import {waveKey} from '../shell/wave-rows.js';
 import {type JobSpec} from '../types.js';
 import {
 	cancelKey, jobKey, jobToJson, progressKey, progressToJson,
@@ -24,6 +25,8 @@
 type WaitingJob = {
 	readonly job: JobSpec;
 	readonly resolve: (result: AcceptResult) => void;
+	/** An attempt without an answer may have been applied, or may still be. */
+	mayBeStored: boolean;
 };
 
 /** Rows that one transaction may hold at most, conditions and writes together. */
@@ -32,9 +35,9 @@
 /** Rows of progress in one transaction, beside the fence. */
 const maxSavedRows = 80;
 
-/** How often an acceptance with an unknown outcome is read back. */
-const readBackAttempts = 3;
-const readBackPauseMs = 120;
+/** How often a commit is repeated whose outcome is unknown, and the pause before: by the second try a lost path has been noticed. */
+const maxRepeats = 3;
+const repeatPauseMs = 30;
 
 export type JobStoreOptions = {
 	readonly table: TableService;
@@ -46,7 +49,7 @@
 	readonly #table: TableService;
 	readonly #clock: Clock;
 	readonly #log: Logger;
-	#waiting: WaitingJob[] = [];
+	readonly #waiting: WaitingJob[] = [];
 	#isCommitting = false;
 
 	constructor(options: JobStoreOptions) {
@@ -58,7 +61,7 @@
 	/** Stores a job; it is accepted once this resolves to `accepted` or `known`. */
 	async accept(job: JobSpec): Promise<AcceptResult> {
 		return new Promise(resolve => {
-			this.#waiting.push({job, resolve});
+			this.#waiting.push({job, resolve, mayBeStored: false});
 			void this.#commitWaiting();
 		});
 	}
@@ -75,7 +78,7 @@
 	async save(save: ProgressSave, fence: RowCondition): Promise<void> {
 		const writes: RowWrite[] = [
 			...save.jobs.map(({jobId, progress}): RowWrite => ({type: 'put', key: progressKey(jobId), value: progressToJson(progress)})),
-			...save.waves.map(({waveId, maintained, isCompleted}): RowWrite => ({type: 'put', key: `waves/${waveId}`, value: {maintained, isCompleted}})),
+			...save.waves.map(({waveId, maintained, isCompleted}): RowWrite => ({type: 'put', key: waveKey(waveId), value: {maintained, isCompleted}})),
 		];
 		for (let from = 0; from < writes.length; from += maxSavedRows) {
 			await this.#table.commit({conditions: [fence], writes: writes.slice(from, from + maxSavedRows)});
@@ -104,7 +107,7 @@
 		this.#isCommitting = false;
 	}
 
-	async #commitBatch(batch: readonly WaitingJob[]): Promise<void> {
+	async #commitBatch(batch: readonly WaitingJob[], attempt = 0): Promise<void> {
 		try {
 			await this.#table.commit({
 				conditions: batch.map(({job}) => ({key: jobKey(job.jobId), version: absentVersion})),
@@ -112,11 +115,11 @@
 			});
 			resolveAll(batch, 'accepted');
 		} catch (error) {
-			await this.#settle(batch, error);
+			await this.#settle(batch, error, attempt);
 		}
 	}
 
-	async #settle(batch: readonly WaitingJob[], error: unknown): Promise<void> {
+	async #settle(batch: readonly WaitingJob[], error: unknown, attempt: number): Promise<void> {
 		if (error instanceof ConflictError) {
 			const known = new Set(error.conflicts.filter(({actualVersion}) => actualVersion !== absentVersion).map(({key}) => key));
 			resolveAll(batch.filter(({job}) => known.has(jobKey(job.jobId))), 'known');
@@ -124,41 +127,40 @@
 			if (rest.length === batch.length) {
 				resolveAll(rest, 'unavailable');
 			} else if (rest.length > 0) {
-				await this.#commitBatch(rest);
+				await this.#commitBatch(rest, attempt);
 			}
-		} else if (error instanceof UnavailableError) {
-			this.#log.warn({event: 'jobs_not_stored', jobs: batch.length, reason: error.message});
-			resolveAll(batch, 'unavailable');
-		} else if (error instanceof WriteOutcomeUnknownError) {
-			this.#log.warn({event: 'jobs_store_unknown', jobs: batch.length, reason: error.message});
-			void this.#readBack(batch);
+		} else if (error instanceof UnavailableError || error instanceof WriteOutcomeUnknownError) {
+			this.#settleFailure(batch, error, attempt);
 		} else {
 			throw error;
 		}
 	}
 
-	/** Finds out whether a commit without an answer was applied. What is absent may still be written later, so it stays unknown. */
-	async #readBack(batch: readonly WaitingJob[]): Promise<void> {
-		let rest = batch;
-		for (let attempt = 0; attempt < readBackAttempts && rest.length > 0; attempt++) {
-			await new Promise<void>(resolve => {
-				this.#clock.schedule(readBackPauseMs, resolve);
-			});
-			try {
-				const rows = await this.#table.readRows(rest.map(({job}) => jobKey(job.jobId)));
-				const stored = new Set(rows.map(row => row.key));
-				resolveAll(rest.filter(({job}) => stored.has(jobKey(job.jobId))), 'accepted');
-				rest = rest.filter(({job}) => !stored.has(jobKey(job.jobId)));
-			} catch (error) {
-				if (!(error instanceof UnavailableError)) {
-					throw error;
-				}
-
-				this.#log.warn({event: 'jobs_read_back_failed', jobs: rest.length, reason: error.message});
-			}
+	/** Jobs are refused only where no attempt can have been applied. */
+	#settleFailure(batch: readonly WaitingJob[], error: UnavailableError | WriteOutcomeUnknownError, attempt: number): void {
+		const {mayBeApplied} = error;
+		this.#log.warn({
+			event: 'jobs_not_stored', jobs: batch.length, attempt, mayBeApplied, reason: error.message,
+		});
+		for (const waiting of batch) {
+			waiting.mayBeStored ||= mayBeApplied;
 		}
 
-		resolveAll(rest, 'unknown');
+		if (attempt < maxRepeats) {
+			void this.#commitAgain(batch, attempt + 1);
+			return;
+		}
+
+		resolveAll(batch.filter(({mayBeStored}) => mayBeStored), 'unknown');
+		resolveAll(batch.filter(({mayBeStored}) => !mayBeStored), 'unavailable');
+	}
+
+	/** The condition makes a repeated commit safe: either it is applied now, or it finds the row of the first one. */
+	async #commitAgain(batch: readonly WaitingJob[], attempt: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#clock.schedule(repeatPauseMs, resolve);
+		});
+		await this.#commitBatch(batch, attempt);
 	}
 }
 
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -56,10 +56,14 @@
 	failures: factsSchema,
 }).transform(({outcome, endedWallMs, ...facts}): JobProgress => ({...facts, outcome, endedWallMs}));
 
-export const jobToJson = (job: JobSpec): JsonObject => job as unknown as JsonObject;
+export const jobToJson = (job: JobSpec): JsonObject => job;
 
 /** Fields that are not set are left out. */
-export const progressToJson = (progress: JobProgress): JsonObject => JSON.parse(JSON.stringify(progress)) as JsonObject;
+export const progressToJson = ({outcome, endedWallMs, ...facts}: JobProgress): JsonObject => ({
+	...facts,
+	...(outcome === undefined ? {} : {outcome}),
+	...(endedWallMs === undefined ? {} : {endedWallMs}),
+});
 
 const keyPattern = /^jobs\/[^\/]+\/(?<jobId>[^\/]+)(?:\/(?<part>progress|cancel))?$/v;
 
--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -7,10 +7,10 @@
 
 /** Follows something that the platform keeps and hands each newer state to its listener. */
 export interface Followed<Value> {
-	start(listener: (value: Value) => void): void;
-	stop(): void;
 	/** When the newest confirmation of the state was asked for, on the process's own clock; `undefined` before the first. */
 	readonly confirmedAtMs: number | undefined;
+	start(listener: (value: Value) => void): void;
+	stop(): void;
 }
 
 /** What operators have ordered. */
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -20,7 +20,7 @@
 } from '../ports.js';
 import {type WorkerEntry} from '../types.js';
 import {WorkerLinks} from './worker-links.js';
-import {waveChangeFrom, wavesPrefix} from './wave-rows.js';
+import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
 /** Name of the lease whose holder schedules. */
 export const schedulerLease = 'scheduler';
@@ -57,6 +57,8 @@
 	readonly workerControl: WorkerControl;
 	readonly machineControl: MachineControl;
 	readonly waveReporter: WaveReporter;
+	/** Receives changes of the rows that processes share besides jobs. */
+	readonly onControlRows: (changes: readonly RowChange[]) => void;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
@@ -70,7 +72,7 @@
 	readonly #leases: LeaseContender;
 	readonly #store: JobStore;
 	readonly #jobs: TableReplica;
-	readonly #waves: TableReplica;
+	readonly #control: TableReplica;
 	readonly #links: WorkerLinks;
 	#fence: RowCondition | undefined;
 	#cancelTick: CancelTimer | undefined;
@@ -97,9 +99,10 @@
 				this.#applyJobRows(changes);
 			},
 		});
-		this.#waves = new TableReplica({
-			table, prefix: wavesPrefix, waitMs: followWaitMs, clock, log, pauseMs: () => othersPauseMs,
+		this.#control = new TableReplica({
+			table, prefix: controlPrefix, waitMs: followWaitMs, clock, log, pauseMs: () => othersPauseMs,
 			onChanges: changes => {
+				options.onControlRows(changes);
 				this.#applyWaveRows(changes);
 			},
 		});
@@ -119,7 +122,7 @@
 
 	/** A configuration and all jobs are known, and the table service answered lately. */
 	isReady(maxAgeMs: number): boolean {
-		const confirmedAtMs = this.#options.orders.confirmedAtMs;
+		const {confirmedAtMs} = this.#options.orders;
 		return this.state.configuration.version > 0
 			&& this.#jobs.confirmedAtMs !== undefined
 			&& confirmedAtMs !== undefined
@@ -130,7 +133,9 @@
 		const {orders, workers} = this.#options;
 		orders.start(({configuration, waves}) => {
 			if (configuration !== undefined && configuration.version !== this.state.configuration.version) {
-				this.#options.log.info({event: 'configuration_in_force', version: configuration.version, replaces: this.state.configuration.version, queues: configuration.queues.size});
+				this.#options.log.info({
+					event: 'configuration_in_force', version: configuration.version, replaces: this.state.configuration.version, queues: configuration.queues.size,
+				});
 				this.#runtime.dispatch({type: 'configured', configuration, ...this.#now()});
 			}
 
@@ -140,8 +145,10 @@
 			this.#runtime.dispatch({type: 'workersListed', workers: entries, ...this.#now()});
 		});
 		this.#jobs.start();
-		this.#waves.start();
-		for (const [name, followed] of Object.entries({orders, workers, jobs: this.#jobs, waves: this.#waves})) {
+		this.#control.start();
+		for (const [name, followed] of Object.entries({
+			orders, workers, jobs: this.#jobs, control: this.#control,
+		})) {
 			this.#lifecycle.own(name, () => {
 				followed.stop();
 			});
@@ -180,7 +187,9 @@
 			workers: [...state.workers.values()].map(worker => ({
 				workerId: worker.entry.workerId, pool: worker.entry.pool, isListed: worker.isListed, isFenced: worker.isFenced, isReserved: worker.isReserved, runs: worker.runs.size, acknowledged: worker.acknowledgedSequence,
 			})),
-			waves: [...state.waves.values()].map(wave => ({waveId: wave.order.waveId, state: wave.state, maintained: wave.maintained.size, machines: wave.order.machineIds.length})),
+			waves: [...state.waves.values()].map(wave => ({
+				waveId: wave.order.waveId, state: wave.state, maintained: wave.maintained.size, machines: wave.order.machineIds.length,
+			})),
 		};
 	}
 
@@ -230,7 +239,7 @@
 	async #beginTerm({fence}: HeldLease): Promise<void> {
 		while (this.#fence?.version === fence.version) {
 			try {
-				await Promise.all([this.#jobs.refresh(), this.#waves.refresh()]);
+				await Promise.all([this.#jobs.refresh(), this.#control.refresh()]);
 				this.#runtime.dispatch({type: 'leaseWon', fencingToken: fence.version, ...this.#now()});
 				return;
 			} catch (error) {
@@ -432,7 +441,9 @@
 					throw error;
 				}
 
-				this.#options.log.warn({event: 'save_failed', saveNumber: save.saveNumber, jobs: save.jobs.length, reason: error.message});
+				this.#options.log.warn({
+					event: 'save_failed', saveNumber: save.saveNumber, jobs: save.jobs.length, reason: error.message,
+				});
 			}
 
 			await this.#pause(saveRetryMs);
@@ -454,7 +465,9 @@
 					throw error;
 				}
 
-				this.#options.log.warn({event: 'wave_report_failed', waveId, state, reason: error.message});
+				this.#options.log.warn({
+					event: 'wave_report_failed', waveId, state, reason: error.message,
+				});
 				await this.#pause(saveRetryMs);
 			}
 		}
--- a/packages/scheduler/src/shell/wave-rows.ts
+++ b/packages/scheduler/src/shell/wave-rows.ts
@@ -1,11 +1,16 @@
 /**
-Rows of waves: `waves/{waveId}` holds which machines have been maintained, written by the holder of the scheduler's lease.
+Rows of waves: `control/waves/{waveId}` holds which machines have been maintained, written by the holder of the scheduler's lease.
 */
 import * as E from 'fp-ts/lib/Either.js';
 import {parseWith, z} from '@poplarnotch/common';
 import {type RowChange} from '@poplarnotch/platform';
 
-export const wavesPrefix = 'waves/';
+/** Prefix of the rows that processes share besides jobs. */
+export const controlPrefix = 'control/';
+
+const wavesPrefix = `${controlPrefix}waves/`;
+
+export const waveKey = (waveId: number): string => `${wavesPrefix}${waveId}`;
 
 const waveProgressSchema = z.object({maintained: z.array(z.string()), isCompleted: z.boolean()});
 
@@ -15,8 +20,12 @@
 	readonly isCompleted: boolean;
 };
 
-/** `undefined` where the row cannot be read. */
+/** `undefined` where the row is not one of a wave or cannot be read. */
 export const waveChangeFrom = ({key, value}: RowChange): WaveProgress | undefined => {
+	if (!key.startsWith(wavesPrefix)) {
+		return undefined;
+	}
+
 	const progress = parseWith(waveProgressSchema, value, key);
 	const waveId = Number(key.slice(wavesPrefix.length));
 	return E.isRight(progress) && Number.isInteger(waveId) ? {waveId, ...progress.right} : undefined;
--- a/packages/scheduler/src/shell/worker-links.ts
+++ b/packages/scheduler/src/shell/worker-links.ts
@@ -45,7 +45,7 @@
 		for (const [workerId, worker] of state.workers) {
 			const link = this.#linkOf(workerId);
 			const dueMs = needsLook(worker) ? link.nextLookAtMs : Math.max(link.nextLookAtMs, worker.lastAnswerAtMs + idleLookEveryMs);
-			const mayRunSomething = worker.isListed || nowMs < worker.leaseOverAtMs || !worker.isFenced;
+			const mayRunSomething = !worker.isEnded && (worker.isListed || nowMs < worker.leaseOverAtMs || !worker.isFenced);
 			if (!link.isLooking && mayRunSomething && nowMs >= dueMs) {
 				void this.#look(worker, link, state.term.fencingToken);
 			}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,7 +1,9 @@
 export {PeerProtocolError, PeerUnreachableError} from './peers/errors.js';
 export {RpcClient, type RpcClientOptions} from './peers/rpc-client.js';
 export {SeededDirectory, type SeededDirectoryOptions} from './peers/seeded-directory.js';
-export {createRpcRoute, type RpcMethod, type RpcMethods} from './peers/rpc-server.js';
+export {
+	createRpcRoute, rpcPath, type RpcMethod, type RpcMethods,
+} from './peers/rpc-server.js';
 export {
 	RevisionNotKeptError, SettingsBusyError, SettingsConflictError, SettingsRejectedError, SettingsUnreadableError,
 } from './settings/errors.js';
@@ -33,3 +35,7 @@
 export {LeaseContender, type LeaseContenderOptions} from './leases/lease-contender.js';
 export {AllotmentManager, type AllotmentManagerOptions} from './allotments/allotment-manager.js';
 export {TableReplica, type TableReplicaOptions} from './replicas/table-replica.js';
+export {RelayedTable, type RelayedTableOptions} from './relay/relayed-table.js';
+export {relayMethod} from './relay/messages.js';
+export {performRelayed} from './relay/perform-relayed.js';
+export {RelayDirectory, type RelayDirectoryOptions} from './relay/relay-directory.js';
--- /dev/null
+++ b/packages/state/src/relay/messages.ts
@@ -0,0 +1,38 @@
+/**
+Calls of the table service that one process performs for another, and their answers.
+*/
+import {type JsonValue, z} from '@poplarnotch/common';
+import {type PageOptions, transactionSchema, type Transaction} from '@poplarnotch/platform';
+
+/** Name of the method in calls between processes. */
+export const relayMethod = 'table.perform';
+
+export type RelayedCall
+	= | {readonly type: 'commit'; readonly transaction: Transaction}
+		| {readonly type: 'readRows'; readonly keys: readonly string[]}
+		| {readonly type: 'readPrefix'; readonly prefix: string; readonly options: PageOptions}
+		| {readonly type: 'changesSince'; readonly prefix: string; readonly revision: number}
+		| {readonly type: 'listRows'; readonly prefix: string};
+
+export const relayedCallSchema = z.discriminatedUnion('type', [
+	z.object({type: z.literal('commit'), transaction: transactionSchema}),
+	z.object({type: z.literal('readRows'), keys: z.array(z.string())}),
+	z.object({
+		type: z.literal('readPrefix'), prefix: z.string(), options: z.object({afterKey: z.string().optional(), limit: z.number().optional()}),
+	}),
+	z.object({type: z.literal('changesSince'), prefix: z.string(), revision: z.number()}),
+	z.object({type: z.literal('listRows'), prefix: z.string()}),
+]);
+
+export const relayAnswerSchema = z.discriminatedUnion('type', [
+	z.object({type: z.literal('result'), result: z.custom<JsonValue>()}),
+	z.object({
+		type: z.literal('conflict'),
+		conflicts: z.array(z.object({key: z.string(), expectedVersion: z.number(), actualVersion: z.number()})),
+	}),
+	z.object({type: z.literal('history-lost'), message: z.string()}),
+	z.object({type: z.literal('unknown-outcome'), message: z.string()}),
+	z.object({type: z.literal('unavailable'), message: z.string()}),
+]);
+
+export type RelayAnswer = z.infer<typeof relayAnswerSchema>;
--- /dev/null
+++ b/packages/state/src/relay/perform-relayed.ts
@@ -0,0 +1,69 @@
+/**
+Performs table calls for other processes, on this process's own path alone: a call is relayed once at most.
+*/
+import * as E from 'fp-ts/lib/Either.js';
+import {
+	assertNever, InvalidInputError, type JsonValue, parseWith,
+} from '@poplarnotch/common';
+import {
+	ConflictError, HistoryLostError, PlatformError, type WatchableTable,
+} from '@poplarnotch/platform';
+import {type RelayAnswer, type RelayedCall, relayedCallSchema} from './messages.js';
+
+const perform = async (table: WatchableTable, call: RelayedCall): Promise<unknown> => {
+	switch (call.type) {
+		case 'commit': {
+			return table.commit(call.transaction);
+		}
+
+		case 'readRows': {
+			return table.readRows(call.keys);
+		}
+
+		case 'readPrefix': {
+			return table.readPrefix(call.prefix, call.options);
+		}
+
+		case 'changesSince': {
+			return table.changesSince(call.prefix, call.revision);
+		}
+
+		case 'listRows': {
+			return table.listRows(call.prefix);
+		}
+
+		default: {
+			return assertNever(call);
+		}
+	}
+};
+
+const answerOf = (error: PlatformError): RelayAnswer => {
+	if (error instanceof ConflictError) {
+		return {type: 'conflict', conflicts: [...error.conflicts]};
+	}
+
+	if (error instanceof HistoryLostError) {
+		return {type: 'history-lost', message: error.message};
+	}
+
+	return {type: error.mayBeApplied ? 'unknown-outcome' : 'unavailable', message: error.message};
+};
+
+/** The method that a process offers to its peers. */
+export const performRelayed = async (table: WatchableTable, parameters: unknown): Promise<JsonValue> => {
+	const call = parseWith(relayedCallSchema, parameters, 'table.perform');
+	if (E.isLeft(call)) {
+		throw new InvalidInputError('table.perform: malformed call');
+	}
+
+	try {
+		return {type: 'result', result: await perform(table, call.right) as JsonValue};
+	} catch (error) {
+		if (!(error instanceof PlatformError)) {
+			throw error;
+		}
+
+		return answerOf(error);
+	}
+};
