Lay jobs out before a new holder hears of its workers, and take a silent worker's lasting task as at work

Change: jobs are laid out as the term begins; an unknown run counts as the whole worker; only a task that is known to be below 100 percent on an answering worker counts as idle.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -53,7 +53,7 @@
 		/** Why now: how long the task has waited, and how many wait in its pool. */
 		readonly waitedMs: number;
 	}
-	| {readonly type: 'stop'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly reason: string}
+	| {readonly type: 'stop'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly reason: string; readonly percent: number}
 	| {readonly type: 'pace'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly percent: number}
 	| {readonly type: 'save'; readonly save: ProgressSave}
 	| {readonly type: 'move'; readonly machineId: string; readonly pool: string; readonly fencingToken: number; readonly reason: string}
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -129,7 +129,7 @@
 
 	run.stopOrderedAtMs = nowMs;
 	state.emit({
-		type: 'stop', workerId: run.worker.entry.workerId, taskKey: run.taskKey, attempt: run.attempt, fencingToken: term.fencingToken, reason,
+		type: 'stop', workerId: run.worker.entry.workerId, taskKey: run.taskKey, attempt: run.attempt, fencingToken: term.fencingToken, reason, percent: run.percent,
 	});
 };
 
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -100,6 +100,8 @@
 			} else {
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs);
+				// Workers' reports name tasks, which must be laid out before the first of them arrives.
+				reviewJobs(state, event);
 			}
 
 			break;
--- a/packages/scheduler/src/core/relocating.ts
+++ b/packages/scheduler/src/core/relocating.ts
@@ -39,7 +39,9 @@
 			continue;
 		}
 
-		const mayEnd = worker.entry.isDraining || !isAtWork(run) || mayEndOne(step);
+		// A task on a worker that does not answer may well be at work.
+		const isIdle = run.percent < atWorkPercent && worker.silentSinceMs === undefined;
+		const mayEnd = worker.entry.isDraining || isIdle || mayEndOne(step);
 		const target = chooseWorker(state, run.task!, usable.filter(other => other.entry.pool === worker.entry.pool && !other.isDue));
 		if (target === undefined) {
 			stranded.push(run.task!);
--- a/packages/scheduler/src/core/reports.ts
+++ b/packages/scheduler/src/core/reports.ts
@@ -155,7 +155,8 @@
 		attempt: entry.attempt,
 		worker,
 		customer: task?.step.job.spec.customer ?? '',
-		occupies: task === undefined ? noResources : occupiedBy(task.step),
+		// What an unknown run takes is not known either; the worker counts as full until it has ended.
+		occupies: task === undefined ? worker.entry.capacity : occupiedBy(task.step),
 		counts: task?.step.spec.needs ?? noResources,
 		task: isWanted ? task : undefined,
 		phase: 'running',
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -388,12 +388,12 @@
 		});
 	}
 
-	async #stop({type: _type, reason, ...order}: Extract<SchedulerEffect, {readonly type: 'stop'}>): Promise<void> {
+	async #stop({type: _type, reason, percent, ...order}: Extract<SchedulerEffect, {readonly type: 'stop'}>): Promise<void> {
 		const {workerId, taskKey, attempt} = order;
 		const worker = this.#addressOf(workerId);
 		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.stop(worker, order);
 		this.#options.log.info({
-			event: 'task_stop', taskKey, attempt, workerId, reason, answer,
+			event: 'task_stop', taskKey, attempt, workerId, reason, percent, answer,
 		});
 		this.#runtime.dispatch({
 			type: 'stopAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
