Play the scheduler's processes in virtual time against faults drawn from a seed

Change: silent workers get no longer lease; a gap between wall clock and steady clock suspends the term until the store confirms the fence; a machine is idle once the lease of its silent worker is over.

--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -186,7 +186,20 @@
 	state.configuration.pools.get(machine.entry.pool)?.isStandby === true;
 
 /** Nothing runs on the machine and nothing can be on its way to it. */
-export const isIdle = (state: SchedulerState, machine: MachineRecord): boolean => {
+export const isIdle = (state: SchedulerState, machine: MachineRecord, nowMs: number): boolean => {
+	if (isStandby(state, machine)) {
+		return true;
+	}
+
 	const worker = workerOn(state, machine);
-	return isStandby(state, machine) || (worker !== undefined && worker.isFenced && worker.silentSinceMs === undefined && worker.runs.size === 0);
+	if (worker === undefined) {
+		return state.isSettled;
+	}
+
+	const isCertain = worker.isFenced && (worker.silentSinceMs === undefined || nowMs >= worker.leaseOverAtMs);
+	return isCertain && worker.runs.size === 0;
 };
+
+/** The machine could serve in a pool as it is: it is switched off, or its worker answers. */
+export const isSound = (state: SchedulerState, machine: MachineRecord): boolean =>
+	isStandby(state, machine) || workerOn(state, machine)?.silentSinceMs === undefined;
--- a/packages/scheduler/src/core/pools.ts
+++ b/packages/scheduler/src/core/pools.ts
@@ -5,7 +5,7 @@
 */
 import {type Shortage} from './dispatch.js';
 import {
-	isIdle, isOrderable, isStandby, orderMove, workerOn,
+	isIdle, isOrderable, isSound, isStandby, orderMove, workerOn,
 } from './machines.js';
 import {type MachineRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -84,7 +84,7 @@
 	}
 
 	const reserved = waveMachines(state);
-	const movable = [...state.machines.values()].filter(machine => isOrderable(state, machine, nowMs) && isIdle(state, machine) && !reserved.has(machine.entry.machineId));
+	const movable = [...state.machines.values()].filter(machine => isOrderable(state, machine, nowMs) && isIdle(state, machine, nowMs) && isSound(state, machine) && !reserved.has(machine.entry.machineId));
 	growPools(state, shortages, movable, nowMs);
 	const standby = [...state.configuration.pools.values()].find(pool => pool.isStandby)?.name;
 	if (standby !== undefined) {
--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -58,7 +58,7 @@
 	const orderable = remaining.filter(machine => isOrderable(state, machine, nowMs))
 		.toSorted((a, b) => clearingCost(state, a) - clearingCost(state, b));
 	for (const machine of orderable) {
-		if (freeCount > 0 && isIdle(state, machine)) {
+		if (freeCount > 0 && isIdle(state, machine, nowMs)) {
 			freeCount--;
 			orderMaintenance(state, machine, wave.order.waveId, nowMs);
 		}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -42,6 +42,9 @@
 /** Pace at which machines are listed. */
 const listMachinesEveryMs = 400;
 
+/** The wall clock and the steady clock part by this much only where the machine stood still or its time of day was set. */
+const suspensionGapMs = 200;
+
 /** Pause after a save that failed. */
 const saveRetryMs = 150;
 
@@ -80,6 +83,8 @@
 	#nextListingAtMs = 0;
 	#nextSweepAtMs = 0;
 	#isClosed = false;
+	/** Difference of the wall clock to the steady one at the last tick. */
+	#wallOffsetMs: number | undefined;
 
 	constructor(options: SchedulerProcessOptions) {
 		const {table, clock, log, processId} = options;
@@ -209,6 +214,7 @@
 
 	#tick(): void {
 		const now = this.#now();
+		this.#suspendWhereUnsure(now);
 		this.#runtime.dispatch({type: 'tick', ...now});
 		this.#links.lookAround();
 		if (this.state.term === undefined) {
@@ -225,6 +231,45 @@
 		}
 	}
 
+	/**
+	A suspended machine's steady clock stands still, so after a suspension the lease looks as fresh as before; only the wall clock shows the gap. Nothing is ordered until the store has confirmed the fence.
+	*/
+	#suspendWhereUnsure({nowMs, wallMs}: {readonly nowMs: number; readonly wallMs: number}): void {
+		const gapMs = wallMs - nowMs - (this.#wallOffsetMs ?? (wallMs - nowMs));
+		this.#wallOffsetMs = wallMs - nowMs;
+		const {term, isSuspended} = this.state;
+		if (term === undefined) {
+			return;
+		}
+
+		const wasStopped = Math.abs(gapMs) > suspensionGapMs;
+		if (!isSuspended && (wasStopped || this.#leases.heldLease(schedulerLease) === undefined)) {
+			this.#options.log.warn({event: 'term_suspended', fencingToken: term.fencingToken, gapMs: Math.round(gapMs)});
+			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
+			if (wasStopped) {
+				void this.#confirmFence(term.fencingToken);
+			}
+		}
+	}
+
+	async #confirmFence(fencingToken: number): Promise<void> {
+		const fence = this.#fence;
+		while (fence !== undefined && this.#fence === fence && this.state.term?.fencingToken === fencingToken) {
+			try {
+				const [row] = await this.#options.table.readRows([fence.key]);
+				this.#runtime.dispatch(row?.version === fence.version ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
+				return;
+			} catch (error) {
+				if (!(error instanceof PlatformError)) {
+					throw error;
+				}
+
+				this.#options.log.warn({event: 'fence_not_confirmed', reason: error.message});
+				await this.#pause(saveRetryMs);
+			}
+		}
+	}
+
 	#leaseChanged(lease: HeldLease | undefined): void {
 		this.#fence = lease?.fence;
 		if (lease === undefined) {
--- a/packages/scheduler/src/shell/worker-links.ts
+++ b/packages/scheduler/src/shell/worker-links.ts
@@ -74,7 +74,8 @@
 		link.isLooking = true;
 		const sentAtMs = clock.nowMs();
 		const sentAcknowledgement = worker.acknowledgedSequence;
-		const deadline = worker.runs.size > 0 ? deadlineClockMs(worker, sentAtMs) : undefined;
+		// A worker that does not answer gets no longer lease, so that what it ran is surely over some time.
+		const deadline = worker.runs.size > 0 && worker.silentSinceMs === undefined ? deadlineClockMs(worker, sentAtMs) : undefined;
 		if (deadline !== undefined) {
 			noteLeaseSent(worker, sentAtMs);
 		}
--- /dev/null
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -0,0 +1,308 @@
+/**
+Workers that run tasks under leases, as the platform's workers do, and note every promise that an order breaks: capacity, one run of a task at a time, order of steps, upper limits, attempts, cancellations, and the availability of lasting tasks.
+*/
+import {type VirtualClock} from '@poplarnotch/common';
+import {
+	type FinishedEntry, type JobSpec, type LookAnswer, type LookOrder, type OrderAnswer, type Resources, type RunEnd, type StartAnswer, type StartOrder, type StepSpec, type StopOrder, type WorkerEntry,
+} from '../../src/index.js';
+
+/** How a worker treats tasks. */
+export type TaskBehaviour = {
+	/** Run time of a task; lasting tasks run until they are stopped. */
+	readonly runMs: (taskKey: string) => number;
+	/** Whether this run ends in failure. */
+	readonly fails: (taskKey: string, attempt: number) => boolean;
+};
+
+type WorkerRun = {
+	readonly taskKey: string;
+	readonly attempt: number;
+	readonly startedAtMs: number;
+	readonly endsAtMs: number;
+	readonly step: StepSpec;
+	readonly customer: string;
+	stopAtMs: number | undefined;
+};
+
+const startupMs = 300;
+const stopMs = 100;
+
+export class FakeWorker {
+	readonly entry: WorkerEntry;
+	isUp = true;
+	isDraining = false;
+	readonly runs = new Map<string, WorkerRun>();
+	#finished: FinishedEntry[] = [];
+	readonly #highestAttempt = new Map<string, number>();
+	#sequence = 0;
+	#fence = 0;
+	#deadlineClockMs = 0;
+	readonly #fleet: FakeWorkers;
+
+	constructor(fleet: FakeWorkers, entry: WorkerEntry) {
+		this.#fleet = fleet;
+		this.entry = entry;
+	}
+
+	get #clockMs(): number {
+		return Math.floor(this.#fleet.clock.nowMs());
+	}
+
+	/** Lets time pass: runs end, leases expire. */
+	advance(): void {
+		const nowMs = this.#fleet.clock.nowMs();
+		for (const run of this.runs.values()) {
+			if (this.#clockMs >= this.#deadlineClockMs) {
+				this.#end(run, 'lapsed');
+			} else if (run.stopAtMs !== undefined && nowMs >= run.stopAtMs) {
+				this.#end(run, 'stopped');
+			} else if (nowMs >= run.endsAtMs) {
+				this.#end(run, this.#fleet.behaviour.fails(run.taskKey, run.attempt) ? 'failed' : 'done');
+			}
+		}
+	}
+
+	start(order: StartOrder): StartAnswer {
+		if (order.fencingToken < this.#fence) {
+			return 'fenced';
+		}
+
+		this.#fence = order.fencingToken;
+		this.#extend(order.deadlineClockMs);
+		if (order.deadlineClockMs <= this.#clockMs) {
+			return 'too-late';
+		}
+
+		const known = this.runs.get(order.taskKey);
+		if (known?.attempt === order.attempt) {
+			return 'started';
+		}
+
+		if (known !== undefined || order.attempt <= (this.#highestAttempt.get(order.taskKey) ?? 0)) {
+			return 'outdated-attempt';
+		}
+
+		const {job, step} = this.#fleet.lookUp(order.taskKey);
+		this.#fleet.checkStart(this, order, job, step);
+		const nowMs = this.#fleet.clock.nowMs();
+		this.runs.set(order.taskKey, {
+			taskKey: order.taskKey,
+			attempt: order.attempt,
+			startedAtMs: nowMs,
+			endsAtMs: step.isLasting ? Number.POSITIVE_INFINITY : nowMs + this.#fleet.behaviour.runMs(order.taskKey),
+			step,
+			customer: job.customer,
+			stopAtMs: undefined,
+		});
+		return 'started';
+	}
+
+	stop(order: StopOrder): OrderAnswer {
+		if (order.fencingToken < this.#fence) {
+			return 'fenced';
+		}
+
+		this.#fence = order.fencingToken;
+		this.#highestAttempt.set(order.taskKey, Math.max(order.attempt, this.#highestAttempt.get(order.taskKey) ?? 0));
+		const run = this.runs.get(order.taskKey);
+		if (run?.attempt === order.attempt && run.stopAtMs === undefined) {
+			this.#fleet.checkStop(this, run);
+			run.stopAtMs = this.#fleet.clock.nowMs() + stopMs;
+		}
+
+		return 'accepted';
+	}
+
+	look(order: LookOrder): LookAnswer {
+		if (order.fencingToken < this.#fence) {
+			return {type: 'fenced'};
+		}
+
+		this.#fence = order.fencingToken;
+		if (order.deadlineClockMs !== undefined) {
+			this.#extend(order.deadlineClockMs);
+		}
+
+		for (const entry of this.#finished.filter(({sequence}) => sequence <= order.acknowledgedSequence)) {
+			this.#fleet.noteAcknowledged(entry);
+		}
+
+		this.#finished = this.#finished.filter(({sequence}) => sequence > order.acknowledgedSequence);
+		return {type: 'report', report: {
+			clockMs: this.#clockMs,
+			bornWallMs: this.entry.bornWallMs,
+			running: [...this.runs.values()].map(run => ({
+				taskKey: run.taskKey, attempt: run.attempt, checkpoint: '', percent: this.#percentOf(run), figure: 0,
+			})),
+			finished: this.#finished,
+		}};
+	}
+
+	get hasUnacknowledged(): boolean {
+		return this.#finished.length > 0;
+	}
+
+	/** Ends everything at once, without a trace. */
+	crash(): void {
+		this.isUp = false;
+		this.runs.clear();
+		this.#finished = [];
+	}
+
+	isAtWork(run: WorkerRun): boolean {
+		return this.isUp && run.stopAtMs === undefined && this.#percentOf(run) === 100;
+	}
+
+	#percentOf(run: WorkerRun): number {
+		const nowMs = this.#fleet.clock.nowMs();
+		const lengthMs = run.step.isLasting ? startupMs : run.endsAtMs - run.startedAtMs;
+		return Math.min(100, Math.floor(100 * (nowMs - run.startedAtMs) / lengthMs));
+	}
+
+	#extend(deadlineClockMs: number): void {
+		this.#deadlineClockMs = Math.max(this.#deadlineClockMs, deadlineClockMs);
+	}
+
+	#end(run: WorkerRun, end: RunEnd): void {
+		this.runs.delete(run.taskKey);
+		this.#highestAttempt.set(run.taskKey, Math.max(run.attempt, this.#highestAttempt.get(run.taskKey) ?? 0));
+		this.#sequence++;
+		this.#finished.push({
+			sequence: this.#sequence, taskKey: run.taskKey, attempt: run.attempt, end, checkpoint: '',
+		});
+		this.#fleet.noteEnd(run, end);
+	}
+}
+
+/** What is true of all workers, and the promises that were broken. */
+export class FakeWorkers {
+	readonly clock: VirtualClock;
+	readonly behaviour: TaskBehaviour;
+	readonly workers = new Map<string, FakeWorker>();
+	readonly jobs = new Map<string, JobSpec>();
+	/** When cancellations were acknowledged. */
+	readonly cancelledAtMs = new Map<string, number>();
+	/** Jobs whose cancellation was sent. */
+	readonly cancelSent = new Set<string>();
+	readonly upperLimits = new Map<string, Resources>();
+	readonly brokenPromises: string[] = [];
+	maxAttempts = 3;
+	/** The order that is carried out now was held up on its way: what it does to availability is not the sender's doing. */
+	isOrderLate = false;
+	readonly #done = new Set<string>();
+	/** Tasks of which an end as done was acknowledged. */
+	readonly #acknowledgedDone = new Set<string>();
+	readonly #failures = new Map<string, number>();
+
+	constructor(clock: VirtualClock, behaviour: TaskBehaviour) {
+		this.clock = clock;
+		this.behaviour = behaviour;
+	}
+
+	lookUp(taskKey: string): {readonly job: JobSpec; readonly step: StepSpec} {
+		const [jobId = '', , step = ''] = taskKey.split('.');
+		const job = this.jobs.get(jobId)!;
+		return {job, step: job.steps[Number(step)]!};
+	}
+
+	isDone(taskKey: string): boolean {
+		return this.#done.has(taskKey);
+	}
+
+	runsOf(taskKey: string): number {
+		return [...this.workers.values()].filter(worker => worker.isUp && worker.runs.has(taskKey)).length;
+	}
+
+	checkStart(worker: FakeWorker, order: StartOrder, job: JobSpec, step: StepSpec): void {
+		const {taskKey} = order;
+		const [jobId = '', occurrence = '', stepIndex = ''] = taskKey.split('.');
+		const runs = [...worker.runs.values()];
+		const used = (field: keyof Resources): number => runs.reduce((sum, run) => sum + run.step.needs[field], 0) + step.needs[field];
+		if (used('cpuMillicores') > worker.entry.capacity.cpuMillicores || used('memoryMb') > worker.entry.capacity.memoryMb) {
+			this.#broken(`capacity: ${taskKey} on ${worker.entry.workerId}`);
+		}
+
+		if (this.runsOf(taskKey) > 0) {
+			this.#broken(`twice: ${taskKey} runs already`);
+		}
+
+		if (this.#acknowledgedDone.has(taskKey)) {
+			this.#broken(`twice: ${taskKey} has ended as done`);
+		}
+
+		for (const earlier of step.after) {
+			for (let index = 0; index < job.steps[earlier]!.taskCount; index++) {
+				if (!this.#done.has(`${jobId}.${occurrence}.${earlier}.${index}`)) {
+					this.#broken(`order: ${taskKey} before step ${earlier}`);
+				}
+			}
+		}
+
+		if (step.maxPerWorker > 0 && runs.filter(run => run.taskKey.startsWith(`${jobId}.${occurrence}.${stepIndex}.`)).length >= step.maxPerWorker) {
+			this.#broken(`max per worker: ${taskKey}`);
+		}
+
+		this.#checkUpperLimit(job, step);
+		if ((this.#failures.get(taskKey) ?? 0) >= this.maxAttempts && !step.isLasting) {
+			this.#broken(`attempts: ${taskKey}`);
+		}
+
+		if (this.clock.nowMs() - (this.cancelledAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) > 3000) {
+			this.#broken(`cancelled: ${taskKey}`);
+		}
+	}
+
+	checkStop(worker: FakeWorker, run: WorkerRun): void {
+		const [jobId = '', occurrence = '', stepIndex = ''] = run.taskKey.split('.');
+		const {isLasting, mayMiss, taskCount} = run.step;
+		if (this.isOrderLate || !isLasting || mayMiss === 0 || worker.isDraining || !worker.isAtWork(run) || this.cancelSent.has(jobId)) {
+			return;
+		}
+
+		let away = 0;
+		for (let index = 0; index < taskCount; index++) {
+			const taskKey = `${jobId}.${occurrence}.${stepIndex}.${index}`;
+			const isAtWork = [...this.workers.values()].some(other => {
+				const sibling = other.runs.get(taskKey);
+				return sibling !== undefined && other.isAtWork(sibling);
+			});
+			away += taskKey !== run.taskKey && !isAtWork ? 1 : 0;
+		}
+
+		if (away >= mayMiss) {
+			this.#broken(`availability: ${run.taskKey} with ${away} others away`);
+		}
+	}
+
+	noteEnd(run: WorkerRun, end: RunEnd): void {
+		if (end === 'done') {
+			this.#done.add(run.taskKey);
+		} else if (end === 'failed') {
+			this.#failures.set(run.taskKey, (this.#failures.get(run.taskKey) ?? 0) + 1);
+		}
+	}
+
+	noteAcknowledged({taskKey, end}: FinishedEntry): void {
+		if (end === 'done') {
+			this.#acknowledgedDone.add(taskKey);
+		}
+	}
+
+	#checkUpperLimit(job: JobSpec, step: StepSpec): void {
+		const limit = this.upperLimits.get(job.customer)?.cpuMillicores ?? 0;
+		let used = step.needs.cpuMillicores;
+		for (const worker of this.workers.values()) {
+			for (const run of worker.isUp ? worker.runs.values() : []) {
+				used += run.customer === job.customer ? run.step.needs.cpuMillicores : 0;
+			}
+		}
+
+		if (limit > 0 && used > limit) {
+			this.#broken(`upper limit: ${job.customer} has ${used} of ${limit}`);
+		}
+	}
+
+	#broken(promise: string): void {
+		this.brokenPromises.push(`${Math.round(this.clock.nowMs())} ms ${promise}`);
+	}
+}
--- /dev/null
+++ b/packages/scheduler/tests/support/host-clock.ts
@@ -0,0 +1,63 @@
+/**
+The clock of one simulated process. While the process is frozen its timers and answers wait and its steady clock stands still, as on a suspended machine; the time of day goes on. Once the process is dead they are dropped.
+*/
+import {type CancelTimer, type Clock, type VirtualClock} from '@poplarnotch/common';
+
+export class HostClock implements Clock {
+	isDead = false;
+	readonly #clock: VirtualClock;
+	#frozenUntilMs = 0;
+	#frozenMs = 0;
+
+	constructor(clock: VirtualClock) {
+		this.#clock = clock;
+	}
+
+	get isFrozen(): boolean {
+		return this.#clock.nowMs() < this.#frozenUntilMs;
+	}
+
+	nowMs(): number {
+		return Math.min(this.#clock.nowMs(), this.#clock.nowMs() - this.#frozenMs + Math.max(0, this.#frozenUntilMs - this.#clock.nowMs()));
+	}
+
+	wallTimeMs(): number {
+		return this.#clock.wallTimeMs();
+	}
+
+	freeze(forMs: number): void {
+		if (!this.isFrozen) {
+			this.#frozenUntilMs = this.#clock.nowMs() + forMs;
+			this.#frozenMs += forMs;
+		}
+	}
+
+	schedule(delayMs: number, callback: () => void): CancelTimer {
+		let isCancelled = false;
+		const run = (): void => {
+			if (isCancelled || this.isDead) {
+				return;
+			}
+
+			if (this.isFrozen) {
+				this.#clock.schedule(this.#frozenUntilMs - this.#clock.nowMs() + 1, run);
+				return;
+			}
+
+			callback();
+		};
+
+		const cancel = this.#clock.schedule(delayMs, run);
+		return () => {
+			isCancelled = true;
+			cancel();
+		};
+	}
+
+	/** Resolves after the delay, once the process runs; never where it is dead. */
+	async wait(delayMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.schedule(delayMs, resolve);
+		});
+	}
+}
--- /dev/null
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -0,0 +1,415 @@
+/**
+A fleet in virtual time: the scheduler's real processes over a table in memory, workers under leases and machines, with faults drawn from a seed. Everything that must always hold is checked where it shows: at the workers and in what callers are told.
+*/
+import {
+	MetricsRegistry, SeededRandom, silentLogger, VirtualClock,
+} from '@poplarnotch/common';
+import {MemoryTableService} from '@poplarnotch/standin';
+import {
+	type FleetConfiguration, type Followed, type JobSpec, type LookAnswer, type MachineAnswer, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
+} from '../../src/index.js';
+import {FakeTable, type TableFaults} from './fake-table.js';
+import {FakeWorker, FakeWorkers} from './fake-workers.js';
+import {HostClock} from './host-clock.js';
+
+const process_env_trace = globalThis.process.env['DBG'] !== undefined;
+const traceLogger = (name: string, now: () => number) => {
+	const p = (f: object) => { console.log(Math.round(now()), name, JSON.stringify(f)); };
+	return {debug: p, info: p, warn: p, error: p};
+};
+const stepMs = 5;
+const orderLatencyMs = 2;
+const orderTimeoutMs = 1000;
+const moveMs = 1500;
+const maintenanceMs = 2000;
+const drainMs = 3000;
+
+export type WorldFaults = {
+	/** Share of orders whose answer is lost; half of them are carried out up to this much later. */
+	lostOrderShare: number;
+	lateOrderMs: number;
+};
+
+export type WorldOptions = {
+	readonly seed: number;
+	readonly processes: number;
+	readonly workersPerPool: number;
+	readonly standbyMachines: number;
+	/** Share of runs that fail. */
+	readonly failShare?: number;
+};
+
+type Process = {
+	readonly name: string;
+	readonly clock: HostClock;
+	readonly table: TableFaults;
+	readonly scheduler: SchedulerProcess;
+};
+
+type Machine = {
+	entry: MachineEntry;
+	backAtMs: number;
+	nextState: 'up';
+	nextPool: string;
+	/** Highest fencing token of an order. */
+	fencingToken: number;
+};
+
+type MachineOrder = {
+	readonly machineId: string;
+	readonly fencingToken: number;
+	readonly forMs: number;
+	readonly target?: string;
+};
+
+export const pool = 'pairing';
+export const standbyPool = 'spare';
+
+const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
+
+/** A queue with the defaults that most tests want. */
+export const queueOf = (overrides: Partial<Queue> = {}): Queue => ({
+	name: 'draws', pool, priority: 0, maxAttempts: 3, objectiveFactor: 2, objectiveMs: 600, isPublic: true, needsAdvice: false, ...overrides,
+});
+
+export const configurationOf = (version: number, overrides: Partial<FleetConfiguration> = {}): FleetConfiguration => ({
+	version,
+	routes: [{host: 'draws.example', pathPrefix: '/q/', queue: 'draws'}],
+	customerByKey: new Map([['key-1', 'altan']]),
+	limits: {
+		bodyBytes: 1000, headerBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000,
+	},
+	queues: new Map([['draws', queueOf()]]),
+	pools: new Map([
+		[pool, {name: pool, isStandby: false, guardsCapacity: false}],
+		[standbyPool, {name: standbyPool, isStandby: true, guardsCapacity: false}],
+	]),
+	customers: new Map([['altan', {name: 'altan', weight: 1, upperLimit: {cpuMillicores: 0, memoryMb: 0, accelerators: 0}}]]),
+	...overrides,
+});
+
+/** Hands one value to its listeners, and every newer one. */
+class Published<Value> {
+	readonly #listeners = new Set<(value: Value) => void>();
+	#value: Value;
+
+	constructor(value: Value) {
+		this.#value = value;
+	}
+
+	publish(value: Value): void {
+		this.#value = value;
+		for (const listener of this.#listeners) {
+			listener(value);
+		}
+	}
+
+	follow(clock: HostClock): Followed<Value> {
+		let isStopped = false;
+		return {
+			confirmedAtMs: 0,
+			start: listener => {
+				const deliver = (value: Value): void => {
+					clock.schedule(1, () => {
+						if (!isStopped) {
+							listener(value);
+						}
+					});
+				};
+
+				this.#listeners.add(deliver);
+				deliver(this.#value);
+			},
+			stop() {
+				isStopped = true;
+			},
+		};
+	}
+}
+
+export class SchedulerWorld {
+	readonly clock = new VirtualClock();
+	readonly table = new MemoryTableService();
+	readonly fleet: FakeWorkers;
+	readonly processes: Process[] = [];
+	readonly faults: WorldFaults = {lostOrderShare: 0, lateOrderMs: 0};
+	readonly machines = new Map<string, Machine>();
+	readonly waveStates = new Map<number, string>();
+	readonly maintained = new Set<string>();
+	readonly random: SeededRandom;
+	readonly #orders: Published<OperatorOrders>;
+	readonly #workers = new Published<readonly WorkerEntry[]>([]);
+	#configuration = configurationOf(1);
+	#waves: readonly WaveOrder[] = [];
+	#workerCount = 0;
+	#processCount = 0;
+
+	constructor(options: WorldOptions) {
+		this.random = new SeededRandom(options.seed);
+		const taskRandom = new Map<string, number>();
+		const drawFor = (key: string): number => {
+			let value = taskRandom.get(key);
+			if (value === undefined) {
+				value = this.random.next();
+				taskRandom.set(key, value);
+			}
+
+			return value;
+		};
+
+		this.fleet = new FakeWorkers(this.clock, {
+			runMs: key => 100 + (900 * drawFor(key)),
+			fails: (key, attempt) => drawFor(`${key} ${attempt}`) < (options.failShare ?? 0),
+		});
+		this.#orders = new Published<OperatorOrders>({configuration: this.#configuration, waves: []});
+		for (let index = 0; index < options.workersPerPool; index++) {
+			this.#addMachine(`m-${index}`, pool, `r-${Math.floor(index / 2)}`);
+		}
+
+		for (let index = 0; index < options.standbyMachines; index++) {
+			this.#addMachine(`s-${index}`, standbyPool, `r-s${index}`);
+		}
+
+		this.#publishWorkers();
+		for (let index = 0; index < options.processes; index++) {
+			this.addProcess();
+		}
+	}
+
+	get holder(): Process | undefined {
+		return this.processes.filter(({clock}) => !clock.isDead).find(({scheduler}) => scheduler.state.term !== undefined && !scheduler.state.isSuspended);
+	}
+
+	addProcess(): Process {
+		const name = `process-${this.#processCount++}`;
+		const clock = new HostClock(this.clock);
+		const tableFaults: TableFaults = {isDown: false, lostShare: 0};
+		const process: Process = {
+			name,
+			clock,
+			table: tableFaults,
+			scheduler: new SchedulerProcess({
+				processId: name,
+				table: new FakeTable(this.table, clock, this.random, tableFaults),
+				orders: this.#orders.follow(clock),
+				workers: this.#workers.follow(clock),
+				workerControl: this.#controlFor(clock),
+				machineControl: {
+					list: async () => {
+						await clock.wait(orderLatencyMs);
+						return [...this.machines.values()].map(({entry}) => entry);
+					},
+					move: async (machineId, target, {fencingToken}) => this.#orderMachine(clock, {machineId, fencingToken, forMs: moveMs, target}),
+					maintain: async (machineId, _waveId, {fencingToken}) => {
+						const answer = await this.#orderMachine(clock, {machineId, fencingToken, forMs: maintenanceMs});
+						if (answer === 'accepted') {
+							this.maintained.add(machineId);
+						}
+
+						return answer;
+					},
+				},
+				waveReporter: {
+					report: async (waveId, state) => {
+						await clock.wait(orderLatencyMs);
+						this.waveStates.set(waveId, state);
+					},
+				},
+				onControlRows: () => undefined,
+				clock,
+				log: process_env_trace ? traceLogger(name, () => this.clock.nowMs()) : silentLogger,
+				metrics: new MetricsRegistry(),
+			}),
+		};
+		this.processes.push(process);
+		process.scheduler.start();
+		return process;
+	}
+
+	configure(configuration: FleetConfiguration): void {
+		this.#configuration = configuration;
+		this.#publishOrders();
+	}
+
+	orderWave(wave: WaveOrder): void {
+		this.#waves = [...this.#waves, wave];
+		this.#publishOrders();
+	}
+
+	/** Hands a job in through one of the living processes; resolves to whether it was accepted. */
+	async submit(job: JobSpec, process = this.anyProcess()): Promise<boolean> {
+		this.fleet.jobs.set(job.jobId, job);
+		const result = await process.scheduler.desk.submit(job);
+		return result === 'accepted';
+	}
+
+	anyProcess(): Process {
+		const living = this.processes.filter(({clock}) => !clock.isDead && !clock.isFrozen);
+		return living[Math.floor(this.random.next() * living.length)]!;
+	}
+
+	kill(process: Process): void {
+		process.clock.isDead = true;
+	}
+
+	crashWorker(workerId: string): void {
+		this.fleet.workers.get(workerId)?.crash();
+		this.#publishWorkers();
+	}
+
+	drainWorker(workerId: string): void {
+		const worker = this.fleet.workers.get(workerId);
+		if (worker !== undefined) {
+			worker.isDraining = true;
+			this.#publishWorkers();
+			this.clock.schedule(drainMs, () => {
+				this.#leave(worker);
+			});
+		}
+	}
+
+	/** Lets time pass in small steps, so that answers and timers interleave. */
+	async run(forMs: number): Promise<void> {
+		const untilMs = this.clock.nowMs() + forMs;
+		while (this.clock.nowMs() < untilMs) {
+			this.clock.advance(stepMs);
+			for (const worker of this.fleet.workers.values()) {
+				if (worker.isUp) {
+					worker.advance();
+				}
+			}
+
+			this.#advanceMachines();
+			await new Promise<void>(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
+	async close(): Promise<void> {
+		for (const {clock} of this.processes) {
+			clock.isDead = true;
+		}
+
+		await Promise.allSettled([]);
+	}
+
+	#addMachine(machineId: string, machinePool: string, rack: string): void {
+		this.machines.set(machineId, {
+			entry: {
+				machineId, pool: machinePool, state: 'up', capacity, workerId: undefined,
+			}, backAtMs: 0, nextState: 'up', nextPool: machinePool, fencingToken: 0,
+		});
+		this.#bootWorker(machineId, rack);
+	}
+
+	#bootWorker(machineId: string, rack: string): void {
+		const machine = this.machines.get(machineId)!;
+		if (machine.entry.pool === standbyPool) {
+			return;
+		}
+
+		const workerId = `w-${this.#workerCount++}`;
+		this.fleet.workers.set(workerId, new FakeWorker(this.fleet, {
+			workerId, pool: machine.entry.pool, address: `${workerId}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: ['a', rack], rack, bornWallMs: this.clock.nowMs(),
+		}));
+		machine.entry = {...machine.entry, workerId};
+	}
+
+	/** The worker goes for good, and its machine with it. */
+	#leave(worker: FakeWorker): void {
+		worker.crash();
+		for (const [machineId, {entry}] of this.machines) {
+			if (entry.workerId === worker.entry.workerId) {
+				this.machines.delete(machineId);
+			}
+		}
+
+		this.#publishWorkers();
+	}
+
+	#advanceMachines(): void {
+		for (const [machineId, machine] of this.machines) {
+			if (machine.entry.state !== 'up' && this.clock.nowMs() >= machine.backAtMs) {
+				machine.entry = {...machine.entry, state: 'up', pool: machine.nextPool};
+				this.#bootWorker(machineId, `r-${machineId}`);
+				this.#publishWorkers();
+			}
+		}
+	}
+
+	async #orderMachine(clock: HostClock, {machineId, fencingToken, forMs, target}: MachineOrder): Promise<MachineAnswer> {
+		await clock.wait(orderLatencyMs);
+		const machine = this.machines.get(machineId);
+		if (machine !== undefined && fencingToken < machine.fencingToken) {
+			return 'fenced';
+		}
+
+		if (machine?.entry.state !== 'up') {
+			return 'busy';
+		}
+
+		const worker = machine.entry.workerId === undefined ? undefined : this.fleet.workers.get(machine.entry.workerId);
+		for (const run of worker?.runs.values() ?? []) {
+			this.fleet.checkStop(worker!, run);
+		}
+
+		worker?.crash();
+		machine.fencingToken = fencingToken;
+		machine.entry = {...machine.entry, state: target === undefined ? 'maintenance' : 'moving', workerId: undefined};
+		machine.nextPool = target ?? machine.entry.pool;
+		machine.backAtMs = this.clock.nowMs() + forMs;
+		this.#publishWorkers();
+		return 'accepted';
+	}
+
+	#publishWorkers(): void {
+		const entries = [...this.fleet.workers.values()].filter(({isUp}) => isUp).map(({entry, isDraining}) => ({...entry, isDraining}));
+		this.#workers.publish(entries);
+	}
+
+	#publishOrders(): void {
+		this.#orders.publish({configuration: this.#configuration, waves: this.#waves});
+	}
+
+	/** Delivers an order, perhaps late, perhaps without its answer. */
+	async #deliver<Answer>(clock: HostClock, {workerId}: WorkerAddress, carryOut: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
+		const worker = this.fleet.workers.get(workerId);
+		await clock.wait(orderLatencyMs);
+		if (worker === undefined || !worker.isUp) {
+			await clock.wait(orderTimeoutMs);
+			return lost;
+		}
+
+		if (this.random.next() < this.faults.lostOrderShare) {
+			if (this.random.next() < 0.5) {
+				this.clock.schedule(this.random.next() * this.faults.lateOrderMs, () => {
+					if (worker.isUp) {
+						this.fleet.isOrderLate = true;
+						carryOut(worker);
+						this.fleet.isOrderLate = false;
+					}
+				});
+			}
+
+			await clock.wait(orderTimeoutMs);
+			return lost;
+		}
+
+		const answer = carryOut(worker);
+		await clock.wait(orderLatencyMs);
+		return answer;
+	}
+
+	#controlFor(clock: HostClock): WorkerControl {
+		return {
+			start: async (worker, order) => this.#deliver<StartAnswer>(clock, worker, target => target.start(order), 'unknown'),
+			stop: async (worker, order) => this.#deliver<OrderAnswer>(clock, worker, target => target.stop(order), 'unknown'),
+			pace: async (worker, _order) => this.#deliver<OrderAnswer>(clock, worker, () => 'accepted', 'unknown'),
+			look: async (worker, order) => {
+				await clock.wait(Math.min(order.waitMs, 50));
+				return this.#deliver<LookAnswer>(clock, worker, target => target.look(order), {type: 'unreachable'});
+			},
+		};
+	}
+}
