Give each process a part of its own for jobs, keep the lease's rows in one part, and resume a term that was renewed late

A holder whose renewal came late was suspended and never resumed, since the lease had not been dropped in between. New holders waited for workers that had been moved away and were still listed. Change: a job's row goes to a part of the process that takes it, without a condition, and jobs are known by id; progress shares the part of the fence; a suspended holder resumes once the lease is trusted; workers that the list of machines does not name have ended.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -13,9 +13,9 @@
 
 /** A change of one job's rows. */
 export type JobChange
-	= | {readonly type: 'accepted'; readonly job: JobSpec}
+	= | {readonly type: 'accepted'; readonly job: JobSpec; readonly rowKey: string}
 		| {readonly type: 'progressed'; readonly jobId: string; readonly progress: JobProgress}
-		| {readonly type: 'cancelled'; readonly jobId: string}
+		| {readonly type: 'cancelled'; readonly jobId: string; readonly rowKey: string}
 		| {readonly type: 'removed'; readonly jobId: string};
 
 export type SchedulerEvent = At & (
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -16,6 +16,7 @@
 
 const newJob = (spec: JobSpec, nowMs: number): JobRecord => ({
 	spec,
+	rowKeys: new Set(),
 	seenAtMs: nowMs,
 	occurrences: new Map(),
 	outcome: undefined,
@@ -223,12 +224,14 @@
 
 const applyChange = (state: SchedulerState, change: JobChange, now: Now): void => {
 	if (change.type === 'accepted') {
-		if (!state.jobs.has(change.job.jobId)) {
-			const job = newJob(change.job, now.nowMs);
-			state.jobs.set(change.job.jobId, job);
-			state.openJobs.add(job);
+		let accepted = state.jobs.get(change.job.jobId);
+		if (accepted === undefined) {
+			accepted = newJob(change.job, now.nowMs);
+			state.jobs.set(change.job.jobId, accepted);
+			state.openJobs.add(accepted);
 		}
 
+		accepted.rowKeys.add(change.rowKey);
 		return;
 	}
 
@@ -245,6 +248,7 @@
 
 		case 'cancelled': {
 			job.isCancelRequested = true;
+			job.rowKeys.add(change.rowKey);
 			break;
 		}
 
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -44,7 +44,10 @@
 	endUnnamedWorkers(state, sentAtMs);
 };
 
-/** A worker that a machine carried and none carries any more has ended. */
+/** Time after which a worker that registered itself is named by the list of machines. */
+const namedAfterMs = 1000;
+
+/** A worker has ended where no machine carries it any more; one that has only just registered may be newer than the list of machines. */
 const endUnnamedWorkers = (state: SchedulerState, nowMs: number): void => {
 	const named = new Map<string, string>();
 	for (const {entry} of state.machines.values()) {
@@ -55,7 +58,7 @@
 
 	for (const [workerId, worker] of state.workers) {
 		const machineId = named.get(workerId);
-		if (machineId === undefined && worker.machineId !== undefined) {
+		if (named.size > 0 && machineId === undefined && (worker.machineId !== undefined || !worker.isListed || nowMs - worker.seenAtMs > namedAfterMs)) {
 			endWorker(state, worker, nowMs, 'machine-runs-another-worker');
 		}
 
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -58,6 +58,8 @@
 
 export type JobRecord = {
 	readonly spec: JobSpec;
+	/** Rows that go when the job is forgotten. */
+	readonly rowKeys: Set<string>;
 	/** When this process learnt of the job. */
 	readonly seenAtMs: number;
 	/** Steps by occurrence; only those that are due. */
@@ -83,6 +85,8 @@
 
 export type WorkerRecord = {
 	entry: WorkerEntry;
+	/** When this process first heard of this life of the worker. */
+	seenAtMs: number;
 	isListed: boolean;
 	unlistedAtMs: number | undefined;
 	readonly runs: Map<string, Run>;
--- a/packages/scheduler/src/core/relocating.ts
+++ b/packages/scheduler/src/core/relocating.ts
@@ -27,8 +27,8 @@
 /** Tasks of the step that serve nobody at the moment. */
 export const awayCount = (step: StepRun): number => step.tasks.filter(task => !isAtWork(task.run)).length;
 
-/** Whether one more task of the step may be ended. */
-const mayEndOne = (step: StepRun): boolean => awayCount(step) < Math.max(1, step.spec.mayMiss);
+/** Whether the run may be ended: without it, no more of its step may be away than the step can miss. */
+const mayEnd = (run: Run, step: StepRun): boolean => awayCount(step) - (isAtWork(run) ? 0 : 1) < Math.max(1, step.spec.mayMiss);
 
 /** Stops lasting tasks that another worker has room for; returns the tasks that found none. */
 const relocateFrom = (state: SchedulerState, worker: WorkerRecord, usable: readonly WorkerRecord[], nowMs: number): readonly Task[] => {
@@ -39,13 +39,12 @@
 			continue;
 		}
 
-		// A task on a worker that does not answer may well be at work.
-		const isIdle = run.percent < atWorkPercent && worker.silentSinceMs === undefined;
-		const mayEnd = worker.entry.isDraining || isIdle || mayEndOne(step);
+		// A task that was still starting when its worker last answered may be at work by now.
+		const isAllowed = worker.entry.isDraining || mayEnd(run, step);
 		const target = chooseWorker(state, run.task!, usable.filter(other => other.entry.pool === worker.entry.pool && !other.isDue));
 		if (target === undefined) {
 			stranded.push(run.task!);
-		} else if (mayEnd) {
+		} else if (isAllowed) {
 			orderStop(state, run, nowMs, worker.entry.isDraining ? 'worker-draining' : 'machine-reserved');
 		}
 	}
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -10,6 +10,7 @@
 
 const newWorker = (entry: WorkerEntry, nowMs: number): WorkerRecord => ({
 	entry,
+	seenAtMs: nowMs,
 	isListed: true,
 	unlistedAtMs: undefined,
 	runs: new Map(),
@@ -80,6 +81,8 @@
 	loseRuns(state, worker, nowMs, 'worker-restarted');
 	worker.bornWallMs = bornWallMs;
 	worker.isEnded = false;
+	worker.seenAtMs = nowMs;
+	worker.machineId = undefined;
 	worker.isReserved = false;
 	worker.isFenced = false;
 	worker.clock = undefined;
--- a/packages/scheduler/src/jobs/job-desk.ts
+++ b/packages/scheduler/src/jobs/job-desk.ts
@@ -70,14 +70,18 @@
 	}
 
 	async submit(job: JobSpec): Promise<SubmitResult> {
+		if (this.#options.state().jobs.has(job.jobId)) {
+			this.#options.log.info({event: 'job_submitted_again', jobId: job.jobId, queue: job.queue});
+			return 'accepted';
+		}
+
 		const sentAtMs = this.#options.clock.nowMs();
 		const result = await this.#options.store.accept(job);
 		this.#options.log.info({
 			event: 'job_submitted', jobId: job.jobId, queue: job.queue, customer: job.customer, result, configuration: this.configuration.version, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs),
 		});
 		switch (result) {
-			case 'accepted':
-			case 'known': {
+			case 'accepted': {
 				return 'accepted';
 			}
 
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -1,9 +1,9 @@
 /**
-Writes jobs to the table service. Jobs that arrive while a commit is under way are committed together with the next one. A job's row is written under the condition that it is absent, so a repeated submission finds the first one.
+Writes jobs to the table service. Jobs that arrive while a commit is under way are committed together with the next one. Writing a job's row again changes nothing, so a commit whose outcome is unknown is simply repeated.
 */
 import {type Clock, type Logger} from '@poplarnotch/common';
 import {
-	absentVersion, ConflictError, type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
+	type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {type ProgressSave} from '../core/events.js';
 import {waveKey} from '../shell/wave-rows.js';
@@ -15,8 +15,6 @@
 /** How the acceptance of a job went. */
 export type AcceptResult
 	= | 'accepted'
-	/** The job was accepted before. */
-		| 'known'
 	/** Nothing was stored and nothing will be. */
 		| 'unavailable'
 	/** The row may still be written. */
@@ -40,12 +38,14 @@
 const repeatPauseMs = 30;
 
 export type JobStoreOptions = {
+	readonly processId: string;
 	readonly table: TableService;
 	readonly clock: Clock;
 	readonly log: Logger;
 };
 
 export class JobStore {
+	readonly #processId: string;
 	readonly #table: TableService;
 	readonly #clock: Clock;
 	readonly #log: Logger;
@@ -53,6 +53,7 @@
 	#isCommitting = false;
 
 	constructor(options: JobStoreOptions) {
+		this.#processId = options.processId;
 		this.#table = options.table;
 		this.#clock = options.clock;
 		this.#log = options.log;
@@ -70,7 +71,7 @@
 	async cancel(jobId: string): Promise<void> {
 		await this.#table.commit({
 			conditions: [],
-			writes: [{type: 'put', key: cancelKey(jobId), value: {requestedWallMs: this.#clock.wallTimeMs()}}],
+			writes: [{type: 'put', key: cancelKey(this.#processId, jobId), value: {requestedWallMs: this.#clock.wallTimeMs()}}],
 		});
 	}
 
@@ -85,12 +86,9 @@
 		}
 	}
 
-	/** Removes everything that is kept of a job. */
-	async remove(jobIds: readonly string[], fence: RowCondition): Promise<void> {
-		await this.#table.commit({
-			conditions: [fence],
-			writes: jobIds.flatMap(jobId => [cancelKey(jobId), progressKey(jobId), jobKey(jobId)].map((key): RowWrite => ({type: 'delete', key}))),
-		});
+	/** Removes a row of a job that has ended long ago. */
+	async remove(key: string): Promise<void> {
+		await this.#table.commit({conditions: [], writes: [{type: 'delete', key}]});
 	}
 
 	async #commitWaiting(): Promise<void> {
@@ -110,29 +108,16 @@
 	async #commitBatch(batch: readonly WaitingJob[], attempt = 0): Promise<void> {
 		try {
 			await this.#table.commit({
-				conditions: batch.map(({job}) => ({key: jobKey(job.jobId), version: absentVersion})),
-				writes: batch.map(({job}) => ({type: 'put', key: jobKey(job.jobId), value: jobToJson(job)})),
+				conditions: [],
+				writes: batch.map(({job}) => ({type: 'put', key: jobKey(this.#processId, job.jobId), value: jobToJson(job)})),
 			});
 			resolveAll(batch, 'accepted');
 		} catch (error) {
-			await this.#settle(batch, error, attempt);
-		}
-	}
-
-	async #settle(batch: readonly WaitingJob[], error: unknown, attempt: number): Promise<void> {
-		if (error instanceof ConflictError) {
-			const known = new Set(error.conflicts.filter(({actualVersion}) => actualVersion !== absentVersion).map(({key}) => key));
-			resolveAll(batch.filter(({job}) => known.has(jobKey(job.jobId))), 'known');
-			const rest = batch.filter(({job}) => !known.has(jobKey(job.jobId)));
-			if (rest.length === batch.length) {
-				resolveAll(rest, 'unavailable');
-			} else if (rest.length > 0) {
-				await this.#commitBatch(rest, attempt);
+			if (!(error instanceof UnavailableError || error instanceof WriteOutcomeUnknownError)) {
+				throw error;
 			}
-		} else if (error instanceof UnavailableError || error instanceof WriteOutcomeUnknownError) {
+
 			this.#settleFailure(batch, error, attempt);
-		} else {
-			throw error;
 		}
 	}
 
@@ -155,7 +140,6 @@
 		resolveAll(batch.filter(({mayBeStored}) => !mayBeStored), 'unavailable');
 	}
 
-	/** The condition makes a repeated commit safe: either it is applied now, or it finds the row of the first one. */
 	async #commitAgain(batch: readonly WaitingJob[], attempt: number): Promise<void> {
 		await new Promise<void>(resolve => {
 			this.#clock.schedule(repeatPauseMs, resolve);
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -1,5 +1,7 @@
 /**
-Rows of jobs. `jobs/{shard}/{jobId}` holds the specification and is written once, when the job is accepted; `…/progress` is written by the holder of the scheduler's lease; `…/cancel` by whoever takes a cancellation. The shard comes from the job's id, so that writes spread over the parts of the table service.
+Rows of jobs. `jobs/{processId}/{jobId}` holds the specification, written by the process that accepted the job, and `…/cancel` beside it a cancellation; each process writes to a part of its own, so that they do not wait for each other where the table service is slow. `jobs/shared/{jobId}/progress` is written by the holder of the scheduler's lease, in the part that holds the lease's fence.
+
+A job that is handed in again at another process may get a second row there. It stays one job: readers know jobs by their id.
 */
 import * as E from 'fp-ts/lib/Either.js';
 import {type JsonObject, parseWith, z} from '@poplarnotch/common';
@@ -9,12 +11,15 @@
 
 export const jobsPrefix = 'jobs/';
 
-/** Key of a job's specification. Ids are hexadecimal; their first digit names the shard. */
-export const jobKey = (jobId: string): string => `${jobsPrefix}${jobId.slice(0, 1)}/${jobId}`;
+/** Part of the rows that only the lease's holder writes. */
+const sharedPart = 'shared';
+
+/** Key of a job's specification as the process wrote it. */
+export const jobKey = (processId: string, jobId: string): string => `${jobsPrefix}${processId}/${jobId}`;
 
-export const progressKey = (jobId: string): string => `${jobKey(jobId)}/progress`;
+export const progressKey = (jobId: string): string => `${jobKey(sharedPart, jobId)}/progress`;
 
-export const cancelKey = (jobId: string): string => `${jobKey(jobId)}/cancel`;
+export const cancelKey = (processId: string, jobId: string): string => `${jobKey(processId, jobId)}/cancel`;
 
 const resourcesSchema = z.object({cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number()});
 
@@ -76,7 +81,7 @@
 
 	const {jobId, part} = groups as {readonly jobId: string; readonly part?: string};
 	if (part === 'cancel') {
-		return value === undefined ? undefined : {type: 'cancelled', jobId};
+		return value === undefined ? undefined : {type: 'cancelled', jobId, rowKey: key};
 	}
 
 	if (part === 'progress') {
@@ -89,5 +94,5 @@
 	}
 
 	const job = parseWith(jobSchema, value, key);
-	return E.isRight(job) ? {type: 'accepted', job: job.right} : undefined;
+	return E.isRight(job) ? {type: 'accepted', job: job.right, rowKey: key} : undefined;
 };
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -14,7 +14,7 @@
 import {SchedulerState} from '../core/scheduler-state.js';
 import {JobDesk} from '../jobs/job-desk.js';
 import {JobStore} from '../jobs/job-store.js';
-import {jobChangeFrom, jobsPrefix} from '../jobs/rows.js';
+import {jobChangeFrom, jobsPrefix, progressKey} from '../jobs/rows.js';
 import {
 	type Followed, type MachineControl, type OperatorOrders, type WaveReporter, type WorkerControl,
 } from '../ports.js';
@@ -26,7 +26,7 @@
 export const schedulerLease = 'scheduler';
 
 /** A holder that does not renew for this long is replaced: two renewals may be lost, and nothing on the workers lapses meanwhile. */
-const leaseMs = 2400;
+const leaseMs = 3000;
 
 /** Pace of decisions while holding the lease, and otherwise. */
 const decideEveryMs = 25;
@@ -83,6 +83,8 @@
 	#nextListingAtMs = 0;
 	#nextSweepAtMs = 0;
 	#isClosed = false;
+	/** The store is being asked whether the fence still holds. */
+	#isConfirming = false;
 	/** Difference of the wall clock to the steady one at the last tick. */
 	#wallOffsetMs: number | undefined;
 
@@ -93,7 +95,9 @@
 		this.#runtime = new ReducerRuntime(new SchedulerState(), reduceScheduler, effect => {
 			this.#perform(effect);
 		});
-		this.#store = new JobStore({table, clock, log});
+		this.#store = new JobStore({
+			processId, table, clock, log,
+		});
 		this.#leases = new LeaseContender({
 			table, holder: `${processId}@${clock.wallTimeMs()}`, leaseMs, clock, log,
 		});
@@ -242,23 +246,28 @@
 			return;
 		}
 
+		const lease = this.#leases.heldLease(schedulerLease);
 		const wasStopped = Math.abs(gapMs) > suspensionGapMs;
-		if (!isSuspended && (wasStopped || this.#leases.heldLease(schedulerLease) === undefined)) {
+		if (isSuspended && !wasStopped && !this.#isConfirming && lease?.fence.version === term.fencingToken) {
+			this.#runtime.dispatch({type: 'leaseWon', fencingToken: term.fencingToken, ...this.#now()});
+		} else if (!isSuspended && (wasStopped || lease === undefined)) {
 			this.#options.log.warn({event: 'term_suspended', fencingToken: term.fencingToken, gapMs: Math.round(gapMs)});
 			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
-			if (wasStopped) {
+			if (wasStopped && !this.#isConfirming) {
 				void this.#confirmFence(term.fencingToken);
 			}
 		}
 	}
 
 	async #confirmFence(fencingToken: number): Promise<void> {
+		this.#isConfirming = true;
 		const fence = this.#fence;
-		while (fence !== undefined && this.#fence === fence && this.state.term?.fencingToken === fencingToken) {
+		let isKnown = false;
+		while (!isKnown && fence !== undefined && this.#fence === fence && this.state.term?.fencingToken === fencingToken) {
 			try {
 				const [row] = await this.#options.table.readRows([fence.key]);
 				this.#runtime.dispatch(row?.version === fence.version ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
-				return;
+				isKnown = true;
 			} catch (error) {
 				if (!(error instanceof PlatformError)) {
 					throw error;
@@ -268,6 +277,8 @@
 				await this.#pause(saveRetryMs);
 			}
 		}
+
+		this.#isConfirming = false;
 	}
 
 	#leaseChanged(lease: HeldLease | undefined): void {
@@ -346,13 +357,12 @@
 
 	async #sweepEndedJobs(wallMs: number): Promise<void> {
 		const ended = [...this.state.jobs.values()].filter(job => job.isOutcomeStored && job.endedWallMs !== undefined && wallMs - job.endedWallMs > keepEndedJobsMs);
-		const fence = this.#fence;
-		if (ended.length === 0 || fence === undefined) {
-			return;
-		}
-
 		try {
-			await this.#store.remove(ended.slice(0, maxSweptJobs).map(job => job.spec.jobId), fence);
+			for (const job of ended.slice(0, maxSweptJobs)) {
+				for (const key of [...job.rowKeys, progressKey(job.spec.jobId)]) {
+					await this.#store.remove(key);
+				}
+			}
 		} catch (error) {
 			if (!(error instanceof PlatformError)) {
 				throw error;
--- a/packages/scheduler/tests/scheduling.property.test.ts
+++ b/packages/scheduler/tests/scheduling.property.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {configurationOf, pool, SchedulerWorld} from './support/scheduler-world.js';
+import {calmLatencyMs} from './support/fake-table.js';
 import {jobOf, lastingStepOf, stepOf} from './support/jobs.js';
 
 /** Time for what was accepted to be done once the faults are over. */
@@ -14,9 +15,9 @@
 	readonly faults: readonly Fault[];
 };
 
-type Fault = 'kill-holder' | 'freeze-holder' | 'cut-holder' | 'store-down' | 'lost-answers' | 'late-orders' | 'crash-worker' | 'drain-worker' | 'wave';
+type Fault = 'kill-holder' | 'freeze-holder' | 'cut-holder' | 'store-down' | 'store-slow' | 'lost-answers' | 'late-orders' | 'crash-worker' | 'drain-worker' | 'wave';
 
-const faults: readonly Fault[] = ['kill-holder', 'freeze-holder', 'cut-holder', 'store-down', 'lost-answers', 'late-orders', 'crash-worker', 'drain-worker', 'wave'];
+const faults: readonly Fault[] = ['kill-holder', 'freeze-holder', 'cut-holder', 'store-down', 'store-slow', 'lost-answers', 'late-orders', 'crash-worker', 'drain-worker', 'wave'];
 
 const fixedSeed = 20_261_204;
 
@@ -61,6 +62,17 @@
 			break;
 		}
 
+		case 'store-slow': {
+			for (const process of world.processes) {
+				process.table.latencyMs = 800;
+				world.clock.schedule(4000, () => {
+					process.table.latencyMs = calmLatencyMs;
+				});
+			}
+
+			break;
+		}
+
 		case 'lost-answers': {
 			for (const process of world.processes) {
 				process.table.lostShare = 0.3;
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -8,7 +8,7 @@
 import {type MemoryTableService} from '@poplarnotch/standin';
 import {type HostClock} from './host-clock.js';
 
-const latencyMs = 4;
+export const calmLatencyMs = 4;
 const pollMs = 5;
 const lostAnswerMs = 400;
 
@@ -16,6 +16,8 @@
 	isDown: boolean;
 	/** Share of writes that are applied and not answered. */
 	lostShare: number;
+	/** Time that a call takes. */
+	latencyMs: number;
 };
 
 export class FakeTable implements WatchableTable {
@@ -40,7 +42,7 @@
 			throw new WriteOutcomeUnknownError('the answer is lost');
 		}
 
-		await this.#clock.wait(latencyMs / 2);
+		await this.#clock.wait(this.#faults.latencyMs / 2);
 		return result;
 	}
 
@@ -82,7 +84,7 @@
 	}
 
 	async #reach(): Promise<void> {
-		await this.#clock.wait(latencyMs / 2);
+		await this.#clock.wait(this.#faults.latencyMs / 2);
 		if (this.#faults.isDown) {
 			throw new UnavailableError('the store is down');
 		}
--- a/packages/scheduler/tests/support/scheduler-world.ts
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -8,7 +8,7 @@
 import {
 	type FleetConfiguration, type Followed, type JobSpec, type LookAnswer, type MachineAnswer, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
 } from '../../src/index.js';
-import {FakeTable, type TableFaults} from './fake-table.js';
+import {calmLatencyMs, FakeTable, type TableFaults} from './fake-table.js';
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
 import {HostClock} from './host-clock.js';
 
@@ -183,7 +183,7 @@
 	addProcess(): Process {
 		const name = `process-${this.#processCount++}`;
 		const clock = new HostClock(this.clock);
-		const tableFaults: TableFaults = {isDown: false, lostShare: 0};
+		const tableFaults: TableFaults = {isDown: false, lostShare: 0, latencyMs: calmLatencyMs};
 		const process: Process = {
 			name,
 			clock,
@@ -375,7 +375,10 @@
 	/** Delivers an order, perhaps late, perhaps without its answer. */
 	async #deliver<Answer>(clock: HostClock, {workerId}: WorkerAddress, carryOut: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
 		const worker = this.fleet.workers.get(workerId);
-		await clock.wait(orderLatencyMs);
+		// An order that was sent reaches its worker whatever becomes of the sender.
+		await new Promise<void>(resolve => {
+			this.clock.schedule(orderLatencyMs, resolve);
+		});
 		if (worker === undefined || !worker.isUp) {
 			await clock.wait(orderTimeoutMs);
 			return lost;
