Read the members anew before a revision is reported in force

Change: the survey reads the member rows first. A process that registers later confirms its settings after that.

--- a/packages/controller/src/operators/fleet-survey.ts
+++ b/packages/controller/src/operators/fleet-survey.ts
@@ -10,6 +10,8 @@
 export type FleetSurveyParts = {
 	readonly processId: string;
 	readonly directory: PeerDirectory;
+	/** Reads the members anew. */
+	readonly refreshMembers: () => Promise<void>;
 	readonly peers: RpcSettingsPeers;
 	readonly replica: SettingsReplica;
 	readonly clock: Clock;
@@ -45,8 +47,11 @@
 		return new Map(answers.filter(answer => answer !== undefined).map(answer => [answer.processId, answer]));
 	}
 
-	/** Asks all members about a revision. */
+	/**
+	Asks all members about a revision. A process that registered a moment ago may serve an older one, so the members are read anew first: one that registers later confirms its settings after that, and so holds the revision.
+	*/
 	async inForce(revision: number): Promise<InForceReport> {
+		await this.#parts.refreshMembers();
 		const {members} = this;
 		const processes = processesInForce(members, await this.askAll(), revision);
 		const heldForMs = this.#heldByMajorityForMs(revision, processes);
--- a/packages/controller/src/shell/controller-process.ts
+++ b/packages/controller/src/shell/controller-process.ts
@@ -67,7 +67,8 @@
 		const platform = this.#openPlatform();
 		const client = new RpcClient({secret, metrics: this.#metrics});
 		this.#lifecycle.own('rpc-client', async () => client.close());
-		const directory = this.#openDirectory(platform, client, seeds);
+		const registered = this.#openMembers(platform);
+		const directory = this.#openDirectory(registered, client, seeds);
 		const peers = new RpcSettingsPeers(directory, client);
 		const replica = this.#startReplica(platform, peers);
 		const store = new TableSettingsStore({...platform, clock, logger});
@@ -88,7 +89,7 @@
 			own: runner, processId: identity.id, directory, client,
 		});
 		const survey = new FleetSurvey({
-			processId: identity.id, directory, peers, replica, clock,
+			processId: identity.id, directory, refreshMembers: async () => registered.refresh(), peers, replica, clock,
 		});
 		const routes = [...settingsRoutes({store, replica, review: createHostReview(platform.table, logger)}), ...statusRoutes({replica, survey}), ...waveRoutes(waves)];
 		const server = new OperatorsServer(routes, new Authenticator(replica, operators.rootKeyHash), logger);
@@ -123,18 +124,24 @@
 		};
 	}
 
-	#openDirectory({table, hostList}: Platform, client: RpcClient, seeds: readonly string[]): SeededDirectory {
+	#openMembers({table, hostList}: Platform): MemberDirectory {
 		const registered = new MemberDirectory({
 			table, hostList, clock: this.#clock, log: this.#logger,
 		});
 		registered.start();
+		this.#lifecycle.own('members', () => {
+			registered.close();
+		});
+		return registered;
+	}
+
+	#openDirectory(registered: MemberDirectory, client: RpcClient, seeds: readonly string[]): SeededDirectory {
 		const directory = new SeededDirectory({
 			directory: registered, seeds, client, clock: this.#clock,
 		});
 		directory.start();
 		this.#lifecycle.own('member-directory', () => {
 			directory.close();
-			registered.close();
 		});
 		return directory;
 	}
--- a/packages/state/src/membership/member-directory.ts
+++ b/packages/state/src/membership/member-directory.ts
@@ -64,6 +64,11 @@
 		return this.view()?.members.filter(member => member.status !== 'gone');
 	}
 
+	/** Reads the members now: everyone who registered before the call is known after it, unless the table service is not reached. */
+	async refresh(): Promise<void> {
+		await this.#attempt('members', async () => this.#readChanges());
+	}
+
 	onChange(listener: MembersListener): void {
 		this.#listeners.push(listener);
 	}
