Look at a worker before a start without an answer is stopped

Change: the next look tells whether the start was carried out; only one that is not under way is ruled out by a stop.

--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -43,6 +43,7 @@
 		phase: 'starting',
 		orderedAtMs: nowMs,
 		startedAtMs: undefined,
+		unansweredAtMs: undefined,
 		stopOrderedAtMs: undefined,
 		checkpoint: task.checkpoint,
 		percent: 0,
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -22,6 +22,8 @@
 	readonly orderedAtMs: number;
 	/** When the worker answered the start. */
 	startedAtMs: number | undefined;
+	/** When the wait for the start's answer ended without one. */
+	unansweredAtMs: number | undefined;
 	stopOrderedAtMs: number | undefined;
 	checkpoint: string;
 	percent: number;
--- a/packages/scheduler/src/core/reports.ts
+++ b/packages/scheduler/src/core/reports.ts
@@ -111,6 +111,17 @@
 	}
 
 	forgetVanished(state, worker, listed, event);
+	ruleOutLateStarts(state, worker, listed, event);
+};
+
+/** A start without an answer that is not under way could still arrive; a stop that the worker accepts rules that out. */
+const ruleOutLateStarts = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, event: Looked): void => {
+	for (const run of worker.runs.values()) {
+		const isOpen = run.phase === 'unconfirmed' && run.stopOrderedAtMs === undefined && run.unansweredAtMs! <= event.sentAtMs;
+		if (isOpen && !listed.has(run.taskKey)) {
+			orderStop(state, run, event.nowMs, 'start-unanswered');
+		}
+	}
 };
 
 const applyRunning = (state: SchedulerState, worker: WorkerRecord, entry: RunningEntry, {nowMs}: Now): void => {
@@ -162,6 +173,7 @@
 		phase: 'running',
 		orderedAtMs: nowMs,
 		startedAtMs: nowMs,
+		unansweredAtMs: undefined,
 		stopOrderedAtMs: undefined,
 		checkpoint: entry.checkpoint,
 		percent: entry.percent,
@@ -288,9 +300,9 @@
 		}
 
 		case 'unknown': {
-			// The worker may carry the order out later; a stop that it accepts rules that out.
+			// The worker may have carried the order out, or may do so later; the next look tells.
 			run.phase = 'unconfirmed';
-			orderStop(state, run, event.nowMs, 'start-unanswered');
+			run.unansweredAtMs = event.nowMs;
 			break;
 		}
 
