Take an earlier run's lease at once, and pack lasting tasks and free room

Change: a process whose earlier run holds the lease takes it without waiting; half of a step may share a rack; a pool keeps half a machine's room free.

--- a/packages/scheduler/src/core/placing.ts
+++ b/packages/scheduler/src/core/placing.ts
@@ -1,7 +1,7 @@
 /**
 Chooses the worker for one task.
 
-Answers the load of pools that are asked for more than they hold: tasks are packed onto workers that already have work (best fit by processor), so that machines without work can leave the pool and wide tasks still find a whole worker. Lasting tasks are spread over racks instead, since a rack dies at once.
+Answers the load of pools that are asked for more than they hold: tasks are packed onto workers that already have work (best fit by processor), so that machines without work can leave the pool and wide tasks still find a whole worker. Lasting tasks are packed too, but no more than half of a step onto one rack, since a rack dies at once.
 */
 import {type Run, type Task, type WorkerRecord} from './records.js';
 import {fitsInto} from './resources.js';
@@ -41,7 +41,8 @@
 	const onRack = siblings.filter(run => run.worker.entry.rack === rack).length;
 	const roomLeft = state.room(worker).cpuMillicores;
 	if (spec.isLasting) {
-		return [isAvoided, worker.isDue ? 1 : 0, isFarFromData, onRack, isBusy(worker), roomLeft];
+		const isCrowded = onRack >= Math.ceil(spec.taskCount / 2) ? 1 : 0;
+		return [isAvoided, worker.isDue ? 1 : 0, isFarFromData, isCrowded, isBusy(worker), roomLeft];
 	}
 
 	const isOffRack = spec.prefersOneRack && siblings.length > 0 && onRack === 0 ? 1 : 0;
--- a/packages/scheduler/src/core/pools.ts
+++ b/packages/scheduler/src/core/pools.ts
@@ -9,12 +9,13 @@
 } from './machines.js';
 import {type MachineRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {isUsable} from './workers.js';
 
 /** A machine without work for this long leaves its pool: a move costs about as much as a machine in a pool for 1.2 s. */
 const idleBeforeStandbyMs = 1200;
 
-/** Machines that stay in a pool without work, so that its next job can start at once. */
-const keptIdleMachines = 1;
+/** Room that stays free in a pool, as a share of one machine, so that its next jobs can start at once. */
+const keptRoomShare = 0.5;
 
 const waveMachines = (state: SchedulerState): ReadonlySet<string> => {
 	const busy = new Set<string>();
@@ -44,6 +45,18 @@
 	return worker === undefined ? 0 : nowMs - worker.idleSinceMs;
 };
 
+/** Processor room on the pool's usable workers. */
+const freeIn = (state: SchedulerState, pool: string, nowMs: number): number => {
+	let free = 0;
+	for (const worker of state.workers.values()) {
+		if (worker.entry.pool === pool && isUsable(worker, nowMs)) {
+			free += state.room(worker).cpuMillicores;
+		}
+	}
+
+	return free;
+};
+
 const growPools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, movable: MachineRecord[], nowMs: number): void => {
 	const machines = [...state.machines.values()];
 	for (const [pool, shortage] of shortages) {
@@ -69,8 +82,12 @@
 
 	for (const idle of idleByPool.values()) {
 		const longIdle = idle.toSorted((a, b) => idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
-		for (const machine of longIdle.slice(0, Math.max(0, idle.length - keptIdleMachines))) {
-			if (idleForMs(state, machine, nowMs) >= idleBeforeStandbyMs) {
+		let freeMillicores = freeIn(state, longIdle[0]!.entry.pool, nowMs);
+		for (const machine of longIdle) {
+			const {cpuMillicores} = machine.entry.capacity;
+			const isSpare = freeMillicores - cpuMillicores >= cpuMillicores * keptRoomShare;
+			if (isSpare && idleForMs(state, machine, nowMs) >= idleBeforeStandbyMs) {
+				freeMillicores -= cpuMillicores;
 				orderMove(state, machine, standby, nowMs, 'idle');
 			}
 		}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -99,7 +99,7 @@
 			processId, table, clock, log,
 		});
 		this.#leases = new LeaseContender({
-			table, holder: `${processId}@${clock.wallTimeMs()}`, leaseMs, clock, log,
+			table, holder: `${processId}@${clock.wallTimeMs()}`, formerRunPrefix: `${processId}@`, leaseMs, clock, log,
 		});
 		this.#jobs = new TableReplica({
 			table, prefix: jobsPrefix, waitMs: followWaitMs, clock, log,
--- a/packages/state/src/leases/lease-contender.ts
+++ b/packages/state/src/leases/lease-contender.ts
@@ -19,6 +19,8 @@
 	/** Identifies the process and its incarnation, such as `gate-1@1207`; must never be used by another run. */
 	readonly holder: string;
 	readonly leaseMs?: number;
+	/** Start of the holder names of this process's earlier runs. Only for processes of which no two can run at once: a lease that an earlier run left behind is taken without waiting. */
+	readonly formerRunPrefix?: string;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -37,6 +39,7 @@
 	readonly #table: TableService;
 	readonly #holder: string;
 	readonly #leaseMs: number;
+	readonly #formerRunPrefix: string;
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #contests = new Map<string, Contest>();
@@ -46,6 +49,7 @@
 		this.#table = options.table;
 		this.#holder = options.holder;
 		this.#leaseMs = options.leaseMs ?? defaultLeaseMs;
+		this.#formerRunPrefix = options.formerRunPrefix ?? '';
 		this.#clock = options.clock ?? new SystemClock();
 		this.#log = options.log ?? silentLogger;
 	}
@@ -55,7 +59,7 @@
 			return;
 		}
 
-		const runtime = new ReducerRuntime(newContender(name, this.#holder, this.#leaseMs), reduceLease, effect => {
+		const runtime = new ReducerRuntime(newContender(name, this.#holder, this.#leaseMs, this.#formerRunPrefix), reduceLease, effect => {
 			this.#perform(name, effect);
 		});
 		this.#contests.set(name, {runtime, listener, withdrawn: new Deferred()});
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -25,6 +25,8 @@
 	/** Identifies the contender and its incarnation. */
 	readonly holder: string;
 	readonly leaseMs: number;
+	/** Starts the names of all runs of this process, of which an earlier one is surely over; empty where that is not certain. */
+	readonly formerRunPrefix: string;
 	readonly phase: 'contending' | 'held' | 'withdrawn';
 	readonly sighting: Sighting | undefined;
 	/** Set from the acquisition until the lease is lost. */
@@ -57,8 +59,8 @@
 type LeaseStep = Step<LeaseState, LeaseEffect>;
 
 /** A contender that has not read the lease yet. */
-export const newContender = (name: string, holder: string, leaseMs: number): LeaseState => ({
-	name, holder, leaseMs, phase: 'contending', sighting: undefined, fence: undefined, trustedUntilMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false,
+export const newContender = (name: string, holder: string, leaseMs: number, formerRunPrefix = ''): LeaseState => ({
+	name, holder, leaseMs, formerRunPrefix, phase: 'contending', sighting: undefined, fence: undefined, trustedUntilMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false,
 });
 
 const stay = (state: LeaseState): LeaseStep => ({state, effects: []});
@@ -156,7 +158,8 @@
 	const sinceMs = state.sighting !== undefined && isSame(state.sighting.rows, rows) ? state.sighting.sinceMs : nowMs;
 	const sighted: LeaseState = {...state, sighting: {rows, sinceMs}};
 	// The read must have been sent a whole lease time after the same rows had been seen.
-	const isFree = rows.holder === undefined || sentAtMs - sinceMs >= state.leaseMs;
+	const isFormerRun = state.formerRunPrefix !== '' && rows.holder?.startsWith(state.formerRunPrefix) === true;
+	const isFree = rows.holder === undefined || isFormerRun || sentAtMs - sinceMs >= state.leaseMs;
 	return stay(isFree ? callSoon(sighted, 'acquire', nowMs) : callSoon(sighted, 'read', nowMs + pollMs(state)));
 };
 
