Settle saves before the next one, measure arriving demand, and log without blocking

Change: saves and reports of waves go through the settling table; pools also grow by what arrives; log lines are written beside the event loop, bounded in bytes and lines.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 export {assertNever} from './assert-never.js';
+export {BoundedOutput, writeToDescriptor, type WriteBytes} from './bounded-output.js';
 export {
 	SystemClock, VirtualClock, type CancelTimer, type Clock,
 } from './clock.js';
@@ -15,7 +16,7 @@
 export {LifecycleManager, ReleaseTimeoutError, type ReleaseFailure} from './lifecycle.js';
 export {listenOn} from './listen.js';
 export {
-	createLogger, formatLogRecord, logLevels, silentLogger, type LogFields, type Logger, type LogLevel, type LogValue,
+	createLogger, formatLogRecord, logLevels, silentLogger, type LogFields, type Logger, type LogLevel, type LogOutput, type LogValue,
 } from './log.js';
 export {MetricsRegistry} from './metrics.js';
 export {
--- a/packages/common/src/log.ts
+++ b/packages/common/src/log.ts
@@ -2,7 +2,6 @@
 Logging through bunyan, rendered as one line of `key=value` pairs for each event.
 */
 import process from 'node:process';
-import {type Writable} from 'node:stream';
 import bunyan from 'bunyan';
 
 /** Values that a log line can carry. */
@@ -54,10 +53,15 @@
 	return [...head, ...fields].join(' ');
 };
 
+/** Where lines go. */
+export type LogOutput = {
+	write(line: string): boolean;
+};
+
 class BunyanLogger implements Logger {
 	readonly #logger: bunyan;
 
-	constructor(processName: string, level: LogLevel, output: Writable) {
+	constructor(processName: string, level: LogLevel, output: LogOutput) {
 		const stream = {
 			write(record: BunyanRecord): void {
 				output.write(`${formatLogRecord(record)}\n`);
@@ -91,7 +95,7 @@
 }
 
 /** Creates the logger of a process. Lines go to standard error unless told otherwise. */
-export const createLogger = (processName: string, level: LogLevel = 'info', output: Writable = process.stderr): Logger =>
+export const createLogger = (processName: string, level: LogLevel = 'info', output: LogOutput = process.stderr): Logger =>
 	new BunyanLogger(processName, level, output);
 
 const ignoreFields = (_fields: LogFields): void => undefined;
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -7,6 +7,7 @@
 import {
 	createReadinessServer, HttpClient, type HostSettings, JobFront, MachineHttpControl, OperatorOrdersSource, StatusRows, TableStore, WorkerEntriesSource, WorkerHttpControl,
 } from '@poplarnotch/platform-adapter';
+import {SettlingTableService} from '@poplarnotch/platform';
 import {SchedulerProcess} from '@poplarnotch/scheduler';
 import {
 	createRpcRoute, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
@@ -21,6 +22,15 @@
 /** A process whose view of the operator's orders is older than this sends callers to others: two waiting calls have failed by then. */
 const readyMaxAgeMs = 3500;
 
+/** A save that was certainly not applied is made anew with what is known by then. */
+const settledRetryMs = 200;
+
+/** A save that may have been applied is settled however long the store is away: a store's outage lasts seconds. */
+const settledTimeoutMs = 120_000;
+
+/** Pauses between two attempts at settling. */
+const settledBackoff = {firstMs: 30, longestMs: 200};
+
 /** The balancer needs two missed answers, one a second, to stop sending connections. */
 const balancerNoticeMs = 2500;
 
@@ -60,14 +70,18 @@
 		this.#peers = new RelayDirectory({
 			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, clock, log,
 		});
+		const settledTable = new SettlingTableService(table, {
+			client: settings.host, retryTimeoutMs: settledRetryMs, settleTimeoutMs: settledTimeoutMs, backoff: settledBackoff, clock, metrics,
+		});
 		this.#scheduler = new SchedulerProcess({
 			processId: settings.host,
 			table,
+			settledTable,
 			orders: new OperatorOrdersSource({table, log}),
 			workers: new WorkerEntriesSource({table, log}),
 			workerControl: new WorkerHttpControl(workerClient),
 			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
-			waveReporter: new StatusRows(table),
+			waveReporter: new StatusRows(settledTable),
 			onControlRows: changes => {
 				this.#peers.apply(changes);
 			},
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import * as E from 'fp-ts/lib/Either.js';
 import {
-	createLogger, formatFinding, MetricsRegistry, SystemClock,
+	BoundedOutput, createLogger, formatFinding, MetricsRegistry, SystemClock, writeToDescriptor,
 } from '@poplarnotch/common';
 import {readHostSettings} from '@poplarnotch/platform-adapter';
 import yargs from 'yargs';
@@ -26,9 +26,12 @@
 	process.stderr.write(`${settings.left.map(formatFinding).join('\n')}\n`);
 	process.exitCode = badSettingsExitCode;
 } else {
-	const log = createLogger(settings.right.host, 'info', process.stdout);
+	const clock = new SystemClock();
+	const output = new BoundedOutput(writeToDescriptor(process.stdout.fd), clock, count =>
+		`time=${new Date().toISOString()} level=warn process=${settings.right.host} event=log_lines_dropped lines=${count}\n`);
+	const log = createLogger(settings.right.host, 'info', output);
 	const entry = new EntryProcess({
-		settings: settings.right, metricsPort, clock: new SystemClock(), log, metrics: new MetricsRegistry(),
+		settings: settings.right, metricsPort, clock, log, metrics: new MetricsRegistry(),
 	});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -36,10 +36,7 @@
 /** A task whose progress has not moved for this long stands still: a healthy one gains a percent in 20 to 50 ms, one on a slow worker in about 300 ms. */
 export const stalledTaskMs = 1500;
 
-/** Run time in estimates is trusted no further than this: submitters are off by half either way. */
-export const estimateFloorMs = 50;
-
-/** Days, in ms, would be too long to keep ended jobs; callers may ask for this long. */
+/** How long ended jobs are kept: callers may ask for two minutes, and clocks and sweeps take some more. */
 export const keepEndedJobsMs = 150_000;
 
 /** Orders of maintenance or moves that got no certain answer are repeated after this pause. */
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -264,9 +264,26 @@
 	}
 };
 
+/** Lasting and scheduled jobs do not come by the rush. */
+const noteDemand = (state: SchedulerState, job: JobSpec, {nowMs, wallMs}: Now): void => {
+	const pool = state.queueOf(job)?.pool;
+	if (pool === undefined || job.recurrence.count > 0 || job.steps.some(step => step.isLasting)) {
+		return;
+	}
+
+	const millicoreMs = job.steps.reduce((sum, step) => sum + (step.taskCount * step.needs.cpuMillicores * step.estimateMs), 0);
+	state.demand.noteArrival({pool, millicoreMs, atMs: nowMs - Math.max(0, wallMs - job.acceptedWallMs)});
+};
+
 /** Takes changes of job rows into account. Specifications come first: their rows may arrive in any order with the others. */
 export const applyJobChanges = (state: SchedulerState, changes: readonly JobChange[], now: Now): void => {
-	for (const change of changes.filter(({type}) => type === 'accepted')) {
+	const accepted = changes.filter(change => change.type === 'accepted')
+		.toSorted((a, b) => a.job.acceptedWallMs - b.job.acceptedWallMs);
+	for (const change of accepted) {
+		if (!state.jobs.has(change.job.jobId)) {
+			noteDemand(state, change.job, now);
+		}
+
 		applyChange(state, change, now);
 	}
 
--- a/packages/scheduler/src/core/pools.ts
+++ b/packages/scheduler/src/core/pools.ts
@@ -1,7 +1,7 @@
 /**
 Sizes pools by moving machines between them and the standby pool.
 
-Answers demand that rises by turns: a pool that lacks room gets machines from standby, then idle ones of pools that lack nothing; a machine that has had no work for a while goes to standby, where it costs nothing. A move ends everything on a machine, so only machines on which nothing runs are moved.
+Answers demand that rises by turns: a pool that lacks room, or is about to by what arrives, gets machines from standby, then idle ones of pools that lack nothing; a machine that has had no work for a while goes to standby, where it costs nothing. A move ends everything on a machine, so only machines on which nothing runs are moved.
 */
 import {type Shortage} from './dispatch.js';
 import {
@@ -14,6 +14,9 @@
 /** A machine without work for this long leaves its pool: a move costs about as much as a machine in a pool for 1.2 s. */
 const idleBeforeStandbyMs = 1200;
 
+/** Share of its room that a pool can fill: tasks do not divide machines evenly. */
+const fillableShare = 0.85;
+
 /** Room that stays free in a pool, as a share of one machine, so that its next jobs can start at once. */
 const keptRoomShare = 0.5;
 
@@ -57,25 +60,66 @@
 	return free;
 };
 
-const growPools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, movable: MachineRecord[], nowMs: number): void => {
-	const machines = [...state.machines.values()];
-	for (const [pool, shortage] of shortages) {
-		const donors = movable.filter(machine => machine.order === undefined && machine.entry.pool !== pool && (isStandby(state, machine) || !shortages.has(machine.entry.pool)))
+/** Processor room that the pool will have: that of its workers, less what lasting tasks take, and of machines on their way. */
+const comingMillicores = (state: SchedulerState, pool: string, nowMs: number): number => {
+	let total = 0;
+	for (const worker of state.workers.values()) {
+		if (worker.entry.pool === pool && isUsable(worker, nowMs)) {
+			total += worker.entry.capacity.cpuMillicores;
+			for (const run of worker.runs.values()) {
+				total -= run.task?.step.spec.isLasting === true ? run.occupies.cpuMillicores : 0;
+			}
+		}
+	}
+
+	for (const machine of state.machines.values()) {
+		total += isComing(machine, pool) ? machine.entry.capacity.cpuMillicores : 0;
+	}
+
+	return total;
+};
+
+/** What the pool lacks: for tasks that wait without room, and for what arrives. */
+const missingMachines = (state: SchedulerState, pool: string, shortage: Shortage | undefined, nowMs: number): ((machine: MachineRecord) => number) => {
+	const comingCount = [...state.machines.values()].filter(machine => isComing(machine, pool)).length;
+	const wanted = state.demand.arrivingMillicores(pool, nowMs) / fillableShare;
+	const lacking = wanted - comingMillicores(state, pool, nowMs);
+	return machine => Math.max(
+		shortage === undefined ? 0 : machinesFor(shortage, machine) - comingCount,
+		Math.ceil(lacking / Math.max(1, machine.entry.capacity.cpuMillicores)),
+	);
+};
+
+const growPools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, movable: readonly MachineRecord[], nowMs: number): void => {
+	for (const {name: pool, isStandby: isOff} of state.configuration.pools.values()) {
+		if (isOff) {
+			continue;
+		}
+
+		const missingOf = missingMachines(state, pool, shortages.get(pool), nowMs);
+		const donors = movable.filter(machine => machine.order === undefined && machine.entry.pool !== pool && (isStandby(state, machine) || isSpare(state, machine, shortages, nowMs)))
 			.toSorted((a, b) => Number(isStandby(state, b)) - Number(isStandby(state, a)) || idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
-		let missing = donors.length === 0 ? 0 : machinesFor(shortage, donors[0]!) - machines.filter(machine => isComing(machine, pool)).length;
+		let missing = donors.length === 0 ? 0 : missingOf(donors[0]!);
 		for (const donor of donors) {
 			if (missing > 0) {
 				missing--;
-				orderMove(state, donor, pool, nowMs, `shortage of ${shortage.taskCount} tasks`);
+				orderMove(state, donor, pool, nowMs, `${shortages.get(pool)?.taskCount ?? 0} tasks without room`);
 			}
 		}
 	}
 };
 
+/** The machine's pool lacks no room, and would not without it. */
+const isSpare = (state: SchedulerState, machine: MachineRecord, shortages: ReadonlyMap<string, Shortage>, nowMs: number): boolean => {
+	const {pool, capacity} = machine.entry;
+	const wanted = state.demand.arrivingMillicores(pool, nowMs) / fillableShare;
+	return !shortages.has(pool) && comingMillicores(state, pool, nowMs) - capacity.cpuMillicores >= wanted;
+};
+
 const shrinkPools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, movable: readonly MachineRecord[], standby: string, nowMs: number): void => {
 	const idleByPool = new Map<string, MachineRecord[]>();
 	for (const machine of movable) {
-		if (!isStandby(state, machine) && machine.order === undefined && !shortages.has(machine.entry.pool)) {
+		if (!isStandby(state, machine) && machine.order === undefined && isSpare(state, machine, shortages, nowMs)) {
 			idleByPool.set(machine.entry.pool, [...idleByPool.get(machine.entry.pool) ?? [], machine]);
 		}
 	}
@@ -85,8 +129,8 @@
 		let freeMillicores = freeIn(state, longIdle[0]!.entry.pool, nowMs);
 		for (const machine of longIdle) {
 			const {cpuMillicores} = machine.entry.capacity;
-			const isSpare = freeMillicores - cpuMillicores >= cpuMillicores * keptRoomShare;
-			if (isSpare && idleForMs(state, machine, nowMs) >= idleBeforeStandbyMs) {
+			const hasRoomLeft = freeMillicores - cpuMillicores >= cpuMillicores * keptRoomShare;
+			if (hasRoomLeft && idleForMs(state, machine, nowMs) >= idleBeforeStandbyMs) {
 				freeMillicores -= cpuMillicores;
 				orderMove(state, machine, standby, nowMs, 'idle');
 			}
--- a/packages/scheduler/src/core/relocating.ts
+++ b/packages/scheduler/src/core/relocating.ts
@@ -18,6 +18,9 @@
 /** A lasting task takes this long to be at work at the most; one that takes longer stands still. */
 const stalledLastingTaskMs = 4000;
 
+/** A new holder has looked at every worker and renewed its lease by then; before, what is listed as running may be about to lapse. */
+const firstLooksMs = 1000;
+
 /** How long a stop may take before it is ordered again. */
 const stopRetryMs = 600;
 
@@ -81,10 +84,15 @@
 /** Looks after what runs: relocations, runs without progress, stops that got no answer. Returns the tasks that have to move and find no room. */
 export const reviewRuns = (state: SchedulerState, nowMs: number): readonly Task[] => {
 	const stranded: Task[] = [];
+	const isTermSettling = nowMs - (state.term?.wonAtMs ?? nowMs) < firstLooksMs;
 	const usable = [...state.workers.values()].filter(worker => isUsable(worker, nowMs));
 	for (const worker of state.workers.values()) {
 		repeatStops(state, worker, nowMs);
 		stopStalled(state, worker, nowMs);
+		if (isTermSettling) {
+			continue;
+		}
+
 		if (worker.entry.isDraining || worker.isReserved) {
 			stranded.push(...relocateFrom(state, worker, usable, nowMs));
 		}
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -7,6 +7,7 @@
 import {
 	type JobRecord, type MachineRecord, type Run, type StepRun, type Task, type WaveRecord, type WorkerRecord,
 } from './records.js';
+import {DemandMeter} from './demand-meter.js';
 import {addResources, noResources, subtractResources} from './resources.js';
 import {type SchedulerEffect} from './events.js';
 
@@ -55,6 +56,7 @@
 	readonly storedWaves = new Map<number, StoredWave>();
 	/** Nothing is started or ordered away: the lease may have passed to another process. Looks go on, so that what runs is kept. */
 	isSuspended = false;
+	readonly demand = new DemandMeter();
 	saveUnderWay: number | undefined;
 	lastSaveAtMs = 0;
 	saveCount = 0;
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -40,6 +40,8 @@
 export type JobStoreOptions = {
 	readonly processId: string;
 	readonly table: TableService;
+	/** Settles lost answers, so that no commit is applied after a later one. */
+	readonly settledTable: TableService;
 	readonly clock: Clock;
 	readonly log: Logger;
 };
@@ -47,6 +49,7 @@
 export class JobStore {
 	readonly #processId: string;
 	readonly #table: TableService;
+	readonly #settledTable: TableService;
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #waiting: WaitingJob[] = [];
@@ -55,6 +58,7 @@
 	constructor(options: JobStoreOptions) {
 		this.#processId = options.processId;
 		this.#table = options.table;
+		this.#settledTable = options.settledTable;
 		this.#clock = options.clock;
 		this.#log = options.log;
 	}
@@ -75,14 +79,14 @@
 		});
 	}
 
-	/** Stores progress under the fence, in as many transactions as it takes. Fails as commits do; may be repeated, since later progress contains the earlier. */
+	/** Stores progress under the fence, in as many transactions as it takes. Fails as commits do. A row holds all progress of its job, so a write that came late would undo newer progress; settled commits rule that out. */
 	async save(save: ProgressSave, fence: RowCondition): Promise<void> {
 		const writes: RowWrite[] = [
 			...save.jobs.map(({jobId, progress}): RowWrite => ({type: 'put', key: progressKey(jobId), value: progressToJson(progress)})),
 			...save.waves.map(({waveId, maintained, isCompleted}): RowWrite => ({type: 'put', key: waveKey(waveId), value: {maintained, isCompleted}})),
 		];
 		for (let from = 0; from < writes.length; from += maxSavedRows) {
-			await this.#table.commit({conditions: [fence], writes: writes.slice(from, from + maxSavedRows)});
+			await this.#settledTable.commit({conditions: [fence], writes: writes.slice(from, from + maxSavedRows)});
 		}
 	}
 
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -5,9 +5,11 @@
 	assertNever, type CancelTimer, type Clock, type JsonObject, LifecycleManager, type Logger, type MetricsRegistry, ReducerRuntime,
 } from '@poplarnotch/common';
 import {
-	ConflictError, PlatformError, type RowChange, type RowCondition, type WatchableTable,
+	ConflictError, PlatformError, type RowChange, type RowCondition, type TableService, type WatchableTable,
 } from '@poplarnotch/platform';
-import {type HeldLease, LeaseContender, TableReplica} from '@poplarnotch/state';
+import {
+	fenceKey, type HeldLease, LeaseContender, TableReplica,
+} from '@poplarnotch/state';
 import {keepEndedJobsMs} from '../constants.js';
 import {type ProgressSave, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {reduceScheduler} from '../core/reducer.js';
@@ -55,6 +57,8 @@
 export type SchedulerProcessOptions = {
 	readonly processId: string;
 	readonly table: WatchableTable;
+	/** The same table, with lost answers of commits settled. */
+	readonly settledTable: TableService;
 	readonly orders: Followed<OperatorOrders>;
 	readonly workers: Followed<readonly WorkerEntry[]>;
 	readonly workerControl: WorkerControl;
@@ -96,7 +100,7 @@
 			this.#perform(effect);
 		});
 		this.#store = new JobStore({
-			processId, table, clock, log,
+			processId, table, settledTable: options.settledTable, clock, log,
 		});
 		this.#leases = new LeaseContender({
 			table, holder: `${processId}@${clock.wallTimeMs()}`, formerRunPrefix: `${processId}@`, leaseMs, clock, log,
@@ -261,12 +265,11 @@
 
 	async #confirmFence(fencingToken: number): Promise<void> {
 		this.#isConfirming = true;
-		const fence = this.#fence;
 		let isKnown = false;
-		while (!isKnown && fence !== undefined && this.#fence === fence && this.state.term?.fencingToken === fencingToken) {
+		while (!isKnown && this.state.term?.fencingToken === fencingToken) {
 			try {
-				const [row] = await this.#options.table.readRows([fence.key]);
-				this.#runtime.dispatch(row?.version === fence.version ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
+				const [row] = await this.#options.table.readRows([fenceKey(schedulerLease)]);
+				this.#runtime.dispatch(row?.version === fencingToken ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
 				isKnown = true;
 			} catch (error) {
 				if (!(error instanceof PlatformError)) {
--- a/packages/scheduler/tests/scheduling.property.test.ts
+++ b/packages/scheduler/tests/scheduling.property.test.ts
@@ -1,9 +1,10 @@
 /**
 Plays days with faults drawn from a seed against the real processes and checks what must always hold.
 */
+import process from 'node:process';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {configurationOf, pool, SchedulerWorld} from './support/scheduler-world.js';
+import {configurationOf, SchedulerWorld} from './support/scheduler-world.js';
 import {calmLatencyMs} from './support/fake-table.js';
 import {jobOf, lastingStepOf, stepOf} from './support/jobs.js';
 
@@ -21,6 +22,24 @@
 
 const fixedSeed = 20_261_204;
 
+/** Days that failed once, with the cause. */
+const formerFailures: readonly Day[] = [
+	// Looks at a worker that did not answer kept extending its lease.
+	{seed: 521_501, faults: ['kill-holder', 'crash-worker', 'lost-answers', 'lost-answers', 'lost-answers', 'crash-worker']},
+	// A holder that had been frozen ordered a machine away under its old term.
+	{seed: 13, faults: ['freeze-holder', 'lost-answers', 'freeze-holder', 'late-orders', 'drain-worker', 'crash-worker']},
+	// A machine whose worker was gone was never maintained.
+	{seed: 674_041, faults: ['freeze-holder', 'crash-worker', 'wave', 'lost-answers', 'wave', 'drain-worker']},
+	// A lasting task was ended as idle though it had come to work since its worker last answered.
+	{seed: 999_994, faults: ['late-orders', 'wave', 'late-orders', 'wave', 'wave']},
+	// A start that was carried out late was stopped at once, beside another task of its step.
+	{seed: 106_656, faults: ['lost-answers', 'wave', 'kill-holder', 'store-slow', 'lost-answers', 'late-orders']},
+	// A new holder relocated tasks before it had renewed the leases of all workers.
+	{seed: 131_214, faults: ['store-slow', 'wave', 'lost-answers', 'freeze-holder', 'late-orders', 'freeze-holder', 'wave']},
+	// A save that was applied late undid newer progress.
+	{seed: 18, faults: ['wave', 'kill-holder', 'late-orders', 'wave', 'lost-answers', 'store-down']},
+];
+
 const strike = (world: SchedulerWorld, fault: Fault, number: number): void => {
 	const {holder} = world;
 	const workers = [...world.fleet.workers.values()].filter(({isUp}) => isUp);
@@ -159,28 +178,20 @@
 	const unacknowledged = [...world.fleet.workers.values()].filter(worker => worker.isUp && worker.hasUnacknowledged)
 		.map(worker => `ends not acknowledged: ${worker.entry.workerId}`);
 	const waves = [...world.waveStates].filter(([, state]) => state !== 'completed').map(([waveId]) => `wave ${waveId} is not completed`);
-	if (process.env['DBG'] !== undefined) {
-		const st = world.holder?.scheduler;
-		console.log(world.holder?.name, JSON.stringify(st?.dump()), st?.state.isSettled, [...world.machines.values()].map(m => `${m.entry.state} ${m.entry.pool} ${m.entry.workerId}`).join('; '));
-		for (const j of st?.state.openJobs ?? []) {
-			console.log(j.spec.jobId, j.hasBegun, j.outcome, [...j.occurrences.values()].flat().map(x => x.tasks.map(t => `${t.phase} ${t.run?.phase} ${t.run?.worker.entry.workerId}`).join(',')).join(' | '));
-		}
-	}
-
-	await world.close();
+	world.close();
 	return [...world.fleet.brokenPromises, ...unfinished, ...unacknowledged, ...waves];
 };
 
+/** The outcome is stored, or every lasting task runs once. */
 const isSettled = (world: SchedulerWorld, jobId: string): boolean => {
-	const {state} = world.anyProcess().scheduler;
-	const job = state.jobs.get(jobId);
-	if (job === undefined) {
+	const job = world.anyProcess().scheduler.state.jobs.get(jobId);
+	const step = job?.spec.steps[0];
+	if (job === undefined || step === undefined) {
 		return false;
 	}
 
-	const isLasting = job.spec.steps[0]!.isLasting;
-	return job.isOutcomeStored || (isLasting && job.spec.steps[0]!.taskCount === [...Array.from({length: 3}).keys()]
-		.filter(index => world.fleet.runsOf(`${jobId}.0.0.${index}`) === 1).length);
+	const taskKeys = Array.from({length: step.taskCount}, (_value, index) => `${jobId}.0.0.${index}`);
+	return job.isOutcomeStored || (step.isLasting && taskKeys.every(key => world.fleet.runsOf(key) === 1));
 };
 
 test('under any faults: capacity, limits, order, one run a task, availability, and nothing accepted is lost', async () => {
@@ -192,17 +203,12 @@
 		fc.asyncProperty(day, async drawn => {
 			expect(await playDay(drawn)).toEqual([]);
 		}),
-		{seed: fixedSeed, numRuns: Number(process.env['POPLARNOTCH_DAYS'] ?? 12), endOnFailure: true},
+		{
+			examples: formerFailures.map(former => [former]), seed: fixedSeed, numRuns: Number(process.env.POPLARNOTCH_DAYS ?? 12), endOnFailure: true,
+		},
 	);
 }, 600_000);
 
-test('dbg', async () => {
-	if (process.env['DBG'] !== undefined) {
-		console.log(await playDay(JSON.parse(process.env['DBG'])));
-	}
-});
-
 test('a calm day is served on the pool it has', async () => {
-	expect(pool).not.toBe('');
 	expect(await playDay({seed: 7, faults: ['wave']})).toEqual([]);
 });
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -1,9 +1,9 @@
 /**
-One process's path to a table service in memory, with latency and faults drawn from a seed: calls that are refused, writes whose answer is lost, outages.
+One process's path to a table service in memory, with latency and faults drawn from a seed: outages, and writes whose answer is lost, of which half are applied seconds later if their conditions still hold.
 */
-import {type RandomSource} from '@poplarnotch/common';
+import {type RandomSource, type VirtualClock} from '@poplarnotch/common';
 import {
-	type ChangePage, type CommitResult, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
+	type ChangePage, type CommitResult, ConflictError, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {type MemoryTableService} from '@poplarnotch/standin';
 import {type HostClock} from './host-clock.js';
@@ -11,6 +11,7 @@
 export const calmLatencyMs = 4;
 const pollMs = 5;
 const lostAnswerMs = 400;
+const maxLatenessMs = 4000;
 
 export type TableFaults = {
 	isDown: boolean;
@@ -20,13 +21,25 @@
 	latencyMs: number;
 };
 
+export type FakeTableOptions = {
+	readonly table: MemoryTableService;
+	/** The calling process's clock. */
+	readonly clock: HostClock;
+	/** The platform's clock. */
+	readonly world: VirtualClock;
+	readonly random: RandomSource;
+	readonly faults: TableFaults;
+};
+
 export class FakeTable implements WatchableTable {
 	readonly #table: MemoryTableService;
 	readonly #clock: HostClock;
 	readonly #random: RandomSource;
 	readonly #faults: TableFaults;
+	readonly #world: VirtualClock;
 
-	constructor(table: MemoryTableService, clock: HostClock, random: RandomSource, faults: TableFaults) {
+	constructor({table, clock, world, random, faults}: FakeTableOptions) {
+		this.#world = world;
 		this.#table = table;
 		this.#clock = clock;
 		this.#random = random;
@@ -35,13 +48,12 @@
 
 	async commit(transaction: Transaction): Promise<CommitResult> {
 		await this.#reach();
-		const isLost = this.#random.next() < this.#faults.lostShare;
-		const result = this.#table.commitNow(transaction);
-		if (isLost) {
-			await this.#clock.wait(lostAnswerMs);
-			throw new WriteOutcomeUnknownError('the answer is lost');
+		if (this.#random.next() < this.#faults.lostShare) {
+			await this.#lose(transaction);
 		}
 
+		const result = this.#table.commitNow(transaction);
+
 		await this.#clock.wait(this.#faults.latencyMs / 2);
 		return result;
 	}
@@ -83,6 +95,25 @@
 		}
 	}
 
+	async #lose(transaction: Transaction): Promise<never> {
+		if (this.#random.next() < 0.5) {
+			this.#table.commitNow(transaction);
+		} else {
+			this.#world.schedule(this.#random.next() * maxLatenessMs, () => {
+				try {
+					this.#table.commitNow(transaction);
+				} catch (error) {
+					if (!(error instanceof ConflictError)) {
+						throw error;
+					}
+				}
+			});
+		}
+
+		await this.#clock.wait(lostAnswerMs);
+		throw new WriteOutcomeUnknownError('the answer is lost');
+	}
+
 	async #reach(): Promise<void> {
 		await this.#clock.wait(this.#faults.latencyMs / 2);
 		if (this.#faults.isDown) {
--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -128,14 +128,16 @@
 		}
 
 		this.#finished = this.#finished.filter(({sequence}) => sequence > order.acknowledgedSequence);
-		return {type: 'report', report: {
-			clockMs: this.#clockMs,
-			bornWallMs: this.entry.bornWallMs,
-			running: [...this.runs.values()].map(run => ({
-				taskKey: run.taskKey, attempt: run.attempt, checkpoint: '', percent: this.#percentOf(run), figure: 0,
-			})),
-			finished: this.#finished,
-		}};
+		return {
+			type: 'report', report: {
+				clockMs: this.#clockMs,
+				bornWallMs: this.entry.bornWallMs,
+				running: [...this.runs.values()].map(run => ({
+					taskKey: run.taskKey, attempt: run.attempt, checkpoint: '', percent: this.#percentOf(run), figure: 0,
+				})),
+				finished: this.#finished,
+			},
+		};
 	}
 
 	get hasUnacknowledged(): boolean {
--- a/packages/scheduler/tests/support/scheduler-world.ts
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -4,6 +4,7 @@
 import {
 	MetricsRegistry, SeededRandom, silentLogger, VirtualClock,
 } from '@poplarnotch/common';
+import {SettlingTableService} from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
 import {
 	type FleetConfiguration, type Followed, type JobSpec, type LookAnswer, type MachineAnswer, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
@@ -12,11 +13,6 @@
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
 import {HostClock} from './host-clock.js';
 
-const process_env_trace = globalThis.process.env['DBG'] !== undefined;
-const traceLogger = (name: string, now: () => number) => {
-	const p = (f: object) => { console.log(Math.round(now()), name, JSON.stringify(f)); };
-	return {debug: p, info: p, warn: p, error: p};
-};
 const stepMs = 5;
 const orderLatencyMs = 2;
 const orderTimeoutMs = 1000;
@@ -184,13 +180,19 @@
 		const name = `process-${this.#processCount++}`;
 		const clock = new HostClock(this.clock);
 		const tableFaults: TableFaults = {isDown: false, lostShare: 0, latencyMs: calmLatencyMs};
+		const table = new FakeTable({
+			table: this.table, clock, world: this.clock, random: this.random, faults: tableFaults,
+		});
 		const process: Process = {
 			name,
 			clock,
 			table: tableFaults,
 			scheduler: new SchedulerProcess({
 				processId: name,
-				table: new FakeTable(this.table, clock, this.random, tableFaults),
+				table,
+				settledTable: new SettlingTableService(table, {
+					client: name, instance: name, retryTimeoutMs: 200, settleTimeoutMs: 120_000, backoff: {firstMs: 30, longestMs: 200}, clock, random: this.random,
+				}),
 				orders: this.#orders.follow(clock),
 				workers: this.#workers.follow(clock),
 				workerControl: this.#controlFor(clock),
@@ -199,7 +201,9 @@
 						await clock.wait(orderLatencyMs);
 						return [...this.machines.values()].map(({entry}) => entry);
 					},
-					move: async (machineId, target, {fencingToken}) => this.#orderMachine(clock, {machineId, fencingToken, forMs: moveMs, target}),
+					move: async (machineId, target, {fencingToken}) => this.#orderMachine(clock, {
+						machineId, fencingToken, forMs: moveMs, target,
+					}),
 					maintain: async (machineId, _waveId, {fencingToken}) => {
 						const answer = await this.#orderMachine(clock, {machineId, fencingToken, forMs: maintenanceMs});
 						if (answer === 'accepted') {
@@ -217,7 +221,7 @@
 				},
 				onControlRows: () => undefined,
 				clock,
-				log: process_env_trace ? traceLogger(name, () => this.clock.nowMs()) : silentLogger,
+				log: silentLogger,
 				metrics: new MetricsRegistry(),
 			}),
 		};
@@ -286,12 +290,10 @@
 		}
 	}
 
-	async close(): Promise<void> {
+	close(): void {
 		for (const {clock} of this.processes) {
 			clock.isDead = true;
 		}
-
-		await Promise.allSettled([]);
 	}
 
 	#addMachine(machineId: string, machinePool: string, rack: string): void {
@@ -379,7 +381,7 @@
 		await new Promise<void>(resolve => {
 			this.clock.schedule(orderLatencyMs, resolve);
 		});
-		if (worker === undefined || !worker.isUp) {
+		if (!worker?.isUp) {
 			await clock.wait(orderTimeoutMs);
 			return lost;
 		}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -39,3 +39,4 @@
 export {relayMethod} from './relay/messages.js';
 export {performRelayed} from './relay/perform-relayed.js';
 export {RelayDirectory, type RelayDirectoryOptions} from './relay/relay-directory.js';
+export {fenceKey} from './leases/rows.js';
