--- /dev/null
+++ b/packages/common/tests/bounded-output.test.ts
@@ -0,0 +1,55 @@
+/**
+Log lines against a reader that stops and against a flood.
+*/
+import {Buffer} from 'node:buffer';
+import {BoundedOutput, VirtualClock} from '@poplarnotch/common';
+import {expect, test} from 'vitest';
+
+const describeDropped = (count: number): string => `dropped=${count}\n`;
+
+test('a reader that has stopped holds up nobody, and what is left out is counted', () => {
+	let isRead = false;
+	let pending: (() => void) | undefined;
+	let text = '';
+	const clock = new VirtualClock();
+	const output = new BoundedOutput((bytes, done) => {
+		const finish = (): void => {
+			text += Buffer.from(bytes).toString();
+			done(undefined);
+		};
+
+		if (isRead) {
+			finish();
+		} else {
+			pending = finish;
+		}
+	}, clock, describeDropped);
+	const line = `${'x'.repeat(10_000)}\n`;
+	let taken = 0;
+	for (let index = 0; index < 1500; index++) {
+		taken += output.write(line) ? 1 : 0;
+	}
+
+	expect(taken).toBeLessThan(150);
+	expect(output.dropped).toBe(1500 - taken);
+	isRead = true;
+	pending?.();
+	clock.advance(1000);
+	expect(output.write('after\n')).toBe(true);
+	expect(text).toContain(`dropped=${1500 - taken}\nafter\n`);
+});
+
+test('a flood of lines is cut to a bounded number a second', () => {
+	const clock = new VirtualClock();
+	const output = new BoundedOutput((_bytes, done) => {
+		done(undefined);
+	}, clock, describeDropped);
+	let taken = 0;
+	for (let index = 0; index < 10_000; index++) {
+		taken += output.write('line\n') ? 1 : 0;
+	}
+
+	expect(taken).toBe(2000);
+	clock.advance(1000);
+	expect(output.write('line\n')).toBe(true);
+});
--- /dev/null
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -0,0 +1,66 @@
+/**
+A replica against a table that drops its history and answers late.
+*/
+import {VirtualClock} from '@poplarnotch/common';
+import {
+	type ChangePage, HistoryLostError, type RowChange, type RowListing, type WatchableTable,
+} from '@poplarnotch/platform';
+import {TableReplica} from '@poplarnotch/state';
+import {expect, test} from 'vitest';
+
+type Script = {
+	readonly listRows: () => Promise<RowListing>;
+	readonly waitForChanges: (revision: number, waitMs: number) => Promise<ChangePage>;
+};
+
+const replicaOf = (script: Script): {readonly replica: TableReplica; readonly rows: Map<string, unknown>} => {
+	const rows = new Map<string, unknown>();
+	const replica = new TableReplica({
+		table: {
+			listRows: script.listRows,
+			waitForChanges: async (_prefix: string, revision: number, waitMs: number) => script.waitForChanges(revision, waitMs),
+		} as unknown as WatchableTable,
+		prefix: 'jobs/', waitMs: 1000, pauseMs: () => 0, clock: new VirtualClock(),
+		onChanges(changes: readonly RowChange[]) {
+			for (const {key, value} of changes) {
+				if (value === undefined) {
+					rows.delete(key);
+				} else {
+					rows.set(key, value);
+				}
+			}
+		},
+	});
+	return {replica, rows};
+};
+
+test('after the history was dropped, all rows are listed and what is gone is removed', async () => {
+	let listing: RowListing = {rows: [{key: 'jobs/a', value: 1, version: 1}, {key: 'jobs/b', value: 2, version: 2}], revision: 2};
+	const {replica, rows} = replicaOf({
+		listRows: async () => listing,
+		async waitForChanges() {
+			throw new HistoryLostError('dropped');
+		},
+	});
+	await replica.refresh();
+	listing = {rows: [{key: 'jobs/b', value: 3, version: 7}], revision: 9};
+	await replica.refresh();
+	expect([...rows]).toEqual([['jobs/b', 3]]);
+	expect(replica.revision).toBe(9);
+});
+
+test('an answer that arrives late undoes nothing newer', async () => {
+	const pages: ChangePage[] = [
+		{changes: [{key: 'jobs/a', value: 'new', version: 5}], revision: 5, hasMore: false},
+		{changes: [{key: 'jobs/a', value: 'old', version: 4}], revision: 4, hasMore: false},
+	];
+	const {replica, rows} = replicaOf({
+		listRows: async () => ({rows: [], revision: 3}),
+		waitForChanges: async () => pages.shift()!,
+	});
+	await replica.refresh();
+	await replica.refresh();
+	await replica.refresh();
+	expect([...rows]).toEqual([['jobs/a', 'new']]);
+	expect(replica.revision).toBe(5);
+});
