--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -65,6 +65,11 @@
 	}
 
 	const clearing = remaining.filter(({entry}) => wave.reserved.has(entry.machineId));
+	for (const machine of clearing) {
+		// The machine may run another worker by now than when it was reserved.
+		reserve(state, wave, machine);
+	}
+
 	let clearCount = wave.order.concurrency - clearing.length;
 	for (const machine of orderable) {
 		if (clearCount > 0 && machine.order === undefined && !wave.reserved.has(machine.entry.machineId)) {
--- a/packages/scheduler/tests/scheduling.property.test.ts
+++ b/packages/scheduler/tests/scheduling.property.test.ts
@@ -36,6 +36,8 @@
 	{seed: 106_656, faults: ['lost-answers', 'wave', 'kill-holder', 'store-slow', 'lost-answers', 'late-orders']},
 	// A new holder relocated tasks before it had renewed the leases of all workers.
 	{seed: 131_214, faults: ['store-slow', 'wave', 'lost-answers', 'freeze-holder', 'late-orders', 'freeze-holder', 'wave']},
+	// A reserved machine came back with another worker, which nobody cleared.
+	{seed: 861_836, faults: ['store-down', 'store-down', 'lost-answers', 'freeze-holder', 'wave', 'wave', 'store-slow']},
 	// A save that was applied late undid newer progress.
 	{seed: 18, faults: ['wave', 'kill-holder', 'late-orders', 'wave', 'lost-answers', 'store-down']},
 ];
