--- a/packages/common/tests/bounded-output.test.ts
+++ b/packages/common/tests/bounded-output.test.ts
@@ -2,8 +2,8 @@
 Log lines against a reader that stops and against a flood.
 */
 import {Buffer} from 'node:buffer';
-import {BoundedOutput, VirtualClock} from '@poplarnotch/common';
 import {expect, test} from 'vitest';
+import {BoundedOutput, VirtualClock} from '@poplarnotch/common';
 
 const describeDropped = (count: number): string => `dropped=${count}\n`;
 
--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -6,8 +6,8 @@
 	ConflictError, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
-import {performRelayed, RelayedTable} from '@poplarnotch/state';
 import {expect, test} from 'vitest';
+import {performRelayed, RelayedTable} from '@poplarnotch/state';
 
 class Path {
 	isDown = false;
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -5,8 +5,8 @@
 import {
 	type ChangePage, HistoryLostError, type RowChange, type RowListing, type WatchableTable,
 } from '@poplarnotch/platform';
-import {TableReplica} from '@poplarnotch/state';
 import {expect, test} from 'vitest';
+import {TableReplica} from '@poplarnotch/state';
 
 type Script = {
 	readonly listRows: () => Promise<RowListing>;
