--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -64,7 +64,7 @@
 				throw peerFailure;
 			}
 
-			return JSON.parse(JSON.stringify(await performRelayed(other.table, parameters))) as unknown;
+			return structuredClone(await performRelayed(other.table, parameters));
 		},
 		clock,
 	});
