--- a/packages/state/tests/leases/lease-contender.test.ts
+++ b/packages/state/tests/leases/lease-contender.test.ts
@@ -98,3 +98,25 @@
 	expect(table.revision).toBeGreaterThan(15);
 	contender.close();
 });
+
+test('a process takes the lease that its own earlier run left behind at once, and another process waits', async () => {
+	const {clock, table, processes, contenders} = setUp([]);
+	await advanceVirtualTime(clock, 500, 50);
+	const holder = contenders.findIndex(contender => contender.heldLease(name) !== undefined);
+	for (const contender of contenders) {
+		contender.close();
+	}
+
+	const restart = (index: number): LeaseContender => new LeaseContender({
+		table: processes[index]!.tableThrough(table), holder: `gate-${index}@2`, formerRunPrefix: `gate-${index}@`, leaseMs, clock: processes[index]!,
+	});
+	const other = restart((holder + 1) % contenders.length);
+	const earlier = restart(holder);
+	for (const contender of [other, earlier]) {
+		contender.contend(name, () => undefined);
+	}
+
+	await advanceVirtualTime(clock, 500, 50);
+	expect(earlier.heldLease(name)).toBeDefined();
+	expect(other.heldLease(name)).toBeUndefined();
+});
