--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -17,10 +17,8 @@
 	readonly taskCount: number;
 };
 
-const noLimit: Resources = noResources;
-
 const staysWithinUpperLimit = (state: SchedulerState, customer: string, more: Resources): boolean => {
-	const limit = state.configuration.customers.get(customer)?.upperLimit ?? noLimit;
+	const limit = state.configuration.customers.get(customer)?.upperLimit ?? noResources;
 	return staysWithin(limit, state.inUse(customer), more);
 };
 
--- a/packages/scheduler/src/core/saving.ts
+++ b/packages/scheduler/src/core/saving.ts
@@ -9,7 +9,7 @@
 
 /** Ends that a worker has listed are acknowledged once the next save is stored. */
 export const noteProcessedEnds = (state: SchedulerState): void => {
-	const hasUnsaved = [...state.openJobs].some(job => job.isDirty) || [...state.jobs.values()].some(job => job.isDirty);
+	const hasUnsaved = [...state.jobs.values()].some(job => job.isDirty);
 	for (const worker of state.workers.values()) {
 		if (worker.processedSequence <= worker.acknowledgedSequence || worker.pendingAcknowledgement?.sequence === worker.processedSequence) {
 			continue;
