Apply operators' time limits to callers' connections

Cause: JobFront.applyLimits existed but nothing called it, so header and idle time limits of the configuration had no effect and Node's defaults (60 s and 5 s) held; headers larger than allowed were taken.

Before: a connection with an unfinished header stays open for 60 s.

The event waveReported, which nothing sent, is gone.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -82,6 +82,9 @@
 			workerControl: new WorkerHttpControl(workerClient),
 			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
 			waveReporter: new StatusRows(settledTable),
+			onConfigured: ({limits}) => {
+				this.#front.applyLimits(limits);
+			},
 			onControlRows: changes => {
 				this.#peers.apply(changes);
 			},
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -35,7 +35,6 @@
 	| {readonly type: 'saved'; readonly saveNumber: number}
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly sentAtMs: number}
 	| {readonly type: 'machineAnswered'; readonly machineId: string; readonly answer: MachineAnswer}
-	| {readonly type: 'waveReported'; readonly waveId: number; readonly state: 'running' | 'completed'}
 	| {readonly type: 'tick'}
 );
 
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -147,10 +147,6 @@
 			break;
 		}
 
-		case 'waveReported': {
-			break;
-		}
-
 		case 'tick': {
 			if (state.term === undefined || state.isSuspended) {
 				reviewWorkers(state, event.nowMs);
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -20,7 +20,7 @@
 import {
 	type Followed, type MachineControl, type OperatorOrders, type WaveReporter, type WorkerControl,
 } from '../ports.js';
-import {type WorkerEntry} from '../types.js';
+import {type FleetConfiguration, type WorkerEntry} from '../types.js';
 import {WorkerLinks} from './worker-links.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
@@ -64,6 +64,8 @@
 	readonly workerControl: WorkerControl;
 	readonly machineControl: MachineControl;
 	readonly waveReporter: WaveReporter;
+	/** Receives each configuration that comes into force. */
+	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Receives changes of the rows that processes share besides jobs. */
 	readonly onControlRows: (changes: readonly RowChange[]) => void;
 	readonly clock: Clock;
@@ -150,6 +152,7 @@
 					event: 'configuration_in_force', version: configuration.version, replaces: this.state.configuration.version, queues: configuration.queues.size,
 				});
 				this.#runtime.dispatch({type: 'configured', configuration, ...this.#now()});
+				this.#options.onConfigured(configuration);
 			}
 
 			this.#runtime.dispatch({type: 'wavesOrdered', waves, ...this.#now()});
--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -9,7 +9,7 @@
 /** How a worker treats tasks. */
 export type TaskBehaviour = {
 	/** Run time of a task; lasting tasks run until they are stopped. */
-	readonly runMs: (taskKey: string) => number;
+	runMs: (taskKey: string) => number;
 	/** Whether this run ends in failure. */
 	readonly fails: (taskKey: string, attempt: number) => boolean;
 };
@@ -24,6 +24,15 @@
 	stopAtMs: number | undefined;
 };
 
+/** A start that a worker carried out. */
+export type CarriedOutStart = {
+	readonly taskKey: string;
+	readonly attempt: number;
+	readonly workerId: string;
+	readonly checkpoint: string;
+	readonly atMs: number;
+};
+
 const startupMs = 300;
 const stopMs = 100;
 
@@ -85,6 +94,9 @@
 		const {job, step} = this.#fleet.lookUp(order.taskKey);
 		this.#fleet.checkStart(this, order, job, step);
 		const nowMs = this.#fleet.clock.nowMs();
+		this.#fleet.starts.push({
+			taskKey: order.taskKey, attempt: order.attempt, workerId: this.entry.workerId, checkpoint: order.checkpoint, atMs: nowMs,
+		});
 		this.runs.set(order.taskKey, {
 			taskKey: order.taskKey,
 			attempt: order.attempt,
@@ -151,6 +163,11 @@
 		this.#finished = [];
 	}
 
+	/** Cuts a run short, as where another member of its gang ended. */
+	breakRun(taskKey: string, checkpoint: string): void {
+		this.#end(this.runs.get(taskKey)!, 'broken', checkpoint);
+	}
+
 	isAtWork(run: WorkerRun): boolean {
 		return this.isUp && run.stopAtMs === undefined && this.#percentOf(run) === 100;
 	}
@@ -165,12 +182,12 @@
 		this.#deadlineClockMs = Math.max(this.#deadlineClockMs, deadlineClockMs);
 	}
 
-	#end(run: WorkerRun, end: RunEnd): void {
+	#end(run: WorkerRun, end: RunEnd, checkpoint = ''): void {
 		this.runs.delete(run.taskKey);
 		this.#highestAttempt.set(run.taskKey, Math.max(run.attempt, this.#highestAttempt.get(run.taskKey) ?? 0));
 		this.#sequence++;
 		this.#finished.push({
-			sequence: this.#sequence, taskKey: run.taskKey, attempt: run.attempt, end, checkpoint: '',
+			sequence: this.#sequence, taskKey: run.taskKey, attempt: run.attempt, end, checkpoint,
 		});
 		this.#fleet.noteEnd(run, end);
 	}
@@ -188,6 +205,7 @@
 	readonly cancelSent = new Set<string>();
 	readonly upperLimits = new Map<string, Resources>();
 	readonly brokenPromises: string[] = [];
+	readonly starts: CarriedOutStart[] = [];
 	maxAttempts = 3;
 	/** The order that is carried out now was held up on its way: what it does to availability is not the sender's doing. */
 	isOrderLate = false;
--- a/packages/scheduler/tests/support/scheduler-world.ts
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -132,6 +132,8 @@
 	readonly machines = new Map<string, Machine>();
 	readonly waveStates = new Map<number, string>();
 	readonly maintained = new Set<string>();
+	/** Versions that came into force, over all processes. */
+	readonly configuredVersions: number[] = [];
 	readonly random: SeededRandom;
 	readonly #orders: Published<OperatorOrders>;
 	readonly #workers = new Published<readonly WorkerEntry[]>([]);
@@ -219,6 +221,9 @@
 						this.waveStates.set(waveId, state);
 					},
 				},
+				onConfigured: ({version}) => {
+					this.configuredVersions.push(version);
+				},
 				onControlRows: () => undefined,
 				clock,
 				log: silentLogger,
