Write log lines whole where the pipe is full for a moment

A pipe that takes a part answers the next write with EAGAIN; the output took that for a reader that is gone and dropped what waited, uncounted. Now the rest is tried again after 20 ms. Test: a pipe that takes seven bytes at a time and is full every other time.

--- a/packages/common/src/bounded-output.ts
+++ b/packages/common/src/bounded-output.ts
@@ -16,17 +16,36 @@
 /** Writes bytes and calls back when that is done or has failed. */
 export type WriteBytes = (bytes: Uint8Array, done: (error: unknown) => void) => void;
 
-/** Writes to a file descriptor beside the event loop. */
-export const writeToDescriptor = (descriptor: number): WriteBytes => (bytes, done) => {
-	write(descriptor, bytes, (error, written) => {
-		if (error === null && written < bytes.length) {
-			writeToDescriptor(descriptor)(bytes.subarray(written), done);
-		} else {
-			done(error);
-		}
-	});
+/** Pause before a full pipe is tried again: long against a reader's turn, short against the second that the waiting bytes may last. */
+const fullPipeRetryMs = 20;
+
+/** One write call; it may write a part only. */
+type WriteOnce = (bytes: Uint8Array, done: (error: unknown, written: number) => void) => void;
+
+const isPipeFull = (error: unknown): boolean => error instanceof Error && 'code' in error && error.code === 'EAGAIN';
+
+/** Writes all bytes, however many calls that takes. A pipe that is full for the moment is tried again. */
+export const writeWhole = (writeOnce: WriteOnce): WriteBytes => {
+	const writeAll: WriteBytes = (bytes, done) => {
+		writeOnce(bytes, (error, written) => {
+			if (isPipeFull(error)) {
+				setTimeout(writeAll, fullPipeRetryMs, bytes, done).unref();
+			} else if ((error ?? undefined) === undefined && written < bytes.length) {
+				writeAll(bytes.subarray(written), done);
+			} else {
+				done(error);
+			}
+		});
+	};
+
+	return writeAll;
 };
 
+/** Writes to a file descriptor beside the event loop. */
+export const writeToDescriptor = (descriptor: number): WriteBytes => writeWhole((bytes, done) => {
+	write(descriptor, bytes, done);
+});
+
 export class BoundedOutput {
 	readonly #writeBytes: WriteBytes;
 	readonly #clock: Clock;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,7 @@
 export {assertNever} from './assert-never.js';
-export {BoundedOutput, writeToDescriptor, type WriteBytes} from './bounded-output.js';
+export {
+	BoundedOutput, writeToDescriptor, writeWhole, type WriteBytes,
+} from './bounded-output.js';
 export {
 	SystemClock, VirtualClock, type CancelTimer, type Clock,
 } from './clock.js';
--- a/packages/common/tests/bounded-output.test.ts
+++ b/packages/common/tests/bounded-output.test.ts
@@ -3,7 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {expect, test} from 'vitest';
-import {BoundedOutput, VirtualClock} from '@poplarnotch/common';
+import {BoundedOutput, VirtualClock, writeWhole} from '@poplarnotch/common';
 
 const describeDropped = (count: number): string => `dropped=${count}\n`;
 
@@ -53,3 +53,24 @@
 	clock.advance(1000);
 	expect(output.write('line\n')).toBe(true);
 });
+
+test('lines that a full pipe takes only in part arrive whole and in order', async () => {
+	let text = '';
+	let calls = 0;
+	const writeAll = writeWhole((bytes, done) => {
+		calls++;
+		if (calls % 2 === 0) {
+			done(Object.assign(new Error('full'), {code: 'EAGAIN'}), 0);
+			return;
+		}
+
+		const part = bytes.subarray(0, 7);
+		text += Buffer.from(part).toString();
+		done(undefined, part.length);
+	});
+	const output = new BoundedOutput(writeAll, new VirtualClock(), describeDropped);
+	output.write('the first line\n');
+	output.write('the second line\n');
+	await expect.poll(() => text).toBe('the first line\nthe second line\n');
+	expect(output.dropped).toBe(0);
+});
