Let only the holder follow workers closely

Only the holder needs news at once. The others now pause for a second and read at once when they win the lease.

--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -2,7 +2,7 @@
 What the scheduler needs from the platform that it runs on. The adapter implements these; tests use stand-ins.
 */
 import {
-	type FleetConfiguration, type MachineEntry, type WaveOrder, type WorkerReport,
+	type FleetConfiguration, type MachineEntry, type WaveOrder, type WorkerEntry, type WorkerReport,
 } from './types.js';
 
 /** Follows something that the platform keeps and hands each newer state to its listener. */
@@ -13,6 +13,11 @@
 	stop(): void;
 }
 
+/** Workers as they register themselves. Each of their heartbeats is a change, so only who gives them work follows them closely. */
+export interface FollowedWorkers extends Followed<readonly WorkerEntry[]> {
+	followClosely(isClose: boolean): void;
+}
+
 /** What operators have ordered. */
 export type OperatorOrders = {
 	/** `undefined` before the first configuration. */
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -18,9 +18,9 @@
 import {JobStore} from '../jobs/job-store.js';
 import {jobChangeFrom, jobsPrefix, progressKey} from '../jobs/rows.js';
 import {
-	type Followed, type MachineControl, type OperatorOrders, type WaveReporter, type WorkerControl,
+	type Followed, type FollowedWorkers, type MachineControl, type OperatorOrders, type WaveReporter, type WorkerControl,
 } from '../ports.js';
-import {type FleetConfiguration, type WorkerEntry} from '../types.js';
+import {type FleetConfiguration} from '../types.js';
 import {WorkerLinks} from './worker-links.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
@@ -60,7 +60,7 @@
 	/** The same table, with lost answers of commits settled. */
 	readonly settledTable: TableService;
 	readonly orders: Followed<OperatorOrders>;
-	readonly workers: Followed<readonly WorkerEntry[]>;
+	readonly workers: FollowedWorkers;
 	readonly workerControl: WorkerControl;
 	readonly machineControl: MachineControl;
 	readonly waveReporter: WaveReporter;
@@ -179,6 +179,7 @@
 	/** Gives up the lease, so that another process takes over at once, and goes on answering callers. */
 	async handOver(): Promise<void> {
 		this.#fence = undefined;
+		this.#options.workers.followClosely(false);
 		this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
 		await this.#leases.withdrawAll();
 	}
@@ -289,6 +290,7 @@
 
 	#leaseChanged(lease: HeldLease | undefined): void {
 		this.#fence = lease?.fence;
+		this.#options.workers.followClosely(lease !== undefined);
 		if (lease === undefined) {
 			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
 			return;
--- a/packages/scheduler/tests/support/scheduler-world.ts
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -196,7 +196,7 @@
 					client: name, instance: name, retryTimeoutMs: 200, settleTimeoutMs: 120_000, backoff: {firstMs: 30, longestMs: 200}, clock, random: this.random,
 				}),
 				orders: this.#orders.follow(clock),
-				workers: this.#workers.follow(clock),
+				workers: {...this.#workers.follow(clock), followClosely: () => undefined},
 				workerControl: this.#controlFor(clock),
 				machineControl: {
 					list: async () => {
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -79,6 +79,11 @@
 		return this.#nextRefresh;
 	}
 
+	/** Ends the present pause, where its length has changed. */
+	hasten(): void {
+		this.#wake?.();
+	}
+
 	async #refreshAfter(current: Promise<void>): Promise<void> {
 		await Promise.allSettled([current]);
 		this.#nextRefresh = undefined;
