Slow filling tasks down where they harm serving ones

Cause: nothing ordered a pace, so a filling task beside a serving one that missed its target worked on at full pace for as long as it ran. Workers now carry a pace for what fills on them: each half-second sample above a target cuts it to 35%, to a standstill in three samples (1.5 s of the 4 s that are accepted), and samples below 70% of the target give back ten percent. Fills go to workers without serving tasks first; starved ones move there. A holder that takes over orders the pace anew, since it cannot read it.

--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -48,6 +48,7 @@
 		percentChangedAtMs: nowMs,
 		figure: 0,
 		pacePercent: 100,
+		paceOrderedAtMs: undefined,
 	};
 	state.addRun(run);
 	noteLeaseSent(worker, nowMs);
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -32,6 +32,7 @@
 	| {readonly type: 'looked'; readonly workerId: string; readonly answer: LookAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number}
 	| {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer}
 	| {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer}
+	| {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly answer: OrderAnswer}
 	| {readonly type: 'saved'; readonly saveNumber: number}
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly sentAtMs: number}
 	| {readonly type: 'machineAnswered'; readonly machineId: string; readonly answer: MachineAnswer}
--- a/packages/scheduler/src/core/placing.ts
+++ b/packages/scheduler/src/core/placing.ts
@@ -31,6 +31,12 @@
 
 const runsOf = (task: Task): readonly Run[] => task.step.tasks.flatMap(member => member.run === undefined ? [] : [member.run]);
 
+/** Filling tasks go where they disturb nobody, else where they may work fastest. */
+const disturbance = (worker: WorkerRecord): number => {
+	const serves = [...worker.runs.values()].some(run => (run.task?.step.spec.targetMs ?? 0) > 0);
+	return serves ? 101 - worker.fillPacePercent : 0;
+};
+
 const isBusy = (worker: WorkerRecord): number => worker.runs.size === 0 ? 1 : 0;
 
 const scoreOf = (state: SchedulerState, task: Task, worker: WorkerRecord, siblings: readonly Run[]): Score => {
@@ -45,6 +51,10 @@
 		return [isAvoided, worker.isDue ? 1 : 0, isFarFromData, isCrowded, isBusy(worker), roomLeft];
 	}
 
+	if (spec.isFilling) {
+		return [isAvoided, isFarFromData, disturbance(worker), isBusy(worker), roomLeft];
+	}
+
 	const isOffRack = spec.prefersOneRack && siblings.length > 0 && onRack === 0 ? 1 : 0;
 	return [isAvoided, isFarFromData, isOffRack, isBusy(worker), roomLeft];
 };
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -29,7 +29,10 @@
 	percent: number;
 	percentChangedAtMs: number;
 	figure: number;
-	pacePercent: number;
+	/** Share at which the worker lets a filling task work, as far as it has confirmed; `undefined` where an earlier holder decided on it. */
+	pacePercent: number | undefined;
+	/** An order of another pace has had no answer since. */
+	paceOrderedAtMs: number | undefined;
 };
 
 export type Task = {
@@ -118,6 +121,11 @@
 	isDue: boolean;
 	/** No new work: the machine is about to be maintained or moved. */
 	isReserved: boolean;
+	/** Pace that everything which fills on the worker should have. */
+	fillPacePercent: number;
+	paceSampledAtMs: number;
+	/** Since when what fills stands still. */
+	pausedSinceMs: number | undefined;
 	idleSinceMs: number;
 };
 
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -7,6 +7,7 @@
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {applyJobChanges, type Now, reviewJobs} from './jobs.js';
 import {applyMachineAnswer, applyMachineList, repeatMachineOrders} from './machines.js';
+import {applyPaceAnswer, samplePace} from './pacing.js';
 import {sizePools} from './pools.js';
 import {reviewRuns} from './relocating.js';
 import {applyLook, applyStartAnswer, applyStopAnswer} from './reports.js';
@@ -58,6 +59,13 @@
 	saveProgress(state, nowMs);
 };
 
+const sampleReportedPace = (state: SchedulerState, {workerId, answer, nowMs}: Extract<SchedulerEvent, {readonly type: 'looked'}>): void => {
+	const worker = state.workers.get(workerId);
+	if (worker !== undefined && answer.type === 'report') {
+		samplePace(state, worker, nowMs);
+	}
+};
+
 const apply = (state: SchedulerState, event: SchedulerEvent): void => {
 	switch (event.type) {
 		case 'configured': {
@@ -119,6 +127,7 @@
 
 		case 'looked': {
 			applyLook(state, event);
+			sampleReportedPace(state, event);
 			break;
 		}
 
@@ -132,6 +141,11 @@
 			break;
 		}
 
+		case 'paceAnswered': {
+			applyPaceAnswer(state, event);
+			break;
+		}
+
 		case 'saved': {
 			applySaved(state, event.saveNumber);
 			break;
--- a/packages/scheduler/src/core/relocating.ts
+++ b/packages/scheduler/src/core/relocating.ts
@@ -5,6 +5,7 @@
 */
 import {stalledTaskMs} from '../constants.js';
 import {orderStop} from './jobs.js';
+import {reviewPaces} from './pacing.js';
 import {chooseWorker} from './placing.js';
 import {
 	type Run, type StepRun, type Task, type WorkerRecord,
@@ -65,7 +66,7 @@
 		const stalledForMs = Math.min(worker.lastAnswerAtMs, nowMs) - run.percentChangedAtMs;
 		const isStalled = isLasting
 			? run.percent < atWorkPercent && stalledForMs >= stalledLastingTaskMs
-			: !isGang && run.pacePercent > 0 && stalledForMs >= stalledTaskMs;
+			: !isGang && run.worker.fillPacePercent > 0 && run.pacePercent !== 0 && stalledForMs >= stalledTaskMs;
 		if (isStalled) {
 			run.task.avoidedWorkerId = worker.entry.workerId;
 			orderStop(state, run, nowMs, 'no-progress');
@@ -98,5 +99,6 @@
 		}
 	}
 
+	reviewPaces(state, usable, nowMs);
 	return stranded;
 };
--- a/packages/scheduler/src/core/reports.ts
+++ b/packages/scheduler/src/core/reports.ts
@@ -26,7 +26,7 @@
 };
 
 /** Another token than this term's highest was used: this process no longer holds the lease. */
-const stepDown = (state: SchedulerState, reason: string): void => {
+export const stepDown = (state: SchedulerState, reason: string): void => {
 	if (state.term !== undefined) {
 		state.term = undefined;
 		state.emit({type: 'stepDown', reason});
@@ -179,7 +179,8 @@
 		percent: entry.percent,
 		percentChangedAtMs: nowMs,
 		figure: entry.figure,
-		pacePercent: 100,
+		pacePercent: undefined,
+		paceOrderedAtMs: undefined,
 	};
 	const replaced = worker.runs.get(entry.taskKey);
 	if (replaced !== undefined) {
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -30,6 +30,9 @@
 	isEnded: false,
 	isDue: false,
 	isReserved: false,
+	fillPacePercent: 100,
+	paceSampledAtMs: 0,
+	pausedSinceMs: undefined,
 	idleSinceMs: nowMs,
 });
 
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -469,6 +469,10 @@
 		this.#options.log.info({
 			event: 'task_pace', taskKey: order.taskKey, workerId: order.workerId, percent: order.percent, answer,
 		});
+		const {workerId, taskKey, attempt, percent} = order;
+		this.#runtime.dispatch({
+			type: 'paceAnswered', workerId, taskKey, attempt, percent, answer, ...this.#now(),
+		});
 	}
 
 	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
--- a/packages/scheduler/tests/support/jobs.ts
+++ b/packages/scheduler/tests/support/jobs.ts
@@ -26,6 +26,16 @@
 	taskCount: 3, isLasting: true, mayMiss: 1, maxPerWorker: 1, ...overrides,
 });
 
+/** A step whose tasks serve users of their own within a target. */
+export const servingStepOf = (overrides: Partial<StepSpec> = {}): StepSpec => lastingStepOf({
+	targetMs: 100, ...overrides,
+});
+
+/** A step whose tasks use what others leave. */
+export const fillingStepOf = (overrides: Partial<StepSpec> = {}): StepSpec => stepOf({
+	isFilling: true, isCheckpointing: true, ...overrides,
+});
+
 export const jobOf = (number: number, overrides: Partial<JobSpec> = {}): JobSpec => ({
 	jobId: number.toString(16).padStart(16, '0'),
 	queue: 'draws',
