--- a/packages/scheduler/tests/pacing.test.ts
+++ b/packages/scheduler/tests/pacing.test.ts
@@ -63,6 +63,7 @@
 
 test('a new holder slows down what an earlier one had given full pace', async () => {
 	world.fleet.behaviour.disturbanceMs = 1;
+	world.fleet.behaviour.runMs = () => 60_000;
 	await world.run(1500);
 	world.kill(world.holder!);
 	world.fleet.behaviour.disturbanceMs = 200;
@@ -70,5 +71,6 @@
 	await world.run(6500);
 	world.fleet.brokenPromises.length = 0;
 	await world.run(4500);
+	expect(pacesOfFills()).toHaveLength(6);
 	expect(Math.max(...pacesOfFills())).toBeLessThan(50);
 });
