--- a/packages/scheduler/tests/support/host-clock.ts
+++ b/packages/scheduler/tests/support/host-clock.ts
@@ -8,6 +8,7 @@
 	readonly #clock: VirtualClock;
 	#frozenUntilMs = 0;
 	#frozenMs = 0;
+	#wallStepMs = 0;
 
 	constructor(clock: VirtualClock) {
 		this.#clock = clock;
@@ -22,7 +23,12 @@
 	}
 
 	wallTimeMs(): number {
-		return this.#clock.wallTimeMs();
+		return this.#clock.wallTimeMs() + this.#wallStepMs;
+	}
+
+	/** Sets the time of day forward, or back. */
+	stepWallClock(byMs: number): void {
+		this.#wallStepMs += byMs;
 	}
 
 	freeze(forMs: number): void {
--- a/packages/scheduler/tests/support/scheduler-world.ts
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -258,6 +258,10 @@
 		return result === 'accepted';
 	}
 
+	get hasLivingProcess(): boolean {
+		return this.processes.some(({clock}) => !clock.isDead && !clock.isFrozen);
+	}
+
 	anyProcess(): Process {
 		const living = this.processes.filter(({clock}) => !clock.isDead && !clock.isFrozen);
 		return living[Math.floor(this.random.next() * living.length)]!;
