Schedule from a larger host where hosts differ

After the loss of the holder a 0.324-core host won the lease; looking at 171 workers and starting what waited took more processor than it has (starts answered after 1.2 to 2.2 s, its time 1.4 s behind, lease lost).

Processes tell each other their processor in their peer rows. A contender leaves a free lease to clearly larger peers (1.5 times) for a third of the lease time, and a holder that has had a sign of life of such a peer since it won gives the lease back after 2 s. Hosts of one size behave as before.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -68,7 +68,7 @@
 			own: this.#ownTable, peers: () => this.#peers.peerUrls, callPeer: async (...call) => this.#callPeer(...call), clock, log,
 		});
 		this.#peers = new RelayDirectory({
-			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, clock, log,
+			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, clock, log,
 		});
 		const settledTable = new SettlingTableService(table, {
 			client: settings.host, retryTimeoutMs: settledRetryMs, settleTimeoutMs: settledTimeoutMs, backoff: settledBackoff, clock, metrics,
@@ -83,6 +83,7 @@
 			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
 			advisor: new AdviceHttpClient({client: storeClient, url: settings.adviceUrl, log}),
 			waveReporter: new StatusRows(settledTable),
+			hasLargerPeer: sinceMs => this.#peers.hasLargerPeer(sinceMs),
 			onConfigured: ({limits}) => {
 				this.#front.applyLimits(limits);
 			},
@@ -142,7 +143,7 @@
 		const startedAtMs = clock.nowMs();
 		this.#isDraining = true;
 		log.info({event: 'process_stopping', inFlight: this.#front.inFlight});
-		await this.#scheduler.handOver();
+		await this.#scheduler.leave();
 		const latestMs = startedAtMs + settings.stopGraceMs - closeReserveMs;
 		while (clock.nowMs() < latestMs && (this.#front.inFlight > 0 || clock.nowMs() < startedAtMs + balancerNoticeMs)) {
 			await new Promise<void>(resolve => {
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -30,6 +30,12 @@
 /** A holder that does not renew for this long is replaced: two renewals may be lost, and nothing on the workers lapses meanwhile. */
 const leaseMs = 3000;
 
+/** How long a free lease is left to larger processes: each of them looks at it once in a third of the lease time. */
+const standBackMs = leaseMs / 3;
+
+/** How often a holder looks for a larger process, and how long it holds the lease at least. */
+const yieldCheckEveryMs = 2000;
+
 /** Pace of decisions while holding the lease, and otherwise. */
 const decideEveryMs = 25;
 const idleTickMs = 250;
@@ -65,6 +71,8 @@
 	readonly machineControl: MachineControl;
 	readonly advisor: PlacementAdvisor;
 	readonly waveReporter: WaveReporter;
+	/** Whether a process with clearly more processor lives, by a sign of life after `sinceMs`: it should schedule in place of this one. */
+	readonly hasLargerPeer: (sinceMs?: number) => boolean;
 	/** Receives each configuration that comes into force. */
 	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Receives changes of the rows that processes share besides jobs. */
@@ -89,6 +97,9 @@
 	#isListing = false;
 	#nextListingAtMs = 0;
 	#nextSweepAtMs = 0;
+	#nextYieldCheckAtMs = 0;
+	/** The process stops, and must not take the lease again. */
+	#isLeaving = false;
 	#isClosed = false;
 	/** The store is being asked whether the fence still holds. */
 	#isConfirming = false;
@@ -106,7 +117,7 @@
 			processId, table, settledTable: options.settledTable, clock, log,
 		});
 		this.#leases = new LeaseContender({
-			table, holder: `${processId}@${clock.wallTimeMs()}`, formerRunPrefix: `${processId}@`, leaseMs, clock, log,
+			table, holder: `${processId}@${clock.wallTimeMs()}`, formerRunPrefix: `${processId}@`, leaseMs, standBackMs: () => options.hasLargerPeer() ? standBackMs : 0, clock, log,
 		});
 		this.#jobs = new TableReplica({
 			table, prefix: jobsPrefix, waitMs: followWaitMs, clock, log,
@@ -171,18 +182,14 @@
 			});
 		}
 
-		this.#leases.contend(schedulerLease, lease => {
-			this.#leaseChanged(lease);
-		});
+		this.#contend();
 		this.#keepTicking();
 	}
 
-	/** Gives up the lease, so that another process takes over at once, and goes on answering callers. */
-	async handOver(): Promise<void> {
-		this.#fence = undefined;
-		this.#options.workers.followClosely(false);
-		this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
-		await this.#leases.withdrawAll();
+	/** Gives up the lease for good, so that another process takes over at once, and goes on answering callers. */
+	async leave(): Promise<void> {
+		this.#isLeaving = true;
+		await this.#handOver();
 	}
 
 	async close(): Promise<void> {
@@ -211,6 +218,28 @@
 		};
 	}
 
+	#contend(): void {
+		this.#leases.contend(schedulerLease, lease => {
+			this.#leaseChanged(lease);
+		});
+	}
+
+	async #handOver(): Promise<void> {
+		this.#fence = undefined;
+		this.#options.workers.followClosely(false);
+		this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
+		await this.#leases.withdrawAll();
+	}
+
+	/** A small host that came first, or stood in for a larger one, gives the lease back: deciding for a large fleet takes more processor than it has. */
+	async #yieldToLarger(): Promise<void> {
+		this.#options.log.info({event: 'lease_yielded', reason: 'a larger process lives'});
+		await this.#handOver();
+		if (!this.#isClosed && !this.#isLeaving) {
+			this.#contend();
+		}
+	}
+
 	#now(): {readonly nowMs: number; readonly wallMs: number} {
 		return {nowMs: this.#options.clock.nowMs(), wallMs: this.#options.clock.wallTimeMs()};
 	}
@@ -238,6 +267,14 @@
 			void this.#listMachines();
 		}
 
+		if (now.nowMs >= this.#nextYieldCheckAtMs) {
+			this.#nextYieldCheckAtMs = now.nowMs + yieldCheckEveryMs;
+			if (!this.state.isSuspended && now.nowMs - this.state.term.wonAtMs >= yieldCheckEveryMs && this.#options.hasLargerPeer(this.state.term.wonAtMs)) {
+				void this.#yieldToLarger();
+				return;
+			}
+		}
+
 		if (now.nowMs >= this.#nextSweepAtMs) {
 			this.#nextSweepAtMs = now.nowMs + sweepEveryMs;
 			void this.#sweepEndedJobs(now.wallMs);
--- a/packages/scheduler/tests/support/scheduler-world.ts
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -132,6 +132,8 @@
 	readonly machines = new Map<string, Machine>();
 	readonly waveStates = new Map<number, string>();
 	readonly maintained = new Set<string>();
+	/** Processor of processes that differ from the others, by name. */
+	readonly cpuMillicores = new Map<string, number>();
 	/** Versions that came into force, over all processes. */
 	readonly configuredVersions: number[] = [];
 	readonly random: SeededRandom;
@@ -227,6 +229,7 @@
 						this.waveStates.set(waveId, state);
 					},
 				},
+				hasLargerPeer: () => this.processes.some(other => !other.clock.isDead && other.name !== name && (this.cpuMillicores.get(other.name) ?? 0) > (this.cpuMillicores.get(name) ?? 0)),
 				onConfigured: ({version}) => {
 					this.configuredVersions.push(version);
 				},
--- a/packages/state/src/leases/lease-contender.ts
+++ b/packages/state/src/leases/lease-contender.ts
@@ -21,6 +21,8 @@
 	readonly leaseMs?: number;
 	/** Start of the holder names of this process's earlier runs. Only for processes of which no two can run at once: a lease that an earlier run left behind is taken without waiting. */
 	readonly formerRunPrefix?: string;
+	/** How long a free lease is left to others that are better suited at the moment. */
+	readonly standBackMs?: () => number;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -40,6 +42,7 @@
 	readonly #holder: string;
 	readonly #leaseMs: number;
 	readonly #formerRunPrefix: string;
+	readonly #standBackMs: () => number;
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #contests = new Map<string, Contest>();
@@ -50,6 +53,7 @@
 		this.#holder = options.holder;
 		this.#leaseMs = options.leaseMs ?? defaultLeaseMs;
 		this.#formerRunPrefix = options.formerRunPrefix ?? '';
+		this.#standBackMs = options.standBackMs ?? (() => 0);
 		this.#clock = options.clock ?? new SystemClock();
 		this.#log = options.log ?? silentLogger;
 	}
@@ -115,7 +119,7 @@
 				void this.#call(name, async sentAtMs => {
 					const rows = await this.#table.readRows([fenceKey(name), renewalKey(name)]);
 					return {
-						type: 'rowsRead', nowMs: this.#clock.nowMs(), sentAtMs, rows: leaseRowsFrom(name, rows),
+						type: 'rowsRead', nowMs: this.#clock.nowMs(), sentAtMs, rows: leaseRowsFrom(name, rows), standBackMs: this.#standBackMs(),
 					};
 				});
 				break;
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -43,7 +43,8 @@
 export type LeaseEvent
 	= | {readonly type: 'tick'; readonly nowMs: number}
 	/** `sentAtMs` is when the call was made. */
-		| {readonly type: 'rowsRead'; readonly nowMs: number; readonly sentAtMs: number; readonly rows: LeaseRows}
+	/** `standBackMs` is how long the contender leaves a free lease to others that are better suited. */
+		| {readonly type: 'rowsRead'; readonly nowMs: number; readonly sentAtMs: number; readonly rows: LeaseRows; readonly standBackMs?: number}
 		| {readonly type: 'committed'; readonly nowMs: number; readonly sentAtMs: number; readonly revision: number}
 		| {readonly type: 'conflicted'; readonly nowMs: number}
 	/** `mayBeApplied` tells that the call may have taken effect. */
@@ -142,7 +143,7 @@
 const isSame = (a: LeaseRows, b: LeaseRows): boolean =>
 	a.fenceVersion === b.fenceVersion && a.renewalVersion === b.renewalVersion;
 
-const rowsRead = (state: LeaseState, rows: LeaseRows, sentAtMs: number, nowMs: number): LeaseStep => {
+const rowsRead = (state: LeaseState, {rows, sentAtMs, nowMs, standBackMs = 0}: Extract<LeaseEvent, {readonly type: 'rowsRead'}>): LeaseStep => {
 	if (rows.holder === state.holder) {
 		return stay(adopt(state, rows, nowMs));
 	}
@@ -160,7 +161,7 @@
 	// The read must have been sent a whole lease time after the same rows had been seen.
 	const isFormerRun = state.formerRunPrefix !== '' && rows.holder?.startsWith(state.formerRunPrefix) === true;
 	const isFree = rows.holder === undefined || isFormerRun || sentAtMs - sinceMs >= state.leaseMs;
-	return stay(isFree ? callSoon(sighted, 'acquire', nowMs) : callSoon(sighted, 'read', nowMs + pollMs(state)));
+	return stay(isFree ? callSoon(sighted, 'acquire', nowMs + (isFormerRun ? 0 : standBackMs)) : callSoon(sighted, 'read', nowMs + pollMs(state)));
 };
 
 const committed = (state: LeaseState, revision: number, sentAtMs: number, nowMs: number): LeaseStep => {
@@ -225,7 +226,7 @@
 		}
 
 		case 'rowsRead': {
-			return rowsRead(state, event.rows, event.sentAtMs, event.nowMs);
+			return rowsRead(state, event);
 		}
 
 		case 'committed': {
--- a/packages/state/src/relay/relay-directory.ts
+++ b/packages/state/src/relay/relay-directory.ts
@@ -22,11 +22,15 @@
 
 const secretBytes = 24;
 
-const peerSchema = z.object({url: z.string(), beats: z.number()});
+const peerSchema = z.object({url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0)});
+
+/** A peer counts as larger from this many times the own processor on, so that machines of one kind do not pass work around. */
+const largerFactor = 1.5;
 const secretSchema = z.object({secret: z.string()});
 
 type Peer = {
 	readonly url: string;
+	readonly cpuMillicores: number;
 	readonly seenAtMs: number;
 };
 
@@ -34,6 +38,8 @@
 	readonly table: WatchableTable;
 	readonly processId: string;
 	readonly url: string;
+	/** Processor that this process may use. */
+	readonly cpuMillicores?: number;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -65,6 +71,13 @@
 		return this.#secret === undefined ? [] : [...this.#peers.values()].filter(({seenAtMs}) => nowMs - seenAtMs < staleAfterMs).map(({url}) => url);
 	}
 
+	/** Whether a process with clearly more processor has shown a sign of life, lately and after `sinceMs` on this process's clock. */
+	hasLargerPeer(sinceMs = 0): boolean {
+		const nowMs = this.#clock.nowMs();
+		const wanted = (this.#options.cpuMillicores ?? 0) * largerFactor;
+		return wanted > 0 && [...this.#peers.values()].some(({cpuMillicores, seenAtMs}) => cpuMillicores >= wanted && seenAtMs > sinceMs && nowMs - seenAtMs < staleAfterMs);
+	}
+
 	start(): void {
 		void this.#beat();
 	}
@@ -88,7 +101,7 @@
 
 	#applyPeer(key: string, parsed: E.Either<unknown, z.infer<typeof peerSchema>>): void {
 		if (E.isRight(parsed)) {
-			this.#peers.set(key, {url: parsed.right.url, seenAtMs: this.#clock.nowMs()});
+			this.#peers.set(key, {url: parsed.right.url, cpuMillicores: parsed.right.cpuMillicores, seenAtMs: this.#clock.nowMs()});
 		} else {
 			this.#peers.delete(key);
 		}
@@ -113,9 +126,9 @@
 	}
 
 	async #write(): Promise<void> {
-		const {table, processId, url} = this.#options;
+		const {table, processId, url, cpuMillicores = 0} = this.#options;
 		this.#beats++;
-		await table.commit({conditions: [], writes: [{type: 'put', key: `${peersPrefix}${processId}`, value: {url, beats: this.#beats}}]});
+		await table.commit({conditions: [], writes: [{type: 'put', key: `${peersPrefix}${processId}`, value: {url, beats: this.#beats, cpuMillicores}}]});
 		if (this.#secret === undefined) {
 			await this.#makeSecret();
 		}
--- a/packages/state/tests/leases/takeover.test.ts
+++ b/packages/state/tests/leases/takeover.test.ts
@@ -32,3 +32,21 @@
 	}).state;
 	expect(due.nextCall).toBe('acquire');
 });
+
+test('a contender leaves a free lease to better ones for a while', () => {
+	const free = {fenceVersion: 0, holder: undefined, renewalVersion: 0};
+	const standing = reduceLease(newContender(name, 'gate-2@1', leaseMs), {
+		type: 'rowsRead', sentAtMs: 0, nowMs: 10, rows: free, standBackMs: 1000,
+	}).state;
+	expect(standing).toMatchObject({nextCall: 'acquire', dueMs: 1010});
+	expect(reduceLease(standing, {type: 'tick', nowMs: 1009}).effects).toEqual([]);
+	expect(reduceLease(standing, {type: 'tick', nowMs: 1010}).effects).toMatchObject([{type: 'commit'}]);
+});
+
+test('a restarted holder takes its own lease at once, however large the others are', () => {
+	const own = {fenceVersion: 5, holder: 'gate-2@1', renewalVersion: 7};
+	const restarted = reduceLease(newContender(name, 'gate-2@2', leaseMs, 'gate-2@'), {
+		type: 'rowsRead', sentAtMs: 0, nowMs: 10, rows: own, standBackMs: 1000,
+	}).state;
+	expect(restarted).toMatchObject({nextCall: 'acquire', dueMs: 10});
+});
