Let a large site recover after all its processes were killed at once

Each process listed all jobs at once, 30 parts in parallel over a link of 10 Mbit/s, so that pages of up to 1 MB took longer than the 1.5 s that a call may take; the whole listing began again, beside another one for each caller that asked for a state (363 of 1,000 failures 'GET /rows-get: no answer' in ten seconds), and callers waited until their deadline for it (up to 640 answers of 504 a second).

- Whoever needs a listing joins the one under way.
- Rows of jobs leave out what is 0, false or empty (a step takes under 120 bytes in place of 330), progress of ended jobs names no tasks.
- A caller who asks for a state waits 0.4 s for the newest, then is told what was known up to 3 s ago, or 503 at once.

--- a/packages/scheduler/src/jobs/job-desk.ts
+++ b/packages/scheduler/src/jobs/job-desk.ts
@@ -3,7 +3,7 @@
 
 A job counts as accepted only once its row is stored. "Not run" is said only where nothing was stored and nothing can be; where that is not certain the caller is told so.
 */
-import {type Clock, type Logger} from '@poplarnotch/common';
+import {type CancelTimer, type Clock, type Logger} from '@poplarnotch/common';
 import {ConflictError, PlatformError, WriteOutcomeUnknownError} from '@poplarnotch/platform';
 import {type JobRecord} from '../core/records.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
@@ -33,12 +33,20 @@
 	readonly store: JobStore;
 	/** Resolves once the replica holds everything that was acknowledged before the call. */
 	readonly refresh: () => Promise<void>;
+	/** Age of what the replica holds, by its newest confirmed read. */
+	readonly ageMs: () => number;
 	readonly clock: Clock;
 	readonly log: Logger;
 };
 
 const cancelAttempts = 3;
 
+/** How long a caller who asks for a state waits for the newest: a few answers of the store. After that, what is known is shown. */
+const statusWaitMs = 400;
+
+/** State that was confirmed this long ago is still shown where the store does not answer: callers accept 3 s. */
+const shownStateMaxAgeMs = 3000;
+
 export class JobDesk {
 	readonly #options: JobDeskOptions;
 
@@ -101,9 +109,9 @@
 			return known.outcome!;
 		}
 
-		const isFresh = await this.#tryRefresh('status', jobId);
+		const isFresh = await this.#refreshWithin(statusWaitMs, 'status', jobId);
 		const job = this.#find(jobId, customer);
-		if (job !== undefined) {
+		if (job !== undefined && (isFresh || this.#options.ageMs() <= shownStateMaxAgeMs)) {
 			return shownState(job);
 		}
 
@@ -164,6 +172,20 @@
 		return job === undefined || (customer !== '' && job.spec.customer !== customer) ? undefined : job;
 	}
 
+	async #refreshWithin(waitMs: number, purpose: string, subject: string): Promise<boolean> {
+		let cancel: CancelTimer | undefined;
+		const timeout = new Promise<boolean>(resolve => {
+			cancel = this.#options.clock.schedule(waitMs, () => {
+				resolve(false);
+			});
+		});
+		try {
+			return await Promise.race([this.#tryRefresh(purpose, subject), timeout]);
+		} finally {
+			cancel?.();
+		}
+	}
+
 	async #tryRefresh(purpose: string, subject: string): Promise<boolean> {
 		try {
 			await this.#options.refresh();
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -23,22 +23,23 @@
 
 const resourcesSchema = z.object({cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number()});
 
+/** Most fields of a step are 0, false or empty and are left out of the row: all processes read all rows, some of them over small links. */
 const stepSchema = z.object({
 	taskCount: z.number().int().positive(),
 	needs: resourcesSchema,
-	estimateMs: z.number(),
-	after: z.array(z.number().int()),
-	isCheckpointing: z.boolean(),
-	isGang: z.boolean(),
-	prefersOneRack: z.boolean(),
-	requiredLabel: z.string(),
-	dataRack: z.string(),
-	maxPerWorker: z.number(),
-	isLasting: z.boolean(),
-	image: z.string(),
-	targetMs: z.number(),
-	isFilling: z.boolean(),
-	mayMiss: z.number(),
+	estimateMs: z.number().default(0),
+	after: z.array(z.number().int()).default([]),
+	isCheckpointing: z.boolean().default(false),
+	isGang: z.boolean().default(false),
+	prefersOneRack: z.boolean().default(false),
+	requiredLabel: z.string().default(''),
+	dataRack: z.string().default(''),
+	maxPerWorker: z.number().default(0),
+	isLasting: z.boolean().default(false),
+	image: z.string().default(''),
+	targetMs: z.number().default(0),
+	isFilling: z.boolean().default(false),
+	mayMiss: z.number().default(0),
 });
 
 const jobSchema = z.object({
@@ -57,16 +58,21 @@
 	outcome: z.enum(['completed', 'failed', 'cancelled']).optional(),
 	endedWallMs: z.number().optional(),
 	hasBegun: z.boolean(),
-	doneTasks: factsSchema,
-	failures: factsSchema,
+	doneTasks: factsSchema.default({}),
+	failures: factsSchema.default({}),
 }).transform(({outcome, endedWallMs, ...facts}): JobProgress => ({...facts, outcome, endedWallMs}));
 
-export const jobToJson = (job: JobSpec): JsonObject => job;
+const isDefault = (value: unknown): boolean => value === 0 || value === false || value === '' || (Array.isArray(value) && value.length === 0);
 
-/** Fields that are not set are left out. */
-export const progressToJson = ({outcome, endedWallMs, ...facts}: JobProgress): JsonObject => ({
-	...facts,
-	...(outcome === undefined ? {} : {outcome}),
+export const jobToJson = (job: JobSpec): JsonObject => ({
+	...job,
+	steps: job.steps.map((step): JsonObject => Object.fromEntries(Object.entries(step).filter(([, value]) => !isDefault(value)))),
+});
+
+/** Fields that are not set are left out; of a job that has ended nobody asks which tasks are done. */
+export const progressToJson = ({outcome, endedWallMs, hasBegun, ...facts}: JobProgress): JsonObject => ({
+	hasBegun,
+	...(outcome === undefined ? facts : {outcome}),
 	...(endedWallMs === undefined ? {} : {endedWallMs}),
 });
 
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -139,7 +139,7 @@
 			},
 		});
 		this.desk = new JobDesk({
-			state: () => this.#runtime.state, store: this.#store, refresh: async () => this.#jobs.refresh(), clock, log,
+			state: () => this.#runtime.state, store: this.#store, refresh: async () => this.#jobs.refresh(), ageMs: () => clock.nowMs() - (this.#jobs.confirmedAtMs ?? Number.NEGATIVE_INFINITY), clock, log,
 		});
 	}
 
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -38,6 +38,7 @@
 	#isReachable = true;
 	#refreshing: Promise<void> | undefined;
 	#nextRefresh: Promise<void> | undefined;
+	#listing: Promise<void> | undefined;
 	#wake: (() => void) | undefined;
 
 	constructor(options: TableReplicaOptions) {
@@ -124,12 +125,16 @@
 
 	async #readChanges(waitMs: number): Promise<void> {
 		if (this.#revision === undefined) {
-			return this.#listAll();
+			const isJoining = this.#listing !== undefined;
+			await this.#listOnce();
+			if (!isJoining) {
+				return;
+			}
 		}
 
 		const sentAtMs = this.#clock.nowMs();
 		try {
-			const page = await this.#options.table.waitForChanges(this.#options.prefix, this.#revision, waitMs);
+			const page = await this.#options.table.waitForChanges(this.#options.prefix, this.#revision!, waitMs);
 			this.#apply(page.changes, page.revision, sentAtMs);
 		} catch (error) {
 			if (!(error instanceof HistoryLostError)) {
@@ -137,10 +142,18 @@
 			}
 
 			this.#log.info({event: 'replica_relisted', prefix: this.#options.prefix, revision: this.#revision});
-			await this.#listAll();
+			await this.#listOnce();
 		}
 	}
 
+	/** Listing all rows is the most expensive call there is: whoever needs it joins the one that is under way. */
+	async #listOnce(): Promise<void> {
+		this.#listing ??= this.#listAll().finally(() => {
+			this.#listing = undefined;
+		});
+		return this.#listing;
+	}
+
 	async #listAll(): Promise<void> {
 		const sentAtMs = this.#clock.nowMs();
 		const {rows, revision} = await this.#options.table.listRows(this.#options.prefix);
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -64,3 +64,26 @@
 	expect([...rows]).toEqual([['jobs/a', 'new']]);
 	expect(replica.revision).toBe(5);
 });
+
+test('readers join a listing that is under way, and then see what was stored after it began', async () => {
+	let listings = 0;
+	let finish: ((listing: RowListing) => void) | undefined;
+	const {replica, rows} = replicaOf({
+		async listRows() {
+			listings++;
+			return new Promise(resolve => {
+				finish = resolve;
+			});
+		},
+		waitForChanges: async () => ({changes: [{key: 'jobs/b', value: 2, version: 4}], revision: 4, hasMore: false}),
+	});
+	replica.start();
+	const reader = replica.refresh();
+	await Promise.resolve();
+	expect(listings).toBe(1);
+	finish!({rows: [{key: 'jobs/a', value: 1, version: 1}], revision: 3});
+	await reader;
+	replica.stop();
+	expect(listings).toBe(1);
+	expect([...rows.keys()]).toEqual(['jobs/a', 'jobs/b']);
+});
