Refuse calls where the configuration may have been replaced

A process now answers 503 with Retry-After once its newest confirmed read of the operators' rows is older than the platform's converge_ms, less 100 ms; it says nothing it does not know.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -22,6 +22,9 @@
 /** A process whose view of the operator's orders is older than this sends callers to others: two waiting calls have failed by then. */
 const readyMaxAgeMs = 3500;
 
+/** Answers leave this much before the configuration they follow from counts as old. */
+const configurationMarginMs = 100;
+
 /** A save that was certainly not applied is made anew with what is known by then. */
 const settledRetryMs = 200;
 
@@ -83,6 +86,7 @@
 			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
 			advisor: new AdviceHttpClient({client: storeClient, url: settings.adviceUrl, log}),
 			waveReporter: new StatusRows(settledTable),
+			maxConfigurationAgeMs: settings.configurationConvergeMs - configurationMarginMs,
 			hasLargerPeer: sinceMs => this.#peers.hasLargerPeer(sinceMs),
 			onConfigured: ({limits}) => {
 				this.#front.applyLimits(limits);
--- a/packages/scheduler/src/jobs/job-desk.ts
+++ b/packages/scheduler/src/jobs/job-desk.ts
@@ -21,7 +21,7 @@
 
 export type Admission
 	= | {readonly type: 'admitted'; readonly target: CallTarget; readonly rest: string}
-		| {readonly type: 'not-configured' | 'no-such-queue' | 'unknown-key'};
+		| {readonly type: 'not-configured' | 'configuration-stale' | 'no-such-queue' | 'unknown-key'};
 
 export type SubmitResult = 'accepted' | 'not-accepted' | 'unknown';
 export type StatusResult = JobState | 'no-such-job' | 'unavailable';
@@ -35,6 +35,9 @@
 	readonly refresh: () => Promise<void>;
 	/** Age of what the replica holds, by its newest confirmed read. */
 	readonly ageMs: () => number;
+	/** Age of the operators' configuration, by its newest confirmed read, and up to which age calls may be answered by it. */
+	readonly configurationAgeMs: () => number;
+	readonly maxConfigurationAgeMs: number;
 	readonly clock: Clock;
 	readonly log: Logger;
 };
@@ -65,6 +68,11 @@
 			return {type: 'not-configured'};
 		}
 
+		// A process that cannot see the operators' changes does not know which queues and keys hold.
+		if (this.#options.configurationAgeMs() > this.#options.maxConfigurationAgeMs) {
+			return {type: 'configuration-stale'};
+		}
+
 		const route = configuration.routes.find(candidate => candidate.host === host && path.startsWith(candidate.pathPrefix));
 		const queue = route === undefined ? undefined : configuration.queues.get(route.queue);
 		if (route === undefined || queue === undefined) {
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -71,6 +71,8 @@
 	readonly machineControl: MachineControl;
 	readonly advisor: PlacementAdvisor;
 	readonly waveReporter: WaveReporter;
+	/** Operators' changes must be in force this long after they were acknowledged. */
+	readonly maxConfigurationAgeMs: number;
 	/** Whether a process with clearly more processor lives, by a sign of life after `sinceMs`: it should schedule in place of this one. */
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
 	/** Receives each configuration that comes into force. */
@@ -139,7 +141,8 @@
 			},
 		});
 		this.desk = new JobDesk({
-			state: () => this.#runtime.state, store: this.#store, refresh: async () => this.#jobs.refresh(), ageMs: () => clock.nowMs() - (this.#jobs.confirmedAtMs ?? Number.NEGATIVE_INFINITY), clock, log,
+			state: () => this.#runtime.state, store: this.#store, refresh: async () => this.#jobs.refresh(), ageMs: () => clock.nowMs() - (this.#jobs.confirmedAtMs ?? Number.NEGATIVE_INFINITY),
+			configurationAgeMs: () => clock.nowMs() - (options.orders.confirmedAtMs ?? Number.NEGATIVE_INFINITY), maxConfigurationAgeMs: options.maxConfigurationAgeMs, clock, log,
 		});
 	}
 
--- a/packages/scheduler/tests/support/scheduler-world.ts
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -229,6 +229,7 @@
 						this.waveStates.set(waveId, state);
 					},
 				},
+				maxConfigurationAgeMs: Number.POSITIVE_INFINITY,
 				hasLargerPeer: () => this.processes.some(other => !other.clock.isDead && other.name !== name && (this.cpuMillicores.get(other.name) ?? 0) > (this.cpuMillicores.get(name) ?? 0)),
 				onConfigured: ({version}) => {
 					this.configuredVersions.push(version);
