Serve a customer that floods a queue from what the others leave

Cause: on a full pool jobs went by their latest start alone, so a customer that handed in many times its usual took the room of the others. Its weight, in jobs a second, is now metered as its share, two seconds of it at once; jobs beyond it come after everybody else's where there is no room.

--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -22,6 +22,7 @@
 	outcome: undefined,
 	endedWallMs: undefined,
 	isCancelRequested: false,
+	isBeyondShare: false,
 	hasBegun: false,
 	isDirty: false,
 	isOutcomeStored: false,
@@ -222,6 +223,15 @@
 	}
 };
 
+/** Lasting jobs are few and stay; jobs without a customer have no share to exceed. */
+const noteShare = (state: SchedulerState, job: JobRecord, {nowMs, wallMs}: Now): void => {
+	const customer = state.configuration.customers.get(job.spec.customer);
+	if (customer !== undefined && !job.spec.steps.some(step => step.isLasting)) {
+		const acceptedAtMs = nowMs - Math.max(0, wallMs - job.spec.acceptedWallMs);
+		job.isBeyondShare = !state.shares.takeJob(customer.name, customer.weight, acceptedAtMs);
+	}
+};
+
 const applyChange = (state: SchedulerState, change: JobChange, now: Now): void => {
 	if (change.type === 'accepted') {
 		let accepted = state.jobs.get(change.job.jobId);
@@ -229,6 +239,7 @@
 			accepted = newJob(change.job, now.nowMs);
 			state.jobs.set(change.job.jobId, accepted);
 			state.openJobs.add(accepted);
+			noteShare(state, accepted, now);
 		}
 
 		accepted.rowKeys.add(change.rowKey);
--- a/packages/scheduler/src/core/queueing.ts
+++ b/packages/scheduler/src/core/queueing.ts
@@ -1,7 +1,7 @@
 /**
 The order in which waiting work is offered room.
 
-Answers the load in which a queue asks for about twice what its pool holds for some seconds: lasting tasks first, since each second without them is lost to their users; then jobs that can still meet their objective, by queue priority and by how late they may still start; jobs that are late anyway come last. A step that finds no room does not hold up the others.
+Answers the load in which a queue asks for about twice what its pool holds for some seconds: lasting tasks first, since each second without them is lost to their users; then jobs that can still meet their objective, by queue priority and by how late they may still start; jobs that are late anyway come after them, and last what a customer hands in beyond its share, so that one who floods a queue is served from what the others leave. A step that finds no room does not hold up the others.
 */
 import {type JobRecord, type StepRun} from './records.js';
 import {readySteps, stepsOf} from './jobs.js';
@@ -20,6 +20,7 @@
 const lastingRank = 0;
 const timelyRank = 1;
 const lateRank = 2;
+const beyondShareRank = 3;
 
 /** Length of the longest chain of steps that are not done, from estimates. */
 export const remainingChainMs = (job: JobRecord): number => {
@@ -59,10 +60,11 @@
 
 	const latestStartMs = objectiveAtMs(state, job) - remainingChainMs(job);
 	const timelyOrLate = nowMs <= latestStartMs ? timelyRank : lateRank;
+	const rank = job.isBeyondShare ? beyondShareRank : timelyOrLate;
 	return readySteps(job).filter(step => step.tasks.some(task => task.phase === 'waiting')).map(step => ({
 		step,
 		pool: queue.pool,
-		rank: step.spec.isLasting ? lastingRank : timelyOrLate,
+		rank: step.spec.isLasting ? lastingRank : rank,
 		priority: queue.priority,
 		latestStartMs,
 	}));
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -86,6 +86,8 @@
 	outcome: JobOutcome | undefined;
 	endedWallMs: number | undefined;
 	isCancelRequested: boolean;
+	/** Its customer had handed in more than its share when the job came. */
+	isBeyondShare: boolean;
 	hasBegun: boolean;
 	/** Progress that is not stored yet. */
 	isDirty: boolean;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -10,6 +10,7 @@
 import {DemandMeter} from './demand-meter.js';
 import {addResources, noResources, subtractResources} from './resources.js';
 import {type SchedulerEffect} from './events.js';
+import {ShareMeter} from './shares.js';
 
 const emptyConfiguration: FleetConfiguration = {
 	version: 0,
@@ -57,6 +58,7 @@
 	/** Nothing is started or ordered away: the lease may have passed to another process. Looks go on, so that what runs is kept. */
 	isSuspended = false;
 	readonly demand = new DemandMeter();
+	readonly shares = new ShareMeter();
 	/** Questions to the policy service that have no answer yet. */
 	adviceUnderWay = 0;
 	saveUnderWay: number | undefined;
