Recover from an outage of the store without burying peers in relayed calls

Each sent what it could not read through peers, all of them through the same first peers of the list, 80 KB a read of the workers' entries over links of 10 Mbit/s; the probes of the own path, which repeated whole listings, timed out among them ('no peer is known' 243 times, 5 paths regained of 22 at once).

- Peers are drawn by lot, the one that served last first.
- Where the peers that were asked do not reach the store either, none is asked for half a second.
- A probe reads one small row.
- Only the process that schedules logs the end of a job: 7,047 lines a second while all processes listed all jobs.

Tests: two in relayed-table.test.ts, which fail without.

--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -145,11 +145,11 @@
 	job.endedWallMs = wallMs;
 	state.openJobs.delete(job);
 	markDirty(job);
-	state.emit({
-		type: 'note', fields: {
-			event: 'job_ended', jobId: job.spec.jobId, queue: job.spec.queue, outcome, ageMs: Math.round(nowMs - job.seenAtMs),
-		},
-	});
+	// The process that schedules says so once; the others only learn of it.
+	if (state.term !== undefined) {
+		noteJobEnd(state, job, outcome, nowMs);
+	}
+
 	for (const step of stepsOf(job)) {
 		for (const {run} of step.tasks) {
 			if (run !== undefined && run.phase !== 'stopping') {
@@ -159,6 +159,14 @@
 	}
 };
 
+const noteJobEnd = (state: SchedulerState, job: JobRecord, outcome: JobOutcome, nowMs: number): void => {
+	state.emit({
+		type: 'note', fields: {
+			event: 'job_ended', jobId: job.spec.jobId, queue: job.spec.queue, outcome, ageMs: Math.round(nowMs - job.seenAtMs),
+		},
+	});
+};
+
 /** Marks a task as done; the end of one member of a gang is the end of all. */
 export const finishTask = (state: SchedulerState, task: Task, now: Now): void => {
 	const finished = task.step.spec.isGang ? task.step.tasks : [task];
--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -4,7 +4,7 @@
 The platform may turn away, or be cut off from, some hosts and serve the others. A process that notices this sends its calls through a peer until its own path answers again, so its callers and its leases do not suffer. A call that failed on the way there is not repeated here: whether it was applied is the caller's question, as with any table service.
 */
 import {
-	type Clock, type JsonValue, type Logger, silentLogger, SystemClock,
+	type Clock, type JsonValue, type Logger, type RandomSource, silentLogger, SystemClock, SystemRandom,
 } from '@poplarnotch/common';
 import {
 	type ChangePage, type CommitResult, ConflictError, HistoryLostError, type PageOptions, PlatformError, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
@@ -22,6 +22,7 @@
 	/** Base URLs of the other processes. */
 	readonly peers: () => readonly string[];
 	readonly callPeer: CallPeer;
+	readonly random?: RandomSource;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -35,6 +36,12 @@
 /** Peers that one call tries. */
 const maxPeersPerCall = 2;
 
+/** Where the peers that were asked do not reach the table service either, it is down for all, and only the own path is tried for this long. */
+const outagePauseMs = 500;
+
+/** A small row for finding out whether the own path answers again; it need not exist. */
+const probeKey = 'control/probe';
+
 const relayTimeoutMs = 1100;
 
 /** Pause of a relayed wait for changes that found none: peers are asked for what is there, not to wait. */
@@ -44,15 +51,18 @@
 
 export class RelayedTable implements WatchableTable {
 	readonly #options: RelayedTableOptions;
+	readonly #random: RandomSource;
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #avoidedUntilMs = new Map<string, number>();
 	#isOwnPathDown = false;
 	#nextProbeAtMs = 0;
+	#relayNotBeforeMs = 0;
 	#lastPeer: string | undefined;
 
 	constructor(options: RelayedTableOptions) {
 		this.#options = options;
+		this.#random = options.random ?? new SystemRandom();
 		this.#clock = options.clock ?? new SystemClock();
 		this.#log = options.log ?? silentLogger;
 	}
@@ -98,10 +108,13 @@
 			return this.#performOwn(perform);
 		}
 
-		const isProbe = nowMs >= this.#nextProbeAtMs && call.type !== 'commit';
-		if (isProbe) {
+		if (nowMs >= this.#nextProbeAtMs) {
 			this.#nextProbeAtMs = nowMs + probeEveryMs;
-			void this.#probe(perform);
+			void this.#probe();
+		}
+
+		if (nowMs < this.#relayNotBeforeMs) {
+			throw new UnavailableError('the table service is reached neither from here nor by peers');
 		}
 
 		return await this.#relay(call) as Result;
@@ -120,18 +133,15 @@
 	}
 
 	/** Reads on the own path only to learn whether it answers again. */
-	async #probe<Result>(perform: Perform<Result>): Promise<void> {
+	async #probe(): Promise<void> {
 		try {
-			await perform(this.#options.own);
+			await this.#options.own.readRows([probeKey]);
 			this.#setOwnPathDown(false);
 		} catch (error) {
+			// Still down, as the log says already.
 			if (!(error instanceof PlatformError)) {
 				throw error;
 			}
-
-			if (error instanceof HistoryLostError) {
-				this.#setOwnPathDown(false);
-			}
 		}
 	}
 
@@ -163,6 +173,7 @@
 			}
 		}
 
+		this.#relayNotBeforeMs = this.#clock.nowMs() + outagePauseMs;
 		throw failure;
 	}
 
@@ -171,12 +182,15 @@
 		this.#lastPeer = undefined;
 	}
 
-	/** The peer that served last comes first; peers that failed lately are left out. */
+	/** The peer that served last comes first, then others by lot, so that hosts that lose their path together do not all burden the same peer. Peers that failed lately are left out. */
 	#choosePeers(): readonly string[] {
 		const nowMs = this.#clock.nowMs();
-		const usable = this.#options.peers().filter(peer => (this.#avoidedUntilMs.get(peer) ?? 0) <= nowMs);
-		const last = usable.filter(peer => peer === this.#lastPeer);
-		return [...last, ...usable.filter(peer => peer !== this.#lastPeer)].slice(0, maxPeersPerCall);
+		return this.#options.peers()
+			.filter(peer => (this.#avoidedUntilMs.get(peer) ?? 0) <= nowMs)
+			.map(peer => ({peer, lot: peer === this.#lastPeer ? -1 : this.#random.next()}))
+			.toSorted((a, b) => a.lot - b.lot)
+			.slice(0, maxPeersPerCall)
+			.map(({peer}) => peer);
 	}
 }
 
--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -1,7 +1,7 @@
 /**
 Table calls through a peer while the own path is lost.
 */
-import {type JsonValue, VirtualClock} from '@poplarnotch/common';
+import {type JsonValue, SeededRandom, VirtualClock} from '@poplarnotch/common';
 import {
 	ConflictError, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
@@ -51,14 +51,14 @@
 	}
 }
 
-const setUp = () => {
+const setUp = (peers: readonly string[] = ['http://peer']) => {
 	const memory = new MemoryTableService();
 	const [own, other] = [new Path(memory), new Path(memory)];
 	const clock = new VirtualClock();
 	let peerFailure: Error | undefined;
 	const relayed = new RelayedTable({
 		own: own.table,
-		peers: () => ['http://peer'],
+		peers: () => peers,
 		async callPeer(_url, _method, parameters: JsonValue) {
 			if (peerFailure !== undefined) {
 				throw peerFailure;
@@ -118,3 +118,48 @@
 	await expect(relayed.commit(put('a'))).rejects.toBeInstanceOf(UnavailableError);
 	await expect(relayed.commit(put('a'))).rejects.toBeInstanceOf(UnavailableError);
 });
+
+test('hosts that lose their path together spread over the peers', async () => {
+	const peers = Array.from({length: 10}, (_value, index) => `http://peer-${index}`);
+	const asked = new Set<string>();
+	for (let host = 0; host < 30; host++) {
+		const memory = new MemoryTableService();
+		const own = new Path(memory);
+		own.isDown = true;
+		const relayed = new RelayedTable({
+			own: own.table, peers: () => peers, random: new SeededRandom(host), clock: new VirtualClock(),
+			async callPeer(url, _method, parameters: JsonValue) {
+				asked.add(url);
+				return structuredClone(await performRelayed(new Path(memory).table, parameters));
+			},
+		});
+		await relayed.readRows(['a']).catch(() => undefined);
+		await relayed.readRows(['a']);
+	}
+
+	expect(asked.size).toBeGreaterThanOrEqual(8);
+});
+
+test('while the table service is down for all, peers are left alone and the own path is tried with one small read', async () => {
+	const {own, other, clock, relayed} = setUp(Array.from({length: 10}, (_value, index) => `http://peer-${index}`));
+	own.isDown = true;
+	other.isDown = true;
+	await expect(relayed.listRows('jobs/')).rejects.toBeInstanceOf(UnavailableError);
+	await expect(relayed.listRows('jobs/')).rejects.toBeInstanceOf(UnavailableError);
+	const {calls} = other;
+	for (let call = 0; call < 20; call++) {
+		clock.advance(20);
+		await expect(relayed.listRows('jobs/')).rejects.toBeInstanceOf(UnavailableError);
+	}
+
+	expect(other.calls - calls).toBeLessThanOrEqual(1);
+	own.isDown = false;
+	clock.advance(400);
+	await relayed.listRows('jobs/').catch(() => undefined);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	const before = other.calls;
+	await relayed.listRows('jobs/');
+	expect(other.calls).toBe(before);
+});
