--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -231,12 +231,15 @@
 	}
 };
 
+const totalWeight = (state: SchedulerState): number =>
+	[...state.configuration.customers.values()].reduce((sum, {weight}) => sum + weight, 0);
+
 /** Lasting jobs are few and stay; jobs without a customer have no share to exceed. */
 const noteShare = (state: SchedulerState, job: JobRecord, {nowMs, wallMs}: Now): void => {
 	const customer = state.configuration.customers.get(job.spec.customer);
 	if (customer !== undefined && !job.spec.steps.some(step => step.isLasting)) {
 		const acceptedAtMs = nowMs - Math.max(0, wallMs - job.spec.acceptedWallMs);
-		job.isBeyondShare = !state.shares.takeJob(customer.name, customer.weight, acceptedAtMs);
+		job.isBeyondShare = !state.shares.takeJob({customer: customer.name, share: customer.weight / totalWeight(state)}, acceptedAtMs);
 	}
 };
 
