--- a/packages/platform/src/http/http-host-list.ts
+++ b/packages/platform/src/http/http-host-list.ts
@@ -46,7 +46,7 @@
 		const asked = this.#asked;
 		try {
 			const {hosts, ageMs} = await asked.listing;
-			return {hosts, ageMs: ageMs + nowMs - asked.askedAtMs};
+			return {hosts, ageMs: ageMs + (nowMs - asked.askedAtMs)};
 		} catch (error) {
 			// A failure is told to those who waited for it, and not to later readers.
 			if (this.#asked === asked) {
--- a/packages/standin/tests/platform-stand-in.test.ts
+++ b/packages/standin/tests/platform-stand-in.test.ts
@@ -1,3 +1,4 @@
+import {VirtualClock} from '@poplarnotch/common';
 import {
 	afterEach, beforeEach, expect, test,
 } from 'vitest';
@@ -114,3 +115,12 @@
 	platform.setFaults({hostListLagMs: 0});
 	expect(await new HttpHostList(connection).list()).toEqual({hosts: [], ageMs: 0});
 });
+
+test('the age of the host list is exact whatever the clock shows', async () => {
+	const clock = new VirtualClock();
+	// A time at which adding the age first would round it.
+	clock.advance(424.829_320_554);
+	platform.setFaults({hostListLagMs: 600});
+	const {ageMs} = await new HttpHostList(connection, clock).list();
+	expect(ageMs).toBe(600);
+});
