Follow the operators' rows closely enough for callers to be answered

What is known counts from the sending of the last answered call, and with calls that wait 1 s for a change it is up to 2 s old just before the next answer, above the 1.9 s that were allowed. A call now waits 0.3 of converge_ms at the most.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -80,7 +80,7 @@
 			processId: settings.host,
 			table,
 			settledTable,
-			orders: new OperatorOrdersSource({table, log}),
+			orders: new OperatorOrdersSource({table, log, convergeMs: settings.configurationConvergeMs}),
 			workers: new WorkerEntriesSource({table, log}),
 			workerControl: new WorkerHttpControl(workerClient),
 			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
