Bound calls that wait for a connection

A relayed call to a peer that had lost power waited 10 s for its connection in place of 1.1 s: the HTTP client looks at an abort signal only once a request is on a connection.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -41,3 +41,4 @@
 export {
 	hashSecret, isSameHash, issueKey, keyFromAuthorization, parseKey, type IssuedKey, type PresentedKey,
 } from './secrets.js';
+export {TimeLimitError, withTimeLimit} from './time-limit.js';
--- a/packages/platform/src/http/connection.ts
+++ b/packages/platform/src/http/connection.ts
@@ -2,7 +2,9 @@
 The HTTP connection that all platform clients share. It maps failures to the three errors of platform calls: a call that never left this process was not applied; a write whose answer is missing may have been.
 */
 import {Agent} from 'undici';
-import {type JsonValue, parseWith, type z} from '@poplarnotch/common';
+import {
+	type JsonValue, parseWith, withTimeLimit, type z,
+} from '@poplarnotch/common';
 import * as E from 'fp-ts/lib/Either.js';
 import {
 	ConflictError, type PlatformError, UnavailableError, WriteOutcomeUnknownError,
@@ -138,19 +140,21 @@
 
 	async #send(call: PlatformCall): Promise<Answer> {
 		try {
-			const response = await this.#agent.request({
-				origin: this.#options.baseUrl,
-				method: call.method,
-				path: call.path,
-				query: call.query,
-				headers: {
-					[clientNameHeader]: this.#options.clientName,
-					...(call.body === undefined ? {} : {'content-type': 'application/json'}),
-				},
-				body: call.body === undefined ? undefined : JSON.stringify(call.body as JsonValue),
-				signal: AbortSignal.timeout(this.#options.timeoutMs ?? defaultTimeoutMs),
+			return await withTimeLimit(this.#options.timeoutMs ?? defaultTimeoutMs, async signal => {
+				const response = await this.#agent.request({
+					origin: this.#options.baseUrl,
+					method: call.method,
+					path: call.path,
+					query: call.query,
+					headers: {
+						[clientNameHeader]: this.#options.clientName,
+						...(call.body === undefined ? {} : {'content-type': 'application/json'}),
+					},
+					body: call.body === undefined ? undefined : JSON.stringify(call.body as JsonValue),
+					signal,
+				});
+				return {status: response.statusCode, text: await response.body.text()};
 			});
-			return {status: response.statusCode, text: await response.body.text()};
 		} catch (error) {
 			throw classifyMissingAnswer(describe(call), call.isWrite, error);
 		}
--- a/packages/state/src/peers/rpc-client.ts
+++ b/packages/state/src/peers/rpc-client.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
 import {Agent, request as httpRequest} from 'undici';
-import {type JsonValue, type MetricsRegistry} from '@poplarnotch/common';
+import {type JsonValue, type MetricsRegistry, withTimeLimit} from '@poplarnotch/common';
 import {PeerUnreachableError} from './errors.js';
 import {rpcPath} from './rpc-server.js';
 
@@ -39,7 +39,7 @@
 	/** The method's result. Fails with `PeerUnreachableError`. */
 	async call(baseUrl: string, method: string, parameters: JsonValue, timeoutMs = this.#timeoutMs): Promise<unknown> {
 		const client: JSONRPCClient = new JSONRPCClient(async payload => {
-			client.receive(await this.#post(baseUrl, JSON.stringify(payload), timeoutMs));
+			client.receive(await withTimeLimit(timeoutMs, async signal => this.#post(baseUrl, JSON.stringify(payload), signal)));
 		});
 		try {
 			return await client.request(method, parameters) as unknown;
@@ -53,13 +53,13 @@
 		await this.#agent.destroy();
 	}
 
-	async #post(baseUrl: string, body: string, timeoutMs: number): Promise<JSONRPCResponse> {
+	async #post(baseUrl: string, body: string, signal: AbortSignal): Promise<JSONRPCResponse> {
 		const response = await httpRequest(new URL(rpcPath, baseUrl), {
 			method: 'POST',
 			dispatcher: this.#agent,
 			headers: {authorization: `Bearer ${this.#secret}`, 'content-type': 'application/json'},
 			body,
-			signal: AbortSignal.timeout(timeoutMs),
+			signal,
 		});
 		const text = await response.body.text();
 		this.#metrics?.increment('peer_rpc_calls_total');
--- a/packages/state/tests/peers/rpc.test.ts
+++ b/packages/state/tests/peers/rpc.test.ts
@@ -60,4 +60,17 @@
 		await expect(client.call('http://127.0.0.1:1', 'echo', {})).rejects.toBeInstanceOf(PeerUnreachableError);
 		expect(await client.call(url, 'echo', {still: 'there'})).toEqual({still: 'there'});
 	});
+
+	test('a call that waits for a free connection is bounded too', async () => {
+		// More calls than a process opens connections to one peer.
+		const hanging = Array.from({length: 3}, async () => client.call(url, 'hang', {}, 3000).catch(() => undefined));
+		await expect(Promise.race([
+			client.call(url, 'echo', {}, 100),
+			new Promise(resolve => {
+				setTimeout(resolve, 1500, 'still waiting');
+			}),
+		])).rejects.toBeInstanceOf(PeerUnreachableError);
+		await client.close();
+		await Promise.all(hanging);
+	});
 });
