--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -44,3 +44,6 @@
 
 /** A machine that was ordered away counts as away at least this long, since listings lag. */
 export const machineAwayMinMs = 1000;
+
+/** Pause after a call to the store that failed: a few tries within the second in which an outage should be noticed as over. */
+export const storeRetryMs = 150;
--- /dev/null
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -0,0 +1,232 @@
+/**
+Performs the scheduler's effects: orders to workers and machines, questions to the policy service, saves and reports. What each of them came to is dispatched as an event.
+*/
+import {
+	assertNever, type Clock, type Logger, type MetricsRegistry,
+} from '@poplarnotch/common';
+import {ConflictError, PlatformError, type RowCondition} from '@poplarnotch/platform';
+import {storeRetryMs} from '../constants.js';
+import {type ProgressSave, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {type SchedulerState} from '../core/scheduler-state.js';
+import {type JobStore} from '../jobs/job-store.js';
+import {
+	type MachineControl, type PlacementAdvisor, type WaveReporter, type WorkerAddress, type WorkerControl,
+} from '../ports.js';
+
+export type EffectPerformerOptions = {
+	readonly processId: string;
+	readonly workerControl: WorkerControl;
+	readonly machineControl: MachineControl;
+	readonly advisor: PlacementAdvisor;
+	readonly waveReporter: WaveReporter;
+	readonly store: JobStore;
+	readonly state: () => SchedulerState;
+	/** The fence of the lease that is held, which every save carries. */
+	readonly fence: () => RowCondition | undefined;
+	/** Another process holds the lease. */
+	readonly dropFence: () => void;
+	readonly dispatch: (event: SchedulerEvent) => void;
+	readonly isClosed: () => boolean;
+	readonly clock: Clock;
+	readonly log: Logger;
+	readonly metrics: MetricsRegistry;
+};
+
+export class EffectPerformer {
+	readonly #options: EffectPerformerOptions;
+
+	constructor(options: EffectPerformerOptions) {
+		this.#options = options;
+	}
+
+	get #state(): SchedulerState {
+		return this.#options.state();
+	}
+
+	perform(effect: SchedulerEffect): void {
+		switch (effect.type) {
+			case 'start': {
+				void this.#start(effect);
+				break;
+			}
+
+			case 'stop': {
+				void this.#stop(effect);
+				break;
+			}
+
+			case 'pace': {
+				void this.#pace(effect);
+				break;
+			}
+
+			case 'askAdvice': {
+				void this.#askAdvice(effect);
+				break;
+			}
+
+			case 'save': {
+				void this.#save(effect.save);
+				break;
+			}
+
+			case 'move':
+			case 'maintain': {
+				void this.#orderMachine(effect);
+				break;
+			}
+
+			case 'reportWave': {
+				void this.#reportWave(effect.waveId, effect.state);
+				break;
+			}
+
+			case 'stepDown': {
+				this.#options.log.warn({event: 'lease_superseded', reason: effect.reason});
+				this.#options.dropFence();
+				break;
+			}
+
+			case 'note': {
+				this.#options.log.info(effect.fields);
+				break;
+			}
+
+			default: {
+				assertNever(effect);
+			}
+		}
+	}
+
+	#addressOf(workerId: string): WorkerAddress | undefined {
+		const worker = this.#state.workers.get(workerId);
+		return worker === undefined ? undefined : {workerId, address: worker.entry.address};
+	}
+
+	async #start({type: _type, waitedMs, ...order}: Extract<SchedulerEffect, {readonly type: 'start'}>): Promise<void> {
+		const {workerId, taskKey, attempt} = order;
+		const worker = this.#addressOf(workerId);
+		const sentAtMs = this.#options.clock.nowMs();
+		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.start(worker, order);
+		const durationMs = this.#options.clock.nowMs() - sentAtMs;
+		this.#options.metrics.recordMs('task_wait_ms', waitedMs);
+		this.#options.metrics.recordMs('worker_start_ms', durationMs);
+		this.#options.log.info({
+			event: 'task_start', taskKey, attempt, workerId, answer, waitedMs, durationMs: Math.round(durationMs), fencingToken: order.fencingToken,
+		});
+		this.#options.dispatch({
+			type: 'startAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
+		});
+	}
+
+	async #stop({type: _type, reason, percent, ...order}: Extract<SchedulerEffect, {readonly type: 'stop'}>): Promise<void> {
+		const {workerId, taskKey, attempt} = order;
+		const worker = this.#addressOf(workerId);
+		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.stop(worker, order);
+		this.#options.log.info({
+			event: 'task_stop', taskKey, attempt, workerId, reason, percent, answer,
+		});
+		this.#options.dispatch({
+			type: 'stopAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
+		});
+	}
+
+	async #pace({type: _type, ...order}: Extract<SchedulerEffect, {readonly type: 'pace'}>): Promise<void> {
+		const worker = this.#addressOf(order.workerId);
+		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.pace(worker, order);
+		this.#options.log.info({
+			event: 'task_pace', taskKey: order.taskKey, workerId: order.workerId, percent: order.percent, answer,
+		});
+		const {workerId, taskKey, attempt, percent} = order;
+		this.#options.dispatch({
+			type: 'paceAnswered', workerId, taskKey, attempt, percent, answer, ...this.#now(),
+		});
+	}
+
+	async #askAdvice({jobId, occurrence, stepIndex, workerIds}: Extract<SchedulerEffect, {readonly type: 'askAdvice'}>): Promise<void> {
+		const stepKey = `${jobId}.${occurrence}.${stepIndex}`;
+		const sentAtMs = this.#options.clock.nowMs();
+		const answer = await this.#options.advisor.advise(stepKey, workerIds);
+		this.#options.log.info({
+			event: 'advice', stepKey, asked: workerIds.length, allowed: answer.type === 'advised' ? answer.tickets.size : undefined, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs),
+		});
+		this.#options.dispatch({
+			type: 'adviceAnswered', jobId, occurrence, stepIndex, workerIds, answer, ...this.#now(),
+		});
+	}
+
+	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
+		const holder = {holder: this.#options.processId, fencingToken: effect.fencingToken};
+		const answer = effect.type === 'move'
+			? await this.#options.machineControl.move(effect.machineId, effect.pool, holder)
+			: await this.#options.machineControl.maintain(effect.machineId, effect.waveId, holder);
+		this.#options.log.info({
+			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, fencingToken: effect.fencingToken,
+			...(effect.type === 'move' ? {pool: effect.pool, reason: effect.reason} : {waveId: effect.waveId}),
+		});
+		this.#options.dispatch({
+			type: 'machineAnswered', machineId: effect.machineId, answer, ...this.#now(),
+		});
+	}
+
+	async #save(save: ProgressSave): Promise<void> {
+		for (let fence = this.#options.fence(); this.#isSaveWanted(save); fence = this.#options.fence()) {
+			try {
+				if (fence !== undefined) {
+					await this.#options.store.save(save, fence);
+					this.#options.dispatch({type: 'saved', saveNumber: save.saveNumber, ...this.#now()});
+					return;
+				}
+			} catch (error) {
+				if (error instanceof ConflictError) {
+					this.#options.log.warn({event: 'save_fenced', saveNumber: save.saveNumber});
+					this.#options.dispatch({type: 'leaseLost', ...this.#now()});
+					return;
+				}
+
+				if (!(error instanceof PlatformError)) {
+					throw error;
+				}
+
+				this.#options.log.warn({
+					event: 'save_failed', saveNumber: save.saveNumber, jobs: save.jobs.length, reason: error.message,
+				});
+			}
+
+			await this.#pause(storeRetryMs);
+		}
+	}
+
+	#isSaveWanted(save: ProgressSave): boolean {
+		return this.#state.term !== undefined && this.#state.saveUnderWay === save.saveNumber && !this.#options.isClosed();
+	}
+
+	async #reportWave(waveId: number, state: 'running' | 'completed'): Promise<void> {
+		while (this.#state.term !== undefined && !this.#options.isClosed()) {
+			try {
+				await this.#options.waveReporter.report(waveId, state);
+				this.#options.log.info({event: 'wave_reported', waveId, state});
+				return;
+			} catch (error) {
+				if (!(error instanceof PlatformError)) {
+					throw error;
+				}
+
+				this.#options.log.warn({
+					event: 'wave_report_failed', waveId, state, reason: error.message,
+				});
+				await this.#pause(storeRetryMs);
+			}
+		}
+	}
+
+	#now(): {readonly nowMs: number; readonly wallMs: number} {
+		return {nowMs: this.#options.clock.nowMs(), wallMs: this.#options.clock.wallTimeMs()};
+	}
+
+	async #pause(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#options.clock.schedule(durationMs, resolve);
+		});
+	}
+}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -2,16 +2,16 @@
 Runs the scheduler of one process: follows what the platform keeps, contends for the lease, performs the reducer's effects and turns their results into events.
 */
 import {
-	assertNever, type CancelTimer, type Clock, type JsonObject, LifecycleManager, type Logger, type MetricsRegistry, ReducerRuntime,
+	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type Logger, type MetricsRegistry, ReducerRuntime,
 } from '@poplarnotch/common';
 import {
-	ConflictError, PlatformError, type RowChange, type RowCondition, type TableService, type WatchableTable,
+	PlatformError, type RowChange, type RowCondition, type TableService, type WatchableTable,
 } from '@poplarnotch/platform';
 import {
 	fenceKey, type HeldLease, LeaseContender, TableReplica,
 } from '@poplarnotch/state';
-import {keepEndedJobsMs} from '../constants.js';
-import {type ProgressSave, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {keepEndedJobsMs, storeRetryMs} from '../constants.js';
+import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {reduceScheduler} from '../core/reducer.js';
 import {SchedulerState} from '../core/scheduler-state.js';
 import {JobDesk} from '../jobs/job-desk.js';
@@ -21,6 +21,7 @@
 	type Followed, type FollowedWorkers, type MachineControl, type OperatorOrders, type PlacementAdvisor, type WaveReporter, type WorkerControl,
 } from '../ports.js';
 import {type FleetConfiguration} from '../types.js';
+import {EffectPerformer} from './effect-performer.js';
 import {WorkerLinks} from './worker-links.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
@@ -53,9 +54,6 @@
 /** The wall clock and the steady clock part by this much only where the machine stood still or its time of day was set. */
 const suspensionGapMs = 200;
 
-/** Pause after a save that failed. */
-const saveRetryMs = 150;
-
 /** Ended jobs are removed this often. */
 const sweepEveryMs = 5000;
 const maxSweptJobs = 20;
@@ -88,6 +86,7 @@
 	readonly desk: JobDesk;
 	readonly #options: SchedulerProcessOptions;
 	readonly #runtime: ReducerRuntime<SchedulerState, SchedulerEvent, SchedulerEffect>;
+	readonly #performer: EffectPerformer;
 	readonly #lifecycle: LifecycleManager;
 	readonly #leases: LeaseContender;
 	readonly #store: JobStore;
@@ -113,11 +112,24 @@
 		this.#options = options;
 		this.#lifecycle = new LifecycleManager(clock);
 		this.#runtime = new ReducerRuntime(new SchedulerState(), reduceScheduler, effect => {
-			this.#perform(effect);
+			this.#performer.perform(effect);
 		});
 		this.#store = new JobStore({
 			processId, table, settledTable: options.settledTable, clock, log,
 		});
+		this.#performer = new EffectPerformer({
+			...options,
+			store: this.#store,
+			state: () => this.#runtime.state,
+			fence: () => this.#fence,
+			dropFence: () => {
+				this.#fence = undefined;
+			},
+			dispatch: event => {
+				this.#runtime.dispatch(event);
+			},
+			isClosed: () => this.#isClosed,
+		});
 		this.#leases = new LeaseContender({
 			table, holder: `${processId}@${clock.wallTimeMs()}`, formerRunPrefix: `${processId}@`, leaseMs, standBackMs: () => options.hasLargerPeer() ? standBackMs : 0, clock, log,
 		});
@@ -322,7 +334,7 @@
 				}
 
 				this.#options.log.warn({event: 'fence_not_confirmed', reason: error.message});
-				await this.#pause(saveRetryMs);
+				await this.#pause(storeRetryMs);
 			}
 		}
 
@@ -353,7 +365,7 @@
 				}
 
 				this.#options.log.warn({event: 'takeover_waits', reason: error.message});
-				await this.#pause(saveRetryMs);
+				await this.#pause(storeRetryMs);
 			}
 		}
 	}
@@ -420,181 +432,4 @@
 			this.#options.log.warn({event: 'sweep_failed', jobs: ended.length, reason: error.message});
 		}
 	}
-
-	#perform(effect: SchedulerEffect): void {
-		switch (effect.type) {
-			case 'start': {
-				void this.#start(effect);
-				break;
-			}
-
-			case 'stop': {
-				void this.#stop(effect);
-				break;
-			}
-
-			case 'pace': {
-				void this.#pace(effect);
-				break;
-			}
-
-			case 'askAdvice': {
-				void this.#askAdvice(effect);
-				break;
-			}
-
-			case 'save': {
-				void this.#save(effect.save);
-				break;
-			}
-
-			case 'move':
-			case 'maintain': {
-				void this.#orderMachine(effect);
-				break;
-			}
-
-			case 'reportWave': {
-				void this.#reportWave(effect.waveId, effect.state);
-				break;
-			}
-
-			case 'stepDown': {
-				this.#options.log.warn({event: 'lease_superseded', reason: effect.reason});
-				this.#fence = undefined;
-				break;
-			}
-
-			case 'note': {
-				this.#options.log.info(effect.fields);
-				break;
-			}
-
-			default: {
-				assertNever(effect);
-			}
-		}
-	}
-
-	#addressOf(workerId: string): {readonly workerId: string; readonly address: string} | undefined {
-		const worker = this.state.workers.get(workerId);
-		return worker === undefined ? undefined : {workerId, address: worker.entry.address};
-	}
-
-	async #start({type: _type, waitedMs, ...order}: Extract<SchedulerEffect, {readonly type: 'start'}>): Promise<void> {
-		const {workerId, taskKey, attempt} = order;
-		const worker = this.#addressOf(workerId);
-		const sentAtMs = this.#options.clock.nowMs();
-		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.start(worker, order);
-		const durationMs = this.#options.clock.nowMs() - sentAtMs;
-		this.#options.metrics.recordMs('task_wait_ms', waitedMs);
-		this.#options.metrics.recordMs('worker_start_ms', durationMs);
-		this.#options.log.info({
-			event: 'task_start', taskKey, attempt, workerId, answer, waitedMs, durationMs: Math.round(durationMs), fencingToken: order.fencingToken,
-		});
-		this.#runtime.dispatch({
-			type: 'startAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
-		});
-	}
-
-	async #stop({type: _type, reason, percent, ...order}: Extract<SchedulerEffect, {readonly type: 'stop'}>): Promise<void> {
-		const {workerId, taskKey, attempt} = order;
-		const worker = this.#addressOf(workerId);
-		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.stop(worker, order);
-		this.#options.log.info({
-			event: 'task_stop', taskKey, attempt, workerId, reason, percent, answer,
-		});
-		this.#runtime.dispatch({
-			type: 'stopAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
-		});
-	}
-
-	async #pace({type: _type, ...order}: Extract<SchedulerEffect, {readonly type: 'pace'}>): Promise<void> {
-		const worker = this.#addressOf(order.workerId);
-		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.pace(worker, order);
-		this.#options.log.info({
-			event: 'task_pace', taskKey: order.taskKey, workerId: order.workerId, percent: order.percent, answer,
-		});
-		const {workerId, taskKey, attempt, percent} = order;
-		this.#runtime.dispatch({
-			type: 'paceAnswered', workerId, taskKey, attempt, percent, answer, ...this.#now(),
-		});
-	}
-
-	async #askAdvice({jobId, occurrence, stepIndex, workerIds}: Extract<SchedulerEffect, {readonly type: 'askAdvice'}>): Promise<void> {
-		const stepKey = `${jobId}.${occurrence}.${stepIndex}`;
-		const sentAtMs = this.#options.clock.nowMs();
-		const answer = await this.#options.advisor.advise(stepKey, workerIds);
-		this.#options.log.info({
-			event: 'advice', stepKey, asked: workerIds.length, allowed: answer.type === 'advised' ? answer.tickets.size : undefined, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs),
-		});
-		this.#runtime.dispatch({
-			type: 'adviceAnswered', jobId, occurrence, stepIndex, workerIds, answer, ...this.#now(),
-		});
-	}
-
-	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
-		const holder = {holder: this.#options.processId, fencingToken: effect.fencingToken};
-		const answer = effect.type === 'move'
-			? await this.#options.machineControl.move(effect.machineId, effect.pool, holder)
-			: await this.#options.machineControl.maintain(effect.machineId, effect.waveId, holder);
-		this.#options.log.info({
-			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, fencingToken: effect.fencingToken,
-			...(effect.type === 'move' ? {pool: effect.pool, reason: effect.reason} : {waveId: effect.waveId}),
-		});
-		this.#runtime.dispatch({
-			type: 'machineAnswered', machineId: effect.machineId, answer, ...this.#now(),
-		});
-	}
-
-	async #save(save: ProgressSave): Promise<void> {
-		for (let fence = this.#fence; this.#isSaveWanted(save); fence = this.#fence) {
-			try {
-				if (fence !== undefined) {
-					await this.#store.save(save, fence);
-					this.#runtime.dispatch({type: 'saved', saveNumber: save.saveNumber, ...this.#now()});
-					return;
-				}
-			} catch (error) {
-				if (error instanceof ConflictError) {
-					this.#options.log.warn({event: 'save_fenced', saveNumber: save.saveNumber});
-					this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
-					return;
-				}
-
-				if (!(error instanceof PlatformError)) {
-					throw error;
-				}
-
-				this.#options.log.warn({
-					event: 'save_failed', saveNumber: save.saveNumber, jobs: save.jobs.length, reason: error.message,
-				});
-			}
-
-			await this.#pause(saveRetryMs);
-		}
-	}
-
-	#isSaveWanted(save: ProgressSave): boolean {
-		return this.state.term !== undefined && this.state.saveUnderWay === save.saveNumber && !this.#isClosed;
-	}
-
-	async #reportWave(waveId: number, state: 'running' | 'completed'): Promise<void> {
-		while (this.state.term !== undefined && !this.#isClosed) {
-			try {
-				await this.#options.waveReporter.report(waveId, state);
-				this.#options.log.info({event: 'wave_reported', waveId, state});
-				return;
-			} catch (error) {
-				if (!(error instanceof PlatformError)) {
-					throw error;
-				}
-
-				this.#options.log.warn({
-					event: 'wave_report_failed', waveId, state, reason: error.message,
-				});
-				await this.#pause(saveRetryMs);
-			}
-		}
-	}
 }
