--- a/packages/scheduler/tests/advice.test.ts
+++ b/packages/scheduler/tests/advice.test.ts
@@ -6,12 +6,9 @@
 } from 'vitest';
 import {jobOf, stepOf} from './support/jobs.js';
 import {
-	configurationOf, pool, queueOf, SchedulerWorld,
+	configurationOf, pool, queueOf, SchedulerWorld, takeOverMs,
 } from './support/scheduler-world.js';
 
-/** A process has won the lease and has looked at all workers. */
-const takeOverMs = 3500;
-
 let world: SchedulerWorld;
 
 beforeEach(async () => {
--- a/packages/scheduler/tests/life-of-a-job.test.ts
+++ b/packages/scheduler/tests/life-of-a-job.test.ts
@@ -6,10 +6,7 @@
 } from 'vitest';
 import {type JobSpec} from '../src/index.js';
 import {jobOf, stepOf} from './support/jobs.js';
-import {configurationOf, SchedulerWorld} from './support/scheduler-world.js';
-
-/** A process has won the lease and has looked at all workers. */
-const takeOverMs = 3500;
+import {configurationOf, SchedulerWorld, takeOverMs} from './support/scheduler-world.js';
 
 let world: SchedulerWorld;
 
--- a/packages/scheduler/tests/pacing.test.ts
+++ b/packages/scheduler/tests/pacing.test.ts
@@ -5,10 +5,7 @@
 	afterEach, beforeEach, expect, test,
 } from 'vitest';
 import {fillingStepOf, jobOf, servingStepOf} from './support/jobs.js';
-import {SchedulerWorld} from './support/scheduler-world.js';
-
-/** A process has won the lease and has looked at all workers. */
-const takeOverMs = 3500;
+import {SchedulerWorld, takeOverMs} from './support/scheduler-world.js';
 
 /** Serving tasks on every worker, so that whatever fills has to share. */
 const serving = jobOf(1, {customer: '', steps: [servingStepOf({taskCount: 3})]});
--- a/packages/scheduler/tests/shares.test.ts
+++ b/packages/scheduler/tests/shares.test.ts
@@ -6,10 +6,9 @@
 } from 'vitest';
 import {ShareMeter} from '../src/core/shares.js';
 import {jobOf, stepOf} from './support/jobs.js';
-import {configurationOf, pool, SchedulerWorld} from './support/scheduler-world.js';
-
-/** A process has won the lease and has looked at all workers. */
-const takeOverMs = 3500;
+import {
+	configurationOf, pool, SchedulerWorld, takeOverMs,
+} from './support/scheduler-world.js';
 
 let world: SchedulerWorld;
 
--- a/packages/scheduler/tests/support/drawn-day.ts
+++ b/packages/scheduler/tests/support/drawn-day.ts
@@ -3,7 +3,7 @@
 */
 import {assertNever, SeededRandom} from '@poplarnotch/common';
 import {type JobSpec} from '../../src/index.js';
-import {configurationOf, SchedulerWorld} from './scheduler-world.js';
+import {configurationOf, SchedulerWorld, takeOverMs} from './scheduler-world.js';
 import {calmLatencyMs, type TableFaults} from './fake-table.js';
 import {type HostClock} from './host-clock.js';
 import {jobOf, lastingStepOf, stepOf} from './jobs.js';
@@ -283,7 +283,7 @@
 	const world = new SchedulerWorld({seed, failShare: 0.03, ...size});
 	world.fleet.upperLimits.set('altan', upperLimit);
 	world.configure(configurationOf(2, {customers: new Map([['altan', {name: 'altan', weight: 1, upperLimit}]])}));
-	await world.run(3500);
+	await world.run(takeOverMs);
 	const callers = new Callers(world);
 	for (const [index, fault] of drawn.entries()) {
 		for (let number = 0; number < 4; number++) {
--- a/packages/scheduler/tests/support/scheduler-world.ts
+++ b/packages/scheduler/tests/support/scheduler-world.ts
@@ -58,6 +58,9 @@
 	readonly target?: string;
 };
 
+/** By then a process has won the lease and has looked at all workers. */
+export const takeOverMs = 3500;
+
 export const pool = 'pairing';
 export const standbyPool = 'spare';
 
