Make a scheduling round cost what waits, not workers times machines

Cause: pool sizing added up the capacity of all workers and machines anew for every movable machine and every pool, and dispatch scored every worker for every waiting task, also after nothing of that size had fitted. At 540 workers an idle round took 10 to 16 ms of processor time, 40 rounds a second.

Change: pool totals are collected once a round and adjusted with each ordered move; a pool remembers within a round which resources fitted nowhere; a step's workers are filtered once; ranks are numbers instead of arrays; unsaved jobs stand in a set; chains of estimates are computed without maps. A machine is no longer taken from a pool that an earlier move of the same round left without spare capacity.

--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -4,12 +4,14 @@
 import {type Resources} from '../types.js';
 import {requestAdvice, ticketFor} from './placement-advice.js';
 import {type QueuedStep, sortQueuedSteps} from './queue-order.js';
-import {chooseWorker} from './placement.js';
+import {chooseAmong, isAllowed} from './placement.js';
 import {
 	type TaskRun, type StepInstance, type Task, type WorkerRecord,
 } from './records.js';
-import {addResources, noResources, staysWithin} from './resources.js';
-import {resourcesOccupiedBy, type SchedulerState, waitingTasks} from './scheduler-state.js';
+import {
+	addResources, fitsInto, multiplyResources, noResources, staysWithin,
+} from './resources.js';
+import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
 import {deadlineClockMs, isUsable, recordLeaseSent} from './workers.js';
 
 /** Tasks of one pool that could not be placed for lack of capacity. */
@@ -58,22 +60,48 @@
 	});
 };
 
+/** A pool's usable workers during one dispatch pass, in which their free capacity only shrinks. */
+class PoolWorkers {
+	readonly usable: WorkerRecord[] = [];
+	/** Resources for which no worker had the capacity earlier in this pass. */
+	readonly #tooLarge: Resources[] = [];
+
+	/** Returns true if something no larger was found to fit on no worker. */
+	isTooLarge(needs: Resources): boolean {
+		return this.#tooLarge.some(known => fitsInto(known, needs));
+	}
+
+	/** Returns the usable workers with capacity for the resources. */
+	withCapacity(state: SchedulerState, needs: Resources): readonly WorkerRecord[] {
+		if (this.isTooLarge(needs)) {
+			return [];
+		}
+
+		const found = this.usable.filter(worker => state.hasRoom(worker, needs));
+		if (found.length === 0) {
+			this.#tooLarge.push(needs);
+		}
+
+		return found;
+	}
+}
+
 /** Usable workers by pool, collected once per dispatch pass. */
 class UsableWorkers {
-	readonly #byPool = new Map<string, WorkerRecord[]>();
+	readonly #byPool = new Map<string, PoolWorkers>();
 
 	constructor(state: SchedulerState, nowMs: number) {
 		for (const worker of state.workers.values()) {
 			if (isUsable(worker, nowMs)) {
-				this.of(worker.entry.pool).push(worker);
+				this.of(worker.entry.pool).usable.push(worker);
 			}
 		}
 	}
 
-	of(pool: string): WorkerRecord[] {
+	of(pool: string): PoolWorkers {
 		let workers = this.#byPool.get(pool);
 		if (workers === undefined) {
-			workers = [];
+			workers = new PoolWorkers();
 			this.#byPool.set(pool, workers);
 		}
 
@@ -82,18 +110,27 @@
 }
 
 /** Starts the tasks of a step that fit, and returns how many could not be placed. */
-const startIndividualTasks = (state: SchedulerState, {step}: QueuedStep, workers: readonly WorkerRecord[], nowMs: number): number => {
+const startIndividualTasks = (state: SchedulerState, {step}: QueuedStep, pool: PoolWorkers, nowMs: number): number => {
+	let allowed = pool.withCapacity(state, resourcesOccupiedBy(step)).filter(worker => isAllowed(state, step, worker, nowMs));
 	let unplaced = 0;
-	for (const task of waitingTasks(step)) {
+	for (const task of step.tasks) {
+		if (task.phase !== 'waiting') {
+			continue;
+		}
+
 		if (!staysWithinUpperLimit(state, step.job.spec.customer, step.spec.needs)) {
 			return unplaced;
 		}
 
-		const worker = chooseWorker(state, task, workers, nowMs);
+		const worker = chooseAmong(state, task, allowed);
 		if (worker === undefined) {
 			unplaced++;
-		} else {
-			startTask(state, task, worker, nowMs);
+			continue;
+		}
+
+		startTask(state, task, worker, nowMs);
+		if (!isAllowed(state, step, worker, nowMs)) {
+			allowed = allowed.filter(other => other !== worker);
 		}
 	}
 
@@ -101,18 +138,19 @@
 };
 
 /** Starts all tasks of a gang with the same attempt number, or none of them. */
-const startGang = (state: SchedulerState, {step}: QueuedStep, workers: readonly WorkerRecord[], nowMs: number): number => {
+const startGang = (state: SchedulerState, {step}: QueuedStep, pool: PoolWorkers, nowMs: number): number => {
 	if (step.tasks.some(task => task.phase !== 'waiting')) {
 		return 0;
 	}
 
-	const requestedResources = step.tasks.reduce(sum => addResources(sum, step.spec.needs), noResources);
+	const requestedResources = multiplyResources(step.spec.needs, step.tasks.length);
 	if (!staysWithinUpperLimit(state, step.job.spec.customer, requestedResources)) {
 		return 0;
 	}
 
 	const lastAttempt = Math.max(...step.tasks.map(task => task.lastAttempt));
 	const checkpoint = step.tasks.find(task => task.checkpoint !== '')?.checkpoint ?? '';
+	const workers = pool.withCapacity(state, resourcesOccupiedBy(step));
 	const plan = planGang(state, step, workers.filter(worker => ticketFor(state, step, worker, nowMs) !== undefined));
 	if (plan === undefined) {
 		return step.tasks.length;
@@ -156,11 +194,7 @@
 /** Adds unplaced tasks to the shortage of their pool. */
 const addShortage = (shortages: Map<string, Shortage>, pool: string, step: StepInstance, taskCount: number): void => {
 	const known = shortages.get(pool) ?? {needs: noResources, taskCount: 0};
-	let {needs} = known;
-	for (let index = 0; index < taskCount; index++) {
-		needs = addResources(needs, resourcesOccupiedBy(step));
-	}
-
+	const needs = addResources(known.needs, multiplyResources(resourcesOccupiedBy(step), taskCount));
 	shortages.set(pool, {needs, taskCount: known.taskCount + taskCount});
 };
 
@@ -180,12 +214,12 @@
 			continue;
 		}
 
-		const workers = usable.of(queued.pool);
+		const pool = usable.of(queued.pool);
 		const unplaced = queued.step.spec.isGang
-			? startGang(state, queued, workers, nowMs)
-			: startIndividualTasks(state, queued, workers, nowMs);
+			? startGang(state, queued, pool, nowMs)
+			: startIndividualTasks(state, queued, pool, nowMs);
 		if (unplaced > 0) {
-			requestAdvice(state, queued.step, workers, nowMs);
+			requestAdvice(state, queued.step, pool.usable, nowMs);
 		}
 
 		// While an advice request is in flight, it is unknown whether the pool lacks capacity for the step.
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -15,17 +15,34 @@
 /** Key of a step in stored progress. */
 const storedStepKey = (occurrence: number, stepIndex: number): string => `${occurrence}.${stepIndex}`;
 
+/** Returns the duration of the longest chain of steps. A step refers to earlier ones by their indexes. */
+export const longestChainMs = (steps: ReadonlyArray<{readonly after: readonly number[]; readonly durationMs: number}>): number => {
+	const finishMs: number[] = [];
+	let longestMs = 0;
+	for (const {after, durationMs} of steps) {
+		let startMs = 0;
+		for (const index of after) {
+			startMs = Math.max(startMs, finishMs[index] ?? 0);
+		}
+
+		finishMs.push(startMs + durationMs);
+		longestMs = Math.max(longestMs, startMs + durationMs);
+	}
+
+	return longestMs;
+};
+
 const newJob = (spec: JobSpec, nowMs: number): JobRecord => ({
 	spec,
 	rowKeys: new Set(),
 	firstSeenAtMs: nowMs,
+	wholeChainMs: longestChainMs(spec.steps.map(({after, estimateMs}) => ({after, durationMs: estimateMs}))),
 	occurrences: new Map(),
 	outcome: undefined,
 	endedWallMs: undefined,
 	isCancelRequested: false,
 	exceedsShare: false,
 	hasBegun: false,
-	isDirty: false,
 	isOutcomeStored: false,
 	storedDoneTasks: {},
 	storedFailures: {},
@@ -114,11 +131,6 @@
 	};
 };
 
-/** Marks the job's progress as not stored yet. */
-export const markDirty = (job: JobRecord): void => {
-	job.isDirty = true;
-};
-
 /** Orders the worker to stop a run. */
 export const orderStop = (state: SchedulerState, run: TaskRun, nowMs: number, reason: string): void => {
 	const {term} = state;
@@ -145,7 +157,7 @@
 	job.outcome = outcome;
 	job.endedWallMs = wallMs;
 	state.openJobs.delete(job);
-	markDirty(job);
+	state.dirtyJobs.add(job);
 	// Only the lease holder logs the end, so that it is logged once; the other processes read it from the stored rows.
 	if (state.term !== undefined) {
 		logJobEnd(state, job, outcome, nowMs);
@@ -179,7 +191,7 @@
 	}
 
 	const {job} = task.step;
-	markDirty(job);
+	state.dirtyJobs.add(job);
 	if (!task.step.spec.isLasting && isJobDone(job)) {
 		endJob(state, job, 'completed', now);
 	}
@@ -196,7 +208,7 @@
 	}
 
 	task.failedAttempts.add(attempt);
-	markDirty(job);
+	state.dirtyJobs.add(job);
 	if (task.failedAttempts.size >= maxAttemptsOf(state, job)) {
 		endJob(state, job, 'failed', now);
 	}
@@ -228,7 +240,7 @@
 		endJob(state, job, progress.outcome, now);
 		job.endedWallMs = progress.endedWallMs ?? job.endedWallMs;
 		job.isOutcomeStored = true;
-		job.isDirty = false;
+		state.dirtyJobs.delete(job);
 	}
 };
 
@@ -278,6 +290,7 @@
 		case 'removed': {
 			state.jobs.delete(change.jobId);
 			state.openJobs.delete(job);
+			state.dirtyJobs.delete(job);
 			break;
 		}
 
@@ -328,16 +341,38 @@
 	}
 };
 
+const hasExhaustedTask = (step: StepInstance, maxAttempts: number): boolean =>
+	!step.spec.isLasting && step.doneCount < step.tasks.length && step.tasks.some(task => task.phase !== 'done' && task.failedAttempts.size >= maxAttempts);
+
 const endIfFinished = (state: SchedulerState, job: JobRecord, now: CurrentTime): void => {
-	const steps = stepsOf(job);
 	const maxAttempts = maxAttemptsOf(state, job);
-	if (steps.some(step => !step.spec.isLasting && step.tasks.some(task => task.phase !== 'done' && task.failedAttempts.size >= maxAttempts))) {
-		endJob(state, job, 'failed', now);
-	} else if (steps.length > 0 && steps.every(step => !step.spec.isLasting) && isJobDone(job)) {
+	let canComplete = job.occurrences.size > 0;
+	for (const steps of job.occurrences.values()) {
+		for (const step of steps) {
+			if (hasExhaustedTask(step, maxAttempts)) {
+				endJob(state, job, 'failed', now);
+				return;
+			}
+
+			canComplete &&= !step.spec.isLasting && step.doneCount === step.tasks.length;
+		}
+	}
+
+	if (canComplete && isJobDone(job)) {
 		endJob(state, job, 'completed', now);
 	}
 };
 
 /** Returns the unfinished steps of the job whose predecessors are done. */
-export const readySteps = (job: JobRecord): readonly StepInstance[] =>
-	stepsOf(job).filter(step => step.doneCount < step.tasks.length && isStepReady(step));
+export const readySteps = (job: JobRecord): readonly StepInstance[] => {
+	const ready: StepInstance[] = [];
+	for (const steps of job.occurrences.values()) {
+		for (const step of steps) {
+			if (step.doneCount < step.tasks.length && isStepReady(step)) {
+				ready.push(step);
+			}
+		}
+	}
+
+	return ready;
+};
--- a/packages/scheduler/src/core/placement.ts
+++ b/packages/scheduler/src/core/placement.ts
@@ -4,17 +4,13 @@
 Placement is designed for pools whose demand exceeds their capacity: tasks are packed onto workers that already run tasks (best fit by CPU), so that idle machines can leave the pool and wide tasks still find a whole worker. Lasting tasks are packed too, but workers on a rack that already runs half of the step's tasks are avoided, since a rack can fail as a whole.
 */
 import {ticketFor} from './placement-advice.js';
-import {type TaskRun, type Task, type WorkerRecord} from './records.js';
-import {fitsInto} from './resources.js';
+import {type StepInstance, type Task, type WorkerRecord} from './records.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
 
-/** Ranking of a worker, compared field by field in order; smaller is better. */
-type Score = readonly number[];
-
-const countOnWorker = (task: Task, worker: WorkerRecord): number => {
+const countOnWorker = (step: StepInstance, worker: WorkerRecord): number => {
 	let count = 0;
 	for (const run of worker.runs.values()) {
-		if (run.task?.step === task.step) {
+		if (run.task?.step === step) {
 			count++;
 		}
 	}
@@ -22,71 +18,95 @@
 	return count;
 };
 
-const isAllowed = (state: SchedulerState, task: Task, worker: WorkerRecord, nowMs: number): boolean => {
-	const {spec} = task.step;
-	return !worker.runs.has(task.key)
+/** Returns true if the worker has the capacity for one more task of the step and may run it. */
+export const isAllowed = (state: SchedulerState, step: StepInstance, worker: WorkerRecord, nowMs: number): boolean => {
+	const {spec} = step;
+	return state.hasRoom(worker, resourcesOccupiedBy(step))
 		&& (spec.requiredLabel === '' || worker.entry.labels.includes(spec.requiredLabel))
-		&& (spec.maxPerWorker === 0 || countOnWorker(task, worker) < spec.maxPerWorker)
-		&& fitsInto(resourcesOccupiedBy(task.step), state.room(worker))
-		&& ticketFor(state, task.step, worker, nowMs) !== undefined;
+		&& (spec.maxPerWorker === 0 || countOnWorker(step, worker) < spec.maxPerWorker)
+		&& ticketFor(state, step, worker, nowMs) !== undefined;
 };
 
-const runsOf = (task: Task): readonly TaskRun[] => task.step.tasks.flatMap(member => member.run === undefined ? [] : [member.run]);
+/** Penalty of a worker whose filling tasks are paused. */
+const maxInterferencePenalty = 101;
 
 /** Filling tasks prefer workers without serving tasks, then workers that allow the highest pace. */
 const interferencePenalty = (worker: WorkerRecord): number => {
 	const serves = [...worker.runs.values()].some(run => (run.task?.step.spec.targetMs ?? 0) > 0);
-	return serves ? 101 - worker.fillingPacePercent : 0;
+	return serves ? maxInterferencePenalty - worker.fillingPacePercent : 0;
+};
+
+/** Counts the step's runs on each rack. */
+const runsByRack = (step: StepInstance): ReadonlyMap<string, number> => {
+	const counts = new Map<string, number>();
+	for (const {run} of step.tasks) {
+		if (run !== undefined) {
+			const {rack} = run.worker.entry;
+			counts.set(rack, (counts.get(rack) ?? 0) + 1);
+		}
+	}
+
+	return counts;
 };
 
-const idlePenalty = (worker: WorkerRecord): number => worker.runs.size === 0 ? 1 : 0;
+/** Combines penalties, the most important first, into one number; smaller is better. */
+const combinePenalties = (...penalties: readonly boolean[]): number => {
+	let tier = 0;
+	for (const isPenalized of penalties) {
+		tier = (2 * tier) + (isPenalized ? 1 : 0);
+	}
+
+	return tier;
+};
 
-const scoreOf = (state: SchedulerState, task: Task, worker: WorkerRecord, siblings: readonly TaskRun[]): Score => {
+/** Ranks a worker for the task before its free capacity is compared; smaller is better. */
+const tierOf = (task: Task, worker: WorkerRecord, onRack: ReadonlyMap<string, number>): number => {
 	const {spec} = task.step;
 	const {rack} = worker.entry;
-	const isAvoided = task.avoidedWorkerId === worker.entry.workerId ? 1 : 0;
-	const isFarFromData = spec.dataRack !== '' && spec.dataRack !== rack ? 1 : 0;
-	const onRack = siblings.filter(run => run.worker.entry.rack === rack).length;
-	const freeMillicores = state.room(worker).cpuMillicores;
+	const isAvoided = task.avoidedWorkerId === worker.entry.workerId;
+	const isFarFromData = spec.dataRack !== '' && spec.dataRack !== rack;
+	const isIdle = worker.runs.size === 0;
 	if (spec.isLasting) {
-		const isCrowded = onRack >= Math.ceil(spec.taskCount / 2) ? 1 : 0;
-		return [isAvoided, worker.isMaintenanceDue ? 1 : 0, isFarFromData, isCrowded, idlePenalty(worker), freeMillicores];
+		const isCrowded = (onRack.get(rack) ?? 0) >= Math.ceil(spec.taskCount / 2);
+		return combinePenalties(isAvoided, worker.isMaintenanceDue, isFarFromData, isCrowded, isIdle);
 	}
 
 	if (spec.isFilling) {
-		return [isAvoided, isFarFromData, interferencePenalty(worker), idlePenalty(worker), freeMillicores];
+		return (((combinePenalties(isAvoided, isFarFromData) * (maxInterferencePenalty + 1)) + interferencePenalty(worker)) * 2) + (isIdle ? 1 : 0);
 	}
 
-	const isOffRack = spec.prefersOneRack && siblings.length > 0 && onRack === 0 ? 1 : 0;
-	return [isAvoided, isFarFromData, isOffRack, idlePenalty(worker), freeMillicores];
+	const isOffRack = spec.prefersOneRack && onRack.size > 0 && !onRack.has(rack);
+	return combinePenalties(isAvoided, isFarFromData, isOffRack, isIdle);
 };
 
-const isBetter = (a: Score, b: Score): boolean => {
-	for (const [index, value] of a.entries()) {
-		if (value !== b[index]) {
-			return value < b[index]!;
-		}
+/** Returns the best of the workers on which the task's step is allowed, or `undefined` if there is none. */
+export const chooseAmong = (state: SchedulerState, task: Task, allowed: readonly WorkerRecord[]): WorkerRecord | undefined => {
+	if (allowed.length === 0) {
+		return undefined;
 	}
 
-	return false;
-};
-
-/** Returns the best worker that may run the task, or `undefined` if none has the capacity. */
-export const chooseWorker = (state: SchedulerState, task: Task, workers: readonly WorkerRecord[], nowMs: number): WorkerRecord | undefined => {
-	const siblings = runsOf(task);
+	const onRack = runsByRack(task.step);
 	let best: WorkerRecord | undefined;
-	let bestScore: Score = [];
-	for (const worker of workers) {
-		if (!isAllowed(state, task, worker, nowMs)) {
+	let bestTier = 0;
+	let bestFreeMillicores = 0;
+	for (const worker of allowed) {
+		// An earlier run of the task may still be stopping there.
+		if (worker.runs.has(task.key)) {
 			continue;
 		}
 
-		const score = scoreOf(state, task, worker, siblings);
-		if (best === undefined || isBetter(score, bestScore)) {
+		const tier = tierOf(task, worker, onRack);
+		const freeMillicores = state.freeMillicores(worker);
+		if (best === undefined || tier < bestTier || (tier === bestTier && freeMillicores < bestFreeMillicores)) {
 			best = worker;
-			bestScore = score;
+			bestTier = tier;
+			bestFreeMillicores = freeMillicores;
 		}
 	}
 
 	return best;
 };
+
+/** Returns the best worker that may run the task, or `undefined` if none has the capacity. */
+export const chooseWorker = (state: SchedulerState, task: Task, workers: readonly WorkerRecord[], nowMs: number): WorkerRecord | undefined =>
+	chooseAmong(state, task, workers.filter(worker => isAllowed(state, task.step, worker, nowMs)));
--- a/packages/scheduler/src/core/pool-sizing.ts
+++ b/packages/scheduler/src/core/pool-sizing.ts
@@ -7,9 +7,9 @@
 import {
 	isIdle, isOrderable, isServiceable, isStandby, orderMove, workerOn,
 } from './machines.js';
+import {PoolCapacities} from './pool-capacity.js';
 import {type MachineRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
-import {isUsable} from './workers.js';
 
 /** A machine that has been idle for this long leaves its pool: a move costs about as much as keeping a machine in a pool for 1.2 s. */
 const idleBeforeStandbyMs = 1200;
@@ -33,9 +33,6 @@
 	return reserved;
 };
 
-const isArriving = (machine: MachineRecord, pool: string): boolean =>
-	(machine.order?.type === 'move' && machine.order.pool === pool) || (machine.entry.state === 'moving' && machine.entry.pool === pool);
-
 /** Returns how many machines of the given size would cover the shortage. */
 const machinesNeeded = (shortage: Shortage, machine: MachineRecord): number => Math.ceil(Math.max(
 	shortage.needs.cpuMillicores / Math.max(1, machine.entry.capacity.cpuMillicores),
@@ -48,92 +45,77 @@
 	return worker === undefined ? 0 : nowMs - worker.idleSinceMs;
 };
 
-/** Returns the free CPU capacity on the pool's usable workers. */
-const freeMillicoresOf = (state: SchedulerState, pool: string, nowMs: number): number => {
-	let freeMillicores = 0;
-	for (const worker of state.workers.values()) {
-		if (worker.entry.pool === pool && isUsable(worker, nowMs)) {
-			freeMillicores += state.room(worker).cpuMillicores;
-		}
-	}
-
-	return freeMillicores;
+/** One round of pool sizing. */
+type SizingRound = {
+	readonly state: SchedulerState;
+	readonly shortages: ReadonlyMap<string, Shortage>;
+	readonly capacities: PoolCapacities;
+	/** Idle machines that can accept an order. */
+	readonly movable: readonly MachineRecord[];
+	readonly nowMs: number;
 };
 
-/** Returns the CPU capacity that the pool will have: that of its usable workers, less what lasting tasks occupy, plus that of arriving machines. */
-const expectedMillicores = (state: SchedulerState, pool: string, nowMs: number): number => {
-	let total = 0;
-	for (const worker of state.workers.values()) {
-		if (worker.entry.pool === pool && isUsable(worker, nowMs)) {
-			total += worker.entry.capacity.cpuMillicores;
-			for (const run of worker.runs.values()) {
-				total -= run.task?.step.spec.isLasting === true ? run.occupiedResources.cpuMillicores : 0;
-			}
-		}
-	}
+/** Returns the CPU capacity that the pool needs at the current arrival rate. */
+const neededMillicores = ({state, nowMs}: SizingRound, pool: string): number => state.demand.demandMillicores(pool, nowMs) / achievableUtilisation;
 
-	for (const machine of state.machines.values()) {
-		total += isArriving(machine, pool) ? machine.entry.capacity.cpuMillicores : 0;
-	}
+/** Returns how many machines of this machine's size the pool lacks for unplaced tasks and for the current arrival rate. */
+const machineDeficit = (round: SizingRound, pool: string, machine: MachineRecord): number => {
+	const shortage = round.shortages.get(pool);
+	const {arrivingCount, expectedMillicores} = round.capacities.of(pool);
+	return Math.max(
+		shortage === undefined ? 0 : machinesNeeded(shortage, machine) - arrivingCount,
+		Math.ceil((neededMillicores(round, pool) - expectedMillicores) / Math.max(1, machine.entry.capacity.cpuMillicores)),
+	);
+};
 
-	return total;
+/** Returns a function that tells whether a machine's pool has no shortage and would have none without the machine. */
+const spareCheck = (round: SizingRound): ((machine: MachineRecord) => boolean) => {
+	const neededByPool = new Map<string, number>();
+	return ({entry: {pool, capacity}}) => {
+		const needed = neededByPool.get(pool) ?? neededMillicores(round, pool);
+		neededByPool.set(pool, needed);
+		return !round.shortages.has(pool) && round.capacities.of(pool).expectedMillicores - capacity.cpuMillicores >= needed;
+	};
 };
 
-/** Returns a function that tells, for machines of a given size, how many the pool lacks for unplaced tasks and for the current arrival rate. */
-const machineDeficit = (state: SchedulerState, pool: string, shortage: Shortage | undefined, nowMs: number): ((machine: MachineRecord) => number) => {
-	const arrivingCount = [...state.machines.values()].filter(machine => isArriving(machine, pool)).length;
-	const demandMillicores = state.demand.demandMillicores(pool, nowMs) / achievableUtilisation;
-	const deficitMillicores = demandMillicores - expectedMillicores(state, pool, nowMs);
-	return machine => Math.max(
-		shortage === undefined ? 0 : machinesNeeded(shortage, machine) - arrivingCount,
-		Math.ceil(deficitMillicores / Math.max(1, machine.entry.capacity.cpuMillicores)),
-	);
+const moveTo = ({state, capacities, nowMs}: SizingRound, machine: MachineRecord, pool: string, reason: string): void => {
+	capacities.move(machine, pool);
+	orderMove(state, machine, pool, nowMs, reason);
 };
 
-const growPools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, movable: readonly MachineRecord[], nowMs: number): void => {
+const growPools = (round: SizingRound): void => {
+	const {state, shortages, movable, nowMs} = round;
+	const isSpare = spareCheck(round);
+	const isAvailable = (machine: MachineRecord): boolean => isStandby(state, machine) || isSpare(machine);
 	for (const {name: pool, isStandby: isStandbyPool} of state.configuration.pools.values()) {
 		if (isStandbyPool) {
 			continue;
 		}
 
-		const deficitFor = machineDeficit(state, pool, shortages.get(pool), nowMs);
-		const candidates = movable.filter(machine => machine.order === undefined && machine.entry.pool !== pool && (isStandby(state, machine) || isSpare(state, machine, shortages, nowMs)))
+		const candidates = movable.filter(machine => machine.order === undefined && machine.entry.pool !== pool && isAvailable(machine))
 			.toSorted((a, b) => Number(isStandby(state, b)) - Number(isStandby(state, a)) || idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
-		let deficit = candidates.length === 0 ? 0 : deficitFor(candidates[0]!);
+		let deficit = candidates.length === 0 ? 0 : machineDeficit(round, pool, candidates[0]!);
 		for (const candidate of candidates) {
-			if (deficit > 0) {
+			// The moves before this one may have left the candidate's pool without spare capacity.
+			if (deficit > 0 && isAvailable(candidate)) {
 				deficit--;
-				orderMove(state, candidate, pool, nowMs, `${shortages.get(pool)?.taskCount ?? 0} unplaced tasks`);
+				moveTo(round, candidate, pool, `${shortages.get(pool)?.taskCount ?? 0} unplaced tasks`);
 			}
 		}
 	}
 };
 
-/** Returns true if the machine's pool has no shortage and would have none without the machine. */
-const isSpare = (state: SchedulerState, machine: MachineRecord, shortages: ReadonlyMap<string, Shortage>, nowMs: number): boolean => {
-	const {pool, capacity} = machine.entry;
-	const demandMillicores = state.demand.demandMillicores(pool, nowMs) / achievableUtilisation;
-	return !shortages.has(pool) && expectedMillicores(state, pool, nowMs) - capacity.cpuMillicores >= demandMillicores;
-};
-
-const shrinkPools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, movable: readonly MachineRecord[], standby: string, nowMs: number): void => {
-	const idleByPool = new Map<string, MachineRecord[]>();
-	for (const machine of movable) {
-		if (!isStandby(state, machine) && machine.order === undefined && isSpare(state, machine, shortages, nowMs)) {
-			idleByPool.set(machine.entry.pool, [...idleByPool.get(machine.entry.pool) ?? [], machine]);
-		}
-	}
-
-	for (const idle of idleByPool.values()) {
-		const byIdleTime = idle.toSorted((a, b) => idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
-		let freeMillicores = freeMillicoresOf(state, byIdleTime[0]!.entry.pool, nowMs);
-		for (const machine of byIdleTime) {
-			const {cpuMillicores} = machine.entry.capacity;
-			const keepsHeadroom = freeMillicores - cpuMillicores >= cpuMillicores * headroomShare;
-			if (keepsHeadroom && idleForMs(state, machine, nowMs) >= idleBeforeStandbyMs) {
-				freeMillicores -= cpuMillicores;
-				orderMove(state, machine, standby, nowMs, 'idle');
-			}
+const shrinkPools = (round: SizingRound, standby: string): void => {
+	const {state, movable, capacities, nowMs} = round;
+	const isSpare = spareCheck(round);
+	const idleLongest = movable
+		.filter(machine => !isStandby(state, machine) && machine.order === undefined && idleForMs(state, machine, nowMs) >= idleBeforeStandbyMs)
+		.toSorted((a, b) => idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
+	for (const machine of idleLongest) {
+		const {pool, capacity: {cpuMillicores}} = machine.entry;
+		const keepsHeadroom = capacities.of(pool).freeMillicores - cpuMillicores >= cpuMillicores * headroomShare;
+		if (keepsHeadroom && isSpare(machine)) {
+			moveTo(round, machine, standby, 'idle');
 		}
 	}
 };
@@ -147,9 +129,12 @@
 	const reserved = machinesReservedForWaves(state);
 	const movable = [...state.machines.values()].filter(machine => isOrderable(state, machine, nowMs) && isIdle(state, machine, nowMs)
 		&& isServiceable(state, machine) && !reserved.has(machine.entry.machineId));
-	growPools(state, shortages, movable, nowMs);
+	const round: SizingRound = {
+		state, shortages, movable, nowMs, capacities: new PoolCapacities(state, nowMs),
+	};
+	growPools(round);
 	const standby = [...state.configuration.pools.values()].find(pool => pool.isStandby)?.name;
 	if (standby !== undefined) {
-		shrinkPools(state, shortages, movable, standby, nowMs);
+		shrinkPools(round, standby);
 	}
 };
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -9,7 +9,7 @@
 
 /** Schedules the acknowledgement of processed run ends for when the next save is stored. */
 export const prepareAcknowledgements = (state: SchedulerState): void => {
-	const hasUnsaved = [...state.jobs.values()].some(job => job.isDirty);
+	const hasUnsaved = state.dirtyJobs.size > 0;
 	for (const worker of state.workers.values()) {
 		if (worker.processedSequence <= worker.acknowledgedSequence || worker.pendingAcknowledgement?.sequence === worker.processedSequence) {
 			continue;
@@ -29,7 +29,7 @@
 		return;
 	}
 
-	const jobs = [...state.jobs.values()].filter(job => job.isDirty);
+	const jobs = [...state.dirtyJobs];
 	const waves = [...state.waves.values()].filter(wave => wave.isDirty);
 	const isAcknowledgementPending = [...state.workers.values()].some(worker => worker.pendingAcknowledgement !== undefined);
 	if (jobs.length === 0 && waves.length === 0 && !isAcknowledgementPending) {
@@ -39,10 +39,7 @@
 	state.saveCount++;
 	state.lastSaveAtMs = nowMs;
 	state.pendingSaveNumber = state.saveCount;
-	for (const job of jobs) {
-		job.isDirty = false;
-	}
-
+	state.dirtyJobs.clear();
 	for (const wave of waves) {
 		wave.isDirty = false;
 	}
--- a/packages/scheduler/src/core/queue-order.ts
+++ b/packages/scheduler/src/core/queue-order.ts
@@ -4,7 +4,7 @@
 The order is designed for bursts in which a queue demands about twice its pool's capacity for some seconds. Lasting tasks come first, since each second without them affects their users. Jobs that can still meet their objective follow, by queue priority and by their latest start; late jobs come after them. Jobs in excess of their customer's share come last, so that a customer that floods a queue only gets capacity that the others leave. A step that cannot be placed does not block the others.
 */
 import {type JobRecord, type StepInstance} from './records.js';
-import {readySteps, stepsOf} from './jobs.js';
+import {longestChainMs, readySteps} from './jobs.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 /** A step with waiting tasks and its sort keys. */
@@ -24,32 +24,20 @@
 
 /** Returns the estimated duration of the longest chain of unfinished steps. */
 export const remainingChainMs = (job: JobRecord): number => {
-	const finishMs = new Map<string, number>();
-	let longest = 0;
-	for (const step of stepsOf(job)) {
-		const earlier = step.spec.after.map(index => finishMs.get(`${step.occurrence}.${index}`) ?? 0);
-		const own = step.doneCount === step.tasks.length ? 0 : step.spec.estimateMs;
-		const end = Math.max(0, ...earlier) + own;
-		finishMs.set(`${step.occurrence}.${step.stepIndex}`, end);
-		longest = Math.max(longest, end);
+	let longestMs = 0;
+	for (const steps of job.occurrences.values()) {
+		longestMs = Math.max(longestMs, longestChainMs(steps.map(step => ({
+			after: step.spec.after, durationMs: step.doneCount === step.tasks.length ? 0 : step.spec.estimateMs,
+		}))));
 	}
 
-	return longest;
-};
-
-const wholeChainMs = (job: JobRecord): number => {
-	const finishMs: number[] = [];
-	for (const step of job.spec.steps) {
-		finishMs.push(Math.max(0, ...step.after.map(index => finishMs[index] ?? 0)) + step.estimateMs);
-	}
-
-	return Math.max(0, ...finishMs);
+	return longestMs;
 };
 
 /** Returns the time by which the job must be done to meet its objective. */
 export const objectiveDeadlineMs = (state: SchedulerState, job: JobRecord): number => {
 	const queue = state.queueOf(job);
-	return job.firstSeenAtMs + ((queue?.objectiveFactor ?? 1) * wholeChainMs(job)) + (queue?.objectiveMs ?? 0);
+	return job.firstSeenAtMs + ((queue?.objectiveFactor ?? 1) * job.wholeChainMs) + (queue?.objectiveMs ?? 0);
 };
 
 const queuedStepsOf = (state: SchedulerState, job: JobRecord, nowMs: number): readonly QueuedStep[] => {
@@ -58,10 +46,15 @@
 		return [];
 	}
 
+	const steps = readySteps(job).filter(step => step.tasks.some(task => task.phase === 'waiting'));
+	if (steps.length === 0) {
+		return [];
+	}
+
 	const latestStartMs = objectiveDeadlineMs(state, job) - remainingChainMs(job);
 	const deadlineRank = nowMs <= latestStartMs ? onTimeRank : lateRank;
 	const rank = job.exceedsShare ? overShareRank : deadlineRank;
-	return readySteps(job).filter(step => step.tasks.some(task => task.phase === 'waiting')).map(step => ({
+	return steps.map(step => ({
 		step,
 		pool: queue.pool,
 		rank: step.spec.isLasting ? lastingRank : rank,
@@ -71,6 +64,11 @@
 };
 
 /** Returns all steps with waiting tasks, in the order in which they are offered capacity. */
-export const sortQueuedSteps = (state: SchedulerState, nowMs: number): readonly QueuedStep[] => [...state.openJobs]
-	.flatMap(job => queuedStepsOf(state, job, nowMs))
-	.toSorted((a, b) => a.rank - b.rank || a.priority - b.priority || a.latestStartMs - b.latestStartMs);
+export const sortQueuedSteps = (state: SchedulerState, nowMs: number): readonly QueuedStep[] => {
+	const queued: QueuedStep[] = [];
+	for (const job of state.openJobs) {
+		queued.push(...queuedStepsOf(state, job, nowMs));
+	}
+
+	return queued.toSorted((a, b) => a.rank - b.rank || a.priority - b.priority || a.latestStartMs - b.latestStartMs);
+};
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -82,6 +82,8 @@
 	readonly rowKeys: Set<string>;
 	/** When this process first saw the job. */
 	readonly firstSeenAtMs: number;
+	/** Estimated duration of the job's longest chain of steps. */
+	readonly wholeChainMs: number;
 	/** Steps by occurrence, for occurrences that are due. */
 	readonly occurrences: Map<number, readonly StepInstance[]>;
 	outcome: JobOutcome | undefined;
@@ -90,8 +92,6 @@
 	/** The job exceeded its customer's share when it arrived. */
 	exceedsShare: boolean;
 	hasBegun: boolean;
-	/** The job has progress that is not stored yet. */
-	isDirty: boolean;
 	isOutcomeStored: boolean;
 	/** Stored progress, used when an occurrence's tasks are created after it was read. */
 	storedDoneTasks: Readonly<Record<string, readonly number[]>>;
--- a/packages/scheduler/src/core/resources.ts
+++ b/packages/scheduler/src/core/resources.ts
@@ -17,6 +17,12 @@
 	accelerators: a.accelerators - b.accelerators,
 });
 
+export const multiplyResources = (resources: Resources, count: number): Resources => ({
+	cpuMillicores: resources.cpuMillicores * count,
+	memoryMb: resources.memoryMb * count,
+	accelerators: resources.accelerators * count,
+});
+
 export const fitsInto = (needs: Resources, freeCapacity: Resources): boolean =>
 	needs.cpuMillicores <= freeCapacity.cpuMillicores && needs.memoryMb <= freeCapacity.memoryMb && needs.accelerators <= freeCapacity.accelerators;
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -5,7 +5,7 @@
 	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
 import {
-	type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Task, type WaveRecord, type WorkerRecord,
+	type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DemandMeter} from './demand-meter.js';
 import {addResources, noResources, subtractResources} from './resources.js';
@@ -49,6 +49,8 @@
 	readonly jobs = new Map<string, JobRecord>();
 	/** Jobs that have not ended. */
 	readonly openJobs = new Set<JobRecord>();
+	/** Jobs with progress that is not stored yet. */
+	readonly dirtyJobs = new Set<JobRecord>();
 	readonly workers = new Map<string, WorkerRecord>();
 	readonly machines = new Map<string, MachineRecord>();
 	machinesListedAtMs: number | undefined;
@@ -109,6 +111,19 @@
 		return subtractResources(worker.entry.capacity, this.occupied(worker));
 	}
 
+	freeMillicores(worker: WorkerRecord): number {
+		return worker.entry.capacity.cpuMillicores - this.occupied(worker).cpuMillicores;
+	}
+
+	/** Returns true if the worker has free capacity for the resources. It is asked for every worker and waiting step, so it creates no objects. */
+	hasRoom(worker: WorkerRecord, needs: Resources): boolean {
+		const {capacity} = worker.entry;
+		const occupied = this.occupied(worker);
+		return needs.cpuMillicores <= capacity.cpuMillicores - occupied.cpuMillicores
+			&& needs.memoryMb <= capacity.memoryMb - occupied.memoryMb
+			&& needs.accelerators <= capacity.accelerators - occupied.accelerators;
+	}
+
 	addRun(run: TaskRun): void {
 		run.worker.runs.set(run.taskKey, run);
 		this.#occupied.set(run.worker, addResources(this.occupied(run.worker), run.occupiedResources));
@@ -175,6 +190,3 @@
 		return earlier === undefined || earlier.doneCount === earlier.tasks.length;
 	});
 };
-
-/** Returns the tasks of the step that wait for capacity. */
-export const waitingTasks = (step: StepInstance): readonly Task[] => step.tasks.filter(task => task.phase === 'waiting');
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -297,7 +297,7 @@
 			run.startedAtMs = event.nowMs;
 			run.phase = 'running';
 			run.percentChangedAtMs = event.nowMs;
-			markJobBegun(run);
+			markJobBegun(state, run);
 			break;
 		}
 
@@ -333,11 +333,11 @@
 	}
 };
 
-const markJobBegun = (run: TaskRun): void => {
+const markJobBegun = (state: SchedulerState, run: TaskRun): void => {
 	const job = run.task?.step.job;
 	if (job !== undefined && !job.hasBegun) {
 		job.hasBegun = true;
-		job.isDirty = true;
+		state.dirtyJobs.add(job);
 	}
 };
 
