Let only the holder's successors follow jobs and workers

Cause: every process followed every job row and every worker's heartbeat.

Change: the four largest processes follow them and are ready to take over. The others read the rows of the one job that a caller asks about, and take the counts of pending jobs from a row that the holder publishes each second (or count the rows if it is older than 3 s). A job's partition follows from its id, so that its rows can be found; a row is only ever created, and a conflict shows that the job is stored. The term begins only after jobs, shared rows and workers have been read.

The fixture of the row test lost the process id that is no longer part of the key.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -19,6 +19,9 @@
 /** Maximum number of connections to one worker: one for polls, the others for orders. Opening a connection is slow, and connections are counted. */
 const workerConnections = 3;
 
+/** Number of processes that are ready to take over the scheduler's lease at any time: enough that one is left when a data centre and single hosts fail. */
+const successorCount = 4;
+
 /** A process whose view of the operators' orders is older than this reports itself as not ready, so that callers go to other processes: two long-polling calls have failed by then. */
 const maxReadyAgeMs = 3500;
 
@@ -88,6 +91,7 @@
 			waveReporter: new WaveStatusWriter(resolvingTable),
 			maxConfigurationAgeMs: settings.configurationConvergeMs - configurationMarginMs,
 			hasLargerPeer: sinceMs => this.#relayDirectory.hasLargerPeer(sinceMs),
+			isSuccessor: () => this.#relayDirectory.isAmongLargest(successorCount),
 			onConfigured: ({limits}) => {
 				this.#jobServer.setLimits(limits);
 			},
--- a/packages/scheduler/src/jobs/job-service.ts
+++ b/packages/scheduler/src/jobs/job-service.ts
@@ -1,16 +1,16 @@
 /**
-Serves callers' requests on jobs: submit a job, query its state, cancel it, count a queue's pending jobs. Every process serves all of them, from its replica of the job rows and from the table service.
+Serves callers' requests on jobs: submit a job, query its state, cancel it, count a queue's pending jobs. Every process serves all of them, from its view of the jobs and from the table service.
 
 A job counts as accepted only once its row is stored. A caller is told that a job was not accepted only if its row was not stored and cannot be stored later; otherwise the outcome is reported as unknown.
 */
 import {type CancelTimer, type Clock, type Logger} from '@poplarnotch/common';
 import {ConflictError, PlatformError, WriteOutcomeUnknownError} from '@poplarnotch/platform';
-import {type JobRecord} from '../core/records.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {
 	type FleetConfiguration, type JobSpec, type JobState, type Queue,
 } from '../types.js';
 import {type JobStore} from './job-store.js';
+import {type JobView, type KnownJob} from './job-view.js';
 
 /** The queue that a call addresses and the customer that makes it. */
 export type CallTarget = {
@@ -31,10 +31,8 @@
 export type JobServiceOptions = {
 	readonly state: () => SchedulerState;
 	readonly store: JobStore;
-	/** Resolves once the replica holds everything that was acknowledged before the call. */
-	readonly refresh: () => Promise<void>;
-	/** Age of the replica's content, since its last confirmed read. */
-	readonly ageMs: () => number;
+	/** What the process knows of jobs at present. */
+	readonly view: () => JobView;
 	/** Age of the operators' configuration, since its last confirmed read, and the maximum age at which calls are answered by it. */
 	readonly configurationAgeMs: () => number;
 	readonly maxConfigurationAgeMs: number;
@@ -44,8 +42,9 @@
 
 const maxCancelAttempts = 3;
 
-/** How long a status query waits for a fresh replica: the time of a few store calls. After that the known state is returned. */
-const statusRefreshTimeoutMs = 400;
+/** How long a status query waits for the store, and how often it asks: enough for a second attempt over another path. */
+const statusTimeoutMs = 400;
+const maxFindAttempts = 2;
 
 /** State confirmed no longer ago than this is still shown if the store does not answer: callers accept 3 s. */
 const maxStaleStateMs = 3000;
@@ -112,45 +111,39 @@
 	}
 
 	async status(jobId: string, {customer}: CallTarget): Promise<StatusResult> {
-		const known = this.#findJob(jobId, customer);
-		if (known?.isOutcomeStored === true) {
-			return known.outcome!;
+		const view = this.#options.view();
+		const ended = visibleTo(customer, view.findEnded(jobId));
+		if (ended !== undefined) {
+			return ended.state;
 		}
 
-		const isFresh = await this.#refreshWithin(statusRefreshTimeoutMs, 'status', jobId);
-		const job = this.#findJob(jobId, customer);
-		if (job !== undefined && (isFresh || this.#options.ageMs() <= maxStaleStateMs)) {
-			return visibleState(job);
+		const found = await this.#findWithin(statusTimeoutMs, view, jobId);
+		if (found !== 'unanswered') {
+			return visibleTo(customer, found)?.state ?? 'no-such-job';
 		}
 
-		return isFresh ? 'no-such-job' : 'unavailable';
+		return visibleTo(customer, view.findRecent(jobId, maxStaleStateMs))?.state ?? 'unavailable';
 	}
 
 	async cancel(jobId: string, {customer}: CallTarget): Promise<CancelResult> {
-		const isFresh = await this.#refreshReplica('cancel', jobId);
-		const job = this.#findJob(jobId, customer);
+		const view = this.#options.view();
+		const found = await this.#find(view, jobId, 'cancel');
+		const job = visibleTo(customer, found === 'unanswered' ? view.findRecent(jobId, Number.POSITIVE_INFINITY) : found);
 		if (job === undefined) {
-			return isFresh ? 'no-such-job' : 'not-cancelled';
+			return found === 'unanswered' ? 'not-cancelled' : 'no-such-job';
 		}
 
-		if (job.isOutcomeStored) {
-			return 'cancelled';
-		}
-
-		return this.#storeCancel(jobId);
+		return job.isEnded ? 'cancelled' : this.#storeCancel(jobId);
 	}
 
-	/** Returns the number of the queue's accepted jobs of which no task has started. */
-	async countPending({queue}: CallTarget): Promise<number> {
-		await this.#refreshReplica('count', queue.name);
-		let count = 0;
-		for (const job of this.#options.state().openJobs) {
-			if (job.spec.queue === queue.name && !job.hasBegun && !job.isCancelRequested) {
-				count++;
-			}
+	/** Returns the number of the queue's accepted jobs of which no task has started, or `undefined` if it cannot be read. */
+	async countPending({queue}: CallTarget): Promise<number | undefined> {
+		try {
+			return await this.#options.view().countPending(queue.name);
+		} catch (error) {
+			this.#logFailedRead(error, 'count', queue.name);
+			return undefined;
 		}
-
-		return count;
 	}
 
 	async #storeCancel(jobId: string): Promise<CancelResult> {
@@ -175,51 +168,45 @@
 		return mayBeStored ? 'unknown' : 'not-cancelled';
 	}
 
-	#findJob(jobId: string, customer: string): JobRecord | undefined {
-		const job = this.#options.state().jobs.get(jobId);
-		return job === undefined || (customer !== '' && job.spec.customer !== customer) ? undefined : job;
-	}
-
-	async #refreshWithin(waitMs: number, purpose: string, subject: string): Promise<boolean> {
+	/** Reads the job, repeatedly if the store does not answer, since a failed call makes the next one take another path. */
+	async #findWithin(waitMs: number, view: JobView, jobId: string): Promise<KnownJob | undefined | 'unanswered'> {
 		let cancel: CancelTimer | undefined;
-		const timeout = new Promise<boolean>(resolve => {
+		const timeout = new Promise<'unanswered'>(resolve => {
 			cancel = this.#options.clock.schedule(waitMs, () => {
-				resolve(false);
+				resolve('unanswered');
 			});
 		});
 		try {
-			return await Promise.race([this.#refreshReplica(purpose, subject), timeout]);
+			return await Promise.race([this.#find(view, jobId, 'status'), timeout]);
 		} finally {
 			cancel?.();
 		}
 	}
 
-	async #refreshReplica(purpose: string, subject: string): Promise<boolean> {
-		try {
-			await this.#options.refresh();
-			return true;
-		} catch (error) {
-			if (!(error instanceof PlatformError)) {
-				throw error;
+	async #find(view: JobView, jobId: string, purpose: string): Promise<KnownJob | undefined | 'unanswered'> {
+		for (let attempt = 0; attempt < maxFindAttempts; attempt++) {
+			try {
+				return await view.find(jobId);
+			} catch (error) {
+				this.#logFailedRead(error, purpose, jobId);
 			}
-
-			this.#options.log.warn({
-				event: 'refresh_failed', purpose, subject, reason: error.message,
-			});
-			return false;
 		}
-	}
-}
 
-/** Returns the state shown to callers. An outcome is shown only once it is stored, so that it is never reverted. */
-const visibleState = (job: JobRecord): JobState => {
-	if (job.isOutcomeStored) {
-		return job.outcome!;
+		return 'unanswered';
 	}
 
-	if (job.isCancelRequested) {
-		return 'cancelled';
+	/** Logs an expected failure of a read; throws any other error. */
+	#logFailedRead(error: unknown, purpose: string, subject: string): void {
+		if (!(error instanceof PlatformError)) {
+			throw error;
+		}
+
+		this.#options.log.warn({
+			event: 'refresh_failed', purpose, subject, reason: error.message,
+		});
 	}
+}
 
-	return job.hasBegun ? 'running' : 'queued';
-};
+/** Hides the jobs of other customers. On public queues, which have no customer, every job is visible. */
+const visibleTo = (customer: string, job: KnownJob | undefined): KnownJob | undefined =>
+	customer !== '' && job?.customer !== customer ? undefined : job;
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -1,15 +1,15 @@
 /**
-Writes jobs to the table service. Jobs that arrive while a commit is in flight are committed together in the next one. Writing a job's row again changes nothing, so a commit with an unknown outcome is simply repeated.
+Writes jobs to the table service and reads single jobs from it. Jobs of one partition that arrive while a commit is in flight are committed together in the next one. A job's row is only ever created, so a commit with an unknown outcome is simply repeated: a row that exists already shows that the job is stored.
 */
 import {type Clock, type Logger} from '@poplarnotch/common';
 import {
-	type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
+	absentVersion, ConflictError, type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
-import {type ProgressSave} from '../core/events.js';
+import {type JobChange, type ProgressSave} from '../core/events.js';
 import {waveKey} from '../shell/wave-rows.js';
 import {type JobSpec} from '../types.js';
 import {
-	cancelKey, jobKey, jobToJson, progressKey, progressToJson,
+	cancelKey, jobChangeFrom, jobKey, jobToJson, partitionOf, progressKey, progressToJson,
 } from './rows.js';
 
 /** Result of storing a submitted job. */
@@ -27,7 +27,7 @@
 	mayBeStored: boolean;
 };
 
-/** Maximum number of jobs in one transaction; the store limits a transaction's rows, conditions and writes together. */
+/** Maximum number of jobs in one transaction; the store limits the number of its conditions and writes together. */
 const maxJobsPerCommit = 40;
 
 /** Maximum number of progress rows in one transaction, besides the fence condition. */
@@ -37,8 +37,10 @@
 const maxRetries = 3;
 const retryPauseMs = 30;
 
+/** A job's partition holds its specification and, once it was cancelled, its cancellation. */
+const rowsPerJob = 2;
+
 export type JobStoreOptions = {
-	readonly processId: string;
 	readonly table: TableService;
 	/** The same table, which resolves commits with lost answers, so that no commit is applied after a later one. */
 	readonly resolvingTable: TableService;
@@ -47,16 +49,14 @@
 };
 
 export class JobStore {
-	readonly #processId: string;
 	readonly #table: TableService;
 	readonly #resolvingTable: TableService;
 	readonly #clock: Clock;
 	readonly #log: Logger;
-	readonly #pendingJobs: PendingJob[] = [];
-	#isCommitting = false;
+	/** Jobs that wait for the commit in flight, by partition. A partition has an entry while its jobs are being committed for the first time. */
+	readonly #waiting = new Map<string, PendingJob[]>();
 
 	constructor(options: JobStoreOptions) {
-		this.#processId = options.processId;
 		this.#table = options.table;
 		this.#resolvingTable = options.resolvingTable;
 		this.#clock = options.clock;
@@ -66,8 +66,15 @@
 	/** Stores a job; the job is accepted once this resolves to `accepted`. */
 	async accept(job: JobSpec): Promise<AcceptResult> {
 		return new Promise(resolve => {
-			this.#pendingJobs.push({job, resolve, mayBeStored: false});
-			void this.#commitPending();
+			const pendingJob = {job, resolve, mayBeStored: false};
+			const partition = partitionOf(job.jobId);
+			const waiting = this.#waiting.get(partition);
+			if (waiting === undefined) {
+				this.#waiting.set(partition, [pendingJob]);
+				void this.#commitPartition(partition);
+			} else {
+				waiting.push(pendingJob);
+			}
 		});
 	}
 
@@ -75,7 +82,7 @@
 	async cancel(jobId: string): Promise<void> {
 		await this.#table.commit({
 			conditions: [],
-			writes: [{type: 'put', key: cancelKey(this.#processId, jobId), value: {requestedWallMs: this.#clock.wallTimeMs()}}],
+			writes: [{type: 'put', key: cancelKey(jobId), value: {requestedWallMs: this.#clock.wallTimeMs()}}],
 		});
 	}
 
@@ -95,28 +102,41 @@
 		await this.#table.commit({conditions: [], writes: [{type: 'delete', key}]});
 	}
 
-	async #commitPending(): Promise<void> {
-		if (this.#isCommitting) {
-			return;
-		}
+	/** Reads the stored rows of one job, its specification first; empty if the job is not stored. */
+	async read(jobId: string): Promise<readonly JobChange[]> {
+		const key = jobKey(jobId);
+		const [{rows}, progressRows] = await Promise.all([
+			this.#table.readPrefix(key, {limit: rowsPerJob}),
+			this.#table.readRows([progressKey(jobId)]),
+		]);
+		return [...rows, ...progressRows].flatMap(row => {
+			const change = jobChangeFrom(row);
+			return change === undefined || jobIdOf(change) !== jobId ? [] : [change];
+		});
+	}
 
-		this.#isCommitting = true;
-		while (this.#pendingJobs.length > 0) {
-			const batch = this.#pendingJobs.splice(0, maxJobsPerCommit);
-			await this.#commitBatch(batch);
+	async #commitPartition(partition: string): Promise<void> {
+		const waiting = this.#waiting.get(partition)!;
+		while (waiting.length > 0) {
+			await this.#commitBatch(waiting.splice(0, maxJobsPerCommit));
 		}
 
-		this.#isCommitting = false;
+		this.#waiting.delete(partition);
 	}
 
 	async #commitBatch(batch: readonly PendingJob[], attempt = 0): Promise<void> {
 		try {
 			await this.#table.commit({
-				conditions: [],
-				writes: batch.map(({job}) => ({type: 'put', key: jobKey(this.#processId, job.jobId), value: jobToJson(job)})),
+				conditions: batch.map(({job}) => ({key: jobKey(job.jobId), version: absentVersion})),
+				writes: batch.map(({job}) => ({type: 'put', key: jobKey(job.jobId), value: jobToJson(job)})),
 			});
 			resolveAll(batch, 'accepted');
 		} catch (error) {
+			if (error instanceof ConflictError) {
+				await this.#acceptStored(batch, error, attempt);
+				return;
+			}
+
 			if (!(error instanceof UnavailableError || error instanceof WriteOutcomeUnknownError)) {
 				throw error;
 			}
@@ -125,6 +145,18 @@
 		}
 	}
 
+	/** Jobs whose rows exist were stored by an earlier attempt or through another process; the rest of the batch is committed again. */
+	async #acceptStored(batch: readonly PendingJob[], {conflicts}: ConflictError, attempt: number): Promise<void> {
+		const storedKeys = new Set(conflicts.map(({key}) => key));
+		const isStored = ({job}: PendingJob): boolean => storedKeys.has(jobKey(job.jobId));
+		this.#log.info({event: 'jobs_already_stored', jobs: storedKeys.size, attempt});
+		resolveAll(batch.filter(pendingJob => isStored(pendingJob)), 'accepted');
+		const rest = batch.filter(pendingJob => !isStored(pendingJob));
+		if (rest.length > 0) {
+			await this.#commitBatch(rest, attempt);
+		}
+	}
+
 	/** Retries the commit or reports the failure. Jobs are reported as not stored only if no attempt can have been applied. */
 	#handleFailure(batch: readonly PendingJob[], error: UnavailableError | WriteOutcomeUnknownError, attempt: number): void {
 		const {mayBeApplied} = error;
@@ -136,6 +168,7 @@
 		}
 
 		if (attempt < maxRetries) {
+			// Not awaited: jobs that arrived later are committed meanwhile, possibly over another path.
 			void this.#retryCommit(batch, attempt + 1);
 			return;
 		}
@@ -152,6 +185,8 @@
 	}
 }
 
+const jobIdOf = (change: JobChange): string => change.type === 'accepted' ? change.job.jobId : change.jobId;
+
 const resolveAll = (jobs: readonly PendingJob[], result: AcceptResult): void => {
 	for (const {resolve} of jobs) {
 		resolve(result);
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -1,7 +1,5 @@
 /**
-Job rows. `jobs/{processId}/{jobId}` holds a job's specification, written by the process that accepted it, and `…/cancel` beside it holds a cancellation. Each process writes to a partition of its own, so that the processes do not wait for each other where the table service is slow. `jobs/shared/{jobId}/progress` is written by the holder of the scheduler's lease, in the partition that holds the lease's fence.
-
-A job that is submitted again to another process may get a second row there. It is still one job, since readers identify jobs by their id.
+Job rows. `jobs/{partition}/{jobId}` holds a job's specification, written by the process that accepted it, and `…/cancel` beside it holds a cancellation. The partition follows from the job's id, so that any process can read a job's rows without knowing who wrote them, and writes are spread over several partitions. `jobs/shared/{jobId}/progress` is written by the holder of the scheduler's lease, in the partition that holds the lease's fence.
 */
 import * as E from 'fp-ts/lib/Either.js';
 import {type JsonObject, parseWith, z} from '@poplarnotch/common';
@@ -14,12 +12,24 @@
 /** Partition that only the lease holder writes to. */
 const sharedPartition = 'shared';
 
-/** Key of a job's specification as written by the given process. */
-export const jobKey = (processId: string, jobId: string): string => `${jobsPrefix}${processId}/${jobId}`;
+const partitionCount = 8;
+
+/** Returns the partition that holds the specification and the cancellation of a job. */
+export const partitionOf = (jobId: string): string => {
+	let hash = 0;
+	for (let index = 0; index < jobId.length; index++) {
+		hash = ((hash * 31) + jobId.codePointAt(index)!) % 65_521;
+	}
+
+	return `p${hash % partitionCount}`;
+};
+
+/** Key of a job's specification, and prefix of its cancellation. */
+export const jobKey = (jobId: string): string => `${jobsPrefix}${partitionOf(jobId)}/${jobId}`;
 
-export const progressKey = (jobId: string): string => `${jobKey(sharedPartition, jobId)}/progress`;
+export const progressKey = (jobId: string): string => `${jobsPrefix}${sharedPartition}/${jobId}/progress`;
 
-export const cancelKey = (processId: string, jobId: string): string => `${jobKey(processId, jobId)}/cancel`;
+export const cancelKey = (jobId: string): string => `${jobKey(jobId)}/cancel`;
 
 const resourcesSchema = z.object({cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number()});
 
--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -13,9 +13,14 @@
 	stop(): void;
 }
 
-/** Watches the registered workers. Each heartbeat of a worker is a change, so only the process that assigns work to them needs frequent updates. */
+/** How closely a process follows the registered workers, of which each heartbeat is a change: not at all, as a likely successor of the lease holder, or as the holder, which assigns work to them. */
+export type WorkerWatchMode = 'suspended' | 'standby' | 'scheduling';
+
+/** Watches the registered workers. */
 export interface WorkerSource extends StateSource<readonly WorkerEntry[]> {
-	setFrequentUpdates(isFrequent: boolean): void;
+	setMode(mode: WorkerWatchMode): void;
+	/** Resolves once the listener has received every registration that was acknowledged before this call; fails with `UnavailableError`. */
+	refresh(): Promise<void>;
 }
 
 /** The operators' configuration and maintenance orders. */
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -16,12 +16,16 @@
 import {SchedulerState} from '../core/scheduler-state.js';
 import {JobService} from '../jobs/job-service.js';
 import {JobStore} from '../jobs/job-store.js';
+import {
+	countPendingJobs, countPendingRows, type JobView, ReplicaJobView, StoredJobView,
+} from '../jobs/job-view.js';
 import {jobChangeFrom, jobsPrefix, progressKey} from '../jobs/rows.js';
 import {
 	type StateSource, type WorkerSource, type MachineControl, type OperatorOrders, type PlacementAdvisor, type WaveReporter, type WorkerControl,
 } from '../ports.js';
 import {type FleetConfiguration} from '../types.js';
 import {EffectPerformer} from './effect-performer.js';
+import {pendingFrom, pendingWrite} from './pending-rows.js';
 import {WorkerPoller} from './worker-poller.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
@@ -44,9 +48,23 @@
 /** How long one watch call waits for changes; this bounds the time until a silent connection is noticed. */
 const watchWaitMs = 1500;
 
-/** Delay between two reads of changes: short for the lease holder, which starts arriving jobs, and long for the other processes, which refresh their replica when a caller queries them. */
+/** Delay between two reads of changes: short for the lease holder, which starts arriving jobs, and long for its possible successors, which refresh their replica when a caller queries them. */
 const holderPollPauseMs = 20;
-const followerPollPauseMs = 400;
+const successorPollPauseMs = 400;
+
+/** Delay between two reads of the rows that all processes share. */
+const controlPollPauseMs = 1000;
+
+/** A process that is no successor waits this long before it acquires a free lease, and checks the lease less often: successors know the jobs and workers already. */
+const outsiderDelayMs = 500;
+const outsiderCheckIntervalMs = leaseMs / 2;
+
+/** A process that stops being a successor goes on following jobs and workers for this long, so that a short change of the ranking costs nothing. */
+const followingLingerMs = 10_000;
+
+/** Interval at which the lease holder publishes the counts of pending jobs, and the age up to which they are used. */
+const pendingIntervalMs = 1000;
+const maxPendingAgeMs = 3000;
 
 /** Interval at which machines are listed. */
 const machineListIntervalMs = 400;
@@ -73,6 +91,8 @@
 	readonly maxConfigurationAgeMs: number;
 	/** Returns true if a process with clearly more CPU capacity has sent a heartbeat after `sinceMs`; that process should schedule instead of this one. */
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
+	/** Returns true if this process should be ready to take over the lease at any time. */
+	readonly isSuccessor: () => boolean;
 	/** Called with each configuration that comes into force. */
 	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Called with changes to the rows, other than job rows, that the processes share. */
@@ -99,6 +119,13 @@
 	#nextListingAtMs = 0;
 	#nextSweepAtMs = 0;
 	#nextYieldCheckAtMs = 0;
+	#nextPendingAtMs = 0;
+	/** Until when the process follows jobs and workers. */
+	#followsUntilMs = 0;
+	#isFollowing = false;
+	readonly #replicaView: JobView;
+	readonly #storedView: JobView;
+	#pending: {readonly jobsByQueue: ReadonlyMap<string, number>; readonly readAtMs: number} | undefined;
 	/** The process is stopping and must not acquire the lease again. */
 	#isLeaving = false;
 	#isClosed = false;
@@ -115,7 +142,7 @@
 			this.#performer.perform(effect);
 		});
 		this.#store = new JobStore({
-			processId, table, resolvingTable: options.resolvingTable, clock, log,
+			table, resolvingTable: options.resolvingTable, clock, log,
 		});
 		this.#performer = new EffectPerformer({
 			...options,
@@ -131,20 +158,22 @@
 			isClosed: () => this.#isClosed,
 		});
 		this.#leases = new LeaseContender({
-			table, holder: `${processId}@${clock.wallTimeMs()}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => options.hasLargerPeer() ? smallHostDelayMs : 0, clock, log,
+			table, holder: `${processId}@${clock.wallTimeMs()}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => this.#acquireDelayMs(), readIntervalMs: () => options.isSuccessor() ? undefined : outsiderCheckIntervalMs, clock, log,
 		});
 		this.#jobReplica = new TableReplica({
 			table, prefix: jobsPrefix, waitMs: watchWaitMs, clock, log,
-			pauseMs: () => this.#runtime.state.term === undefined ? followerPollPauseMs : holderPollPauseMs,
+			pauseMs: () => this.#runtime.state.term === undefined ? successorPollPauseMs : holderPollPauseMs,
+			isActive: () => this.#isFollowing,
 			onChanges: changes => {
 				this.#applyJobRows(changes);
 			},
 		});
 		this.#controlReplica = new TableReplica({
-			table, prefix: controlPrefix, waitMs: watchWaitMs, clock, log, pauseMs: () => followerPollPauseMs,
+			table, prefix: controlPrefix, waitMs: watchWaitMs, clock, log, pauseMs: () => controlPollPauseMs,
 			onChanges: changes => {
 				options.onControlRows(changes);
 				this.#applyWaveRows(changes);
+				this.#applyPendingRow(changes);
 			},
 		});
 		this.#workerPoller = new WorkerPoller({
@@ -152,9 +181,22 @@
 				this.#runtime.dispatch(event);
 			},
 		});
+		this.#replicaView = new ReplicaJobView({
+			state: () => this.#runtime.state,
+			refresh: async () => this.#jobReplica.refresh(),
+			ageMs: () => clock.nowMs() - (this.#jobReplica.confirmedAtMs ?? Number.NEGATIVE_INFINITY),
+		});
+		this.#storedView = new StoredJobView({
+			readJob: async jobId => this.#store.read(jobId),
+			publishedPending: () => this.#pending !== undefined && clock.nowMs() - this.#pending.readAtMs <= maxPendingAgeMs ? this.#pending.jobsByQueue : undefined,
+			async readPending() {
+				const {rows} = await table.listRows(jobsPrefix);
+				return countPendingRows(rows.flatMap(row => jobChangeFrom(row) ?? []));
+			},
+		});
 		this.jobService = new JobService({
 			state: () => this.#runtime.state, store: this.#store,
-			refresh: async () => this.#jobReplica.refresh(), ageMs: () => clock.nowMs() - (this.#jobReplica.confirmedAtMs ?? Number.NEGATIVE_INFINITY),
+			view: () => this.#isFollowing && this.#jobReplica.confirmedAtMs !== undefined ? this.#replicaView : this.#storedView,
 			configurationAgeMs: () => clock.nowMs() - (options.orders.confirmedAtMs ?? Number.NEGATIVE_INFINITY), maxConfigurationAgeMs: options.maxConfigurationAgeMs, clock, log,
 		});
 	}
@@ -163,11 +205,10 @@
 		return this.#runtime.state;
 	}
 
-	/** Returns true if a configuration and all jobs have been read and the table service answered within `maxAgeMs`. */
+	/** Returns true if a configuration has been read and the table service answered within `maxAgeMs`. */
 	isReady(maxAgeMs: number): boolean {
 		const {confirmedAtMs} = this.#options.orders;
 		return this.state.configuration.version > 0
-			&& this.#jobReplica.confirmedAtMs !== undefined
 			&& confirmedAtMs !== undefined
 			&& this.#options.clock.nowMs() - confirmedAtMs <= maxAgeMs;
 	}
@@ -234,6 +275,51 @@
 		};
 	}
 
+	/** How long the process leaves a free lease to others: to larger hosts, and to successors, which know the jobs and workers. */
+	#acquireDelayMs(): number {
+		return (this.#options.hasLargerPeer() ? smallHostDelayMs : 0) + (this.#options.isSuccessor() ? 0 : outsiderDelayMs);
+	}
+
+	/** Follows jobs and workers while the process holds the lease or is a likely successor. */
+	#updateFollowing(): void {
+		const nowMs = this.#options.clock.nowMs();
+		const isHolder = this.#fence !== undefined || this.state.term !== undefined;
+		if (isHolder || this.#options.isSuccessor()) {
+			this.#followsUntilMs = nowMs + followingLingerMs;
+		}
+
+		const isFollowing = nowMs < this.#followsUntilMs;
+		if (isFollowing !== this.#isFollowing) {
+			this.#isFollowing = isFollowing;
+			this.#options.log.info({event: isFollowing ? 'following_started' : 'following_suspended', isHolder, jobs: this.state.jobs.size});
+			this.#jobReplica.endPause();
+		}
+
+		const standbyMode = isFollowing ? 'standby' : 'suspended';
+		this.#options.workers.setMode(isHolder ? 'scheduling' : standbyMode);
+	}
+
+	async #publishPending(): Promise<void> {
+		try {
+			await this.#options.table.commit({conditions: [], writes: [pendingWrite(countPendingJobs(this.state))]});
+		} catch (error) {
+			if (!(error instanceof PlatformError)) {
+				throw error;
+			}
+
+			this.#options.log.warn({event: 'pending_not_published', reason: error.message});
+		}
+	}
+
+	#applyPendingRow(changes: readonly RowChange[]): void {
+		for (const change of changes) {
+			const jobsByQueue = pendingFrom(change);
+			if (jobsByQueue !== undefined) {
+				this.#pending = {jobsByQueue, readAtMs: this.#options.clock.nowMs()};
+			}
+		}
+	}
+
 	#contend(): void {
 		this.#leases.contend(schedulerLease, lease => {
 			this.#onLeaseChanged(lease);
@@ -242,7 +328,6 @@
 
 	async #releaseLease(): Promise<void> {
 		this.#fence = undefined;
-		this.#options.workers.setFrequentUpdates(false);
 		this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
 		await this.#leases.withdrawAll();
 	}
@@ -272,6 +357,7 @@
 
 	#tick(): void {
 		const now = this.#now();
+		this.#updateFollowing();
 		this.#suspendIfLeaseUncertain(now);
 		this.#runtime.dispatch({type: 'tick', ...now});
 		this.#workerPoller.pollDueWorkers();
@@ -291,6 +377,11 @@
 			}
 		}
 
+		if (now.nowMs >= this.#nextPendingAtMs) {
+			this.#nextPendingAtMs = now.nowMs + pendingIntervalMs;
+			void this.#publishPending();
+		}
+
 		if (now.nowMs >= this.#nextSweepAtMs) {
 			this.#nextSweepAtMs = now.nowMs + sweepIntervalMs;
 			void this.#sweepEndedJobs(now.wallMs);
@@ -344,7 +435,7 @@
 
 	#onLeaseChanged(lease: HeldLease | undefined): void {
 		this.#fence = lease?.fence;
-		this.#options.workers.setFrequentUpdates(lease !== undefined);
+		this.#updateFollowing();
 		if (lease === undefined) {
 			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
 			return;
@@ -357,7 +448,7 @@
 	async #beginTerm({fence}: HeldLease): Promise<void> {
 		while (this.#fence?.version === fence.version) {
 			try {
-				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh()]);
+				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), this.#options.workers.refresh()]);
 				this.#runtime.dispatch({type: 'leaseWon', fencingToken: fence.version, ...this.#now()});
 				return;
 			} catch (error) {
--- a/packages/scheduler/tests/jobs/rows.test.ts
+++ b/packages/scheduler/tests/jobs/rows.test.ts
@@ -13,7 +13,7 @@
 			taskCount: 2, after: [0], isGang: true, dataRack: 'r-1', image: 'pairing',
 		}), lastingStepOf({targetMs: 90})],
 	});
-	const change = jobChangeFrom({key: jobKey('edge-1', job.jobId), value: jobToJson(job), version: 3});
+	const change = jobChangeFrom({key: jobKey(job.jobId), value: jobToJson(job), version: 3});
 	expect(change).toMatchObject({type: 'accepted', job});
 });
 
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -3,7 +3,7 @@
 */
 import {type RandomSource, type VirtualClock} from '@poplarnotch/common';
 import {
-	type ChangePage, type CommitResult, ConflictError, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
+	type ChangePage, type CommitResult, ConflictError, type PageOptions, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {type MemoryTableService} from '@poplarnotch/standin';
 import {type HostClock} from './host-clock.js';
@@ -63,9 +63,9 @@
 		return this.#table.readRows(keys);
 	}
 
-	async readPrefix(prefix: string): Promise<RowPage> {
+	async readPrefix(prefix: string, options?: PageOptions): Promise<RowPage> {
 		await this.#simulateTransit();
-		return this.#table.readPrefix(prefix);
+		return this.#table.readPrefix(prefix, options);
 	}
 
 	async changesSince(prefix: string, revision: number): Promise<ChangePage> {
--- a/packages/scheduler/tests/support/random-scenario.ts
+++ b/packages/scheduler/tests/support/random-scenario.ts
@@ -3,7 +3,7 @@
 */
 import {assertNever, SeededRandom} from '@poplarnotch/common';
 import {type JobSpec} from '../../src/index.js';
-import {configurationOf, SchedulerSimulation, takeoverMs} from './scheduler-simulation.js';
+import {configurationOf, queueOf, SchedulerSimulation, takeoverMs} from './scheduler-simulation.js';
 import {normalLatencyMs, type TableFaults} from './fake-table.js';
 import {type HostClock} from './host-clock.js';
 import {jobOf, lastingStepOf, stepOf} from './jobs.js';
@@ -250,7 +250,7 @@
 
 	/** Share of all submitted jobs that ended within their objective; accepted lasting jobs, which have no end, count as well. */
 	get servedShare(): number {
-		const {jobs} = this.#simulation.randomProcess().scheduler.state;
+		const jobs = this.#simulation.holder?.scheduler.state.jobs ?? new Map();
 		const inTime = this.accepted.filter(spec => {
 			const endedWallMs = jobs.get(spec.jobId)?.endedWallMs;
 			return isLasting(spec) || (endedWallMs !== undefined && endedWallMs - spec.acceptedWallMs <= objectiveMs(spec));
@@ -271,11 +271,19 @@
 
 const isLasting = ({steps}: JobSpec): boolean => steps[0]!.isLasting;
 
-/** Returns true if the job's outcome is stored or each of its lasting tasks has exactly one run. */
-const isFinished = (simulation: SchedulerSimulation, {jobId, steps}: JobSpec): boolean => {
-	const taskKeys = Array.from({length: steps[0]!.taskCount}, (_value, index) => `${jobId}.0.0.${index}`);
-	return simulation.randomProcess().scheduler.state.jobs.get(jobId)?.isOutcomeStored === true
-		|| (steps[0]!.isLasting && taskKeys.every(key => simulation.fleet.runsOf(key) === 1));
+/** Time for a status query. */
+const statusMs = 1000;
+
+/** Returns the accepted jobs that are not finished: a caller of some process is not shown an outcome, and it is not a lasting job of which each task has exactly one run. */
+const findUnfinished = async (simulation: SchedulerSimulation, accepted: readonly JobSpec[]): Promise<readonly JobSpec[]> => {
+	const target = {queue: queueOf(), customer: ''};
+	const answers = Promise.all(accepted.map(async job => ({job, status: await simulation.randomProcess().scheduler.jobService.status(job.jobId, target)})));
+	await simulation.run(statusMs);
+	const outcomes: readonly string[] = ['completed', 'failed', 'cancelled'];
+	return (await answers).filter(({status}) => !outcomes.includes(status)).map(({job}) => job).filter(({jobId, steps}) => {
+		const taskKeys = Array.from({length: steps[0]!.taskCount}, (_value, index) => `${jobId}.0.0.${index}`);
+		return !steps[0]!.isLasting || taskKeys.some(key => simulation.fleet.runsOf(key) !== 1);
+	});
 };
 
 /** Runs a scenario: four jobs and then a fault, in turns, and time to finish at the end. */
@@ -300,7 +308,8 @@
 	}
 
 	await simulation.run(quiescenceMs);
-	const unfinished = callers.accepted.filter(job => !isFinished(simulation, job)).map(({jobId}) => `unfinished: ${jobId}`);
+	const unfinishedJobs = await findUnfinished(simulation, callers.accepted);
+	const unfinished = unfinishedJobs.map(({jobId}) => `unfinished: ${jobId}`);
 	const unacknowledged = [...simulation.fleet.workers.values()].filter(worker => worker.isUp && worker.hasUnacknowledged)
 		.map(worker => `ends not acknowledged: ${worker.entry.workerId}`);
 	const waves = [...simulation.waveStates].filter(([, state]) => state !== 'completed').map(([waveId]) => `wave ${waveId} is not completed`);
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -18,6 +18,10 @@
 const orderTimeoutMs = 1000;
 const moveMs = 1500;
 const maintenanceMs = 2000;
+
+/** Fewer than most scenarios have processes, so that callers also reach processes that do not follow the job rows. */
+const successorCount = 2;
+
 const drainMs = 3000;
 
 export type SimulationFaults = {
@@ -202,7 +206,7 @@
 					client: name, instance: name, retryTimeoutMs: 200, settleTimeoutMs: 120_000, backoff: {firstMs: 30, longestMs: 200}, clock, random: this.random,
 				}),
 				orders: this.#orders.follow(clock),
-				workers: {...this.#workers.follow(clock), setFrequentUpdates: () => undefined},
+				workers: {...this.#workers.follow(clock), setMode: () => undefined, refresh: async () => undefined},
 				workerControl: this.#controlFor(clock),
 				machineControl: {
 					list: async () => {
@@ -235,6 +239,7 @@
 				},
 				maxConfigurationAgeMs: Number.POSITIVE_INFINITY,
 				hasLargerPeer: () => this.processes.some(other => !other.clock.isDead && other.name !== name && (this.cpuMillicores.get(other.name) ?? 0) > (this.cpuMillicores.get(name) ?? 0)),
+				isSuccessor: () => this.#isAmongLargest(name),
 				onConfigured: ({version}) => {
 					this.configuredVersions.push(version);
 				},
@@ -319,6 +324,13 @@
 		}
 	}
 
+	/** Whether the process is ready to take over the lease; the others read jobs from the table when a caller asks. */
+	#isAmongLargest(name: string): boolean {
+		const millicoresOf = (process: SimulatedProcess): number => this.cpuMillicores.get(process.name) ?? 0;
+		const largest = this.processes.filter(({clock}) => !clock.isDead).toSorted((a, b) => millicoresOf(b) - millicoresOf(a));
+		return largest.slice(0, successorCount).some(process => process.name === name);
+	}
+
 	#addMachine(machineId: string, machinePool: string, rack: string): void {
 		this.machines.set(machineId, {
 			entry: {
--- a/packages/state/src/leases/lease-contender.ts
+++ b/packages/state/src/leases/lease-contender.ts
@@ -23,6 +23,8 @@
 	readonly previousRunPrefix?: string;
 	/** How long this process waits before it acquires a free lease, so that better suited processes come first. */
 	readonly acquireDelayMs?: () => number;
+	/** Time between two reads of a lease that another process holds; `undefined` for the interval of renewals. */
+	readonly readIntervalMs?: () => number | undefined;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -43,6 +45,7 @@
 	readonly #leaseMs: number;
 	readonly #previousRunPrefix: string;
 	readonly #acquireDelayMs: () => number;
+	readonly #readIntervalMs: () => number | undefined;
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #contentions = new Map<string, Contention>();
@@ -54,6 +57,7 @@
 		this.#leaseMs = options.leaseMs ?? defaultLeaseMs;
 		this.#previousRunPrefix = options.previousRunPrefix ?? '';
 		this.#acquireDelayMs = options.acquireDelayMs ?? (() => 0);
+		this.#readIntervalMs = options.readIntervalMs ?? (() => undefined);
 		this.#clock = options.clock ?? new SystemClock();
 		this.#log = options.log ?? silentLogger;
 	}
@@ -119,7 +123,7 @@
 				void this.#call(name, async sentAtMs => {
 					const rows = await this.#table.readRows([fenceKey(name), renewalKey(name)]);
 					return {
-						type: 'rowsRead', nowMs: this.#clock.nowMs(), sentAtMs, rows: leaseRowsFrom(name, rows), acquireDelayMs: this.#acquireDelayMs(),
+						type: 'rowsRead', nowMs: this.#clock.nowMs(), sentAtMs, rows: leaseRowsFrom(name, rows), acquireDelayMs: this.#acquireDelayMs(), readIntervalMs: this.#readIntervalMs(),
 					};
 				});
 				break;
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -42,8 +42,8 @@
 
 export type LeaseEvent
 	= | {readonly type: 'tick'; readonly nowMs: number}
-	/** `sentAtMs` is when the call was made; `acquireDelayMs` is how long the contender leaves a free lease to better suited processes. */
-		| {readonly type: 'rowsRead'; readonly nowMs: number; readonly sentAtMs: number; readonly rows: LeaseRows; readonly acquireDelayMs?: number}
+	/** `sentAtMs` is when the call was made; `acquireDelayMs` is how long the contender leaves a free lease to better suited processes, and `readIntervalMs` the time until it reads a held lease again. */
+		| {readonly type: 'rowsRead'; readonly nowMs: number; readonly sentAtMs: number; readonly rows: LeaseRows; readonly acquireDelayMs?: number; readonly readIntervalMs?: number | undefined}
 		| {readonly type: 'committed'; readonly nowMs: number; readonly sentAtMs: number; readonly revision: number}
 		| {readonly type: 'conflicted'; readonly nowMs: number}
 	/** `mayBeApplied` is true if the call may have taken effect. */
@@ -142,7 +142,9 @@
 const areSameRows = (a: LeaseRows, b: LeaseRows): boolean =>
 	a.fenceVersion === b.fenceVersion && a.renewalVersion === b.renewalVersion;
 
-const handleRowsRead = (state: LeaseState, {rows, sentAtMs, nowMs, acquireDelayMs = 0}: Extract<LeaseEvent, {readonly type: 'rowsRead'}>): LeaseStep => {
+const handleRowsRead = (state: LeaseState, {
+	rows, sentAtMs, nowMs, acquireDelayMs = 0, readIntervalMs = intervalMs(state),
+}: Extract<LeaseEvent, {readonly type: 'rowsRead'}>): LeaseStep => {
 	if (rows.holder === state.holder) {
 		return unchanged(adoptLease(state, rows, nowMs));
 	}
@@ -160,7 +162,7 @@
 	const isHeldByPreviousRun = state.previousRunPrefix !== '' && rows.holder?.startsWith(state.previousRunPrefix) === true;
 	// The read must have been sent a whole lease time after the same rows were first seen.
 	const mayAcquire = rows.holder === undefined || isHeldByPreviousRun || sentAtMs - sinceMs >= state.leaseMs;
-	return unchanged(mayAcquire ? scheduleCall(withObserved, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + intervalMs(state)));
+	return unchanged(mayAcquire ? scheduleCall(withObserved, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + readIntervalMs));
 };
 
 const handleCommitted = (state: LeaseState, revision: number, sentAtMs: number, nowMs: number): LeaseStep => {
--- a/packages/state/src/relay/relay-directory.ts
+++ b/packages/state/src/relay/relay-directory.ts
@@ -28,6 +28,9 @@
 const largerPeerFactor = 1.5;
 const secretSchema = z.object({secret: z.string()});
 
+/** After the first peer rows have been read, those of processes that start at the same time arrive within this time. */
+const settlingMs = 2000;
+
 type Peer = {
 	readonly url: string;
 	readonly cpuMillicores: number;
@@ -51,6 +54,7 @@
 	readonly #log: Logger;
 	readonly #peers = new Map<string, Peer>();
 	#secret: string | undefined;
+	#firstAppliedAtMs: number | undefined;
 	#heartbeats = 0;
 	#cancelTimer: CancelTimer | undefined;
 	#isStopped = false;
@@ -79,6 +83,24 @@
 		return minCpuMillicores > 0 && [...this.#peers.values()].some(({cpuMillicores, seenAtMs}) => cpuMillicores >= minCpuMillicores && seenAtMs > sinceMs && nowMs - seenAtMs < staleAfterMs);
 	}
 
+	/** Whether this process is among the `count` with the most CPU; processes with equal CPU are ranked by their id. False until the peers are known. */
+	isAmongLargest(count: number): boolean {
+		const nowMs = this.#clock.nowMs();
+		if (this.#firstAppliedAtMs === undefined || nowMs - this.#firstAppliedAtMs < settlingMs) {
+			return false;
+		}
+
+		const {processId, cpuMillicores: ownMillicores = 0} = this.#options;
+		const ownKey = `${peersPrefix}${processId}`;
+		let betterCount = 0;
+		for (const [key, {cpuMillicores, seenAtMs}] of this.#peers) {
+			const isBetter = cpuMillicores > ownMillicores || (cpuMillicores === ownMillicores && key < ownKey);
+			betterCount += isBetter && nowMs - seenAtMs < staleAfterMs ? 1 : 0;
+		}
+
+		return betterCount < count;
+	}
+
 	start(): void {
 		void this.#sendHeartbeat();
 	}
@@ -90,6 +112,7 @@
 
 	/** Applies changes of the secret and of peer rows; ignores other rows. */
 	apply(changes: readonly RowChange[]): void {
+		this.#firstAppliedAtMs ??= this.#clock.nowMs();
 		for (const {key, value} of changes) {
 			if (key === secretKey) {
 				const parsed = parseWith(secretSchema, value, key);
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -20,12 +20,17 @@
 	readonly waitMs: number;
 	/** Pause between two calls. */
 	readonly pauseMs: () => number;
+	/** While it returns false, changes are not followed, and only `refresh` brings the replica up to date. */
+	readonly isActive?: () => boolean;
 	/** Called with each batch of changes, in order; `undefined` values are deletions. */
 	readonly onChanges: (changes: readonly RowChange[]) => void;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
 
+/** How often a suspended replica checks whether it is active again; `endPause` makes it check at once. */
+const suspendedCheckMs = 1000;
+
 /** Follows the rows under one prefix. */
 export class TableReplica {
 	readonly #options: TableReplicaOptions;
@@ -93,6 +98,11 @@
 
 	async #follow(): Promise<void> {
 		while (!this.#isStopped) {
+			if (this.#options.isActive?.() === false) {
+				await this.#pause(suspendedCheckMs);
+				continue;
+			}
+
 			const isRead = await this.#tryRead();
 			await this.#pause(isRead ? this.#options.pauseMs() : retryPauseMs);
 		}
