--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -102,6 +102,14 @@
 		await response.arrayBuffer();
 	}
 
+	/** Reads a gauge of the gate with the given number, counted from 1, from its metrics address. */
+	async readGateGauge(gateNumber: number, name: string): Promise<number> {
+		const response = await fetch(`http://127.0.0.1:${this.plan.basePort + gateOperationsOffset + gateNumber}/metrics`);
+		const text = await response.text();
+		const line = text.split('\n').find(candidate => candidate.startsWith(`${name} `));
+		return line === undefined ? Number.NaN : Number(line.slice(name.length + 1));
+	}
+
 	#startStandIns(): void {
 		const {name, settingsPath, basePort, gateCount} = this.plan;
 		const fleetFile = join(settingsPath, 'fleet.ini');
