--- a/packages/scheduler/tests/support/random-scenario.ts
+++ b/packages/scheduler/tests/support/random-scenario.ts
@@ -3,7 +3,9 @@
 */
 import {assertNever, SeededRandom} from '@poplarnotch/common';
 import {type JobSpec} from '../../src/index.js';
-import {configurationOf, queueOf, SchedulerSimulation, takeoverMs} from './scheduler-simulation.js';
+import {
+	configurationOf, queueOf, SchedulerSimulation, takeoverMs,
+} from './scheduler-simulation.js';
 import {normalLatencyMs, type TableFaults} from './fake-table.js';
 import {type HostClock} from './host-clock.js';
 import {jobOf, lastingStepOf, stepOf} from './jobs.js';
@@ -250,9 +252,9 @@
 
 	/** Share of all submitted jobs that ended within their objective; accepted lasting jobs, which have no end, count as well. */
 	get servedShare(): number {
-		const jobs = this.#simulation.holder?.scheduler.state.jobs ?? new Map();
+		const jobs = this.#simulation.holder?.scheduler.state.jobs;
 		const inTime = this.accepted.filter(spec => {
-			const endedWallMs = jobs.get(spec.jobId)?.endedWallMs;
+			const endedWallMs = jobs?.get(spec.jobId)?.endedWallMs;
 			return isLasting(spec) || (endedWallMs !== undefined && endedWallMs - spec.acceptedWallMs <= objectiveMs(spec));
 		});
 		return inTime.length / Math.max(1, this.submittedCount);
@@ -279,8 +281,9 @@
 	const target = {queue: queueOf(), customer: ''};
 	const answers = Promise.all(accepted.map(async job => ({job, status: await simulation.randomProcess().scheduler.jobService.status(job.jobId, target)})));
 	await simulation.run(statusMs);
-	const outcomes: readonly string[] = ['completed', 'failed', 'cancelled'];
-	return (await answers).filter(({status}) => !outcomes.includes(status)).map(({job}) => job).filter(({jobId, steps}) => {
+	const outcomes = new Set<string>(['completed', 'failed', 'cancelled']);
+	const answered = await answers;
+	return answered.filter(({status}) => !outcomes.has(status)).map(({job}) => job).filter(({jobId, steps}) => {
 		const taskKeys = Array.from({length: steps[0]!.taskCount}, (_value, index) => `${jobId}.0.0.${index}`);
 		return !steps[0]!.isLasting || taskKeys.some(key => simulation.fleet.runsOf(key) !== 1);
 	});
