--- /dev/null
+++ b/packages/scheduler/tests/jobs/job-store.test.ts
@@ -0,0 +1,127 @@
+/**
+Storing jobs: a job that reaches several processes, or whose commit loses its answer, is stored once and always reported as accepted; a refusal means that nothing is stored.
+*/
+import {silentLogger, VirtualClock} from '@poplarnotch/common';
+import {
+	type CommitResult, type TableService, type Transaction, UnavailableError, WriteOutcomeUnknownError,
+} from '@poplarnotch/platform';
+import {advanceVirtualTime, MemoryTableService} from '@poplarnotch/standin';
+import {expect, test} from 'vitest';
+import {type AcceptResult, JobStore} from '../../src/jobs/job-store.js';
+import {
+	jobKey, partitionOf, progressKey, progressToJson,
+} from '../../src/jobs/rows.js';
+import {jobOf} from '../support/jobs.js';
+
+type CommitFate = 'answered' | 'lost' | 'refused';
+
+/** A table whose commits meet the given fates, one after the other, and are answered after that. */
+class ScriptedTable {
+	readonly memory = new MemoryTableService();
+	readonly transactions: Transaction[] = [];
+	readonly #fates: CommitFate[];
+
+	constructor(fates: readonly CommitFate[]) {
+		this.#fates = [...fates];
+	}
+
+	get service(): TableService {
+		return {
+			commit: async transaction => this.#commit(transaction),
+			readRows: async keys => this.memory.readRows(keys),
+			readPrefix: async (prefix, options) => this.memory.readPrefix(prefix, options),
+			changesSince: async (prefix, revision) => this.memory.changesSince(prefix, revision),
+		};
+	}
+
+	async #commit(transaction: Transaction): Promise<CommitResult> {
+		this.transactions.push(transaction);
+		const fate = this.#fates.shift() ?? 'answered';
+		if (fate === 'refused') {
+			throw new UnavailableError('refused');
+		}
+
+		const result = this.memory.commitNow(transaction);
+		if (fate === 'lost') {
+			throw new WriteOutcomeUnknownError('lost');
+		}
+
+		return result;
+	}
+}
+
+const clock = new VirtualClock();
+
+const storeOn = (table: ScriptedTable): JobStore => new JobStore({
+	table: table.service, resolvingTable: table.service, clock, log: silentLogger,
+});
+
+/** Accepts the jobs at the same time and lets retries pass. */
+const acceptAll = async (store: JobStore, numbers: readonly number[]): Promise<readonly AcceptResult[]> => {
+	const results = Promise.all(numbers.map(async number => store.accept(jobOf(number))));
+	await advanceVirtualTime(clock, 1000);
+	return results;
+};
+
+test('a job whose commit lost its answer is accepted and stored once', async () => {
+	const table = new ScriptedTable(['lost']);
+	expect(await acceptAll(storeOn(table), [1])).toEqual(['accepted']);
+	expect(table.transactions).toHaveLength(2);
+	const {rows} = await table.memory.readPrefix('jobs/');
+	expect(rows.map(({key}) => key)).toEqual([jobKey(jobOf(1).jobId)]);
+});
+
+test('a job that another process has stored is accepted, and its row stays as it is', async () => {
+	const table = new ScriptedTable([]);
+	await acceptAll(storeOn(table), [1]);
+	const [stored] = await table.memory.readRows([jobKey(jobOf(1).jobId)]);
+	const again = storeOn(table).accept(jobOf(1, {acceptedWallMs: 99_000}));
+	await advanceVirtualTime(clock, 1000);
+	expect(await again).toBe('accepted');
+	expect(await table.memory.readRows([jobKey(jobOf(1).jobId)])).toEqual([stored]);
+});
+
+test('one job that is stored already does not keep the others of its batch from being stored', async () => {
+	const table = new ScriptedTable([]);
+	const numbers = Array.from({length: 60}, (_value, index) => index + 1).filter(number => partitionOf(jobOf(number).jobId) === partitionOf(jobOf(1).jobId));
+	expect(numbers.length).toBeGreaterThan(3);
+	await acceptAll(storeOn(table), [numbers[1]!]);
+	expect(await acceptAll(storeOn(table), numbers)).toEqual(numbers.map(() => 'accepted'));
+	const {rows} = await table.memory.readPrefix('jobs/');
+	expect(rows).toHaveLength(numbers.length);
+});
+
+test('a refused job is reported as not stored, and nothing of it is stored', async () => {
+	const table = new ScriptedTable(['refused', 'refused', 'refused', 'refused']);
+	expect(await acceptAll(storeOn(table), [1])).toEqual(['unavailable']);
+	const {rows} = await table.memory.readPrefix('jobs/');
+	expect(rows).toEqual([]);
+});
+
+test('a job that may have been stored before it was refused is reported as unknown', async () => {
+	const table = new ScriptedTable(['lost', 'refused', 'refused', 'refused']);
+	expect(await acceptAll(storeOn(table), [1])).toEqual(['unknown']);
+});
+
+test('the rows of one job are read without those of others', async () => {
+	const table = new ScriptedTable([]);
+	const store = storeOn(table);
+	await acceptAll(store, Array.from({length: 30}, (_value, index) => index + 1));
+	const {jobId} = jobOf(7);
+	await store.cancel(jobId);
+	const progress = {
+		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {}, failures: {},
+	};
+	await table.memory.commit({conditions: [], writes: [{type: 'put', key: progressKey(jobId), value: progressToJson(progress)}]});
+	const read = await store.read(jobId);
+	expect(read.map(({type}) => type)).toEqual(['accepted', 'cancelled', 'progressed']);
+	expect(await store.read('ffffffffffffffff')).toEqual([]);
+});
+
+test('each transaction stays within one partition', async () => {
+	const table = new ScriptedTable([]);
+	await acceptAll(storeOn(table), Array.from({length: 40}, (_value, index) => index + 1));
+	for (const {conditions, writes} of table.transactions) {
+		expect(new Set([...conditions, ...writes].map(({key}) => key.split('/')[1])).size).toBe(1);
+	}
+});
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -5,6 +5,7 @@
 import {
 	type ChangePage, HistoryLostError, type RowChange, type RowListing, type WatchableTable,
 } from '@poplarnotch/platform';
+import {advanceVirtualTime} from '@poplarnotch/standin';
 import {expect, test} from 'vitest';
 import {TableReplica} from '@poplarnotch/state';
 
@@ -87,3 +88,39 @@
 	expect(listings).toBe(1);
 	expect([...rows.keys()]).toEqual(['jobs/a', 'jobs/b']);
 });
+
+test('a suspended replica makes no calls, and catches up at once when it is active again', async () => {
+	const clock = new VirtualClock();
+	const received: unknown[] = [];
+	let calls = 0;
+	let isActive = false;
+	const replica = new TableReplica({
+		table: {
+			async listRows() {
+				calls++;
+				return {rows: [{key: 'jobs/a', value: 1, version: 1}], revision: 1};
+			},
+			async waitForChanges() {
+				calls++;
+				return {changes: [], revision: 1, hasMore: false};
+			},
+		} as unknown as WatchableTable,
+		prefix: 'jobs/', waitMs: 1000, pauseMs: () => 500, isActive: () => isActive, clock,
+		onChanges(changes) {
+			received.push(...changes.map(({value}) => value));
+		},
+	});
+	replica.start();
+	await advanceVirtualTime(clock, 5000);
+	expect(calls).toBe(0);
+	isActive = true;
+	replica.endPause();
+	await advanceVirtualTime(clock, 10);
+	expect(received).toEqual([1]);
+	isActive = false;
+	await advanceVirtualTime(clock, 1000);
+	calls = 0;
+	await advanceVirtualTime(clock, 5000);
+	expect(calls).toBe(0);
+	replica.stop();
+});
