Keep one oversized job from ending the processes that handle it

Found while looking for "one malformed message took a whole process down": - A job whose row is larger than the store takes (100 steps with long labels fit into a caller's body) made the store answer 400; the error was thrown in a detached call and ended the process, with all jobs of its batch unanswered. - A count of two thousand million tasks passed the schema, and every process that read the row would have created them; the next holder too. - Progress that the store rejects ended the holder, and the next one.

An unexpected error is logged before the process ends with status 1.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,5 +1,5 @@
 /**
-The binary `poplarnotch-entry`: runs the process of one entry host. The path of its settings file is in `POPLARNOTCH_CONFIG`. Exit codes: 0 after a stop by signal, 2 for invalid settings.
+The binary `poplarnotch-entry`: runs the process of one entry host. The path of its settings file is in `POPLARNOTCH_CONFIG`. Exit codes: 0 after a stop by signal, 1 after an unexpected error, 2 for invalid settings.
 */
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
@@ -12,6 +12,10 @@
 import {EntryProcess} from './entry-process.js';
 
 const invalidSettingsExitCode = 2;
+const unexpectedErrorExitCode = 1;
+
+/** Time for the last log lines to be written. */
+const logFlushMs = 100;
 const defaultMetricsPort = 9464;
 
 const {metricsPort} = await yargs(process.argv.slice(2))
@@ -41,6 +45,16 @@
 		});
 	}
 
+	// An error that nothing expects may have ended a loop that the process needs, so the process ends as well and is started anew.
+	for (const type of ['unhandledRejection', 'uncaughtException'] as const) {
+		process.on(type, (error: unknown) => {
+			log.error({event: 'unexpected_error', type, reason: error instanceof Error ? error.stack : String(error)});
+			setTimeout(() => {
+				process.exit(unexpectedErrorExitCode);
+			}, logFlushMs);
+		});
+	}
+
 	// Settings are not reloaded while the process runs: addresses are fixed, and operators' settings come from the store.
 	process.on('SIGHUP', () => {
 		log.info({event: 'settings_reload_ignored', fileName});
--- a/packages/scheduler/src/jobs/job-service.ts
+++ b/packages/scheduler/src/jobs/job-service.ts
@@ -23,7 +23,7 @@
 	= | {readonly type: 'admitted'; readonly target: CallTarget; readonly rest: string}
 		| {readonly type: 'not-configured' | 'configuration-stale' | 'no-such-queue' | 'unknown-key'};
 
-export type SubmitResult = 'accepted' | 'not-accepted' | 'unknown';
+export type SubmitResult = 'accepted' | 'not-accepted' | 'unknown' | 'invalid';
 export type StatusResult = JobState | 'no-such-job' | 'unavailable';
 export type CancelResult = 'cancelled' | 'no-such-job' | 'not-cancelled' | 'unknown';
 
@@ -104,8 +104,9 @@
 				return 'not-accepted';
 			}
 
-			case 'unknown': {
-				return 'unknown';
+			case 'unknown':
+			case 'invalid': {
+				return result;
 			}
 		}
 	}
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -1,7 +1,7 @@
 /**
 Writes jobs to the table service and reads single jobs from it. Jobs of one partition that arrive while a commit is in flight are committed together in the next one. A job's row is only ever created, so a commit with an unknown outcome is simply repeated: a row that exists already shows that the job is stored.
 */
-import {type Clock, type Logger} from '@poplarnotch/common';
+import {type Clock, InvalidInputError, type Logger} from '@poplarnotch/common';
 import {
 	absentVersion, ConflictError, type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
@@ -18,7 +18,9 @@
 	/** The row was not stored and will not be. */
 		| 'unavailable'
 	/** The row may have been written, or may still be. */
-		| 'unknown';
+		| 'unknown'
+	/** The store takes no row of this size or form, also not later. */
+		| 'invalid';
 
 type PendingJob = {
 	readonly job: JobSpec;
@@ -93,7 +95,7 @@
 			...save.waves.map(({waveId, maintained, isCompleted}): RowWrite => ({type: 'put', key: waveKey(waveId), value: {maintained, isCompleted}})),
 		];
 		for (let from = 0; from < writes.length; from += maxProgressRowsPerCommit) {
-			await this.#resolvingTable.commit({conditions: [fence], writes: writes.slice(from, from + maxProgressRowsPerCommit)});
+			await this.#saveWrites(writes.slice(from, from + maxProgressRowsPerCommit), fence);
 		}
 	}
 
@@ -115,6 +117,24 @@
 		});
 	}
 
+	/** Commits the writes together. If the store rejects them for their size or form, each is committed on its own, and those that are rejected again are left out: one row must not keep the progress of all jobs from being stored. */
+	async #saveWrites(writes: readonly RowWrite[], fence: RowCondition): Promise<void> {
+		try {
+			await this.#resolvingTable.commit({conditions: [fence], writes});
+		} catch (error) {
+			if (!(error instanceof InvalidInputError)) {
+				throw error;
+			}
+
+			this.#log.error({
+				event: 'save_rejected', rows: writes.length, key: writes[0]!.key, reason: error.message,
+			});
+			for (const write of writes.length > 1 ? writes : []) {
+				await this.#saveWrites([write], fence);
+			}
+		}
+	}
+
 	async #commitPartition(partition: string): Promise<void> {
 		const waiting = this.#waiting.get(partition)!;
 		while (waiting.length > 0) {
@@ -137,6 +157,11 @@
 				return;
 			}
 
+			if (error instanceof InvalidInputError) {
+				await this.#commitSingly(batch, error, attempt);
+				return;
+			}
+
 			if (!(error instanceof UnavailableError || error instanceof WriteOutcomeUnknownError)) {
 				throw error;
 			}
@@ -145,6 +170,19 @@
 		}
 	}
 
+	/** The store rejects a whole transaction for one row, so each job is committed on its own; a single job is reported as invalid. */
+	async #commitSingly(batch: readonly PendingJob[], error: InvalidInputError, attempt: number): Promise<void> {
+		this.#log.warn({
+			event: 'jobs_rejected', jobs: batch.length, jobId: batch[0]!.job.jobId, reason: error.message,
+		});
+		if (batch.length === 1) {
+			resolveAll(batch, 'invalid');
+			return;
+		}
+
+		await Promise.all(batch.map(async pendingJob => this.#commitBatch([pendingJob], attempt)));
+	}
+
 	/** Jobs whose rows exist were stored by an earlier attempt or through another process; the rest of the batch is committed again. */
 	async #acceptStored(batch: readonly PendingJob[], {conflicts}: ConflictError, attempt: number): Promise<void> {
 		const storedKeys = new Set(conflicts.map(({key}) => key));
--- a/packages/scheduler/tests/jobs/job-store.test.ts
+++ b/packages/scheduler/tests/jobs/job-store.test.ts
@@ -1,7 +1,7 @@
 /**
 Storing jobs: a job that reaches several processes, or whose commit loses its answer, is stored once and always reported as accepted; a refusal means that nothing is stored.
 */
-import {silentLogger, VirtualClock} from '@poplarnotch/common';
+import {InvalidInputError, silentLogger, VirtualClock} from '@poplarnotch/common';
 import {
 	type CommitResult, type TableService, type Transaction, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
@@ -15,6 +15,9 @@
 
 type CommitFate = 'answered' | 'lost' | 'refused';
 
+/** Size of a row from which the table rejects the whole transaction. */
+const maxRowLength = 5000;
+
 /** A table whose commits meet the given fates, one after the other, and are answered after that. */
 class ScriptedTable {
 	readonly memory = new MemoryTableService();
@@ -36,6 +39,10 @@
 
 	async #commit(transaction: Transaction): Promise<CommitResult> {
 		this.transactions.push(transaction);
+		if (transaction.writes.some(write => write.type === 'put' && JSON.stringify(write.value).length > maxRowLength)) {
+			throw new InvalidInputError('rejected with status 400');
+		}
+
 		const fate = this.#fates.shift() ?? 'answered';
 		if (fate === 'refused') {
 			throw new UnavailableError('refused');
@@ -125,3 +132,26 @@
 		expect(new Set([...conditions, ...writes].map(({key}) => key.split('/')[1])).size).toBe(1);
 	}
 });
+
+test('a job whose row the store rejects is reported as invalid, and the others of its batch are stored', async () => {
+	const table = new ScriptedTable([]);
+	const store = storeOn(table);
+	const numbers = Array.from({length: 60}, (_value, index) => index + 1).filter(number => partitionOf(jobOf(number).jobId) === partitionOf(jobOf(1).jobId));
+	const oversized = numbers[2]!;
+	const results = Promise.all(numbers.map(async number => store.accept(jobOf(number, number === oversized ? {payload: 'x'.repeat(maxRowLength)} : {}))));
+	await advanceVirtualTime(clock, 1000);
+	expect(await results).toEqual(numbers.map(number => number === oversized ? 'invalid' : 'accepted'));
+});
+
+test('progress that the store rejects does not keep the progress of other jobs from being stored', async () => {
+	const table = new ScriptedTable([]);
+	await table.memory.commit({conditions: [], writes: [{type: 'put', key: 'leases/scheduler', value: {}}]});
+	const progressOf = (taskCount: number) => ({
+		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {'0.0': Array.from({length: taskCount}, (_value, index) => index)}, failures: {},
+	});
+	await storeOn(table).save({
+		saveNumber: 1, waves: [], jobs: [{jobId: 'a', progress: progressOf(2)}, {jobId: 'b', progress: progressOf(5000)}, {jobId: 'c', progress: progressOf(3)}],
+	}, {key: 'leases/scheduler', version: 1});
+	const rows = await table.memory.readRows(['a', 'b', 'c'].map(jobId => progressKey(jobId)));
+	expect(rows.map(({key}) => key)).toEqual([progressKey('a'), progressKey('c')]);
+});
