Publish the counts of pending jobs under the fence

Cause, found by reading the diff: a holder that was paused could overwrite its successor's counts when it woke. Change: the write carries the fence.

--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -299,9 +299,10 @@
 		this.#options.workers.setMode(isHolder ? 'scheduling' : standbyMode);
 	}
 
-	async #publishPending(): Promise<void> {
+	/** The fence keeps a holder that was paused from overwriting the counts of its successor. */
+	async #publishPending(fence: RowCondition): Promise<void> {
 		try {
-			await this.#options.table.commit({conditions: [], writes: [pendingWrite(countPendingJobs(this.state))]});
+			await this.#options.table.commit({conditions: [fence], writes: [pendingWrite(countPendingJobs(this.state))]});
 		} catch (error) {
 			if (!(error instanceof PlatformError)) {
 				throw error;
@@ -377,9 +378,9 @@
 			}
 		}
 
-		if (now.nowMs >= this.#nextPendingAtMs) {
+		if (now.nowMs >= this.#nextPendingAtMs && this.#fence !== undefined) {
 			this.#nextPendingAtMs = now.nowMs + pendingIntervalMs;
-			void this.#publishPending();
+			void this.#publishPending(this.#fence);
 		}
 
 		if (now.nowMs >= this.#nextSweepAtMs) {
