Name lost runs in the log, and what was known of their worker

The log could not tell a crashed worker from one that drained, moved or was cut off, and named none of the runs.

--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -113,12 +113,17 @@
 	if (worker.runs.size > 0) {
 		state.emit({
 			type: 'log', fields: {
-				event: 'runs_lost', workerId: worker.entry.workerId, runs: worker.runs.size, reason,
+				event: 'runs_lost', workerId: worker.entry.workerId, runs: worker.runs.size, reason, isDraining: worker.entry.isDraining, isReserved: worker.isReserved, silentMs: worker.silentSinceMs === undefined ? undefined : Math.round(nowMs - worker.silentSinceMs),
 			},
 		});
 	}
 
 	for (const run of worker.runs.values()) {
+		state.emit({
+			type: 'log', fields: {
+				event: 'run_lost', taskKey: run.taskKey, attempt: run.attempt, workerId: worker.entry.workerId, phase: run.phase, ageMs: Math.round(nowMs - run.orderedAtMs),
+			},
+		});
 		state.removeRun(run, nowMs);
 	}
 };
