--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -13,6 +13,8 @@
 	runMs: (taskKey: string) => number;
 	/** Returns true if this attempt fails. */
 	readonly fails: (taskKey: string, attempt: number) => boolean;
+	/** Returns how long after its start the task crashes its worker; `undefined` if it does not. */
+	crashesAfterMs?: (taskKey: string) => number | undefined;
 	/** Added to the response time of each serving task on a worker by one filling task at full pace. */
 	interferenceMs?: number;
 	/** Returns true if the policy service allows the worker to run the step; if set, starts need its ticket. */
@@ -53,6 +55,10 @@
 const startupMs = 300;
 const stopMs = 100;
 
+/** Number of crashed workers after which the starts of the task that crashes them are counted, and the number of such starts that violates the limit. */
+const toleratedCrashes = 3;
+const maxStartsAfterCrashes = 3;
+
 /** Response time of a serving task without interference. */
 const baseResponseMs = 40;
 
@@ -63,6 +69,8 @@
 	readonly entry: WorkerEntry;
 	isUp = true;
 	isDraining = false;
+	/** A task crashed the worker, so its connections are reset. */
+	isCrashed = false;
 	readonly runs = new Map<string, WorkerRun>();
 	#finished: FinishedEntry[] = [];
 	readonly #highestAttempt = new Map<string, number>();
@@ -84,6 +92,14 @@
 	advance(passedMs: number): void {
 		const nowMs = this.#fleet.clock.nowMs();
 		for (const run of this.runs.values()) {
+			const crashesAfterMs = this.#fleet.behaviour.crashesAfterMs?.(run.taskKey);
+			if (crashesAfterMs !== undefined && nowMs - run.startedAtMs >= crashesAfterMs) {
+				this.#fleet.recordCrash(run.taskKey);
+				this.isCrashed = true;
+				this.crash();
+				return;
+			}
+
 			run.endsAtMs += passedMs * (1 - (run.pacePercent / 100));
 			this.#checkResponseTime(run, nowMs);
 			if (this.#clockMs >= this.#deadlineClockMs) {
@@ -267,6 +283,8 @@
 	readonly brokenPromises: string[] = [];
 	readonly starts: ExecutedStart[] = [];
 	readonly adviceRequests: AdviceRequest[] = [];
+	/** Number of workers that each task has crashed. */
+	readonly crashes = new Map<string, number>();
 	maxAttempts = 3;
 	/** The order being carried out was delayed on its way, so its effect on availability is not the sender's fault. */
 	isOrderLate = false;
@@ -274,6 +292,8 @@
 	/** Keys of tasks whose successful end was acknowledged. */
 	readonly #acknowledgedDone = new Set<string>();
 	readonly #failures = new Map<string, number>();
+	/** Starts of a task after it had crashed `toleratedCrashes` workers. */
+	readonly #startsAfterCrashes = new Map<string, number>();
 
 	constructor(clock: VirtualClock, behaviour: TaskBehaviour) {
 		this.clock = clock;
@@ -340,6 +360,7 @@
 		}
 
 		this.#checkUpperLimit(job, step);
+		this.#checkCrashes(taskKey);
 		if ((this.#failures.get(taskKey) ?? 0) >= this.maxAttempts && !step.isLasting) {
 			this.#recordViolation(`attempts: ${taskKey}`);
 		}
@@ -389,6 +410,22 @@
 		}
 	}
 
+	recordCrash(taskKey: string): void {
+		this.crashes.set(taskKey, (this.crashes.get(taskKey) ?? 0) + 1);
+	}
+
+	#checkCrashes(taskKey: string): void {
+		if ((this.crashes.get(taskKey) ?? 0) < toleratedCrashes) {
+			return;
+		}
+
+		const starts = (this.#startsAfterCrashes.get(taskKey) ?? 0) + 1;
+		this.#startsAfterCrashes.set(taskKey, starts);
+		if (starts >= maxStartsAfterCrashes) {
+			this.#recordViolation(`crash limit: ${taskKey} was started ${starts} times after it had crashed ${toleratedCrashes} workers`);
+		}
+	}
+
 	#ticketOf(stepKey: string, workerId: string): string {
 		return `${stepKey} on ${workerId} at ${this.clock.nowMs()}`;
 	}
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -17,6 +17,10 @@
 const orderLatencyMs = 2;
 const orderTimeoutMs = 1000;
 const moveMs = 1500;
+
+/** Time after which a crashed worker is back on its machine, and after which its old registration has expired. */
+const restartMs = 3000;
+const registrationMs = 4500;
 const maintenanceMs = 2000;
 
 /** Fewer than most scenarios have processes, so that callers also reach processes that do not follow the job rows. */
@@ -151,6 +155,8 @@
 	#waves: readonly WaveOrder[] = [];
 	#workerCount = 0;
 	#processCount = 0;
+	/** When the registrations of crashed workers expire. */
+	readonly #expiresAtMs = new Map<FakeWorker, number>();
 
 	constructor(options: SimulationOptions) {
 		this.random = new SeededRandom(options.seed);
@@ -309,6 +315,10 @@
 				if (worker.isUp) {
 					worker.advance(stepMs);
 				}
+
+				if (worker.isCrashed && !this.#expiresAtMs.has(worker)) {
+					this.#restartCrashed(worker);
+				}
 			}
 
 			this.#advanceMachines();
@@ -365,6 +375,26 @@
 		this.#publishWorkers();
 	}
 
+	/** The machine of a crashed worker is listed as down and returns with a new worker; the registration of the old one expires later. */
+	#restartCrashed(worker: FakeWorker): void {
+		const nowMs = this.clock.nowMs();
+		this.#expiresAtMs.set(worker, nowMs + registrationMs);
+		this.clock.schedule(registrationMs, () => {
+			this.#publishWorkers();
+		});
+		for (const machine of this.machines.values()) {
+			if (machine.entry.workerId === worker.entry.workerId) {
+				machine.entry = {...machine.entry, state: 'down', workerId: undefined};
+				machine.nextPool = machine.entry.pool;
+				machine.returnsAtMs = nowMs + restartMs;
+			}
+		}
+	}
+
+	#isRegistered(worker: FakeWorker): boolean {
+		return worker.isUp || this.clock.nowMs() < (this.#expiresAtMs.get(worker) ?? 0);
+	}
+
 	#advanceMachines(): void {
 		for (const [machineId, machine] of this.machines) {
 			if (machine.entry.state !== 'up' && this.clock.nowMs() >= machine.returnsAtMs) {
@@ -401,7 +431,7 @@
 	}
 
 	#publishWorkers(): void {
-		const entries = [...this.fleet.workers.values()].filter(({isUp}) => isUp).map(({entry, isDraining}) => ({...entry, isDraining}));
+		const entries = [...this.fleet.workers.values()].filter(worker => this.#isRegistered(worker)).map(({entry, isDraining}) => ({...entry, isDraining}));
 		this.#workers.publish(entries);
 	}
 
@@ -417,7 +447,7 @@
 			this.clock.schedule(orderLatencyMs, resolve);
 		});
 		if (!worker?.isUp) {
-			await clock.wait(orderTimeoutMs);
+			await clock.wait(worker?.isCrashed === true ? orderLatencyMs : orderTimeoutMs);
 			return lost;
 		}
 
