Give up tasks that crash the workers that start them

Cause: a run that was lost with its worker was queued again without a trace. Only ends that a worker reports as failed used up attempts, and a crash reports none. The class of fault is a retry loop without a limit for a failure that the failing side cannot report.

Fix: a crash is blamed on the runs that the worker was not seen to survive, and recorded in the job's stored progress. A suspected task starts again only on trial, alone among unproven runs on its worker, after the planned attempt was stored; a successor counts a trial whose outcome nobody reports. A second crash on trial, or a third of any kind, gives the task up, and the tasks suspected with it are cleared. Drains, own orders, orders of an earlier holder, unreachable workers and lost racks are not crashes.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -33,6 +33,28 @@
 /** Duration of a quarantine: about the length of the partial faults that operators see. */
 export const quarantineMs = 4000;
 
+/** A run that the worker still lists this long after its start is proven: a later crash of the worker is not blamed on it while there are younger runs. Tasks that crash their worker do so within some 10 ms of their start. */
+export const provenAfterMs = 150;
+
+/** A run of this length clears its task of earlier crashes. */
+export const clearedAfterMs = 10_000;
+
+/** Number of crashes after which a task is given up if it was the only unproven run on the last worker, and if it was not. */
+export const maxCrashesInTrial = 2;
+export const maxCrashes = 3;
+
+/** Share of a pool's usable workers on which tasks may be on trial at the same time; each of them starts no other task meanwhile. */
+export const trialWorkerShare = 1 / 3;
+
+/** A trial that cannot start within this time after it was planned releases its workers. */
+export const trialPlanTimeoutMs = 2000;
+
+/** While a save has been waiting for this long, no trial is planned, since its start depends on the next save. */
+export const storeAwayAfterMs = 1000;
+
+/** How long a worker with a trial may wait for a run to end before it answers a poll: a trial ends with the first report after `provenAfterMs`. */
+export const trialPollWaitMs = 100;
+
 /** A task whose progress has not changed for this long counts as stalled. A healthy task gains a percent in 20 to 50 ms, one on a slow worker in about 300 ms. */
 export const taskStallTimeoutMs = 1500;
 
--- /dev/null
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -0,0 +1,127 @@
+/**
+Decides which tasks are blamed for the crash of a worker, and gives up tasks that crash the workers that start them.
+
+The load this answers: some jobs have a task that crashes each worker shortly after its start, on workers that run ten to thirty other tasks. Only what the crash can be blamed on is counted. A worker's crash is blamed on its run on trial if there is one, else on the runs that the worker has not been seen to survive, else on all that have not run for long. The tasks blamed are started again on trial (see `trials.ts`), the most likely cause first, which tells the one that crashes workers from those that shared a worker with it. Once the cause is found, the others are cleared.
+*/
+import {
+	clearedAfterMs, maxCrashes, maxCrashesInTrial, provenAfterMs,
+} from '../constants.js';
+import {addCrash, countCrashes, isTrialUnresolved} from './crash-record.js';
+import {stepsOf} from './jobs.js';
+import {type TaskRun, type Task, type WorkerRecord} from './records.js';
+import {type SchedulerState} from './scheduler-state.js';
+
+/** Returns true if a worker has crashed under the task, so that the task is only started on trial. */
+export const isSuspect = (task: Task): boolean => countCrashes(task.crashRecord) > 0;
+
+/** Time for which the worker was seen to survive the run. */
+const survivedMs = (run: TaskRun): number => Math.max(0, run.lastListedAtMs - (run.startedAtMs ?? run.orderedAtMs));
+
+/** A run whose task is done, whose job has ended, or whose crash is recorded already tells nothing more. */
+const canBeBlamed = ({task, attempt}: TaskRun): boolean => task !== undefined
+	&& task.step.job.outcome === undefined
+	&& task.phase !== 'done'
+	&& !task.crashRecord.crashedAttempts.includes(attempt);
+
+const firstNonEmpty = (...groups: ReadonlyArray<readonly TaskRun[]>): readonly TaskRun[] => groups.find(group => group.length > 0) ?? [];
+
+/** Returns the runs that may have caused the crash, the most likely first: a run that the worker confirmed before one whose order was never answered, and the latest before earlier ones. */
+const selectBlamed = (runs: readonly TaskRun[]): readonly TaskRun[] => {
+	const unproven = runs.filter(({isProven}) => !isProven);
+	return firstNonEmpty(unproven.filter(({isTrial}) => isTrial), unproven, runs.filter(run => survivedMs(run) < clearedAfterMs))
+		.filter(run => canBeBlamed(run))
+		.toSorted((a, b) => Number(a.phase === 'unconfirmed') - Number(b.phase === 'unconfirmed') || b.orderedAtMs - a.orderedAtMs);
+};
+
+/** Clears the tasks that were suspected together with the cause of a crash, and of no other crash before. */
+const clearOtherSuspects = (state: SchedulerState, cause: Task): void => {
+	for (const task of cause.suspicions.flatMap(({suspects}) => suspects)) {
+		const [onlySuspicion, ...others] = task.suspicions;
+		if (task !== cause && onlySuspicion?.suspects.includes(cause) === true && others.length === 0 && task.crashRecord.crashedAttempts.length === 1) {
+			task.suspicions = [];
+			task.crashRecord = {...task.crashRecord, clearedAttempt: Math.max(...task.crashRecord.crashedAttempts)};
+			state.dirtyJobs.add(task.step.job);
+		}
+	}
+};
+
+const giveUp = (state: SchedulerState, task: Task, crashes: number): void => {
+	clearOtherSuspects(state, task);
+	task.phase = 'given-up';
+	task.crashRecord = {...task.crashRecord, isGivenUp: true};
+	state.emit({type: 'count', name: 'scheduler_tasks_given_up_total'});
+	state.emit({
+		type: 'log', fields: {
+			event: 'task_given_up', taskKey: task.key, crashes, attempts: task.crashRecord.crashedAttempts.join(','),
+		},
+	});
+};
+
+const recordCrash = (state: SchedulerState, task: Task, attempt: number, limit: number): void => {
+	task.crashRecord = addCrash(task.crashRecord, attempt);
+	state.dirtyJobs.add(task.step.job);
+	const crashes = countCrashes(task.crashRecord);
+	// A task that has been started again since the crash is judged by its later run.
+	if (crashes >= limit && task.phase === 'waiting') {
+		giveUp(state, task, crashes);
+	}
+};
+
+/** Members of a gang only run together, so they are blamed together. */
+const tasksOf = (task: Task): readonly Task[] => task.step.spec.isGang ? task.step.tasks : [task];
+
+/** Records the crash of a worker under the given runs, which have been removed from it. */
+export const attributeCrash = (state: SchedulerState, worker: WorkerRecord, runs: readonly TaskRun[], nowMs: number): void => {
+	const blamed = selectBlamed(runs);
+	state.emit({type: 'count', name: 'scheduler_worker_crashes_total'});
+	state.emit({
+		type: 'log', fields: {
+			event: 'worker_crashed', workerId: worker.entry.workerId, runs: runs.length, suspects: blamed.map(({task, attempt, isTrial}) => `${task!.key}#${attempt}${isTrial ? ':trial' : ''}`).join(','), lastAnswerAgeMs: Math.round(nowMs - worker.lastAnswerAtMs),
+		},
+	});
+	const suspects = blamed.flatMap(({task}) => tasksOf(task!));
+	for (const [rank, {task, attempt, isTrial, isProven}] of blamed.entries()) {
+		for (const member of tasksOf(task!)) {
+			member.suspicions = [...member.suspicions, {suspects, rank}];
+			recordCrash(state, member, attempt, isTrial && !isProven ? maxCrashesInTrial : maxCrashes);
+		}
+	}
+};
+
+/** How likely the task is to be the cause of its last crash, 0 for the most likely. A task that an earlier lease holder suspected has no rank and is treated as likely. */
+export const suspicionRank = (task: Task): number => task.suspicions.at(-1)?.rank ?? 0;
+
+/** Notes that the worker listed the run in a report that it was asked for at `sentAtMs`. A run that lasts is proven, and later clears its task. */
+export const recordSurvival = (state: SchedulerState, run: TaskRun, sentAtMs: number): void => {
+	run.lastListedAtMs = Math.max(run.lastListedAtMs, sentAtMs);
+	const ageMs = survivedMs(run);
+	if (!run.isProven && ageMs >= provenAfterMs) {
+		run.isProven = true;
+		settleTrial(state, run.task, run.attempt);
+	}
+
+	if (run.task !== undefined && ageMs >= clearedAfterMs && isSuspect(run.task)) {
+		run.task.crashRecord = {...run.task.crashRecord, clearedAttempt: run.attempt};
+		state.dirtyJobs.add(run.task.step.job);
+	}
+};
+
+/** Notes that the attempt ended without a crash or was never started, if it was the task's trial. */
+export const settleTrial = (state: SchedulerState, task: Task | undefined, attempt: number): void => {
+	if (task?.crashRecord.trialAttempt === attempt && task.crashRecord.settledTrialAttempt < attempt && task.step.job.outcome === undefined) {
+		task.crashRecord = {...task.crashRecord, settledTrialAttempt: attempt};
+		state.dirtyJobs.add(task.step.job);
+	}
+};
+
+/** Counts the trials of an earlier lease holder whose outcome nobody reports as crashes. Called once every worker has reported or its leases have expired. */
+export const resolveLostTrials = (state: SchedulerState): void => {
+	for (const job of state.openJobs) {
+		for (const task of stepsOf(job).flatMap(({tasks}) => tasks)) {
+			if (task.phase === 'waiting' && isTrialUnresolved(task.crashRecord)) {
+				state.emit({type: 'log', fields: {event: 'trial_outcome_unknown', taskKey: task.key, attempt: task.crashRecord.trialAttempt}});
+				recordCrash(state, task, task.crashRecord.trialAttempt, maxCrashes);
+			}
+		}
+	}
+};
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -2,16 +2,20 @@
 Starts waiting tasks on workers with free capacity, within the capacity of workers and the upper limits of customers. Returns the tasks that could not be placed, which pool sizing uses as its input.
 */
 import {type Resources} from '../types.js';
+import {isSuspect, suspicionRank} from './crash-attribution.js';
 import {requestAdvice, ticketFor} from './placement-advice.js';
 import {type QueuedStep, sortQueuedSteps} from './queue-order.js';
 import {chooseAmong, isAllowed} from './placement.js';
 import {
-	type TaskRun, type StepInstance, type Task, type WorkerRecord,
+	type TaskRun, type StepInstance, type Task, type Trial, type WorkerRecord,
 } from './records.js';
 import {
 	addResources, fitsInto, multiplyResources, noResources, staysWithin,
 } from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
+import {
+	canPlanTrials, canStartTrial, chooseTrialWorker, endFinishedTrials, findTrial, freeTrialWorkers, planTrial,
+} from './trials.js';
 import {deadlineClockMs, isUsable, recordLeaseSent} from './workers.js';
 
 /** Tasks of one pool that could not be placed for lack of capacity. */
@@ -29,9 +33,12 @@
 const canStart = (state: SchedulerState, step: StepInstance): boolean =>
 	state.isSettled || step.job.firstSeenAtMs > (state.term?.wonAtMs ?? Number.POSITIVE_INFINITY);
 
+/** Returns the number of the task's next attempt, which is above all of earlier lease holders. */
+const nextAttempt = (state: SchedulerState, task: Task): number => Math.max(task.lastAttempt, state.term!.attemptBase) + 1;
+
 const startTask = (state: SchedulerState, task: Task, worker: WorkerRecord, nowMs: number): void => {
-	const {fencingToken, attemptBase} = state.term!;
-	const attempt = Math.max(task.lastAttempt, attemptBase) + 1;
+	const {fencingToken} = state.term!;
+	const attempt = nextAttempt(state, task);
 	const {job, spec} = task.step;
 	const run: TaskRun = {
 		taskKey: task.key,
@@ -44,6 +51,9 @@
 		phase: 'starting',
 		orderedAtMs: nowMs,
 		startedAtMs: undefined,
+		isTrial: worker.trial?.tasks.includes(task) === true,
+		lastListedAtMs: nowMs,
+		isProven: false,
 		unansweredAtMs: undefined,
 		stopOrderedAtMs: undefined,
 		checkpoint: task.checkpoint,
@@ -62,6 +72,7 @@
 
 /** A pool's usable workers during one dispatch pass, in which their free capacity only shrinks. */
 class PoolWorkers {
+	/** Includes workers that are used for a trial, which start no other task. */
 	readonly usable: WorkerRecord[] = [];
 	/** Resources for which no worker had the capacity earlier in this pass. */
 	readonly #tooLarge: Resources[] = [];
@@ -77,7 +88,7 @@
 			return [];
 		}
 
-		const found = this.usable.filter(worker => state.hasRoom(worker, needs));
+		const found = this.usable.filter(worker => worker.trial === undefined && state.hasRoom(worker, needs));
 		if (found.length === 0) {
 			this.#tooLarge.push(needs);
 		}
@@ -109,6 +120,39 @@
 	}
 }
 
+/** Starts the task's planned trial if its workers are ready. Returns false if there is none and no worker has the capacity for one. */
+const startOnTrial = (state: SchedulerState, task: Task, pool: PoolWorkers, nowMs: number): boolean => {
+	const trial = findTrial(state, task);
+	if (trial === undefined) {
+		return chooseTrialWorker(state, task, pool.usable, nowMs) !== undefined;
+	}
+
+	if (!trial.isStarted && canStartTrial(state, trial)) {
+		trial.isStarted = true;
+		startTask(state, task, trial.workers[0]!, nowMs);
+	}
+
+	return true;
+};
+
+/** Plans trials for suspected tasks, the most likely cause of each crash first. */
+const planTrials = (state: SchedulerState, queued: readonly QueuedStep[], workers: UsableWorkers, nowMs: number): void => {
+	const suspects = queued.filter(({step}) => !step.spec.isGang && canStart(state, step))
+		.flatMap(({step, pool}) => step.tasks.filter(task => task.phase === 'waiting' && isSuspect(task)).map(task => ({task, pool})))
+		.toSorted((a, b) => suspicionRank(a.task) - suspicionRank(b.task));
+	for (const {task, pool} of canPlanTrials(state, nowMs) ? suspects : []) {
+		const {usable} = workers.of(pool);
+		if (freeTrialWorkers(usable) <= 0 || findTrial(state, task) !== undefined) {
+			continue;
+		}
+
+		const worker = chooseTrialWorker(state, task, usable, nowMs);
+		if (worker !== undefined) {
+			planTrial(state, {tasks: [task], workers: [worker], attempt: nextAttempt(state, task)}, nowMs);
+		}
+	}
+};
+
 /** Starts the tasks of a step that fit, and returns how many could not be placed. */
 const startIndividualTasks = (state: SchedulerState, {step}: QueuedStep, pool: PoolWorkers, nowMs: number): number => {
 	let allowed = pool.withCapacity(state, resourcesOccupiedBy(step)).filter(worker => isAllowed(state, step, worker, nowMs));
@@ -122,6 +166,11 @@
 			return unplaced;
 		}
 
+		if (isSuspect(task)) {
+			unplaced += startOnTrial(state, task, pool, nowMs) ? 0 : 1;
+			continue;
+		}
+
 		const worker = chooseAmong(state, task, allowed);
 		if (worker === undefined) {
 			unplaced++;
@@ -148,14 +197,26 @@
 		return 0;
 	}
 
+	const trial = findTrial(state, step.tasks[0]!);
+	if (trial !== undefined && !canStartTrial(state, trial)) {
+		return 0;
+	}
+
 	const lastAttempt = Math.max(...step.tasks.map(task => task.lastAttempt));
 	const checkpoint = step.tasks.find(task => task.checkpoint !== '')?.checkpoint ?? '';
 	const workers = pool.withCapacity(state, resourcesOccupiedBy(step));
-	const plan = planGang(state, step, workers.filter(worker => ticketFor(state, step, worker, nowMs) !== undefined));
+	const plan = trial?.workers ?? planGang(state, step, workers.filter(worker => ticketFor(state, step, worker, nowMs) !== undefined));
 	if (plan === undefined) {
 		return step.tasks.length;
 	}
 
+	if (trial !== undefined) {
+		trial.isStarted = true;
+	} else if (step.tasks.some(task => isSuspect(task))) {
+		planGangTrial(state, {tasks: step.tasks, workers: plan, attempt: Math.max(lastAttempt, state.term!.attemptBase) + 1}, pool, nowMs);
+		return 0;
+	}
+
 	for (const [index, task] of step.tasks.entries()) {
 		task.lastAttempt = lastAttempt;
 		task.checkpoint = checkpoint;
@@ -165,6 +226,14 @@
 	return 0;
 };
 
+/** Plans the trial of a gang unless too many workers are used for trials already. A gang may take more workers than the share for trials while there is no other trial, since it would never start otherwise. */
+const planGangTrial = (state: SchedulerState, plan: Pick<Trial, 'tasks' | 'workers' | 'attempt'>, {usable}: PoolWorkers, nowMs: number): void => {
+	const isOnlyTrial = usable.every(({trial}) => trial === undefined);
+	if (canPlanTrials(state, nowMs) && (isOnlyTrial || new Set(plan.workers).size <= freeTrialWorkers(usable))) {
+		planTrial(state, plan, nowMs);
+	}
+};
+
 /** Returns a worker for each member of the gang, filling one worker after the other, or `undefined` if the gang does not fit. */
 const planGang = (state: SchedulerState, step: StepInstance, workers: readonly WorkerRecord[]): readonly WorkerRecord[] | undefined => {
 	const plan: WorkerRecord[] = [];
@@ -208,8 +277,11 @@
 		}
 	}
 
+	endFinishedTrials(state, nowMs);
 	const usable = new UsableWorkers(state, nowMs);
-	for (const queued of sortQueuedSteps(state, nowMs)) {
+	const queuedSteps = sortQueuedSteps(state, nowMs);
+	planTrials(state, queuedSteps, usable, nowMs);
+	for (const queued of queuedSteps) {
 		if (!canStart(state, queued.step)) {
 			continue;
 		}
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -62,4 +62,6 @@
 	| {readonly type: 'maintain'; readonly machineId: string; readonly waveId: number; readonly fencingToken: number}
 	| {readonly type: 'reportWave'; readonly waveId: number; readonly state: 'running' | 'completed'}
 	| {readonly type: 'stepDown'; readonly reason: string}
+	/** Increments a counter of the process's metrics. */
+	| {readonly type: 'count'; readonly name: string}
 	| {readonly type: 'log'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -2,7 +2,10 @@
 Job lifecycle: a job is accepted, becomes due, makes progress and ends. Progress is stored as sets that only grow, so that what two lease holders have stored can be merged in any order.
 */
 import {assertNever} from '@poplarnotch/common';
-import {type JobOutcome, type JobProgress, type JobSpec} from '../types.js';
+import {
+	type CrashRecord, type JobOutcome, type JobProgress, type JobSpec,
+} from '../types.js';
+import {mergeCrashRecords, noCrashRecord} from './crash-record.js';
 import {type JobChange} from './events.js';
 import {
 	type JobRecord, type TaskRun, type StepInstance, type Task,
@@ -46,6 +49,7 @@
 	isOutcomeStored: false,
 	storedDoneTasks: {},
 	storedFailures: {},
+	storedCrashRecords: {},
 });
 
 const createStepInstance = (job: JobRecord, occurrence: number, stepIndex: number, nowMs: number): StepInstance => {
@@ -56,15 +60,20 @@
 	};
 	const done = new Set(job.storedDoneTasks[storedStepKey(occurrence, stepIndex)]);
 	for (let index = 0; index < spec.taskCount; index++) {
-		const failures = job.storedFailures[`${occurrence}.${stepIndex}.${index}`] ?? [];
+		const storedTaskKey = `${storedStepKey(occurrence, stepIndex)}.${index}`;
+		const failures = job.storedFailures[storedTaskKey] ?? [];
+		const crashRecord = job.storedCrashRecords[storedTaskKey] ?? noCrashRecord;
+		const phase = crashRecord.isGivenUp ? 'given-up' : 'waiting';
 		tasks.push({
 			key: `${job.spec.jobId}.${occurrence}.${stepIndex}.${index}`,
 			step,
 			index,
-			phase: done.has(index) ? 'done' : 'waiting',
+			phase: done.has(index) ? 'done' : phase,
 			run: undefined,
 			checkpoint: '',
 			failedAttempts: new Set(failures),
+			crashRecord,
+			suspicions: [],
 			lastAttempt: 0,
 			avoidedWorkerId: undefined,
 			waitingSinceMs: nowMs,
@@ -108,10 +117,20 @@
 	return merged;
 };
 
+const mergeAllCrashRecords = (a: JobProgress['crashRecords'], b: JobProgress['crashRecords']): JobProgress['crashRecords'] => {
+	const merged = {...a};
+	for (const [key, record] of Object.entries(b)) {
+		merged[key] = mergeCrashRecords(merged[key] ?? noCrashRecord, record);
+	}
+
+	return merged;
+};
+
 /** Returns the job's progress in the form that is stored. */
 export const progressOf = (job: JobRecord): JobProgress => {
 	const doneTasks: Record<string, readonly number[]> = {...job.storedDoneTasks};
 	const failures: Record<string, readonly number[]> = {...job.storedFailures};
+	const crashRecords = {...job.storedCrashRecords};
 	for (const step of stepsOf(job)) {
 		const stepKey = storedStepKey(step.occurrence, step.stepIndex);
 		const done = step.tasks.filter(task => task.phase === 'done').map(task => task.index);
@@ -123,11 +142,15 @@
 			if (task.failedAttempts.size > 0) {
 				failures[`${stepKey}.${task.index}`] = [...task.failedAttempts];
 			}
+
+			if (task.crashRecord !== noCrashRecord) {
+				crashRecords[`${stepKey}.${task.index}`] = task.crashRecord;
+			}
 		}
 	}
 
 	return {
-		outcome: job.outcome, endedWallMs: job.endedWallMs, hasBegun: job.hasBegun, doneTasks, failures,
+		outcome: job.outcome, endedWallMs: job.endedWallMs, hasBegun: job.hasBegun, doneTasks, failures, crashRecords,
 	};
 };
 
@@ -216,10 +239,22 @@
 
 export const maxAttemptsOf = (state: SchedulerState, job: JobRecord): number => state.queueOf(job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
 
+const applyCrashRecord = (task: Task, stored: CrashRecord | undefined): void => {
+	if (stored === undefined) {
+		return;
+	}
+
+	task.crashRecord = mergeCrashRecords(task.crashRecord, stored);
+	if (task.crashRecord.isGivenUp && task.phase === 'waiting') {
+		task.phase = 'given-up';
+	}
+};
+
 const applyProgress = (state: SchedulerState, job: JobRecord, progress: JobProgress, now: CurrentTime): void => {
 	job.hasBegun ||= progress.hasBegun;
 	job.storedDoneTasks = mergeTaskRecords(job.storedDoneTasks, progress.doneTasks);
 	job.storedFailures = mergeTaskRecords(job.storedFailures, progress.failures);
+	job.storedCrashRecords = mergeAllCrashRecords(job.storedCrashRecords, progress.crashRecords);
 	for (const step of stepsOf(job)) {
 		for (const index of progress.doneTasks[storedStepKey(step.occurrence, step.stepIndex)] ?? []) {
 			const task = step.tasks[index];
@@ -230,9 +265,12 @@
 		}
 
 		for (const task of step.tasks) {
-			for (const attempt of progress.failures[`${step.occurrence}.${step.stepIndex}.${task.index}`] ?? []) {
+			const storedTaskKey = `${storedStepKey(step.occurrence, step.stepIndex)}.${task.index}`;
+			for (const attempt of progress.failures[storedTaskKey] ?? []) {
 				task.failedAttempts.add(attempt);
 			}
+
+			applyCrashRecord(task, progress.crashRecords[storedTaskKey]);
 		}
 	}
 
@@ -341,15 +379,17 @@
 	}
 };
 
-const hasExhaustedTask = (step: StepInstance, maxAttempts: number): boolean =>
-	!step.spec.isLasting && step.doneCount < step.tasks.length && step.tasks.some(task => task.phase !== 'done' && task.failedAttempts.size >= maxAttempts);
+/** Returns true if the step can never be done. Lasting tasks serve without each other, so their step goes on until all of them were given up. */
+const isHopeless = ({spec, tasks, doneCount}: StepInstance, maxAttempts: number): boolean => spec.isLasting
+	? tasks.every(task => task.phase === 'given-up')
+	: doneCount < tasks.length && tasks.some(task => task.phase === 'given-up' || (task.phase !== 'done' && task.failedAttempts.size >= maxAttempts));
 
 const endIfFinished = (state: SchedulerState, job: JobRecord, now: CurrentTime): void => {
 	const maxAttempts = maxAttemptsOf(state, job);
 	let canComplete = job.occurrences.size > 0;
 	for (const steps of job.occurrences.values()) {
 		for (const step of steps) {
-			if (hasExhaustedTask(step, maxAttempts)) {
+			if (isHopeless(step, maxAttempts)) {
 				endJob(state, job, 'failed', now);
 				return;
 			}
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -6,7 +6,7 @@
 import {type MachineEntry} from '../types.js';
 import {type MachineRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
-import {endWorker} from './workers.js';
+import {endWorker, type LossReason} from './workers.js';
 
 /** Applies a complete list of machines. */
 export const applyMachineList = (state: SchedulerState, entries: readonly MachineEntry[], sentAtMs: number): void => {
@@ -50,6 +50,7 @@
 /** Ends workers that no machine runs any more. A worker that registered within the last `maxListingDelayMs` may be newer than the list and is kept. */
 const endUnlistedWorkers = (state: SchedulerState, nowMs: number): void => {
 	const machineIdByWorker = new Map<string, string>();
+	const ended: WorkerRecord[] = [];
 	for (const {entry} of state.machines.values()) {
 		if (entry.workerId !== undefined) {
 			machineIdByWorker.set(entry.workerId, entry.machineId);
@@ -59,11 +60,35 @@
 	for (const [workerId, worker] of state.workers) {
 		const machineId = machineIdByWorker.get(workerId);
 		if (machineIdByWorker.size > 0 && machineId === undefined && (worker.machineId !== undefined || !worker.isListed || nowMs - worker.firstSeenAtMs > maxListingDelayMs)) {
-			endWorker(state, worker, nowMs, 'machine-runs-another-worker');
+			ended.push(worker);
 		}
 
 		worker.machineId = machineId ?? worker.machineId;
 	}
+
+	const losses = ended.filter(({isEnded}) => !isEnded).map((worker, _index, all) => ({worker, reason: lossReasonOf(state, worker, all)}));
+	for (const {worker, reason} of losses) {
+		endWorker(state, worker, nowMs, reason);
+	}
+};
+
+/** Tells a crash of one worker from an order of an earlier lease holder and from the loss of a whole rack, for which no task is to blame. */
+const lossReasonOf = (state: SchedulerState, worker: WorkerRecord, ended: readonly WorkerRecord[]): LossReason => {
+	const machine = worker.machineId === undefined ? undefined : state.machines.get(worker.machineId);
+	if (machine?.entry.state === 'moving' || machine?.entry.state === 'maintenance') {
+		return 'machine-ordered-away';
+	}
+
+	const {rack} = worker.entry;
+	const lostOnRack = ended.filter(other => other.entry.rack === rack);
+	const isAnyAnswering = [...state.workers.values()].some(other => other.entry.rack === rack && !other.isEnded && !ended.includes(other) && other.silentSinceMs === undefined);
+	return lostOnRack.length > 1 && mayHaveFailedTogether(lostOnRack) && !isAnyAnswering ? 'rack-lost' : 'machine-runs-another-worker';
+};
+
+/** Returns false if one of the workers still answered after another had fallen silent. */
+const mayHaveFailedTogether = (workers: readonly WorkerRecord[]): boolean => {
+	const lastAnswerAtMs = Math.max(...workers.map(worker => worker.lastAnswerAtMs));
+	return workers.every(worker => worker.silentSinceMs === undefined || worker.silenceNoticedAtMs >= lastAnswerAtMs);
 };
 
 /** Returns the worker that runs on the machine. */
@@ -200,7 +225,7 @@
 	}
 
 	const isCertain = worker.isFenced && (worker.silentSinceMs === undefined || nowMs >= worker.leaseExpiresAtMs);
-	return isCertain && worker.runs.size === 0;
+	return isCertain && worker.runs.size === 0 && worker.trial === undefined;
 };
 
 /** Returns true if the machine could serve in a pool: it is switched off, or its worker answers polls. */
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -61,6 +61,7 @@
 	}
 
 	state.pendingSaveNumber = undefined;
+	state.storedSaveNumber = saveNumber;
 	for (const worker of state.workers.values()) {
 		const {pendingAcknowledgement} = worker;
 		if (pendingAcknowledgement !== undefined && pendingAcknowledgement.saveNumber <= saveNumber) {
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -2,7 +2,7 @@
 The scheduler's working records. They are mutable and owned by `SchedulerState` alone: hundreds of runs change each second, and copying the records for each event would cost more than the decisions themselves.
 */
 import {
-	type JobOutcome, type JobSpec, type MachineEntry, type Resources, type StepSpec, type WaveOrder, type WorkerEntry,
+	type CrashRecord, type JobOutcome, type JobSpec, type MachineEntry, type Resources, type StepSpec, type WaveOrder, type WorkerEntry,
 } from '../types.js';
 
 /** The policy service's answer about one worker for one step. */
@@ -31,6 +31,12 @@
 	readonly orderedAtMs: number;
 	/** When the worker confirmed the start. */
 	startedAtMs: number | undefined;
+	/** The run is the only unproven one on its worker, so a crash of the worker is blamed on it. */
+	readonly isTrial: boolean;
+	/** When the last report that lists the run was asked for. */
+	lastListedAtMs: number;
+	/** The worker listed the run `provenAfterMs` after its start. */
+	isProven: boolean;
 	/** When the start order timed out without an answer. */
 	unansweredAtMs: number | undefined;
 	stopOrderedAtMs: number | undefined;
@@ -49,11 +55,14 @@
 	readonly key: string;
 	readonly step: StepInstance;
 	readonly index: number;
-	phase: 'waiting' | 'placed' | 'done';
+	phase: 'waiting' | 'placed' | 'done' | 'given-up';
 	run: TaskRun | undefined;
 	checkpoint: string;
 	/** Numbers of the attempts that failed. */
 	readonly failedAttempts: Set<number>;
+	crashRecord: CrashRecord;
+	/** The crashes that this process blamed on the task. */
+	suspicions: readonly Suspicion[];
 	lastAttempt: number;
 	/** Worker of the last failed or interrupted run; others are preferred for the next attempt. */
 	avoidedWorkerId: string | undefined;
@@ -61,6 +70,26 @@
 	waitingSinceMs: number;
 };
 
+/** One of the tasks that a crash is blamed on. */
+export type Suspicion = {
+	/** All tasks that the crash is blamed on; one of them is its cause. */
+	readonly suspects: readonly Task[];
+	/** Position of the task among them, the most likely cause first. */
+	readonly rank: number;
+};
+
+/** A start of a task, or of all tasks of a gang, under which a worker has crashed before. */
+export type Trial = {
+	readonly tasks: readonly Task[];
+	/** The worker of each task. */
+	readonly workers: readonly WorkerRecord[];
+	readonly attempt: number;
+	/** The start order may be sent once this save is stored. */
+	readonly saveNumber: number;
+	readonly plannedAtMs: number;
+	isStarted: boolean;
+};
+
 /** One step of one occurrence of a job. */
 export type StepInstance = {
 	readonly job: JobRecord;
@@ -96,6 +125,7 @@
 	/** Stored progress, used when an occurrence's tasks are created after it was read. */
 	storedDoneTasks: Readonly<Record<string, readonly number[]>>;
 	storedFailures: Readonly<Record<string, readonly number[]>>;
+	storedCrashRecords: Readonly<Record<string, CrashRecord>>;
 };
 
 /** The last reading of a worker's clock. */
@@ -111,6 +141,10 @@
 	isListed: boolean;
 	unlistedAtMs: number | undefined;
 	readonly runs: Map<string, TaskRun>;
+	/** Runs whose leases expired while the worker was silent. If the worker turns out to have crashed, they are among those that may have crashed it. */
+	expiredRuns: readonly TaskRun[];
+	/** The trial for which the worker starts no other task. */
+	trial: Trial | undefined;
 	bornWallMs: number | undefined;
 	/** The worker has acknowledged this holder's fencing token, so it rejects orders of earlier holders. */
 	isFenced: boolean;
@@ -119,6 +153,8 @@
 	leaseExpiresAtMs: number;
 	lastAnswerAtMs: number;
 	silentSinceMs: number | undefined;
+	/** When the first unanswered poll of the present silence failed. */
+	silenceNoticedAtMs: number;
 	/** Run ends up to this sequence number have been processed. */
 	processedSequence: number;
 	/** Run ends up to this sequence number may be discarded by the worker. */
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -5,7 +5,7 @@
 	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
 import {
-	type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type WaveRecord, type WorkerRecord,
+	type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DemandMeter} from './demand-meter.js';
 import {addResources, noResources, subtractResources} from './resources.js';
@@ -66,6 +66,10 @@
 	pendingSaveNumber: number | undefined;
 	lastSaveAtMs = 0;
 	saveCount = 0;
+	/** Number of the last stored save. */
+	storedSaveNumber = 0;
+	/** Trials of this term that have not ended. */
+	readonly trials = new Set<Trial>();
 	readonly #resourcesInUse = new Map<string, Resources>();
 	readonly #occupied = new Map<WorkerRecord, Resources>();
 	#effects: SchedulerEffect[] = [];
@@ -161,11 +165,14 @@
 
 	/** Discards all runs and per-term worker state before a new term or after the end of one. */
 	clearRuns(nowMs: number): void {
+		this.trials.clear();
 		for (const worker of this.workers.values()) {
 			for (const run of worker.runs.values()) {
 				this.removeRun(run, nowMs);
 			}
 
+			worker.expiredRuns = [];
+			worker.trial = undefined;
 			worker.isFenced = false;
 			worker.processedSequence = 0;
 			worker.acknowledgedSequence = 0;
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -5,6 +5,7 @@
 import {failureWindowMs, quarantineFailures, quarantineMs} from '../constants.js';
 import {type OrderAnswer, type StartAnswer} from '../ports.js';
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
+import {recordSurvival, settleTrial} from './crash-attribution.js';
 import {discardTicket} from './placement-advice.js';
 import {type SchedulerEvent} from './events.js';
 import {
@@ -63,6 +64,7 @@
 		case 'unreachable': {
 			if (worker.silentSinceMs === undefined) {
 				worker.silentSinceMs = event.sentAtMs;
+				worker.silenceNoticedAtMs = event.nowMs;
 				state.emit({
 					type: 'log', fields: {
 						event: 'worker_silent', workerId: event.workerId, runs: worker.runs.size, lastAnswerAgeMs: Math.round(event.nowMs - worker.lastAnswerAtMs),
@@ -95,6 +97,7 @@
 
 	worker.isFenced = true;
 	worker.silentSinceMs = undefined;
+	worker.expiredRuns = [];
 	worker.lastAnswerAtMs = event.nowMs;
 	worker.clock = {clockMs: report.clockMs, readAtMs: event.nowMs};
 	worker.sentAcknowledgement = Math.max(worker.sentAcknowledgement, event.sentAcknowledgement);
@@ -125,7 +128,7 @@
 	}
 };
 
-const applyRunningEntry = (state: SchedulerState, worker: WorkerRecord, entry: RunningEntry, {nowMs}: CurrentTime): void => {
+const applyRunningEntry = (state: SchedulerState, worker: WorkerRecord, entry: RunningEntry, {nowMs, sentAtMs}: PolledEvent): void => {
 	const known = worker.runs.get(entry.taskKey);
 	if (known?.attempt !== entry.attempt) {
 		if (entry.attempt > (known?.attempt ?? 0)) {
@@ -145,6 +148,8 @@
 	if (known.phase === 'starting' || known.phase === 'unconfirmed') {
 		confirmRun(state, known, nowMs);
 	}
+
+	recordSurvival(state, known, sentAtMs);
 };
 
 /** Confirms a run that the worker lists although its start order was not answered. */
@@ -174,6 +179,9 @@
 		phase: 'running',
 		orderedAtMs: nowMs,
 		startedAtMs: nowMs,
+		isTrial: false,
+		lastListedAtMs: nowMs,
+		isProven: false,
 		unansweredAtMs: undefined,
 		stopOrderedAtMs: undefined,
 		checkpoint: entry.checkpoint,
@@ -204,6 +212,8 @@
 		state.removeRun(run, event.nowMs);
 	}
 
+	settleTrial(state, task, entry.attempt);
+
 	if (task !== undefined && task.step.job.outcome === undefined) {
 		applyTaskEnd(state, task, worker, entry, event);
 	}
@@ -315,6 +325,7 @@
 		case 'no-ticket':
 		case 'refused':
 		case 'wrong-worker': {
+			settleTrial(state, run.task, run.attempt);
 			state.removeRun(run, event.nowMs);
 			if (event.answer === 'no-ticket' && run.task !== undefined) {
 				discardTicket(run.task.step, event.workerId);
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -5,7 +5,8 @@
 	leaseMarginMs, clockDriftFactor, workerSilenceTimeoutMs, taskLeaseMs,
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
-import {type WorkerRecord} from './records.js';
+import {attributeCrash, resolveLostTrials} from './crash-attribution.js';
+import {type TaskRun, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 const newWorker = (entry: WorkerEntry, nowMs: number): WorkerRecord => ({
@@ -14,12 +15,15 @@
 	isListed: true,
 	unlistedAtMs: undefined,
 	runs: new Map(),
+	expiredRuns: [],
+	trial: undefined,
 	bornWallMs: entry.bornWallMs,
 	isFenced: false,
 	clock: undefined,
 	leaseExpiresAtMs: nowMs,
 	lastAnswerAtMs: nowMs,
 	silentSinceMs: undefined,
+	silenceNoticedAtMs: nowMs,
 	processedSequence: 0,
 	acknowledgedSequence: 0,
 	pendingAcknowledgement: undefined,
@@ -54,12 +58,14 @@
 			});
 		}
 
-		known.entry = entry;
-		known.isListed = true;
-		known.unlistedAtMs = undefined;
+		// The loss of the runs is judged by whether the earlier incarnation was draining.
 		if (entry.bornWallMs !== undefined && known.bornWallMs !== undefined && entry.bornWallMs > known.bornWallMs) {
 			beginIncarnation(state, known, entry.bornWallMs, nowMs);
 		}
+
+		known.entry = entry;
+		known.isListed = true;
+		known.unlistedAtMs = undefined;
 	}
 
 	for (const [workerId, worker] of state.workers) {
@@ -98,8 +104,17 @@
 	worker.quarantinedUntilMs = 0;
 };
 
+/** Why a worker's runs ended with an unknown result. */
+export type LossReason = 'machine-ordered-away' | 'machine-runs-another-worker' | 'rack-lost' | 'worker-restarted' | 'worker-replaced' | 'silent-past-lease' | 'unlisted-past-lease';
+
+/** A worker that is gone for one of these reasons has crashed, unless it was draining or about to be ordered away. */
+const crashReasons: ReadonlySet<LossReason> = new Set(['machine-runs-another-worker', 'worker-restarted', 'worker-replaced']);
+
+/** For these reasons it is not known whether the worker has crashed or is out of reach. */
+const silenceReasons: ReadonlySet<LossReason> = new Set(['silent-past-lease', 'unlisted-past-lease']);
+
 /** Marks the worker as permanently gone, together with its runs. */
-export const endWorker = (state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: string): void => {
+export const endWorker = (state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: LossReason): void => {
 	if (!worker.isEnded) {
 		worker.isEnded = true;
 		worker.isFenced = true;
@@ -108,24 +123,47 @@
 	}
 };
 
+/** A log line names at most this many runs. */
+const maxLoggedRuns = 40;
+
+/** Names the runs with their attempts and ages, the youngest first. */
+const describeRuns = (runs: readonly TaskRun[], nowMs: number): string => runs.toSorted((a, b) => b.orderedAtMs - a.orderedAtMs)
+	.slice(0, maxLoggedRuns)
+	.map(run => `${run.taskKey}#${run.attempt}:${Math.round(nowMs - run.orderedAtMs)}ms`)
+	.join(',');
+
 /** Removes all runs of a worker that have definitely ended with an unknown result. */
-export const loseRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: string): void => {
-	if (worker.runs.size > 0) {
+export const loseRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: LossReason): void => {
+	const lost = [...worker.runs.values()];
+	if (lost.length > 0) {
 		state.emit({
 			type: 'log', fields: {
-				event: 'runs_lost', workerId: worker.entry.workerId, runs: worker.runs.size, reason, isDraining: worker.entry.isDraining, isReserved: worker.isReserved, silentMs: worker.silentSinceMs === undefined ? undefined : Math.round(nowMs - worker.silentSinceMs),
+				event: 'runs_lost',
+				workerId: worker.entry.workerId,
+				runs: lost.length,
+				reason,
+				isDraining: worker.entry.isDraining,
+				isReserved: worker.isReserved,
+				silentMs: worker.silentSinceMs === undefined ? undefined : Math.round(nowMs - worker.silentSinceMs),
+				tasks: describeRuns(lost, nowMs),
 			},
 		});
 	}
 
-	for (const run of worker.runs.values()) {
-		state.emit({
-			type: 'log', fields: {
-				event: 'run_lost', taskKey: run.taskKey, attempt: run.attempt, workerId: worker.entry.workerId, phase: run.phase, ageMs: Math.round(nowMs - run.orderedAtMs),
-			},
-		});
+	for (const run of lost) {
 		state.removeRun(run, nowMs);
 	}
+
+	if (silenceReasons.has(reason)) {
+		worker.expiredRuns = [...worker.expiredRuns, ...lost];
+		return;
+	}
+
+	const underCrash = [...lost, ...worker.expiredRuns];
+	worker.expiredRuns = [];
+	if (underCrash.length > 0 && crashReasons.has(reason) && !worker.entry.isDraining && !worker.isReserved) {
+		attributeCrash(state, worker, underCrash, nowMs);
+	}
 };
 
 /** Returns a deadline one lease from now on the worker's clock, or `undefined` while its clock is unknown. */
@@ -175,6 +213,7 @@
 	const areAllKnown = workers.every(worker => worker.isFenced) && isMachineListCurrent && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
 	if (areAllKnown || nowMs >= earlierLeaseExpiresAtMs) {
 		state.isSettled = true;
+		resolveLostTrials(state);
 		state.emit({
 			type: 'log', fields: {
 				event: 'takeover_settled', workers: workers.length, unanswered: workers.filter(worker => !worker.isFenced).length, afterMs: Math.round(nowMs - state.term.wonAtMs),
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -64,28 +64,45 @@
 
 const taskRecordsSchema = z.record(z.string(), z.array(z.number().int()));
 
+const crashRecordSchema = z.object({
+	crashedAttempts: z.array(z.number().int()).default([]),
+	trialAttempt: z.number().int().default(0),
+	settledTrialAttempt: z.number().int().default(0),
+	clearedAttempt: z.number().int().default(0),
+	isGivenUp: z.boolean().default(false),
+});
+
 const progressSchema = z.object({
 	outcome: z.enum(['completed', 'failed', 'cancelled']).optional(),
 	endedWallMs: z.number().optional(),
 	hasBegun: z.boolean(),
 	doneTasks: taskRecordsSchema.default({}),
 	failures: taskRecordsSchema.default({}),
+	crashRecords: z.record(z.string(), crashRecordSchema).default({}),
 }).transform(({outcome, endedWallMs, ...taskRecords}): JobProgress => ({...taskRecords, outcome, endedWallMs}));
 
 const isDefault = (value: unknown): boolean => value === 0 || value === false || value === '' || (Array.isArray(value) && value.length === 0);
 
+const withoutDefaults = (fields: JsonObject): JsonObject => Object.fromEntries(Object.entries(fields).filter(([, value]) => !isDefault(value)));
+
 export const jobToJson = (job: JobSpec): JsonObject => ({
 	...job,
-	steps: job.steps.map((step): JsonObject => Object.fromEntries(Object.entries(step).filter(([, value]) => !isDefault(value)))),
+	steps: job.steps.map(step => withoutDefaults(step)),
 });
 
 /** Unset fields are left out, and so are the task records of an ended job, which are not needed any more. */
-export const progressToJson = ({outcome, endedWallMs, hasBegun, ...taskRecords}: JobProgress): JsonObject => ({
+export const progressToJson = ({outcome, endedWallMs, hasBegun, crashRecords, ...taskRecords}: JobProgress): JsonObject => ({
 	hasBegun,
-	...(outcome === undefined ? taskRecords : {outcome}),
+	...(outcome === undefined ? {...taskRecords, ...crashRecordsToJson(crashRecords)} : {outcome}),
 	...(endedWallMs === undefined ? {} : {endedWallMs}),
 });
 
+/** Few jobs have crash records, so the field is left out where it is empty. */
+const crashRecordsToJson = (records: JobProgress['crashRecords']): JsonObject => {
+	const entries = Object.entries(records).map(([key, record]): [string, JsonObject] => [key, withoutDefaults(record)]);
+	return entries.length === 0 ? {} : {crashRecords: Object.fromEntries(entries)};
+};
+
 const keyPattern = /^jobs\/[^\/]+\/(?<jobId>[^\/]+)(?:\/(?<part>progress|cancel))?$/v;
 
 /** Decodes a changed row; returns `undefined` if it is not a job row or cannot be read. */
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -87,6 +87,11 @@
 				break;
 			}
 
+			case 'count': {
+				this.#options.metrics.increment(effect.name);
+				break;
+			}
+
 			case 'log': {
 				this.#options.log.info(effect.fields);
 				break;
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -3,7 +3,7 @@
 */
 import {type Clock} from '@poplarnotch/common';
 import {
-	busyPollWaitMs, idlePollIntervalMs, pollPauseMs, pollRetryMs,
+	busyPollWaitMs, idlePollIntervalMs, pollPauseMs, pollRetryMs, trialPollWaitMs,
 } from '../constants.js';
 import {type SchedulerEvent} from '../core/events.js';
 import {type WorkerRecord} from '../core/records.js';
@@ -81,7 +81,8 @@
 		}
 
 		// Only a worker that has answered before waits for a run to end; the first poll and idle workers' acknowledgements are answered at once.
-		const waitMs = worker.isFenced && worker.runs.size > 0 && worker.silentSinceMs === undefined ? busyPollWaitMs : 0;
+		const busyWaitMs = worker.trial === undefined ? busyPollWaitMs : trialPollWaitMs;
+		const waitMs = worker.isFenced && worker.runs.size > 0 && worker.silentSinceMs === undefined ? busyWaitMs : 0;
 		const answer = await control.poll({workerId, address}, {
 			fencingToken, acknowledgedSequence: sentAcknowledgement, deadlineClockMs: deadline, waitMs,
 		});
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -130,6 +130,20 @@
 export type JobOutcome = 'completed' | 'failed' | 'cancelled';
 export type JobState = 'queued' | 'running' | JobOutcome;
 
+/** What is known about crashes of workers under one task. Each field only grows, so that records of two lease holders can be merged. Attempt numbers rise from holder to holder; 0 means none. */
+export type CrashRecord = {
+	/** Attempts that may have crashed their worker. */
+	readonly crashedAttempts: readonly number[];
+	/** Last attempt that was planned as a trial. It is stored before the start order is sent, so a successor knows of a trial whose outcome it never learns. */
+	readonly trialAttempt: number;
+	/** Last trial that is known to have ended without a crash. */
+	readonly settledTrialAttempt: number;
+	/** Crashes up to this attempt do not count, because a later attempt ran for long enough. */
+	readonly clearedAttempt: number;
+	/** The task is not started again. */
+	readonly isGivenUp: boolean;
+};
+
 /** Stored progress of a job. It only grows: no done task, failed attempt or outcome is ever withdrawn. */
 export type JobProgress = {
 	readonly outcome: JobOutcome | undefined;
@@ -140,6 +154,8 @@
 	readonly doneTasks: Readonly<Record<string, readonly number[]>>;
 	/** Numbers of the failed attempts, by `occurrence.step.index`. */
 	readonly failures: Readonly<Record<string, readonly number[]>>;
+	/** Crash records of the tasks that have one, by `occurrence.step.index`. */
+	readonly crashRecords: Readonly<Record<string, CrashRecord>>;
 };
 
 /** A worker as it registers itself. */
--- a/packages/scheduler/tests/jobs/job-store.test.ts
+++ b/packages/scheduler/tests/jobs/job-store.test.ts
@@ -117,7 +117,7 @@
 	const {jobId} = jobOf(7);
 	await store.cancel(jobId);
 	const progress = {
-		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {}, failures: {},
+		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {}, failures: {}, crashRecords: {},
 	};
 	await table.memory.commit({conditions: [], writes: [{type: 'put', key: progressKey(jobId), value: progressToJson(progress)}]});
 	const read = await store.read(jobId);
@@ -147,7 +147,7 @@
 	const table = new ScriptedTable([]);
 	await table.memory.commit({conditions: [], writes: [{type: 'put', key: 'leases/scheduler', value: {}}]});
 	const progressOf = (taskCount: number) => ({
-		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {'0.0': Array.from({length: taskCount}, (_value, index) => index)}, failures: {},
+		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {'0.0': Array.from({length: taskCount}, (_value, index) => index)}, failures: {}, crashRecords: {},
 	});
 	await storeOn(table).save({
 		saveNumber: 1, waves: [], jobs: [{jobId: 'a', progress: progressOf(2)}, {jobId: 'b', progress: progressOf(5000)}, {jobId: 'c', progress: progressOf(3)}],
--- a/packages/scheduler/tests/jobs/job-view.test.ts
+++ b/packages/scheduler/tests/jobs/job-view.test.ts
@@ -15,7 +15,7 @@
 const cancelled: JobChange = {type: 'cancelled', jobId: job.jobId, rowKey: 'row/cancel'};
 const progressed = (overrides: Partial<JobProgress>): JobChange => ({
 	type: 'progressed', jobId: job.jobId, progress: {
-		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {}, failures: {}, ...overrides,
+		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {}, failures: {}, crashRecords: {}, ...overrides,
 	},
 });
 
--- a/packages/scheduler/tests/jobs/rows.test.ts
+++ b/packages/scheduler/tests/jobs/rows.test.ts
@@ -24,7 +24,13 @@
 });
 
 test('progress decodes as encoded, and the progress of an ended job contains no task records', () => {
-	const taskRecords = {doneTasks: {'0.0': [0, 1, 2]}, failures: {'0.1.0': [1001]}};
+	const taskRecords = {
+		doneTasks: {'0.0': [0, 1, 2]}, failures: {'0.1.0': [1001]}, crashRecords: {
+			'0.1.0': {
+				crashedAttempts: [1001, 1002], trialAttempt: 1002, settledTrialAttempt: 0, clearedAttempt: 0, isGivenUp: true,
+			},
+		},
+	};
 	const running = {
 		...taskRecords, outcome: undefined, endedWallMs: undefined, hasBegun: true,
 	};
