--- a/packages/scheduler/tests/scheduling.property.test.ts
+++ b/packages/scheduler/tests/scheduling.property.test.ts
@@ -48,6 +48,21 @@
 	);
 }, 600_000);
 
+test('under any faults, tasks that crash their workers are given up, and the others beside them are done', async () => {
+	const scenario: fc.Arbitrary<Scenario> = fc.record({
+		seed: fc.integer({min: 1, max: 1_000_000}),
+		faults: fc.array(fc.constantFrom(...faults), {minLength: 2, maxLength: 7}),
+		crashingEvery: fc.integer({min: 3, max: 8}),
+	});
+	await fc.assert(
+		fc.asyncProperty(scenario, async generated => {
+			const {brokenPromises} = await runScenario(generated);
+			expect(brokenPromises).toEqual([]);
+		}),
+		{seed: fixedSeed, numRuns: Number(process.env.POPLARNOTCH_DAYS ?? 12), endOnFailure: true},
+	);
+}, 600_000);
+
 test('without process or store faults, every job meets its objective on the existing pool', async () => {
 	const {brokenPromises, servedShare} = await runScenario({seed: 7, faults: ['wave']});
 	expect(brokenPromises).toEqual([]);
--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -71,6 +71,8 @@
 	isDraining = false;
 	/** A task crashed the worker, so its connections are reset. */
 	isCrashed = false;
+	/** The worker runs but is out of reach. */
+	isCut = false;
 	readonly runs = new Map<string, WorkerRun>();
 	#finished: FinishedEntry[] = [];
 	readonly #highestAttempt = new Map<string, number>();
@@ -219,9 +221,16 @@
 
 	/** Ends all runs at once, without reporting them. */
 	crash(): void {
+		const lost = [...this.runs.values()];
 		this.isUp = false;
 		this.runs.clear();
 		this.#finished = [];
+		for (const {taskKey, step} of lost) {
+			this.#fleet.crashesUnder.set(taskKey, (this.#fleet.crashesUnder.get(taskKey) ?? 0) + 1);
+			if (step.isGang) {
+				this.#fleet.breakGang(taskKey);
+			}
+		}
 	}
 
 	/** Interrupts a run, as happens when another member of its gang ends. */
@@ -285,6 +294,8 @@
 	readonly adviceRequests: AdviceRequest[] = [];
 	/** Number of workers that each task has crashed. */
 	readonly crashes = new Map<string, number>();
+	/** Number of workers that have crashed while they ran each task. */
+	readonly crashesUnder = new Map<string, number>();
 	maxAttempts = 3;
 	/** The order being carried out was delayed on its way, so its effect on availability is not the sender's fault. */
 	isOrderLate = false;
@@ -410,6 +421,18 @@
 		}
 	}
 
+	/** Interrupts the other members of the task's gang, which cannot work without it. */
+	breakGang(taskKey: string): void {
+		const stepPrefix = taskKey.slice(0, taskKey.lastIndexOf('.') + 1);
+		for (const worker of this.workers.values()) {
+			for (const member of worker.runs.keys()) {
+				if (worker.isUp && member.startsWith(stepPrefix)) {
+					worker.interruptRun(member, '');
+				}
+			}
+		}
+	}
+
 	recordCrash(taskKey: string): void {
 		this.crashes.set(taskKey, (this.crashes.get(taskKey) ?? 0) + 1);
 	}
--- a/packages/scheduler/tests/support/random-scenario.ts
+++ b/packages/scheduler/tests/support/random-scenario.ts
@@ -25,6 +25,8 @@
 	readonly faults: readonly Fault[];
 	/** The default size if left out. */
 	readonly size?: FleetSize;
+	/** Each job whose number is a multiple of this has a task that crashes the workers that start it; the other tasks do not fail. No job does if left out. */
+	readonly crashingEvery?: number;
 };
 
 /** Result of a scenario. */
@@ -216,6 +218,9 @@
 /** Longest run time of a task on the simulated workers. */
 const maxRunMs = 1000;
 
+/** Time after which a crashing task crashes its worker. */
+const crashDelayMs = 10;
+
 const upperLimit = {cpuMillicores: 20_000, memoryMb: 0, accelerators: 0};
 
 /** The callers of a scenario: they submit jobs, cancel some, and record which were accepted. */
@@ -289,9 +294,30 @@
 	});
 };
 
+/** Number of crashed workers under a task after which its job may be shown as failed. */
+const minCrashesUnderFailed = 2;
+
+/** Returns violations in how jobs with crashing tasks ended, and the others beside them. */
+const findWrongOutcomes = (simulation: SchedulerSimulation, accepted: readonly JobSpec[], isCrashing: (job: JobSpec) => boolean): readonly string[] => {
+	const jobs = simulation.holder?.scheduler.state.jobs;
+	return accepted.flatMap(job => {
+		const outcome = jobs?.get(job.jobId)?.outcome;
+		const mostCrashes = Math.max(0, ...[...simulation.fleet.crashesUnder].filter(([taskKey]) => taskKey.startsWith(job.jobId)).map(([, count]) => count));
+		if (outcome === 'failed' && mostCrashes < minCrashesUnderFailed) {
+			return [`failed without cause: ${job.jobId}`];
+		}
+
+		return isCrashing(job) && outcome === 'completed' ? [`completed without its crashing task: ${job.jobId}`] : [];
+	});
+};
+
 /** Runs a scenario: four jobs and then a fault, in turns, and time to finish at the end. */
-export const runScenario = async ({seed, faults: scenarioFaults, size = defaultSize}: Scenario): Promise<ScenarioResult> => {
-	const simulation = new SchedulerSimulation({seed, failureRate: 0.03, ...size});
+export const runScenario = async ({
+	seed, faults: scenarioFaults, size = defaultSize, crashingEvery,
+}: Scenario): Promise<ScenarioResult> => {
+	const simulation = new SchedulerSimulation({seed, failureRate: crashingEvery === undefined ? 0.03 : 0, ...size});
+	const isCrashing = ({jobId}: JobSpec): boolean => crashingEvery !== undefined && Number.parseInt(jobId, 16) % crashingEvery === 0;
+	simulation.fleet.behaviour.crashesAfterMs = taskKey => taskKey.endsWith('.0.0.0') && isCrashing(simulation.fleet.findStep(taskKey).job) ? crashDelayMs : undefined;
 	simulation.fleet.upperLimits.set('altan', upperLimit);
 	simulation.configure(configurationOf(2, {customers: new Map([['altan', {name: 'altan', weight: 1, upperLimit}]])}));
 	await simulation.run(takeoverMs);
@@ -311,14 +337,15 @@
 	}
 
 	await simulation.run(quiescenceMs);
-	const unfinishedJobs = await findUnfinished(simulation, callers.accepted);
+	const unfinishedJobs = await findUnfinished(simulation, callers.accepted.filter(job => !isLasting(job) || !isCrashing(job)));
+	const wrongOutcomes = crashingEvery === undefined ? [] : findWrongOutcomes(simulation, callers.accepted, isCrashing);
 	const unfinished = unfinishedJobs.map(({jobId}) => `unfinished: ${jobId}`);
 	const unacknowledged = [...simulation.fleet.workers.values()].filter(worker => worker.isUp && worker.hasUnacknowledged)
 		.map(worker => `ends not acknowledged: ${worker.entry.workerId}`);
 	const waves = [...simulation.waveStates].filter(([, state]) => state !== 'completed').map(([waveId]) => `wave ${waveId} is not completed`);
 	const {servedShare} = callers;
 	simulation.close();
-	return {brokenPromises: [...simulation.fleet.brokenPromises, ...unfinished, ...unacknowledged, ...waves], servedShare};
+	return {brokenPromises: [...simulation.fleet.brokenPromises, ...wrongOutcomes, ...unfinished, ...unacknowledged, ...waves], servedShare};
 };
 
 /** Chooses a fleet size; some scenarios get an unusual one. */
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -295,6 +295,25 @@
 		this.#publishWorkers();
 	}
 
+	/** Puts the worker out of reach for some time; what runs on it runs on until its lease expires. */
+	cutWorker(workerId: string, forMs: number): void {
+		const worker = this.fleet.workers.get(workerId)!;
+		worker.isCut = true;
+		this.clock.schedule(forMs, () => {
+			worker.isCut = false;
+		});
+	}
+
+	/** Crashes all workers of the rack at once; their machines return with new workers. */
+	loseRack(rack: string): void {
+		this.#loseWorkers(worker => worker.entry.rack === rack);
+	}
+
+	/** Crashes the worker that runs the task; its machine returns with a new worker. */
+	loseWorkerOf(taskKey: string): void {
+		this.#loseWorkers(worker => worker.runs.has(taskKey));
+	}
+
 	drainWorker(workerId: string): void {
 		const worker = this.fleet.workers.get(workerId);
 		if (worker !== undefined) {
@@ -375,6 +394,16 @@
 		this.#publishWorkers();
 	}
 
+	#loseWorkers(isLost: (worker: FakeWorker) => boolean): void {
+		for (const worker of this.fleet.workers.values()) {
+			if (worker.isUp && isLost(worker)) {
+				worker.crash();
+				worker.isCrashed = true;
+				this.#restartCrashed(worker);
+			}
+		}
+	}
+
 	/** The machine of a crashed worker is listed as down and returns with a new worker; the registration of the old one expires later. */
 	#restartCrashed(worker: FakeWorker): void {
 		const nowMs = this.clock.nowMs();
@@ -446,7 +475,7 @@
 		await new Promise<void>(resolve => {
 			this.clock.schedule(orderLatencyMs, resolve);
 		});
-		if (!worker?.isUp) {
+		if (!worker?.isUp || worker.isCut) {
 			await clock.wait(worker?.isCrashed === true ? orderLatencyMs : orderTimeoutMs);
 			return lost;
 		}
