Count a lasting task on an unregistered worker as unavailable

What callers saw: a lasting task was stopped for maintenance while another of its step had gone with its worker, one more than the step may miss.

Cause: a task counted as serving until a poll of its worker failed. A holder that had been paused learned from the registry first that the worker was gone, and ordered a stop before its poll timed out.

--- a/packages/scheduler/src/core/relocation.ts
+++ b/packages/scheduler/src/core/relocation.ts
@@ -26,7 +26,7 @@
 const stopRetryMs = 600;
 
 const isServing = (run: TaskRun | undefined): boolean =>
-	run?.phase === 'running' && run.percent >= servingPercent && run.worker.silentSinceMs === undefined;
+	run?.phase === 'running' && run.percent >= servingPercent && run.worker.silentSinceMs === undefined && run.worker.isListed;
 
 /** Returns how many tasks of the step are not serving. */
 export const unavailableCount = (step: StepInstance): number => step.tasks.filter(task => !isServing(task.run)).length;
