--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -39,10 +39,13 @@
 /** A run of this length clears its task of earlier crashes. */
 export const clearedAfterMs = 10_000;
 
-/** Number of crashes after which a task is given up if it was the only unproven run on the last worker, and if it was not. */
+/** Number of observed crashes after which a task is given up if it was the only unproven run on the last worker, and if it was not. */
 export const maxCrashesInTrial = 2;
 export const maxCrashes = 3;
 
+/** Number of crashes after which a task is given up although some of them are only presumed. */
+export const maxPossibleCrashes = 4;
+
 /** Share of a pool's usable workers on which tasks may be on trial at the same time; each of them starts no other task meanwhile. */
 export const trialWorkerShare = 1 / 3;
 
--- a/packages/scheduler/src/core/crash-attribution.ts
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -4,15 +4,17 @@
 The load this answers: some jobs have a task that crashes each worker shortly after its start, on workers that run ten to thirty other tasks. Only what the crash can be blamed on is counted. A worker's crash is blamed on its run on trial if there is one, else on the runs that the worker has not been seen to survive, else on all that have not run for long. The tasks blamed are started again on trial (see `trials.ts`), the most likely cause first, which tells the one that crashes workers from those that shared a worker with it. Once the cause is found, the others are cleared.
 */
 import {
-	clearedAfterMs, maxCrashes, maxCrashesInTrial, provenAfterMs,
+	clearedAfterMs, maxCrashes, maxCrashesInTrial, maxPossibleCrashes, provenAfterMs,
 } from '../constants.js';
-import {addCrash, countCrashes, isTrialUnresolved} from './crash-record.js';
+import {
+	addCrash, countCrashes, hasCrash, isTrialUnresolved, noCrashRecord,
+} from './crash-record.js';
 import {stepsOf} from './jobs.js';
 import {type TaskRun, type Task, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 /** Returns true if a worker has crashed under the task, so that the task is only started on trial. */
-export const isSuspect = (task: Task): boolean => countCrashes(task.crashRecord) > 0;
+export const isSuspect = ({crashRecord}: Task): boolean => crashRecord !== noCrashRecord && countCrashes(crashRecord).possible > 0;
 
 /** Time for which the worker was seen to survive the run. */
 const survivedMs = (run: TaskRun): number => Math.max(0, run.lastListedAtMs - (run.startedAtMs ?? run.orderedAtMs));
@@ -21,69 +23,84 @@
 const canBeBlamed = ({task, attempt}: TaskRun): boolean => task !== undefined
 	&& task.step.job.outcome === undefined
 	&& task.phase !== 'done'
-	&& !task.crashRecord.crashedAttempts.includes(attempt);
+	&& !hasCrash(task.crashRecord, attempt);
 
 const firstNonEmpty = (...groups: ReadonlyArray<readonly TaskRun[]>): readonly TaskRun[] => groups.find(group => group.length > 0) ?? [];
 
-/** Returns the runs that may have caused the crash, the most likely first: a run that the worker confirmed before one whose order was never answered, and the latest before earlier ones. */
+/** Returns the runs that may have caused the crash, the most likely first: confirmed runs before others, and the latest before earlier ones. */
 const selectBlamed = (runs: readonly TaskRun[]): readonly TaskRun[] => {
 	const unproven = runs.filter(({isProven}) => !isProven);
 	return firstNonEmpty(unproven.filter(({isTrial}) => isTrial), unproven, runs.filter(run => survivedMs(run) < clearedAfterMs))
 		.filter(run => canBeBlamed(run))
-		.toSorted((a, b) => Number(a.phase === 'unconfirmed') - Number(b.phase === 'unconfirmed') || b.orderedAtMs - a.orderedAtMs);
+		.toSorted((a, b) => Number(b.isConfirmed) - Number(a.isConfirmed) || b.orderedAtMs - a.orderedAtMs);
 };
 
+const recordedAttempts = ({crashRecord}: Task): readonly number[] => [...crashRecord.crashedAttempts, ...crashRecord.presumedAttempts];
+
 /** Clears the tasks that were suspected together with the cause of a crash, and of no other crash before. */
 const clearOtherSuspects = (state: SchedulerState, cause: Task): void => {
 	for (const task of cause.suspicions.flatMap(({suspects}) => suspects)) {
 		const [onlySuspicion, ...others] = task.suspicions;
-		if (task !== cause && onlySuspicion?.suspects.includes(cause) === true && others.length === 0 && task.crashRecord.crashedAttempts.length === 1) {
+		if (task !== cause && onlySuspicion?.suspects.includes(cause) === true && others.length === 0 && recordedAttempts(task).length === 1) {
 			task.suspicions = [];
-			task.crashRecord = {...task.crashRecord, clearedAttempt: Math.max(...task.crashRecord.crashedAttempts)};
+			task.crashRecord = {...task.crashRecord, clearedAttempt: Math.max(...recordedAttempts(task))};
 			state.dirtyJobs.add(task.step.job);
 		}
 	}
 };
 
-const giveUp = (state: SchedulerState, task: Task, crashes: number): void => {
+const giveUp = (state: SchedulerState, task: Task): void => {
 	clearOtherSuspects(state, task);
 	task.phase = 'given-up';
 	task.crashRecord = {...task.crashRecord, isGivenUp: true};
 	state.emit({type: 'count', name: 'scheduler_tasks_given_up_total'});
 	state.emit({
 		type: 'log', fields: {
-			event: 'task_given_up', taskKey: task.key, crashes, attempts: task.crashRecord.crashedAttempts.join(','),
+			event: 'task_given_up', taskKey: task.key, crashedAttempts: task.crashRecord.crashedAttempts.join(','), presumedAttempts: task.crashRecord.presumedAttempts.join(','),
 		},
 	});
 };
 
-const recordCrash = (state: SchedulerState, task: Task, attempt: number, limit: number): void => {
-	task.crashRecord = addCrash(task.crashRecord, attempt);
+/** How an attempt ended that may have crashed its worker. */
+type PossibleCrash = {
+	readonly attempt: number;
+	/** The attempt is known to have run as the worker crashed. */
+	readonly isObserved: boolean;
+	/** No other unproven run was on the worker. */
+	readonly wasAlone: boolean;
+};
+
+const recordCrash = (state: SchedulerState, task: Task, {attempt, isObserved, wasAlone}: PossibleCrash): void => {
+	task.crashRecord = addCrash(task.crashRecord, attempt, isObserved);
 	state.dirtyJobs.add(task.step.job);
-	const crashes = countCrashes(task.crashRecord);
+	const {observed, possible} = countCrashes(task.crashRecord);
+	const isLimitReached = observed >= (isObserved && wasAlone ? maxCrashesInTrial : maxCrashes) || possible >= maxPossibleCrashes;
 	// A task that has been started again since the crash is judged by its later run.
-	if (crashes >= limit && task.phase === 'waiting') {
-		giveUp(state, task, crashes);
+	if (isLimitReached && task.phase === 'waiting') {
+		giveUp(state, task);
 	}
 };
 
 /** Members of a gang only run together, so they are blamed together. */
 const tasksOf = (task: Task): readonly Task[] => task.step.spec.isGang ? task.step.tasks : [task];
 
+const describeSuspects = (runs: readonly TaskRun[]): string =>
+	runs.map(({task, attempt, isTrial, isConfirmed}) => `${task!.key}#${attempt}${isTrial ? ':trial' : ''}${isConfirmed ? '' : ':unconfirmed'}`).join(',');
+
 /** Records the crash of a worker under the given runs, which have been removed from it. */
 export const attributeCrash = (state: SchedulerState, worker: WorkerRecord, runs: readonly TaskRun[], nowMs: number): void => {
 	const blamed = selectBlamed(runs);
 	state.emit({type: 'count', name: 'scheduler_worker_crashes_total'});
 	state.emit({
 		type: 'log', fields: {
-			event: 'worker_crashed', workerId: worker.entry.workerId, runs: runs.length, suspects: blamed.map(({task, attempt, isTrial}) => `${task!.key}#${attempt}${isTrial ? ':trial' : ''}`).join(','), lastAnswerAgeMs: Math.round(nowMs - worker.lastAnswerAtMs),
+			event: 'worker_crashed', workerId: worker.entry.workerId, runs: runs.length, suspects: describeSuspects(blamed), lastAnswerAgeMs: Math.round(nowMs - worker.lastAnswerAtMs),
 		},
 	});
 	const suspects = blamed.flatMap(({task}) => tasksOf(task!));
-	for (const [rank, {task, attempt, isTrial, isProven}] of blamed.entries()) {
-		for (const member of tasksOf(task!)) {
+	for (const [rank, run] of blamed.entries()) {
+		for (const member of tasksOf(run.task!)) {
 			member.suspicions = [...member.suspicions, {suspects, rank}];
-			recordCrash(state, member, attempt, isTrial && !isProven ? maxCrashesInTrial : maxCrashes);
+			recordCrash(state, member, {attempt: run.attempt, isObserved: run.isConfirmed, wasAlone: run.isTrial && !run.isProven});
 		}
 	}
 };
@@ -93,6 +110,7 @@
 
 /** Notes that the worker listed the run in a report that it was asked for at `sentAtMs`. A run that lasts is proven, and later clears its task. */
 export const recordSurvival = (state: SchedulerState, run: TaskRun, sentAtMs: number): void => {
+	run.isConfirmed = true;
 	run.lastListedAtMs = Math.max(run.lastListedAtMs, sentAtMs);
 	const ageMs = survivedMs(run);
 	if (!run.isProven && ageMs >= provenAfterMs) {
@@ -114,13 +132,13 @@
 	}
 };
 
-/** Counts the trials of an earlier lease holder whose outcome nobody reports as crashes. Called once every worker has reported or its leases have expired. */
+/** Presumes that the trials of an earlier lease holder whose outcome nobody reports crashed their workers. Called once every worker has reported or its leases have expired. */
 export const resolveLostTrials = (state: SchedulerState): void => {
 	for (const job of state.openJobs) {
 		for (const task of stepsOf(job).flatMap(({tasks}) => tasks)) {
 			if (task.phase === 'waiting' && isTrialUnresolved(task.crashRecord)) {
 				state.emit({type: 'log', fields: {event: 'trial_outcome_unknown', taskKey: task.key, attempt: task.crashRecord.trialAttempt}});
-				recordCrash(state, task, task.crashRecord.trialAttempt, maxCrashes);
+				recordCrash(state, task, {attempt: task.crashRecord.trialAttempt, isObserved: false, wasAlone: true});
 			}
 		}
 	}
--- a/packages/scheduler/src/core/crash-record.ts
+++ b/packages/scheduler/src/core/crash-record.ts
@@ -5,23 +5,39 @@
 
 /** The record of a task under which no worker has crashed. */
 export const noCrashRecord: CrashRecord = {
-	crashedAttempts: [], trialAttempt: 0, settledTrialAttempt: 0, clearedAttempt: 0, isGivenUp: false,
+	crashedAttempts: [], presumedAttempts: [], trialAttempt: 0, settledTrialAttempt: 0, clearedAttempt: 0, isGivenUp: false,
 };
 
-/** Returns the number of crashes that count against the task. */
-export const countCrashes = ({crashedAttempts, clearedAttempt}: CrashRecord): number =>
-	crashedAttempts.filter(attempt => attempt > clearedAttempt).length;
+/** Numbers of crashes that count against a task. */
+export type CrashCount = {
+	readonly observed: number;
+	/** The observed and the presumed ones. */
+	readonly possible: number;
+};
+
+export const countCrashes = ({crashedAttempts, presumedAttempts, clearedAttempt}: CrashRecord): CrashCount => {
+	const observed = crashedAttempts.filter(attempt => attempt > clearedAttempt).length;
+	return {observed, possible: observed + presumedAttempts.filter(attempt => attempt > clearedAttempt).length};
+};
+
+/** Returns true if the attempt is recorded as one that has, or may have, crashed its worker. */
+export const hasCrash = ({crashedAttempts, presumedAttempts}: CrashRecord, attempt: number): boolean =>
+	crashedAttempts.includes(attempt) || presumedAttempts.includes(attempt);
 
 /** Returns true if a trial was planned and how it ended is unknown. */
-export const isTrialUnresolved = ({crashedAttempts, trialAttempt, settledTrialAttempt}: CrashRecord): boolean =>
-	trialAttempt > settledTrialAttempt && !crashedAttempts.includes(trialAttempt);
+export const isTrialUnresolved = (record: CrashRecord): boolean =>
+	record.trialAttempt > record.settledTrialAttempt && !hasCrash(record, record.trialAttempt);
+
+const unionOf = (a: readonly number[], b: readonly number[]): readonly number[] => [...new Set([...a, ...b])].toSorted((x, y) => x - y);
 
-export const addCrash = (record: CrashRecord, attempt: number): CrashRecord =>
-	({...record, crashedAttempts: [...new Set([...record.crashedAttempts, attempt])]});
+export const addCrash = (record: CrashRecord, attempt: number, isObserved: boolean): CrashRecord => isObserved
+	? {...record, crashedAttempts: unionOf(record.crashedAttempts, [attempt])}
+	: {...record, presumedAttempts: unionOf(record.presumedAttempts, [attempt])};
 
 /** Merges what two lease holders have recorded; the order does not matter. */
 export const mergeCrashRecords = (a: CrashRecord, b: CrashRecord): CrashRecord => ({
-	crashedAttempts: [...new Set([...a.crashedAttempts, ...b.crashedAttempts])].toSorted((x, y) => x - y),
+	crashedAttempts: unionOf(a.crashedAttempts, b.crashedAttempts),
+	presumedAttempts: unionOf(a.presumedAttempts, b.presumedAttempts),
 	trialAttempt: Math.max(a.trialAttempt, b.trialAttempt),
 	settledTrialAttempt: Math.max(a.settledTrialAttempt, b.settledTrialAttempt),
 	clearedAttempt: Math.max(a.clearedAttempt, b.clearedAttempt),
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -51,6 +51,7 @@
 		phase: 'starting',
 		orderedAtMs: nowMs,
 		startedAtMs: undefined,
+		isConfirmed: false,
 		isTrial: worker.trial?.tasks.includes(task) === true,
 		lastListedAtMs: nowMs,
 		isProven: false,
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -31,6 +31,8 @@
 	readonly orderedAtMs: number;
 	/** When the worker confirmed the start. */
 	startedAtMs: number | undefined;
+	/** The worker has confirmed that it started the run, or has listed it. */
+	isConfirmed: boolean;
 	/** The run is the only unproven one on its worker, so a crash of the worker is blamed on it. */
 	readonly isTrial: boolean;
 	/** When the last report that lists the run was asked for. */
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -179,6 +179,7 @@
 		phase: 'running',
 		orderedAtMs: nowMs,
 		startedAtMs: nowMs,
+		isConfirmed: true,
 		isTrial: false,
 		lastListedAtMs: nowMs,
 		isProven: false,
@@ -305,6 +306,7 @@
 	switch (event.answer) {
 		case 'started': {
 			run.startedAtMs = event.nowMs;
+			run.isConfirmed = true;
 			run.phase = 'running';
 			run.percentChangedAtMs = event.nowMs;
 			markJobBegun(state, run);
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -66,6 +66,7 @@
 
 const crashRecordSchema = z.object({
 	crashedAttempts: z.array(z.number().int()).default([]),
+	presumedAttempts: z.array(z.number().int()).default([]),
 	trialAttempt: z.number().int().default(0),
 	settledTrialAttempt: z.number().int().default(0),
 	clearedAttempt: z.number().int().default(0),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -132,8 +132,10 @@
 
 /** What is known about crashes of workers under one task. Each field only grows, so that records of two lease holders can be merged. Attempt numbers rise from holder to holder; 0 means none. */
 export type CrashRecord = {
-	/** Attempts that may have crashed their worker. */
+	/** Attempts that ran on a worker as it crashed and may have caused it. */
 	readonly crashedAttempts: readonly number[];
+	/** Attempts for which it is not known whether they ran as their worker crashed, or whether it crashed. */
+	readonly presumedAttempts: readonly number[];
 	/** Last attempt that was planned as a trial. It is stored before the start order is sent, so a successor knows of a trial whose outcome it never learns. */
 	readonly trialAttempt: number;
 	/** Last trial that is known to have ended without a crash. */
