End a start that is lost while its job ends

What operators saw: a worker kept room for a run that never existed, was stopped again every 600 ms, and its machine was neither maintained nor moved.

Cause: when a job ended while a start order was in flight, the run was marked as stopping; the late result of the start was then ignored, so a lost or refused start was never resolved.

--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -299,7 +299,9 @@
 	}
 
 	const run = findRun(state, event);
-	if (run?.phase !== 'starting') {
+	// A run whose job ended in the meantime is stopping already, and its start is still unanswered.
+	const isStopping = run?.phase === 'stopping' && run.startedAtMs === undefined;
+	if (run === undefined || (run.phase !== 'starting' && !isStopping)) {
 		return;
 	}
 
@@ -307,7 +309,7 @@
 		case 'started': {
 			run.startedAtMs = event.nowMs;
 			run.isConfirmed = true;
-			run.phase = 'running';
+			run.phase = isStopping ? 'stopping' : 'running';
 			run.percentChangedAtMs = event.nowMs;
 			markJobBegun(state, run);
 			break;
--- a/packages/scheduler/tests/job-lifecycle.test.ts
+++ b/packages/scheduler/tests/job-lifecycle.test.ts
@@ -87,3 +87,17 @@
 
 	expect(await stateOf(job)).toBe('completed');
 });
+
+test('a start that is lost while its job is cancelled does not occupy its worker for good', async () => {
+	Object.assign(simulation.faults, {lostOrderRate: 1, lateOrderMs: 500});
+	const job = jobOf(1, {steps: [stepOf({taskCount: 8})]});
+	void simulation.submit(job);
+	await simulation.run(100);
+	expect([...simulation.holder!.scheduler.state.workers.values()].flatMap(({runs}) => [...runs.keys()])).toHaveLength(8);
+	simulation.fleet.cancelSent.add(job.jobId);
+	void simulation.randomProcess().scheduler.jobService.cancel(job.jobId, {queue: configurationOf(1).queues.get('draws')!, customer: job.customer});
+	await simulation.run(1200);
+	simulation.faults.lostOrderRate = 0;
+	await simulation.run(5000);
+	expect([...simulation.holder!.scheduler.state.workers.values()].flatMap(({runs}) => [...runs.keys()])).toEqual([]);
+});
