Do not send a request to a third backend server after two have failed under it

What callers saw: nothing yet; looked for after the scheduler's crash loop, which has the same cause. An idempotent request that makes its backend server fail was sent to three servers, each time a caller tried.

Cause: a retry was allowed by the number of attempts alone, whether the server had refused the connection or had failed under the request.

Fix: after a second failure under a request that had been sent, its caller gets 502 with an unknown outcome. Attempts of which nothing was sent are retried as before.

Test: 'is not sent to a third backend server after two have failed under it' failed before.

--- a/packages/gate/src/dispatch/attempts.ts
+++ b/packages/gate/src/dispatch/attempts.ts
@@ -95,6 +95,7 @@
 	const isSafe = isSafeToRetry({
 		stage: event.stage,
 		attempt: event.attempt,
+		wasSentBefore: request.mayHaveBeenSent,
 		isIdempotent: request.isIdempotent,
 		isReplayable: request.arrived.isReplayable,
 	});
@@ -114,10 +115,11 @@
 	const {slot} = request.running;
 	const isNotSent = event.stage === 'not-sent';
 	clearRunning(request);
-	request.mayHaveBeenSent ||= !isNotSent;
 	recordOutcome(context, slot, false);
 	count(context, `gate_attempts_failed_${event.stage.replaceAll('-', '_')}_total`);
-	if (mayRetry(context, request, event)) {
+	const isRetried = mayRetry(context, request, event);
+	request.mayHaveBeenSent ||= !isNotSent;
+	if (isRetried) {
 		count(context, 'gate_retries_total');
 		enqueue(context, request);
 	} else {
--- a/packages/gate/src/retries/retry-safety.ts
+++ b/packages/gate/src/retries/retry-safety.ts
@@ -1,5 +1,5 @@
 /**
-Determines which failed attempts may be retried: any attempt of which no byte was sent, and otherwise only an idempotent request whose body is still available and of whose answer nothing was forwarded.
+Determines which failed attempts may be retried: any attempt of which no byte was sent, and otherwise, once, an idempotent request whose body is still available and of whose answer nothing was forwarded. A request under which two backend servers have failed may be what makes them fail, so it is not sent to a third.
 */
 import {maxAttempts} from '../constants.js';
 import {type AttemptStage} from '../types.js';
@@ -8,6 +8,8 @@
 export type FailedAttempt = {
 	readonly stage: AttemptStage;
 	readonly attempt: number;
+	/** An earlier attempt of the request failed after bytes of it had been sent. */
+	readonly wasSentBefore: boolean;
 	readonly isIdempotent: boolean;
 	readonly isReplayable: boolean;
 };
@@ -18,5 +20,5 @@
 		return false;
 	}
 
-	return failed.stage === 'not-sent' || (failed.isIdempotent && failed.isReplayable);
+	return failed.stage === 'not-sent' || (failed.isIdempotent && failed.isReplayable && !failed.wasSentBefore);
 };
--- a/packages/gate/tests/reducer/request-lifecycle.test.ts
+++ b/packages/gate/tests/reducer/request-lifecycle.test.ts
@@ -58,6 +58,19 @@
 		expect(second!.host).not.toBe(first!.host);
 	});
 
+	it('is not sent to a third backend server after two have failed under it', () => {
+		const gate = new GateUnderTest(undefined, serversOf(4));
+		const request = requestWith({method: 'GET'});
+		gate.arrive(request);
+		const failedUnder = (attempt: number) => gate.send({
+			type: 'attemptFailed', requestId: request.requestId, attempt, stage: 'sent', reason: 'reset',
+		});
+		expect(startsIn(failedUnder(1))).toHaveLength(1);
+		const effects = failedUnder(2);
+		expect(startsIn(effects)).toEqual([]);
+		expect(problemIn(effects)).toMatchObject({status: 502, outcome: 'unknown'});
+	});
+
 	it('is never sent twice when it is not idempotent', () => {
 		const gate = new GateUnderTest();
 		const request = requestWith({method: 'POST'});
--- a/packages/gate/tests/retries/retry-safety.test.ts
+++ b/packages/gate/tests/retries/retry-safety.test.ts
@@ -8,6 +8,7 @@
 const attempt = fc.record({
 	stage: fc.constantFrom('not-sent' as const, 'sent' as const, 'answering' as const),
 	attempt: fc.integer({min: 1, max: 5}),
+	wasSentBefore: fc.boolean(),
 	isIdempotent: fc.boolean(),
 	isReplayable: fc.boolean(),
 });
@@ -19,13 +20,14 @@
 				expect(failed.stage).not.toBe('answering');
 				expect(failed.stage === 'not-sent' || failed.isIdempotent).toBe(true);
 				expect(failed.stage === 'not-sent' || failed.isReplayable).toBe(true);
+				expect(failed.stage === 'sent' && failed.wasSentBefore).toBe(false);
 			}
 		}), {seed: 5001, numRuns: 200});
 	});
 
 	it('is retried if nothing was sent, whatever the method', () => {
 		expect(isSafeToRetry({
-			stage: 'not-sent', attempt: 1, isIdempotent: false, isReplayable: false,
+			stage: 'not-sent', attempt: 1, wasSentBefore: true, isIdempotent: false, isReplayable: false,
 		})).toBe(true);
 	});
 });
