Test that no start exceeds a worker's capacity that has shrunk

The rule on a worker's room now covers rooms that shrink. The code held it already: a worker's registration is the only source of its capacity, and runs that are stopping count until their end is listed.

--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -69,7 +69,9 @@
 const maxTargetMissMs = 4000;
 
 export class FakeWorker {
-	readonly entry: WorkerEntry;
+	entry: WorkerEntry;
+	/** The capacity that starts are checked against. */
+	enforcedCapacity: Resources;
 	isUp = true;
 	isDraining = false;
 	/** A task crashed the worker, so its connections are reset. */
@@ -87,6 +89,7 @@
 	constructor(fleet: FakeWorkers, entry: WorkerEntry) {
 		this.#fleet = fleet;
 		this.entry = entry;
+		this.enforcedCapacity = entry.capacity;
 	}
 
 	get #clockMs(): number {
@@ -351,7 +354,7 @@
 		const used = (field: keyof Resources): number => runs.reduce((sum, run) => sum + run.step.needs[field], 0) + step.needs[field];
 		const cpuOf = (other: StepSpec): number => other.isFilling ? 0 : other.needs.cpuMillicores;
 		const usedCpu = runs.reduce((sum, run) => sum + cpuOf(run.step), cpuOf(step));
-		if (usedCpu > worker.entry.capacity.cpuMillicores || used('memoryMb') > worker.entry.capacity.memoryMb) {
+		if (usedCpu > worker.enforcedCapacity.cpuMillicores || used('memoryMb') > worker.enforcedCapacity.memoryMb) {
 			this.#recordViolation(`capacity: ${taskKey} on ${worker.entry.workerId}`);
 		}
 
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -7,7 +7,7 @@
 import {RetryingTableService} from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
 import {
-	type FleetConfiguration, type StateSource, type JobSpec, type PollAnswer, type MachineAnswer, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
+	type FleetConfiguration, type StateSource, type JobSpec, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
 } from '../../src/index.js';
 import {normalLatencyMs, FakeTable, type TableFaults} from './fake-table.js';
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
@@ -28,6 +28,9 @@
 
 const drainMs = 3000;
 
+/** Less than the time after which a worker that has shrunk counts as such. */
+const resizeNoticeMs = 50;
+
 export type SimulationFaults = {
 	/** Share of orders whose answer is lost; half of them are carried out after a random delay. */
 	lostOrderRate: number;
@@ -295,6 +298,17 @@
 		this.#publishWorkers();
 	}
 
+	/** Changes the capacity that the worker reports; what runs on it runs on. Starts are checked against a smaller one once orders that were sent before have arrived. */
+	resizeWorker(workerId: string, resized: Resources): void {
+		const worker = this.fleet.workers.get(workerId)!;
+		const hasGrown = resized.cpuMillicores > worker.entry.capacity.cpuMillicores;
+		worker.entry = {...worker.entry, capacity: resized};
+		this.#publishWorkers();
+		this.clock.schedule(hasGrown ? 0 : resizeNoticeMs, () => {
+			worker.enforcedCapacity = resized;
+		});
+	}
+
 	/** Puts the worker out of reach for some time; what runs on it runs on until its lease expires. */
 	cutWorker(workerId: string, forMs: number): void {
 		const worker = this.fleet.workers.get(workerId)!;
