Keep the leases of runs that a new holder adopts from an unregistered worker

Cause: registrations lapse while the store is away. A new holder polls such a worker once and adopts its runs, but knew of no lease on the worker, so its next round took the runs of the unregistered worker for ended, 19 ms after it had adopted them.

Fix: a first report with active runs shows that an earlier holder has extended leases on the worker, at the latest when this holder won.

--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -14,7 +14,7 @@
 import {type TaskRun, type Task, type WorkerRecord} from './records.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
-import {beginIncarnation, loseRuns} from './workers.js';
+import {beginIncarnation, loseRuns, recordLeaseSent} from './workers.js';
 
 type PolledEvent = Extract<SchedulerEvent, {readonly type: 'polled'}>;
 
@@ -95,6 +95,11 @@
 		state.emit({type: 'log', fields: {event: 'worker_answers', workerId: event.workerId, silentMs: Math.round(event.nowMs - worker.silentSinceMs)}});
 	}
 
+	if (!worker.isFenced && report.running.length > 0) {
+		// The earlier holder may have extended the leases until it lost its own.
+		recordLeaseSent(worker, state.term!.wonAtMs);
+	}
+
 	worker.isFenced = true;
 	worker.silentSinceMs = undefined;
 	worker.expiredRuns = [];
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -158,6 +158,7 @@
 	#waves: readonly WaveOrder[] = [];
 	#workerCount = 0;
 	#processCount = 0;
+	#registrationsLapsedUntilMs = 0;
 	/** When the registrations of crashed workers expire. */
 	readonly #expiresAtMs = new Map<FakeWorker, number>();
 
@@ -309,6 +310,16 @@
 		});
 	}
 
+	/** Removes the registrations of all workers for some time, as an outage of the store does; the workers run on and are within reach. */
+	lapseRegistrations(forMs: number): void {
+		const untilMs = this.clock.nowMs() + forMs;
+		this.#registrationsLapsedUntilMs = untilMs;
+		this.#publishWorkers();
+		this.clock.schedule(forMs, () => {
+			this.#publishWorkers();
+		});
+	}
+
 	/** Puts the worker out of reach for some time; what runs on it runs on until its lease expires. */
 	cutWorker(workerId: string, forMs: number): void {
 		const worker = this.fleet.workers.get(workerId)!;
@@ -435,6 +446,10 @@
 	}
 
 	#isRegistered(worker: FakeWorker): boolean {
+		if (this.clock.nowMs() < this.#registrationsLapsedUntilMs) {
+			return false;
+		}
+
 		return worker.isUp || this.clock.nowMs() < (this.#expiresAtMs.get(worker) ?? 0);
 	}
 
