Try suspects on all workers while nothing else waits, and once only

Cause: at most a third of a pool's workers was used for trials, also while nothing else waited; tasks that waited for a trial did not count as a shortage, so the pool stayed small; and a task that had passed its trial was tried again each time its worker was lost.

Change: the share holds only while other tasks wait; a suspect without a trial counts as unplaced; a proven run ends the suspicion, while the crashes still count. In a pool of few workers other tasks get their turn between two trials. Planning and starting trials moved from the walk over steps into functions of their own.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -49,9 +49,12 @@
 /** Number of crashes after which a task is given up although some of them are only presumed. */
 export const maxPossibleCrashes = 4;
 
-/** Share of a pool's usable workers on which tasks may be on trial at the same time; each of them starts no other task meanwhile. */
+/** Share of a pool's usable workers on which tasks may be on trial at the same time while other tasks wait; each of these workers starts no other task meanwhile. */
 export const trialWorkerShare = 1 / 3;
 
+/** Time between two trials on one worker while other tasks wait, so that these get their turn in a pool of few workers. */
+export const trialPauseMs = 300;
+
 /** A trial that cannot start within this time after it was planned releases its workers. */
 export const trialPlanTimeoutMs = 2000;
 
--- a/packages/scheduler/src/core/crash-attribution.ts
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -7,14 +7,14 @@
 	clearedAfterMs, maxCrashes, maxCrashesInTrial, maxPossibleCrashes, provenAfterMs,
 } from '../constants.js';
 import {
-	addCrash, countCrashes, hasCrash, isTrialUnresolved, noCrashRecord,
+	addCrash, countCrashes, hasCrash, isTrialUnresolved, isUnderSuspicion, noCrashRecord,
 } from './crash-record.js';
 import {stepsOf} from './jobs.js';
 import {type TaskRun, type Task, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
-/** Returns true if a worker has crashed under the task, so that the task is only started on trial. */
-export const isSuspect = ({crashRecord}: Task): boolean => crashRecord !== noCrashRecord && countCrashes(crashRecord).possible > 0;
+/** Returns true if a worker has crashed under the task since it was last proven, so that it is only started on trial. */
+export const isSuspect = ({crashRecord}: Task): boolean => crashRecord !== noCrashRecord && isUnderSuspicion(crashRecord);
 
 /** Time for which the worker was seen to survive the run. */
 const survivedMs = (run: TaskRun): number => Math.max(0, run.lastListedAtMs - (run.startedAtMs ?? run.orderedAtMs));
@@ -116,11 +116,19 @@
 	if (!run.isProven && ageMs >= provenAfterMs) {
 		run.isProven = true;
 		settleTrial(state, run.task, run.attempt);
+		trust(state, run, 'provenAttempt');
 	}
 
-	if (run.task !== undefined && ageMs >= clearedAfterMs && isSuspect(run.task)) {
-		run.task.crashRecord = {...run.task.crashRecord, clearedAttempt: run.attempt};
-		state.dirtyJobs.add(run.task.step.job);
+	if (ageMs >= clearedAfterMs) {
+		trust(state, run, 'clearedAttempt');
+	}
+};
+
+/** Notes in the task's crash record, if it has one, that its worker survived the run. */
+const trust = (state: SchedulerState, {task, attempt}: TaskRun, field: 'provenAttempt' | 'clearedAttempt'): void => {
+	if (task !== undefined && task.crashRecord !== noCrashRecord && task.crashRecord[field] < attempt && countCrashes(task.crashRecord).possible > 0) {
+		task.crashRecord = {...task.crashRecord, [field]: attempt};
+		state.dirtyJobs.add(task.step.job);
 	}
 };
 
--- a/packages/scheduler/src/core/crash-record.ts
+++ b/packages/scheduler/src/core/crash-record.ts
@@ -5,7 +5,7 @@
 
 /** The record of a task under which no worker has crashed. */
 export const noCrashRecord: CrashRecord = {
-	crashedAttempts: [], presumedAttempts: [], trialAttempt: 0, settledTrialAttempt: 0, clearedAttempt: 0, isGivenUp: false,
+	crashedAttempts: [], presumedAttempts: [], trialAttempt: 0, settledTrialAttempt: 0, provenAttempt: 0, clearedAttempt: 0, isGivenUp: false,
 };
 
 /** Numbers of crashes that count against a task. */
@@ -20,6 +20,12 @@
 	return {observed, possible: observed + presumedAttempts.filter(attempt => attempt > clearedAttempt).length};
 };
 
+/** Returns true if a crash counts against the task that came after the last attempt that was proven. */
+export const isUnderSuspicion = ({crashedAttempts, presumedAttempts, provenAttempt, clearedAttempt}: CrashRecord): boolean => {
+	const trustedAttempt = Math.max(provenAttempt, clearedAttempt);
+	return crashedAttempts.some(attempt => attempt > trustedAttempt) || presumedAttempts.some(attempt => attempt > trustedAttempt);
+};
+
 /** Returns true if the attempt is recorded as one that has, or may have, crashed its worker. */
 export const hasCrash = ({crashedAttempts, presumedAttempts}: CrashRecord, attempt: number): boolean =>
 	crashedAttempts.includes(attempt) || presumedAttempts.includes(attempt);
@@ -40,6 +46,7 @@
 	presumedAttempts: unionOf(a.presumedAttempts, b.presumedAttempts),
 	trialAttempt: Math.max(a.trialAttempt, b.trialAttempt),
 	settledTrialAttempt: Math.max(a.settledTrialAttempt, b.settledTrialAttempt),
+	provenAttempt: Math.max(a.provenAttempt, b.provenAttempt),
 	clearedAttempt: Math.max(a.clearedAttempt, b.clearedAttempt),
 	isGivenUp: a.isGivenUp || b.isGivenUp,
 });
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -2,19 +2,19 @@
 Starts waiting tasks on workers with free capacity, within the capacity of workers and the upper limits of customers. Returns the tasks that could not be placed, which pool sizing uses as its input.
 */
 import {type Resources} from '../types.js';
-import {isSuspect, suspicionRank} from './crash-attribution.js';
+import {isSuspect} from './crash-attribution.js';
 import {requestAdvice, ticketFor} from './placement-advice.js';
 import {type QueuedStep, sortQueuedSteps} from './queue-order.js';
 import {chooseAmong, isAllowed} from './placement.js';
 import {
-	type TaskRun, type StepInstance, type Task, type Trial, type WorkerRecord,
+	type TaskRun, type StepInstance, type Task, type WorkerRecord,
 } from './records.js';
 import {
 	addResources, fitsInto, multiplyResources, noResources, staysWithin,
 } from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
 import {
-	canPlanTrials, canStartTrial, chooseTrialWorker, endFinishedTrials, findTrial, freeTrialWorkers, planTrial,
+	canPlanTrials, canStartTrial, endFinishedTrials, findTrial, freeTrialWorkers, planTrial, planTrials, skipAttempt, type TrialPlan, type WaitingSuspect,
 } from './trials.js';
 import {deadlineClockMs, isUsable, recordLeaseSent} from './workers.js';
 
@@ -121,35 +121,60 @@
 	}
 }
 
-/** Starts the task's planned trial if its workers are ready. Returns false if there is none and no worker has the capacity for one. */
-const startOnTrial = (state: SchedulerState, task: Task, pool: PoolWorkers, nowMs: number): boolean => {
-	const trial = findTrial(state, task);
-	if (trial === undefined) {
-		return chooseTrialWorker(state, task, pool.usable, nowMs) !== undefined;
-	}
+/** Starts the tasks of planned trials whose workers are ready. Gangs are started by `startGang`. */
+const startReadyTrials = (state: SchedulerState, nowMs: number): void => {
+	for (const trial of state.trials) {
+		const task = trial.tasks[0]!;
+		if (task.step.spec.isGang || !canStartTrial(state, trial)) {
+			continue;
+		}
 
-	if (!trial.isStarted && canStartTrial(state, trial)) {
 		trial.isStarted = true;
-		startTask(state, task, trial.workers[0]!, nowMs);
+		if (staysWithinUpperLimit(state, task.step.job.spec.customer, task.step.spec.needs)) {
+			startTask(state, task, trial.workers[0]!, nowMs);
+		} else {
+			skipAttempt(state, task, trial.attempt);
+		}
 	}
+};
 
-	return true;
+/** The waiting tasks of one pool as far as trials depend on them. */
+type PoolSuspects = {
+	readonly suspects: WaitingSuspect[];
+	/** Tasks that are not suspected wait too. */
+	isOtherWaiting: boolean;
 };
 
-/** Plans trials for suspected tasks, the most likely cause of each crash first. */
-const planTrials = (state: SchedulerState, queued: readonly QueuedStep[], workers: UsableWorkers, nowMs: number): void => {
-	const suspects = queued.filter(({step}) => !step.spec.isGang && canStart(state, step))
-		.flatMap(({step, pool}) => step.tasks.filter(task => task.phase === 'waiting' && isSuspect(task)).map(task => ({task, pool})))
-		.toSorted((a, b) => suspicionRank(a.task) - suspicionRank(b.task));
-	for (const {task, pool} of canPlanTrials(state, nowMs) ? suspects : []) {
-		const {usable} = workers.of(pool);
-		if (freeTrialWorkers(usable) <= 0 || findTrial(state, task) !== undefined) {
-			continue;
+/** Collects the suspected tasks that wait without a planned trial, by pool. The trial of a gang is planned by `startGang`. */
+const collectSuspects = (state: SchedulerState, queued: readonly QueuedStep[]): ReadonlyMap<string, PoolSuspects> => {
+	const byPool = new Map<string, PoolSuspects>();
+	for (const {step, pool} of queued) {
+		const found = byPool.get(pool) ?? {suspects: [], isOtherWaiting: false};
+		byPool.set(pool, found);
+		for (const task of canStart(state, step) ? step.tasks : []) {
+			if (task.phase !== 'waiting') {
+				continue;
+			}
+
+			if (step.spec.isGang || !isSuspect(task)) {
+				found.isOtherWaiting = true;
+			} else if (findTrial(state, task) === undefined) {
+				found.suspects.push({task, attempt: nextAttempt(state, task)});
+			}
 		}
+	}
+
+	return byPool;
+};
+
+const planPoolTrials = (state: SchedulerState, queued: readonly QueuedStep[], workers: UsableWorkers, nowMs: number): void => {
+	if (!canPlanTrials(state, nowMs)) {
+		return;
+	}
 
-		const worker = chooseTrialWorker(state, task, usable, nowMs);
-		if (worker !== undefined) {
-			planTrial(state, {tasks: [task], workers: [worker], attempt: nextAttempt(state, task)}, nowMs);
+	for (const [pool, {suspects, isOtherWaiting}] of collectSuspects(state, queued)) {
+		if (suspects.length > 0) {
+			planTrials(state, suspects, {usable: workers.of(pool).usable, isOtherWaiting}, nowMs);
 		}
 	}
 };
@@ -168,7 +193,8 @@
 		}
 
 		if (isSuspect(task)) {
-			unplaced += startOnTrial(state, task, pool, nowMs) ? 0 : 1;
+			// Suspects are started by their trials. Without one, the pool lacks a worker for it.
+			unplaced += findTrial(state, task) === undefined ? 1 : 0;
 			continue;
 		}
 
@@ -228,9 +254,9 @@
 };
 
 /** Plans the trial of a gang unless too many workers are used for trials already. A gang may take more workers than the share for trials while there is no other trial, since it would never start otherwise. */
-const planGangTrial = (state: SchedulerState, plan: Pick<Trial, 'tasks' | 'workers' | 'attempt'>, {usable}: PoolWorkers, nowMs: number): void => {
+const planGangTrial = (state: SchedulerState, plan: TrialPlan, {usable}: PoolWorkers, nowMs: number): void => {
 	const isOnlyTrial = usable.every(({trial}) => trial === undefined);
-	if (canPlanTrials(state, nowMs) && (isOnlyTrial || new Set(plan.workers).size <= freeTrialWorkers(usable))) {
+	if (canPlanTrials(state, nowMs) && (isOnlyTrial || new Set(plan.workers).size <= freeTrialWorkers(usable, true))) {
 		planTrial(state, plan, nowMs);
 	}
 };
@@ -281,7 +307,8 @@
 	endFinishedTrials(state, nowMs);
 	const usable = new UsableWorkers(state, nowMs);
 	const queuedSteps = sortQueuedSteps(state, nowMs);
-	planTrials(state, queuedSteps, usable, nowMs);
+	planPoolTrials(state, queuedSteps, usable, nowMs);
+	startReadyTrials(state, nowMs);
 	for (const queued of queuedSteps) {
 		if (!canStart(state, queued.step)) {
 			continue;
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -147,6 +147,7 @@
 	expiredRuns: readonly TaskRun[];
 	/** The trial for which the worker starts no other task. */
 	trial: Trial | undefined;
+	trialEndedAtMs: number;
 	bornWallMs: number | undefined;
 	/** The worker has acknowledged this holder's fencing token, so it rejects orders of earlier holders. */
 	isFenced: boolean;
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -17,6 +17,7 @@
 	runs: new Map(),
 	expiredRuns: [],
 	trial: undefined,
+	trialEndedAtMs: Number.NEGATIVE_INFINITY,
 	bornWallMs: entry.bornWallMs,
 	isFenced: false,
 	clock: undefined,
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -69,6 +69,7 @@
 	presumedAttempts: z.array(z.number().int()).default([]),
 	trialAttempt: z.number().int().default(0),
 	settledTrialAttempt: z.number().int().default(0),
+	provenAttempt: z.number().int().default(0),
 	clearedAttempt: z.number().int().default(0),
 	isGivenUp: z.boolean().default(false),
 });
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -269,6 +269,9 @@
 			workers: [...state.workers.values()].map(worker => ({
 				workerId: worker.entry.workerId, pool: worker.entry.pool, isListed: worker.isListed, isFenced: worker.isFenced, isReserved: worker.isReserved, runs: worker.runs.size, acknowledged: worker.acknowledgedSequence,
 			})),
+			trials: [...state.trials].map(({tasks, workers, isStarted}) => ({
+				taskKeys: tasks.map(({key}) => key), workerIds: workers.map(({entry}) => entry.workerId), isStarted,
+			})),
 			waves: [...state.waves.values()].map(wave => ({
 				waveId: wave.order.waveId, state: wave.state, maintained: wave.maintained.size, machines: wave.order.machineIds.length,
 			})),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -140,6 +140,8 @@
 	readonly trialAttempt: number;
 	/** Last trial that is known to have ended without a crash. */
 	readonly settledTrialAttempt: number;
+	/** Last attempt that its worker was seen to survive for as long as a trial takes. */
+	readonly provenAttempt: number;
 	/** Crashes up to this attempt do not count, because a later attempt ran for long enough. */
 	readonly clearedAttempt: number;
 	/** The task is not started again. */
