Do not blame tasks for a worker that drained and restarted under its id

What callers saw: nothing yet; found on reading the change. A job whose workers drained and came back under their ids was given up after the third time.

Cause: the time since which a worker drains was overwritten by the new incarnation's entry before the loss of the old one's runs was judged, so the worker counted as crashed.

Fix: the entry's drain is applied after the incarnation has ended; the check derives from that time alone.

Test: 'are drained and restarted under their ids' failed before.

--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -52,11 +52,8 @@
 			continue;
 		}
 
-		if (known.entry.isDraining !== entry.isDraining) {
-			known.drainNoticedAtMs = entry.isDraining ? nowMs : undefined;
-		}
-
-		if (known.entry.isDraining !== entry.isDraining && state.term !== undefined) {
+		const hasDrainChanged = known.entry.isDraining !== entry.isDraining;
+		if (hasDrainChanged && state.term !== undefined) {
 			state.emit({
 				type: 'log', fields: {
 					event: 'worker_state', workerId: entry.workerId, pool: entry.pool, isDraining: entry.isDraining, runs: known.runs.size,
@@ -69,6 +66,10 @@
 			beginIncarnation(state, known, entry.bornWallMs, nowMs);
 		}
 
+		if (hasDrainChanged) {
+			known.drainNoticedAtMs = entry.isDraining ? nowMs : undefined;
+		}
+
 		known.entry = entry;
 		known.isListed = true;
 		known.unlistedAtMs = undefined;
@@ -131,7 +132,7 @@
 
 /** Returns true if the worker may have ended because it was drained or its machine was ordered away. */
 const isLeaving = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean => {
-	const isDrained = worker.entry.isDraining && nowMs - (worker.drainNoticedAtMs ?? nowMs) >= minDrainMs;
+	const isDrained = worker.drainNoticedAtMs !== undefined && nowMs - worker.drainNoticedAtMs >= minDrainMs;
 	const isOrderedAway = worker.machineId !== undefined && state.machines.get(worker.machineId)?.order !== undefined;
 	return isDrained || isOrderedAway;
 };
--- a/packages/scheduler/tests/crashing-tasks.test.ts
+++ b/packages/scheduler/tests/crashing-tasks.test.ts
@@ -348,6 +348,15 @@
 		});
 	});
 
+	test('are drained and restarted under their ids', async () => {
+		await disturbRepeatedly(workerId => {
+			simulation.announceDrain(workerId);
+			simulation.clock.schedule(3000, () => {
+				simulation.restartWorker(workerId);
+			});
+		});
+	});
+
 	test('are lost with their whole rack', async () => {
 		await disturbRepeatedly(workerId => {
 			simulation.loseRack(simulation.fleet.workers.get(workerId)!.entry.rack);
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -342,14 +342,27 @@
 	drainWorker(workerId: string): void {
 		const worker = this.fleet.workers.get(workerId);
 		if (worker !== undefined) {
-			worker.isDraining = true;
-			this.#publishWorkers();
+			this.announceDrain(workerId);
 			this.clock.schedule(drainMs, () => {
 				this.#removeWorker(worker);
 			});
 		}
 	}
 
+	/** Makes the worker report that it drains. */
+	announceDrain(workerId: string): void {
+		this.fleet.workers.get(workerId)!.isDraining = true;
+		this.#publishWorkers();
+	}
+
+	/** Restarts the worker under its id; the new incarnation does not drain and knows nothing. */
+	restartWorker(workerId: string): void {
+		const worker = this.fleet.workers.get(workerId)!;
+		worker.crash();
+		this.fleet.workers.set(workerId, new FakeWorker(this.fleet, {...worker.entry, bornWallMs: this.clock.nowMs()}));
+		this.#publishWorkers();
+	}
+
 	/** Advances time in small steps, so that answers and timers interleave. */
 	async run(forMs: number): Promise<void> {
 		const untilMs = this.clock.nowMs() + forMs;
