Blame each member of a gang once for a crash

What callers saw: nothing yet; found on reading the change. A gang that had shared a worker with a crashing task stayed under suspicion after that task was given up.

Cause: members of a gang are blamed together, once for each of their runs on the crashed worker, so each member held several suspicions of the same crash, and only tasks with a single one are cleared.

Fix: the suspects of a crash are collected once, each with the most likely of its runs. For tasks outside gangs nothing changes.

Test: 'a gang that shared a worker with a crashing task is cleared once the task is given up' failed before. None of the users' deployments at hand runs gangs.

--- a/packages/scheduler/src/core/crash-attribution.ts
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -40,10 +40,10 @@
 /** Clears the tasks that were suspected together with the cause of a crash, and of no other crash before. */
 const clearOtherSuspects = (state: SchedulerState, cause: Task): void => {
 	for (const task of cause.suspicions.flatMap(({suspects}) => suspects)) {
-		const [onlySuspicion, ...others] = task.suspicions;
-		if (task !== cause && onlySuspicion?.suspects.includes(cause) === true && others.length === 0 && recordedAttempts(task).length === 1) {
+		const [onlyAttempt, ...otherAttempts] = recordedAttempts(task);
+		if (task !== cause && task.suspicions.length === 1 && onlyAttempt !== undefined && otherAttempts.length === 0) {
 			task.suspicions = [];
-			task.crashRecord = {...task.crashRecord, clearedAttempt: Math.max(...recordedAttempts(task))};
+			task.crashRecord = {...task.crashRecord, clearedAttempt: onlyAttempt};
 			state.dirtyJobs.add(task.step.job);
 		}
 	}
@@ -81,8 +81,20 @@
 	}
 };
 
-/** Members of a gang only run together, so they are blamed together. */
-const tasksOf = (task: Task): readonly Task[] => task.step.spec.isGang ? task.step.tasks : [task];
+/** Returns each task that the runs are blamed for, with the most likely of its runs. Members of a gang only run together, so they are blamed together. */
+const suspectsOf = (blamed: readonly TaskRun[]): ReadonlyMap<Task, TaskRun> => {
+	const runBySuspect = new Map<Task, TaskRun>();
+	for (const run of blamed) {
+		const {step} = run.task!;
+		for (const member of step.spec.isGang ? step.tasks : [run.task!]) {
+			if (!runBySuspect.has(member)) {
+				runBySuspect.set(member, run);
+			}
+		}
+	}
+
+	return runBySuspect;
+};
 
 const describeSuspects = (runs: readonly TaskRun[]): string =>
 	runs.map(({task, attempt, isTrial, isConfirmed}) => `${task!.key}#${attempt}${isTrial ? ':trial' : ''}${isConfirmed ? '' : ':unconfirmed'}`).join(',');
@@ -96,12 +108,12 @@
 			event: 'worker_crashed', workerId: worker.entry.workerId, runs: runs.length, suspects: describeSuspects(blamed), lastAnswerAgeMs: Math.round(nowMs - worker.lastAnswerAtMs),
 		},
 	});
-	const suspects = blamed.flatMap(({task}) => tasksOf(task!));
-	for (const [rank, run] of blamed.entries()) {
-		for (const member of tasksOf(run.task!)) {
-			member.suspicions = [...member.suspicions, {suspects, rank}];
-			recordCrash(state, member, {attempt: run.attempt, isObserved: run.isConfirmed, wasAlone: run.isTrial && !run.isProven});
-		}
+	const runBySuspect = suspectsOf(blamed);
+	const suspects = [...runBySuspect.keys()];
+	for (const [rank, task] of suspects.entries()) {
+		const run = runBySuspect.get(task)!;
+		task.suspicions = [...task.suspicions, {suspects, rank}];
+		recordCrash(state, task, {attempt: run.attempt, isObserved: run.isConfirmed, wasAlone: run.isTrial && !run.isProven});
 	}
 };
 
--- a/packages/scheduler/tests/crashing-tasks.test.ts
+++ b/packages/scheduler/tests/crashing-tasks.test.ts
@@ -147,6 +147,24 @@
 	expect(await stateOf(other)).toBe('completed');
 });
 
+test('a gang that shared a worker with a crashing task is cleared once the task is given up', async () => {
+	simulation.fleet.behaviour.runMs = () => 3000;
+	const gang = jobOf(1, {steps: [stepOf({taskCount: 4, isGang: true})]});
+	const crashing = jobWithTasks(2, 1);
+	setCrashing([`${crashing.jobId}.0.0.0`]);
+	submit(gang, crashing);
+	await runUntilCrashed(`${crashing.jobId}.0.0.0`, 1);
+	expect(simulation.fleet.crashesUnder.get(`${gang.jobId}.0.0.1`)).toBe(1);
+	await runUntilCrashed(`${crashing.jobId}.0.0.0`, 2);
+	await simulation.run(8000);
+	const [steps] = simulation.holder!.scheduler.state.jobs.get(gang.jobId)!.occurrences.values();
+	for (const {crashRecord} of steps![0]!.tasks) {
+		expect(crashRecord.crashedAttempts).toEqual([crashRecord.clearedAttempt]);
+	}
+
+	expect(await stateOf(gang)).toBe('completed');
+});
+
 test('a crashing task of one occurrence fails the job, and no later occurrence starts', async () => {
 	const crashing = jobOf(1, {steps: [stepOf({taskCount: 1})], recurrence: {count: 4, firstDueWallMs: simulation.clock.wallTimeMs() + 500, periodMs: 6000}});
 	setCrashing([`${crashing.jobId}.1.0.0`]);
