--- a/packages/scheduler/src/core/crash-record.ts
+++ b/packages/scheduler/src/core/crash-record.ts
@@ -2,6 +2,7 @@
 Pure functions on crash records: how many crashes count against a task, and how the records of two lease holders are merged.
 */
 import {type CrashRecord} from '../types.js';
+import {unionOf} from './merging.js';
 
 /** The record of a task under which no worker has crashed. */
 export const noCrashRecord: CrashRecord = {
@@ -34,8 +35,6 @@
 export const isTrialUnresolved = (record: CrashRecord): boolean =>
 	record.trialAttempt > record.settledTrialAttempt && !hasCrash(record, record.trialAttempt);
 
-const unionOf = (a: readonly number[], b: readonly number[]): readonly number[] => [...new Set([...a, ...b])].toSorted((x, y) => x - y);
-
 export const addCrash = (record: CrashRecord, attempt: number, isObserved: boolean): CrashRecord => isObserved
 	? {...record, crashedAttempts: unionOf(record.crashedAttempts, [attempt])}
 	: {...record, presumedAttempts: unionOf(record.presumedAttempts, [attempt])};
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -33,8 +33,8 @@
 const canStart = (state: SchedulerState, step: StepInstance): boolean =>
 	state.isSettled || step.job.firstSeenAtMs > (state.term?.wonAtMs ?? Number.POSITIVE_INFINITY);
 
-/** Returns the number of the task's next attempt, which is above all of earlier lease holders. */
-const nextAttempt = (state: SchedulerState, task: Task): number => Math.max(task.lastAttempt, state.term!.attemptBase) + 1;
+/** Returns the number of the tasks' next common attempt, which is above all of earlier lease holders. */
+const nextAttempt = (state: SchedulerState, ...tasks: readonly Task[]): number => Math.max(state.term!.attemptBase, ...tasks.map(task => task.lastAttempt)) + 1;
 
 const startTask = (state: SchedulerState, task: Task, worker: WorkerRecord, nowMs: number): void => {
 	const {fencingToken} = state.term!;
@@ -240,7 +240,7 @@
 	if (trial !== undefined) {
 		trial.isStarted = true;
 	} else if (step.tasks.some(task => isSuspect(task))) {
-		planGangTrial(state, {tasks: step.tasks, workers: plan, attempt: Math.max(lastAttempt, state.term!.attemptBase) + 1}, pool, nowMs);
+		planGangTrial(state, {tasks: step.tasks, workers: plan, attempt: nextAttempt(state, ...step.tasks)}, pool, nowMs);
 		return 0;
 	}
 
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -7,6 +7,7 @@
 } from '../types.js';
 import {mergeCrashRecords, noCrashRecord} from './crash-record.js';
 import {type JobChange} from './events.js';
+import {mergeByKey, unionOf} from './merging.js';
 import {
 	type JobRecord, type TaskRun, type StepInstance, type Task,
 } from './records.js';
@@ -18,6 +19,9 @@
 /** Key of a step in stored progress. */
 const storedStepKey = (occurrence: number, stepIndex: number): string => `${occurrence}.${stepIndex}`;
 
+/** Key of a task in stored progress. */
+const storedTaskKey = (occurrence: number, stepIndex: number, index: number): string => `${storedStepKey(occurrence, stepIndex)}.${index}`;
+
 /** Returns the duration of the longest chain of steps. A step refers to earlier ones by their indexes. */
 export const longestChainMs = (steps: ReadonlyArray<{readonly after: readonly number[]; readonly durationMs: number}>): number => {
 	const finishMs: number[] = [];
@@ -60,9 +64,9 @@
 	};
 	const done = new Set(job.storedDoneTasks[storedStepKey(occurrence, stepIndex)]);
 	for (let index = 0; index < spec.taskCount; index++) {
-		const storedTaskKey = `${storedStepKey(occurrence, stepIndex)}.${index}`;
-		const failures = job.storedFailures[storedTaskKey] ?? [];
-		const crashRecord = job.storedCrashRecords[storedTaskKey] ?? noCrashRecord;
+		const storedKey = storedTaskKey(occurrence, stepIndex, index);
+		const failures = job.storedFailures[storedKey] ?? [];
+		const crashRecord = job.storedCrashRecords[storedKey] ?? noCrashRecord;
 		const phase = crashRecord.isGivenUp ? 'given-up' : 'waiting';
 		tasks.push({
 			key: `${job.spec.jobId}.${occurrence}.${stepIndex}.${index}`,
@@ -103,29 +107,6 @@
 /** Returns the steps of all occurrences created so far. */
 export const stepsOf = (job: JobRecord): readonly StepInstance[] => [...job.occurrences.values()].flat();
 
-const unionOf = (a: readonly number[] = [], b: readonly number[] = []): readonly number[] => [...new Set([...a, ...b])];
-
-const mergeTaskRecords = (
-	a: Readonly<Record<string, readonly number[]>>,
-	b: Readonly<Record<string, readonly number[]>>,
-): Readonly<Record<string, readonly number[]>> => {
-	const merged: Record<string, readonly number[]> = {...a};
-	for (const [key, numbers] of Object.entries(b)) {
-		merged[key] = unionOf(merged[key], numbers);
-	}
-
-	return merged;
-};
-
-const mergeAllCrashRecords = (a: JobProgress['crashRecords'], b: JobProgress['crashRecords']): JobProgress['crashRecords'] => {
-	const merged = {...a};
-	for (const [key, record] of Object.entries(b)) {
-		merged[key] = mergeCrashRecords(merged[key] ?? noCrashRecord, record);
-	}
-
-	return merged;
-};
-
 /** Returns the job's progress in the form that is stored. */
 export const progressOf = (job: JobRecord): JobProgress => {
 	const doneTasks: Record<string, readonly number[]> = {...job.storedDoneTasks};
@@ -140,11 +121,11 @@
 
 		for (const task of step.tasks) {
 			if (task.failedAttempts.size > 0) {
-				failures[`${stepKey}.${task.index}`] = [...task.failedAttempts];
+				failures[storedTaskKey(step.occurrence, step.stepIndex, task.index)] = [...task.failedAttempts];
 			}
 
 			if (task.crashRecord !== noCrashRecord) {
-				crashRecords[`${stepKey}.${task.index}`] = task.crashRecord;
+				crashRecords[storedTaskKey(step.occurrence, step.stepIndex, task.index)] = task.crashRecord;
 			}
 		}
 	}
@@ -252,9 +233,9 @@
 
 const applyProgress = (state: SchedulerState, job: JobRecord, progress: JobProgress, now: CurrentTime): void => {
 	job.hasBegun ||= progress.hasBegun;
-	job.storedDoneTasks = mergeTaskRecords(job.storedDoneTasks, progress.doneTasks);
-	job.storedFailures = mergeTaskRecords(job.storedFailures, progress.failures);
-	job.storedCrashRecords = mergeAllCrashRecords(job.storedCrashRecords, progress.crashRecords);
+	job.storedDoneTasks = mergeByKey(job.storedDoneTasks, progress.doneTasks, unionOf);
+	job.storedFailures = mergeByKey(job.storedFailures, progress.failures, unionOf);
+	job.storedCrashRecords = mergeByKey(job.storedCrashRecords, progress.crashRecords, mergeCrashRecords);
 	for (const step of stepsOf(job)) {
 		for (const index of progress.doneTasks[storedStepKey(step.occurrence, step.stepIndex)] ?? []) {
 			const task = step.tasks[index];
@@ -265,12 +246,12 @@
 		}
 
 		for (const task of step.tasks) {
-			const storedTaskKey = `${storedStepKey(step.occurrence, step.stepIndex)}.${task.index}`;
-			for (const attempt of progress.failures[storedTaskKey] ?? []) {
+			const storedKey = storedTaskKey(step.occurrence, step.stepIndex, task.index);
+			for (const attempt of progress.failures[storedKey] ?? []) {
 				task.failedAttempts.add(attempt);
 			}
 
-			applyCrashRecord(task, progress.crashRecords[storedTaskKey]);
+			applyCrashRecord(task, progress.crashRecords[storedKey]);
 		}
 	}
 
--- a/packages/scheduler/tests/capacity-changes.test.ts
+++ b/packages/scheduler/tests/capacity-changes.test.ts
@@ -5,9 +5,7 @@
 	afterEach, beforeEach, expect, test,
 } from 'vitest';
 import {jobOf, stepOf} from './support/jobs.js';
-import {
-	configurationOf, pool, SchedulerSimulation, takeoverMs,
-} from './support/scheduler-simulation.js';
+import {configurationWithoutStandby, SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
 
 let simulation: SchedulerSimulation;
 
@@ -15,8 +13,7 @@
 	simulation = new SchedulerSimulation({
 		seed: 17, processes: 3, workersPerPool: 4, standbyMachines: 0,
 	});
-	// Without a standby pool, no machine leaves or joins the pool.
-	simulation.configure(configurationOf(2, {pools: new Map([[pool, {name: pool, isStandby: false, enforcesCapacity: false}]])}));
+	simulation.configure(configurationWithoutStandby(2));
 	await simulation.run(takeoverMs);
 });
 
--- a/packages/scheduler/tests/crashing-tasks.test.ts
+++ b/packages/scheduler/tests/crashing-tasks.test.ts
@@ -7,7 +7,7 @@
 import {type JobSpec} from '../src/index.js';
 import {jobOf, lastingStepOf, stepOf} from './support/jobs.js';
 import {
-	configurationOf, pool, queueOf, SchedulerSimulation, takeoverMs,
+	configurationWithoutStandby, queueOf, SchedulerSimulation, takeoverMs,
 } from './support/scheduler-simulation.js';
 
 let simulation: SchedulerSimulation;
@@ -16,8 +16,7 @@
 	simulation = new SchedulerSimulation({
 		seed: 11, processes: 3, workersPerPool: 8, standbyMachines: 0,
 	});
-	// Without a standby pool, all workers stay in the pool.
-	simulation.configure(configurationOf(2, {pools: new Map([[pool, {name: pool, isStandby: false, enforcesCapacity: false}]])}));
+	simulation.configure(configurationWithoutStandby(2));
 	await simulation.run(takeoverMs);
 });
 
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -99,6 +99,10 @@
 	...overrides,
 });
 
+/** A configuration without a standby pool, so that all workers stay in their pool. */
+export const configurationWithoutStandby = (version: number): FleetConfiguration =>
+	configurationOf(version, {pools: new Map([[pool, {name: pool, isStandby: false, enforcesCapacity: false}]])});
+
 /** Passes its current value and each newer one to its listeners. */
 class PublishedValue<Value> {
 	readonly #listeners = new Set<(value: Value) => void>();
