--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -42,6 +42,9 @@
 /** A draining worker serves for at least this long; one that is gone earlier has crashed. */
 export const minDrainMs = 1500;
 
+/** A log line names at most this many runs. */
+export const maxLoggedRuns = 40;
+
 /** Number of observed crashes after which a task is given up if it was the only unproven run on the last worker, and if it was not. */
 export const maxCrashesInTrial = 2;
 export const maxCrashes = 3;
--- a/packages/scheduler/src/core/crash-attribution.ts
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -4,7 +4,7 @@
 The load this answers: some jobs have a task that crashes each worker shortly after its start, on workers that run ten to thirty other tasks. Only what the crash can be blamed on is counted. A worker's crash is blamed on its run on trial if there is one, else on the runs that the worker has not been seen to survive, else on all that have not run for long. The tasks blamed are started again on trial (see `trials.ts`), the most likely cause first, which tells the one that crashes workers from those that shared a worker with it. Once the cause is found, the others are cleared.
 */
 import {
-	clearedAfterMs, maxCrashes, maxCrashesInTrial, maxPossibleCrashes, provenAfterMs,
+	clearedAfterMs, maxCrashes, maxCrashesInTrial, maxLoggedRuns, maxPossibleCrashes, provenAfterMs,
 } from '../constants.js';
 import {
 	addCrash, countCrashes, hasCrash, isTrialUnresolved, isUnderSuspicion, noCrashRecord,
@@ -97,7 +97,7 @@
 };
 
 const describeSuspects = (runs: readonly TaskRun[]): string =>
-	runs.map(({task, attempt, isTrial, isConfirmed}) => `${task!.key}#${attempt}${isTrial ? ':trial' : ''}${isConfirmed ? '' : ':unconfirmed'}`).join(',');
+	runs.slice(0, maxLoggedRuns).map(({task, attempt, isTrial, isConfirmed}) => `${task!.key}#${attempt}${isTrial ? ':trial' : ''}${isConfirmed ? '' : ':unconfirmed'}`).join(',');
 
 /** Records the crash of a worker under the given runs, which have been removed from it. */
 export const attributeCrash = (state: SchedulerState, worker: WorkerRecord, runs: readonly TaskRun[], nowMs: number): void => {
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -2,7 +2,7 @@
 Tracks workers: which ones are registered, which ones answer polls, and when everything on a silent worker has definitely ended.
 */
 import {
-	leaseMarginMs, clockDriftFactor, minDrainMs, workerSilenceTimeoutMs, taskLeaseMs,
+	leaseMarginMs, clockDriftFactor, maxLoggedRuns, minDrainMs, workerSilenceTimeoutMs, taskLeaseMs,
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
 import {attributeCrash, resolveLostTrials} from './crash-attribution.js';
@@ -137,9 +137,6 @@
 	return isDrained || isOrderedAway;
 };
 
-/** A log line names at most this many runs. */
-const maxLoggedRuns = 40;
-
 /** Names the runs with their attempts and ages, the youngest first. */
 const describeRuns = (runs: readonly TaskRun[], nowMs: number): string => runs.toSorted((a, b) => b.orderedAtMs - a.orderedAtMs)
 	.slice(0, maxLoggedRuns)
