Start nothing in a data centre whose evacuation is ordered

Cause: an operator could not take a data centre out of service before it fails; the scheduler went on starting tasks there and moving its machines into pools.

Workers of an evacuated data centre are not usable, its machines are neither moved into a pool nor counted as capacity, and idle ones go to standby. A new holder reads the operators' rows before its term begins.

--- a/bench/scheduling-cost.bench.ts
+++ b/bench/scheduling-cost.bench.ts
@@ -36,11 +36,11 @@
 };
 
 const workersOf = (count: number): readonly WorkerEntry[] => Array.from({length: count}, (_value, index) => ({
-	workerId: `w-${index}`, pool: poolName(index % poolCount), address: `w-${index}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: ['a', `r-${Math.floor(index / 8)}`], rack: `r-${Math.floor(index / 8)}`, bornWallMs: 1,
+	workerId: `w-${index}`, pool: poolName(index % poolCount), address: `w-${index}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: ['a', `r-${Math.floor(index / 8)}`], rack: `r-${Math.floor(index / 8)}`, bornWallMs: 1, coldLeftMs: 0,
 }));
 
 const machinesOf = (workers: readonly WorkerEntry[]): readonly MachineEntry[] => workers.map(({workerId, pool}, index) => ({
-	machineId: `m-${index}`, pool, state: 'up', capacity, workerId,
+	machineId: `m-${index}`, pool, dataCentre: 'dc', state: 'up', capacity, workerId,
 }));
 
 const jobOf = (number: number): JobSpec => ({
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -21,6 +21,8 @@
 export type SchedulerEvent = EventTime & (
 	| {readonly type: 'configured'; readonly configuration: FleetConfiguration}
 	| {readonly type: 'wavesOrdered'; readonly waves: readonly WaveOrder[]}
+	/** All data centres that are to be evacuated at present. */
+	| {readonly type: 'evacuationsOrdered'; readonly dataCentres: readonly string[]}
 	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
 	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
 	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -190,12 +190,16 @@
 	}
 };
 
-/** Repeats orders whose outcome is unknown. */
+/** Repeats orders whose outcome is unknown. A move into a pool is not repeated in a data centre that has been evacuated since; the list of machines shows whether it was carried out. */
 export const repeatMachineOrders = (state: SchedulerState, nowMs: number): void => {
 	for (const machine of state.machines.values()) {
 		const {order} = machine;
 		if (order?.phase === 'retry' && nowMs - order.answeredAtMs! >= machineOrderRetryMs) {
-			if (order.type === 'maintain') {
+			const isIntoPool = order.type === 'move' && state.configuration.pools.get(order.pool!)?.isStandby !== true;
+			if (isIntoPool && isMachineEvacuated(state, machine)) {
+				machine.order = undefined;
+				releaseWorker(state, machine);
+			} else if (order.type === 'maintain') {
 				orderMaintenance(state, machine, order.waveId!, nowMs);
 			} else {
 				orderMove(state, machine, order.pool!, nowMs, 'repeated');
@@ -213,6 +217,12 @@
 export const isStandby = (state: SchedulerState, machine: MachineRecord): boolean =>
 	state.configuration.pools.get(machine.entry.pool)?.isStandby === true;
 
+/** Returns true if the machine is in an evacuated data centre. Where the platform does not report the data centre of machines, that of the worker decides. */
+export const isMachineEvacuated = (state: SchedulerState, machine: MachineRecord): boolean => {
+	const dataCentre = machine.entry.dataCentre === '' ? workerOn(state, machine)?.entry.dataCentre : machine.entry.dataCentre;
+	return dataCentre !== undefined && state.evacuations.has(dataCentre);
+};
+
 /** Returns true if nothing runs on the machine and no start order can be in flight to it. */
 export const isIdle = (state: SchedulerState, machine: MachineRecord, nowMs: number): boolean => {
 	if (isStandby(state, machine)) {
--- a/packages/scheduler/src/core/pool-capacity.ts
+++ b/packages/scheduler/src/core/pool-capacity.ts
@@ -1,13 +1,13 @@
 /**
 Totals of each pool's capacity, collected once a round and adjusted with each move that the round orders. Pool sizing compares them with the demand for every machine; adding up all workers for each of them would make a round's cost grow with the square of the fleet's size.
 */
-import {workerOn} from './machines.js';
+import {isMachineEvacuated, workerOn} from './machines.js';
 import {type MachineRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {isUsable} from './workers.js';
 
 export type PoolCapacity = {
-	/** CPU capacity that the pool will have: that of its usable workers, less what lasting tasks occupy, plus that of arriving machines. */
+	/** CPU capacity that the pool will have: that of its usable workers, less what lasting tasks occupy, plus that of arriving machines, except for machines in evacuated data centres. */
 	expectedMillicores: number;
 	/** Free CPU capacity of the pool's usable workers. */
 	freeMillicores: number;
@@ -82,6 +82,10 @@
 	}
 
 	#countArrival(machine: MachineRecord, pool: string): void {
+		if (isMachineEvacuated(this.#state, machine)) {
+			return;
+		}
+
 		const capacity = this.of(pool);
 		capacity.expectedMillicores += machine.entry.capacity.cpuMillicores;
 		capacity.arrivingCount++;
--- a/packages/scheduler/src/core/pool-sizing.ts
+++ b/packages/scheduler/src/core/pool-sizing.ts
@@ -5,7 +5,7 @@
 */
 import {type Shortage} from './dispatch.js';
 import {
-	isIdle, isOrderable, isServiceable, isStandby, orderMove, workerOn,
+	isIdle, isMachineEvacuated, isOrderable, isServiceable, isStandby, orderMove, workerOn,
 } from './machines.js';
 import {PoolCapacities} from './pool-capacity.js';
 import {type MachineRecord} from './records.js';
@@ -92,7 +92,7 @@
 			continue;
 		}
 
-		const candidates = movable.filter(machine => machine.order === undefined && machine.entry.pool !== pool && isAvailable(machine))
+		const candidates = movable.filter(machine => machine.order === undefined && machine.entry.pool !== pool && !isMachineEvacuated(state, machine) && isAvailable(machine))
 			.toSorted((a, b) => Number(isStandby(state, b)) - Number(isStandby(state, a)) || idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
 		let deficit = candidates.length === 0 ? 0 : machineDeficit(round, pool, candidates[0]!);
 		for (const candidate of candidates) {
@@ -113,8 +113,10 @@
 		.toSorted((a, b) => idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
 	for (const machine of idleLongest) {
 		const {pool, capacity: {cpuMillicores}} = machine.entry;
+		// Machines of an evacuated data centre are no capacity of their pool.
+		const isEvacuated = isMachineEvacuated(state, machine);
 		const keepsHeadroom = capacities.of(pool).freeMillicores - cpuMillicores >= cpuMillicores * headroomShare;
-		if (keepsHeadroom && isSpare(machine)) {
+		if (isEvacuated || (keepsHeadroom && isSpare(machine))) {
 			moveTo(round, machine, standby, 'idle');
 		}
 	}
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -149,6 +149,8 @@
 	trial: Trial | undefined;
 	trialEndedAtMs: number;
 	bornWallMs: number | undefined;
+	/** The worker's data centre is being evacuated, so nothing is started on the worker. */
+	isEvacuated: boolean;
 	/** The worker has acknowledged this holder's fencing token, so it rejects orders of earlier holders. */
 	isFenced: boolean;
 	clock: WorkerClock | undefined;
@@ -186,6 +188,13 @@
 	idleSinceMs: number;
 };
 
+/** An operators' order to start nothing new in a data centre. */
+export type Evacuation = {
+	readonly dataCentre: string;
+	/** When this process learned of the order. */
+	readonly knownSinceMs: number;
+};
+
 /** A machine and the pending order for it. */
 export type MachineRecord = {
 	entry: MachineEntry;
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -5,6 +5,7 @@
 import {type WaveOrder} from '../types.js';
 import {applyAdvice} from './placement-advice.js';
 import {dispatchTasks} from './dispatch.js';
+import {applyEvacuationOrders} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
 import {applyMachineAnswer, applyMachineList, repeatMachineOrders} from './machines.js';
@@ -79,6 +80,11 @@
 			break;
 		}
 
+		case 'evacuationsOrdered': {
+			applyEvacuationOrders(state, event.dataCentres, event.nowMs);
+			break;
+		}
+
 		case 'workersListed': {
 			applyWorkerList(state, event.workers, event.nowMs);
 			break;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -5,7 +5,7 @@
 	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
 import {
-	type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
+	type Evacuation, type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DemandMeter} from './demand-meter.js';
 import {addResources, noResources, subtractResources} from './resources.js';
@@ -54,6 +54,8 @@
 	readonly workers = new Map<string, WorkerRecord>();
 	readonly machines = new Map<string, MachineRecord>();
 	machinesListedAtMs: number | undefined;
+	/** Evacuations in force, by data centre. */
+	readonly evacuations = new Map<string, Evacuation>();
 	readonly waves = new Map<number, WaveRecord>();
 	/** Stored progress of waves, which may be read before the wave's order arrives. */
 	readonly storedWaves = new Map<number, StoredWave>();
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -9,7 +9,7 @@
 import {type TaskRun, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
-const newWorker = (entry: WorkerEntry, nowMs: number): WorkerRecord => ({
+const newWorker = (state: SchedulerState, entry: WorkerEntry, nowMs: number): WorkerRecord => ({
 	entry,
 	firstSeenAtMs: nowMs,
 	isListed: true,
@@ -19,6 +19,7 @@
 	trial: undefined,
 	trialEndedAtMs: Number.NEGATIVE_INFINITY,
 	bornWallMs: entry.bornWallMs,
+	isEvacuated: state.evacuations.has(entry.dataCentre),
 	isFenced: false,
 	clock: undefined,
 	leaseExpiresAtMs: nowMs,
@@ -48,7 +49,7 @@
 	for (const entry of entries) {
 		const known = state.workers.get(entry.workerId);
 		if (known === undefined) {
-			state.workers.set(entry.workerId, newWorker(entry, nowMs));
+			state.workers.set(entry.workerId, newWorker(state, entry, nowMs));
 			continue;
 		}
 
@@ -71,6 +72,7 @@
 		}
 
 		known.entry = entry;
+		known.isEvacuated = state.evacuations.has(entry.dataCentre);
 		known.isListed = true;
 		known.unlistedAtMs = undefined;
 	}
@@ -192,6 +194,7 @@
 	&& !worker.entry.isDraining
 	&& worker.isFenced
 	&& !worker.isReserved
+	&& !worker.isEvacuated
 	&& worker.clock !== undefined
 	&& worker.silentSinceMs === undefined
 	&& nowMs >= worker.quarantinedUntilMs;
--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -13,21 +13,27 @@
 	stop(): void;
 }
 
+/** A source that can be brought up to date on demand. */
+export interface RefreshableSource<Value> extends StateSource<Value> {
+	/** Resolves once the listener has received every change that was acknowledged before this call; fails with `UnavailableError`. */
+	refresh(): Promise<void>;
+}
+
 /** How closely a process follows the registered workers, of which each heartbeat is a change: not at all, as a likely successor of the lease holder, or as the holder, which assigns work to them. */
 export type WorkerWatchMode = 'suspended' | 'standby' | 'scheduling';
 
 /** Watches the registered workers. */
-export interface WorkerSource extends StateSource<readonly WorkerEntry[]> {
+export interface WorkerSource extends RefreshableSource<readonly WorkerEntry[]> {
 	setMode(mode: WorkerWatchMode): void;
-	/** Resolves once the listener has received every registration that was acknowledged before this call; fails with `UnavailableError`. */
-	refresh(): Promise<void>;
 }
 
-/** The operators' configuration and maintenance orders. */
+/** The operators' configuration, maintenance orders and evacuation orders. */
 export type OperatorOrders = {
 	/** `undefined` until the first configuration has been read. */
 	readonly configuration: FleetConfiguration | undefined;
 	readonly waves: readonly WaveOrder[];
+	/** Data centres in which nothing new may be started. */
+	readonly evacuatedDataCentres: readonly string[];
 };
 
 /** Identifies a worker and where it is reached. */
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -21,7 +21,7 @@
 } from '../jobs/job-view.js';
 import {jobChangeFrom, jobsPrefix, progressKey} from '../jobs/rows.js';
 import {
-	type StateSource, type WorkerSource, type MachineControl, type OperatorOrders, type PlacementAdvisor, type WaveReporter, type WorkerControl,
+	type RefreshableSource, type WorkerSource, type MachineControl, type OperatorOrders, type PlacementAdvisor, type WaveReporter, type WorkerControl,
 } from '../ports.js';
 import {type FleetConfiguration} from '../types.js';
 import {EffectPerformer} from './effect-performer.js';
@@ -81,7 +81,7 @@
 	readonly table: WatchableTable;
 	/** The same table, which resolves commits with lost answers. */
 	readonly resolvingTable: TableService;
-	readonly orders: StateSource<OperatorOrders>;
+	readonly orders: RefreshableSource<OperatorOrders>;
 	readonly workers: WorkerSource;
 	readonly workerControl: WorkerControl;
 	readonly machineControl: MachineControl;
@@ -215,7 +215,9 @@
 
 	start(): void {
 		const {orders, workers} = this.#options;
-		orders.start(({configuration, waves}) => {
+		orders.start(({configuration, waves, evacuatedDataCentres}) => {
+			// Evacuations come first: a wave that arrives with one already takes it into account.
+			this.#runtime.dispatch({type: 'evacuationsOrdered', dataCentres: evacuatedDataCentres, ...this.#now()});
 			if (configuration !== undefined && configuration.version !== this.state.configuration.version) {
 				this.#options.log.info({
 					event: 'configuration_in_force', version: configuration.version, replaces: this.state.configuration.version, queues: configuration.queues.size,
@@ -448,11 +450,11 @@
 		void this.#beginTerm(lease);
 	}
 
-	/** Begins the term once the replica holds everything that the earlier lease holder stored, since orders rely on it. */
+	/** Begins the term once the replicas hold everything that the earlier lease holder stored, since orders rely on it, and all operators' rows, since an evacuation may have been ordered of which only the earlier holder knew. */
 	async #beginTerm({fence}: HeldLease): Promise<void> {
 		while (this.#fence?.version === fence.version) {
 			try {
-				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), this.#options.workers.refresh()]);
+				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), this.#options.workers.refresh(), this.#options.orders.refresh()]);
 				this.#runtime.dispatch({type: 'leaseWon', fencingToken: fence.version, ...this.#now()});
 				return;
 			} catch (error) {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -174,6 +174,8 @@
 	readonly rack: string;
 	/** Start time of this incarnation of the worker; a restarted worker has no record of earlier runs. */
 	readonly bornWallMs: number | undefined;
+	/** Time for which the worker remains slow after its start, as of its last registration; 0 once it is warm. */
+	readonly coldLeftMs: number;
 };
 
 /** How a run on a worker ended. */
@@ -214,6 +216,8 @@
 export type MachineEntry = {
 	readonly machineId: string;
 	readonly pool: string;
+	/** Empty if the platform does not report it. */
+	readonly dataCentre: string;
 	readonly state: MachineState;
 	readonly capacity: Resources;
 	readonly workerId: string | undefined;
--- a/packages/scheduler/tests/pool-sizing.test.ts
+++ b/packages/scheduler/tests/pool-sizing.test.ts
@@ -20,7 +20,7 @@
 	readonly state = new SchedulerState();
 	nowMs = 1000;
 	readonly #machines = pools.flatMap(pool => Array.from({length: machinesPerPool}, (_value, index) => ({
-		machineId: `m-${pool}-${index}`, pool, state: 'up' as const, capacity, workerId: `w-${pool}-${index}`,
+		machineId: `m-${pool}-${index}`, pool, dataCentre: 'dc', state: 'up' as const, capacity, workerId: `w-${pool}-${index}`,
 	})));
 
 	constructor() {
@@ -33,7 +33,7 @@
 		});
 		this.dispatch({
 			type: 'workersListed', workers: this.#machines.map(({workerId, pool}) => ({
-				workerId, pool, address: `${workerId}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: ['a', 'r'], rack: 'r', bornWallMs: 1,
+				workerId, pool, address: `${workerId}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: ['a', 'r'], rack: 'r', bornWallMs: 1, coldLeftMs: 0,
 			})),
 		});
 		this.dispatch({type: 'leaseWon', fencingToken: 1});
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -4,10 +4,10 @@
 import {
 	MetricsRegistry, SeededRandom, silentLogger, VirtualClock,
 } from '@poplarnotch/common';
-import {RetryingTableService} from '@poplarnotch/platform';
+import {RetryingTableService, UnavailableError} from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
 import {
-	type FleetConfiguration, type StateSource, type JobSpec, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
+	type FleetConfiguration, type StateSource, type JobSpec, type RefreshableSource, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
 } from '../../src/index.js';
 import {normalLatencyMs, FakeTable, type TableFaults} from './fake-table.js';
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
@@ -45,6 +45,8 @@
 	readonly standbyMachines: number;
 	/** Share of runs that fail. */
 	readonly failureRate?: number;
+	/** Data centres among which the machines are distributed by turns; one, called `dc`, if left out. */
+	readonly dataCentres?: readonly string[];
 };
 
 type SimulatedProcess = {
@@ -112,6 +114,10 @@
 		this.#value = value;
 	}
 
+	get value(): Value {
+		return this.#value;
+	}
+
 	publish(value: Value): void {
 		this.#value = value;
 		for (const listener of this.#listeners) {
@@ -142,6 +148,76 @@
 	}
 }
 
+/** How often a process's copy of the operators' rows is confirmed while the store answers. */
+const defaultOrdersConfirmMs = 500;
+
+/** A process's copy of the operators' rows. Evacuations reach it only while the process reaches the store, after the latency of its calls; configurations and waves always do. */
+class FollowedOrders implements RefreshableSource<OperatorOrders> {
+	confirmedAtMs: number | undefined;
+	readonly #published: PublishedValue<OperatorOrders>;
+	readonly #clock: HostClock;
+	readonly #table: TableFaults;
+	#known: OperatorOrders;
+	#listener: ((orders: OperatorOrders) => void) | undefined;
+
+	readonly #confirmIntervalMs: () => number;
+
+	constructor(published: PublishedValue<OperatorOrders>, {clock, table, confirmIntervalMs}: {readonly clock: HostClock; readonly table: TableFaults; readonly confirmIntervalMs: () => number}) {
+		this.#published = published;
+		this.#confirmIntervalMs = confirmIntervalMs;
+		this.#clock = clock;
+		this.#table = table;
+		this.#known = {...published.value, evacuatedDataCentres: []};
+	}
+
+	start(listener: (orders: OperatorOrders) => void): void {
+		this.#listener = listener;
+		this.#published.follow(this.#clock).start(orders => {
+			this.#deliver({...orders, evacuatedDataCentres: this.#known.evacuatedDataCentres});
+			this.#clock.schedule(this.#table.latencyMs / 2, () => {
+				this.#confirm();
+			});
+		});
+		this.#confirmRegularly();
+	}
+
+	stop(): void {
+		this.#listener = undefined;
+	}
+
+	async refresh(): Promise<void> {
+		await this.#clock.wait(this.#table.latencyMs / 2);
+		if (!this.#confirm()) {
+			throw new UnavailableError('the store is down');
+		}
+	}
+
+	#confirmRegularly(): void {
+		this.#confirm();
+		this.#clock.schedule(this.#confirmIntervalMs(), () => {
+			this.#confirmRegularly();
+		});
+	}
+
+	#confirm(): boolean {
+		if (this.#table.isDown) {
+			return false;
+		}
+
+		this.confirmedAtMs = this.#clock.nowMs();
+		if (this.#known.evacuatedDataCentres !== this.#published.value.evacuatedDataCentres) {
+			this.#deliver(this.#published.value);
+		}
+
+		return true;
+	}
+
+	#deliver(orders: OperatorOrders): void {
+		this.#known = orders;
+		this.#listener?.(orders);
+	}
+}
+
 export class SchedulerSimulation {
 	readonly clock = new VirtualClock();
 	readonly table = new MemoryTableService();
@@ -156,10 +232,15 @@
 	/** Configuration versions that came into force, over all processes. */
 	readonly configuredVersions: number[] = [];
 	readonly random: SeededRandom;
+	/** Moves that were carried out. */
+	readonly moves: Array<{readonly machineId: string; readonly target: string; readonly atMs: number}> = [];
+	ordersConfirmMs = defaultOrdersConfirmMs;
 	readonly #orders: PublishedValue<OperatorOrders>;
 	readonly #workers = new PublishedValue<readonly WorkerEntry[]>([]);
 	#configuration = configurationOf(1);
 	#waves: readonly WaveOrder[] = [];
+	#evacuated: readonly string[] = [];
+	readonly #dataCentres: readonly string[];
 	#workerCount = 0;
 	#processCount = 0;
 	#registrationsLapsedUntilMs = 0;
@@ -168,6 +249,7 @@
 
 	constructor(options: SimulationOptions) {
 		this.random = new SeededRandom(options.seed);
+		this.#dataCentres = options.dataCentres ?? ['dc'];
 		const taskRandom = new Map<string, number>();
 		const drawFor = (key: string): number => {
 			let value = taskRandom.get(key);
@@ -183,9 +265,9 @@
 			runMs: key => 100 + (900 * drawFor(key)),
 			fails: (key, attempt) => drawFor(`${key} ${attempt}`) < (options.failureRate ?? 0),
 		});
-		this.#orders = new PublishedValue<OperatorOrders>({configuration: this.#configuration, waves: []});
+		this.#orders = new PublishedValue<OperatorOrders>({configuration: this.#configuration, waves: [], evacuatedDataCentres: []});
 		for (let index = 0; index < options.workersPerPool; index++) {
-			this.#addMachine(`m-${index}`, pool, `r-${Math.floor(index / 2)}`);
+			this.#addMachine(`m-${index}`, pool, this.#rackOf(index));
 		}
 
 		for (let index = 0; index < options.standbyMachines; index++) {
@@ -219,7 +301,7 @@
 				resolvingTable: new RetryingTableService(table, {
 					client: name, instance: name, retryTimeoutMs: 200, settleTimeoutMs: 120_000, backoff: {firstMs: 30, longestMs: 200}, clock, random: this.random,
 				}),
-				orders: this.#orders.follow(clock),
+				orders: new FollowedOrders(this.#orders, {clock, table: tableFaults, confirmIntervalMs: () => this.ordersConfirmMs}),
 				workers: {...this.#workers.follow(clock), setMode: () => undefined, refresh: async () => undefined},
 				workerControl: this.#controlFor(clock),
 				machineControl: {
@@ -278,6 +360,12 @@
 		this.#publishOrders();
 	}
 
+	/** Writes or deletes the order to evacuate a data centre. */
+	orderEvacuation(dataCentre: string, isOrdered = true): void {
+		this.#evacuated = [...this.#evacuated.filter(other => other !== dataCentre), ...(isOrdered ? [dataCentre] : [])];
+		this.#publishOrders();
+	}
+
 	/** Submits a job to a running process and resolves to whether it was accepted. */
 	async submit(job: JobSpec, process = this.randomProcess()): Promise<boolean> {
 		this.fleet.jobs.set(job.jobId, job);
@@ -402,10 +490,17 @@
 		return largest.slice(0, successorCount).some(process => process.name === name);
 	}
 
+	/** Two machines of a data centre share a rack. */
+	#rackOf(index: number): string {
+		const count = this.#dataCentres.length;
+		const rack = Math.floor(index / (2 * count));
+		return count === 1 ? `r-${rack}` : `r-${this.#dataCentres[index % count]!}-${rack}`;
+	}
+
 	#addMachine(machineId: string, machinePool: string, rack: string): void {
 		this.machines.set(machineId, {
 			entry: {
-				machineId, pool: machinePool, state: 'up', capacity, workerId: undefined,
+				machineId, pool: machinePool, dataCentre: this.#dataCentres[this.machines.size % this.#dataCentres.length]!, state: 'up', capacity, workerId: undefined,
 			}, returnsAtMs: 0, nextState: 'up', nextPool: machinePool, fencingToken: 0,
 		});
 		this.#bootWorker(machineId, rack);
@@ -419,7 +514,7 @@
 
 		const workerId = `w-${this.#workerCount++}`;
 		this.fleet.workers.set(workerId, new FakeWorker(this.fleet, {
-			workerId, pool: machine.entry.pool, address: `${workerId}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: ['a', rack], rack, bornWallMs: this.clock.nowMs(),
+			workerId, pool: machine.entry.pool, address: `${workerId}:1`, dataCentre: machine.entry.dataCentre, isDraining: false, capacity, labels: ['a', rack], rack, bornWallMs: this.clock.nowMs(), coldLeftMs: 0,
 		}));
 		machine.entry = {...machine.entry, workerId};
 	}
@@ -500,6 +595,10 @@
 		machine.fencingToken = fencingToken;
 		machine.entry = {...machine.entry, state: target === undefined ? 'maintenance' : 'moving', workerId: undefined};
 		machine.nextPool = target ?? machine.entry.pool;
+		if (target !== undefined) {
+			this.moves.push({machineId, target, atMs: this.clock.nowMs()});
+		}
+
 		machine.returnsAtMs = this.clock.nowMs() + forMs;
 		this.#publishWorkers();
 		return 'accepted';
@@ -511,7 +610,7 @@
 	}
 
 	#publishOrders(): void {
-		this.#orders.publish({configuration: this.#configuration, waves: this.#waves});
+		this.#orders.publish({configuration: this.#configuration, waves: this.#waves, evacuatedDataCentres: this.#evacuated});
 	}
 
 	/** Delivers an order, possibly late and possibly without returning its answer. */
