Keep a task under suspicion while its trial is undecided

After the fourth, several tasks of the crashed worker are on trial at the same time. One of them is given up, which cleared the others, although the trial of another had crashed its worker too; both losses are reported by the same list of machines. That task's second observed crash counted as its first, and it was started a third time after three crashes.

Trace: first crash at 4,345 ms; its holder freezes before the list of machines shows it, sees it at 6,785 ms, 85 ms after it was cut off from the store, and is replaced at 8,010 ms with the save still failing. Second at 8,290 ms, all processes killed at 8,300 ms. Third at 12,845 ms, all killed at 13,100 ms, before a list shows the loss. No order of writes stores these: the crashes are not known before. Starts are not stored, so a new incarnation of a worker does not tell which tasks were on it. Fourth at 17,645 ms, seen at 18,030 ms and stored; cleared at 20,580 ms in the middle of the trial that crashed at 19,645 ms.

Change: a task whose trial is unresolved is cleared only once the trial has ended without a crash. Suspects already waited until the crash was stored, since the save of a trial's attempt contains it.

--- a/packages/scheduler/src/core/crash-attribution.ts
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -37,22 +37,31 @@
 
 const recordedAttempts = ({crashRecord}: Task): readonly number[] => [...crashRecord.crashedAttempts, ...crashRecord.presumedAttempts];
 
-/** Clears the tasks that were suspected together with the cause of a crash, and of no other crash before. */
+/** Clears the task if this process suspects it of a single crash, of which another task turned out to be the cause. */
+const clearIfCauseFound = (state: SchedulerState, task: Task): void => {
+	const [suspicion, ...otherSuspicions] = task.suspicions;
+	const [onlyAttempt, ...otherAttempts] = recordedAttempts(task);
+	const isOnlyCrash = otherSuspicions.length === 0 && onlyAttempt !== undefined && otherAttempts.length === 0;
+	if (isOnlyCrash && suspicion?.suspects.some(other => other !== task && other.phase === 'given-up') === true) {
+		task.suspicions = [];
+		task.crashRecord = {...task.crashRecord, clearedAttempt: onlyAttempt};
+		state.dirtyJobs.add(task.step.job);
+	}
+};
+
+/** Clears the tasks that were suspected together with the cause of a crash, and of no other crash before. A task on trial stays a suspect until the outcome is known: several tasks that crash workers may have shared one, and the trial may have crashed its worker already. */
 const clearOtherSuspects = (state: SchedulerState, cause: Task): void => {
 	for (const task of cause.suspicions.flatMap(({suspects}) => suspects)) {
-		const [onlyAttempt, ...otherAttempts] = recordedAttempts(task);
-		if (task !== cause && task.suspicions.length === 1 && onlyAttempt !== undefined && otherAttempts.length === 0) {
-			task.suspicions = [];
-			task.crashRecord = {...task.crashRecord, clearedAttempt: onlyAttempt};
-			state.dirtyJobs.add(task.step.job);
+		if (task !== cause && !isTrialUnresolved(task.crashRecord)) {
+			clearIfCauseFound(state, task);
 		}
 	}
 };
 
 const giveUp = (state: SchedulerState, task: Task): void => {
-	clearOtherSuspects(state, task);
 	task.phase = 'given-up';
 	task.crashRecord = {...task.crashRecord, isGivenUp: true};
+	clearOtherSuspects(state, task);
 	state.emit({type: 'count', name: 'scheduler_tasks_given_up_total'});
 	state.emit({
 		type: 'log', fields: {
@@ -149,6 +158,7 @@
 	if (task?.crashRecord.trialAttempt === attempt && task.crashRecord.settledTrialAttempt < attempt && task.step.job.outcome === undefined) {
 		task.crashRecord = {...task.crashRecord, settledTrialAttempt: attempt};
 		state.dirtyJobs.add(task.step.job);
+		clearIfCauseFound(state, task);
 	}
 };
 
--- a/packages/scheduler/tests/scheduling.property.test.ts
+++ b/packages/scheduler/tests/scheduling.property.test.ts
@@ -42,6 +42,8 @@
 	{seed: 14, faults: ['cut-holder', 'late-orders', 'freeze-holder', 'wave'], crashingEvery: 4},
 	// A start that was lost while its job ended occupied its worker for good.
 	{seed: 162_200, faults: ['kill-all', 'store-slow', 'late-orders', 'clock-step', 'late-orders', 'wave'], crashingEvery: 3},
+	// Three crashes were lost with their holders, and a fourth was cleared although the trial that followed had crashed its worker.
+	{seed: 92_723, faults: ['freeze-holder', 'cut-holder', 'kill-all', 'late-orders', 'wave', 'kill-all'], crashingEvery: 3},
 ];
 
 test('under any faults, capacity, limits, step order, single runs and availability hold, and no accepted job is lost', async () => {
