Move pool sizing into a folder of its own

The demand forecast for pools needs several modules. pool-sizing.ts, pool-capacity.ts and demand-meter.ts move to core/pools/ without other changes.

--- a/packages/scheduler/src/core/pool-capacity.ts
+++ b/packages/scheduler/src/core/pools/pool-capacity.ts
@@ -1,10 +1,10 @@
 /**
 Totals of each pool's capacity, collected once a round and adjusted with each move that the round orders. Pool sizing compares them with the demand for every machine; adding up all workers for each of them would make a round's cost grow with the square of the fleet's size.
 */
-import {workerOn} from './machines.js';
-import {type MachineRecord, type WorkerRecord} from './records.js';
-import {type SchedulerState} from './scheduler-state.js';
-import {isUsable} from './workers.js';
+import {workerOn} from '../machines.js';
+import {type MachineRecord, type WorkerRecord} from '../records.js';
+import {type SchedulerState} from '../scheduler-state.js';
+import {isUsable} from '../workers.js';
 
 export type PoolCapacity = {
 	/** CPU capacity that the pool will have: that of its usable workers, less what lasting tasks occupy, plus that of arriving machines. */
--- a/packages/scheduler/src/core/pool-sizing.ts
+++ b/packages/scheduler/src/core/pools/pool-sizing.ts
@@ -3,13 +3,13 @@
 
 Demand peaks in different pools at different times. A pool that lacks capacity, or will lack it at the current arrival rate, gets machines from standby first and then idle machines of pools with no shortage. A machine that has been idle for a while goes to standby, where it costs nothing. A move ends everything on a machine, so only idle machines are moved.
 */
-import {type Shortage} from './dispatch.js';
+import {type Shortage} from '../dispatch.js';
 import {
 	isIdle, isOrderable, isServiceable, isStandby, orderMove, workerOn,
-} from './machines.js';
+} from '../machines.js';
+import {type MachineRecord} from '../records.js';
+import {type SchedulerState} from '../scheduler-state.js';
 import {PoolCapacities} from './pool-capacity.js';
-import {type MachineRecord} from './records.js';
-import {type SchedulerState} from './scheduler-state.js';
 
 /** A machine that has been idle for this long leaves its pool: a move costs about as much as keeping a machine in a pool for 1.2 s. */
 const idleBeforeStandbyMs = 1200;
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -9,7 +9,7 @@
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
 import {applyMachineAnswer, applyMachineList, repeatMachineOrders} from './machines.js';
 import {applyPaceAnswer, updatePace} from './throttling.js';
-import {resizePools} from './pool-sizing.js';
+import {resizePools} from './pools/pool-sizing.js';
 import {reconcileRuns} from './relocation.js';
 import {applyPollAnswer, applyStartAnswer, applyStopAnswer} from './worker-reports.js';
 import {applySaved, prepareAcknowledgements, saveProgress} from './progress-persistence.js';
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -7,7 +7,7 @@
 import {
 	type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
-import {DemandMeter} from './demand-meter.js';
+import {DemandMeter} from './pools/demand-meter.js';
 import {addResources, noResources, subtractResources} from './resources.js';
 import {type SchedulerEffect} from './events.js';
 import {ShareMeter} from './share-meter.js';
