Serve jobs that are likely to be in time first

Jobs were ordered by their latest start, so beyond full load each was started at its last moment. With durations that are longer than announced, three quarters of a burst's jobs then missed their objective together.

A job's age counts from its submission, so that a new holder does not take waiting jobs for new ones.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -8,7 +8,7 @@
 	AdviceHttpClient, createReadinessServer, HttpClient, type HostSettings, JobHttpServer, MachineHttpControl, OperatorRowsWatcher, WaveStatusWriter, TableStore, WorkerRegistryWatcher, WorkerHttpControl,
 } from '@poplarnotch/platform-adapter';
 import {RetryingTableService} from '@poplarnotch/platform';
-import {SchedulerProcess} from '@poplarnotch/scheduler';
+import {type OrderPolicyName, SchedulerProcess} from '@poplarnotch/scheduler';
 import {
 	createRpcRoute, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
@@ -46,6 +46,7 @@
 export type EntryProcessOptions = {
 	readonly settings: HostSettings;
 	readonly metricsPort: number;
+	readonly orderPolicy?: OrderPolicyName | undefined;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
@@ -83,6 +84,7 @@
 			processId: settings.host,
 			table,
 			resolvingTable,
+			orderPolicy: options.orderPolicy,
 			orders: new OperatorRowsWatcher({table, log, convergeMs: settings.configurationConvergeMs}),
 			workers: new WorkerRegistryWatcher({table, log}),
 			workerControl: new WorkerHttpControl(workerClient),
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -4,7 +4,7 @@
 import {type Resources} from '../types.js';
 import {isSuspect} from './crash-attribution.js';
 import {requestAdvice, ticketFor} from './placement-advice.js';
-import {type QueuedStep, sortQueuedSteps} from './queue-order.js';
+import {type QueuedStep} from './order/order-policy.js';
 import {chooseAmong, isAllowed} from './placement.js';
 import {
 	type TaskRun, type StepInstance, type Task, type WorkerRecord,
@@ -65,6 +65,7 @@
 		paceOrderedAtMs: undefined,
 	};
 	state.addRun(run);
+	state.startCount++;
 	recordLeaseSent(worker, nowMs);
 	state.emit({
 		type: 'start', workerId: worker.entry.workerId, taskKey: task.key, attempt, ticket: ticketFor(state, task.step, worker, nowMs) ?? '', payload: job.spec.payload, checkpoint: task.checkpoint, deadlineClockMs: deadlineClockMs(worker, nowMs)!, fencingToken, waitedMs: Math.round(nowMs - task.waitingSinceMs),
@@ -306,7 +307,7 @@
 
 	endFinishedTrials(state, nowMs);
 	const usable = new UsableWorkers(state, nowMs);
-	const queuedSteps = sortQueuedSteps(state, nowMs);
+	const queuedSteps = state.order.sort(state, nowMs);
 	planPoolTrials(state, queuedSteps, usable, nowMs);
 	startReadyTrials(state, nowMs);
 	for (const queued of queuedSteps) {
@@ -315,9 +316,14 @@
 		}
 
 		const pool = usable.of(queued.pool);
+		const startsBefore = state.startCount;
 		const unplaced = queued.step.spec.isGang
 			? startGang(state, queued, pool, nowMs)
 			: startIndividualTasks(state, queued, pool, nowMs);
+		if (state.startCount > startsBefore) {
+			state.order.recordStarts(queued, state.startCount - startsBefore);
+		}
+
 		if (unplaced > 0) {
 			requestAdvice(state, queued.step, pool.usable, nowMs);
 		}
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -39,10 +39,20 @@
 	return longestMs;
 };
 
-const newJob = (spec: JobSpec, nowMs: number): JobRecord => ({
+/** Longest time for which a gate tries to store a job, which bounds the age of a job that arrives while this process schedules. */
+const maxAcceptanceMs = 3000;
+
+/** Returns when the job was submitted. The age of a job that arrives during the term is bounded, so that a process whose wall clock is slow does not make all its jobs look late; jobs of earlier terms can be of any age. */
+const submissionTimeMs = (state: SchedulerState, spec: JobSpec, {nowMs, wallMs}: CurrentTime): number => {
+	const ageMs = Math.max(0, wallMs - spec.acceptedWallMs);
+	return nowMs - (state.term === undefined ? ageMs : Math.min(ageMs, maxAcceptanceMs));
+};
+
+const newJob = (spec: JobSpec, submittedAtMs: number, nowMs: number): JobRecord => ({
 	spec,
 	rowKeys: new Set(),
 	firstSeenAtMs: nowMs,
+	submittedAtMs,
 	wholeChainMs: longestChainMs(spec.steps.map(({after, estimateMs}) => ({after, durationMs: estimateMs}))),
 	occurrences: new Map(),
 	outcome: undefined,
@@ -279,7 +289,7 @@
 	if (change.type === 'accepted') {
 		let accepted = state.jobs.get(change.job.jobId);
 		if (accepted === undefined) {
-			accepted = newJob(change.job, now.nowMs);
+			accepted = newJob(change.job, submissionTimeMs(state, change.job, now), now.nowMs);
 			state.jobs.set(change.job.jobId, accepted);
 			state.openJobs.add(accepted);
 			recordShare(state, accepted, now);
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -113,6 +113,8 @@
 	readonly rowKeys: Set<string>;
 	/** When this process first saw the job. */
 	readonly firstSeenAtMs: number;
+	/** When the job was submitted, on this process's clock, by the wall clock of the process that accepted it. */
+	readonly submittedAtMs: number;
 	/** Estimated duration of the job's longest chain of steps. */
 	readonly wholeChainMs: number;
 	/** Steps by occurrence, for occurrences that are due. */
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -8,6 +8,8 @@
 	type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DemandMeter} from './demand-meter.js';
+import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
+import {type OrderPolicy} from './order/order-policy.js';
 import {addResources, noResources, subtractResources} from './resources.js';
 import {type SchedulerEffect} from './events.js';
 import {ShareMeter} from './share-meter.js';
@@ -42,6 +44,8 @@
 const attemptsPerTerm = 1000;
 
 export class SchedulerState {
+	/** The order in which waiting steps are offered capacity. */
+	readonly order: OrderPolicy;
 	configuration = emptyConfiguration;
 	term: LeaseTerm | undefined;
 	/** The takeover is settled: every worker that may run tasks of an earlier lease holder has reported, or its leases have expired. */
@@ -61,6 +65,8 @@
 	isSuspended = false;
 	readonly demand = new DemandMeter();
 	readonly shares = new ShareMeter();
+	/** Number of tasks started by this process. */
+	startCount = 0;
 	/** Number of advice requests in flight. */
 	pendingAdviceRequests = 0;
 	pendingSaveNumber: number | undefined;
@@ -74,6 +80,10 @@
 	readonly #occupied = new Map<WorkerRecord, Resources>();
 	#effects: SchedulerEffect[] = [];
 
+	constructor(order: OrderPolicy = new LikelyInTimeFirst()) {
+		this.order = order;
+	}
+
 	emit(effect: SchedulerEffect): void {
 		this.#effects.push(effect);
 	}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,4 +1,5 @@
 export {reduceScheduler} from './core/reducer.js';
+export {orderPolicyNames, type OrderPolicyName} from './core/order/order-policies.js';
 export type {JobChange, SchedulerEffect, SchedulerEvent} from './core/events.js';
 export {SchedulerState} from './core/scheduler-state.js';
 export {
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -12,6 +12,7 @@
 } from '@poplarnotch/state';
 import {endedJobRetentionMs, storeRetryDelayMs} from '../constants.js';
 import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {createOrderPolicy, type OrderPolicyName} from '../core/order/order-policies.js';
 import {reduceScheduler} from '../core/reducer.js';
 import {SchedulerState} from '../core/scheduler-state.js';
 import {JobService} from '../jobs/job-service.js';
@@ -97,6 +98,8 @@
 	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Called with changes to the rows, other than job rows, that the processes share. */
 	readonly onControlRows: (changes: readonly RowChange[]) => void;
+	/** The order in which waiting steps are offered capacity; default `likely-in-time-first`. */
+	readonly orderPolicy?: OrderPolicyName | undefined;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
@@ -138,7 +141,7 @@
 		const {table, clock, log, processId} = options;
 		this.#options = options;
 		this.#lifecycle = new LifecycleManager(clock);
-		this.#runtime = new ReducerRuntime(new SchedulerState(), reduceScheduler, effect => {
+		this.#runtime = new ReducerRuntime(new SchedulerState(createOrderPolicy(options.orderPolicy ?? 'likely-in-time-first')), reduceScheduler, effect => {
 			this.#performer.perform(effect);
 		});
 		this.#store = new JobStore({
