Go on scheduling stored jobs while no process reaches the store

Cause: a holder that cannot renew its lease suspends itself 2.4 s after its last renewal, also while the store is unavailable for every process, so that no other process can acquire the lease. Starts stopped until after the outage.

Change: processes answer the RPC store.reachability with whether their calls fail. The holder asks its peers every 300 ms while its own calls fail and goes on while the answers show a full outage (OutageEvidence) and no other process can have acquired the lease (LeaseContinuation). A contender's wait starts again after a failed read, a failed acquisition, or a gap between answered reads, so that a live holder renews first. Failed renewals are repeated after 150 ms. No machine is ordered while the lease is not confirmed. A new holder waits 1 s longer for silent workers unless its predecessor is gone.

The test of the lease time in takeover.test.ts now reads at the usual interval, since a gap of 8 s restarts the wait; it still checks 3399 and 3400 ms.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -10,7 +10,7 @@
 import {RetryingTableService} from '@poplarnotch/platform';
 import {SchedulerProcess} from '@poplarnotch/scheduler';
 import {
-	createRpcRoute, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
+	createRpcRoute, OutageEvidence, OutageProber, ReachabilityMeter, reachabilityMethods, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
 
 /** Maximum number of connections to the store; long calls that wait for changes occupy four of them. */
@@ -43,9 +43,13 @@
 /** Time reserved for closing after the last answer. */
 const closeReserveMs = 1000;
 
+type PeerCall = readonly [baseUrl: string, method: string, parameters: JsonValue, timeoutMs: number];
+
 export type EntryProcessOptions = {
 	readonly settings: HostSettings;
 	readonly metricsPort: number;
+	/** Whether the lease holder goes on scheduling while no process reaches the store. */
+	readonly outageScheduling: boolean;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
@@ -58,6 +62,8 @@
 	readonly #jobServer: JobHttpServer;
 	readonly #directTable: TableStore;
 	readonly #relayDirectory: RelayDirectory;
+	readonly #meter: ReachabilityMeter;
+	readonly #outageProber: OutageProber;
 	#rpcClient: RpcClient | undefined;
 	#cachedRelayRoute: OperationsRoute | undefined;
 	#isDraining = false;
@@ -70,11 +76,19 @@
 		const storeClient = this.#closeOnStop(new HttpClient({connections: storeConnections}));
 		const workerClient = this.#closeOnStop(new HttpClient({connections: workerConnections}));
 		this.#directTable = new TableStore({client: storeClient, url: settings.tableServiceUrl});
+		const meter = new ReachabilityMeter(clock);
+		this.#meter = meter;
+		const callPeer = async (...call: PeerCall): Promise<unknown> => this.#callPeer(...call);
 		const table = new RelayedTable({
-			direct: this.#directTable, peers: () => this.#relayDirectory.peerUrls, callPeer: async (...call) => this.#callPeer(...call), clock, log,
+			direct: this.#directTable, peers: () => this.#relayDirectory.peerUrls, callPeer, meter, clock, log,
 		});
 		this.#relayDirectory = new RelayDirectory({
-			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, clock, log,
+			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, dataCentre: settings.dataCentre, clock, log,
+		});
+		const lastKnownPeers = () => this.#relayDirectory.lastKnownPeers;
+		const evidence = new OutageEvidence({meter, peers: lastKnownPeers, clock});
+		this.#outageProber = new OutageProber({
+			evidence, meter, peers: lastKnownPeers, callPeer, isActive: () => options.outageScheduling && this.#scheduler.state.term !== undefined, clock,
 		});
 		const resolvingTable = new RetryingTableService(table, {
 			client: settings.host, retryTimeoutMs: resolveRetryMs, settleTimeoutMs: resolveTimeoutMs, backoff: resolveBackoff, clock, metrics,
@@ -92,6 +106,7 @@
 			maxConfigurationAgeMs: settings.configurationConvergeMs - configurationMarginMs,
 			hasLargerPeer: sinceMs => this.#relayDirectory.hasLargerPeer(sinceMs),
 			isSuccessor: () => this.#relayDirectory.isAmongLargest(successorCount),
+			outage: options.outageScheduling ? evidence : undefined,
 			onConfigured: ({limits}) => {
 				this.#jobServer.setLimits(limits);
 			},
@@ -115,6 +130,10 @@
 		const {settings, metrics, log, metricsPort} = this.#options;
 		this.#scheduler.start();
 		this.#relayDirectory.start();
+		this.#outageProber.start();
+		this.#lifecycle.own('outage queries', () => {
+			this.#outageProber.stop();
+		});
 		this.#lifecycle.own('scheduler', async () => this.#scheduler.close());
 		this.#lifecycle.own('peer directory', () => {
 			this.#relayDirectory.stop();
@@ -177,13 +196,15 @@
 					return;
 				}
 
-				this.#cachedRelayRoute ??= createRpcRoute(secret, {[relayMethod]: async parameters => performRelayed(this.#directTable, parameters)});
+				this.#cachedRelayRoute ??= createRpcRoute(secret, {
+					[relayMethod]: async parameters => performRelayed(this.#directTable, parameters), ...reachabilityMethods(this.#meter),
+				});
 				this.#cachedRelayRoute.handle(request, response);
 			},
 		};
 	}
 
-	async #callPeer(...call: readonly [baseUrl: string, method: string, parameters: JsonValue, timeoutMs: number]): Promise<unknown> {
+	async #callPeer(...call: PeerCall): Promise<unknown> {
 		this.#rpcClient ??= this.#closeOnStop(new RpcClient({secret: this.#relayDirectory.secret ?? '', metrics: this.#options.metrics}));
 		return this.#rpcClient.call(...call);
 	}
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -18,9 +18,10 @@
 const logFlushMs = 100;
 const defaultMetricsPort = 9464;
 
-const {metricsPort} = await yargs(process.argv.slice(2))
+const {metricsPort, outageScheduling} = await yargs(process.argv.slice(2))
 	.scriptName('poplarnotch-entry')
 	.option('metricsPort', {type: 'number', default: defaultMetricsPort, describe: 'Port that serves /metrics and /dump'})
+	.option('outageScheduling', {choices: ['on', 'off'] as const, default: 'on', describe: 'Whether the lease holder goes on scheduling stored jobs while no process reaches the store'})
 	.strict()
 	.parse();
 
@@ -35,7 +36,7 @@
 		`time=${new Date().toISOString()} level=warn process=${settings.right.host} event=log_lines_dropped lines=${count}\n`);
 	const log = createLogger(settings.right.host, 'info', output);
 	const entry = new EntryProcess({
-		settings: settings.right, metricsPort, clock, log, metrics: new MetricsRegistry(),
+		settings: settings.right, metricsPort, outageScheduling: outageScheduling === 'on', clock, log, metrics: new MetricsRegistry(),
 	});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -24,7 +24,10 @@
 	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
 	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
 	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
-	| {readonly type: 'leaseWon'; readonly fencingToken: number}
+	/** `isPredecessorGone`: the earlier holder gives no more orders. */
+	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly isPredecessorGone?: boolean | undefined}
+	/** The lease could not be renewed in time, but no other process can have acquired it. */
+	| {readonly type: 'leaseUnconfirmed'}
 	/** The lease could not be renewed in time and may pass to another process. */
 	| {readonly type: 'leaseSuspended'}
 	/** Another process holds the lease. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -52,10 +52,16 @@
 	checkTakeoverSettled(state, nowMs);
 	updateOpenJobs(state, now);
 	const displaced = reconcileRuns(state, nowMs);
-	repeatMachineOrders(state, nowMs);
+	if (!state.isLeaseUnconfirmed) {
+		repeatMachineOrders(state, nowMs);
+	}
+
 	const shortages = dispatchTasks(state, displaced, nowMs);
-	advanceWaves(state, nowMs);
-	resizePools(state, shortages, nowMs);
+	if (!state.isLeaseUnconfirmed) {
+		advanceWaves(state, nowMs);
+		resizePools(state, shortages, nowMs);
+	}
+
 	prepareAcknowledgements(state);
 	saveProgress(state, nowMs);
 };
@@ -106,9 +112,10 @@
 		case 'leaseWon': {
 			if (state.term?.fencingToken === event.fencingToken) {
 				state.isSuspended = false;
+				state.isLeaseUnconfirmed = false;
 			} else {
 				endTerm(state, event.nowMs);
-				state.beginTerm(event.fencingToken, event.nowMs);
+				state.beginTerm(event.fencingToken, event.nowMs, event.isPredecessorGone);
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
@@ -116,6 +123,11 @@
 			break;
 		}
 
+		case 'leaseUnconfirmed': {
+			state.isLeaseUnconfirmed = true;
+			break;
+		}
+
 		case 'leaseSuspended': {
 			state.isSuspended = true;
 			break;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -30,6 +30,8 @@
 	readonly wonAtMs: number;
 	/** Attempt numbers of this term start above this base, which rises from holder to holder. */
 	readonly attemptBase: number;
+	/** The earlier holder gives no more orders. */
+	readonly isPredecessorGone: boolean;
 };
 
 /** Progress of a wave as stored, possibly by an earlier lease holder. */
@@ -59,6 +61,8 @@
 	readonly storedWaves = new Map<number, StoredWave>();
 	/** The lease may have passed to another process, so no task is started, and no machine is moved or sent to maintenance. Polling goes on, so that running tasks keep their leases. */
 	isSuspended = false;
+	/** The lease could not be renewed in time. Tasks are started, since no other process can have acquired the lease, but no machine is moved or sent to maintenance: the next holder may order the same machine at once. */
+	isLeaseUnconfirmed = false;
 	readonly demand = new DemandMeter();
 	readonly shares = new ShareMeter();
 	/** Number of advice requests in flight. */
@@ -84,10 +88,13 @@
 		return effects;
 	}
 
-	beginTerm(fencingToken: number, nowMs: number): void {
-		this.term = {fencingToken, wonAtMs: nowMs, attemptBase: fencingToken * attemptsPerTerm};
+	beginTerm(fencingToken: number, nowMs: number, isPredecessorGone = false): void {
+		this.term = {
+			fencingToken, wonAtMs: nowMs, attemptBase: fencingToken * attemptsPerTerm, isPredecessorGone,
+		};
 		this.isSettled = false;
 		this.isSuspended = false;
+		this.isLeaseUnconfirmed = false;
 		this.pendingSaveNumber = undefined;
 	}
 
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -2,7 +2,7 @@
 Tracks workers: which ones are registered, which ones answer polls, and when everything on a silent worker has definitely ended.
 */
 import {
-	leaseMarginMs, clockDriftFactor, maxLoggedRuns, minDrainMs, workerSilenceTimeoutMs, taskLeaseMs,
+	leaseMarginMs, clockDriftFactor, maxLoggedRuns, minDrainMs, predecessorOverlapMs, workerSilenceTimeoutMs, taskLeaseMs,
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
 import {attributeCrash, resolveLostTrials} from './crash-attribution.js';
@@ -217,7 +217,8 @@
 		return;
 	}
 
-	const earlierLeaseExpiresAtMs = state.term.wonAtMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs;
+	const overlapMs = state.term.isPredecessorGone ? 0 : predecessorOverlapMs;
+	const earlierLeaseExpiresAtMs = state.term.wonAtMs + overlapMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs;
 	const workers = [...state.workers.values()];
 	const isMachineListCurrent = state.machinesListedAtMs !== undefined && state.machinesListedAtMs >= state.term.wonAtMs;
 	const unregistered = [...state.machines.values()].filter(({entry}) => entry.workerId !== undefined && entry.state === 'up' && !state.workers.has(entry.workerId));
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -8,7 +8,7 @@
 	PlatformError, type RowChange, type RowCondition, type TableService, type WatchableTable,
 } from '@poplarnotch/platform';
 import {
-	fenceKey, type HeldLease, LeaseContender, TableReplica,
+	fenceKey, type HeldLease, LeaseContender, type OutageKnowledge, TableReplica,
 } from '@poplarnotch/state';
 import {endedJobRetentionMs, storeRetryDelayMs} from '../constants.js';
 import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
@@ -25,6 +25,7 @@
 } from '../ports.js';
 import {type FleetConfiguration} from '../types.js';
 import {EffectPerformer} from './effect-performer.js';
+import {LeaseContinuation} from './lease-continuation.js';
 import {pendingFrom, pendingWrite} from './pending-rows.js';
 import {WorkerPoller} from './worker-poller.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
@@ -93,6 +94,8 @@
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
 	/** Returns true if this process should be ready to take over the lease at any time. */
 	readonly isSuccessor: () => boolean;
+	/** Tells whether no process reaches the store; `undefined` if the holder should not schedule in that case. */
+	readonly outage?: OutageKnowledge | undefined;
 	/** Called with each configuration that comes into force. */
 	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Called with changes to the rows, other than job rows, that the processes share. */
@@ -109,6 +112,7 @@
 	readonly #performer: EffectPerformer;
 	readonly #lifecycle: LifecycleManager;
 	readonly #leases: LeaseContender;
+	readonly #continuation: LeaseContinuation;
 	readonly #store: JobStore;
 	readonly #jobReplica: TableReplica;
 	readonly #controlReplica: TableReplica;
@@ -160,6 +164,9 @@
 		this.#leases = new LeaseContender({
 			table, holder: `${processId}@${clock.wallTimeMs()}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => this.#acquireDelayMs(), readIntervalMs: () => options.isSuccessor() ? undefined : outsiderCheckIntervalMs, clock, log,
 		});
+		this.#continuation = new LeaseContinuation({
+			outage: options.outage, leaseMs, clock, log, metrics: options.metrics,
+		});
 		this.#jobReplica = new TableReplica({
 			table, prefix: jobsPrefix, waitMs: watchWaitMs, clock, log,
 			pauseMs: () => this.#runtime.state.term === undefined ? successorPollPauseMs : holderPollPauseMs,
@@ -213,6 +220,11 @@
 			&& this.#options.clock.nowMs() - confirmedAtMs <= maxAgeMs;
 	}
 
+	/** Returns true if it is known at this moment that no process reaches the store, so that no other process holds the lease and no operator can have written an order. */
+	hasOutageEvidence(): boolean {
+		return this.#options.outage?.hasOutageEvidence() ?? false;
+	}
+
 	start(): void {
 		const {orders, workers} = this.#options;
 		orders.start(({configuration, waves}) => {
@@ -375,7 +387,7 @@
 
 		if (now.nowMs >= this.#nextYieldCheckAtMs) {
 			this.#nextYieldCheckAtMs = now.nowMs + yieldCheckIntervalMs;
-			if (!this.state.isSuspended && now.nowMs - this.state.term.wonAtMs >= yieldCheckIntervalMs && this.#options.hasLargerPeer(this.state.term.wonAtMs)) {
+			if (!this.state.isSuspended && !this.state.isLeaseUnconfirmed && now.nowMs - this.state.term.wonAtMs >= yieldCheckIntervalMs && this.#options.hasLargerPeer(this.state.term.wonAtMs)) {
 				void this.#yieldToLargerPeer();
 				return;
 			}
@@ -403,12 +415,18 @@
 			return;
 		}
 
-		const lease = this.#leases.heldLease(schedulerLease);
 		const hasClockJumped = Math.abs(gapMs) > suspensionThresholdMs;
+		if (hasClockJumped) {
+			this.#continuation.invalidate();
+		}
+
+		const lease = this.#leases.heldLease(schedulerLease) ?? this.#continueLease(term.fencingToken);
 		if (isSuspended && !hasClockJumped && !this.#isConfirmingFence && lease?.fence.version === term.fencingToken) {
 			this.#runtime.dispatch({type: 'leaseWon', fencingToken: term.fencingToken, ...this.#now()});
+			this.#markUnconfirmed();
 		} else if (!isSuspended && (hasClockJumped || lease === undefined)) {
 			this.#options.log.warn({event: 'term_suspended', fencingToken: term.fencingToken, gapMs: Math.round(gapMs)});
+			this.#fence = lease?.fence;
 			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
 			if (hasClockJumped && !this.#isConfirmingFence) {
 				void this.#confirmFence(term.fencingToken);
@@ -437,7 +455,31 @@
 		this.#isConfirmingFence = false;
 	}
 
+	/** Returns the lease that could not be renewed in time if no other process can have acquired it. */
+	#continueLease(fencingToken: number): HeldLease | undefined {
+		const lease = this.#leases.unconfirmedLease(schedulerLease);
+		if (this.#isConfirmingFence || lease?.fence.version !== fencingToken || !this.#continuation.mayContinue(lease)) {
+			return undefined;
+		}
+
+		this.#fence = lease.fence;
+		this.#continuation.countRound();
+		this.#markUnconfirmed();
+		return lease;
+	}
+
+	/** Stops machine orders while the lease is not confirmed: another holder's orders may follow within a lease time. */
+	#markUnconfirmed(): void {
+		if (!this.state.isLeaseUnconfirmed && this.#leases.heldLease(schedulerLease) === undefined) {
+			this.#runtime.dispatch({type: 'leaseUnconfirmed', ...this.#now()});
+		}
+	}
+
 	#onLeaseChanged(lease: HeldLease | undefined): void {
+		if (lease === undefined && this.state.term !== undefined && !this.state.isSuspended && this.#continueLease(this.state.term.fencingToken) !== undefined) {
+			return;
+		}
+
 		this.#fence = lease?.fence;
 		this.#updateFollowing();
 		if (lease === undefined) {
@@ -449,11 +491,14 @@
 	}
 
 	/** Begins the term once the replica holds everything that the earlier lease holder stored, since orders rely on it. */
-	async #beginTerm({fence}: HeldLease): Promise<void> {
+	async #beginTerm({fence, isPredecessorGone}: HeldLease): Promise<void> {
 		while (this.#fence?.version === fence.version) {
 			try {
 				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), this.#options.workers.refresh()]);
-				this.#runtime.dispatch({type: 'leaseWon', fencingToken: fence.version, ...this.#now()});
+				this.#continuation.confirm();
+				this.#runtime.dispatch({
+					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone, ...this.#now(),
+				});
 				return;
 			} catch (error) {
 				if (!(error instanceof PlatformError)) {
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -11,6 +11,7 @@
 } from '../../src/index.js';
 import {normalLatencyMs, FakeTable, type TableFaults} from './fake-table.js';
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
+import {FakePeers, measured} from './fake-peers.js';
 import {HostClock} from './host-clock.js';
 
 const stepMs = 5;
@@ -45,6 +46,8 @@
 	readonly standbyMachines: number;
 	/** Share of runs that fail. */
 	readonly failureRate?: number;
+	/** Whether the holder schedules during a full outage of the table; true by default. */
+	readonly outageScheduling?: boolean;
 };
 
 type SimulatedProcess = {
@@ -156,6 +159,8 @@
 	/** Configuration versions that came into force, over all processes. */
 	readonly configuredVersions: number[] = [];
 	readonly random: SeededRandom;
+	readonly peers = new FakePeers();
+	readonly #outageScheduling: boolean;
 	readonly #orders: PublishedValue<OperatorOrders>;
 	readonly #workers = new PublishedValue<readonly WorkerEntry[]>([]);
 	#configuration = configurationOf(1);
@@ -168,6 +173,7 @@
 
 	constructor(options: SimulationOptions) {
 		this.random = new SeededRandom(options.seed);
+		this.#outageScheduling = options.outageScheduling ?? true;
 		const taskRandom = new Map<string, number>();
 		const drawFor = (key: string): number => {
 			let value = taskRandom.get(key);
@@ -206,9 +212,10 @@
 		const name = `process-${this.#processCount++}`;
 		const clock = new HostClock(this.clock);
 		const tableFaults: TableFaults = {isDown: false, lostAnswerRate: 0, latencyMs: normalLatencyMs};
-		const table = new FakeTable({
+		const {meter, outage} = this.peers.add(name, clock, () => process.scheduler.state.term !== undefined);
+		const table = measured(new FakeTable({
 			table: this.table, clock, platformClock: this.clock, random: this.random, faults: tableFaults,
-		});
+		}), meter);
 		const process: SimulatedProcess = {
 			name,
 			clock,
@@ -254,6 +261,7 @@
 				maxConfigurationAgeMs: Number.POSITIVE_INFINITY,
 				hasLargerPeer: () => this.processes.some(other => !other.clock.isDead && other.name !== name && (this.cpuMillicores.get(other.name) ?? 0) > (this.cpuMillicores.get(name) ?? 0)),
 				isSuccessor: () => this.#isAmongLargest(name),
+				outage: this.#outageScheduling ? outage : undefined,
 				onConfigured: ({version}) => {
 					this.configuredVersions.push(version);
 				},
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -22,7 +22,7 @@
 	TableSettingsStore, type CheckedChange, type RollbackRequest, type SettingsStore, type SettingsStoreOptions,
 } from './settings/store.js';
 export {
-	type ChangeRequest, type ChangeReview, type HeldLease, type Member, type ProcessRole, type ReviewOutcome, type SettingsChange,
+	type ChangeRequest, type ChangeReview, type HeldLease, type Member, type ProcessRole, type ReviewOutcome, type SettingsChange, type UnconfirmedLease,
 } from './types.js';
 export type {AllotmentListener, Allotments, TeamDemand} from './allotments/types.js';
 export type {LeaseListener, Leases} from './leases/types.js';
@@ -36,6 +36,13 @@
 export {AllotmentManager, type AllotmentManagerOptions} from './allotments/allotment-manager.js';
 export {TableReplica, type TableReplicaOptions} from './replicas/table-replica.js';
 export {RelayedTable, type RelayedTableOptions} from './relay/relayed-table.js';
+export {ReachabilityMeter, type ReachabilityReport} from './reachability/reachability-meter.js';
+export {
+	OutageEvidence, type OutageEvidenceOptions, type OutageKnowledge, type OutagePeer,
+} from './reachability/outage-evidence.js';
+export {
+	OutageProber, reachabilityMethod, reachabilityMethods, type OutageProberOptions,
+} from './reachability/outage-prober.js';
 export {relayMethod} from './relay/messages.js';
 export {performRelayed} from './relay/perform-relayed.js';
 export {RelayDirectory, type RelayDirectoryOptions} from './relay/relay-directory.js';
--- a/packages/state/src/leases/lease-contender.ts
+++ b/packages/state/src/leases/lease-contender.ts
@@ -6,10 +6,10 @@
 } from '@poplarnotch/common';
 import {ConflictError, PlatformError, type TableService} from '@poplarnotch/platform';
 import {Deferred} from '../deferred.js';
-import {type HeldLease} from '../types.js';
+import {type HeldLease, type UnconfirmedLease} from '../types.js';
 import {defaultLeaseMs} from './constants.js';
 import {
-	type LeaseEffect, type LeaseEvent, type LeaseState, newContender, reduceLease, trustedLease,
+	type LeaseEffect, type LeaseEvent, type LeaseState, newContender, reduceLease, trustedLease, unconfirmedLease,
 } from './lease-reducer.js';
 import {fenceKey, leaseRowsFrom, renewalKey} from './rows.js';
 import {type LeaseListener, type Leases} from './types.js';
@@ -88,6 +88,12 @@
 		return state === undefined ? undefined : trustedLease(state, this.#clock.nowMs());
 	}
 
+	/** The lease as it was last confirmed, also after it is no longer trusted, until this process learns that another one holds it. */
+	unconfirmedLease(name: string): UnconfirmedLease | undefined {
+		const state = this.#contentions.get(name)?.runtime.state;
+		return state === undefined ? undefined : unconfirmedLease(state);
+	}
+
 	/** Releases all leases. */
 	async withdrawAll(): Promise<void> {
 		await Promise.all([...this.#contentions.keys()].map(async name => this.withdraw(name)));
@@ -179,7 +185,7 @@
 		}
 
 		if (error instanceof PlatformError) {
-			return {type: 'failed', nowMs, mayBeApplied: error.mayBeApplied};
+			return {type: 'failed', nowMs};
 		}
 
 		throw error;
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -5,8 +5,10 @@
 */
 import {assertNever, type Step} from '@poplarnotch/common';
 import {type RowCondition, type Transaction} from '@poplarnotch/platform';
-import {type HeldLease} from '../types.js';
-import {leaseRetryMs, renewalsPerLease, safetyMarginShare} from './constants.js';
+import {type HeldLease, type UnconfirmedLease} from '../types.js';
+import {
+	leaseRetryMs, readGapShare, renewalRetryMs, renewalsPerLease, safetyMarginShare,
+} from './constants.js';
 import {
 	acquireTransaction, fenceKey, type LeaseRows, releaseTransaction, renewTransaction,
 } from './rows.js';
@@ -16,6 +18,9 @@
 	readonly rows: LeaseRows;
 	/** When the response to the first read that returned these rows arrived. */
 	readonly sinceMs: number;
+	/** When the response to the last read arrived, and the interval to the next one. */
+	readonly lastReadAtMs: number;
+	readonly readIntervalMs: number;
 };
 
 type LeaseCall = 'read' | 'acquire' | 'renew' | 'release';
@@ -33,6 +38,10 @@
 	readonly fence: RowCondition | undefined;
 	/** Until when the holder trusts the lease; `undefined` until a commit has confirmed it. */
 	readonly trustedUntilMs: number | undefined;
+	/** When the last confirmed acquisition or renewal was sent; `undefined` while the lease is not held. */
+	readonly confirmedAtMs: number | undefined;
+	/** The lease was acquired after its holder had released it or had certainly ended. */
+	readonly isPredecessorGone: boolean;
 	readonly renewals: number;
 	readonly nextCall: LeaseCall;
 	/** When the next call is due; `undefined` while a call is pending. */
@@ -46,8 +55,7 @@
 		| {readonly type: 'rowsRead'; readonly nowMs: number; readonly sentAtMs: number; readonly rows: LeaseRows; readonly acquireDelayMs?: number; readonly readIntervalMs?: number | undefined}
 		| {readonly type: 'committed'; readonly nowMs: number; readonly sentAtMs: number; readonly revision: number}
 		| {readonly type: 'conflicted'; readonly nowMs: number}
-	/** `mayBeApplied` is true if the call may have taken effect. */
-		| {readonly type: 'failed'; readonly nowMs: number; readonly mayBeApplied: boolean}
+		| {readonly type: 'failed'; readonly nowMs: number}
 		| {readonly type: 'withdrawRequested'; readonly nowMs: number};
 
 export type LeaseEffect
@@ -60,7 +68,7 @@
 
 /** A contender that has not read the lease yet. */
 export const newContender = (name: string, holder: string, leaseMs: number, previousRunPrefix = ''): LeaseState => ({
-	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false,
+	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, isPredecessorGone: false, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false,
 });
 
 const unchanged = (state: LeaseState): LeaseStep => ({state, effects: []});
@@ -72,9 +80,17 @@
 /** The lease if this contender holds it and trusts it at this moment. */
 export const trustedLease = (state: LeaseState, nowMs: number): HeldLease | undefined => {
 	const isTrusted = state.phase === 'held' && state.trustedUntilMs !== undefined && nowMs < state.trustedUntilMs;
-	return isTrusted ? {name: state.name, fence: state.fence!} : undefined;
+	return isTrusted ? leaseOf(state) : undefined;
 };
 
+/** The lease if this contender has held it and has not learned that another process acquired it, with the time of the last confirmation. Whether another process may hold it now, the caller must find out. */
+export const unconfirmedLease = (state: LeaseState): UnconfirmedLease | undefined =>
+	state.phase === 'held' && state.confirmedAtMs !== undefined && !state.wantsToWithdraw
+		? {...leaseOf(state), confirmedAtMs: state.confirmedAtMs}
+		: undefined;
+
+const leaseOf = ({name, fence, isPredecessorGone}: LeaseState): HeldLease => ({name, fence: fence!, isPredecessorGone});
+
 const effectOfCall = (state: LeaseState): LeaseEffect => {
 	switch (state.nextCall) {
 		case 'read': {
@@ -123,7 +139,7 @@
 const loseLease = (state: LeaseState, nowMs: number): LeaseStep => {
 	const wasTrusted = state.trustedUntilMs !== undefined;
 	const contending = scheduleCall({
-		...state, phase: 'contending', fence: undefined, trustedUntilMs: undefined, observed: undefined,
+		...state, phase: 'contending', fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, observed: undefined,
 	}, 'read', nowMs);
 	const effects: readonly LeaseEffect[] = wasTrusted ? [{type: 'notify', lease: undefined}] : [];
 	if (!state.wantsToWithdraw) {
@@ -136,7 +152,7 @@
 
 /** Adopts a lease whose row names this contender: an acquisition of unknown outcome was applied. A renewal confirms it. */
 const adoptLease = (state: LeaseState, rows: LeaseRows, nowMs: number): LeaseState => scheduleCall({
-	...state, phase: 'held', fence: {key: fenceKey(state.name), version: rows.fenceVersion}, trustedUntilMs: undefined,
+	...state, phase: 'held', fence: {key: fenceKey(state.name), version: rows.fenceVersion}, trustedUntilMs: undefined, confirmedAtMs: undefined,
 }, state.wantsToWithdraw ? 'release' : 'renew', nowMs);
 
 const areSameRows = (a: LeaseRows, b: LeaseRows): boolean =>
@@ -157,11 +173,20 @@
 		return endContention(state);
 	}
 
-	const sinceMs = state.observed !== undefined && areSameRows(state.observed.rows, rows) ? state.observed.sinceMs : nowMs;
-	const withObserved: LeaseState = {...state, observed: {rows, sinceMs}};
+	const {observed} = state;
+	// An outage between two reads keeps the holder from renewing, so the wait starts again.
+	const isContinuous = observed !== undefined && areSameRows(observed.rows, rows) && nowMs - observed.lastReadAtMs <= observed.readIntervalMs + (state.leaseMs * readGapShare);
+	const sinceMs = isContinuous ? observed.sinceMs : nowMs;
 	const isHeldByPreviousRun = state.previousRunPrefix !== '' && rows.holder?.startsWith(state.previousRunPrefix) === true;
 	// The read must have been sent a whole lease time after the same rows were first seen.
 	const mayAcquire = rows.holder === undefined || isHeldByPreviousRun || sentAtMs - sinceMs >= state.leaseMs;
+	const withObserved: LeaseState = {
+		...state,
+		observed: {
+			rows, sinceMs, lastReadAtMs: nowMs, readIntervalMs,
+		},
+		isPredecessorGone: rows.holder === undefined || isHeldByPreviousRun,
+	};
 	return unchanged(mayAcquire ? scheduleCall(withObserved, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + readIntervalMs));
 };
 
@@ -177,6 +202,7 @@
 		fence,
 		renewals: state.nextCall === 'acquire' ? 0 : state.renewals + 1,
 		trustedUntilMs: sentAtMs + (state.leaseMs * (1 - safetyMarginShare)),
+		confirmedAtMs: sentAtMs,
 	};
 	if (state.wantsToWithdraw) {
 		return unchanged(scheduleCall({...held, trustedUntilMs: undefined}, 'release', nowMs));
@@ -185,19 +211,22 @@
 	const wasUntrusted = state.trustedUntilMs === undefined;
 	return {
 		state: scheduleCall(held, 'renew', nowMs + intervalMs(state)),
-		effects: wasUntrusted ? [{type: 'notify', lease: {name: state.name, fence}}] : [],
+		effects: wasUntrusted ? [{type: 'notify', lease: leaseOf(held)}] : [],
 	};
 };
 
 const handleConflict = (state: LeaseState, nowMs: number): LeaseStep =>
 	state.phase === 'held' ? loseLease(state, nowMs) : unchanged(scheduleCall({...state, observed: undefined}, 'read', nowMs));
 
-const handleFailure = (state: LeaseState, mayBeApplied: boolean, nowMs: number): LeaseStep => {
+const handleFailure = (state: LeaseState, nowMs: number): LeaseStep => {
 	const expired = expireTrust(state, nowMs);
-	// Renewals and releases may be repeated; after an acquisition of unknown outcome the rows must be read first.
-	const nextCall = mayBeApplied && state.nextCall === 'acquire' ? 'read' : state.nextCall;
-	const retryMs = Math.min(leaseRetryMs, intervalMs(state));
-	return {state: scheduleCall(expired.state, nextCall, nowMs + retryMs), effects: expired.effects};
+	if (state.phase === 'contending') {
+		// During an outage the holder cannot renew either, so the wait starts again, and a live holder renews before any acquisition.
+		return {state: scheduleCall({...expired.state, observed: undefined}, 'read', nowMs + Math.min(leaseRetryMs, intervalMs(state))), effects: expired.effects};
+	}
+
+	// Renewals and releases may be repeated.
+	return {state: scheduleCall(expired.state, state.nextCall, nowMs + Math.min(renewalRetryMs, intervalMs(state))), effects: expired.effects};
 };
 
 const handleWithdrawRequest = (state: LeaseState, nowMs: number): LeaseStep => {
@@ -239,7 +268,7 @@
 		}
 
 		case 'failed': {
-			return handleFailure(state, event.mayBeApplied, event.nowMs);
+			return handleFailure(state, event.nowMs);
 		}
 
 		case 'withdrawRequested': {
--- a/packages/state/src/relay/relay-directory.ts
+++ b/packages/state/src/relay/relay-directory.ts
@@ -9,6 +9,7 @@
 import {
 	absentVersion, ConflictError, PlatformError, type RowChange, type WatchableTable,
 } from '@poplarnotch/platform';
+import {type OutagePeer} from '../reachability/outage-evidence.js';
 
 /** Prefix of the peer rows; the same table holds other rows as well. */
 const peersPrefix = 'control/peers/';
@@ -22,7 +23,9 @@
 
 const secretBytes = 24;
 
-const peerSchema = z.object({url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0)});
+const peerSchema = z.object({
+	url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0), dataCentre: z.string().default(''),
+});
 
 /** A peer counts as larger if it has at least this many times this process's CPU, so that machines of one kind do not pass a lease back and forth. */
 const largerPeerFactor = 1.5;
@@ -34,6 +37,7 @@
 type Peer = {
 	readonly url: string;
 	readonly cpuMillicores: number;
+	readonly dataCentre: string;
 	readonly seenAtMs: number;
 };
 
@@ -43,6 +47,7 @@
 	readonly url: string;
 	/** CPU that this process may use. */
 	readonly cpuMillicores?: number;
+	readonly dataCentre?: string;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -55,6 +60,7 @@
 	readonly #peers = new Map<string, Peer>();
 	#secret: string | undefined;
 	#firstAppliedAtMs: number | undefined;
+	#lastAppliedAtMs = 0;
 	#heartbeats = 0;
 	#cancelTimer: CancelTimer | undefined;
 	#isStopped = false;
@@ -76,6 +82,15 @@
 		return this.#secret === undefined ? [] : [...this.#peers.values()].filter(({seenAtMs}) => nowMs - seenAtMs < staleAfterMs).map(({url}) => url);
 	}
 
+	/** The processes whose heartbeat was recent when changes were last read; `undefined` before the peers are known. During an outage of the table service no heartbeat arrives, so the list stays the same. */
+	get lastKnownPeers(): readonly OutagePeer[] | undefined {
+		if (this.#secret === undefined || this.#firstAppliedAtMs === undefined || this.#lastAppliedAtMs - this.#firstAppliedAtMs < settlingMs) {
+			return undefined;
+		}
+
+		return [...this.#peers.values()].filter(({seenAtMs}) => this.#lastAppliedAtMs - seenAtMs < staleAfterMs);
+	}
+
 	/** Whether a process with considerably more CPU had a recent heartbeat, after `sinceMs` on this process's clock. */
 	hasLargerPeer(sinceMs = 0): boolean {
 		const nowMs = this.#clock.nowMs();
@@ -112,7 +127,8 @@
 
 	/** Applies changes of the secret and of peer rows; ignores other rows. */
 	apply(changes: readonly RowChange[]): void {
-		this.#firstAppliedAtMs ??= this.#clock.nowMs();
+		this.#lastAppliedAtMs = this.#clock.nowMs();
+		this.#firstAppliedAtMs ??= this.#lastAppliedAtMs;
 		for (const {key, value} of changes) {
 			if (key === secretKey) {
 				const parsed = parseWith(secretSchema, value, key);
@@ -125,7 +141,10 @@
 
 	#applyPeer(key: string, parsed: E.Either<unknown, z.infer<typeof peerSchema>>): void {
 		if (E.isRight(parsed)) {
-			this.#peers.set(key, {url: parsed.right.url, cpuMillicores: parsed.right.cpuMillicores, seenAtMs: this.#clock.nowMs()});
+			const {url, cpuMillicores, dataCentre} = parsed.right;
+			this.#peers.set(key, {
+				url, cpuMillicores, dataCentre, seenAtMs: this.#clock.nowMs(),
+			});
 		} else {
 			this.#peers.delete(key);
 		}
@@ -150,9 +169,12 @@
 	}
 
 	async #writePeerRow(): Promise<void> {
-		const {table, processId, url, cpuMillicores = 0} = this.#options;
+		const {table, processId, url, cpuMillicores = 0, dataCentre = ''} = this.#options;
 		this.#heartbeats++;
-		await table.commit({conditions: [], writes: [{type: 'put', key: `${peersPrefix}${processId}`, value: {url, beats: this.#heartbeats, cpuMillicores}}]});
+		const value = {
+			url, beats: this.#heartbeats, cpuMillicores, dataCentre,
+		};
+		await table.commit({conditions: [], writes: [{type: 'put', key: `${peersPrefix}${processId}`, value}]});
 		if (this.#secret === undefined) {
 			await this.#createSecret();
 		}
--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -10,6 +10,7 @@
 	type ChangePage, type CommitResult, ConflictError, HistoryLostError, type PageOptions, PlatformError, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {PeerUnreachableError} from '../peers/errors.js';
+import {ReachabilityMeter} from '../reachability/reachability-meter.js';
 import {
 	type RelayResponse, relayResponseSchema, type RelayedCall, relayMethod,
 } from './messages.js';
@@ -22,6 +23,8 @@
 	/** Base URLs of the other processes. */
 	readonly peers: () => readonly string[];
 	readonly callPeer: CallPeer;
+	/** Records whether calls are answered, on either path. */
+	readonly meter?: ReachabilityMeter;
 	readonly random?: RandomSource;
 	readonly clock?: Clock;
 	readonly log?: Logger;
@@ -53,6 +56,7 @@
 export class RelayedTable implements WatchableTable {
 	readonly #options: RelayedTableOptions;
 	readonly #random: RandomSource;
+	readonly #meter: ReachabilityMeter;
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #avoidedUntilMs = new Map<string, number>();
@@ -66,6 +70,7 @@
 		this.#random = options.random ?? new SystemRandom();
 		this.#clock = options.clock ?? new SystemClock();
 		this.#log = options.log ?? silentLogger;
+		this.#meter = options.meter ?? new ReachabilityMeter(this.#clock);
 	}
 
 	async commit(transaction: Transaction): Promise<CommitResult> {
@@ -104,6 +109,11 @@
 	}
 
 	async #perform<Result>(perform: Perform<Result>, call: RelayedCall): Promise<Result> {
+		const isLong = call.type === 'changesSince' || call.type === 'listRows';
+		return this.#meter.measure(async () => this.#performOnPath(perform, call), isLong, isAnswer);
+	}
+
+	async #performOnPath<Result>(perform: Perform<Result>, call: RelayedCall): Promise<Result> {
 		const nowMs = this.#clock.nowMs();
 		if (!this.#isDirectPathDown) {
 			return this.#performDirect(perform);
@@ -125,7 +135,7 @@
 		try {
 			return await perform(this.#options.direct);
 		} catch (error) {
-			if (error instanceof UnavailableError || error instanceof WriteOutcomeUnknownError) {
+			if (!isAnswer(error) && error instanceof PlatformError) {
 				this.#setDirectPathDown(true, error.message);
 			}
 
@@ -136,7 +146,7 @@
 	/** Reads a row on the direct path to detect whether it works again. */
 	async #probe(): Promise<void> {
 		try {
-			await this.#options.direct.readRows([probeKey]);
+			await this.#meter.measure(async () => this.#options.direct.readRows([probeKey]), false, isAnswer);
 			this.#setDirectPathDown(false);
 		} catch (error) {
 			// The path is still down, which was logged when it was lost.
@@ -195,6 +205,9 @@
 	}
 }
 
+/** Returns true if the error is an answer of the table service; false if there was none, or it was unavailable. */
+const isAnswer = (error: unknown): boolean => !(error instanceof UnavailableError || error instanceof WriteOutcomeUnknownError);
+
 const resultOf = (response: RelayResponse): unknown => {
 	switch (response.type) {
 		case 'result': {
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -60,5 +60,13 @@
 export type HeldLease = {
 	readonly name: string;
 	readonly fence: RowCondition;
+	/** The earlier holder had released the lease or had certainly ended when this one acquired it; not known if left out. */
+	readonly isPredecessorGone?: boolean;
+};
+
+/** A lease that may have passed to another process. */
+export type UnconfirmedLease = HeldLease & {
+	/** When the last confirmed acquisition or renewal was sent. */
+	readonly confirmedAtMs: number;
 };
 
--- a/packages/state/tests/leases/takeover.test.ts
+++ b/packages/state/tests/leases/takeover.test.ts
@@ -23,16 +23,40 @@
 	const observed = reduceLease(newContender(name, 'gate-2@1', leaseMs), {
 		type: 'rowsRead', sentAtMs: 0, nowMs: 400, rows,
 	}).state;
-	const beforeLeaseTime = reduceLease(observed, {
-		type: 'rowsRead', sentAtMs: 3399, nowMs: 9000, rows,
+	const lastSeen = [1400, 2400].reduce((state, atMs) => reduceLease(state, {
+		type: 'rowsRead', sentAtMs: atMs, nowMs: atMs, rows,
+	}).state, observed);
+	const beforeLeaseTime = reduceLease(lastSeen, {
+		type: 'rowsRead', sentAtMs: 3399, nowMs: 3700, rows,
 	}).state;
 	expect(beforeLeaseTime.nextCall).toBe('read');
-	const afterLeaseTime = reduceLease(beforeLeaseTime, {
-		type: 'rowsRead', sentAtMs: 3400, nowMs: 9000, rows,
+	const afterLeaseTime = reduceLease(lastSeen, {
+		type: 'rowsRead', sentAtMs: 3400, nowMs: 3700, rows,
 	}).state;
 	expect(afterLeaseTime.nextCall).toBe('acquire');
 });
 
+/** The state of a contender that reads the same rows at the given times. */
+const readAt = (...timesMs: readonly number[]) => timesMs.reduce((state, atMs) => reduceLease(state, {
+	type: 'rowsRead', sentAtMs: atMs, nowMs: atMs, rows: {fenceVersion: 5, holder: 'gate-1@1', renewalVersion: 7},
+}).state, newContender(name, 'gate-2@1', leaseMs));
+
+test('a contender does not count the time of an outage, in which the holder could not renew, so that a live holder renews first', () => {
+	expect(readAt(0, 1000, 2000, 3000).nextCall).toBe('acquire');
+	const afterFailure = reduceLease(readAt(0, 1000, 2000), {type: 'failed', nowMs: 2500}).state;
+	const again = reduceLease(afterFailure, {
+		type: 'rowsRead', sentAtMs: 3000, nowMs: 3000, rows: {fenceVersion: 5, holder: 'gate-1@1', renewalVersion: 7},
+	}).state;
+	expect(again.nextCall).toBe('read');
+	expect(readAt(0, 1000, 2501, 3501).nextCall).toBe('read');
+	expect(readAt(0, 1500, 3000).nextCall).toBe('acquire');
+});
+
+test('an acquisition that failed is not repeated before the rows were read for a whole lease time again', () => {
+	const failed = reduceLease(readAt(0, 1000, 2000, 3000), {type: 'failed', nowMs: 3100}).state;
+	expect(failed).toMatchObject({nextCall: 'read', observed: undefined});
+});
+
 test('a contender acquires a free lease only after its delay', () => {
 	const free = {fenceVersion: 0, holder: undefined, renewalVersion: 0};
 	const delayed = reduceLease(newContender(name, 'gate-2@1', leaseMs), {
