Refuse jobs at once while the store is away, and never deny a stored one

Cause: while the store answered no call, a submission waited for a commit's time limit and ended with an unknown outcome, also when a peer had relayed it that did not reach the store either. A second attempt for a job could be answered with "not stored" although the first one might still store it.

A peer refuses relayed calls while it does not reach the store. A process remembers submissions of unknown outcome for 30 s and answers further attempts with unknown instead of not stored.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -37,6 +37,9 @@
 /** Delays between two attempts to resolve a save. */
 const resolveBackoff = {firstMs: 30, longestMs: 200};
 
+/** Jobs are refused at once after this time without an answer of the store: a single failed call is retried over another path meanwhile. */
+const storeAwayAfterMs = 200;
+
 /** The load balancer stops sending connections after two missed health checks, made once a second. */
 const balancerDetectionMs = 2500;
 
@@ -109,6 +112,7 @@
 			maxConfigurationAgeMs: settings.configurationConvergeMs - configurationMarginMs,
 			hasLargerPeer: sinceMs => this.#relayDirectory.hasLargerPeer(sinceMs),
 			isSuccessor: () => this.#relayDirectory.isAmongLargest(successorCount),
+			isStoreAway: () => this.#storeOutageMs >= storeAwayAfterMs,
 			outage: options.outageScheduling ? evidence : undefined,
 			onConfigured: ({limits}) => {
 				this.#jobServer.setLimits(limits);
@@ -121,7 +125,7 @@
 			metrics,
 		});
 		this.#jobServer = new JobHttpServer({
-			jobService: this.#scheduler.jobService, clock, log, metrics, isLeaving: () => !this.isReady,
+			jobService: this.#scheduler.jobService, clock, log, metrics, isLeaving: () => !this.isReady, storeOutageMs: () => this.#storeOutageMs,
 		});
 	}
 
@@ -129,6 +133,12 @@
 		return !this.#isDraining && this.#scheduler.isReady(maxReadyAgeMs);
 	}
 
+	/** Time for which no call to the store has been answered; 0 while the store answers. */
+	get #storeOutageMs(): number {
+		const {failingSinceMs} = this.#meter;
+		return failingSinceMs === undefined ? 0 : this.#options.clock.nowMs() - failingSinceMs;
+	}
+
 	async start(): Promise<void> {
 		const {settings, metrics, log, metricsPort} = this.#options;
 		this.#scheduler.start();
@@ -200,7 +210,7 @@
 				}
 
 				this.#cachedRelayRoute ??= createRpcRoute(secret, {
-					[relayMethod]: async parameters => performRelayed(this.#directTable, parameters), ...reachabilityMethods(this.#meter),
+					[relayMethod]: async parameters => performRelayed(this.#directTable, parameters, () => this.#meter.failingSinceMs === undefined), ...reachabilityMethods(this.#meter),
 				});
 				this.#cachedRelayRoute.handle(request, response);
 			},
--- a/packages/scheduler/src/jobs/job-service.ts
+++ b/packages/scheduler/src/jobs/job-service.ts
@@ -11,6 +11,7 @@
 } from '../types.js';
 import {type JobStore} from './job-store.js';
 import {type JobView, type KnownJob} from './job-view.js';
+import {UncertainSubmissions} from './uncertain-submissions.js';
 
 /** The queue that a call addresses and the customer that makes it. */
 export type CallTarget = {
@@ -36,6 +37,8 @@
 	/** Age of the operators' configuration, since its last confirmed read, and the maximum age at which calls are answered by it. */
 	readonly configurationAgeMs: () => number;
 	readonly maxConfigurationAgeMs: number;
+	/** Returns true while the store is known to answer no call. */
+	readonly isStoreAway?: (() => boolean) | undefined;
 	readonly clock: Clock;
 	readonly log: Logger;
 };
@@ -51,9 +54,11 @@
 
 export class JobService {
 	readonly #options: JobServiceOptions;
+	readonly #uncertain: UncertainSubmissions;
 
 	constructor(options: JobServiceOptions) {
 		this.#options = options;
+		this.#uncertain = new UncertainSubmissions(options.clock);
 	}
 
 	get configuration(): FleetConfiguration {
@@ -90,8 +95,18 @@
 			return 'accepted';
 		}
 
+		if (this.#options.isStoreAway?.() === true) {
+			const result = this.#refusalOf(job.jobId);
+			this.#options.log.info({
+				event: 'job_not_submitted', jobId: job.jobId, queue: job.queue, result,
+			});
+			return result;
+		}
+
 		const sentAtMs = this.#options.clock.nowMs();
+		this.#uncertain.begin(job.jobId);
 		const result = await this.#options.store.accept(job);
+		this.#uncertain.end(job.jobId, result === 'unknown');
 		this.#options.log.info({
 			event: 'job_submitted', jobId: job.jobId, queue: job.queue, customer: job.customer, result, configuration: this.configuration.version, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs),
 		});
@@ -101,7 +116,7 @@
 			}
 
 			case 'unavailable': {
-				return 'not-accepted';
+				return this.#refusalOf(job.jobId);
 			}
 
 			case 'unknown':
@@ -147,6 +162,11 @@
 		}
 	}
 
+	/** The answer to an attempt that stored nothing: unknown if another attempt may store the job. */
+	#refusalOf(jobId: string): SubmitResult {
+		return this.#uncertain.has(jobId) ? 'unknown' : 'not-accepted';
+	}
+
 	async #storeCancel(jobId: string): Promise<CancelResult> {
 		let mayBeStored = false;
 		for (let attempt = 0; attempt < maxCancelAttempts; attempt++) {
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -96,6 +96,8 @@
 	readonly isSuccessor: () => boolean;
 	/** Tells whether no process reaches the store; `undefined` if the holder should not schedule in that case. */
 	readonly outage?: OutageKnowledge | undefined;
+	/** Returns true while the store is known to answer no call of this process; jobs are then refused at once. */
+	readonly isStoreAway?: () => boolean;
 	/** Called with each configuration that comes into force. */
 	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Called with changes to the rows, other than job rows, that the processes share. */
@@ -204,7 +206,7 @@
 		this.jobService = new JobService({
 			state: () => this.#runtime.state, store: this.#store,
 			view: () => this.#isFollowing && this.#jobReplica.confirmedAtMs !== undefined ? this.#replicaView : this.#storedView,
-			configurationAgeMs: () => clock.nowMs() - (options.orders.confirmedAtMs ?? Number.NEGATIVE_INFINITY), maxConfigurationAgeMs: options.maxConfigurationAgeMs, clock, log,
+			configurationAgeMs: () => clock.nowMs() - (options.orders.confirmedAtMs ?? Number.NEGATIVE_INFINITY), maxConfigurationAgeMs: options.maxConfigurationAgeMs, isStoreAway: options.isStoreAway, clock, log,
 		});
 	}
 
--- a/packages/scheduler/tests/jobs/job-service.test.ts
+++ b/packages/scheduler/tests/jobs/job-service.test.ts
@@ -4,7 +4,7 @@
 import {expect, test} from 'vitest';
 import {silentLogger, VirtualClock} from '@poplarnotch/common';
 import {JobService} from '../../src/jobs/job-service.js';
-import {type JobStore} from '../../src/jobs/job-store.js';
+import {type AcceptResult, type JobStore} from '../../src/jobs/job-store.js';
 import {ReplicaJobView} from '../../src/jobs/job-view.js';
 import {reduceScheduler, SchedulerState} from '../../src/index.js';
 import {jobOf} from '../support/jobs.js';
@@ -59,3 +59,47 @@
 	expect(admit(configurationMaxAgeMs)).toBe('admitted');
 	expect(admit(configurationMaxAgeMs + 1)).toBe('configuration-stale');
 });
+
+/** A job service whose store gives the results in turn, or none at all, with what is known of the store. */
+const submittingService = (clock: VirtualClock, results: AcceptResult[]) => {
+	const store = {isAway: false, submissions: 0};
+	const service = new JobService({
+		state: () => new SchedulerState(), store: {
+			async accept() {
+				store.submissions++;
+				const result = results.shift();
+				return result ?? neverResolves();
+			},
+		} as unknown as JobStore, view: () => new ReplicaJobView({state: () => new SchedulerState(), refresh: neverResolves, ageMs: () => 0}), configurationAgeMs: () => 0, maxConfigurationAgeMs: configurationMaxAgeMs, isStoreAway: () => store.isAway, clock, log: silentLogger,
+	});
+	return {store, service};
+};
+
+test('while the store is away, a job is refused at once and nothing is sent', async () => {
+	const {store, service} = submittingService(new VirtualClock(), []);
+	store.isAway = true;
+	expect(await service.submit(job)).toBe('not-accepted');
+	expect(store.submissions).toBe(0);
+	store.isAway = false;
+	void service.submit(job);
+	expect(store.submissions).toBe(1);
+});
+
+test('a job that an earlier attempt may have stored is not reported as not stored', async () => {
+	const clock = new VirtualClock();
+	const {store, service} = submittingService(clock, ['unknown', 'unavailable', 'unavailable']);
+	expect(await service.submit(job)).toBe('unknown');
+	expect(await service.submit(job)).toBe('unknown');
+	store.isAway = true;
+	expect(await service.submit(job)).toBe('unknown');
+	expect(await service.submit(jobOf(2))).toBe('not-accepted');
+	clock.advance(30_000);
+	expect(await service.submit(job)).toBe('not-accepted');
+});
+
+test('a job whose first attempt is still pending is not reported as not stored', async () => {
+	const {store, service} = submittingService(new VirtualClock(), []);
+	void service.submit(job);
+	store.isAway = true;
+	expect(await service.submit(job)).toBe('unknown');
+});
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -32,6 +32,9 @@
 /** Less than the time after which a worker that has shrunk counts as such. */
 const resizeNoticeMs = 50;
 
+/** Time without an answer after which a process refuses jobs at once. */
+const storeAwayAfterMs = 200;
+
 export type SimulationFaults = {
 	/** Share of orders whose answer is lost; half of them are carried out after a random delay. */
 	lostOrderRate: number;
@@ -262,6 +265,7 @@
 				maxConfigurationAgeMs: Number.POSITIVE_INFINITY,
 				hasLargerPeer: () => this.processes.some(other => !other.clock.isDead && other.name !== name && (this.cpuMillicores.get(other.name) ?? 0) > (this.cpuMillicores.get(name) ?? 0)),
 				isSuccessor: () => this.#isAmongLargest(name),
+				isStoreAway: () => clock.nowMs() - (meter.failingSinceMs ?? Number.POSITIVE_INFINITY) >= storeAwayAfterMs,
 				outage: this.#outageScheduling ? outage : undefined,
 				onConfigured: ({version}) => {
 					this.configuredVersions.push(version);
--- a/packages/state/src/relay/perform-relayed.ts
+++ b/packages/state/src/relay/perform-relayed.ts
@@ -50,13 +50,17 @@
 	return {type: error.mayBeApplied ? 'unknown-outcome' : 'unavailable', message: error.message};
 };
 
-/** The RPC method that a process provides to its peers. */
-export const performRelayed = async (table: WatchableTable, parameters: unknown): Promise<JsonValue> => {
+/** The RPC method that a process provides to its peers. A call is refused at once while this process does not reach the table service, since a commit that is sent without an answer has an unknown outcome. */
+export const performRelayed = async (table: WatchableTable, parameters: unknown, isReached: () => boolean = () => true): Promise<JsonValue> => {
 	const call = parseWith(relayedCallSchema, parameters, 'table.perform');
 	if (E.isLeft(call)) {
 		throw new InvalidInputError('table.perform: malformed call');
 	}
 
+	if (!isReached()) {
+		return {type: 'unavailable', message: 'the peer does not reach the table service'};
+	}
+
 	try {
 		return {type: 'result', result: await performCall(table, call.right) as JsonValue};
 	} catch (error) {
--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -163,3 +163,10 @@
 	await relayed.listRows('jobs/');
 	expect(other.calls).toBe(before);
 });
+
+test('a peer that does not reach the table service refuses a commit at once instead of sending it', async () => {
+	const {other} = setUp();
+	const response = await performRelayed(other.table, {type: 'commit', transaction: put('a')}, () => false);
+	expect(response).toMatchObject({type: 'unavailable'});
+	expect(other.calls).toBe(0);
+});
