--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -7,6 +7,7 @@
 import {
 	type Evacuation, type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
+import {DurationModel} from './model/duration-model.js';
 import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
 import {type OrderPolicy} from './order/order-policy.js';
 import {DemandMeter} from './pools/demand-meter.js';
@@ -70,6 +71,8 @@
 	/** The lease could not be renewed in time. Tasks are started, since no other process can have acquired the lease, but no machine is moved or sent to maintenance: the next holder may order the same machine at once. */
 	isLeaseUnconfirmed = false;
 	readonly demand = new DemandMeter();
+	/** How long steps take compared with their announced durations. */
+	readonly durations = new DurationModel();
 	readonly shares = new ShareMeter();
 	/** Number of tasks started by this process. */
 	startCount = 0;
