Relocate lasting tasks out of evacuated data centres

Cause: lasting tasks stayed in an evacuated data centre. Relocating them as from a draining worker would stop all tasks that find the same free place, since an evacuation displaces many at once.

Change: a lasting task is stopped only once capacity elsewhere is kept for it until its run has ended, within what its step may miss; tasks without room count as shortage, so capacity is added first. Ending tasks stay, gangs of lasting tasks too.

Failed before: without relocation four of the five new tests; without the kept capacity, or with it released before the round's relocations, the tests of the single free place and of ending tasks that compete for it.

--- a/packages/scheduler/src/core/evacuation.ts
+++ b/packages/scheduler/src/core/evacuation.ts
@@ -16,7 +16,9 @@
 
 	for (const dataCentre of ordered) {
 		if (!state.evacuations.has(dataCentre)) {
-			state.evacuations.set(dataCentre, {dataCentre, knownSinceMs: nowMs});
+			state.evacuations.set(dataCentre, {
+				dataCentre, knownSinceMs: nowMs, withoutRoom: [], waitingForStep: [],
+			});
 		}
 	}
 
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -235,7 +235,7 @@
 	}
 
 	const isCertain = worker.isFenced && (worker.silentSinceMs === undefined || nowMs >= worker.leaseExpiresAtMs);
-	return isCertain && worker.runs.size === 0 && worker.trial === undefined;
+	return isCertain && worker.runs.size === 0 && worker.expectedRuns.size === 0 && worker.trial === undefined;
 };
 
 /** Returns true if the machine could serve in a pool: it is switched off, or its worker answers polls. */
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -143,6 +143,8 @@
 	isListed: boolean;
 	unlistedAtMs: number | undefined;
 	readonly runs: Map<string, TaskRun>;
+	/** Runs that are being stopped on other workers, for whose tasks this worker keeps capacity free. */
+	readonly expectedRuns: Set<TaskRun>;
 	/** Runs whose leases expired while the worker was silent. If the worker turns out to have crashed, they are among those that may have crashed it. */
 	expiredRuns: readonly TaskRun[];
 	/** The trial for which the worker starts no other task. */
@@ -193,6 +195,10 @@
 	readonly dataCentre: string;
 	/** When this process learned of the order. */
 	readonly knownSinceMs: number;
+	/** Lasting tasks that must leave the data centre but fit on no worker elsewhere, as of the last round. */
+	withoutRoom: readonly Task[];
+	/** Lasting tasks that have room elsewhere but wait until more of their step are available. */
+	waitingForStep: readonly Task[];
 };
 
 /** A machine and the pending order for it. */
--- a/packages/scheduler/src/core/relocation.ts
+++ b/packages/scheduler/src/core/relocation.ts
@@ -1,12 +1,15 @@
 /**
-Relocates lasting tasks from workers that are draining or about to be maintained, and stops runs that make no progress.
+Relocates lasting tasks from workers that are draining, about to be maintained or in an evacuated data centre, and stops runs that make no progress.
 
 A lasting task is stopped only if another worker has the capacity for it, and, unless its worker is draining, only while fewer tasks of its step are unavailable than the step may miss.
+
+An evacuation displaces a large part of the fleet's lasting tasks at the same time, so one free place would be found for many of them. Each task that leaves an evacuated data centre therefore has its own capacity elsewhere, which is kept free until its run has ended.
 */
 import {taskStallTimeoutMs} from '../constants.js';
 import {orderStop} from './jobs.js';
 import {orderPaces} from './throttling.js';
 import {chooseWorker} from './placement.js';
+import {requestAdvice} from './placement-advice.js';
 import {
 	type TaskRun, type StepInstance, type Task, type WorkerRecord,
 } from './records.js';
@@ -56,6 +59,65 @@
 	return displaced;
 };
 
+/** Releases the capacity that was kept for runs that have ended meanwhile, whose tasks now wait, and on workers that can no longer be used. */
+const releaseReplacements = (state: SchedulerState, nowMs: number): void => {
+	for (const [run, worker] of state.replacements) {
+		const isStopping = run.phase === 'stopping' && run.worker.runs.get(run.taskKey) === run;
+		if (!isStopping || !isUsable(worker, nowMs)) {
+			state.releaseCapacity(run);
+		}
+	}
+};
+
+/** Returns the runs of lasting tasks that must leave the worker's data centre. Runs on a silent worker end with their lease. A gang could only be relocated as a whole, which ends all its tasks at once, so gangs stay. */
+const runsToEvacuate = (worker: WorkerRecord): readonly TaskRun[] => {
+	if (!worker.isEvacuated || worker.entry.isDraining || worker.silentSinceMs !== undefined) {
+		return [];
+	}
+
+	return [...worker.runs.values()].filter(({phase, task}) => phase === 'running' && task?.step.spec.isLasting === true && !task.step.spec.isGang);
+};
+
+/** Stops lasting tasks in evacuated data centres for which capacity elsewhere can be kept free. Returns the tasks that fit nowhere. */
+const relocateEvacuated = (state: SchedulerState, usable: readonly WorkerRecord[], nowMs: number): readonly Task[] => {
+	const withoutRoom: Task[] = [];
+	const waiting: TaskRun[] = [];
+	const stepsWithoutRoom = new Set<StepInstance>();
+	for (const run of [...state.workers.values()].flatMap(worker => runsToEvacuate(worker))) {
+		const task = run.task!;
+		const {step} = task;
+		// Workers that are due for maintenance are candidates too: a wave over the whole pool would otherwise wait for the evacuated machines, and they for the wave.
+		const candidates = stepsWithoutRoom.has(step) ? [] : usable.filter(({entry}) => entry.pool === run.worker.entry.pool);
+		const target = chooseWorker(state, task, candidates, nowMs);
+		if (target === undefined) {
+			requestAdvice(state, step, candidates, nowMs);
+			stepsWithoutRoom.add(step);
+			withoutRoom.push(task);
+			continue;
+		}
+
+		state.keepCapacity(run, target);
+		if (canInterrupt(run, step)) {
+			orderStop(state, run, nowMs, 'data-centre-evacuated');
+		} else {
+			waiting.push(run);
+		}
+	}
+
+	// Within the round, these took part so that the shortage is complete; across rounds, others may use the capacity.
+	for (const run of waiting) {
+		state.releaseCapacity(run);
+	}
+
+	for (const evacuation of state.evacuations.values()) {
+		const isThere = (task: Task): boolean => task.run?.worker.entry.dataCentre === evacuation.dataCentre;
+		evacuation.withoutRoom = withoutRoom.filter(task => isThere(task));
+		evacuation.waitingForStep = waiting.flatMap(({task}) => task ?? []).filter(task => isThere(task));
+	}
+
+	return withoutRoom;
+};
+
 const stopStalled = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
 	for (const run of worker.runs.values()) {
 		if (run.phase !== 'running' || run.task === undefined || worker.silentSinceMs !== undefined) {
@@ -100,11 +162,17 @@
 			continue;
 		}
 
-		if (worker.entry.isDraining || worker.isReserved) {
+		if (worker.entry.isDraining || (worker.isReserved && !worker.isEvacuated)) {
 			displaced.push(...relocateFrom(state, worker, usable, nowMs));
 		}
 	}
 
+	if (!isTakingOver && state.evacuations.size > 0) {
+		displaced.push(...relocateEvacuated(state, usable, nowMs));
+	}
+
+	// Released last, so that the tasks that wait for the capacity are dispatched before it can be kept for another one.
+	releaseReplacements(state, nowMs);
 	orderPaces(state, usable, nowMs);
 	return displaced;
 };
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -74,6 +74,8 @@
 	readonly trials = new Set<Trial>();
 	readonly #resourcesInUse = new Map<string, Resources>();
 	readonly #occupied = new Map<WorkerRecord, Resources>();
+	/** Workers that keep capacity free for the task of a run that is being stopped elsewhere. */
+	readonly #replacements = new Map<TaskRun, WorkerRecord>();
 	#effects: SchedulerEffect[] = [];
 
 	emit(effect: SchedulerEffect): void {
@@ -107,7 +109,7 @@
 		return this.#resourcesInUse.get(customer) ?? noResources;
 	}
 
-	/** Returns the resources that runs occupy on the worker. */
+	/** Returns the resources on the worker that runs occupy or that are kept free for relocated tasks. */
 	occupied(worker: WorkerRecord): Resources {
 		return this.#occupied.get(worker) ?? noResources;
 	}
@@ -130,6 +132,27 @@
 			&& needs.accelerators <= capacity.accelerators - occupied.accelerators;
 	}
 
+	/** Runs for whose tasks capacity is kept free, and the workers that keep it. */
+	get replacements(): ReadonlyMap<TaskRun, WorkerRecord> {
+		return this.#replacements;
+	}
+
+	/** Keeps capacity free on the worker for the run's task until `releaseCapacity`. */
+	keepCapacity(run: TaskRun, worker: WorkerRecord): void {
+		this.#replacements.set(run, worker);
+		worker.expectedRuns.add(run);
+		this.#occupied.set(worker, addResources(this.occupied(worker), run.occupiedResources));
+	}
+
+	releaseCapacity(run: TaskRun): void {
+		const worker = this.#replacements.get(run);
+		if (worker !== undefined) {
+			this.#replacements.delete(run);
+			worker.expectedRuns.delete(run);
+			this.#occupied.set(worker, subtractResources(this.occupied(worker), run.occupiedResources));
+		}
+	}
+
 	addRun(run: TaskRun): void {
 		run.worker.runs.set(run.taskKey, run);
 		this.#occupied.set(run.worker, addResources(this.occupied(run.worker), run.occupiedResources));
@@ -168,6 +191,10 @@
 	/** Discards all runs and per-term worker state before a new term or after the end of one. */
 	clearRuns(nowMs: number): void {
 		this.trials.clear();
+		for (const run of this.#replacements.keys()) {
+			this.releaseCapacity(run);
+		}
+
 		for (const worker of this.workers.values()) {
 			for (const run of worker.runs.values()) {
 				this.removeRun(run, nowMs);
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -15,6 +15,7 @@
 	isListed: true,
 	unlistedAtMs: undefined,
 	runs: new Map(),
+	expectedRuns: new Set(),
 	expiredRuns: [],
 	trial: undefined,
 	trialEndedAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/scheduler/tests/evacuation.test.ts
+++ b/packages/scheduler/tests/evacuation.test.ts
@@ -4,7 +4,7 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from 'vitest';
-import {jobOf, stepOf} from './support/jobs.js';
+import {jobOf, lastingStepOf, stepOf} from './support/jobs.js';
 import {
 	configurationWithoutStandby, pool, SchedulerSimulation, standbyPool, takeoverMs,
 } from './support/scheduler-simulation.js';
@@ -122,3 +122,103 @@
 	expect(startsIn('north', effectiveAtMs)).toEqual([]);
 	expect(startsIn('south', effectiveAtMs).length).toBeGreaterThan(0);
 });
+
+/** Number of tasks of the jobs' first steps that serve. */
+const servingCount = (): number => [...simulation.fleet.workers.values()]
+	.reduce((sum, worker) => sum + [...worker.runs.values()].filter(run => run.step.isLasting && worker.isServing(run)).length, 0);
+
+const lastingRunsIn = (dataCentre: string): number => [...simulation.fleet.workers.values()].filter(({entry, isUp}) => isUp && entry.dataCentre === dataCentre)
+	.reduce((sum, worker) => sum + [...worker.runs.values()].filter(run => run.step.isLasting).length, 0);
+
+const halfMachine = {cpuMillicores: 4000, memoryMb: 500, accelerators: 0};
+
+/** Runs until the time is over and returns the smallest number of lasting tasks that served meanwhile. */
+const fewestServing = async (forMs: number): Promise<number> => {
+	let fewest = Number.POSITIVE_INFINITY;
+	for (let passedMs = 0; passedMs < forMs; passedMs += 10) {
+		await simulation.run(10);
+		fewest = Math.min(fewest, servingCount());
+	}
+
+	return fewest;
+};
+
+const submitServices = (count: number, needs = halfMachine): void => {
+	for (let number = 0; number < count; number++) {
+		void simulation.submit(jobOf(++jobCount, {steps: [lastingStepOf({taskCount: 1, needs})]}));
+	}
+};
+
+test('lasting tasks of many jobs that find a single free place are not all stopped for it', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	submitServices(11);
+	await simulation.run(1500);
+	expect(servingCount()).toBe(11);
+	// Of twelve places, the free one is in the other data centre.
+	const evacuated = lastingRunsIn('north') === 6 ? 'north' : 'south';
+	simulation.orderEvacuation(evacuated);
+	expect(await fewestServing(6000)).toBe(10);
+	expect(servingCount()).toBe(11);
+	expect(lastingRunsIn(evacuated)).toBe(5);
+});
+
+test('capacity for lasting tasks that fit nowhere is added elsewhere before they are stopped', async () => {
+	await simulation.run(takeoverMs);
+	submitServices(8);
+	await simulation.run(6000);
+	expect(servingCount()).toBe(8);
+	const evacuated = lastingRunsIn('north') > 0 ? 'north' : 'south';
+	simulation.orderEvacuation(evacuated);
+	const fewest = await fewestServing(12_000);
+	expect(lastingRunsIn(evacuated)).toBe(0);
+	expect(servingCount()).toBe(8);
+	expect(fewest).toBeGreaterThan(0);
+});
+
+test('capacity that is kept for a lasting task is not taken by ending tasks while its run is being stopped', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	submitServices(6, stepOf().needs);
+	await runUnderLoad(3000, 20);
+	const evacuated = lastingRunsIn('north') > 0 ? 'north' : 'south';
+	simulation.orderEvacuation(evacuated);
+	await runUnderLoad(12_000, 20);
+	expect(lastingRunsIn(evacuated)).toBe(0);
+	const startedAgainAfterMs = simulation.fleet.stops.filter(({atMs}) => atMs >= takeoverMs).map(({taskKey, atMs}) =>
+		simulation.fleet.starts.find(start => start.taskKey === taskKey && start.atMs > atMs)!.atMs - atMs);
+	expect(startedAgainAfterMs.length).toBeGreaterThan(0);
+	expect(Math.max(...startedAgainAfterMs)).toBeLessThan(300);
+});
+
+test('ending tasks finish where they run, with checkpoints as well', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	void simulation.submit(jobOf(++jobCount, {steps: [stepOf({taskCount: 40, isCheckpointing: true})]}));
+	await simulation.run(100);
+	simulation.orderEvacuation('north');
+	await simulation.run(3000);
+	expect(simulation.fleet.stops).toEqual([]);
+	expect(simulation.fleet.starts.length).toBe(40);
+});
+
+test('an order that is withdrawn while lasting tasks are relocated leaves the others where they are', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	void simulation.submit(jobOf(++jobCount, {steps: [lastingStepOf({taskCount: 6})]}));
+	await simulation.run(1500);
+	expect(lastingRunsIn('north')).toBe(3);
+	void simulation.submit(jobOf(++jobCount, {steps: [lastingStepOf({taskCount: 6, mayMiss: 1, maxPerWorker: 2})]}));
+	await simulation.run(1500);
+	const before = lastingRunsIn('north');
+	simulation.orderEvacuation('north');
+	for (let passedMs = 0; passedMs < 3000 && simulation.fleet.stops.length === 0; passedMs += 5) {
+		await simulation.run(5);
+	}
+
+	simulation.orderEvacuation('north', false);
+	await simulation.run(3000);
+	expect(simulation.fleet.stops.length).toBe(1);
+	expect(lastingRunsIn('north')).toBeGreaterThanOrEqual(before - 1);
+	expect(servingCount()).toBe(12);
+});
--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -174,6 +174,7 @@
 		const run = this.runs.get(order.taskKey);
 		if (run?.attempt === order.attempt && run.stopAtMs === undefined) {
 			this.#fleet.checkStop(this, run);
+			this.#fleet.stops.push({taskKey: run.taskKey, atMs: this.#fleet.clock.nowMs()});
 			run.stopAtMs = this.#fleet.clock.nowMs() + stopMs;
 		}
 
@@ -297,6 +298,8 @@
 	readonly upperLimits = new Map<string, Resources>();
 	readonly brokenPromises: string[] = [];
 	readonly starts: ExecutedStart[] = [];
+	/** Runs that a worker was ordered to stop. */
+	readonly stops: Array<{readonly taskKey: string; readonly atMs: number}> = [];
 	readonly adviceRequests: AdviceRequest[] = [];
 	/** Number of workers that each task has crashed. */
 	readonly crashes = new Map<string, number>();
