Detect a lost lease holder through datagrams among its successors

Cause: a killed holder was replaced only when its lease expired; 3.1 s passed without a start.

The holder sends heartbeats to its likely successors, and these report to each other when they last heard it. A successor that hears nothing for 600 ms, is not contradicted and was not paused itself reads the lease and acquires it by the conditional write on both rows. While the replaced holder may be alive, new jobs wait until it would have lost its lease or all workers are fenced, and machines are ordered only 3 s after its last heartbeat. A holder whose ticks pause for more than 400 ms confirms its fence before it gives orders. A new holder makes its first decisions at once instead of at the next idle tick.

'a holder that is killed once it has stored the crash' waited a fixed 600 ms, in which the first holder now also starts the trial, since its lists of machines come earlier. The test now waits until the crash is stored and checks that no other worker has crashed yet; what it expects afterwards is unchanged.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -12,6 +12,7 @@
 import {
 	createRpcRoute, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
+import {UdpTransport} from './udp-transport.js';
 
 /** Maximum number of connections to the store; long calls that wait for changes occupy four of them. */
 const storeConnections = 24;
@@ -46,6 +47,8 @@
 export type EntryProcessOptions = {
 	readonly settings: HostSettings;
 	readonly metricsPort: number;
+	/** Silence after which the lease holder is suspected; 0 leaves the decision to the expiry of its lease. */
+	readonly failureDetectionMs: number;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
@@ -58,13 +61,14 @@
 	readonly #jobServer: JobHttpServer;
 	readonly #directTable: TableStore;
 	readonly #relayDirectory: RelayDirectory;
+	readonly #udpTransport: UdpTransport | undefined;
 	#rpcClient: RpcClient | undefined;
 	#cachedRelayRoute: OperationsRoute | undefined;
 	#isDraining = false;
 	#stopped: Promise<void> | undefined;
 
 	constructor(options: EntryProcessOptions) {
-		const {settings, clock, log, metrics} = options;
+		const {settings, clock, log, metrics, failureDetectionMs} = options;
 		this.#options = options;
 		this.#lifecycle = new LifecycleManager(clock);
 		const storeClient = this.#closeOnStop(new HttpClient({connections: storeConnections}));
@@ -74,8 +78,13 @@
 			direct: this.#directTable, peers: () => this.#relayDirectory.peerUrls, callPeer: async (...call) => this.#callPeer(...call), clock, log,
 		});
 		this.#relayDirectory = new RelayDirectory({
-			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, clock, log,
+			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, datagramPort: settings.datagramAddress?.port, clock, log,
 		});
+		this.#udpTransport = failureDetectionMs === 0 || settings.datagramAddress === undefined
+			? undefined
+			: new UdpTransport({
+				address: settings.datagramAddress, addressOf: processId => this.#relayDirectory.datagramAddressOf(processId), log,
+			});
 		const resolvingTable = new RetryingTableService(table, {
 			client: settings.host, retryTimeoutMs: resolveRetryMs, settleTimeoutMs: resolveTimeoutMs, backoff: resolveBackoff, clock, metrics,
 		});
@@ -92,6 +101,11 @@
 			maxConfigurationAgeMs: settings.configurationConvergeMs - configurationMarginMs,
 			hasLargerPeer: sinceMs => this.#relayDirectory.hasLargerPeer(sinceMs),
 			isSuccessor: () => this.#relayDirectory.isAmongLargest(successorCount),
+			failureDetection: this.#udpTransport === undefined
+				? undefined
+				: {
+					transport: this.#udpTransport, secret: () => this.#relayDirectory.secret, successors: () => this.#relayDirectory.largest(successorCount), detectionMs: failureDetectionMs,
+				},
 			onConfigured: ({limits}) => {
 				this.#jobServer.setLimits(limits);
 			},
@@ -116,6 +130,10 @@
 		this.#scheduler.start();
 		this.#relayDirectory.start();
 		this.#lifecycle.own('scheduler', async () => this.#scheduler.close());
+		await this.#udpTransport?.listen();
+		this.#lifecycle.own('datagram socket', () => {
+			this.#udpTransport?.close();
+		});
 		this.#lifecycle.own('peer directory', () => {
 			this.#relayDirectory.stop();
 		});
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -18,9 +18,16 @@
 const logFlushMs = 100;
 const defaultMetricsPort = 9464;
 
-const {metricsPort} = await yargs(process.argv.slice(2))
+const defaultFailureDetectionMs = 600;
+
+/** A holder that pauses for up to 400 ms does not check whether it was replaced, so it must not be suspected earlier, with an interval of heartbeats as margin. */
+const minFailureDetectionMs = 550;
+
+const {metricsPort, failureDetectionMs} = await yargs(process.argv.slice(2))
 	.scriptName('poplarnotch-entry')
 	.option('metricsPort', {type: 'number', default: defaultMetricsPort, describe: 'Port that serves /metrics and /dump'})
+	.option('failureDetectionMs', {type: 'number', default: defaultFailureDetectionMs, describe: 'Silence after which the lease holder is suspected; 0 waits for the end of its lease'})
+	.check(({failureDetectionMs: silenceMs}) => silenceMs === 0 || silenceMs >= minFailureDetectionMs || `failureDetectionMs must be 0 or at least ${minFailureDetectionMs}`)
 	.strict()
 	.parse();
 
@@ -35,7 +42,7 @@
 		`time=${new Date().toISOString()} level=warn process=${settings.right.host} event=log_lines_dropped lines=${count}\n`);
 	const log = createLogger(settings.right.host, 'info', output);
 	const entry = new EntryProcess({
-		settings: settings.right, metricsPort, clock, log, metrics: new MetricsRegistry(),
+		settings: settings.right, metricsPort, failureDetectionMs, clock, log, metrics: new MetricsRegistry(),
 	});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -8,6 +8,12 @@
 	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type WaveOrder, type WorkerEntry,
 } from '../types.js';
 
+/** Until when a holder that was replaced on suspicion may still start tasks, and until when its orders to machines count as recent. */
+export type EarlierHolder = {
+	readonly mayStartUntilMs: number;
+	readonly mayOrderMachinesUntilMs: number;
+};
+
 /** Time of an event on the process's monotonic clock and on the wall clock. */
 type EventTime = {readonly nowMs: number; readonly wallMs: number};
 
@@ -24,7 +30,10 @@
 	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
 	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
 	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
-	| {readonly type: 'leaseWon'; readonly fencingToken: number}
+	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive. */
+	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined}
+	/** The replaced holder was heard again, or is known to be gone. */
+	| {readonly type: 'earlierHolderChanged'; readonly earlierHolder: EarlierHolder | undefined}
 	/** The lease could not be renewed in time and may pass to another process. */
 	| {readonly type: 'leaseSuspended'}
 	/** Another process holds the lease. */
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -204,9 +204,10 @@
 	}
 };
 
-/** Returns true if the machine can accept an order and its worker is not draining. */
+/** Returns true if the machine can accept an order and its worker is not draining. No machine is ordered while an earlier holder may have ordered it just now. */
 export const isOrderable = (state: SchedulerState, machine: MachineRecord, nowMs: number): boolean => machine.order === undefined
 	&& nowMs >= machine.nextOrderAtMs
+	&& nowMs >= (state.earlierHolder?.mayOrderMachinesUntilMs ?? 0)
 	&& machine.entry.state === 'up'
 	&& workerOn(state, machine)?.entry.isDraining !== true;
 
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -109,6 +109,7 @@
 			} else {
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs);
+				state.earlierHolder = event.earlierHolder;
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
@@ -116,6 +117,11 @@
 			break;
 		}
 
+		case 'earlierHolderChanged': {
+			state.earlierHolder = event.earlierHolder;
+			break;
+		}
+
 		case 'leaseSuspended': {
 			state.isSuspended = true;
 			break;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -9,7 +9,7 @@
 } from './records.js';
 import {DemandMeter} from './demand-meter.js';
 import {addResources, noResources, subtractResources} from './resources.js';
-import {type SchedulerEffect} from './events.js';
+import {type EarlierHolder, type SchedulerEffect} from './events.js';
 import {ShareMeter} from './share-meter.js';
 
 const emptyConfiguration: FleetConfiguration = {
@@ -46,6 +46,8 @@
 	term: LeaseTerm | undefined;
 	/** The takeover is settled: every worker that may run tasks of an earlier lease holder has reported, or its leases have expired. */
 	isSettled = false;
+	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
+	earlierHolder: EarlierHolder | undefined;
 	readonly jobs = new Map<string, JobRecord>();
 	/** Jobs that have not ended. */
 	readonly openJobs = new Set<JobRecord>();
@@ -87,6 +89,7 @@
 	beginTerm(fencingToken: number, nowMs: number): void {
 		this.term = {fencingToken, wonAtMs: nowMs, attemptBase: fencingToken * attemptsPerTerm};
 		this.isSettled = false;
+		this.earlierHolder = undefined;
 		this.isSuspended = false;
 		this.pendingSaveNumber = undefined;
 	}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -2,16 +2,16 @@
 Runs the scheduler of one process: watches the state that the platform stores, contends for the lease, performs the reducer's effects and dispatches their results as events.
 */
 import {
-	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type Logger, type MetricsRegistry, ReducerRuntime,
+	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type LogFields, type Logger, type MetricsRegistry, ReducerRuntime,
 } from '@poplarnotch/common';
 import {
 	PlatformError, type RowChange, type RowCondition, type TableService, type WatchableTable,
 } from '@poplarnotch/platform';
 import {
-	fenceKey, type HeldLease, LeaseContender, TableReplica,
+	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, TableReplica,
 } from '@poplarnotch/state';
 import {endedJobRetentionMs, storeRetryDelayMs} from '../constants.js';
-import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {type EarlierHolder, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {reduceScheduler} from '../core/reducer.js';
 import {SchedulerState} from '../core/scheduler-state.js';
 import {JobService} from '../jobs/job-service.js';
@@ -35,6 +35,12 @@
 /** A holder that does not renew the lease for this long is replaced. Two renewals may be lost, and no lease on the workers lapses meanwhile. */
 const leaseMs = 3000;
 
+/** A holder that was replaced on suspicion stops trusting its lease this long after its last renewal at the latest. */
+const leaseTrustMs = 2400;
+
+/** A holder whose ticks pause for this long may have been replaced on suspicion meanwhile. Less than the silence after which a holder is suspected, less an interval of heartbeats. */
+const pauseThresholdMs = 400;
+
 /** How long a small process waits before it acquires a free lease, so that a larger one can acquire it first: each process checks the lease once in a third of the lease time. */
 const smallHostDelayMs = leaseMs / 3;
 
@@ -93,6 +99,8 @@
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
 	/** Returns true if this process should be ready to take over the lease at any time. */
 	readonly isSuccessor: () => boolean;
+	/** How the loss of the holder is detected; without it, the expiry of the lease decides. */
+	readonly failureDetection?: FailureDetection | undefined;
 	/** Called with each configuration that comes into force. */
 	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Called with changes to the rows, other than job rows, that the processes share. */
@@ -113,7 +121,9 @@
 	readonly #jobReplica: TableReplica;
 	readonly #controlReplica: TableReplica;
 	readonly #workerPoller: WorkerPoller;
+	readonly #liveness: LivenessMonitor | undefined;
 	#fence: RowCondition | undefined;
+	#lastTickAtMs: number | undefined;
 	#cancelTick: CancelTimer | undefined;
 	#isListing = false;
 	#nextListingAtMs = 0;
@@ -157,9 +167,11 @@
 			},
 			isClosed: () => this.#isClosed,
 		});
+		const incarnation = clock.wallTimeMs();
 		this.#leases = new LeaseContender({
-			table, holder: `${processId}@${clock.wallTimeMs()}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => this.#acquireDelayMs(), readIntervalMs: () => options.isSuccessor() ? undefined : outsiderCheckIntervalMs, clock, log,
+			table, holder: `${processId}@${incarnation}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => this.#acquireDelayMs(), readIntervalMs: () => options.isSuccessor() ? undefined : outsiderCheckIntervalMs, clock, log,
 		});
+		this.#liveness = options.failureDetection === undefined ? undefined : this.#createLivenessMonitor(options.failureDetection, incarnation);
 		this.#jobReplica = new TableReplica({
 			table, prefix: jobsPrefix, waitMs: watchWaitMs, clock, log,
 			pauseMs: () => this.#runtime.state.term === undefined ? successorPollPauseMs : holderPollPauseMs,
@@ -240,6 +252,7 @@
 		}
 
 		this.#contend();
+		this.#liveness?.start();
 		this.#scheduleTick();
 	}
 
@@ -252,6 +265,7 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		this.#cancelTick?.();
+		this.#liveness?.close();
 		this.#leases.close();
 		await this.#lifecycle.releaseAll();
 	}
@@ -278,6 +292,59 @@
 		};
 	}
 
+	#createLivenessMonitor(detection: FailureDetection, incarnation: number): LivenessMonitor {
+		const {processId, clock, log, metrics} = this.#options;
+		return new LivenessMonitor({
+			...detection,
+			processId,
+			incarnation,
+			heldToken: () => this.#heldToken(),
+			onHolderSuspected: token => {
+				this.#leases.suspectHolder(schedulerLease, token);
+			},
+			onHolderCleared: token => {
+				this.#leases.clearHolder(schedulerLease, token);
+			},
+			onSuperseded: token => {
+				this.#suspendTerm({event: 'term_suspended', supersededBy: token});
+			},
+			onEarlierHolderHeard: isGone => {
+				this.#applyEarlierHolder(isGone);
+			},
+			clock,
+			log,
+			metrics,
+		});
+	}
+
+	/** The token for which this process sends heartbeats: it holds the lease, or goes on scheduling since no other process can hold it. */
+	#heldToken(): number | undefined {
+		const {term, isSuspended} = this.state;
+		return this.#leases.heldLease(schedulerLease)?.fence.version ?? (isSuspended ? undefined : term?.fencingToken);
+	}
+
+	/** The replaced holder may still be alive, unless a later run of its process was heard. */
+	#earlierHolderOf({replacedToken}: HeldLease): EarlierHolder | undefined {
+		if (replacedToken === undefined || this.#liveness?.isHolderGone(replacedToken) === true) {
+			return undefined;
+		}
+
+		const {nowMs} = this.#now();
+		return {
+			// The earlier holder cannot renew its lease any more.
+			mayStartUntilMs: nowMs + leaseTrustMs,
+			mayOrderMachinesUntilMs: (this.#liveness?.holderHeardAtMs(replacedToken) ?? nowMs) + leaseMs,
+		};
+	}
+
+	#applyEarlierHolder(isGone: boolean): void {
+		const {earlierHolder} = this.state;
+		if (earlierHolder !== undefined) {
+			const now = this.#now();
+			this.#runtime.dispatch({type: 'earlierHolderChanged', earlierHolder: isGone ? undefined : {...earlierHolder, mayOrderMachinesUntilMs: now.nowMs + leaseMs}, ...now});
+		}
+	}
+
 	/** How long the process leaves a free lease to others: to larger hosts, and to successors, which know the jobs and workers. */
 	#acquireDelayMs(): number {
 		return (this.#options.hasLargerPeer() ? smallHostDelayMs : 0) + (this.#options.isSuccessor() ? 0 : outsiderDelayMs);
@@ -361,7 +428,13 @@
 
 	#tick(): void {
 		const now = this.#now();
+		const pausedMs = now.nowMs - (this.#lastTickAtMs ?? now.nowMs);
+		this.#lastTickAtMs = now.nowMs;
 		this.#updateFollowing();
+		if (this.#liveness !== undefined && pausedMs > pauseThresholdMs) {
+			this.#suspendTerm({event: 'term_suspended', pausedMs: Math.round(pausedMs)});
+		}
+
 		this.#suspendIfLeaseUncertain(now);
 		this.#runtime.dispatch({type: 'tick', ...now});
 		this.#workerPoller.pollDueWorkers();
@@ -416,6 +489,21 @@
 		}
 	}
 
+	/** Gives no orders until a read from the store has confirmed that no other process holds the lease. */
+	#suspendTerm(fields: LogFields): void {
+		const {term, isSuspended} = this.state;
+		if (term === undefined || this.#isConfirmingFence) {
+			return;
+		}
+
+		this.#options.log.warn({...fields, fencingToken: term.fencingToken});
+		if (!isSuspended) {
+			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
+		}
+
+		void this.#confirmFence(term.fencingToken);
+	}
+
 	async #confirmFence(fencingToken: number): Promise<void> {
 		this.#isConfirmingFence = true;
 		let isKnown = false;
@@ -439,6 +527,8 @@
 
 	#onLeaseChanged(lease: HeldLease | undefined): void {
 		this.#fence = lease?.fence;
+		this.#liveness?.wake();
+		this.#options.metrics.increment('early_takeovers', lease?.replacedToken === undefined ? 0 : 1);
 		this.#updateFollowing();
 		if (lease === undefined) {
 			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
@@ -449,11 +539,18 @@
 	}
 
 	/** Begins the term once the replica holds everything that the earlier lease holder stored, since orders rely on it. */
-	async #beginTerm({fence}: HeldLease): Promise<void> {
+	async #beginTerm(lease: HeldLease): Promise<void> {
+		const {fence} = lease;
 		while (this.#fence?.version === fence.version) {
 			try {
 				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), this.#options.workers.refresh()]);
-				this.#runtime.dispatch({type: 'leaseWon', fencingToken: fence.version, ...this.#now()});
+				this.#runtime.dispatch({
+					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
+				});
+				this.#nextListingAtMs = 0;
+				this.#cancelTick?.();
+				this.#tick();
+				this.#scheduleTick();
 				return;
 			} catch (error) {
 				if (!(error instanceof PlatformError)) {
--- a/packages/scheduler/tests/crashing-tasks.test.ts
+++ b/packages/scheduler/tests/crashing-tasks.test.ts
@@ -5,6 +5,7 @@
 	afterEach, beforeEach, describe, expect, test,
 } from 'vitest';
 import {type JobSpec} from '../src/index.js';
+import {progressKey} from '../src/jobs/rows.js';
 import {jobOf, lastingStepOf, stepOf} from './support/jobs.js';
 import {
 	configurationWithoutStandby, queueOf, SchedulerSimulation, takeoverMs,
@@ -58,6 +59,16 @@
 	expect(crashesOf(taskKey)).toBe(count);
 };
 
+/** Runs until a crash under a task of the job is stored. */
+const runUntilCrashStored = async ({jobId}: JobSpec): Promise<void> => {
+	const isStored = (): boolean => JSON.stringify(simulation.table.valueOf(progressKey(jobId)) ?? {}).includes('crashedAttempts');
+	for (let waitedMs = 0; !isStored() && waitedMs < 2000; waitedMs += 5) {
+		await simulation.run(5);
+	}
+
+	expect(isStored()).toBe(true);
+};
+
 const killHolder = (): void => {
 	simulation.kill(simulation.holder!);
 	simulation.addProcess();
@@ -248,7 +259,8 @@
 	test('a holder that is killed once it has stored the crash', async () => {
 		submit(crashing);
 		await runUntilCrashed(taskKey, 1);
-		await simulation.run(600);
+		await runUntilCrashStored(crashing);
+		expect(crashesOf(taskKey)).toBe(1);
 		killHolder();
 		await expectGivenUp();
 		expect(crashesOf(taskKey)).toBe(2);
--- a/packages/scheduler/tests/support/host-clock.ts
+++ b/packages/scheduler/tests/support/host-clock.ts
@@ -1,5 +1,5 @@
 /**
-The clock of one simulated process. While the process is frozen, its timers and answers wait and its monotonic clock stops, as on a suspended machine, while the wall clock goes on. Once the process is dead, its timers and answers are dropped.
+The clock of one simulated process. While the process is frozen, its timers and answers wait. Its monotonic clock stops if its machine is suspended, and goes on if only the process is; the wall clock goes on in any case. Once the process is dead, its timers and answers are dropped.
 */
 import {type CancelTimer, type Clock, type VirtualClock} from '@poplarnotch/common';
 
@@ -8,6 +8,7 @@
 	readonly #clock: VirtualClock;
 	#frozenUntilMs = 0;
 	#frozenMs = 0;
+	#isMachineFrozen = true;
 	#wallStepMs = 0;
 
 	constructor(clock: VirtualClock) {
@@ -19,7 +20,8 @@
 	}
 
 	nowMs(): number {
-		return Math.min(this.#clock.nowMs(), this.#clock.nowMs() - this.#frozenMs + Math.max(0, this.#frozenUntilMs - this.#clock.nowMs()));
+		const remainingMs = this.#isMachineFrozen ? Math.max(0, this.#frozenUntilMs - this.#clock.nowMs()) : 0;
+		return Math.min(this.#clock.nowMs(), this.#clock.nowMs() - this.#frozenMs + remainingMs);
 	}
 
 	wallTimeMs(): number {
@@ -31,10 +33,11 @@
 		this.#wallStepMs += byMs;
 	}
 
-	freeze(forMs: number): void {
+	freeze(forMs: number, frozen: 'machine' | 'process' = 'machine'): void {
 		if (!this.isFrozen) {
 			this.#frozenUntilMs = this.#clock.nowMs() + forMs;
-			this.#frozenMs += forMs;
+			this.#isMachineFrozen = frozen === 'machine';
+			this.#frozenMs += this.#isMachineFrozen ? forMs : 0;
 		}
 	}
 
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -6,9 +6,11 @@
 } from '@poplarnotch/common';
 import {RetryingTableService} from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
+import {type Successor} from '@poplarnotch/state';
 import {
 	type FleetConfiguration, type StateSource, type JobSpec, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
 } from '../../src/index.js';
+import {DatagramNetwork} from './datagram-network.js';
 import {normalLatencyMs, FakeTable, type TableFaults} from './fake-table.js';
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
 import {HostClock} from './host-clock.js';
@@ -45,8 +47,14 @@
 	readonly standbyMachines: number;
 	/** Share of runs that fail. */
 	readonly failureRate?: number;
+	/** Silence after which successors suspect the holder; 0 leaves the decision to the expiry of the lease. */
+	readonly failureDetectionMs?: number;
+	/** Number of processes that are ready to take over the lease. */
+	readonly successors?: number;
 };
 
+const secret = 'fleet secret';
+
 type SimulatedProcess = {
 	readonly name: string;
 	readonly clock: HostClock;
@@ -156,6 +164,11 @@
 	/** Configuration versions that came into force, over all processes. */
 	readonly configuredVersions: number[] = [];
 	readonly random: SeededRandom;
+	readonly datagrams = new DatagramNetwork(this.clock);
+	/** Accepted orders to machines. */
+	readonly machineOrders: Array<{readonly machineId: string; readonly fencingToken: number; readonly atMs: number}> = [];
+	readonly #failureDetectionMs: number;
+	readonly #successorCount: number;
 	readonly #orders: PublishedValue<OperatorOrders>;
 	readonly #workers = new PublishedValue<readonly WorkerEntry[]>([]);
 	#configuration = configurationOf(1);
@@ -168,6 +181,8 @@
 
 	constructor(options: SimulationOptions) {
 		this.random = new SeededRandom(options.seed);
+		this.#failureDetectionMs = options.failureDetectionMs ?? 600;
+		this.#successorCount = options.successors ?? successorCount;
 		const taskRandom = new Map<string, number>();
 		const drawFor = (key: string): number => {
 			let value = taskRandom.get(key);
@@ -254,6 +269,11 @@
 				maxConfigurationAgeMs: Number.POSITIVE_INFINITY,
 				hasLargerPeer: () => this.processes.some(other => !other.clock.isDead && other.name !== name && (this.cpuMillicores.get(other.name) ?? 0) > (this.cpuMillicores.get(name) ?? 0)),
 				isSuccessor: () => this.#isAmongLargest(name),
+				failureDetection: this.#failureDetectionMs === 0
+					? undefined
+					: {
+						transport: this.datagrams.transportOf(name, clock), secret: () => secret, successors: () => this.#largest(), detectionMs: this.#failureDetectionMs,
+					},
 				onConfigured: ({version}) => {
 					this.configuredVersions.push(version);
 				},
@@ -397,9 +417,14 @@
 
 	/** Whether the process is ready to take over the lease; the others read jobs from the table when a caller asks. */
 	#isAmongLargest(name: string): boolean {
-		const millicoresOf = (process: SimulatedProcess): number => this.cpuMillicores.get(process.name) ?? 0;
-		const largest = this.processes.filter(({clock}) => !clock.isDead).toSorted((a, b) => millicoresOf(b) - millicoresOf(a));
-		return largest.slice(0, successorCount).some(process => process.name === name);
+		return this.#largest().some(({processId}) => processId === name);
+	}
+
+	#largest(): readonly Successor[] {
+		return this.processes.filter(({clock}) => !clock.isDead)
+			.map(process => ({processId: process.name, cpuMillicores: this.cpuMillicores.get(process.name) ?? 0}))
+			.toSorted((a, b) => b.cpuMillicores - a.cpuMillicores)
+			.slice(0, this.#successorCount);
 	}
 
 	#addMachine(machineId: string, machinePool: string, rack: string): void {
@@ -497,6 +522,7 @@
 		}
 
 		worker?.crash();
+		this.machineOrders.push({machineId, fencingToken, atMs: this.clock.nowMs()});
 		machine.fencingToken = fencingToken;
 		machine.entry = {...machine.entry, state: target === undefined ? 'maintenance' : 'moving', workerId: undefined};
 		machine.nextPool = target ?? machine.entry.pool;
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -40,3 +40,5 @@
 export {performRelayed} from './relay/perform-relayed.js';
 export {RelayDirectory, type RelayDirectoryOptions} from './relay/relay-directory.js';
 export {fenceKey} from './leases/rows.js';
+export {LivenessMonitor, type DatagramTransport, type FailureDetection} from './liveness/liveness-monitor.js';
+export {type Successor} from './liveness/types.js';
--- a/packages/state/src/leases/lease-contender.ts
+++ b/packages/state/src/leases/lease-contender.ts
@@ -88,6 +88,16 @@
 		return state === undefined ? undefined : trustedLease(state, this.#clock.nowMs());
 	}
 
+	/** Tries to acquire the lease at once: the holder with the token is believed to be lost, or has released it. */
+	suspectHolder(name: string, fencingToken: number): void {
+		this.#dispatch(name, {type: 'holderSuspected', nowMs: this.#clock.nowMs(), fencingToken});
+	}
+
+	/** Withdraws the suspicion of the holder with the token. */
+	clearHolder(name: string, fencingToken: number): void {
+		this.#dispatch(name, {type: 'holderCleared', fencingToken});
+	}
+
 	/** Releases all leases. */
 	async withdrawAll(): Promise<void> {
 		await Promise.all([...this.#contentions.keys()].map(async name => this.withdraw(name)));
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -38,6 +38,10 @@
 	/** When the next call is due; `undefined` while a call is pending. */
 	readonly dueMs: number | undefined;
 	readonly wantsToWithdraw: boolean;
+	/** Token of a holder that its peers believe to be lost; its lease is acquired without waiting. */
+	readonly suspectedToken: number | undefined;
+	/** Token of the holder that the last attempt to acquire the lease replaces on suspicion. */
+	readonly replacedToken: number | undefined;
 };
 
 export type LeaseEvent
@@ -48,7 +52,11 @@
 		| {readonly type: 'conflicted'; readonly nowMs: number}
 	/** `mayBeApplied` is true if the call may have taken effect. */
 		| {readonly type: 'failed'; readonly nowMs: number; readonly mayBeApplied: boolean}
-		| {readonly type: 'withdrawRequested'; readonly nowMs: number};
+		| {readonly type: 'withdrawRequested'; readonly nowMs: number}
+	/** The holder with the token is believed to be lost, or has released the lease. */
+		| {readonly type: 'holderSuspected'; readonly nowMs: number; readonly fencingToken: number}
+	/** The suspected holder was heard again. */
+		| {readonly type: 'holderCleared'; readonly fencingToken: number};
 
 export type LeaseEffect
 	= | {readonly type: 'read'; readonly name: string}
@@ -60,7 +68,7 @@
 
 /** A contender that has not read the lease yet. */
 export const newContender = (name: string, holder: string, leaseMs: number, previousRunPrefix = ''): LeaseState => ({
-	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false,
+	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false, suspectedToken: undefined, replacedToken: undefined,
 });
 
 const unchanged = (state: LeaseState): LeaseStep => ({state, effects: []});
@@ -158,11 +166,19 @@
 	}
 
 	const sinceMs = state.observed !== undefined && areSameRows(state.observed.rows, rows) ? state.observed.sinceMs : nowMs;
-	const withObserved: LeaseState = {...state, observed: {rows, sinceMs}};
+	const withObserved: LeaseState = {...state, observed: {rows, sinceMs}, suspectedToken: undefined};
 	const isHeldByPreviousRun = state.previousRunPrefix !== '' && rows.holder?.startsWith(state.previousRunPrefix) === true;
+	if (state.suspectedToken !== undefined && (rows.holder === undefined || rows.fenceVersion === state.suspectedToken)) {
+		const replacedToken = rows.holder === undefined || isHeldByPreviousRun ? undefined : rows.fenceVersion;
+		const acquiring: LeaseState = {
+			...withObserved, nextCall: 'acquire', dueMs: undefined, replacedToken,
+		};
+		return {state: acquiring, effects: [effectOfCall(acquiring)]};
+	}
+
 	// The read must have been sent a whole lease time after the same rows were first seen.
 	const mayAcquire = rows.holder === undefined || isHeldByPreviousRun || sentAtMs - sinceMs >= state.leaseMs;
-	return unchanged(mayAcquire ? scheduleCall(withObserved, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + readIntervalMs));
+	return unchanged(mayAcquire ? scheduleCall({...withObserved, replacedToken: undefined}, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + readIntervalMs));
 };
 
 const handleCommitted = (state: LeaseState, revision: number, sentAtMs: number, nowMs: number): LeaseStep => {
@@ -174,6 +190,7 @@
 	const held: LeaseState = {
 		...state,
 		phase: 'held',
+		suspectedToken: undefined,
 		fence,
 		renewals: state.nextCall === 'acquire' ? 0 : state.renewals + 1,
 		trustedUntilMs: sentAtMs + (state.leaseMs * (1 - safetyMarginShare)),
@@ -185,7 +202,7 @@
 	const wasUntrusted = state.trustedUntilMs === undefined;
 	return {
 		state: scheduleCall(held, 'renew', nowMs + intervalMs(state)),
-		effects: wasUntrusted ? [{type: 'notify', lease: {name: state.name, fence}}] : [],
+		effects: wasUntrusted ? [{type: 'notify', lease: {name: state.name, fence, replacedToken: state.replacedToken}}] : [],
 	};
 };
 
@@ -215,6 +232,21 @@
 	return {state: ended.state, effects: [...effects, ...ended.effects]};
 };
 
+/** Reads the lease at once, so that it can be acquired without waiting for its end. A pending call is awaited. */
+const handleSuspicion = (state: LeaseState, suspectedToken: number): LeaseStep => {
+	if (state.phase !== 'contending' || state.wantsToWithdraw) {
+		return unchanged(state);
+	}
+
+	const suspecting: LeaseState = {...state, suspectedToken};
+	if (state.dueMs === undefined) {
+		return unchanged(suspecting);
+	}
+
+	const reading: LeaseState = {...suspecting, nextCall: 'read', dueMs: undefined};
+	return {state: reading, effects: [effectOfCall(reading)]};
+};
+
 /** Applies one event and returns the new state with its effects. */
 export const reduceLease = (state: LeaseState, event: LeaseEvent): LeaseStep => {
 	if (state.phase === 'withdrawn') {
@@ -246,6 +278,14 @@
 			return handleWithdrawRequest(state, event.nowMs);
 		}
 
+		case 'holderSuspected': {
+			return handleSuspicion(state, event.fencingToken);
+		}
+
+		case 'holderCleared': {
+			return unchanged(state.suspectedToken === event.fencingToken ? {...state, suspectedToken: undefined} : state);
+		}
+
 		default: {
 			return assertNever(event);
 		}
--- a/packages/state/src/relay/relay-directory.ts
+++ b/packages/state/src/relay/relay-directory.ts
@@ -9,6 +9,7 @@
 import {
 	absentVersion, ConflictError, PlatformError, type RowChange, type WatchableTable,
 } from '@poplarnotch/platform';
+import {type Successor} from '../liveness/types.js';
 
 /** Prefix of the peer rows; the same table holds other rows as well. */
 const peersPrefix = 'control/peers/';
@@ -22,7 +23,9 @@
 
 const secretBytes = 24;
 
-const peerSchema = z.object({url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0)});
+const peerSchema = z.object({
+	url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0), datagramPort: z.number().default(0),
+});
 
 /** A peer counts as larger if it has at least this many times this process's CPU, so that machines of one kind do not pass a lease back and forth. */
 const largerPeerFactor = 1.5;
@@ -34,6 +37,8 @@
 type Peer = {
 	readonly url: string;
 	readonly cpuMillicores: number;
+	/** Port that receives datagrams; 0 if the process receives none. */
+	readonly datagramPort: number;
 	readonly seenAtMs: number;
 };
 
@@ -43,6 +48,8 @@
 	readonly url: string;
 	/** CPU that this process may use. */
 	readonly cpuMillicores?: number;
+	/** Port that receives datagrams on the host of `url`. */
+	readonly datagramPort?: number | undefined;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -101,6 +108,27 @@
 		return betterCount < count;
 	}
 
+	/** The `count` processes with the most CPU, which may include this one; none until the peers are known. */
+	largest(count: number): readonly Successor[] {
+		const nowMs = this.#clock.nowMs();
+		if (this.#firstAppliedAtMs === undefined || nowMs - this.#firstAppliedAtMs < settlingMs) {
+			return [];
+		}
+
+		const {processId, cpuMillicores = 0} = this.#options;
+		const recent = [...this.#peers].filter(([, {seenAtMs}]) => nowMs - seenAtMs < staleAfterMs)
+			.map(([key, peer]) => ({processId: key.slice(peersPrefix.length), cpuMillicores: peer.cpuMillicores}));
+		return [...recent, {processId, cpuMillicores}]
+			.toSorted((a, b) => b.cpuMillicores - a.cpuMillicores || (a.processId < b.processId ? -1 : 1))
+			.slice(0, count);
+	}
+
+	/** Where the process receives datagrams; `undefined` if it is unknown or receives none. */
+	datagramAddressOf(processId: string): {readonly ip: string; readonly port: number} | undefined {
+		const peer = this.#peers.get(`${peersPrefix}${processId}`);
+		return peer === undefined || peer.datagramPort === 0 ? undefined : {ip: new URL(peer.url).hostname, port: peer.datagramPort};
+	}
+
 	start(): void {
 		void this.#sendHeartbeat();
 	}
@@ -125,7 +153,9 @@
 
 	#applyPeer(key: string, parsed: E.Either<unknown, z.infer<typeof peerSchema>>): void {
 		if (E.isRight(parsed)) {
-			this.#peers.set(key, {url: parsed.right.url, cpuMillicores: parsed.right.cpuMillicores, seenAtMs: this.#clock.nowMs()});
+			this.#peers.set(key, {
+				url: parsed.right.url, cpuMillicores: parsed.right.cpuMillicores, datagramPort: parsed.right.datagramPort, seenAtMs: this.#clock.nowMs(),
+			});
 		} else {
 			this.#peers.delete(key);
 		}
@@ -150,9 +180,15 @@
 	}
 
 	async #writePeerRow(): Promise<void> {
-		const {table, processId, url, cpuMillicores = 0} = this.#options;
+		const {table, processId, url, cpuMillicores = 0, datagramPort} = this.#options;
 		this.#heartbeats++;
-		await table.commit({conditions: [], writes: [{type: 'put', key: `${peersPrefix}${processId}`, value: {url, beats: this.#heartbeats, cpuMillicores}}]});
+		await table.commit({
+			conditions: [], writes: [{
+				type: 'put', key: `${peersPrefix}${processId}`, value: {
+					url, beats: this.#heartbeats, cpuMillicores, ...(datagramPort === undefined ? {} : {datagramPort}),
+				},
+			}],
+		});
 		if (this.#secret === undefined) {
 			await this.#createSecret();
 		}
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -60,5 +60,7 @@
 export type HeldLease = {
 	readonly name: string;
 	readonly fence: RowCondition;
+	/** Token of the earlier holder if it was replaced on suspicion, so that it may still act on the lease for a while. */
+	readonly replacedToken?: number | undefined;
 };
 
