--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -12,6 +12,7 @@
 import {
 	createRpcRoute, OutageEvidence, OutageProber, ReachabilityMeter, reachabilityMethods, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
+import {UdpTransport} from './udp-transport.js';
 
 /** Maximum number of connections to the store; long calls that wait for changes occupy four of them. */
 const storeConnections = 24;
@@ -54,6 +55,8 @@
 	readonly orderPolicy?: OrderPolicyName | undefined;
 	/** Whether the lease holder goes on scheduling while no process reaches the store. */
 	readonly outageScheduling: boolean;
+	/** Silence after which the lease holder is suspected; 0 leaves the decision to the expiry of its lease. */
+	readonly failureDetectionMs: number;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
@@ -68,13 +71,14 @@
 	readonly #relayDirectory: RelayDirectory;
 	readonly #meter: ReachabilityMeter;
 	readonly #outageProber: OutageProber;
+	readonly #udpTransport: UdpTransport | undefined;
 	#rpcClient: RpcClient | undefined;
 	#cachedRelayRoute: OperationsRoute | undefined;
 	#isDraining = false;
 	#stopped: Promise<void> | undefined;
 
 	constructor(options: EntryProcessOptions) {
-		const {settings, clock, log, metrics} = options;
+		const {settings, clock, log, metrics, failureDetectionMs} = options;
 		this.#options = options;
 		this.#lifecycle = new LifecycleManager(clock);
 		const storeClient = this.#closeOnStop(new HttpClient({connections: storeConnections}));
@@ -90,13 +94,18 @@
 			},
 		});
 		this.#relayDirectory = new RelayDirectory({
-			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, dataCentre: settings.dataCentre, clock, log,
+			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, dataCentre: settings.dataCentre, datagramPort: settings.datagramAddress?.port, clock, log,
 		});
 		const lastKnownPeers = () => this.#relayDirectory.lastKnownPeers;
 		const evidence = new OutageEvidence({meter, peers: lastKnownPeers, clock});
 		this.#outageProber = new OutageProber({
 			evidence, meter, peers: lastKnownPeers, callPeer, isActive: () => options.outageScheduling && this.#scheduler.state.term !== undefined, clock,
 		});
+		this.#udpTransport = failureDetectionMs === 0 || settings.datagramAddress === undefined
+			? undefined
+			: new UdpTransport({
+				address: settings.datagramAddress, addressOf: processId => this.#relayDirectory.datagramAddressOf(processId), log,
+			});
 		const resolvingTable = new RetryingTableService(table, {
 			client: settings.host, retryTimeoutMs: resolveRetryMs, settleTimeoutMs: resolveTimeoutMs, backoff: resolveBackoff, clock, metrics,
 		});
@@ -116,6 +125,11 @@
 			isSuccessor: () => this.#relayDirectory.isAmongLargest(successorCount),
 			isStoreAway: () => this.#storeOutageMs >= storeAwayAfterMs,
 			outage: options.outageScheduling ? evidence : undefined,
+			failureDetection: this.#udpTransport === undefined
+				? undefined
+				: {
+					transport: this.#udpTransport, secret: () => this.#relayDirectory.secret, successors: () => this.#relayDirectory.largest(successorCount), detectionMs: failureDetectionMs,
+				},
 			onConfigured: ({limits}) => {
 				this.#jobServer.setLimits(limits);
 			},
@@ -150,6 +164,10 @@
 			this.#outageProber.stop();
 		});
 		this.#lifecycle.own('scheduler', async () => this.#scheduler.close());
+		await this.#udpTransport?.listen();
+		this.#lifecycle.own('datagram socket', () => {
+			this.#udpTransport?.close();
+		});
 		this.#lifecycle.own('peer directory', () => {
 			this.#relayDirectory.stop();
 		});
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -122,6 +122,7 @@
 			} else {
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs, event.isPredecessorGone);
+				state.earlierHolder = event.earlierHolder;
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
@@ -134,6 +135,11 @@
 			break;
 		}
 
+		case 'earlierHolderChanged': {
+			state.earlierHolder = event.earlierHolder;
+			break;
+		}
+
 		case 'leaseSuspended': {
 			state.isSuspended = true;
 			break;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -12,7 +12,7 @@
 import {type OrderPolicy} from './order/order-policy.js';
 import {DemandMeter} from './pools/demand-meter.js';
 import {addResources, noResources, subtractResources} from './resources.js';
-import {type SchedulerEffect} from './events.js';
+import {type EarlierHolder, type SchedulerEffect} from './events.js';
 import {ShareMeter} from './share-meter.js';
 
 const emptyConfiguration: FleetConfiguration = {
@@ -53,6 +53,8 @@
 	term: LeaseTerm | undefined;
 	/** The takeover is settled: every worker that may run tasks of an earlier lease holder has reported, or its leases have expired. */
 	isSettled = false;
+	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
+	earlierHolder: EarlierHolder | undefined;
 	readonly jobs = new Map<string, JobRecord>();
 	/** Jobs that have not ended. */
 	readonly openJobs = new Set<JobRecord>();
@@ -110,6 +112,7 @@
 			fencingToken, wonAtMs: nowMs, attemptBase: fencingToken * attemptsPerTerm, isPredecessorGone,
 		};
 		this.isSettled = false;
+		this.earlierHolder = undefined;
 		this.isSuspended = false;
 		this.isLeaseUnconfirmed = false;
 		this.pendingSaveNumber = undefined;
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -2,16 +2,16 @@
 Runs the scheduler of one process: watches the state that the platform stores, contends for the lease, performs the reducer's effects and dispatches their results as events.
 */
 import {
-	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type Logger, type MetricsRegistry, ReducerRuntime,
+	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type LogFields, type Logger, type MetricsRegistry, ReducerRuntime,
 } from '@poplarnotch/common';
 import {
 	PlatformError, type RowChange, type RowCondition, type TableService, type WatchableTable,
 } from '@poplarnotch/platform';
 import {
-	fenceKey, type HeldLease, LeaseContender, type OutageKnowledge, TableReplica,
+	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, type OutageKnowledge, TableReplica,
 } from '@poplarnotch/state';
 import {endedJobRetentionMs, storeRetryDelayMs} from '../constants.js';
-import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {type EarlierHolder, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {createOrderPolicy, type OrderPolicyName} from '../core/order/order-policies.js';
 import {reduceScheduler} from '../core/reducer.js';
 import {SchedulerState} from '../core/scheduler-state.js';
@@ -37,6 +37,12 @@
 /** A holder that does not renew the lease for this long is replaced. Two renewals may be lost, and no lease on the workers lapses meanwhile. */
 const leaseMs = 3000;
 
+/** A holder that was replaced on suspicion stops trusting its lease this long after its last renewal at the latest. */
+const leaseTrustMs = 2400;
+
+/** A holder whose ticks pause for this long may have been replaced on suspicion meanwhile. Less than the silence after which a holder is suspected, less an interval of heartbeats. */
+const pauseThresholdMs = 400;
+
 /** How long a small process waits before it acquires a free lease, so that a larger one can acquire it first: each process checks the lease once in a third of the lease time. */
 const smallHostDelayMs = leaseMs / 3;
 
@@ -99,6 +105,8 @@
 	readonly outage?: OutageKnowledge | undefined;
 	/** Returns true while the store is known to answer no call of this process; jobs are then refused at once. */
 	readonly isStoreAway?: () => boolean;
+	/** How the loss of the holder is detected; without it, the expiry of the lease decides. */
+	readonly failureDetection?: FailureDetection | undefined;
 	/** Called with each configuration that comes into force. */
 	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Called with changes to the rows, other than job rows, that the processes share. */
@@ -122,7 +130,9 @@
 	readonly #jobReplica: TableReplica;
 	readonly #controlReplica: TableReplica;
 	readonly #workerPoller: WorkerPoller;
+	readonly #liveness: LivenessMonitor | undefined;
 	#fence: RowCondition | undefined;
+	#lastTickAtMs: number | undefined;
 	#cancelTick: CancelTimer | undefined;
 	#isListing = false;
 	#nextListingAtMs = 0;
@@ -166,12 +176,14 @@
 			},
 			isClosed: () => this.#isClosed,
 		});
+		const incarnation = clock.wallTimeMs();
 		this.#leases = new LeaseContender({
-			table, holder: `${processId}@${clock.wallTimeMs()}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => this.#acquireDelayMs(), readIntervalMs: () => options.isSuccessor() ? undefined : outsiderCheckIntervalMs, clock, log,
+			table, holder: `${processId}@${incarnation}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => this.#acquireDelayMs(), readIntervalMs: () => options.isSuccessor() ? undefined : outsiderCheckIntervalMs, clock, log,
 		});
 		this.#continuation = new LeaseContinuation({
 			outage: options.outage, leaseMs, clock, log, metrics: options.metrics,
 		});
+		this.#liveness = options.failureDetection === undefined ? undefined : this.#createLivenessMonitor(options.failureDetection, incarnation);
 		this.#jobReplica = new TableReplica({
 			table, prefix: jobsPrefix, waitMs: watchWaitMs, clock, log,
 			pauseMs: () => this.#runtime.state.term === undefined ? successorPollPauseMs : holderPollPauseMs,
@@ -259,6 +271,7 @@
 		}
 
 		this.#contend();
+		this.#liveness?.start();
 		this.#scheduleTick();
 	}
 
@@ -279,6 +292,7 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		this.#cancelTick?.();
+		this.#liveness?.close();
 		this.#leases.close();
 		await this.#lifecycle.releaseAll();
 	}
@@ -306,6 +320,59 @@
 		};
 	}
 
+	#createLivenessMonitor(detection: FailureDetection, incarnation: number): LivenessMonitor {
+		const {processId, clock, log, metrics} = this.#options;
+		return new LivenessMonitor({
+			...detection,
+			processId,
+			incarnation,
+			heldToken: () => this.#heldToken(),
+			onHolderSuspected: token => {
+				this.#leases.suspectHolder(schedulerLease, token);
+			},
+			onHolderCleared: token => {
+				this.#leases.clearHolder(schedulerLease, token);
+			},
+			onSuperseded: token => {
+				this.#suspendTerm({event: 'term_suspended', supersededBy: token});
+			},
+			onEarlierHolderHeard: isGone => {
+				this.#applyEarlierHolder(isGone);
+			},
+			clock,
+			log,
+			metrics,
+		});
+	}
+
+	/** The token for which this process sends heartbeats: it holds the lease, or goes on scheduling since no other process can hold it. */
+	#heldToken(): number | undefined {
+		const {term, isSuspended} = this.state;
+		return this.#leases.heldLease(schedulerLease)?.fence.version ?? (isSuspended ? undefined : term?.fencingToken);
+	}
+
+	/** The replaced holder may still be alive, unless a later run of its process was heard. */
+	#earlierHolderOf({replacedToken}: HeldLease): EarlierHolder | undefined {
+		if (replacedToken === undefined || this.#liveness?.isHolderGone(replacedToken) === true) {
+			return undefined;
+		}
+
+		const {nowMs} = this.#now();
+		return {
+			// The earlier holder cannot renew its lease any more.
+			mayStartUntilMs: nowMs + leaseTrustMs,
+			mayOrderMachinesUntilMs: (this.#liveness?.holderHeardAtMs(replacedToken) ?? nowMs) + leaseMs,
+		};
+	}
+
+	#applyEarlierHolder(isGone: boolean): void {
+		const {earlierHolder} = this.state;
+		if (earlierHolder !== undefined) {
+			const now = this.#now();
+			this.#runtime.dispatch({type: 'earlierHolderChanged', earlierHolder: isGone ? undefined : {...earlierHolder, mayOrderMachinesUntilMs: now.nowMs + leaseMs}, ...now});
+		}
+	}
+
 	/** How long the process leaves a free lease to others: to larger hosts, and to successors, which know the jobs and workers. */
 	#acquireDelayMs(): number {
 		return (this.#options.hasLargerPeer() ? smallHostDelayMs : 0) + (this.#options.isSuccessor() ? 0 : outsiderDelayMs);
@@ -389,7 +456,13 @@
 
 	#tick(): void {
 		const now = this.#now();
+		const pausedMs = now.nowMs - (this.#lastTickAtMs ?? now.nowMs);
+		this.#lastTickAtMs = now.nowMs;
 		this.#updateFollowing();
+		if (this.#liveness !== undefined && pausedMs > pauseThresholdMs) {
+			this.#suspendTerm({event: 'term_suspended', pausedMs: Math.round(pausedMs)});
+		}
+
 		this.#suspendIfLeaseUncertain(now);
 		this.#runtime.dispatch({type: 'tick', ...now});
 		this.#workerPoller.pollDueWorkers();
@@ -450,6 +523,21 @@
 		}
 	}
 
+	/** Gives no orders until a read from the store has confirmed that no other process holds the lease. */
+	#suspendTerm(fields: LogFields): void {
+		const {term, isSuspended} = this.state;
+		if (term === undefined || this.#isConfirmingFence) {
+			return;
+		}
+
+		this.#options.log.warn({...fields, fencingToken: term.fencingToken});
+		if (!isSuspended) {
+			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
+		}
+
+		void this.#confirmFence(term.fencingToken);
+	}
+
 	async #confirmFence(fencingToken: number): Promise<void> {
 		this.#isConfirmingFence = true;
 		let isKnown = false;
@@ -497,6 +585,8 @@
 		}
 
 		this.#fence = lease?.fence;
+		this.#liveness?.wake();
+		this.#options.metrics.increment('early_takeovers', lease?.replacedToken === undefined ? 0 : 1);
 		this.#updateFollowing();
 		if (lease === undefined) {
 			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
@@ -507,14 +597,19 @@
 	}
 
 	/** Begins the term once the replicas hold everything that the earlier lease holder stored, since orders rely on it, and all operators' rows, since an evacuation may have been ordered of which only the earlier holder knew. */
-	async #beginTerm({fence, isPredecessorGone}: HeldLease): Promise<void> {
+	async #beginTerm(lease: HeldLease): Promise<void> {
+		const {fence} = lease;
 		while (this.#fence?.version === fence.version) {
 			try {
 				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), this.#options.workers.refresh(), this.#options.orders.refresh()]);
 				this.#continuation.confirm();
 				this.#runtime.dispatch({
-					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone, ...this.#now(),
+					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone: lease.isPredecessorGone, earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
 				});
+				this.#nextListingAtMs = 0;
+				this.#cancelTick?.();
+				this.#tick();
+				this.#scheduleTick();
 				return;
 			} catch (error) {
 				if (!(error instanceof PlatformError)) {
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -47,6 +47,10 @@
 	/** When the next call is due; `undefined` while a call is pending. */
 	readonly dueMs: number | undefined;
 	readonly wantsToWithdraw: boolean;
+	/** Token of a holder that its peers believe to be lost; its lease is acquired without waiting. */
+	readonly suspectedToken: number | undefined;
+	/** Token of the holder that the last attempt to acquire the lease replaces on suspicion. */
+	readonly replacedToken: number | undefined;
 };
 
 export type LeaseEvent
@@ -56,7 +60,11 @@
 		| {readonly type: 'committed'; readonly nowMs: number; readonly sentAtMs: number; readonly revision: number}
 		| {readonly type: 'conflicted'; readonly nowMs: number}
 		| {readonly type: 'failed'; readonly nowMs: number}
-		| {readonly type: 'withdrawRequested'; readonly nowMs: number};
+		| {readonly type: 'withdrawRequested'; readonly nowMs: number}
+	/** The holder with the token is believed to be lost, or has released the lease. */
+		| {readonly type: 'holderSuspected'; readonly nowMs: number; readonly fencingToken: number}
+	/** The suspected holder was heard again. */
+		| {readonly type: 'holderCleared'; readonly fencingToken: number};
 
 export type LeaseEffect
 	= | {readonly type: 'read'; readonly name: string}
@@ -68,7 +76,7 @@
 
 /** A contender that has not read the lease yet. */
 export const newContender = (name: string, holder: string, leaseMs: number, previousRunPrefix = ''): LeaseState => ({
-	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, isPredecessorGone: false, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false,
+	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, isPredecessorGone: false, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false, suspectedToken: undefined, replacedToken: undefined,
 });
 
 const unchanged = (state: LeaseState): LeaseStep => ({state, effects: []});
@@ -89,7 +97,11 @@
 		? {...leaseOf(state), confirmedAtMs: state.confirmedAtMs}
 		: undefined;
 
-const leaseOf = ({name, fence, isPredecessorGone}: LeaseState): HeldLease => ({name, fence: fence!, isPredecessorGone});
+const leaseOf = ({
+	name, fence, isPredecessorGone, replacedToken,
+}: LeaseState): HeldLease => ({
+	name, fence: fence!, isPredecessorGone, replacedToken,
+});
 
 const effectOfCall = (state: LeaseState): LeaseEffect => {
 	switch (state.nextCall) {
@@ -178,16 +190,25 @@
 	const isContinuous = observed !== undefined && areSameRows(observed.rows, rows) && nowMs - observed.lastReadAtMs <= observed.readIntervalMs + (state.leaseMs * readGapShare);
 	const sinceMs = isContinuous ? observed.sinceMs : nowMs;
 	const isHeldByPreviousRun = state.previousRunPrefix !== '' && rows.holder?.startsWith(state.previousRunPrefix) === true;
-	// The read must have been sent a whole lease time after the same rows were first seen.
-	const mayAcquire = rows.holder === undefined || isHeldByPreviousRun || sentAtMs - sinceMs >= state.leaseMs;
 	const withObserved: LeaseState = {
 		...state,
 		observed: {
 			rows, sinceMs, lastReadAtMs: nowMs, readIntervalMs,
 		},
 		isPredecessorGone: rows.holder === undefined || isHeldByPreviousRun,
+		suspectedToken: undefined,
 	};
-	return unchanged(mayAcquire ? scheduleCall(withObserved, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + readIntervalMs));
+	if (state.suspectedToken !== undefined && (rows.holder === undefined || rows.fenceVersion === state.suspectedToken)) {
+		const replacedToken = rows.holder === undefined || isHeldByPreviousRun ? undefined : rows.fenceVersion;
+		const acquiring: LeaseState = {
+			...withObserved, nextCall: 'acquire', dueMs: undefined, replacedToken,
+		};
+		return {state: acquiring, effects: [effectOfCall(acquiring)]};
+	}
+
+	// The read must have been sent a whole lease time after the same rows were first seen.
+	const mayAcquire = rows.holder === undefined || isHeldByPreviousRun || sentAtMs - sinceMs >= state.leaseMs;
+	return unchanged(mayAcquire ? scheduleCall({...withObserved, replacedToken: undefined}, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + readIntervalMs));
 };
 
 const handleCommitted = (state: LeaseState, revision: number, sentAtMs: number, nowMs: number): LeaseStep => {
@@ -199,6 +220,7 @@
 	const held: LeaseState = {
 		...state,
 		phase: 'held',
+		suspectedToken: undefined,
 		fence,
 		renewals: state.nextCall === 'acquire' ? 0 : state.renewals + 1,
 		trustedUntilMs: sentAtMs + (state.leaseMs * (1 - safetyMarginShare)),
@@ -244,6 +266,21 @@
 	return {state: ended.state, effects: [...effects, ...ended.effects]};
 };
 
+/** Reads the lease at once, so that it can be acquired without waiting for its end. A pending call is awaited. */
+const handleSuspicion = (state: LeaseState, suspectedToken: number): LeaseStep => {
+	if (state.phase !== 'contending' || state.wantsToWithdraw) {
+		return unchanged(state);
+	}
+
+	const suspecting: LeaseState = {...state, suspectedToken};
+	if (state.dueMs === undefined) {
+		return unchanged(suspecting);
+	}
+
+	const reading: LeaseState = {...suspecting, nextCall: 'read', dueMs: undefined};
+	return {state: reading, effects: [effectOfCall(reading)]};
+};
+
 /** Applies one event and returns the new state with its effects. */
 export const reduceLease = (state: LeaseState, event: LeaseEvent): LeaseStep => {
 	if (state.phase === 'withdrawn') {
@@ -275,6 +312,14 @@
 			return handleWithdrawRequest(state, event.nowMs);
 		}
 
+		case 'holderSuspected': {
+			return handleSuspicion(state, event.fencingToken);
+		}
+
+		case 'holderCleared': {
+			return unchanged(state.suspectedToken === event.fencingToken ? {...state, suspectedToken: undefined} : state);
+		}
+
 		default: {
 			return assertNever(event);
 		}
--- a/packages/state/src/relay/relay-directory.ts
+++ b/packages/state/src/relay/relay-directory.ts
@@ -10,6 +10,7 @@
 	absentVersion, ConflictError, PlatformError, type RowChange, type WatchableTable,
 } from '@poplarnotch/platform';
 import {type OutagePeer} from '../reachability/outage-evidence.js';
+import {type Successor} from '../liveness/types.js';
 
 /** Prefix of the peer rows; the same table holds other rows as well. */
 const peersPrefix = 'control/peers/';
@@ -24,7 +25,7 @@
 const secretBytes = 24;
 
 const peerSchema = z.object({
-	url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0), dataCentre: z.string().default(''),
+	url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0), dataCentre: z.string().default(''), datagramPort: z.number().default(0),
 });
 
 /** A peer counts as larger if it has at least this many times this process's CPU, so that machines of one kind do not pass a lease back and forth. */
@@ -38,6 +39,8 @@
 	readonly url: string;
 	readonly cpuMillicores: number;
 	readonly dataCentre: string;
+	/** Port that receives datagrams; 0 if the process receives none. */
+	readonly datagramPort: number;
 	readonly seenAtMs: number;
 };
 
@@ -48,6 +51,8 @@
 	/** CPU that this process may use. */
 	readonly cpuMillicores?: number;
 	readonly dataCentre?: string;
+	/** Port that receives datagrams on the host of `url`. */
+	readonly datagramPort?: number | undefined;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -116,6 +121,27 @@
 		return betterCount < count;
 	}
 
+	/** The `count` processes with the most CPU, which may include this one; none until the peers are known. */
+	largest(count: number): readonly Successor[] {
+		const nowMs = this.#clock.nowMs();
+		if (this.#firstAppliedAtMs === undefined || nowMs - this.#firstAppliedAtMs < settlingMs) {
+			return [];
+		}
+
+		const {processId, cpuMillicores = 0} = this.#options;
+		const recent = [...this.#peers].filter(([, {seenAtMs}]) => nowMs - seenAtMs < staleAfterMs)
+			.map(([key, peer]) => ({processId: key.slice(peersPrefix.length), cpuMillicores: peer.cpuMillicores}));
+		return [...recent, {processId, cpuMillicores}]
+			.toSorted((a, b) => b.cpuMillicores - a.cpuMillicores || (a.processId < b.processId ? -1 : 1))
+			.slice(0, count);
+	}
+
+	/** Where the process receives datagrams; `undefined` if it is unknown or receives none. */
+	datagramAddressOf(processId: string): {readonly ip: string; readonly port: number} | undefined {
+		const peer = this.#peers.get(`${peersPrefix}${processId}`);
+		return peer === undefined || peer.datagramPort === 0 ? undefined : {ip: new URL(peer.url).hostname, port: peer.datagramPort};
+	}
+
 	start(): void {
 		void this.#sendHeartbeat();
 	}
@@ -141,9 +167,9 @@
 
 	#applyPeer(key: string, parsed: E.Either<unknown, z.infer<typeof peerSchema>>): void {
 		if (E.isRight(parsed)) {
-			const {url, cpuMillicores, dataCentre} = parsed.right;
+			const {url, cpuMillicores, dataCentre, datagramPort} = parsed.right;
 			this.#peers.set(key, {
-				url, cpuMillicores, dataCentre, seenAtMs: this.#clock.nowMs(),
+				url, cpuMillicores, dataCentre, datagramPort, seenAtMs: this.#clock.nowMs(),
 			});
 		} else {
 			this.#peers.delete(key);
@@ -169,10 +195,10 @@
 	}
 
 	async #writePeerRow(): Promise<void> {
-		const {table, processId, url, cpuMillicores = 0, dataCentre = ''} = this.#options;
+		const {table, processId, url, cpuMillicores = 0, dataCentre = '', datagramPort} = this.#options;
 		this.#heartbeats++;
 		const value = {
-			url, beats: this.#heartbeats, cpuMillicores, dataCentre,
+			url, beats: this.#heartbeats, cpuMillicores, dataCentre, ...(datagramPort === undefined ? {} : {datagramPort}),
 		};
 		await table.commit({conditions: [], writes: [{type: 'put', key: `${peersPrefix}${processId}`, value}]});
 		if (this.#secret === undefined) {
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -62,6 +62,8 @@
 	readonly fence: RowCondition;
 	/** The earlier holder had released the lease or had certainly ended when this one acquired it; not known if left out. */
 	readonly isPredecessorGone?: boolean;
+	/** Token of the earlier holder if it was replaced on suspicion, so that it may still act on the lease for a while. */
+	readonly replacedToken?: number | undefined;
 };
 
 /** A lease that may have passed to another process. */
