Withhold starts while the operators' rows are too old, and log evacuations

Cause: a holder whose copy of the operators' rows is not confirmed, or that was suspended, may not know of an evacuation whose bound has passed. Nothing told operators how an evacuation progresses.

Change: with rows older than bounds.evacuate_ms (default 5000) less 500 ms, a holder starts, relocates and moves nothing, unless hasOutageEvidence says that the store is unavailable for every process. After a suspension the rows are read before the term goes on. Start, progress, emptiness and end of evacuations, unknown data centres and an evacuation of all are logged, and /dump lists the orders.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -28,6 +28,9 @@
 /** Calls are refused this long before the configuration reaches its maximum age, so that answers under way stay within it. */
 const configurationMarginMs = 100;
 
+/** A holder starts nothing once its copy of the operators' rows lacks this much to the time after which an evacuation must hold, so that starts under way stay within it. */
+const evacuationMarginMs = 500;
+
 /** A commit that was definitely not applied is retried only for this long. After that the scheduler commits the save again if it still holds the lease. */
 const resolveRetryMs = 200;
 
@@ -76,6 +79,8 @@
 		this.#relayDirectory = new RelayDirectory({
 			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, clock, log,
 		});
+		// With a bound of less than twice the margin, half of it is left for the copy's age.
+		const maxOrdersAgeMs = Math.max(settings.evacuateMs - evacuationMarginMs, settings.evacuateMs / 2);
 		const resolvingTable = new RetryingTableService(table, {
 			client: settings.host, retryTimeoutMs: resolveRetryMs, settleTimeoutMs: resolveTimeoutMs, backoff: resolveBackoff, clock, metrics,
 		});
@@ -83,13 +88,14 @@
 			processId: settings.host,
 			table,
 			resolvingTable,
-			orders: new OperatorRowsWatcher({table, log, convergeMs: settings.configurationConvergeMs}),
+			orders: new OperatorRowsWatcher({table, log, convergeMs: Math.min(settings.configurationConvergeMs, maxOrdersAgeMs)}),
 			workers: new WorkerRegistryWatcher({table, log}),
 			workerControl: new WorkerHttpControl(workerClient),
 			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
 			advisor: new AdviceHttpClient({client: storeClient, url: settings.adviceUrl, log}),
 			waveReporter: new WaveStatusWriter(resolvingTable),
 			maxConfigurationAgeMs: settings.configurationConvergeMs - configurationMarginMs,
+			maxOrdersAgeMs,
 			hasLargerPeer: sinceMs => this.#relayDirectory.hasLargerPeer(sinceMs),
 			isSuccessor: () => this.#relayDirectory.isAmongLargest(successorCount),
 			onConfigured: ({limits}) => {
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -39,7 +39,8 @@
 	| {readonly type: 'saved'; readonly saveNumber: number}
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly sentAtMs: number}
 	| {readonly type: 'machineAnswered'; readonly machineId: string; readonly answer: MachineAnswer}
-	| {readonly type: 'tick'}
+	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. */
+	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean}
 );
 
 /** Progress to store. The shell retries the save until it succeeds or the lease is lost. */
@@ -66,4 +67,4 @@
 	| {readonly type: 'stepDown'; readonly reason: string}
 	/** Increments a counter of the process's metrics. */
 	| {readonly type: 'count'; readonly name: string}
-	| {readonly type: 'log'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
+	| {readonly type: 'log'; readonly level?: 'warn'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -199,6 +199,13 @@
 	withoutRoom: readonly Task[];
 	/** Lasting tasks that have room elsewhere but wait until more of their step are available. */
 	waitingForStep: readonly Task[];
+	/** The lease holder has logged the evacuation, or that no such data centre is known. */
+	announced: 'started' | 'unknown' | undefined;
+	/** The data centre was logged as empty. */
+	isEmpty: boolean;
+	/** What was last logged of its progress, and when. */
+	loggedProgress: string;
+	progressLoggedAtMs: number;
 };
 
 /** A machine and the pending order for it. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -5,7 +5,7 @@
 import {type WaveOrder} from '../types.js';
 import {applyAdvice} from './placement-advice.js';
 import {dispatchTasks} from './dispatch.js';
-import {applyEvacuationOrders} from './evacuation.js';
+import {applyEvacuationOrders, logEvacuations, resetEvacuationLogs} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
 import {applyMachineAnswer, applyMachineList, repeatMachineOrders} from './machines.js';
@@ -37,6 +37,7 @@
 const endTerm = (state: SchedulerState, nowMs: number): void => {
 	state.term = undefined;
 	state.clearRuns(nowMs);
+	resetEvacuationLogs(state);
 	for (const machine of state.machines.values()) {
 		machine.order = undefined;
 	}
@@ -53,10 +54,16 @@
 	checkTakeoverSettled(state, nowMs);
 	updateOpenJobs(state, now);
 	const displaced = reconcileRuns(state, nowMs);
-	repeatMachineOrders(state, nowMs);
-	const shortages = dispatchTasks(state, displaced, nowMs);
-	advanceWaves(state, nowMs);
-	resizePools(state, shortages, nowMs);
+	logEvacuations(state, nowMs);
+	if (state.areOrdersOutdated) {
+		advanceWaves(state, nowMs);
+	} else {
+		repeatMachineOrders(state, nowMs);
+		const shortages = dispatchTasks(state, displaced, nowMs);
+		advanceWaves(state, nowMs);
+		resizePools(state, shortages, nowMs);
+	}
+
 	prepareAcknowledgements(state);
 	saveProgress(state, nowMs);
 };
@@ -174,6 +181,7 @@
 		}
 
 		case 'tick': {
+			state.areOrdersOutdated = event.areOrdersOutdated === true;
 			if (state.term === undefined || state.isSuspended) {
 				expireWorkers(state, event.nowMs);
 			} else {
--- a/packages/scheduler/src/core/relocation.ts
+++ b/packages/scheduler/src/core/relocation.ts
@@ -158,7 +158,8 @@
 	for (const worker of state.workers.values()) {
 		repeatStops(state, worker, nowMs);
 		stopStalled(state, worker, nowMs);
-		if (isTakingOver) {
+		// What is stopped while nothing is started would not be replaced.
+		if (isTakingOver || state.areOrdersOutdated) {
 			continue;
 		}
 
@@ -167,7 +168,7 @@
 		}
 	}
 
-	if (!isTakingOver && state.evacuations.size > 0) {
+	if (!isTakingOver && !state.areOrdersOutdated && state.evacuations.size > 0) {
 		displaced.push(...relocateEvacuated(state, usable, nowMs));
 	}
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -56,6 +56,8 @@
 	machinesListedAtMs: number | undefined;
 	/** Evacuations in force, by data centre. */
 	readonly evacuations = new Map<string, Evacuation>();
+	/** The operators' rows have not been confirmed for too long, so nothing is started, relocated or moved into a pool. */
+	areOrdersOutdated = false;
 	readonly waves = new Map<number, WaveRecord>();
 	/** Stored progress of waves, which may be read before the wave's order arrives. */
 	readonly storedWaves = new Map<number, StoredWave>();
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -93,7 +93,7 @@
 			}
 
 			case 'log': {
-				this.#options.log.info(effect.fields);
+				this.#options.log[effect.level ?? 'info'](effect.fields);
 				break;
 			}
 
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -12,6 +12,7 @@
 } from '@poplarnotch/state';
 import {endedJobRetentionMs, storeRetryDelayMs} from '../constants.js';
 import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {describeEvacuations} from '../core/evacuation.js';
 import {reduceScheduler} from '../core/reducer.js';
 import {SchedulerState} from '../core/scheduler-state.js';
 import {JobService} from '../jobs/job-service.js';
@@ -89,6 +90,10 @@
 	readonly waveReporter: WaveReporter;
 	/** Configuration older than this is not used to answer calls, since operators' changes must be in force within that time of being acknowledged. */
 	readonly maxConfigurationAgeMs: number;
+	/** A holder whose copy of the operators' rows is older than this starts nothing, since a data centre may have been ordered to be evacuated meanwhile. */
+	readonly maxOrdersAgeMs: number;
+	/** Returns true if the store is unavailable for every process, in which case no operator can have written an order. */
+	readonly hasOutageEvidence?: () => boolean;
 	/** Returns true if a process with clearly more CPU capacity has sent a heartbeat after `sinceMs`; that process should schedule instead of this one. */
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
 	/** Returns true if this process should be ready to take over the lease at any time. */
@@ -120,6 +125,8 @@
 	#nextSweepAtMs = 0;
 	#nextYieldCheckAtMs = 0;
 	#nextPendingAtMs = 0;
+	/** When the store was last known to be unavailable for every process. */
+	#outageEvidenceAtMs = Number.NEGATIVE_INFINITY;
 	/** Until when the process follows jobs and workers. */
 	#followsUntilMs = 0;
 	#isFollowing = false;
@@ -274,6 +281,7 @@
 			trials: [...state.trials].map(({tasks, workers, isStarted}) => ({
 				taskKeys: tasks.map(({key}) => key), workerIds: workers.map(({entry}) => entry.workerId), isStarted,
 			})),
+			evacuations: describeEvacuations(state, this.#options.clock.nowMs()),
 			waves: [...state.waves.values()].map(wave => ({
 				waveId: wave.order.waveId, state: wave.state, maintained: wave.maintained.size, machines: wave.order.machineIds.length,
 			})),
@@ -365,7 +373,7 @@
 		const now = this.#now();
 		this.#updateFollowing();
 		this.#suspendIfLeaseUncertain(now);
-		this.#runtime.dispatch({type: 'tick', ...now});
+		this.#runtime.dispatch({type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), ...now});
 		this.#workerPoller.pollDueWorkers();
 		if (this.state.term === undefined) {
 			return;
@@ -394,6 +402,21 @@
 		}
 	}
 
+	/** Returns true if operators may have written orders too long ago that this process does not know. A time with evidence of a full outage counts as a confirmation, since nothing could be written until then. */
+	#areOrdersOutdated(nowMs: number): boolean {
+		const {orders, maxOrdersAgeMs, hasOutageEvidence} = this.#options;
+		if (hasOutageEvidence?.() === true) {
+			this.#outageEvidenceAtMs = nowMs;
+		}
+
+		const areOutdated = nowMs - Math.max(orders.confirmedAtMs ?? Number.NEGATIVE_INFINITY, this.#outageEvidenceAtMs) > maxOrdersAgeMs;
+		if (areOutdated !== this.state.areOrdersOutdated && this.state.term !== undefined) {
+			this.#options.log.warn({event: areOutdated ? 'starts_withheld' : 'starts_resumed', reason: 'age of the operators\' rows', confirmedAgoMs: orders.confirmedAtMs === undefined ? undefined : Math.round(nowMs - orders.confirmedAtMs)});
+		}
+
+		return areOutdated;
+	}
+
 	/**
 	A suspended machine's monotonic clock stops, so after a suspension the lease still seems to be valid; only the wall clock shows the gap. Nothing is ordered until a read from the store has confirmed the fence.
 	*/
@@ -423,7 +446,8 @@
 		let isKnown = false;
 		while (!isKnown && this.state.term?.fencingToken === fencingToken) {
 			try {
-				const [row] = await this.#options.table.readRows([fenceKey(schedulerLease)]);
+				// The age of the operators' rows does not show the time for which the machine was suspended.
+				const [[row]] = await Promise.all([this.#options.table.readRows([fenceKey(schedulerLease)]), this.#options.orders.refresh()]);
 				this.#runtime.dispatch(row?.version === fencingToken ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
 				isKnown = true;
 			} catch (error) {
--- a/packages/scheduler/tests/evacuation.test.ts
+++ b/packages/scheduler/tests/evacuation.test.ts
@@ -4,9 +4,10 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from 'vitest';
+import {reduceScheduler, SchedulerState} from '../src/index.js';
 import {jobOf, lastingStepOf, stepOf} from './support/jobs.js';
 import {
-	configurationWithoutStandby, pool, SchedulerSimulation, standbyPool, takeoverMs,
+	configurationOf, configurationWithoutStandby, maxOrdersAgeMs, pool, SchedulerSimulation, standbyPool, takeoverMs,
 } from './support/scheduler-simulation.js';
 
 /** Time within which a running holder applies an order. */
@@ -222,3 +223,207 @@
 	expect(lastingRunsIn('north')).toBeGreaterThanOrEqual(before - 1);
 	expect(servingCount()).toBe(12);
 });
+
+const loggedEvents = (): readonly string[] => simulation.logged.map(({event, dataCentre}) => dataCentre === undefined ? event : `${event} ${String(dataCentre)}`);
+
+test('a holder that cannot confirm the operators\' rows starts nothing once they are too old, unless the store is unavailable for every process', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	simulation.ordersConfirmMs = 60_000;
+	// The last regular confirmation.
+	await simulation.run(500);
+	await runUnderLoad(maxOrdersAgeMs + 100);
+	const withheldFromMs = simulation.clock.nowMs();
+	await runUnderLoad(1500);
+	const startsSince = (sinceMs: number) => simulation.fleet.starts.filter(({atMs}) => atMs >= sinceMs).length;
+	expect(startsSince(withheldFromMs)).toBe(0);
+	expect(loggedEvents()).toContain('starts_withheld');
+	simulation.hasOutageEvidence = true;
+	await runUnderLoad(1000);
+	expect(startsSince(withheldFromMs)).toBeGreaterThan(0);
+	// The evidence counts as a confirmation up to its end.
+	simulation.hasOutageEvidence = false;
+	const endedAtMs = simulation.clock.nowMs();
+	await runUnderLoad(1000);
+	expect(startsSince(endedAtMs)).toBeGreaterThan(0);
+});
+
+test('a holder that was frozen while the evacuation was ordered reads the order before it starts anything again', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	simulation.ordersConfirmMs = 60_000;
+	await runUnderLoad(1000);
+	const {holder} = simulation;
+	holder!.clock.freeze(1500);
+	await simulation.run(50);
+	simulation.orderEvacuation('north');
+	const orderedAtMs = simulation.clock.nowMs();
+	// The answer that would tell the holder of the order is lost when it wakes.
+	holder!.table.isDown = true;
+	await simulation.run(1550);
+	holder!.table.isDown = false;
+	await runUnderLoad(3000);
+	expect(simulation.holder).toBe(holder);
+	expect(startsIn('north', orderedAtMs + 50)).toEqual([]);
+	expect(startsIn('south', orderedAtMs + 50).length).toBeGreaterThan(0);
+});
+
+test('two data centres are evacuated in turn', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	for (const [evacuated, serving] of [['north', 'south'], ['south', 'north']] as const) {
+		simulation.orderEvacuation(evacuated);
+		simulation.orderEvacuation(serving, false);
+		await simulation.run(effectiveMs);
+		const effectiveAtMs = simulation.clock.nowMs();
+		await runUnderLoad(2000);
+		expect(startsIn(evacuated, effectiveAtMs)).toEqual([]);
+		expect(startsIn(serving, effectiveAtMs).length).toBeGreaterThan(0);
+	}
+
+	await simulation.run(3000);
+	expect(loggedEvents()).toEqual(expect.arrayContaining(['evacuation_started north', 'evacuation_empty north', 'evacuation_ended north', 'evacuation_started south', 'evacuation_empty south']));
+});
+
+test('an order that is written while the store rejects half of the processes, the holder among them, holds within the bound', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	await runUnderLoad(500);
+	const first = simulation.holder!;
+	first.table.isDown = true;
+	simulation.processes.find(process => process !== first)!.table.isDown = true;
+	simulation.orderEvacuation('north');
+	const boundAtMs = simulation.clock.nowMs() + 5000;
+	await runUnderLoad(9000);
+	expect(startsIn('north', boundAtMs)).toEqual([]);
+	expect(startsIn('south', boundAtMs).length).toBeGreaterThan(0);
+});
+
+test('with every data centre evacuated, jobs are accepted and wait until an order is withdrawn', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	simulation.orderEvacuation('north');
+	simulation.orderEvacuation('south');
+	await simulation.run(effectiveMs);
+	const job = jobOf(++jobCount, {steps: [stepOf()]});
+	const accepted = simulation.submit(job);
+	await simulation.run(2000);
+	expect(await accepted).toBe(true);
+	expect(simulation.fleet.starts).toEqual([]);
+	expect(loggedEvents()).toContain('evacuation_of_all_data_centres');
+	simulation.orderEvacuation('south', false);
+	await simulation.run(3000);
+	expect(simulation.fleet.isDone(`${job.jobId}.0.0.0`)).toBe(true);
+});
+
+test('the evacuation of an unknown data centre is logged and changes nothing', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	simulation.orderEvacuation('nowhere');
+	await simulation.run(effectiveMs);
+	const effectiveAtMs = simulation.clock.nowMs();
+	await runUnderLoad(1000);
+	expect(loggedEvents()).toEqual(['evacuation_unknown nowhere']);
+	expect(simulation.holder!.scheduler.dump()).toMatchObject({evacuations: [{dataCentre: 'nowhere', isKnown: false}]});
+	for (const dataCentre of ['north', 'south']) {
+		expect(startsIn(dataCentre, effectiveAtMs).length).toBeGreaterThan(0);
+	}
+});
+
+test('progress is logged at most once a second while many tasks end', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	void simulation.submit(jobOf(++jobCount, {steps: [stepOf({taskCount: 48})]}));
+	await simulation.run(100);
+	simulation.orderEvacuation('north');
+	await simulation.run(950);
+	expect(loggedEvents()).toEqual(['evacuation_started north', 'evacuation_progress north']);
+	await simulation.run(1500);
+	expect(loggedEvents().at(-1)).toBe('evacuation_empty north');
+});
+
+test('the log of the progress names what blocks lasting tasks', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	submitServices(11);
+	await simulation.run(1500);
+	const evacuated = lastingRunsIn('north') === 6 ? 'north' : 'south';
+	simulation.orderEvacuation(evacuated);
+	await simulation.run(4000);
+	const progress = simulation.logged.filter(({event}) => event === 'evacuation_progress');
+	expect(progress.at(-1)).toMatchObject({
+		dataCentre: evacuated, endingRuns: 0, lastingRuns: 5, withoutRoom: 5, waitingForStep: 0,
+	});
+});
+
+test('a gang with members in an evacuated data centre finishes where it runs, and the next one starts elsewhere', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	const gangOf = (taskCount: number) => jobOf(++jobCount, {steps: [stepOf({taskCount, isGang: true, needs: halfMachine})]});
+	const first = gangOf(8);
+	void simulation.submit(first);
+	await simulation.run(60);
+	expect(startsIn('north', 0).length).toBeGreaterThan(0);
+	expect(startsIn('south', 0).length).toBeGreaterThan(0);
+	simulation.orderEvacuation('north');
+	const orderedAtMs = simulation.clock.nowMs();
+	const second = gangOf(6);
+	await simulation.run(50);
+	void simulation.submit(second);
+	await simulation.run(4000);
+	expect(simulation.fleet.starts.filter(({taskKey}) => taskKey.startsWith(first.jobId)).length).toBe(8);
+	const {jobs} = simulation.holder!.scheduler.state;
+	expect([first, second].map(({jobId}) => jobs.get(jobId)!.outcome)).toEqual(['completed', 'completed']);
+	expect(startsIn('north', orderedAtMs + 20)).toEqual([]);
+});
+
+test('a trial that was planned on a worker of the data centre is not started there any more', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	let crashCount = 0;
+	simulation.fleet.behaviour.crashesAfterMs = taskKey => taskKey.endsWith('.0.0.0') && crashCount === 0 ? 10 : undefined;
+	const job = jobOf(++jobCount, {steps: [stepOf({taskCount: 1})]});
+	void simulation.submit(job);
+	for (let waitedMs = 0; simulation.fleet.crashes.size === 0 && waitedMs < 3000; waitedMs += 5) {
+		await simulation.run(5);
+	}
+
+	crashCount = 1;
+	const trials = () => [...simulation.holder!.scheduler.state.trials];
+	for (let waitedMs = 0; trials().length === 0 && waitedMs < 9000; waitedMs += 5) {
+		await simulation.run(5);
+	}
+
+	// The save that the trial waits for is delayed until the order is known.
+	const evacuated = trials()[0]!.workers[0]!.entry.dataCentre;
+	simulation.holder!.table.latencyMs = 200;
+	simulation.orderEvacuation(evacuated);
+	await simulation.run(120);
+	simulation.holder!.table.latencyMs = 4;
+	const knownAtMs = simulation.clock.nowMs();
+	await simulation.run(6000);
+	expect(startsIn(evacuated, knownAtMs)).toEqual([]);
+	expect(simulation.fleet.isDone(`${job.jobId}.0.0.0`)).toBe(true);
+});
+
+test('a move into a pool whose outcome is unknown is not repeated once its data centre is evacuated', () => {
+	const state = new SchedulerState();
+	const at = (nowMs: number) => ({nowMs, wallMs: nowMs});
+	reduceScheduler(state, {type: 'configured', configuration: configurationOf(1), ...at(1)});
+	reduceScheduler(state, {type: 'leaseWon', fencingToken: 1, ...at(2)});
+	reduceScheduler(state, {
+		type: 'machinesListed', sentAtMs: 3, ...at(3), machines: ['north', 'south'].map(dataCentre => ({
+			machineId: dataCentre, pool: standbyPool, dataCentre, state: 'up', capacity: halfMachine, workerId: undefined,
+		})),
+	});
+	for (const machine of state.machines.values()) {
+		machine.order = {
+			type: 'move', waveId: undefined, pool, sentAtMs: 3, phase: 'retry', answeredAtMs: 4,
+		};
+	}
+
+	reduceScheduler(state, {type: 'evacuationsOrdered', dataCentres: ['north'], ...at(5)});
+	const {effects} = reduceScheduler(state, {type: 'tick', ...at(2000)});
+	expect(effects.flatMap(effect => effect.type === 'move' ? effect.machineId : [])).toEqual(['south']);
+	expect(state.machines.get('north')!.order).toBeUndefined();
+});
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -2,7 +2,7 @@
 Simulates a fleet in virtual time: the real scheduler processes over an in-memory table, simulated workers and machines, and seeded faults. The invariants are checked where violations would show: at the workers and in the answers to callers.
 */
 import {
-	MetricsRegistry, SeededRandom, silentLogger, VirtualClock,
+	type LogFields, type Logger, MetricsRegistry, SeededRandom, silentLogger, VirtualClock,
 } from '@poplarnotch/common';
 import {RetryingTableService, UnavailableError} from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
@@ -151,6 +151,9 @@
 /** How often a process's copy of the operators' rows is confirmed while the store answers. */
 const defaultOrdersConfirmMs = 500;
 
+/** Age of the operators' rows at which a holder starts nothing any more. */
+export const maxOrdersAgeMs = 4500;
+
 /** A process's copy of the operators' rows. Evacuations reach it only while the process reaches the store, after the latency of its calls; configurations and waves always do. */
 class FollowedOrders implements RefreshableSource<OperatorOrders> {
 	confirmedAtMs: number | undefined;
@@ -232,8 +235,14 @@
 	/** Configuration versions that came into force, over all processes. */
 	readonly configuredVersions: number[] = [];
 	readonly random: SeededRandom;
+	/** The processes have evidence that the store is unavailable for all of them. */
+	hasOutageEvidence = false;
+	/** Machines in the order in which their maintenance began. */
+	readonly maintenanceOrder: string[] = [];
 	/** Moves that were carried out. */
 	readonly moves: Array<{readonly machineId: string; readonly target: string; readonly atMs: number}> = [];
+	/** Fields of the lines that processes logged about evacuations and withheld starts. */
+	readonly logged: LogFields[] = [];
 	ordersConfirmMs = defaultOrdersConfirmMs;
 	readonly #orders: PublishedValue<OperatorOrders>;
 	readonly #workers = new PublishedValue<readonly WorkerEntry[]>([]);
@@ -241,6 +250,7 @@
 	#waves: readonly WaveOrder[] = [];
 	#evacuated: readonly string[] = [];
 	readonly #dataCentres: readonly string[];
+	readonly #log: Logger;
 	#workerCount = 0;
 	#processCount = 0;
 	#registrationsLapsedUntilMs = 0;
@@ -249,6 +259,13 @@
 
 	constructor(options: SimulationOptions) {
 		this.random = new SeededRandom(options.seed);
+		const record = (fields: LogFields): void => {
+			if (/^(?:evacuation|starts)_/v.test(fields.event)) {
+				this.logged.push(fields);
+			}
+		};
+
+		this.#log = {...silentLogger, info: record, warn: record};
 		this.#dataCentres = options.dataCentres ?? ['dc'];
 		const taskRandom = new Map<string, number>();
 		const drawFor = (key: string): number => {
@@ -316,6 +333,7 @@
 						const answer = await this.#orderMachine(clock, {machineId, fencingToken, forMs: maintenanceMs});
 						if (answer === 'accepted') {
 							this.maintained.add(machineId);
+							this.maintenanceOrder.push(machineId);
 						}
 
 						return answer;
@@ -334,6 +352,8 @@
 					},
 				},
 				maxConfigurationAgeMs: Number.POSITIVE_INFINITY,
+				maxOrdersAgeMs,
+				hasOutageEvidence: () => this.hasOutageEvidence,
 				hasLargerPeer: () => this.processes.some(other => !other.clock.isDead && other.name !== name && (this.cpuMillicores.get(other.name) ?? 0) > (this.cpuMillicores.get(name) ?? 0)),
 				isSuccessor: () => this.#isAmongLargest(name),
 				onConfigured: ({version}) => {
@@ -341,7 +361,7 @@
 				},
 				onControlRows: () => undefined,
 				clock,
-				log: silentLogger,
+				log: this.#log,
 				metrics: new MetricsRegistry(),
 			}),
 		};
@@ -402,6 +422,17 @@
 		});
 	}
 
+	/** Makes the workers of the data centre report that they are cold for some more time. */
+	coolWorkers(dataCentre: string, coldLeftMs: number): void {
+		for (const worker of this.fleet.workers.values()) {
+			if (worker.entry.dataCentre === dataCentre) {
+				worker.entry = {...worker.entry, coldLeftMs};
+			}
+		}
+
+		this.#publishWorkers();
+	}
+
 	/** Removes the registrations of all workers for some time, as an outage of the store does; the workers run on and are within reach. */
 	lapseRegistrations(forMs: number): void {
 		const untilMs = this.clock.nowMs() + forMs;
