Maintain machines of evacuated data centres first

Cause: a wave took idle machines in the order of its list, so machines that serve were drained although those of an evacuated data centre are empty.

Change: machines without tasks in an evacuated data centre come first. One whose lasting tasks fit nowhere yet is not preferred, since it would occupy the wave's slots until they do.

Failed before: the test of the order. The test that a wave over all machines and relocation do not wait for each other fails if workers that are due for maintenance are no candidates for tasks of evacuated data centres.

--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -1,11 +1,11 @@
 /**
 Runs maintenance waves: reserves machines so that they drain, orders their maintenance within the wave's concurrency, and reports a wave as completed once every machine that still exists has been maintained.
 
-Idle machines go first. Of the others, as many are reserved in advance as may be down at once, so that they drain while the first ones are being maintained.
+Idle machines go first, those in an evacuated data centre before all others, since nothing starts there. Of the others, as many are reserved in advance as may be down at once, so that they drain while the first ones are being maintained.
 */
 import {type MachineRecord, type WaveRecord} from './records.js';
 import {
-	isIdle, isOrderable, orderMaintenance, workerOn,
+	isIdle, isMachineEvacuated, isOrderable, orderMaintenance, workerOn,
 } from './machines.js';
 import {type SchedulerState} from './scheduler-state.js';
 
@@ -26,6 +26,10 @@
 	return cost;
 };
 
+/** Returns true for a machine without tasks in an evacuated data centre. One whose lasting tasks fit nowhere yet is not preferred, since it would occupy the wave until they do. */
+const isEmptied = (state: SchedulerState, machine: MachineRecord): boolean =>
+	isMachineEvacuated(state, machine) && (workerOn(state, machine)?.runs.size ?? 0) === 0;
+
 const reserveMachine = (state: SchedulerState, wave: WaveRecord, machine: MachineRecord): void => {
 	wave.reserved.add(machine.entry.machineId);
 	const worker = workerOn(state, machine);
@@ -56,7 +60,7 @@
 
 	let maintenanceSlots = wave.order.concurrency - downCount;
 	const orderable = remaining.filter(machine => isOrderable(state, machine, nowMs))
-		.toSorted((a, b) => drainCost(state, a) - drainCost(state, b));
+		.toSorted((a, b) => Number(isEmptied(state, b)) - Number(isEmptied(state, a)) || drainCost(state, a) - drainCost(state, b));
 	for (const machine of orderable) {
 		if (maintenanceSlots > 0 && isIdle(state, machine, nowMs)) {
 			maintenanceSlots--;
--- a/packages/scheduler/tests/evacuation.test.ts
+++ b/packages/scheduler/tests/evacuation.test.ts
@@ -226,6 +226,43 @@
 
 const loggedEvents = (): readonly string[] => simulation.logged.map(({event, dataCentre}) => dataCentre === undefined ? event : `${event} ${String(dataCentre)}`);
 
+test('a wave maintains the machines of an evacuated data centre first and completes although a rack is lost meanwhile', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	await runUnderLoad(1000);
+	simulation.orderEvacuation('north');
+	// Without load, the machines elsewhere are idle as well.
+	await simulation.run(2500);
+	const effectiveAtMs = simulation.clock.nowMs();
+	simulation.orderWave({
+		waveId: 1, machineIds: ['m-5', 'm-4', 'm-3', 'm-2', 'm-1', 'm-0'], withinMs: 60_000, concurrency: 1,
+	});
+	await simulation.run(100);
+	await runUnderLoad(2500);
+	simulation.loseRack('r-south-0');
+	await runUnderLoad(20_000);
+	expect(simulation.maintenanceOrder.slice(0, 3).toSorted((a, b) => a < b ? -1 : 1)).toEqual(['m-0', 'm-2', 'm-4']);
+	expect(simulation.waveStates.get(1)).toBe('completed');
+	expect(startsIn('north', effectiveAtMs)).toEqual([]);
+});
+
+test('a wave over all machines and the evacuation of lasting tasks do not wait for each other', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	void simulation.submit(jobOf(++jobCount, {steps: [lastingStepOf({taskCount: 4, maxPerWorker: 2})]}));
+	await simulation.run(1500);
+	expect(lastingRunsIn('north')).toBeGreaterThan(0);
+	simulation.orderEvacuation('north');
+	simulation.orderWave({
+		waveId: 1, machineIds: [...simulation.machines.keys()].filter(machineId => machineId.startsWith('m-')), withinMs: 60_000, concurrency: 1,
+	});
+	// The first maintained machine returns later than that, so all workers elsewhere are still due for maintenance.
+	await simulation.run(2000);
+	expect(lastingRunsIn('north')).toBe(0);
+	await simulation.run(40_000);
+	expect(simulation.waveStates.get(1)).toBe('completed');
+});
+
 test('a holder that cannot confirm the operators\' rows starts nothing once they are too old, unless the store is unavailable for every process', async () => {
 	simulation.configure(configurationWithoutStandby(2));
 	await simulation.run(takeoverMs);
