Prefer warm workers to cold ones

Cause: workers that started recently are slow until their registration reports that they are warm; placement did not use cold_left_ms.

Change: a cold worker ranks below warm ones, for lasting tasks above workers that are due for maintenance.

--- a/packages/scheduler/src/core/placement.ts
+++ b/packages/scheduler/src/core/placement.ts
@@ -1,7 +1,7 @@
 /**
 Chooses the worker for a task.
 
-Placement is designed for pools whose demand exceeds their capacity: tasks are packed onto workers that already run tasks (best fit by CPU), so that idle machines can leave the pool and wide tasks still find a whole worker. Lasting tasks are packed too, but workers on a rack that already runs half of the step's tasks are avoided, since a rack can fail as a whole.
+Placement is designed for pools whose demand exceeds their capacity: tasks are packed onto workers that already run tasks (best fit by CPU), so that idle machines can leave the pool and wide tasks still find a whole worker. Lasting tasks are packed too, but workers on a rack that already runs half of the step's tasks are avoided, since a rack can fail as a whole. Workers that have started recently are slow at first, so warm ones are preferred.
 */
 import {ticketFor} from './placement-advice.js';
 import {type StepInstance, type Task, type WorkerRecord} from './records.js';
@@ -15,6 +15,12 @@
 		}
 	}
 
+	for (const run of worker.expectedRuns) {
+		if (run.task?.step === step) {
+			count++;
+		}
+	}
+
 	return count;
 };
 
@@ -66,17 +72,18 @@
 	const isAvoided = task.avoidedWorkerId === worker.entry.workerId;
 	const isFarFromData = spec.dataRack !== '' && spec.dataRack !== rack;
 	const isIdle = worker.runs.size === 0;
+	const isCold = worker.entry.coldLeftMs > 0;
 	if (spec.isLasting) {
 		const isCrowded = (onRack.get(rack) ?? 0) >= Math.ceil(spec.taskCount / 2);
-		return combinePenalties(isAvoided, worker.isMaintenanceDue, isFarFromData, isCrowded, isIdle);
+		return combinePenalties(isAvoided, worker.isMaintenanceDue, isCold, isFarFromData, isCrowded, isIdle);
 	}
 
 	if (spec.isFilling) {
-		return (((combinePenalties(isAvoided, isFarFromData) * (maxInterferencePenalty + 1)) + interferencePenalty(worker)) * 2) + (isIdle ? 1 : 0);
+		return (((combinePenalties(isAvoided, isCold, isFarFromData) * (maxInterferencePenalty + 1)) + interferencePenalty(worker)) * 2) + (isIdle ? 1 : 0);
 	}
 
 	const isOffRack = spec.prefersOneRack && onRack.size > 0 && !onRack.has(rack);
-	return combinePenalties(isAvoided, isFarFromData, isOffRack, isIdle);
+	return combinePenalties(isAvoided, isCold, isFarFromData, isOffRack, isIdle);
 };
 
 /** Returns the best of the workers on which the task's step is allowed, or `undefined` if there is none. */
--- a/packages/scheduler/tests/evacuation.test.ts
+++ b/packages/scheduler/tests/evacuation.test.ts
@@ -263,6 +263,26 @@
 	expect(simulation.waveStates.get(1)).toBe('completed');
 });
 
+test('a cold worker gets work only once the warm ones are full, until it reports that it is warm', async () => {
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	simulation.coolWorkers('north', 3000);
+	await simulation.run(50);
+	const submit = async (taskCount: number): Promise<number> => {
+		const fromMs = simulation.clock.nowMs();
+		void simulation.submit(jobOf(++jobCount, {steps: [stepOf({taskCount}), stepOf({taskCount, after: [0], isFilling: true})]}));
+		await simulation.run(4000);
+		return startsIn('north', fromMs).length;
+	};
+
+	expect(await submit(24)).toBe(0);
+	expect(await submit(30)).toBeGreaterThan(0);
+	simulation.coolWorkers('north', 0);
+	simulation.coolWorkers('south', 3000);
+	await simulation.run(50);
+	expect(await submit(24)).toBe(48);
+});
+
 test('a holder that cannot confirm the operators\' rows starts nothing once they are too old, unless the store is unavailable for every process', async () => {
 	simulation.configure(configurationWithoutStandby(2));
 	await simulation.run(takeoverMs);
