--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -29,6 +29,9 @@
 /** Calls are refused this long before the configuration reaches its maximum age, so that answers under way stay within it. */
 const configurationMarginMs = 100;
 
+/** A holder starts nothing once its copy of the operators' rows lacks this much to the time after which an evacuation must hold, so that starts under way stay within it. */
+const evacuationMarginMs = 500;
+
 /** A commit that was definitely not applied is retried only for this long. After that the scheduler commits the save again if it still holds the lease. */
 const resolveRetryMs = 200;
 
@@ -106,6 +109,8 @@
 			: new UdpTransport({
 				address: settings.datagramAddress, addressOf: processId => this.#relayDirectory.datagramAddressOf(processId), log,
 			});
+		// With a bound of less than twice the margin, half of it is left for the copy's age.
+		const maxOrdersAgeMs = Math.max(settings.evacuateMs - evacuationMarginMs, settings.evacuateMs / 2);
 		const resolvingTable = new RetryingTableService(table, {
 			client: settings.host, retryTimeoutMs: resolveRetryMs, settleTimeoutMs: resolveTimeoutMs, backoff: resolveBackoff, clock, metrics,
 		});
@@ -114,17 +119,19 @@
 			table,
 			resolvingTable,
 			orderPolicy: options.orderPolicy,
-			orders: new OperatorRowsWatcher({table, log, convergeMs: settings.configurationConvergeMs}),
+			orders: new OperatorRowsWatcher({table, log, convergeMs: Math.min(settings.configurationConvergeMs, maxOrdersAgeMs)}),
 			workers: new WorkerRegistryWatcher({table, log}),
 			workerControl: new WorkerHttpControl(workerClient),
 			machineControl: new MachineHttpControl({client: storeClient, url: settings.machinesUrl}),
 			advisor: new AdviceHttpClient({client: storeClient, url: settings.adviceUrl, log}),
 			waveReporter: new WaveStatusWriter(resolvingTable),
 			maxConfigurationAgeMs: settings.configurationConvergeMs - configurationMarginMs,
+			maxOrdersAgeMs,
 			hasLargerPeer: sinceMs => this.#relayDirectory.hasLargerPeer(sinceMs),
 			isSuccessor: () => this.#relayDirectory.isAmongLargest(successorCount),
 			isStoreAway: () => this.#storeOutageMs >= storeAwayAfterMs,
 			outage: options.outageScheduling ? evidence : undefined,
+			hasOutageEvidence: () => options.outageScheduling && evidence.hasOutageEvidence(),
 			failureDetection: this.#udpTransport === undefined
 				? undefined
 				: {
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -5,7 +5,7 @@
 import {type WaveOrder} from '../types.js';
 import {applyAdvice} from './placement-advice.js';
 import {dispatchTasks} from './dispatch.js';
-import {applyEvacuationOrders} from './evacuation.js';
+import {applyEvacuationOrders, logEvacuations, resetEvacuationLogs} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
 import {applyMachineAnswer, applyMachineList, repeatMachineOrders} from './machines.js';
@@ -37,6 +37,7 @@
 const endTerm = (state: SchedulerState, nowMs: number): void => {
 	state.term = undefined;
 	state.clearRuns(nowMs);
+	resetEvacuationLogs(state);
 	for (const machine of state.machines.values()) {
 		machine.order = undefined;
 	}
@@ -53,13 +54,20 @@
 	checkTakeoverSettled(state, nowMs);
 	updateOpenJobs(state, now);
 	const displaced = reconcileRuns(state, nowMs);
-	if (!state.isLeaseUnconfirmed) {
+	logEvacuations(state, nowMs);
+	// Without a confirmed lease, no machine is ordered; with outdated operators' orders, nothing is started or moved.
+	const mayOrderMachines = !state.isLeaseUnconfirmed;
+	const mayStart = !state.areOrdersOutdated;
+	if (mayStart && mayOrderMachines) {
 		repeatMachineOrders(state, nowMs);
 	}
 
-	const shortages = dispatchTasks(state, displaced, nowMs);
-	if (!state.isLeaseUnconfirmed) {
+	const shortages = mayStart ? dispatchTasks(state, displaced, nowMs) : undefined;
+	if (mayOrderMachines) {
 		advanceWaves(state, nowMs);
+	}
+
+	if (shortages !== undefined && mayOrderMachines) {
 		resizePools(state, shortages, nowMs);
 	}
 
@@ -192,6 +200,7 @@
 		}
 
 		case 'tick': {
+			state.areOrdersOutdated = event.areOrdersOutdated === true;
 			if (state.term === undefined || state.isSuspended) {
 				expireWorkers(state, event.nowMs);
 			} else {
