Let a peer that is lost during a store outage not end the scheduling

Cause: the age of the evidence was that of the oldest answer. A peer that stopped answering made the evidence too old to continue, although the other peers sufficed.

Change: the age is that of the newest answers that suffice: half of the peers, and one of each data centre.

Seen failing before: store-outage.test.ts, "a peer that is lost during the outage".

--- a/packages/scheduler/tests/store-outage.test.ts
+++ b/packages/scheduler/tests/store-outage.test.ts
@@ -75,6 +75,16 @@
 	expect([...simulation.fleet.workers.values()].filter(worker => worker.hasUnacknowledged)).toEqual([]);
 });
 
+test('a peer that is lost during the outage does not end the scheduling', async () => {
+	const holder = await startBusy();
+	setStoreDown(true);
+	await simulation.run(3000);
+	const fromMs = simulation.clock.nowMs();
+	simulation.peers.setCut(simulation.processes.find(process => process !== holder)!.name, true);
+	await simulation.run(4000);
+	expect(longestGapMs(fromMs)).toBeLessThan(maxIdleMs);
+});
+
 test('during an outage no machine is moved or sent to maintenance', async () => {
 	const holder = await startBusy();
 	setStoreDown(true);
--- a/packages/state/src/reachability/outage-evidence.ts
+++ b/packages/state/src/reachability/outage-evidence.ts
@@ -40,7 +40,7 @@
 	readonly peerCount: number;
 	/** Returns true if it is known at this moment that no process reaches the table service. */
 	hasOutageEvidence(): boolean;
-	/** When the oldest answer was requested on which the present evidence rests; `undefined` without evidence. */
+	/** When the oldest of the answers was requested that the present evidence needs; `undefined` without evidence. */
 	evidenceAtMs(): number | undefined;
 }
 
@@ -101,6 +101,10 @@
 			return undefined;
 		}
 
-		return Math.min(nowMs, ...failing.map(({requestedAtMs}) => requestedAtMs));
+		// Only the newest answers that suffice count, so that a peer that stops answering does not make the evidence old.
+		const newestFirst = failing.toSorted((a, b) => b.requestedAtMs - a.requestedAtMs);
+		const ofEachDataCentre = [...failingDataCentres].map(dataCentre => newestFirst.find(answer => answer.dataCentre === dataCentre)!);
+		const sufficient = [...newestFirst.slice(0, Math.ceil(peers.length / 2)), ...ofEachDataCentre];
+		return Math.min(nowMs, ...sufficient.map(({requestedAtMs}) => requestedAtMs));
 	}
 }
