Prefer the successor that restarted last during a rolling restart

Cause: during a rolling restart, the lease could pass to a process that was about to be restarted itself, which cost one more hand-over.

While some successor has been running for less than 15 s, equal ones are ranked by their incarnation, the youngest first. A larger CPU still comes first.

Failed before: 'the successor that has restarted 9000 ms ago comes first only during a rolling restart' (holder-liveness.test.ts).

--- a/packages/state/src/liveness/holder-liveness.ts
+++ b/packages/state/src/liveness/holder-liveness.ts
@@ -34,6 +34,9 @@
 
 const minDelayMs = 5;
 
+/** A restart within this time shows that the processes are being restarted one after the other. */
+const rollingRestartMs = 15_000;
+
 /** Attempts to acquire the lease in one suspicion. A renewal sent right before the loss makes the first one fail; after the last one, the expiry of the lease decides. */
 const maxAttempts = 3;
 
@@ -332,11 +335,22 @@
 	#rank(holder: Holder, situation: LivenessSituation): number {
 		const {nowMs, successors} = situation;
 		const candidates = successors.filter(({processId}) => processId !== holder.processId && (processId === this.#options.processId || this.#runningPeer(processId, nowMs) !== undefined));
-		return candidates.toSorted((a, b) => this.#compare(a, b)).findIndex(({processId}) => processId === this.#options.processId);
+		const isRollingRestart = candidates.some(candidate => nowMs - this.#startedAtMs(candidate) < rollingRestartMs);
+		return candidates.toSorted((a, b) => this.#compare(a, b, isRollingRestart)).findIndex(({processId}) => processId === this.#options.processId);
+	}
+
+	/** Successors with more CPU come first. Of equal ones, the one that restarted last does during a rolling restart, since another would soon hand the lease over again. All processes know the same incarnations, while the start times that they derive from uptimes differ by the latency. */
+	#compare(a: Successor, b: Successor, isRollingRestart: boolean): number {
+		const restartOrder = isRollingRestart ? this.#incarnation(b) - this.#incarnation(a) : 0;
+		return b.cpuMillicores - a.cpuMillicores || restartOrder || (a.processId < b.processId ? -1 : 1);
+	}
+
+	#incarnation({processId}: Successor): number {
+		return processId === this.#options.processId ? this.#options.incarnation : this.#peers.get(processId)?.incarnation ?? 0;
 	}
 
-	#compare(a: Successor, b: Successor): number {
-		return b.cpuMillicores - a.cpuMillicores || (a.processId < b.processId ? -1 : 1);
+	#startedAtMs({processId}: Successor): number {
+		return processId === this.#options.processId ? this.#options.startedAtMs : this.#peers.get(processId)?.startedAtMs ?? Number.NEGATIVE_INFINITY;
 	}
 
 	/** Returns when this process may act on the silence or the release of the holder; infinite if it does not follow one. */
--- a/packages/state/tests/liveness/holder-liveness.test.ts
+++ b/packages/state/tests/liveness/holder-liveness.test.ts
@@ -201,6 +201,28 @@
 	expect(second.acquiredReleasedAtMs).toEqual([250]);
 });
 
+test.each([
+	{uptimeMs: 9000, acquiredAtMs: 250},
+	{uptimeMs: 16_000, acquiredAtMs: 100},
+])('the successor that has restarted $uptimeMs ms ago comes first only during a rolling restart', ({uptimeMs, acquiredAtMs}) => {
+	process.receive(50, {
+		type: 'report', processId: 'b', incarnation: 2, uptimeMs,
+	});
+	process.receive(100, {type: 'released', processId: 'h'});
+	process.runUntil(300);
+	expect(process.acquiredReleasedAtMs).toEqual([acquiredAtMs]);
+});
+
+test('a smaller successor that has just restarted does not come before a larger one', () => {
+	process.peers = successors.map(({processId}) => ({processId, cpuMillicores: processId === 'a' ? 1350 : 300}));
+	process.receive(50, {
+		type: 'report', processId: 'b', incarnation: 2, uptimeMs: 9000,
+	});
+	process.receive(100, {type: 'released', processId: 'h'});
+	process.runUntil(300);
+	expect(process.acquiredReleasedAtMs).toEqual([100]);
+});
+
 test('a datagram is accepted only with the HMAC of its content, and stays below 300 bytes', () => {
 	const message: LivenessMessage = {
 		type: 'report', processId: 'edge-host-with-a-long-name.dc-1.example', incarnation: 1_796_418_000_123, sequence: 1_000_000, uptimeMs: 86_400_000, token: 123_456, silenceMs: 150,
