Refuse jobs at the gates that would be too late to be of use

While a pool was overloaded far beyond its capacity, gates stored every job, also those that could not end within three times their objective. Each of them is run to its end and takes capacity from others.

The lease holder publishes the drain time of the work ahead of a new job with the pending counts, by queue and chain length. Gates refuse with 503 and Retry-After, at random between two and three times the objective, and customers within their share last.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -2,13 +2,15 @@
 The process of an entry host on the users' platform: answers callers, and schedules the fleet's work while it holds the lease.
 */
 import {
-	type Clock, type JsonValue, LifecycleManager, listenOn, type Logger, type MetricsRegistry, type OperationsRoute, OperationsServer,
+	type Clock, type JsonValue, LifecycleManager, listenOn, type Logger, type MetricsRegistry, type OperationsRoute, OperationsServer, SystemRandom,
 } from '@poplarnotch/common';
 import {
 	AdviceHttpClient, createReadinessServer, HttpClient, type HostSettings, JobHttpServer, MachineHttpControl, OperatorRowsWatcher, WaveStatusWriter, TableStore, WorkerRegistryWatcher, WorkerHttpControl,
 } from '@poplarnotch/platform-adapter';
 import {RetryingTableService} from '@poplarnotch/platform';
-import {type OrderPolicyName, SchedulerProcess} from '@poplarnotch/scheduler';
+import {
+	admitAll, DrainTimeAdmission, type OrderPolicyName, SchedulerProcess,
+} from '@poplarnotch/scheduler';
 import {
 	createRpcRoute, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
@@ -46,6 +48,7 @@
 export type EntryProcessOptions = {
 	readonly settings: HostSettings;
 	readonly metricsPort: number;
+	readonly admission?: 'on' | 'off' | undefined;
 	readonly orderPolicy?: OrderPolicyName | undefined;
 	readonly clock: Clock;
 	readonly log: Logger;
@@ -84,6 +87,7 @@
 			processId: settings.host,
 			table,
 			resolvingTable,
+			admission: options.admission === 'off' ? admitAll : new DrainTimeAdmission(new SystemRandom()),
 			orderPolicy: options.orderPolicy,
 			orders: new OperatorRowsWatcher({table, log, convergeMs: settings.configurationConvergeMs}),
 			workers: new WorkerRegistryWatcher({table, log}),
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -19,9 +19,10 @@
 const logFlushMs = 100;
 const defaultMetricsPort = 9464;
 
-const {metricsPort, orderPolicy} = await yargs(process.argv.slice(2))
+const {metricsPort, admission, orderPolicy} = await yargs(process.argv.slice(2))
 	.scriptName('poplarnotch-entry')
 	.option('metricsPort', {type: 'number', default: defaultMetricsPort, describe: 'Port that serves /metrics and /dump'})
+	.option('admission', {choices: ['on', 'off'] as const, default: 'on' as const, describe: 'Whether jobs that would be too late to be of use are refused'})
 	.option('orderPolicy', {choices: orderPolicyNames, default: orderPolicyNames[0], describe: 'Order in which waiting steps are offered capacity'})
 	.strict()
 	.parse();
@@ -37,7 +38,7 @@
 		`time=${new Date().toISOString()} level=warn process=${settings.right.host} event=log_lines_dropped lines=${count}\n`);
 	const log = createLogger(settings.right.host, 'info', output);
 	const entry = new EntryProcess({
-		settings: settings.right, metricsPort, orderPolicy, clock, log, metrics: new MetricsRegistry(),
+		settings: settings.right, metricsPort, admission, orderPolicy, clock, log, metrics: new MetricsRegistry(),
 	});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,3 +1,4 @@
+export {type AdmissionControl, admitAll, DrainTimeAdmission} from './admission/admission-control.js';
 export {reduceScheduler} from './core/reducer.js';
 export {orderPolicyNames, type OrderPolicyName} from './core/order/order-policies.js';
 export type {JobChange, SchedulerEffect, SchedulerEvent} from './core/events.js';
--- a/packages/scheduler/src/jobs/job-service.ts
+++ b/packages/scheduler/src/jobs/job-service.ts
@@ -5,6 +5,8 @@
 */
 import {type CancelTimer, type Clock, type Logger} from '@poplarnotch/common';
 import {ConflictError, PlatformError, WriteOutcomeUnknownError} from '@poplarnotch/platform';
+import {type AdmissionControl} from '../admission/admission-control.js';
+import {type QueueLoad} from '../admission/queue-loads.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {
 	type FleetConfiguration, type JobSpec, type JobState, type Queue,
@@ -23,7 +25,10 @@
 	= | {readonly type: 'admitted'; readonly target: CallTarget; readonly rest: string}
 		| {readonly type: 'not-configured' | 'configuration-stale' | 'no-such-queue' | 'unknown-key'};
 
-export type SubmitResult = 'accepted' | 'not-accepted' | 'unknown' | 'invalid';
+export type SubmitResult
+	= | 'accepted' | 'not-accepted' | 'unknown' | 'invalid'
+	/** The job would be too late to be of use to its caller, and was not stored. */
+		| {readonly type: 'overloaded'; readonly retryAfterMs: number};
 export type StatusResult = JobState | 'no-such-job' | 'unavailable';
 export type CancelResult = 'cancelled' | 'no-such-job' | 'not-cancelled' | 'unknown';
 
@@ -36,6 +41,9 @@
 	/** Age of the operators' configuration, since its last confirmed read, and the maximum age at which calls are answered by it. */
 	readonly configurationAgeMs: () => number;
 	readonly maxConfigurationAgeMs: number;
+	readonly admission: AdmissionControl;
+	/** The queue's load as last published by the lease holder; `undefined` if that was too long ago. */
+	readonly loadOf: (queue: string) => QueueLoad | undefined;
 	readonly clock: Clock;
 	readonly log: Logger;
 };
@@ -90,6 +98,11 @@
 			return 'accepted';
 		}
 
+		const refusal = await this.#refusalOf(job);
+		if (refusal !== undefined) {
+			return refusal;
+		}
+
 		const sentAtMs = this.#options.clock.nowMs();
 		const result = await this.#options.store.accept(job);
 		this.#options.log.info({
@@ -147,6 +160,26 @@
 		}
 	}
 
+	/** Returns the answer to a job that is not stored because of an overload. A job that an earlier attempt has stored, possibly through another process, must not be reported as refused; if the store does not tell, the job is not refused. */
+	async #refusalOf(job: JobSpec): Promise<SubmitResult | undefined> {
+		const queue = this.configuration.queues.get(job.queue);
+		const decision = queue === undefined ? undefined : this.#options.admission.decide(job, queue, this.#options.loadOf(queue.name));
+		if (decision?.type !== 'refused') {
+			return undefined;
+		}
+
+		const stored = await this.#find(this.#options.view(), job.jobId, 'submit');
+		if (stored !== undefined) {
+			return stored === 'unanswered' ? undefined : 'accepted';
+		}
+
+		const {retryAfterMs, drainMs} = decision;
+		this.#options.log.info({
+			event: 'job_refused', jobId: job.jobId, queue: job.queue, customer: job.customer, drainMs, retryAfterMs,
+		});
+		return {type: 'overloaded', retryAfterMs};
+	}
+
 	async #storeCancel(jobId: string): Promise<CancelResult> {
 		let mayBeStored = false;
 		for (let attempt = 0; attempt < maxCancelAttempts; attempt++) {
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -10,6 +10,8 @@
 import {
 	fenceKey, type HeldLease, LeaseContender, TableReplica,
 } from '@poplarnotch/state';
+import {admitAll, type AdmissionControl, maxLoadAgeMs} from '../admission/admission-control.js';
+import {queueLoadsOf} from '../admission/queue-loads.js';
 import {endedJobRetentionMs, storeRetryDelayMs} from '../constants.js';
 import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {createOrderPolicy, type OrderPolicyName} from '../core/order/order-policies.js';
@@ -26,7 +28,7 @@
 } from '../ports.js';
 import {type FleetConfiguration} from '../types.js';
 import {EffectPerformer} from './effect-performer.js';
-import {pendingFrom, pendingWrite} from './pending-rows.js';
+import {pendingFrom, pendingWrite, type PublishedQueues} from './pending-rows.js';
 import {WorkerPoller} from './worker-poller.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
@@ -98,6 +100,8 @@
 	readonly onConfigured: (configuration: FleetConfiguration) => void;
 	/** Called with changes to the rows, other than job rows, that the processes share. */
 	readonly onControlRows: (changes: readonly RowChange[]) => void;
+	/** Decides whether a new job is refused because its pool is overloaded; by default, none is. */
+	readonly admission?: AdmissionControl | undefined;
 	/** The order in which waiting steps are offered capacity; default `likely-in-time-first`. */
 	readonly orderPolicy?: OrderPolicyName | undefined;
 	readonly clock: Clock;
@@ -128,7 +132,7 @@
 	#isFollowing = false;
 	readonly #replicaView: JobView;
 	readonly #storedView: JobView;
-	#pending: {readonly jobsByQueue: ReadonlyMap<string, number>; readonly readAtMs: number} | undefined;
+	#pending: PublishedQueues & {readonly readAtMs: number} | undefined;
 	/** The process is stopping and must not acquire the lease again. */
 	#isLeaving = false;
 	#isClosed = false;
@@ -198,7 +202,8 @@
 			},
 		});
 		this.jobService = new JobService({
-			state: () => this.#runtime.state, store: this.#store,
+			state: () => this.#runtime.state, store: this.#store, admission: options.admission ?? admitAll,
+			loadOf: queue => this.#pending !== undefined && clock.nowMs() - this.#pending.readAtMs <= maxLoadAgeMs ? this.#pending.loads.get(queue) : undefined,
 			view: () => this.#isFollowing && this.#jobReplica.confirmedAtMs !== undefined ? this.#replicaView : this.#storedView,
 			configurationAgeMs: () => clock.nowMs() - (options.orders.confirmedAtMs ?? Number.NEGATIVE_INFINITY), maxConfigurationAgeMs: options.maxConfigurationAgeMs, clock, log,
 		});
@@ -267,6 +272,7 @@
 			fencingToken: state.term?.fencingToken ?? 0,
 			isSettled: state.isSettled,
 			durations: state.durations.summary(),
+			loads: [...this.#pending?.loads ?? []].map(([queue, {drainMs, overShare}]) => ({queue, drainMs, overShare})),
 			openJobs: [...state.openJobs].map(job => ({
 				jobId: job.spec.jobId, queue: job.spec.queue, ageMs: Math.round(this.#options.clock.nowMs() - job.firstSeenAtMs), hasBegun: job.hasBegun,
 			})),
@@ -309,7 +315,7 @@
 	/** The fence keeps a holder that was paused from overwriting the counts of its successor. */
 	async #publishPending(fence: RowCondition): Promise<void> {
 		try {
-			await this.#options.table.commit({conditions: [fence], writes: [pendingWrite(countPendingJobs(this.state))]});
+			await this.#options.table.commit({conditions: [fence], writes: [pendingWrite({jobsByQueue: countPendingJobs(this.state), loads: queueLoadsOf(this.state, this.#options.clock.nowMs())})]});
 		} catch (error) {
 			if (!(error instanceof PlatformError)) {
 				throw error;
@@ -321,9 +327,9 @@
 
 	#applyPendingRow(changes: readonly RowChange[]): void {
 		for (const change of changes) {
-			const jobsByQueue = pendingFrom(change);
-			if (jobsByQueue !== undefined) {
-				this.#pending = {jobsByQueue, readAtMs: this.#options.clock.nowMs()};
+			const published = pendingFrom(change);
+			if (published !== undefined) {
+				this.#pending = {...published, readAtMs: this.#options.clock.nowMs()};
 			}
 		}
 	}
--- a/packages/scheduler/tests/jobs/job-service.test.ts
+++ b/packages/scheduler/tests/jobs/job-service.test.ts
@@ -6,7 +6,7 @@
 import {JobService} from '../../src/jobs/job-service.js';
 import {type JobStore} from '../../src/jobs/job-store.js';
 import {ReplicaJobView} from '../../src/jobs/job-view.js';
-import {reduceScheduler, SchedulerState} from '../../src/index.js';
+import {admitAll, reduceScheduler, SchedulerState} from '../../src/index.js';
 import {jobOf} from '../support/jobs.js';
 import {configurationOf, queueOf} from '../support/scheduler-simulation.js';
 
@@ -31,7 +31,7 @@
 	});
 	return new JobService({
 		// These tests store nothing.
-		state: () => state, store: {} as unknown as JobStore, view: () => new ReplicaJobView({state: () => state, refresh: neverResolves, ageMs: () => ageMs}), configurationAgeMs: () => ageMs, maxConfigurationAgeMs: configurationMaxAgeMs, clock, log: silentLogger,
+		state: () => state, store: {} as unknown as JobStore, view: () => new ReplicaJobView({state: () => state, refresh: neverResolves, ageMs: () => ageMs}), configurationAgeMs: () => ageMs, maxConfigurationAgeMs: configurationMaxAgeMs, admission: admitAll, loadOf: () => undefined, clock, log: silentLogger,
 	});
 };
 
--- a/packages/scheduler/tests/support/overload-model.ts
+++ b/packages/scheduler/tests/support/overload-model.ts
@@ -5,11 +5,14 @@
 import {
 	type FinishedEntry, type JobSpec, type Queue, reduceScheduler, type SchedulerEffect, type SchedulerEvent, SchedulerState,
 } from '../../src/index.js';
+import {admitAll, type AdmissionControl} from '../../src/admission/admission-control.js';
+import {queueLoadsOf} from '../../src/admission/queue-loads.js';
 import {type OrderPolicy} from '../../src/core/order/order-policy.js';
 import {jobOf, stepOf} from './jobs.js';
 
 const roundMs = 25;
 const pollIntervalMs = 500;
+const publishIntervalMs = 1000;
 const pool = 'pairing';
 const workerCount = 10;
 const slotsPerWorker = 8;
@@ -53,6 +56,7 @@
 	readonly workMs: number;
 	readonly objectiveMs: number;
 	value: number;
+	isRefused: boolean;
 	endedAtMs: number | undefined;
 };
 
@@ -71,6 +75,7 @@
 	readonly valuePercent: number;
 	/** Share in time of the worst-served customer. */
 	readonly worstCustomerPercent: number;
+	readonly refusedPercent: number;
 	readonly unfinished: number;
 	/** Share of the starts during bursts that were of jobs older than three times their objective. */
 	readonly worthlessStartsPercent: number;
@@ -106,7 +111,7 @@
 		spec: jobOf(number, {
 			queue: queue.name, customer: pickCustomer(random), steps, acceptedWallMs: atMs,
 		}),
-		isLarge, atMs, durationsMs, workMs: steps.reduce((sum, step) => sum + (step.taskCount * step.estimateMs), 0), objectiveMs: (queue.objectiveFactor * chainMs) + queue.objectiveMs, value: 0, endedAtMs: undefined,
+		isLarge, atMs, durationsMs, workMs: steps.reduce((sum, step) => sum + (step.taskCount * step.estimateMs), 0), objectiveMs: (queue.objectiveFactor * chainMs) + queue.objectiveMs, value: 0, isRefused: false, endedAtMs: undefined,
 	};
 };
 
@@ -174,17 +179,24 @@
 		}
 	}
 
-	play(jobs: readonly PlannedJob[], untilMs: number): void {
+	/** Jobs that the gate refuses are not stored and, here, not submitted again. */
+	play(jobs: readonly PlannedJob[], untilMs: number, admission: AdmissionControl): void {
 		let next = 0;
-		while (this.#nowMs < untilMs && jobs.some(({endedAtMs}) => endedAtMs === undefined)) {
+		let loads = queueLoadsOf(this.state, this.#nowMs);
+		while (this.#nowMs < untilMs && jobs.some(({endedAtMs, isRefused}) => endedAtMs === undefined && !isRefused)) {
 			this.#nowMs += roundMs;
+			if (this.#nowMs % publishIntervalMs === 0) {
+				loads = queueLoadsOf(this.state, this.#nowMs);
+			}
+
 			const first = next;
 			while (next < jobs.length && jobs[next]!.atMs <= this.#nowMs) {
+				jobs[next]!.isRefused = admission.decide(jobs[next]!.spec, queue, loads.get(queue.name)).type === 'refused';
 				next++;
 			}
 
 			if (next > first) {
-				this.#dispatch({type: 'jobsChanged', changes: jobs.slice(first, next).map(({spec}) => ({type: 'accepted', job: spec, rowKey: spec.jobId}))});
+				this.#dispatch({type: 'jobsChanged', changes: jobs.slice(first, next).filter(({isRefused}) => !isRefused).map(({spec}) => ({type: 'accepted', job: spec, rowKey: spec.jobId}))});
 			}
 
 			for (const [workerId, ends] of this.#ends) {
@@ -271,11 +283,11 @@
 };
 
 /** Plays the load to the end of its last job. */
-export const playOverload = (policy: OrderPolicy, load: OverloadLoad): OverloadOutcome => {
+export const playOverload = (policy: OrderPolicy, load: OverloadLoad, admission = admitAll): OverloadOutcome => {
 	const jobs = planJobs(load);
 	const model = new OverloadModel(policy, jobs);
 	const lastGapEndsAtMs = firstBurstAtMs + (load.bursts * (load.burstMs + load.gapMs));
-	model.play(jobs, lastGapEndsAtMs + 120_000);
+	model.play(jobs, lastGapEndsAtMs + 120_000, admission);
 	const burstStarts = model.starts.filter(({atMs}) => atMs < lastGapEndsAtMs && (atMs - firstBurstAtMs) % (load.burstMs + load.gapMs) < load.burstMs);
 	const totalValue = jobs.reduce((sum, {value}) => sum + value, 0);
 	const byCustomer = [...customerWeights.keys()].map(name => shareOf(jobs.filter(({spec}) => spec.customer === name)).inTimePercent);
@@ -286,7 +298,8 @@
 		valuePercent: percentOf(jobs.reduce((sum, job) => sum + (job.value * worthOf(job)), 0), totalValue),
 		worstCustomerPercent: Math.min(...byCustomer),
 		worthlessStartsPercent: percentOf(burstStarts.filter(({ageFactor}) => ageFactor > worthlessFactor).length, burstStarts.length),
-		unfinished: jobs.filter(({endedAtMs}) => endedAtMs === undefined).length,
+		refusedPercent: percentOf(jobs.filter(({isRefused}) => isRefused).length, jobs.length),
+		unfinished: jobs.filter(({endedAtMs, isRefused}) => endedAtMs === undefined && !isRefused).length,
 		longestFactor: Math.round(10 * Math.max(...jobs.map(job => takenFactor(job)))) / 10,
 	};
 };
