--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -2,13 +2,15 @@
 The process of an entry host on the users' platform: answers callers, and schedules the fleet's work while it holds the lease.
 */
 import {
-	type Clock, type JsonValue, LifecycleManager, listenOn, type Logger, type MetricsRegistry, type OperationsRoute, OperationsServer,
+	type Clock, type JsonValue, LifecycleManager, listenOn, type Logger, type MetricsRegistry, type OperationsRoute, OperationsServer, SystemRandom,
 } from '@poplarnotch/common';
 import {
 	AdviceHttpClient, createReadinessServer, HttpClient, type HostSettings, JobHttpServer, MachineHttpControl, OperatorRowsWatcher, WaveStatusWriter, TableStore, WorkerRegistryWatcher, WorkerHttpControl,
 } from '@poplarnotch/platform-adapter';
 import {RetryingTableService} from '@poplarnotch/platform';
-import {type OrderPolicyName, SchedulerProcess} from '@poplarnotch/scheduler';
+import {
+	admitAll, DrainTimeAdmission, type OrderPolicyName, SchedulerProcess,
+} from '@poplarnotch/scheduler';
 import {
 	createRpcRoute, OutageEvidence, OutageProber, ReachabilityMeter, reachabilityMethods, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
@@ -55,6 +57,7 @@
 export type EntryProcessOptions = {
 	readonly settings: HostSettings;
 	readonly metricsPort: number;
+	readonly admission?: 'on' | 'off' | undefined;
 	readonly orderPolicy?: OrderPolicyName | undefined;
 	/** Whether the lease holder goes on scheduling while no process reaches the store. */
 	readonly outageScheduling: boolean;
@@ -118,6 +121,7 @@
 			processId: settings.host,
 			table,
 			resolvingTable,
+			admission: options.admission === 'off' ? admitAll : new DrainTimeAdmission(new SystemRandom()),
 			orderPolicy: options.orderPolicy,
 			orders: new OperatorRowsWatcher({table, log, convergeMs: Math.min(settings.configurationConvergeMs, maxOrdersAgeMs)}),
 			workers: new WorkerRegistryWatcher({table, log}),
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -24,9 +24,10 @@
 /** A holder that pauses for up to 400 ms does not check whether it was replaced, so it must not be suspected earlier, with an interval of heartbeats as margin. */
 const minFailureDetectionMs = 550;
 
-const {metricsPort, orderPolicy, outageScheduling, failureDetectionMs} = await yargs(process.argv.slice(2))
+const {metricsPort, admission, orderPolicy, outageScheduling, failureDetectionMs} = await yargs(process.argv.slice(2))
 	.scriptName('poplarnotch-entry')
 	.option('metricsPort', {type: 'number', default: defaultMetricsPort, describe: 'Port that serves /metrics and /dump'})
+	.option('admission', {choices: ['on', 'off'] as const, default: 'off' as const, describe: 'Whether jobs that would be too late to be of use are refused'})
 	.option('orderPolicy', {choices: orderPolicyNames, default: orderPolicyNames[0], describe: 'Order in which waiting steps are offered capacity'})
 	.option('outageScheduling', {choices: ['on', 'off'] as const, default: 'on', describe: 'Whether the lease holder goes on scheduling stored jobs while no process reaches the store'})
 	.option('failureDetectionMs', {type: 'number', default: defaultFailureDetectionMs, describe: 'Silence after which the lease holder is suspected; 0 waits for the end of its lease'})
@@ -45,7 +46,7 @@
 		`time=${new Date().toISOString()} level=warn process=${settings.right.host} event=log_lines_dropped lines=${count}\n`);
 	const log = createLogger(settings.right.host, 'info', output);
 	const entry = new EntryProcess({
-		settings: settings.right, metricsPort, orderPolicy, outageScheduling: outageScheduling === 'on', failureDetectionMs, clock, log, metrics: new MetricsRegistry(),
+		settings: settings.right, metricsPort, admission, orderPolicy, outageScheduling: outageScheduling === 'on', failureDetectionMs, clock, log, metrics: new MetricsRegistry(),
 	});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
