Size pools for bursts, and spare pools in a burst during waves

Cause: machines were moved once tasks found no room or the arrival rate of 2 s had risen, so they arrived 1.5 s into a burst; a maintenance wave took machines of any pool; a new holder could order any number of machines in one round.

Change: `DemandForecast` with `recent-arrivals` (as before) and `bursts`, chosen by `--poolForecast` of poplarnotch-entry (default `bursts`). A burst is detected from four jobs in 500 ms at three times the mean; the pool is sized for the learned peak until the expected end, a first burst by its slope, and a burst that has followed another pool's at a constant interval twice is expected 1.5 s ahead. Machines of a pool whose burst is over are moved first. Waves leave pools in a burst while they can still end in time. For 3 s after a takeover, a round sends at most 20 machine orders.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -8,7 +8,7 @@
 	AdviceHttpClient, createReadinessServer, HttpClient, type HostSettings, JobHttpServer, MachineHttpControl, OperatorRowsWatcher, WaveStatusWriter, TableStore, WorkerRegistryWatcher, WorkerHttpControl,
 } from '@poplarnotch/platform-adapter';
 import {RetryingTableService} from '@poplarnotch/platform';
-import {SchedulerProcess} from '@poplarnotch/scheduler';
+import {type PoolForecastName, SchedulerProcess} from '@poplarnotch/scheduler';
 import {
 	createRpcRoute, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
@@ -46,6 +46,7 @@
 export type EntryProcessOptions = {
 	readonly settings: HostSettings;
 	readonly metricsPort: number;
+	readonly poolForecast: PoolForecastName;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
@@ -101,6 +102,7 @@
 			clock,
 			log,
 			metrics,
+			poolForecast: options.poolForecast,
 		});
 		this.#jobServer = new JobHttpServer({
 			jobService: this.#scheduler.jobService, clock, log, metrics, isLeaving: () => !this.isReady,
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -8,6 +8,7 @@
 	BoundedOutput, createLogger, formatFinding, MetricsRegistry, SystemClock, writeToDescriptor,
 } from '@poplarnotch/common';
 import {readHostSettings} from '@poplarnotch/platform-adapter';
+import {poolForecastNames} from '@poplarnotch/scheduler';
 import yargs from 'yargs';
 import {EntryProcess} from './entry-process.js';
 
@@ -18,9 +19,10 @@
 const logFlushMs = 100;
 const defaultMetricsPort = 9464;
 
-const {metricsPort} = await yargs(process.argv.slice(2))
+const {metricsPort, poolForecast} = await yargs(process.argv.slice(2))
 	.scriptName('poplarnotch-entry')
 	.option('metricsPort', {type: 'number', default: defaultMetricsPort, describe: 'Port that serves /metrics and /dump'})
+	.option('poolForecast', {choices: poolForecastNames, default: 'bursts' as const, describe: 'How the demand of pools is forecast'})
 	.strict()
 	.parse();
 
@@ -35,7 +37,7 @@
 		`time=${new Date().toISOString()} level=warn process=${settings.right.host} event=log_lines_dropped lines=${count}\n`);
 	const log = createLogger(settings.right.host, 'info', output);
 	const entry = new EntryProcess({
-		settings: settings.right, metricsPort, clock, log, metrics: new MetricsRegistry(),
+		settings: settings.right, metricsPort, poolForecast, clock, log, metrics: new MetricsRegistry(),
 	});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -99,6 +99,7 @@
 	machine.order = {
 		type: 'move', waveId: undefined, pool, sentAtMs: nowMs, phase: 'sent', answeredAtMs: undefined,
 	};
+	state.machineOrdersLeft--;
 	reserveWorker(state, machine);
 	state.emit({
 		type: 'move', machineId: machine.entry.machineId, pool, fencingToken: state.term!.fencingToken, reason,
@@ -109,12 +110,24 @@
 	machine.order = {
 		type: 'maintain', waveId, pool: undefined, sentAtMs: nowMs, phase: 'sent', answeredAtMs: undefined,
 	};
+	state.machineOrdersLeft--;
 	reserveWorker(state, machine);
 	state.emit({
 		type: 'maintain', machineId: machine.entry.machineId, waveId, fencingToken: state.term!.fencingToken,
 	});
 };
 
+/** For this long after a takeover, machine orders are limited. */
+const takeoverPeriodMs = 3000;
+
+/** Maximum number of machine orders in a round after a takeover: the starts of waiting tasks come first, and the answers of all workers are still arriving. */
+const maxTakeoverOrders = 20;
+
+/** Sets the number of machine orders that the round may send. */
+export const limitMachineOrders = (state: SchedulerState, nowMs: number): void => {
+	state.machineOrdersLeft = nowMs - state.term!.wonAtMs < takeoverPeriodMs ? maxTakeoverOrders : Number.POSITIVE_INFINITY;
+};
+
 const reserveWorker = (state: SchedulerState, machine: MachineRecord): void => {
 	const worker = workerOn(state, machine);
 	if (worker !== undefined) {
--- a/packages/scheduler/src/core/pools/demand-meter.ts
+++ b/packages/scheduler/src/core/pools/demand-meter.ts
@@ -1,6 +1,7 @@
 /**
 Measures the rate at which work arrives for each pool, so that a pool grows with the first jobs of a burst instead of waiting until tasks find no free capacity.
 */
+import {type BurstChange, type DemandForecast} from './demand-forecast.js';
 
 /** Demand is measured over this window. It is shorter than a burst, which lasts some seconds, and long enough to average out single large jobs. */
 const windowMs = 2000;
@@ -13,9 +14,34 @@
 	readonly atMs: number;
 };
 
-export class DemandMeter {
+export class DemandMeter implements DemandForecast {
 	readonly #arrivals = new Map<string, Arrival[]>();
 
+	/** Nothing is expected, so nothing is off. */
+	get errorPercent(): number {
+		return 0;
+	}
+
+	advance(): readonly BurstChange[] {
+		return [];
+	}
+
+	restart(): void {
+		// What arrived before the term still counts.
+	}
+
+	isInBurst(): boolean {
+		return false;
+	}
+
+	isBurstEnding(): boolean {
+		return false;
+	}
+
+	isBurstOver(): boolean {
+		return false;
+	}
+
 	recordArrival(arrival: Arrival): void {
 		const recent = (this.#arrivals.get(arrival.pool) ?? []).filter(({atMs}) => atMs > arrival.atMs - windowMs);
 		this.#arrivals.set(arrival.pool, [...recent, arrival]);
--- a/packages/scheduler/src/core/pools/pool-sizing.ts
+++ b/packages/scheduler/src/core/pools/pool-sizing.ts
@@ -86,18 +86,20 @@
 const growPools = (round: SizingRound): void => {
 	const {state, shortages, movable, nowMs} = round;
 	const isSpare = spareCheck(round);
+	const afterBurst = new Set([...state.configuration.pools.keys()].filter(pool => state.demand.isBurstOver(pool, nowMs)));
 	const isAvailable = (machine: MachineRecord): boolean => isStandby(state, machine) || isSpare(machine);
 	for (const {name: pool, isStandby: isStandbyPool} of state.configuration.pools.values()) {
-		if (isStandbyPool) {
+		if (isStandbyPool || state.demand.isBurstEnding(pool, nowMs)) {
 			continue;
 		}
 
+		// A machine whose pool's burst is over would be moved anyway, so it saves a move to standby.
 		const candidates = movable.filter(machine => machine.order === undefined && machine.entry.pool !== pool && isAvailable(machine))
-			.toSorted((a, b) => Number(isStandby(state, b)) - Number(isStandby(state, a)) || idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
+			.toSorted((a, b) => (afterBurst.size > 0 && Number(afterBurst.has(b.entry.pool)) - Number(afterBurst.has(a.entry.pool))) || Number(isStandby(state, b)) - Number(isStandby(state, a)) || idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
 		let deficit = candidates.length === 0 ? 0 : machineDeficit(round, pool, candidates[0]!);
 		for (const candidate of candidates) {
 			// The moves before this one may have left the candidate's pool without spare capacity.
-			if (deficit > 0 && isAvailable(candidate)) {
+			if (deficit > 0 && state.machineOrdersLeft > 0 && isAvailable(candidate)) {
 				deficit--;
 				moveTo(round, candidate, pool, `${shortages.get(pool)?.taskCount ?? 0} unplaced tasks`);
 			}
@@ -114,12 +116,28 @@
 	for (const machine of idleLongest) {
 		const {pool, capacity: {cpuMillicores}} = machine.entry;
 		const keepsHeadroom = capacities.of(pool).freeMillicores - cpuMillicores >= cpuMillicores * headroomShare;
-		if (keepsHeadroom && isSpare(machine)) {
+		if (keepsHeadroom && state.machineOrdersLeft > 0 && isSpare(machine)) {
 			moveTo(round, machine, standby, 'idle');
 		}
 	}
 };
 
+/** Brings the forecast up to date and logs the bursts that have begun or ended. */
+export const updateForecast = (state: SchedulerState, nowMs: number): void => {
+	for (const {pool, expected, actual} of state.demand.advance(nowMs)) {
+		state.emit({
+			type: 'log', fields: {
+				event: actual === undefined ? 'burst_began' : 'burst_ended',
+				pool,
+				expectedMillicores: Math.round(expected.peakMillicores),
+				expectedMs: Math.round(expected.lengthMs),
+				actualMillicores: actual === undefined ? undefined : Math.round(actual.peakMillicores),
+				actualMs: actual === undefined ? undefined : Math.round(actual.lengthMs),
+			},
+		});
+	}
+};
+
 /** Orders the machine moves that current demand requires. */
 export const resizePools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, nowMs: number): void => {
 	if (state.machinesListedAtMs === undefined || state.machinesListedAtMs < state.term!.wonAtMs) {
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -7,9 +7,11 @@
 import {dispatchTasks} from './dispatch.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
-import {applyMachineAnswer, applyMachineList, repeatMachineOrders} from './machines.js';
+import {
+	applyMachineAnswer, applyMachineList, limitMachineOrders, repeatMachineOrders,
+} from './machines.js';
 import {applyPaceAnswer, updatePace} from './throttling.js';
-import {resizePools} from './pools/pool-sizing.js';
+import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {reconcileRuns} from './relocation.js';
 import {applyPollAnswer, applyStartAnswer, applyStopAnswer} from './worker-reports.js';
 import {applySaved, prepareAcknowledgements, saveProgress} from './progress-persistence.js';
@@ -54,6 +56,8 @@
 	const displaced = reconcileRuns(state, nowMs);
 	repeatMachineOrders(state, nowMs);
 	const shortages = dispatchTasks(state, displaced, nowMs);
+	limitMachineOrders(state, nowMs);
+	updateForecast(state, nowMs);
 	advanceWaves(state, nowMs);
 	resizePools(state, shortages, nowMs);
 	prepareAcknowledgements(state);
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -7,7 +7,7 @@
 import {
 	type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
-import {DemandMeter} from './pools/demand-meter.js';
+import {createDemandForecast, type DemandForecast, type PoolForecastName} from './pools/demand-forecast.js';
 import {addResources, noResources, subtractResources} from './resources.js';
 import {type SchedulerEffect} from './events.js';
 import {ShareMeter} from './share-meter.js';
@@ -59,7 +59,7 @@
 	readonly storedWaves = new Map<number, StoredWave>();
 	/** The lease may have passed to another process, so no task is started, and no machine is moved or sent to maintenance. Polling goes on, so that running tasks keep their leases. */
 	isSuspended = false;
-	readonly demand = new DemandMeter();
+	readonly demand: DemandForecast;
 	readonly shares = new ShareMeter();
 	/** Number of advice requests in flight. */
 	pendingAdviceRequests = 0;
@@ -70,10 +70,16 @@
 	storedSaveNumber = 0;
 	/** Trials of this term that have not ended. */
 	readonly trials = new Set<Trial>();
+	/** Number of machine orders that this round may still send. */
+	machineOrdersLeft = Number.POSITIVE_INFINITY;
 	readonly #resourcesInUse = new Map<string, Resources>();
 	readonly #occupied = new Map<WorkerRecord, Resources>();
 	#effects: SchedulerEffect[] = [];
 
+	constructor(poolForecast: PoolForecastName = 'recent-arrivals') {
+		this.demand = createDemandForecast(poolForecast);
+	}
+
 	emit(effect: SchedulerEffect): void {
 		this.#effects.push(effect);
 	}
@@ -89,6 +95,7 @@
 		this.isSettled = false;
 		this.isSuspended = false;
 		this.pendingSaveNumber = undefined;
+		this.demand.restart();
 	}
 
 	queueOf(job: JobRecord | JobSpec): Queue | undefined {
--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -1,7 +1,7 @@
 /**
 Runs maintenance waves: reserves machines so that they drain, orders their maintenance within the wave's concurrency, and reports a wave as completed once every machine that still exists has been maintained.
 
-Idle machines go first. Of the others, as many are reserved in advance as may be down at once, so that they drain while the first ones are being maintained.
+Idle machines go first, and machines of a pool in a burst last, as long as the wave still ends in time. Of the others, as many are reserved in advance as may be down at once, so that they drain while the first ones are being maintained.
 */
 import {type MachineRecord, type WaveRecord} from './records.js';
 import {
@@ -44,6 +44,13 @@
 	}
 };
 
+/** Estimated time from the reservation of a machine until it is back. Maintenance takes about 3 s, and draining about one. */
+const expectedAbsenceMs = 5000;
+
+/** Returns true if the wave would still end in time if it did not start another machine now. */
+const hasTimeLeft = ({order, orderedAtMs}: WaveRecord, remainingCount: number, nowMs: number): boolean =>
+	orderedAtMs + order.withinMs - nowMs > Math.ceil(remainingCount / Math.max(1, order.concurrency)) * expectedAbsenceMs;
+
 const advanceWave = (state: SchedulerState, wave: WaveRecord, nowMs: number): void => {
 	const machines = machinesOf(state, wave);
 	const remaining = machines.filter(({entry}) => !wave.maintained.has(entry.machineId));
@@ -55,10 +62,12 @@
 	}
 
 	let maintenanceSlots = wave.order.concurrency - downCount;
-	const orderable = remaining.filter(machine => isOrderable(state, machine, nowMs))
-		.toSorted((a, b) => drainCost(state, a) - drainCost(state, b));
+	const isInBurst = ({entry}: MachineRecord): boolean => state.demand.isInBurst(entry.pool);
+	const canWait = hasTimeLeft(wave, remaining.length, nowMs);
+	const orderable = remaining.filter(machine => isOrderable(state, machine, nowMs) && !(canWait && isInBurst(machine)))
+		.toSorted((a, b) => Number(isInBurst(a)) - Number(isInBurst(b)) || drainCost(state, a) - drainCost(state, b));
 	for (const machine of orderable) {
-		if (maintenanceSlots > 0 && isIdle(state, machine, nowMs)) {
+		if (maintenanceSlots > 0 && state.machineOrdersLeft > 0 && isIdle(state, machine, nowMs)) {
 			maintenanceSlots--;
 			orderMaintenance(state, machine, wave.order.waveId, nowMs);
 		}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,5 +1,6 @@
 export {reduceScheduler} from './core/reducer.js';
 export type {JobChange, SchedulerEffect, SchedulerEvent} from './core/events.js';
+export {type PoolForecastName, poolForecastNames} from './core/pools/demand-forecast.js';
 export {SchedulerState} from './core/scheduler-state.js';
 export {
 	JobService, type Admission, type CallTarget, type CancelResult, type StatusResult, type SubmitResult,
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -13,6 +13,7 @@
 import {endedJobRetentionMs, storeRetryDelayMs} from '../constants.js';
 import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {reduceScheduler} from '../core/reducer.js';
+import {type PoolForecastName} from '../core/pools/demand-forecast.js';
 import {SchedulerState} from '../core/scheduler-state.js';
 import {JobService} from '../jobs/job-service.js';
 import {JobStore} from '../jobs/job-store.js';
@@ -100,6 +101,8 @@
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
+	/** How the demand of pools is forecast; `recent-arrivals` if left out. */
+	readonly poolForecast?: PoolForecastName;
 };
 
 export class SchedulerProcess {
@@ -138,9 +141,10 @@
 		const {table, clock, log, processId} = options;
 		this.#options = options;
 		this.#lifecycle = new LifecycleManager(clock);
-		this.#runtime = new ReducerRuntime(new SchedulerState(), reduceScheduler, effect => {
+		this.#runtime = new ReducerRuntime(new SchedulerState(options.poolForecast), reduceScheduler, effect => {
 			this.#performer.perform(effect);
 		});
+		options.metrics.gauge('forecast_error_percent', () => this.state.demand.errorPercent);
 		this.#store = new JobStore({
 			table, resolvingTable: options.resolvingTable, clock, log,
 		});
