--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -9,7 +9,7 @@
 } from '@poplarnotch/platform-adapter';
 import {RetryingTableService} from '@poplarnotch/platform';
 import {
-	admitAll, DrainTimeAdmission, type OrderPolicyName, SchedulerProcess,
+	admitAll, DrainTimeAdmission, type OrderPolicyName, type PoolForecastName, SchedulerProcess,
 } from '@poplarnotch/scheduler';
 import {
 	createRpcRoute, OutageEvidence, OutageProber, ReachabilityMeter, reachabilityMethods, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
@@ -63,6 +63,8 @@
 	readonly outageScheduling: boolean;
 	/** Silence after which the lease holder is suspected; 0 leaves the decision to the expiry of its lease. */
 	readonly failureDetectionMs: number;
+	/** How the demand of pools is forecast. */
+	readonly poolForecast: PoolForecastName;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
@@ -150,6 +152,7 @@
 			clock,
 			log,
 			metrics,
+			poolForecast: options.poolForecast,
 		});
 		this.#jobServer = new JobHttpServer({
 			jobService: this.#scheduler.jobService, clock, log, metrics, isLeaving: () => !this.isReady, storeOutageMs: () => this.#storeOutageMs,
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -8,9 +8,11 @@
 import {applyEvacuationOrders, logEvacuations, resetEvacuationLogs} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
-import {applyMachineAnswer, applyMachineList, repeatMachineOrders} from './machines.js';
+import {
+	applyMachineAnswer, applyMachineList, limitMachineOrders, repeatMachineOrders,
+} from './machines.js';
 import {applyPaceAnswer, updatePace} from './throttling.js';
-import {resizePools} from './pools/pool-sizing.js';
+import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {reconcileRuns} from './relocation.js';
 import {applyPollAnswer, applyStartAnswer, applyStopAnswer} from './worker-reports.js';
 import {applySaved, prepareAcknowledgements, saveProgress} from './progress-persistence.js';
@@ -63,6 +65,8 @@
 	}
 
 	const shortages = mayStart ? dispatchTasks(state, displaced, nowMs) : undefined;
+	limitMachineOrders(state, nowMs);
+	updateForecast(state, nowMs);
 	if (mayOrderMachines) {
 		advanceWaves(state, nowMs);
 	}
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -10,7 +10,7 @@
 import {DurationModel} from './model/duration-model.js';
 import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
 import {type OrderPolicy} from './order/order-policy.js';
-import {DemandMeter} from './pools/demand-meter.js';
+import {createDemandForecast, type DemandForecast, type PoolForecastName} from './pools/demand-forecast.js';
 import {addResources, noResources, subtractResources} from './resources.js';
 import {type EarlierHolder, type SchedulerEffect} from './events.js';
 import {ShareMeter} from './share-meter.js';
@@ -74,7 +74,7 @@
 	isSuspended = false;
 	/** The lease could not be renewed in time. Tasks are started, since no other process can have acquired the lease, but no machine is moved or sent to maintenance: the next holder may order the same machine at once. */
 	isLeaseUnconfirmed = false;
-	readonly demand = new DemandMeter();
+	readonly demand: DemandForecast;
 	/** How long steps take compared with their announced durations. */
 	readonly durations = new DurationModel();
 	readonly shares = new ShareMeter();
@@ -92,14 +92,17 @@
 	storedSaveNumber = 0;
 	/** Trials of this term that have not ended. */
 	readonly trials = new Set<Trial>();
+	/** Number of machine orders that this round may still send. */
+	machineOrdersLeft = Number.POSITIVE_INFINITY;
 	readonly #resourcesInUse = new Map<string, Resources>();
 	readonly #occupied = new Map<WorkerRecord, Resources>();
 	/** Workers that keep capacity free for the task of a run that is being stopped elsewhere. */
 	readonly #replacements = new Map<TaskRun, WorkerRecord>();
 	#effects: SchedulerEffect[] = [];
 
-	constructor(order: OrderPolicy = new LikelyInTimeFirst()) {
+	constructor(order: OrderPolicy = new LikelyInTimeFirst(), poolForecast: PoolForecastName = 'recent-arrivals') {
 		this.order = order;
+		this.demand = createDemandForecast(poolForecast);
 	}
 
 	emit(effect: SchedulerEffect): void {
@@ -121,6 +124,7 @@
 		this.isSuspended = false;
 		this.isLeaseUnconfirmed = false;
 		this.#repeatPendingSave();
+		this.demand.restart();
 	}
 
 	queueOf(job: JobRecord | JobSpec): Queue | undefined {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -2,6 +2,7 @@
 export {reduceScheduler} from './core/reducer.js';
 export {orderPolicyNames, type OrderPolicyName} from './core/order/order-policies.js';
 export type {JobChange, SchedulerEffect, SchedulerEvent} from './core/events.js';
+export {type PoolForecastName, poolForecastNames} from './core/pools/demand-forecast.js';
 export {SchedulerState} from './core/scheduler-state.js';
 export {
 	JobService, type Admission, type CallTarget, type CancelResult, type StatusResult, type SubmitResult,
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -17,6 +17,7 @@
 import {describeEvacuations} from '../core/evacuation.js';
 import {createOrderPolicy, type OrderPolicyName} from '../core/order/order-policies.js';
 import {reduceScheduler} from '../core/reducer.js';
+import {type PoolForecastName} from '../core/pools/demand-forecast.js';
 import {SchedulerState} from '../core/scheduler-state.js';
 import {JobService} from '../jobs/job-service.js';
 import {JobStore} from '../jobs/job-store.js';
@@ -125,6 +126,8 @@
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: MetricsRegistry;
+	/** How the demand of pools is forecast; `recent-arrivals` if left out. */
+	readonly poolForecast?: PoolForecastName;
 };
 
 export class SchedulerProcess {
@@ -168,9 +171,10 @@
 		const {table, clock, log, processId} = options;
 		this.#options = options;
 		this.#lifecycle = new LifecycleManager(clock);
-		this.#runtime = new ReducerRuntime(new SchedulerState(createOrderPolicy(options.orderPolicy ?? 'likely-in-time-first')), reduceScheduler, effect => {
+		this.#runtime = new ReducerRuntime(new SchedulerState(createOrderPolicy(options.orderPolicy ?? 'likely-in-time-first'), options.poolForecast), reduceScheduler, effect => {
 			this.#performer.perform(effect);
 		});
+		options.metrics.gauge('forecast_error_percent', () => this.state.demand.errorPercent);
 		this.#store = new JobStore({
 			table, resolvingTable: options.resolvingTable, clock, log,
 		});
