Settle a takeover without waiting for workers whose machines were moved away

A new lease holder sees all workers for the first time, so each counted as one that may be newer than the list of machines, for a second.

A worker that was born more than 6 s ago is not newer than the list.

--- a/packages/scheduler/src/admission/admission-control.ts
+++ b/packages/scheduler/src/admission/admission-control.ts
@@ -23,9 +23,9 @@
 /** Share of the retry delay by which it is spread, so that refused callers do not return together. */
 const retrySpread = 0.25;
 
-export type AdmissionDecision
-	= | {readonly type: 'admitted'}
-		| {readonly type: 'refused'; readonly retryAfterMs: number; readonly drainMs: number};
+export type Refusal = {readonly type: 'refused'; readonly retryAfterMs: number; readonly drainMs: number};
+
+export type AdmissionDecision = {readonly type: 'admitted'} | Refusal;
 
 export interface AdmissionControl {
 	/** Decides on a new job by the load of its queue; `undefined` if it is not known, which admits the job. */
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -9,7 +9,7 @@
 import {endWorker, type LossReason} from './workers.js';
 
 /** Applies a complete list of machines. */
-export const applyMachineList = (state: SchedulerState, entries: readonly MachineEntry[], sentAtMs: number): void => {
+export const applyMachineList = (state: SchedulerState, entries: readonly MachineEntry[], {sentAtMs, wallMs}: {readonly sentAtMs: number; readonly wallMs: number}): void => {
 	const listed = new Set<string>();
 	for (const entry of entries) {
 		listed.add(entry.machineId);
@@ -41,14 +41,20 @@
 	}
 
 	state.machinesListedAtMs = sentAtMs;
-	endUnlistedWorkers(state, sentAtMs);
+	endUnlistedWorkers(state, sentAtMs, wallMs);
 };
 
 /** A worker that registers itself is named in the list of machines within this time. */
 const maxListingDelayMs = 1000;
 
-/** Ends workers that no machine runs any more. A worker that registered within the last `maxListingDelayMs` may be newer than the list and is kept. */
-const endUnlistedWorkers = (state: SchedulerState, nowMs: number): void => {
+/** A worker that was born longer ago than this cannot be newer than a list of machines, even if the wall clocks of its host and of this one differ by some seconds. A new lease holder sees all workers for the first time and tells the old ones by this. */
+const minUnlistedAgeMs = 6000;
+
+const mayBeNewerThanList = (worker: WorkerRecord, nowMs: number, wallMs: number): boolean =>
+	nowMs - worker.firstSeenAtMs <= maxListingDelayMs && (worker.bornWallMs === undefined || wallMs - worker.bornWallMs <= minUnlistedAgeMs);
+
+/** Ends workers that no machine runs any more, except for those that may have registered after the machines were listed. */
+const endUnlistedWorkers = (state: SchedulerState, nowMs: number, wallMs: number): void => {
 	const machineIdByWorker = new Map<string, string>();
 	const ended: WorkerRecord[] = [];
 	for (const {entry} of state.machines.values()) {
@@ -59,7 +65,7 @@
 
 	for (const [workerId, worker] of state.workers) {
 		const machineId = machineIdByWorker.get(workerId);
-		if (machineIdByWorker.size > 0 && machineId === undefined && (worker.machineId !== undefined || !worker.isListed || nowMs - worker.firstSeenAtMs > maxListingDelayMs)) {
+		if (machineIdByWorker.size > 0 && machineId === undefined && (worker.machineId !== undefined || !worker.isListed || !mayBeNewerThanList(worker, nowMs, wallMs))) {
 			ended.push(worker);
 		}
 
--- a/packages/scheduler/src/jobs/job-service.ts
+++ b/packages/scheduler/src/jobs/job-service.ts
@@ -5,7 +5,7 @@
 */
 import {type CancelTimer, type Clock, type Logger} from '@poplarnotch/common';
 import {ConflictError, PlatformError, WriteOutcomeUnknownError} from '@poplarnotch/platform';
-import {type AdmissionControl} from '../admission/admission-control.js';
+import {type AdmissionControl, type Refusal} from '../admission/admission-control.js';
 import {type QueueLoad} from '../admission/queue-loads.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {
@@ -111,7 +111,8 @@
 			return result;
 		}
 
-		const refusal = await this.#refuseOverload(job);
+		const overload = this.#overloadOf(job);
+		const refusal = overload === undefined ? undefined : await this.#refuseOverload(job, overload);
 		if (refusal !== undefined) {
 			return refusal;
 		}
@@ -180,20 +181,20 @@
 		return this.#uncertain.has(jobId) ? 'unknown' : 'not-accepted';
 	}
 
-	/** Returns the answer to a job that is not stored because of an overload. A job that an earlier attempt has stored or may still store, possibly through another process, must not be reported as refused; if the store does not tell, the job is not refused. */
-	async #refuseOverload(job: JobSpec): Promise<SubmitResult | undefined> {
+	/** Returns the refusal of a job that would be too late to be of use; `undefined` if it is admitted. A job that an earlier attempt through this process may still store is not refused. */
+	#overloadOf(job: JobSpec): Refusal | undefined {
 		const queue = this.configuration.queues.get(job.queue);
 		const decision = queue === undefined ? undefined : this.#options.admission.decide(job, queue, this.#options.loadOf(queue.name));
-		if (decision?.type !== 'refused' || this.#uncertain.has(job.jobId)) {
-			return undefined;
-		}
+		return decision?.type === 'refused' && !this.#uncertain.has(job.jobId) ? decision : undefined;
+	}
 
+	/** Refuses a job because of an overload. A job that an earlier attempt has stored, possibly through another process, must not be reported as refused; if the store does not tell, the job is not refused. */
+	async #refuseOverload(job: JobSpec, {retryAfterMs, drainMs}: Refusal): Promise<SubmitResult | undefined> {
 		const stored = await this.#find(this.#options.view(), job.jobId, 'submit');
 		if (stored !== undefined) {
 			return stored === 'unanswered' ? undefined : 'accepted';
 		}
 
-		const {retryAfterMs, drainMs} = decision;
 		this.#options.log.info({
 			event: 'job_refused', jobId: job.jobId, queue: job.queue, customer: job.customer, drainMs, retryAfterMs,
 		});
