--- a/packages/scheduler/tests/pool-sizing.test.ts
+++ b/packages/scheduler/tests/pool-sizing.test.ts
@@ -3,18 +3,16 @@
 */
 import {expect, test} from 'vitest';
 import {
-	reduceScheduler, type SchedulerEffect, type SchedulerEvent, SchedulerState,
+	reduceScheduler, type SchedulerEffect, SchedulerState,
 } from '../src/index.js';
 import {jobOf, stepOf} from './support/jobs.js';
 import {configurationOf, queueOf} from './support/scheduler-simulation.js';
+import {type EventBody} from './support/event-body.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
 const machinesPerPool = 6;
 const pools = ['draws', 'watches'];
 
-/** Body of an event without its time. */
-type EventBody = SchedulerEvent extends infer Event ? Event extends SchedulerEvent ? Omit<Event, 'nowMs' | 'wallMs'> : never : never;
-
 /** A lease holder with two pools of idle machines, all of whose workers have answered. */
 class Holder {
 	readonly state = new SchedulerState();
--- a/packages/scheduler/tests/pools/machine-orders.test.ts
+++ b/packages/scheduler/tests/pools/machine-orders.test.ts
@@ -3,18 +3,16 @@
 */
 import {expect, test} from 'vitest';
 import {
-	reduceScheduler, type SchedulerEffect, type SchedulerEvent, SchedulerState,
+	reduceScheduler, type SchedulerEffect, SchedulerState,
 } from '../../src/index.js';
 import {jobOf, stepOf} from '../support/jobs.js';
 import {configurationOf, queueOf} from '../support/scheduler-simulation.js';
+import {type EventBody} from '../support/event-body.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
 const machinesPerPool = 30;
 const pools = ['draws', 'watches'];
 
-/** Body of an event without its time. */
-type EventBody = SchedulerEvent extends infer Event ? Event extends SchedulerEvent ? Omit<Event, 'nowMs' | 'wallMs'> : never : never;
-
 /** A lease holder that forecasts bursts, with two pools of idle machines. */
 class Holder {
 	readonly state = new SchedulerState(undefined, 'bursts');
--- a/packages/scheduler/tests/support/overload-model.ts
+++ b/packages/scheduler/tests/support/overload-model.ts
@@ -3,12 +3,13 @@
 */
 import {SeededRandom} from '@poplarnotch/common';
 import {
-	type FinishedEntry, type JobSpec, type Queue, reduceScheduler, type SchedulerEffect, type SchedulerEvent, SchedulerState,
+	type FinishedEntry, type JobSpec, type Queue, reduceScheduler, type SchedulerEffect, SchedulerState,
 } from '../../src/index.js';
 import {admitAll, type AdmissionControl} from '../../src/admission/admission-control.js';
 import {queueLoadsOf} from '../../src/admission/queue-loads.js';
 import {type OrderPolicy} from '../../src/core/order/order-policy.js';
 import {jobOf, stepOf} from './jobs.js';
+import {type EventBody} from './event-body.js';
 
 const roundMs = 25;
 const pollIntervalMs = 500;
@@ -83,8 +84,6 @@
 	readonly longestFactor: number;
 };
 
-type EventBody = SchedulerEvent extends infer Event ? Event extends SchedulerEvent ? Omit<Event, 'nowMs' | 'wallMs'> : never : never;
-
 const customerWeights = new Map([['altan', 4], ['nomin', 3], ['saran', 2], ['tsagaan', 2], ['oyuun', 1]]);
 
 const firstBurstAtMs = 1000;
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -5,6 +5,7 @@
 import {reduceScheduler} from '../src/core/reducer.js';
 import {SchedulerState} from '../src/core/scheduler-state.js';
 import {type MachineEntry, type WorkerEntry} from '../src/index.js';
+import {type EventBody} from './support/event-body.js';
 import {configurationOf, pool} from './support/scheduler-simulation.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
@@ -14,8 +15,8 @@
 
 let state: SchedulerState;
 
-const dispatch = (event: Parameters<typeof reduceScheduler>[1] extends infer Event ? Event extends unknown ? Omit<Event, 'nowMs' | 'wallMs'> : never : never, nowMs: number): void => {
-	reduceScheduler(state, {...event, nowMs, wallMs: wallOffsetMs + nowMs} as Parameters<typeof reduceScheduler>[1]);
+const dispatch = (event: EventBody, nowMs: number): void => {
+	reduceScheduler(state, {...event, nowMs, wallMs: wallOffsetMs + nowMs});
 };
 
 const workerOf = (workerId: string, bornWallMs: number): WorkerEntry => ({
