Do not take a burst for ending while its rate lasts

A burst counts as ending only while its rate is below half of its peak, and a burst that rises above what was learned is extrapolated.

--- a/packages/scheduler/src/core/pools/burst-forecast.ts
+++ b/packages/scheduler/src/core/pools/burst-forecast.ts
@@ -25,7 +25,7 @@
 const firstPeakFactor = 5;
 const maxArrivedFactor = 2;
 
-/** A burst that nothing was learned for may still rise: its rate is extrapolated over the time until machines ordered now are ready, up to a limit. */
+/** A burst may still rise, also above what was learned: its rate is extrapolated over the time until machines ordered now are ready, up to a limit. */
 const extrapolationMs = 2500;
 const maxExtrapolationFactor = 2.5;
 /** The slope of fewer jobs says nothing. */
@@ -38,6 +38,8 @@
 
 /** Time that a machine needs to move to another pool. */
 const moveMs = 1500;
+/** A burst is about to end only if its rate has fallen below this part of its peak: an earlier burst of which this process saw only a part is too short a measure. */
+const fallingShare = 0.5;
 /** Time after a burst in which its pool's machines count as free for others. */
 const afterBurstMs = 2000;
 
@@ -209,10 +211,15 @@
 	}
 
 	isBurstEnding(pool: string, nowMs: number): boolean {
-		const burst = this.#pools.get(pool)?.burst;
-		const {lengthMs} = burst?.expected ?? {lengthMs: 0};
-		const endsInMs = (burst?.beganAtMs ?? 0) + lengthMs - nowMs;
-		return lengthMs > 0 && endsInMs < moveMs && endsInMs > -moveMs;
+		const history = this.#pools.get(pool);
+		const burst = history?.burst;
+		if (history === undefined || burst === undefined || burst.expected.lengthMs === 0) {
+			return false;
+		}
+
+		const endsInMs = burst.beganAtMs + burst.expected.lengthMs - nowMs;
+		const isFalling = history.recentMillicores() < fallingShare * burst.peakMillicores;
+		return isFalling && endsInMs < moveMs && endsInMs > -moveMs;
 	}
 
 	isBurstOver(pool: string, nowMs: number): boolean {
@@ -259,13 +266,14 @@
 		return {pool, expected: burst.expected, actual};
 	}
 
-	/** Until its expected end, a burst needs what earlier ones did. The first burst of a pool is estimated from the mean and from what has arrived. */
+	/** Until its expected end, a burst needs what earlier ones did, and more if it rises above them. The first burst of a pool is estimated from the mean and from what has arrived. */
 	#expectedMillicores(history: PoolHistory, {beganAtMs, expected}: Burst, nowMs: number): number {
+		const extrapolated = history.extrapolatedMillicores();
 		if (expected.lengthMs === 0) {
-			return Math.max(history.extrapolatedMillicores(), Math.min(firstPeakFactor * history.meanMillicores(), maxArrivedFactor * history.recentMillicores()));
+			return Math.max(extrapolated, Math.min(firstPeakFactor * history.meanMillicores(), maxArrivedFactor * history.recentMillicores()));
 		}
 
-		return nowMs < beganAtMs + expected.lengthMs ? expected.peakMillicores : 0;
+		return Math.max(extrapolated, nowMs < beganAtMs + expected.lengthMs ? expected.peakMillicores : 0);
 	}
 
 	/** Returns true from `moveMs` before the expected begin of the pool's next burst until it is overdue. */
