--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -29,6 +29,7 @@
 	type RefreshableSource, type WorkerSource, type MachineControl, type OperatorOrders, type PlacementAdvisor, type WaveReporter, type WorkerControl,
 } from '../ports.js';
 import {type FleetConfiguration} from '../types.js';
+import {CopyAgeMonitor} from './copy-age-monitor.js';
 import {EffectPerformer} from './effect-performer.js';
 import {LeaseContinuation} from './lease-continuation.js';
 import {pendingFrom, pendingWrite, type PublishedQueues} from './pending-rows.js';
@@ -140,6 +141,7 @@
 	readonly #continuation: LeaseContinuation;
 	readonly #store: JobStore;
 	readonly #jobReplica: TableReplica;
+	readonly #jobRowsAge: CopyAgeMonitor;
 	readonly #controlReplica: TableReplica;
 	readonly #workerPoller: WorkerPoller;
 	readonly #liveness: LivenessMonitor | undefined;
@@ -207,6 +209,9 @@
 				this.#applyJobRows(changes);
 			},
 		});
+		this.#jobRowsAge = new CopyAgeMonitor({
+			name: 'job_rows', confirmedAtMs: () => this.#jobReplica.confirmedAtMs, clock, log, metrics: options.metrics,
+		});
 		this.#controlReplica = new TableReplica({
 			table, prefix: controlPrefix, waitMs: watchWaitMs, clock, log, pauseMs: () => controlPollPauseMs,
 			onChanges: changes => {
@@ -494,6 +499,8 @@
 			return;
 		}
 
+		this.#jobRowsAge.check();
+
 		if (now.nowMs >= this.#nextListingAtMs && !this.#isListing) {
 			void this.#listMachines();
 		}
