Go on when the store refuses a row for its size or form

Cause: the adapter reported a refused row as InvalidInputError, which is no PlatformError. Each loop ended the process on any error but a PlatformError, and the row came from state that all processes share, so every successor met it. The class of fault: an error that shared state causes ends the process that acts on it.

A refusal is a platform error now, RejectedError. It passes through relayed calls, where it was reported as an unknown outcome, and through the retrying table, where each one left a nonce row in use: 32 of them kept all later saves waiting. Loops log what they do not expect with its stack (task_failed) and go on, and a change on which a replica's listener fails costs only itself.

Evidence: many-queues.test.ts, with the limits of the platform in the fake table, ended with 9 unhandled rejections for control/pending before. The tests of the retrying table, the relay and the replica each name what they guard against.

--- a/packages/platform/src/errors.ts
+++ b/packages/platform/src/errors.ts
@@ -35,6 +35,12 @@
 	override readonly mayBeApplied = false;
 }
 
+/** The platform does not take the call for its size or form, and will not take it later either; nothing was applied. */
+export class RejectedError extends PlatformError {
+	override readonly code = 'rejected';
+	override readonly mayBeApplied = false;
+}
+
 /** The call may or may not have been applied; the caller must read back to find out. */
 export class WriteOutcomeUnknownError extends PlatformError {
 	override readonly code = 'write-outcome-unknown';
--- a/packages/platform/src/http/connection.ts
+++ b/packages/platform/src/http/connection.ts
@@ -7,7 +7,7 @@
 } from '@poplarnotch/common';
 import * as E from 'fp-ts/lib/Either.js';
 import {
-	ConflictError, type PlatformError, UnavailableError, WriteOutcomeUnknownError,
+	ConflictError, type PlatformError, RejectedError, UnavailableError, WriteOutcomeUnknownError,
 } from '../errors.js';
 import {conflictBodySchema} from './schemas.js';
 
@@ -86,8 +86,12 @@
 		return new ConflictError(E.isRight(parsed) ? parsed.right.conflicts : []);
 	}
 
-	// With these statuses, the platform rejected the call before it had any effect.
-	if (answer.status === 429 || answer.status === 503 || answer.status === 400) {
+	if (answer.status === 400) {
+		return new RejectedError(`${describe(call)}: refused with status ${answer.status}`);
+	}
+
+	// With these statuses, the platform refused the call before it had any effect.
+	if (answer.status === 429 || answer.status === 503) {
 		return new UnavailableError(`${describe(call)}: refused with status ${answer.status}`);
 	}
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,7 @@
 export {
-	ConflictError, PlatformError, UnavailableError, WriteOutcomeUnknownError, type RowConflict,
+	ConflictError, PlatformError, RejectedError, UnavailableError, WriteOutcomeUnknownError, type RowConflict,
 } from './errors.js';
+export {failureReason} from './failure-reason.js';
 export {
 	type HostList, type HostListing, type HostListingUpdate, type ListedHost,
 } from './host-list.js';
--- a/packages/platform/src/retrying/commit-resolution.ts
+++ b/packages/platform/src/retrying/commit-resolution.ts
@@ -11,6 +11,7 @@
 	= | {readonly type: 'applied'; readonly revision: number}
 		| {readonly type: 'conflict'; readonly error: ConflictError; readonly isNonceRowChanged: boolean}
 		| {readonly type: 'unavailable'; readonly error: PlatformError}
+		| {readonly type: 'rejected'; readonly error: PlatformError}
 		| {readonly type: 'unknown'; readonly error: PlatformError};
 
 /** What reading the nonce row showed. */
@@ -35,6 +36,8 @@
 	/** The commit was not applied and never will be. `nonceRowRevision` is set if the barrier changed the nonce row. */
 		| {readonly type: 'conflict'; readonly error: ConflictError; readonly nonceRowRevision: number | undefined}
 		| {readonly type: 'unavailable'; readonly error: PlatformError}
+	/** The platform does not take the transaction, also not an earlier attempt of it. */
+		| {readonly type: 'rejected'; readonly error: PlatformError}
 	/** The time limit passed before the outcome was known, or another process changed the nonce row. */
 		| {readonly type: 'unknown'; readonly error: PlatformError};
 
@@ -83,6 +86,10 @@
 			return next(resolution, 'send', true);
 		}
 
+		case 'rejected': {
+			return done(resolution, outcome);
+		}
+
 		case 'unknown': {
 			return next({...resolution, lostAnswer: outcome.error}, 'readNonceRow', true);
 		}
@@ -137,6 +144,10 @@
 			return next(resolution, 'sendBarrier', true);
 		}
 
+		case 'rejected': {
+			return done(resolution, {type: 'unknown', error: resolution.lostAnswer!});
+		}
+
 		case 'unknown': {
 			return next(resolution, 'readNonceRow', true);
 		}
--- a/packages/platform/src/retrying/retrying-table-service.ts
+++ b/packages/platform/src/retrying/retrying-table-service.ts
@@ -6,7 +6,7 @@
 	assertNever, type Clock, MetricsRegistry, type RandomSource, SystemClock, SystemRandom,
 } from '@poplarnotch/common';
 import {
-	ConflictError, PlatformError, UnavailableError, WriteOutcomeUnknownError,
+	ConflictError, PlatformError, RejectedError, UnavailableError, WriteOutcomeUnknownError,
 } from '../errors.js';
 import {
 	type ChangePage, type CommitResult, type PageOptions, type Row, type RowPage, type TableService, type Transaction,
@@ -46,6 +46,10 @@
 		return {type: 'conflict', error, isNonceRowChanged: error.conflicts.some(conflict => conflict.key === nonceRow.key)};
 	}
 
+	if (error instanceof RejectedError) {
+		return {type: 'rejected', error};
+	}
+
 	if (error instanceof PlatformError) {
 		return {type: error.mayBeApplied ? 'unknown' : 'unavailable', error};
 	}
@@ -56,7 +60,8 @@
 /** The error to throw for a commit that was certainly not applied, or whose outcome could not be resolved. */
 const errorOf = (result: Exclude<ResolvedCommit, {readonly type: 'applied'}>): PlatformError => {
 	switch (result.type) {
-		case 'conflict': {
+		case 'conflict':
+		case 'rejected': {
 			return result.error;
 		}
 
@@ -218,7 +223,8 @@
 				throw errorOf(result);
 			}
 
-			case 'unavailable': {
+			case 'unavailable':
+			case 'rejected': {
 				this.#nonceRows.release(nonceRow);
 				throw errorOf(result);
 			}
--- a/packages/platform/src/table-service.ts
+++ b/packages/platform/src/table-service.ts
@@ -69,7 +69,7 @@
 };
 
 /**
-Access to the table service. Reads fail with `UnavailableError`; `commit` fails with `ConflictError`, `UnavailableError` or `WriteOutcomeUnknownError`.
+Access to the table service. Reads fail with `UnavailableError`; `commit` fails with `ConflictError`, `UnavailableError` or `WriteOutcomeUnknownError`, or with `RejectedError` if the platform does not take the transaction for its size or form.
 */
 export interface TableService {
 	commit(transaction: Transaction): Promise<CommitResult>;
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -1,9 +1,9 @@
 /**
 Writes jobs to the table service and reads single jobs from it. Jobs of one partition that arrive while a commit is in flight are committed together in the next one. A job's row is only ever created, so a commit with an unknown outcome is simply repeated: a row that exists already shows that the job is stored.
 */
-import {type Clock, InvalidInputError, type Logger} from '@poplarnotch/common';
+import {type Clock, type Logger} from '@poplarnotch/common';
 import {
-	absentVersion, ConflictError, type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
+	absentVersion, ConflictError, RejectedError, type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {type JobChange, type ProgressSave} from '../core/events.js';
 import {waveKey} from '../shell/wave-rows.js';
@@ -122,7 +122,7 @@
 		try {
 			await this.#resolvingTable.commit({conditions: [fence], writes});
 		} catch (error) {
-			if (!(error instanceof InvalidInputError)) {
+			if (!(error instanceof RejectedError)) {
 				throw error;
 			}
 
@@ -157,7 +157,7 @@
 				return;
 			}
 
-			if (error instanceof InvalidInputError) {
+			if (error instanceof RejectedError) {
 				await this.#commitSingly(batch, error, attempt);
 				return;
 			}
@@ -171,7 +171,7 @@
 	}
 
 	/** The store rejects a whole transaction for one row, so each job is committed on its own; a single job is reported as invalid. */
-	async #commitSingly(batch: readonly PendingJob[], error: InvalidInputError, attempt: number): Promise<void> {
+	async #commitSingly(batch: readonly PendingJob[], error: RejectedError, attempt: number): Promise<void> {
 		this.#log.warn({
 			event: 'jobs_rejected', jobs: batch.length, jobId: batch[0]!.job.jobId, reason: error.message,
 		});
--- a/packages/scheduler/src/shell/copy-age-monitor.ts
+++ b/packages/scheduler/src/shell/copy-age-monitor.ts
@@ -3,8 +3,8 @@
 */
 import {type Clock, type Logger, type MetricsRegistry} from '@poplarnotch/common';
 
-/** The copy is confirmed with each answered call, which waits for changes for up to 1.5 s while there are none. */
-const staleAfterMs = 2000;
+/** The copy is confirmed as of the time when the last answered call was sent. Without changes a call is answered after 1.5 s, so the copy is up to 3 s old while all is well. */
+const staleAfterMs = 3200;
 
 export type CopyAgeMonitorOptions = {
 	/** Name of the copy in log lines and metrics, such as `job_rows`. */
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -4,7 +4,7 @@
 import {
 	assertNever, type Clock, type Logger, type MetricsRegistry,
 } from '@poplarnotch/common';
-import {ConflictError, PlatformError, type RowCondition} from '@poplarnotch/platform';
+import {ConflictError, failureReason, type RowCondition} from '@poplarnotch/platform';
 import {storeRetryDelayMs} from '../constants.js';
 import {type ProgressSave, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
@@ -189,12 +189,8 @@
 					return;
 				}
 
-				if (!(error instanceof PlatformError)) {
-					throw error;
-				}
-
 				this.#options.log.warn({
-					event: 'save_failed', saveNumber: save.saveNumber, jobs: save.jobs.length, reason: error.message,
+					event: 'save_failed', saveNumber: save.saveNumber, jobs: save.jobs.length, reason: failureReason(this.#options.log, 'save progress', error),
 				});
 			}
 
@@ -213,12 +209,8 @@
 				this.#options.log.info({event: 'wave_reported', waveId, state});
 				return;
 			} catch (error) {
-				if (!(error instanceof PlatformError)) {
-					throw error;
-				}
-
 				this.#options.log.warn({
-					event: 'wave_report_failed', waveId, state, reason: error.message,
+					event: 'wave_report_failed', waveId, state, reason: failureReason(this.#options.log, 'report wave', error),
 				});
 				await this.#pause(storeRetryDelayMs);
 			}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -5,7 +5,7 @@
 	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type LogFields, type Logger, type MetricsRegistry, ReducerRuntime,
 } from '@poplarnotch/common';
 import {
-	PlatformError, type RowChange, type RowCondition, type TableService, type WatchableTable,
+	failureReason, type RowChange, type RowCondition, type TableService, type WatchableTable,
 } from '@poplarnotch/platform';
 import {
 	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, type OutageKnowledge, TableReplica,
@@ -427,11 +427,7 @@
 		try {
 			await this.#options.table.commit({conditions: [fence], writes: [pendingWrite({jobsByQueue: countPendingJobs(this.state), loads: queueLoadsOf(this.state, this.#options.clock.nowMs())})]});
 		} catch (error) {
-			if (!(error instanceof PlatformError)) {
-				throw error;
-			}
-
-			this.#options.log.warn({event: 'pending_not_published', reason: error.message});
+			this.#options.log.warn({event: 'pending_not_published', reason: failureReason(this.#options.log, 'publish queues', error)});
 		}
 	}
 
@@ -594,11 +590,7 @@
 				this.#runtime.dispatch(row?.version === fencingToken ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
 				isKnown = true;
 			} catch (error) {
-				if (!(error instanceof PlatformError)) {
-					throw error;
-				}
-
-				this.#options.log.warn({event: 'fence_not_confirmed', reason: error.message});
+				this.#options.log.warn({event: 'fence_not_confirmed', reason: failureReason(this.#options.log, 'confirm fence', error)});
 				await this.#pause(storeRetryDelayMs);
 			}
 		}
@@ -661,11 +653,7 @@
 				this.#scheduleTick();
 				return;
 			} catch (error) {
-				if (!(error instanceof PlatformError)) {
-					throw error;
-				}
-
-				this.#options.log.warn({event: 'takeover_waits', reason: error.message});
+				this.#options.log.warn({event: 'takeover_waits', reason: failureReason(this.#options.log, 'take over', error)});
 				await this.#pause(storeRetryDelayMs);
 			}
 		}
@@ -706,11 +694,7 @@
 				type: 'machinesListed', machines, sentAtMs, ...this.#now(),
 			});
 		} catch (error) {
-			if (!(error instanceof PlatformError)) {
-				throw error;
-			}
-
-			this.#options.log.warn({event: 'machines_not_listed', reason: error.message});
+			this.#options.log.warn({event: 'machines_not_listed', reason: failureReason(this.#options.log, 'list machines', error)});
 		}
 
 		this.#isListing = false;
@@ -726,11 +710,7 @@
 				}
 			}
 		} catch (error) {
-			if (!(error instanceof PlatformError)) {
-				throw error;
-			}
-
-			this.#options.log.warn({event: 'sweep_failed', jobs: ended.length, reason: error.message});
+			this.#options.log.warn({event: 'sweep_failed', jobs: ended.length, reason: failureReason(this.#options.log, 'sweep ended jobs', error)});
 		}
 	}
 }
--- a/packages/scheduler/tests/jobs/job-store.test.ts
+++ b/packages/scheduler/tests/jobs/job-store.test.ts
@@ -1,9 +1,9 @@
 /**
 Storing jobs: a job that reaches several processes, or whose commit loses its answer, is stored once and always reported as accepted; a refusal means that nothing is stored.
 */
-import {InvalidInputError, silentLogger, VirtualClock} from '@poplarnotch/common';
+import {silentLogger, VirtualClock} from '@poplarnotch/common';
 import {
-	type CommitResult, type TableService, type Transaction, UnavailableError, WriteOutcomeUnknownError,
+	type CommitResult, RejectedError, type TableService, type Transaction, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {advanceVirtualTime, MemoryTableService} from '@poplarnotch/standin';
 import {expect, test} from 'vitest';
@@ -40,7 +40,7 @@
 	async #commit(transaction: Transaction): Promise<CommitResult> {
 		this.transactions.push(transaction);
 		if (transaction.writes.some(write => write.type === 'put' && JSON.stringify(write.value).length > maxRowLength)) {
-			throw new InvalidInputError('rejected with status 400');
+			throw new RejectedError('rejected with status 400');
 		}
 
 		const fate = this.#fates.shift() ?? 'answered';
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -1,9 +1,10 @@
 /**
 A process's path to an in-memory table service, with latency and seeded faults: outages, and writes whose answer is lost. Half of those writes are applied at once, the others some seconds later if their conditions still hold.
 */
+import {Buffer} from 'node:buffer';
 import {type RandomSource, type VirtualClock} from '@poplarnotch/common';
 import {
-	type ChangePage, type CommitResult, ConflictError, type PageOptions, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
+	type ChangePage, type CommitResult, ConflictError, type PageOptions, RejectedError, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {type MemoryTableService} from '@poplarnotch/standin';
 import {type HostClock} from './host-clock.js';
@@ -13,6 +14,18 @@
 const lostAnswerMs = 400;
 const maxCommitDelayMs = 4000;
 
+/** The platform's limits: bytes of a row's encoded value, and entries and bytes of one transaction. */
+const limits = {rowBytes: 65_536, entries: 100, transactionBytes: 1_000_000};
+
+const encodedBytes = (value: unknown): number => Math.ceil(Buffer.byteLength(JSON.stringify(value)) / 3) * 4;
+
+const checkLimits = ({conditions, writes}: Transaction): void => {
+	const sizes = writes.map(write => write.type === 'put' ? encodedBytes(write.value) : 0);
+	if (conditions.length + writes.length > limits.entries || Math.max(0, ...sizes) > limits.rowBytes || sizes.reduce((sum, size) => sum + size, 0) > limits.transactionBytes) {
+		throw new RejectedError(`refused with status 400: ${writes.map(({key}) => key).join(', ')}`);
+	}
+};
+
 export type TableFaults = {
 	isDown: boolean;
 	/** Share of writes whose answer is lost; they are applied at once or later. */
@@ -48,6 +61,7 @@
 
 	async commit(transaction: Transaction): Promise<CommitResult> {
 		await this.#simulateTransit();
+		checkLimits(transaction);
 		if (this.#random.next() < this.#faults.lostAnswerRate) {
 			await this.#loseAnswer(transaction);
 		}
--- a/packages/state/src/leases/lease-contender.ts
+++ b/packages/state/src/leases/lease-contender.ts
@@ -4,7 +4,7 @@
 import {
 	assertNever, type CancelTimer, type Clock, type Logger, ReducerRuntime, silentLogger, SystemClock,
 } from '@poplarnotch/common';
-import {ConflictError, PlatformError, type TableService} from '@poplarnotch/platform';
+import {ConflictError, failureReason, type TableService} from '@poplarnotch/platform';
 import {Deferred} from '../deferred.js';
 import {type HeldLease, type UnconfirmedLease} from '../types.js';
 import {defaultLeaseMs} from './constants.js';
@@ -196,10 +196,7 @@
 			return {type: 'conflicted', nowMs};
 		}
 
-		if (error instanceof PlatformError) {
-			return {type: 'failed', nowMs};
-		}
-
-		throw error;
+		failureReason(this.#log, 'lease call', error);
+		return {type: 'failed', nowMs};
 	}
 }
--- a/packages/state/src/relay/messages.ts
+++ b/packages/state/src/relay/messages.ts
@@ -30,6 +30,7 @@
 		type: z.literal('conflict'),
 		conflicts: z.array(z.object({key: z.string(), expectedVersion: z.number(), actualVersion: z.number()})),
 	}),
+	z.object({type: z.literal('rejected'), message: z.string()}),
 	z.object({type: z.literal('history-lost'), message: z.string()}),
 	z.object({type: z.literal('unknown-outcome'), message: z.string()}),
 	z.object({type: z.literal('unavailable'), message: z.string()}),
--- a/packages/state/src/relay/perform-relayed.ts
+++ b/packages/state/src/relay/perform-relayed.ts
@@ -6,7 +6,7 @@
 	assertNever, InvalidInputError, type JsonValue, parseWith,
 } from '@poplarnotch/common';
 import {
-	ConflictError, HistoryLostError, PlatformError, type WatchableTable,
+	ConflictError, HistoryLostError, PlatformError, RejectedError, type WatchableTable,
 } from '@poplarnotch/platform';
 import {type RelayResponse, type RelayedCall, relayedCallSchema} from './messages.js';
 
@@ -43,6 +43,10 @@
 		return {type: 'conflict', conflicts: [...error.conflicts]};
 	}
 
+	if (error instanceof RejectedError) {
+		return {type: 'rejected', message: error.message};
+	}
+
 	if (error instanceof HistoryLostError) {
 		return {type: 'history-lost', message: error.message};
 	}
--- a/packages/state/src/relay/relay-directory.ts
+++ b/packages/state/src/relay/relay-directory.ts
@@ -7,7 +7,7 @@
 	type CancelTimer, type Clock, type Logger, parseWith, silentLogger, SystemClock, z,
 } from '@poplarnotch/common';
 import {
-	absentVersion, ConflictError, PlatformError, type RowChange, type WatchableTable,
+	absentVersion, ConflictError, failureReason, type RowChange, type WatchableTable,
 } from '@poplarnotch/platform';
 import {type OutagePeer} from '../reachability/outage-evidence.js';
 import {type Successor} from '../liveness/types.js';
@@ -180,11 +180,7 @@
 		try {
 			await this.#writePeerRow();
 		} catch (error) {
-			if (!(error instanceof PlatformError)) {
-				throw error;
-			}
-
-			this.#log.warn({event: 'peer_row_not_written', reason: error.message});
+			this.#log.warn({event: 'peer_row_not_written', reason: failureReason(this.#log, 'write peer row', error)});
 		}
 
 		if (!this.#isStopped) {
--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -7,7 +7,7 @@
 	type Clock, type JsonValue, type Logger, type RandomSource, silentLogger, SystemClock, SystemRandom,
 } from '@poplarnotch/common';
 import {
-	type ChangePage, type CommitResult, ConflictError, HistoryLostError, type PageOptions, PlatformError, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
+	type ChangePage, type CommitResult, ConflictError, failureReason, HistoryLostError, type PageOptions, PlatformError, RejectedError, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {PeerUnreachableError} from '../peers/errors.js';
 import {ReachabilityMeter} from '../reachability/reachability-meter.js';
@@ -186,9 +186,7 @@
 			this.#markDirectPathRegained();
 		} catch (error) {
 			// The path is still down, which was logged when it was lost.
-			if (!(error instanceof PlatformError)) {
-				throw error;
-			}
+			failureReason(this.#log, 'probe the table service', error);
 		} finally {
 			this.#pendingProbes--;
 		}
@@ -211,7 +209,7 @@
 				this.#lastWorkingPeer = peer;
 				return resultOf(response);
 			} catch (error) {
-				if (error instanceof ConflictError || error instanceof HistoryLostError) {
+				if (error instanceof ConflictError || error instanceof HistoryLostError || error instanceof RejectedError) {
 					throw error;
 				}
 
@@ -257,6 +255,10 @@
 			throw new ConflictError(response.conflicts);
 		}
 
+		case 'rejected': {
+			throw new RejectedError(response.message);
+		}
+
 		case 'history-lost': {
 			throw new HistoryLostError(response.message);
 		}
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -7,7 +7,7 @@
 	type CancelTimer, type Clock, type Logger, silentLogger, SystemClock,
 } from '@poplarnotch/common';
 import {
-	HistoryLostError, PlatformError, type RowChange, type WatchableTable,
+	failureReason, HistoryLostError, type RowChange, type WatchableTable,
 } from '@poplarnotch/platform';
 
 /** Pause after a failed call: it allows several attempts within the second in which the end of an outage should be detected. */
@@ -123,21 +123,17 @@
 			this.#setReachable(true);
 			return true;
 		} catch (error) {
-			if (!(error instanceof PlatformError)) {
-				throw error;
-			}
-
-			this.#setReachable(false, error);
+			this.#setReachable(false, failureReason(this.#log, `read ${this.#options.prefix}`, error));
 			return false;
 		}
 	}
 
-	#setReachable(isReachable: boolean, error?: PlatformError): void {
+	#setReachable(isReachable: boolean, reason?: string): void {
 		if (isReachable !== this.#isReachable) {
 			this.#isReachable = isReachable;
 			const event = isReachable ? 'replica_regained' : 'replica_lost';
 			this.#log.info({
-				event, prefix: this.#options.prefix, revision: this.#revision, reason: error?.message,
+				event, prefix: this.#options.prefix, revision: this.#revision, reason,
 			});
 		}
 	}
@@ -206,7 +202,26 @@
 		}
 
 		if (changes.length > 0) {
+			this.#passOn(changes);
+		}
+	}
+
+	/** A change that the listener cannot handle costs only itself: the others of its batch are passed on one by one. */
+	#passOn(changes: readonly RowChange[]): void {
+		try {
 			this.#options.onChanges(changes);
+		} catch (error) {
+			const reason = failureReason(this.#log, `apply ${this.#options.prefix}`, error);
+			if (changes.length === 1) {
+				this.#log.error({
+					event: 'row_not_applied', key: changes[0]!.key, version: changes[0]!.version, reason,
+				});
+				return;
+			}
+
+			for (const change of changes) {
+				this.#passOn([change]);
+			}
 		}
 	}
 
--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -3,7 +3,7 @@
 */
 import {type JsonValue, SeededRandom, VirtualClock} from '@poplarnotch/common';
 import {
-	ConflictError, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
+	ConflictError, RejectedError, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
 import {expect, test} from 'vitest';
@@ -11,6 +11,7 @@
 
 class TablePath {
 	isDown = false;
+	isRejecting = false;
 	calls = 0;
 	readonly table: WatchableTable;
 
@@ -20,6 +21,10 @@
 			if (this.isDown) {
 				throw new UnavailableError('refused');
 			}
+
+			if (this.isRejecting) {
+				throw new RejectedError('too large');
+			}
 		};
 
 		this.table = {
@@ -103,6 +108,16 @@
 	await expect(relayed.commit(put('a', 0))).rejects.toBeInstanceOf(ConflictError);
 });
 
+test('a relayed commit that the table service rejects is reported as rejected, and the peer is used again', async () => {
+	const {own, other, relayed} = setUp();
+	own.isDown = true;
+	await expect(relayed.readRows(['a'])).rejects.toBeInstanceOf(UnavailableError);
+	other.isRejecting = true;
+	await expect(relayed.commit(put('a'))).rejects.toBeInstanceOf(RejectedError);
+	other.isRejecting = false;
+	await relayed.commit(put('a'));
+});
+
 test('a relayed commit without a response has an unknown outcome', async () => {
 	const {own, relayed, failPeer} = setUp();
 	own.isDown = true;
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -124,3 +124,32 @@
 	expect(calls).toBe(0);
 	replica.stop();
 });
+
+test('a row on which the listener fails costs only itself, and the replica goes on', async () => {
+	const applied: unknown[] = [];
+	const pages: ChangePage[] = [
+		{
+			changes: [{key: 'jobs/a', value: 1, version: 5}, {key: 'jobs/odd', value: 'odd', version: 6}, {key: 'jobs/b', value: 2, version: 7}], revision: 7, hasMore: false,
+		},
+		{changes: [{key: 'jobs/c', value: 3, version: 8}], revision: 8, hasMore: false},
+	];
+	const replica = new TableReplica({
+		table: {
+			listRows: async () => ({rows: [], revision: 3}),
+			waitForChanges: async () => pages.shift()!,
+		} as unknown as WatchableTable,
+		prefix: 'jobs/', waitMs: 1000, pauseMs: () => 0, clock: new VirtualClock(),
+		onChanges(changes) {
+			if (changes.some(({value}) => value === 'odd')) {
+				throw new RangeError('odd');
+			}
+
+			applied.push(...changes.map(({value}) => value));
+		},
+	});
+	await replica.refresh();
+	await replica.refresh();
+	await replica.refresh();
+	expect(applied).toEqual([1, 2, 3]);
+	expect(replica.revision).toBe(8);
+});
