Hand the lease over when only its holder has lost the store

Cause: a call that stays open is noticed at its time limit of 1.5 s, and a holder whose path is lost relayed its calls to the end of the cut instead of giving way to a successor that reaches the store. The class of fault: a process keeps a role that depends on a path which it has lost and others have.

A process without any answer for 500 ms asks peers; if two were answered since, its open calls fail at once and it relays. A holder that has reached the store only through peers for 400 ms announces its release and releases the lease. A process that relays is no successor. Successors are told of a release before the store is, and take a holder that said so for gone.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -12,7 +12,7 @@
 	admitAll, DrainTimeAdmission, type OrderPolicyName, type PoolForecastName, SchedulerProcess,
 } from '@poplarnotch/scheduler';
 import {
-	createRpcRoute, OutageEvidence, OutageProber, ReachabilityMeter, reachabilityMethods, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
+	createRpcRoute, OutageEvidence, OutageProber, ReachabilityMeter, probeKey, reachabilityMethods, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
 import {UdpTransport} from './udp-transport.js';
 
@@ -46,6 +46,9 @@
 /** Jobs are refused at once after this time without an answer of the store: a single failed call is retried over another path meanwhile. */
 const storeAwayAfterMs = 200;
 
+/** A process that has reached the store only through peers for this long is no successor. Probes find a path that was lost for a moment within 200 ms. */
+const relayingAfterMs = 400;
+
 /** The load balancer stops sending connections after two missed health checks, made once a second. */
 const balancerDetectionMs = 2500;
 
@@ -102,12 +105,16 @@
 			},
 		});
 		this.#relayDirectory = new RelayDirectory({
-			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, dataCentre: settings.dataCentre, datagramPort: settings.datagramAddress?.port, clock, log,
+			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, dataCentre: settings.dataCentre, datagramPort: settings.datagramAddress?.port, isRelaying: () => (table.relayedForMs ?? 0) >= relayingAfterMs, clock, log,
 		});
 		const lastKnownPeers = () => this.#relayDirectory.lastKnownPeers;
 		const evidence = new OutageEvidence({meter, peers: lastKnownPeers, clock});
 		this.#outageProber = new OutageProber({
 			evidence, meter, peers: lastKnownPeers, callPeer, isActive: () => options.outageScheduling && this.#scheduler.state.term !== undefined, clock,
+			probe: async () => table.readRows([probeKey]),
+			onPathSilent(unansweredMs) {
+				table.abandonDirectPath(unansweredMs);
+			},
 		});
 		this.#udpTransport = failureDetectionMs === 0 || settings.datagramAddress === undefined
 			? undefined
@@ -135,6 +142,7 @@
 			maxOrdersAgeMs,
 			maxRowBytes: settings.maxRowBytes,
 			hasLargerPeer: sinceMs => this.#relayDirectory.hasLargerPeer(sinceMs),
+			relayedForMs: () => table.relayedForMs,
 			isSuccessor: () => this.#relayDirectory.isAmongLargest(successorCount),
 			isStoreAway: () => this.#storeOutageMs >= storeAwayAfterMs,
 			outage: options.outageScheduling ? evidence : undefined,
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -53,6 +53,10 @@
 /** How often a lease holder checks for a larger process, and the minimum time for which it holds the lease before it yields to one. */
 const yieldCheckIntervalMs = 2000;
 
+/** A holder that has reached the store only through peers for this long hands the lease over. Probes find a path that was lost for a moment within 200 ms. */
+const maxRelayedMs = 400;
+const relayedReason = 'the store is reached only through peers';
+
 /** Interval of ticks with the lease, on which decisions are made, and without it. */
 const decisionIntervalMs = 25;
 const idleTickIntervalMs = 250;
@@ -106,6 +110,8 @@
 	readonly hasOutageEvidence?: () => boolean;
 	/** Returns true if a process with clearly more CPU capacity has sent a heartbeat after `sinceMs`; that process should schedule instead of this one. */
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
+	/** For how long the store has been reached only through peers; `undefined` while it is reached directly, or not at all. */
+	readonly relayedForMs?: () => number | undefined;
 	/** Returns true if this process should be ready to take over the lease at any time. */
 	readonly isSuccessor: () => boolean;
 	/** Tells whether no process reaches the store; `undefined` if the holder should not schedule in that case. */
@@ -163,6 +169,8 @@
 	/** The process is stopping and must not acquire the lease again. */
 	#isLeaving = false;
 	#isClosed = false;
+	/** Token of a holder whose replacement this process has left to others once. */
+	#leftToOthersToken: number | undefined;
 	/** A read that confirms whether the fence is still valid is in flight. */
 	#isConfirmingFence = false;
 	/** Difference between the wall clock and the monotonic clock at the last tick. */
@@ -355,7 +363,7 @@
 			incarnation,
 			heldToken: () => this.#heldToken(),
 			onHolderSuspected: token => {
-				this.#leases.suspectHolder(schedulerLease, token);
+				this.#suspectHolder(token);
 			},
 			onHolderCleared: token => {
 				this.#leases.clearHolder(schedulerLease, token);
@@ -372,15 +380,31 @@
 		});
 	}
 
+	/** A process that reaches the store only through peers leaves the first attempt to replace a holder to others. */
+	#suspectHolder(token: number): void {
+		if (this.#options.relayedForMs?.() !== undefined && this.#leftToOthersToken !== token) {
+			this.#leftToOthersToken = token;
+			return;
+		}
+
+		this.#leases.suspectHolder(schedulerLease, token);
+	}
+
 	/** The token for which this process sends heartbeats: it holds the lease, or goes on scheduling since no other process can hold it. */
 	#heldToken(): number | undefined {
 		const {term, isSuspended} = this.state;
 		return this.#leases.heldLease(schedulerLease)?.fence.version ?? (isSuspended ? undefined : term?.fencingToken);
 	}
 
-	/** The replaced holder may still be alive, unless a later run of its process was heard. */
-	#earlierHolderOf({replacedToken}: HeldLease): EarlierHolder | undefined {
-		if (replacedToken === undefined || this.#liveness?.isHolderGone(replacedToken) === true) {
+	/** The earlier holder has released the lease or announced that it does, or a later run of its process was heard. */
+	#isPredecessorGone({isPredecessorGone, replacedToken}: HeldLease): boolean {
+		return isPredecessorGone === true || (replacedToken !== undefined && this.#liveness?.isHolderGone(replacedToken) === true);
+	}
+
+	/** The replaced holder may still be alive unless it is known to be gone. */
+	#earlierHolderOf(lease: HeldLease): EarlierHolder | undefined {
+		const {replacedToken} = lease;
+		if (replacedToken === undefined || this.#isPredecessorGone(lease)) {
 			return undefined;
 		}
 
@@ -400,9 +424,10 @@
 		}
 	}
 
-	/** How long the process leaves a free lease to others: to larger hosts, and to successors, which know the jobs and workers. */
+	/** How long the process leaves a free lease to others: to larger hosts, to successors, which know the jobs and workers, and to processes that reach the store themselves. */
 	#acquireDelayMs(): number {
-		return (this.#options.hasLargerPeer() ? smallHostDelayMs : 0) + (this.#options.isSuccessor() ? 0 : outsiderDelayMs);
+		const relayingDelayMs = this.#options.relayedForMs?.() === undefined ? 0 : leaseMs;
+		return (this.#options.hasLargerPeer() ? smallHostDelayMs : 0) + (this.#options.isSuccessor() ? 0 : outsiderDelayMs) + relayingDelayMs;
 	}
 
 	/** Follows jobs and workers while the process holds the lease or is a likely successor. */
@@ -430,19 +455,45 @@
 		});
 	}
 
+	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
 	async #releaseLease(): Promise<void> {
-		const token = this.#fence?.version;
+		const token = this.#fence?.version ?? this.state.term?.fencingToken;
 		this.#fence = undefined;
 		this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
-		await this.#leases.withdrawAll();
 		if (token !== undefined) {
 			this.#liveness?.announceRelease(token);
 		}
+
+		await this.#leases.withdrawAll();
 	}
 
-	/** Releases the lease to a larger process. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. */
-	async #yieldToLargerPeer(): Promise<void> {
-		this.#options.log.info({event: 'lease_yielded', reason: 'a larger process is running'});
+	/** Returns true if a successor that reaches the store itself should hold the lease instead. */
+	#isReachedOnlyThroughPeers(): boolean {
+		const {processId, relayedForMs, failureDetection} = this.#options;
+		const hasOtherSuccessor = failureDetection?.successors().some(successor => successor.processId !== processId) === true;
+		return hasOtherSuccessor && (relayedForMs?.() ?? 0) >= maxRelayedMs;
+	}
+
+	/**
+	Returns why another process should hold the lease. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. A holder that reaches the store only through peers sees new jobs late, and every write takes longer.
+	*/
+	#reasonToYield({nowMs}: {readonly nowMs: number}): string | undefined {
+		if (this.#isReachedOnlyThroughPeers()) {
+			return relayedReason;
+		}
+
+		if (nowMs < this.#nextYieldCheckAtMs) {
+			return undefined;
+		}
+
+		this.#nextYieldCheckAtMs = nowMs + yieldCheckIntervalMs;
+		const {term, isSuspended, isLeaseUnconfirmed} = this.state;
+		const mayYield = term !== undefined && !isSuspended && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
+		return mayYield && this.#options.hasLargerPeer(term.wonAtMs) ? 'a larger process is running' : undefined;
+	}
+
+	async #yieldLease(reason: string): Promise<void> {
+		this.#options.log.info({event: 'lease_yielded', reason});
 		await this.#releaseLease();
 		if (!this.#isClosed && !this.#isLeaving) {
 			this.#contend();
@@ -485,12 +536,10 @@
 			void this.#listMachines();
 		}
 
-		if (now.nowMs >= this.#nextYieldCheckAtMs) {
-			this.#nextYieldCheckAtMs = now.nowMs + yieldCheckIntervalMs;
-			if (!this.state.isSuspended && !this.state.isLeaseUnconfirmed && now.nowMs - this.state.term.wonAtMs >= yieldCheckIntervalMs && this.#options.hasLargerPeer(this.state.term.wonAtMs)) {
-				void this.#yieldToLargerPeer();
-				return;
-			}
+		const reasonToYield = this.#reasonToYield(now);
+		if (reasonToYield !== undefined) {
+			void this.#yieldLease(reasonToYield);
+			return;
 		}
 
 		if (this.#fence !== undefined) {
@@ -626,7 +675,7 @@
 				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), this.#options.workers.refresh(), this.#options.orders.refresh()]);
 				this.#continuation.confirm();
 				this.#runtime.dispatch({
-					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone: lease.isPredecessorGone, earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
+					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone: this.#isPredecessorGone(lease), earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
 				});
 				// The longer pause of a successor would delay the first jobs of the term.
 				this.#jobReplica.endPause();
@@ -637,6 +686,11 @@
 				return;
 			} catch (error) {
 				this.#options.log.warn({event: 'takeover_waits', reason: failureReason(this.#options.log, 'take over', error)});
+				if (this.#isReachedOnlyThroughPeers()) {
+					void this.#yieldLease(relayedReason);
+					return;
+				}
+
 				await this.#pause(storeRetryDelayMs);
 			}
 		}
--- a/packages/scheduler/tests/support/fake-peers.ts
+++ b/packages/scheduler/tests/support/fake-peers.ts
@@ -1,6 +1,7 @@
 /**
 The peers' answers to the lease holder's question whether they reach the table service, in virtual time: the real meters, evidence and queries over a network that loses the queries of processes that are cut off.
 */
+import {SeededRandom} from '@poplarnotch/common';
 import {
 	ConflictError, HistoryLostError, type WatchableTable,
 } from '@poplarnotch/platform';
@@ -35,7 +36,14 @@
 	readonly #peers = new Map<string, FakePeer>();
 
 	/** Adds a process, which knows all others. */
-	add(name: string, clock: HostClock, isActive: () => boolean, dataCentre = ''): {readonly meter: ReachabilityMeter; readonly outage: OutageEvidence} {
+	add(name: string, clock: HostClock, {
+		isActive, probe, onPathSilent, dataCentre = '',
+	}: {
+		readonly isActive: () => boolean;
+		readonly probe?: () => Promise<unknown>;
+		readonly onPathSilent?: (unansweredMs: number) => void;
+		readonly dataCentre?: string;
+	}): {readonly meter: ReachabilityMeter; readonly outage: OutageEvidence} {
 		const meter = new ReachabilityMeter(clock);
 		this.#peers.set(name, {
 			clock, meter, dataCentre, isCut: false,
@@ -43,7 +51,7 @@
 		const peers = (): readonly OutagePeer[] => [...this.#peers].filter(([url, peer]) => url !== name && !peer.clock.isDead).map(([url, peer]) => ({url, dataCentre: peer.dataCentre}));
 		const outage = new OutageEvidence({meter, peers, clock});
 		new OutageProber({
-			evidence: outage, meter, peers, clock, isActive,
+			evidence: outage, meter, peers, clock, isActive, ...(probe === undefined ? {} : {probe}), ...(onPathSilent === undefined ? {} : {onPathSilent}), random: new SeededRandom(this.#peers.size),
 			callPeer: async (url, method, _parameters, timeoutMs) => this.#call(name, url, method, timeoutMs),
 		}).start();
 		return {meter, outage};
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -14,6 +14,10 @@
 const lostAnswerMs = 400;
 const maxCommitDelayMs = 4000;
 
+/** Time limit of a call, and what a call that waits for changes may take beyond its wait. */
+const callTimeoutMs = 1500;
+const longPollMarginMs = 1200;
+
 /** The platform's limits: bytes of a row's encoded value, and entries and bytes of one transaction. */
 const limits = {rowBytes: 65_536, entries: 100, transactionBytes: 1_000_000};
 
@@ -28,6 +32,8 @@
 
 export type TableFaults = {
 	isDown: boolean;
+	/** The table answers no call, and connections stay open. */
+	isSilent?: boolean;
 	/** Share of writes whose answer is lost; they are applied at once or later. */
 	lostAnswerRate: number;
 	/** Duration of a call. */
@@ -61,6 +67,11 @@
 
 	async commit(transaction: Transaction): Promise<CommitResult> {
 		await this.#simulateTransit();
+		if (this.#faults.isSilent === true) {
+			await this.#clock.wait(callTimeoutMs);
+			throw new WriteOutcomeUnknownError('no answer');
+		}
+
 		checkLimits(transaction);
 		if (this.#random.next() < this.#faults.lostAnswerRate) {
 			await this.#loseAnswer(transaction);
@@ -74,21 +85,25 @@
 
 	async readRows(keys: readonly string[]): Promise<readonly Row[]> {
 		await this.#simulateTransit();
+		await this.#failIfSilent();
 		return this.#table.readRows(keys);
 	}
 
 	async readPrefix(prefix: string, options?: PageOptions): Promise<RowPage> {
 		await this.#simulateTransit();
+		await this.#failIfSilent();
 		return this.#table.readPrefix(prefix, options);
 	}
 
 	async changesSince(prefix: string, revision: number): Promise<ChangePage> {
 		await this.#simulateTransit();
+		await this.#failIfSilent();
 		return this.#table.changesSince(prefix, revision);
 	}
 
 	async listRows(prefix: string): Promise<RowListing> {
 		await this.#simulateTransit();
+		await this.#failIfSilent();
 		const {rows, revision} = await this.#table.readPrefix(prefix, {limit: 100_000});
 		return {rows, revision};
 	}
@@ -97,6 +112,11 @@
 		await this.#simulateTransit();
 		const untilMs = this.#clock.nowMs() + waitMs;
 		for (;;) {
+			if (this.#faults.isSilent === true) {
+				await this.#clock.wait(untilMs + longPollMarginMs - this.#clock.nowMs());
+				throw new UnavailableError('no answer');
+			}
+
 			const page = await this.#table.changesSince(prefix, revision);
 			if (page.changes.length > 0 || this.#clock.nowMs() >= untilMs) {
 				return page;
@@ -128,6 +148,13 @@
 		throw new WriteOutcomeUnknownError('the answer to the commit was lost');
 	}
 
+	async #failIfSilent(): Promise<void> {
+		if (this.#faults.isSilent === true) {
+			await this.#clock.wait(callTimeoutMs);
+			throw new UnavailableError('no answer');
+		}
+	}
+
 	async #simulateTransit(): Promise<void> {
 		await this.#clock.wait(this.#faults.latencyMs / 2);
 		if (this.#faults.isDown) {
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -6,7 +6,9 @@
 } from '@poplarnotch/common';
 import {RetryingTableService, UnavailableError} from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
-import {type Successor} from '@poplarnotch/state';
+import {
+	PeerUnreachableError, performRelayed, probeKey, type ReachabilityMeter, RelayedTable, type Successor,
+} from '@poplarnotch/state';
 import {
 	type FleetConfiguration, type StateSource, type JobSpec, type RefreshableSource, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type Queue, SchedulerProcess, type StartAnswer, type WaveOrder, type WorkerAddress, type WorkerControl, type WorkerEntry,
 } from '../../src/index.js';
@@ -34,6 +36,9 @@
 /** Less than the time after which a worker that has shrunk counts as such. */
 const resizeNoticeMs = 50;
 
+/** A process that has reached the table only through others for this long is no successor. */
+const relayingAfterMs = 400;
+
 /** Time without an answer after which a process refuses jobs at once. */
 const storeAwayAfterMs = 200;
 
@@ -59,6 +64,8 @@
 	readonly failureDetectionMs?: number;
 	/** Number of processes that are ready to take over the lease. */
 	readonly successors?: number;
+	/** Whether processes call the table through others while they do not reach it themselves. */
+	readonly relays?: boolean;
 };
 
 const secret = 'fleet secret';
@@ -67,6 +74,8 @@
 	readonly name: string;
 	readonly clock: HostClock;
 	readonly table: TableFaults;
+	/** The process's own path to the table. */
+	readonly direct: FakeTable;
 	readonly scheduler: SchedulerProcess;
 };
 
@@ -178,11 +187,19 @@
 	#known: OperatorOrders;
 	#listener: ((orders: OperatorOrders) => void) | undefined;
 
+	readonly #isReached: () => boolean;
 	readonly #confirmIntervalMs: () => number;
 
-	constructor(published: PublishedValue<OperatorOrders>, {clock, table, confirmIntervalMs}: {readonly clock: HostClock; readonly table: TableFaults; readonly confirmIntervalMs: () => number}) {
+	constructor(published: PublishedValue<OperatorOrders>, {clock, table, isReached, confirmIntervalMs}: {
+		readonly clock: HostClock;
+		readonly table: TableFaults;
+		/** Whether the process reaches the store, itself or through others. */
+		readonly isReached: () => boolean;
+		readonly confirmIntervalMs: () => number;
+	}) {
 		this.#published = published;
 		this.#confirmIntervalMs = confirmIntervalMs;
+		this.#isReached = isReached;
 		this.#clock = clock;
 		this.#table = table;
 		this.#known = {...published.value, evacuatedDataCentres: []};
@@ -222,7 +239,7 @@
 	}
 
 	#confirm(): boolean {
-		if (this.#table.isDown) {
+		if (!this.#isReached()) {
 			return false;
 		}
 
@@ -270,6 +287,7 @@
 	readonly #outageScheduling: boolean;
 	readonly #failureDetectionMs: number;
 	readonly #successorCount: number;
+	readonly #relays: boolean;
 	readonly #orders: PublishedValue<OperatorOrders>;
 	readonly #workers = new PublishedValue<readonly WorkerEntry[]>([]);
 	#configuration = configurationOf(1);
@@ -296,6 +314,7 @@
 		this.#outageScheduling = options.outageScheduling ?? true;
 		this.#failureDetectionMs = options.failureDetectionMs ?? 600;
 		this.#successorCount = options.successors ?? successorCount;
+		this.#relays = options.relays ?? false;
 		const taskRandom = new Map<string, number>();
 		const drawFor = (key: string): number => {
 			let value = taskRandom.get(key);
@@ -334,21 +353,32 @@
 		const name = `process-${this.#processCount++}`;
 		const clock = new HostClock(this.clock);
 		const tableFaults: TableFaults = {isDown: false, lostAnswerRate: 0, latencyMs: normalLatencyMs};
-		const {meter, outage} = this.peers.add(name, clock, () => process.scheduler.state.term !== undefined);
-		const table = measured(new FakeTable({
+		const {meter, outage} = this.peers.add(name, clock, {
+			isActive: () => process.scheduler.state.term !== undefined,
+			probe: async () => relayed?.readRows([probeKey]),
+			onPathSilent(unansweredMs) {
+				relayed?.abandonDirectPath(unansweredMs);
+			},
+		});
+		const direct = new FakeTable({
 			table: this.table, clock, platformClock: this.clock, random: this.random, faults: tableFaults,
-		}), meter);
+		});
+		const relayed = this.#relays ? this.#relayedTableOf(name, direct, meter, clock) : undefined;
+		const table = relayed ?? measured(direct, meter);
 		const process: SimulatedProcess = {
 			name,
 			clock,
 			table: tableFaults,
+			direct,
 			scheduler: new SchedulerProcess({
 				processId: name,
 				table,
 				resolvingTable: new RetryingTableService(table, {
 					client: name, instance: name, retryTimeoutMs: 200, settleTimeoutMs: 120_000, backoff: {firstMs: 30, longestMs: 200}, clock, random: this.random,
 				}),
-				orders: new FollowedOrders(this.#orders, {clock, table: tableFaults, confirmIntervalMs: () => this.ordersConfirmMs}),
+				orders: new FollowedOrders(this.#orders, {
+					clock, table: tableFaults, isReached: () => relayed?.relayedForMs !== undefined || (!tableFaults.isDown && tableFaults.isSilent !== true), confirmIntervalMs: () => this.ordersConfirmMs,
+				}),
 				workers: {...this.#workers.follow(clock), setMode: () => undefined, refresh: async () => undefined},
 				workerControl: this.#controlFor(clock),
 				machineControl: {
@@ -385,7 +415,8 @@
 				maxOrdersAgeMs,
 				hasOutageEvidence: () => this.hasOutageEvidence || (this.#outageScheduling && outage.hasOutageEvidence()),
 				hasLargerPeer: () => this.processes.some(other => !other.clock.isDead && other.name !== name && (this.cpuMillicores.get(other.name) ?? 0) > (this.cpuMillicores.get(name) ?? 0)),
-				isSuccessor: () => this.#isAmongLargest(name),
+				relayedForMs: () => relayed?.relayedForMs,
+				isSuccessor: () => this.#isAmongLargest(name) && (relayed?.relayedForMs ?? 0) < relayingAfterMs,
 				isStoreAway: () => clock.nowMs() - (meter.failingSinceMs ?? Number.POSITIVE_INFINITY) >= storeAwayAfterMs,
 				outage: this.#outageScheduling ? outage : undefined,
 				failureDetection: this.#failureDetectionMs === 0
@@ -552,6 +583,26 @@
 	}
 
 	/** Whether the process is ready to take over the lease; the others read jobs from the table when a caller asks. */
+	#relayedTableOf(name: string, direct: FakeTable, meter: ReachabilityMeter, clock: HostClock): RelayedTable {
+		const others = (): readonly SimulatedProcess[] => this.processes.filter(other => other.name !== name && !other.clock.isDead);
+		return new RelayedTable({
+			direct,
+			peers: () => others().map(other => other.name),
+			async callPeer(peerName, _method, parameters) {
+				await clock.wait(orderLatencyMs);
+				const peer = others().find(other => other.name === peerName);
+				if (peer === undefined || peer.clock.isFrozen) {
+					throw new PeerUnreachableError(`${peerName} does not answer`);
+				}
+
+				return structuredClone(await performRelayed(peer.direct, parameters, () => !peer.table.isDown && peer.table.isSilent !== true));
+			},
+			meter,
+			random: this.random,
+			clock,
+		});
+	}
+
 	#isAmongLargest(name: string): boolean {
 		return this.#largest().some(({processId}) => processId === name);
 	}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -35,7 +35,7 @@
 export {LeaseContender, type LeaseContenderOptions} from './leases/lease-contender.js';
 export {AllotmentManager, type AllotmentManagerOptions} from './allotments/allotment-manager.js';
 export {TableReplica, type TableReplicaOptions} from './replicas/table-replica.js';
-export {RelayedTable, type RelayedTableOptions} from './relay/relayed-table.js';
+export {probeKey, RelayedTable, type RelayedTableOptions} from './relay/relayed-table.js';
 export {ReachabilityMeter, type ReachabilityReport} from './reachability/reachability-meter.js';
 export {
 	OutageEvidence, type OutageEvidenceOptions, type OutageKnowledge, type OutagePeer,
--- a/packages/state/src/reachability/outage-evidence.ts
+++ b/packages/state/src/reachability/outage-evidence.ts
@@ -14,6 +14,9 @@
 /** The wall clock and the monotonic clock diverge by more than this only if the machine was suspended or its time of day was set. */
 const suspensionThresholdMs = 200;
 
+/** Peers that must have reached the table service while this process did not. */
+const minReachingPeers = 2;
+
 /** A peer as known from the table service. */
 export type OutagePeer = {
 	readonly url: string;
@@ -79,6 +82,13 @@
 		return this.evidenceAtMs() !== undefined;
 	}
 
+	/** Returns true if peers have reached the table service since `sinceMs`, so that a process without an answer since then has lost only its own path. */
+	isReachedByOthersSince(sinceMs: number): boolean {
+		const peers = this.#options.peers() ?? [];
+		const reaching = this.#freshAnswers(peers).filter(({isFailing, reachedAtMs}) => !isFailing && reachedAtMs > sinceMs);
+		return reaching.length > 0 && reaching.length >= Math.min(minReachingPeers, peers.length);
+	}
+
 	evidenceAtMs(): number | undefined {
 		const {failingSinceMs} = this.#options.meter;
 		const peers = this.#options.peers();
@@ -86,12 +96,8 @@
 			return undefined;
 		}
 
-		const {nowMs, wallOffsetMs} = this.queryTime();
-		const answered = peers.flatMap(({url, dataCentre}) => {
-			const answer = this.#answers.get(url);
-			const isFresh = answer !== undefined && nowMs - answer.requestedAtMs <= maxAnswerAgeMs && Math.abs(wallOffsetMs - answer.wallOffsetMs) <= suspensionThresholdMs;
-			return isFresh ? [{...answer, dataCentre}] : [];
-		});
+		const {nowMs} = this.queryTime();
+		const answered = this.#freshAnswers(peers);
 		// A peer whose last answer came before this process's failures may only have made no call since.
 		const reaching = answered.filter(answer => !answer.isFailing && answer.reachedAtMs > failingSinceMs);
 		const failing = answered.filter(({isFailing}) => isFailing);
@@ -107,4 +113,13 @@
 		const sufficient = [...newestFirst.slice(0, Math.ceil(peers.length / 2)), ...ofEachDataCentre];
 		return Math.min(nowMs, ...sufficient.map(({requestedAtMs}) => requestedAtMs));
 	}
+
+	#freshAnswers(peers: readonly OutagePeer[]): ReadonlyArray<PeerAnswer & {readonly dataCentre: string}> {
+		const {nowMs, wallOffsetMs} = this.queryTime();
+		return peers.flatMap(({url, dataCentre}) => {
+			const answer = this.#answers.get(url);
+			const isFresh = answer !== undefined && nowMs - answer.requestedAtMs <= maxAnswerAgeMs && Math.abs(wallOffsetMs - answer.wallOffsetMs) <= suspensionThresholdMs;
+			return isFresh ? [{...answer, dataCentre}] : [];
+		});
+	}
 }
--- a/packages/state/src/reachability/reachability-meter.ts
+++ b/packages/state/src/reachability/reachability-meter.ts
@@ -33,6 +33,18 @@
 		return sinceMs === Number.POSITIVE_INFINITY ? undefined : sinceMs;
 	}
 
+	/** How long the oldest call has been waiting, or since when calls have failed, if nothing was answered since; 0 if no such call is known. */
+	get unansweredForMs(): number {
+		const nowMs = this.#clock.nowMs();
+		const pending = [...this.#pendingSinceMs.values()].filter(sentAtMs => sentAtMs >= (this.#answeredAtMs ?? sentAtMs));
+		return nowMs - Math.min(this.#failedSinceMs ?? nowMs, ...pending, nowMs);
+	}
+
+	/** Time since the last answer if no call but long ones is pending, 0 otherwise. */
+	get quietForMs(): number {
+		return this.#pendingSinceMs.size > 0 ? 0 : this.#clock.nowMs() - (this.#answeredAtMs ?? this.#clock.nowMs());
+	}
+
 	get report(): ReachabilityReport {
 		return {
 			isFailing: this.failingSinceMs !== undefined,
--- a/packages/state/src/relay/relay-directory.ts
+++ b/packages/state/src/relay/relay-directory.ts
@@ -19,13 +19,16 @@
 /** Interval between heartbeats. */
 const heartbeatIntervalMs = 4000;
 
+/** Interval at which it is checked whether a heartbeat is due. */
+const checkIntervalMs = 250;
+
 /** A peer without a heartbeat for this long is ignored; this tolerates two lost heartbeats. */
 const staleAfterMs = 10_000;
 
 const secretBytes = 24;
 
 const peerSchema = z.object({
-	url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0), dataCentre: z.string().default(''), datagramPort: z.number().default(0),
+	url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0), dataCentre: z.string().default(''), datagramPort: z.number().default(0), isRelaying: z.boolean().default(false),
 });
 
 /** A peer counts as larger if it has at least this many times this process's CPU, so that machines of one kind do not pass a lease back and forth. */
@@ -41,6 +44,8 @@
 	readonly dataCentre: string;
 	/** Port that receives datagrams; 0 if the process receives none. */
 	readonly datagramPort: number;
+	/** The process reaches the table service only through others. */
+	readonly isRelaying: boolean;
 	readonly seenAtMs: number;
 };
 
@@ -53,6 +58,8 @@
 	readonly dataCentre?: string;
 	/** Port that receives datagrams on the host of `url`. */
 	readonly datagramPort?: number | undefined;
+	/** Whether this process reaches the table service only through others. Such a process should not hold a lease, whose holder depends on the table service most. */
+	readonly isRelaying?: () => boolean;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -67,6 +74,9 @@
 	#firstAppliedAtMs: number | undefined;
 	#lastAppliedAtMs = 0;
 	#heartbeats = 0;
+	/** As last written to the process's row. */
+	#wasRelaying = false;
+	#nextHeartbeatAtMs = 0;
 	#cancelTimer: CancelTimer | undefined;
 	#isStopped = false;
 
@@ -100,28 +110,28 @@
 	hasLargerPeer(sinceMs = 0): boolean {
 		const nowMs = this.#clock.nowMs();
 		const minCpuMillicores = (this.#options.cpuMillicores ?? 0) * largerPeerFactor;
-		return minCpuMillicores > 0 && [...this.#peers.values()].some(({cpuMillicores, seenAtMs}) => cpuMillicores >= minCpuMillicores && seenAtMs > sinceMs && nowMs - seenAtMs < staleAfterMs);
+		return minCpuMillicores > 0 && [...this.#peers.values()].some(({cpuMillicores, seenAtMs, isRelaying}) => !isRelaying && cpuMillicores >= minCpuMillicores && seenAtMs > sinceMs && nowMs - seenAtMs < staleAfterMs);
 	}
 
-	/** Whether this process is among the `count` with the most CPU; processes with equal CPU are ranked by their id. False until the peers are known. */
+	/** Whether this process is among the `count` with the most CPU that reach the table service themselves; processes with equal CPU are ranked by their id. False until the peers are known. */
 	isAmongLargest(count: number): boolean {
 		const nowMs = this.#clock.nowMs();
-		if (this.#firstAppliedAtMs === undefined || nowMs - this.#firstAppliedAtMs < settlingMs) {
+		if (this.#firstAppliedAtMs === undefined || nowMs - this.#firstAppliedAtMs < settlingMs || this.#isRelaying) {
 			return false;
 		}
 
 		const {processId, cpuMillicores: ownMillicores = 0} = this.#options;
 		const ownKey = `${peersPrefix}${processId}`;
 		let betterCount = 0;
-		for (const [key, {cpuMillicores, seenAtMs}] of this.#peers) {
-			const isBetter = cpuMillicores > ownMillicores || (cpuMillicores === ownMillicores && key < ownKey);
+		for (const [key, {cpuMillicores, seenAtMs, isRelaying}] of this.#peers) {
+			const isBetter = !isRelaying && (cpuMillicores > ownMillicores || (cpuMillicores === ownMillicores && key < ownKey));
 			betterCount += isBetter && nowMs - seenAtMs < staleAfterMs ? 1 : 0;
 		}
 
 		return betterCount < count;
 	}
 
-	/** The `count` processes with the most CPU, which may include this one; none until the peers are known. */
+	/** The `count` processes with the most CPU, which may include this one, without those that reach the table service only through others; none until the peers are known. */
 	largest(count: number): readonly Successor[] {
 		const nowMs = this.#clock.nowMs();
 		if (this.#firstAppliedAtMs === undefined || nowMs - this.#firstAppliedAtMs < settlingMs) {
@@ -129,9 +139,9 @@
 		}
 
 		const {processId, cpuMillicores = 0} = this.#options;
-		const recent = [...this.#peers].filter(([, {seenAtMs}]) => nowMs - seenAtMs < staleAfterMs)
+		const recent = [...this.#peers].filter(([, {seenAtMs, isRelaying}]) => !isRelaying && nowMs - seenAtMs < staleAfterMs)
 			.map(([key, peer]) => ({processId: key.slice(peersPrefix.length), cpuMillicores: peer.cpuMillicores}));
-		return [...recent, {processId, cpuMillicores}]
+		return [...recent, ...(this.#isRelaying ? [] : [{processId, cpuMillicores}])]
 			.toSorted((a, b) => b.cpuMillicores - a.cpuMillicores || (a.processId < b.processId ? -1 : 1))
 			.slice(0, count);
 	}
@@ -143,7 +153,7 @@
 	}
 
 	start(): void {
-		void this.#sendHeartbeat();
+		void this.#sendHeartbeatWhenDue();
 	}
 
 	stop(): void {
@@ -167,34 +177,47 @@
 
 	#applyPeer(key: string, parsed: E.Either<unknown, z.infer<typeof peerSchema>>): void {
 		if (E.isRight(parsed)) {
-			const {url, cpuMillicores, dataCentre, datagramPort} = parsed.right;
+			const {url, cpuMillicores, dataCentre, datagramPort, isRelaying} = parsed.right;
 			this.#peers.set(key, {
-				url, cpuMillicores, dataCentre, datagramPort, seenAtMs: this.#clock.nowMs(),
+				url, cpuMillicores, dataCentre, datagramPort, isRelaying, seenAtMs: this.#clock.nowMs(),
 			});
 		} else {
 			this.#peers.delete(key);
 		}
 	}
 
+	get #isRelaying(): boolean {
+		return this.#options.isRelaying?.() ?? false;
+	}
+
+	/** Others learn at once that this process reaches the table service in another way. */
+	async #sendHeartbeatWhenDue(): Promise<void> {
+		if (this.#clock.nowMs() >= this.#nextHeartbeatAtMs || this.#isRelaying !== this.#wasRelaying) {
+			this.#nextHeartbeatAtMs = this.#clock.nowMs() + heartbeatIntervalMs;
+			this.#wasRelaying = this.#isRelaying;
+			await this.#sendHeartbeat();
+		}
+
+		if (!this.#isStopped) {
+			this.#cancelTimer = this.#clock.schedule(checkIntervalMs, () => {
+				void this.#sendHeartbeatWhenDue();
+			});
+		}
+	}
+
 	async #sendHeartbeat(): Promise<void> {
 		try {
 			await this.#writePeerRow();
 		} catch (error) {
 			this.#log.warn({event: 'peer_row_not_written', reason: failureReason(this.#log, 'write peer row', error)});
 		}
-
-		if (!this.#isStopped) {
-			this.#cancelTimer = this.#clock.schedule(heartbeatIntervalMs, () => {
-				void this.#sendHeartbeat();
-			});
-		}
 	}
 
 	async #writePeerRow(): Promise<void> {
 		const {table, processId, url, cpuMillicores = 0, dataCentre = '', datagramPort} = this.#options;
 		this.#heartbeats++;
 		const value = {
-			url, beats: this.#heartbeats, cpuMillicores, dataCentre, ...(datagramPort === undefined ? {} : {datagramPort}),
+			url, beats: this.#heartbeats, cpuMillicores, dataCentre, isRelaying: this.#wasRelaying, ...(datagramPort === undefined ? {} : {datagramPort}),
 		};
 		await table.commit({conditions: [], writes: [{type: 'put', key: `${peersPrefix}${processId}`, value}]});
 		if (this.#secret === undefined) {
--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -9,6 +9,7 @@
 import {
 	type ChangePage, type CommitResult, ConflictError, failureReason, HistoryLostError, type PageOptions, PlatformError, RejectedError, type Row, type RowListing, type RowPage, type Transaction, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
+import {Deferred} from '../deferred.js';
 import {PeerUnreachableError} from '../peers/errors.js';
 import {ReachabilityMeter} from '../reachability/reachability-meter.js';
 import {
@@ -52,13 +53,16 @@
 const relayBackoffMs = 500;
 
 /** Key of a row that is read to probe the direct path; the row need not exist. */
-const probeKey = 'control/probe';
+export const probeKey = 'control/probe';
 
 const relayTimeoutMs = 1100;
 
 /** Pause after a relayed wait for changes that found none: peers return the existing changes without waiting. */
 const relayedPollMs = 120;
 
+/** Outcome of a direct call that is no longer waited for. */
+const abandoned = Symbol('abandoned');
+
 type Perform<Result> = (table: WatchableTable) => Promise<Result>;
 
 /** Uses the direct path while it works, and peers otherwise. */
@@ -76,6 +80,9 @@
 	#pendingProbes = 0;
 	#relaySuspendedUntilMs = 0;
 	#lastWorkingPeer: string | undefined;
+	/** Direct calls without an answer. */
+	readonly #pendingDirect = new Set<Deferred<typeof abandoned>>();
+	#hasRelayed = false;
 
 	constructor(options: RelayedTableOptions) {
 		this.#options = options;
@@ -85,6 +92,19 @@
 		this.#meter = options.meter ?? new ReachabilityMeter(this.#clock);
 	}
 
+	/** For how long calls have been answered only through peers; `undefined` while the direct path works or no peer answers. */
+	get relayedForMs(): number | undefined {
+		return this.#isDirectPathDown && this.#hasRelayed ? this.#clock.nowMs() - this.#downSinceMs : undefined;
+	}
+
+	/** Fails all direct calls without an answer and uses peers, for use when it is known that the table service answers others. */
+	abandonDirectPath(unansweredMs: number): void {
+		this.#markDirectPathDown('others are answered', unansweredMs);
+		for (const call of this.#pendingDirect) {
+			call.resolve(abandoned);
+		}
+	}
+
 	async commit(transaction: Transaction): Promise<CommitResult> {
 		return this.#perform(async table => table.commit(transaction), {type: 'commit', transaction});
 	}
@@ -128,7 +148,7 @@
 	async #performOnPath<Result>(perform: Perform<Result>, call: RelayedCall): Promise<Result> {
 		const nowMs = this.#clock.nowMs();
 		if (!this.#isDirectPathDown) {
-			return this.#performDirect(perform);
+			return this.#performDirect(perform, call.type);
 		}
 
 		if (nowMs < this.#relaySuspendedUntilMs) {
@@ -138,10 +158,10 @@
 		return await this.#relay(call) as Result;
 	}
 
-	async #performDirect<Result>(perform: Perform<Result>): Promise<Result> {
+	async #performDirect<Result>(perform: Perform<Result>, type: RelayedCall['type']): Promise<Result> {
 		const sentAtMs = this.#clock.nowMs();
 		try {
-			const result = await perform(this.#options.direct);
+			const result = await this.#untilAbandoned(perform, type);
 			this.#directAnsweredAtMs = this.#clock.nowMs();
 			return result;
 		} catch (error) {
@@ -154,11 +174,30 @@
 		}
 	}
 
-	#markDirectPathDown(reason: string): void {
+	async #untilAbandoned<Result>(perform: Perform<Result>, type: RelayedCall['type']): Promise<Result> {
+		const abandonment = new Deferred<typeof abandoned>();
+		this.#pendingDirect.add(abandonment);
+		try {
+			const outcome = await Promise.race([perform(this.#options.direct), abandonment.promise]);
+			if (outcome !== abandoned) {
+				return outcome;
+			}
+		} finally {
+			this.#pendingDirect.delete(abandonment);
+		}
+
+		const message = `${type}: no answer on the direct path while others are answered`;
+		throw type === 'commit' ? new WriteOutcomeUnknownError(message) : new UnavailableError(message);
+	}
+
+	#markDirectPathDown(reason: string, unansweredMs = 0): void {
 		if (!this.#isDirectPathDown) {
 			this.#isDirectPathDown = true;
-			this.#downSinceMs = this.#clock.nowMs();
-			this.#log.info({event: 'store_path_lost', reason, peers: this.#options.peers().length});
+			this.#hasRelayed = false;
+			this.#downSinceMs = this.#clock.nowMs() - unansweredMs;
+			this.#log.info({
+				event: 'store_path_lost', reason, unansweredMs: Math.round(unansweredMs), peers: this.#options.peers().length,
+			});
 			this.#scheduleProbe();
 		}
 	}
@@ -207,6 +246,7 @@
 			try {
 				const response = relayResponseSchema.parse(await this.#options.callPeer(peer, relayMethod, call, relayTimeoutMs));
 				this.#lastWorkingPeer = peer;
+				this.#hasRelayed ||= response.type !== 'unavailable' && response.type !== 'unknown-outcome';
 				return resultOf(response);
 			} catch (error) {
 				if (error instanceof ConflictError || error instanceof HistoryLostError || error instanceof RejectedError) {
