Use a job row only if its tasks can be created

Every process that follows jobs would have created a billion task records for one row of another writer, run out of memory, and met the row again after its restart; a row under another key could take the place of a job, and progress of tasks that do not exist could complete a step.

Cause: the limits of a job were checked for callers' requests only, not for rows. A row is used if it stands under the key of its job and keeps the same limits; progress counts tasks of the step only.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -82,5 +82,8 @@
 /** After a machine has accepted an order to move or to be maintained, lists that show it as up are ignored for this long, since they lag behind. */
 export const minMachineAbsenceMs = 1000;
 
+/** Maximum number of a job's tasks over all its occurrences. The scheduler creates a record for each. */
+export const maxTasksPerJob = 8000;
+
 /** Delay after a failed call to the store. It allows a few attempts within the second in which the end of an outage should be noticed. */
 export const storeRetryDelayMs = 150;
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -72,7 +72,7 @@
 	const step: StepInstance = {
 		job, occurrence, stepIndex, spec, tasks, doneCount: 0, advice: new Map(), adviceRequestedAtMs: undefined, nextAdviceRequestAtMs: 0, measuredCount: 0, longestRunMs: 0,
 	};
-	const done = new Set(job.storedDoneTasks[storedStepKey(occurrence, stepIndex)]);
+	const done = new Set((job.storedDoneTasks[storedStepKey(occurrence, stepIndex)] ?? []).filter(index => index < spec.taskCount));
 	for (let index = 0; index < spec.taskCount; index++) {
 		const storedKey = storedTaskKey(occurrence, stepIndex, index);
 		const failures = job.storedFailures[storedKey] ?? [];
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,4 +1,5 @@
 export {type AdmissionControl, admitAll, DrainTimeAdmission} from './admission/admission-control.js';
+export {maxTasksPerJob} from './constants.js';
 export {reduceScheduler} from './core/reducer.js';
 export {orderPolicyNames, type OrderPolicyName} from './core/order/order-policies.js';
 export type {JobChange, SchedulerEffect, SchedulerEvent} from './core/events.js';
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -4,6 +4,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import {type JsonObject, parseWith, z} from '@poplarnotch/common';
 import {type RowChange} from '@poplarnotch/platform';
+import {maxTasksPerJob} from '../constants.js';
 import {type JobChange} from '../core/events.js';
 import {type JobProgress, type JobSpec} from '../types.js';
 
@@ -31,25 +32,28 @@
 
 export const cancelKey = (jobId: string): string => `${jobKey(jobId)}/cancel`;
 
-const resourcesSchema = z.object({cpuMillicores: z.number(), memoryMb: z.number(), accelerators: z.number()});
+/** An amount of resources or of time. */
+const amountSchema = z.number().nonnegative();
+
+const resourcesSchema = z.object({cpuMillicores: amountSchema, memoryMb: amountSchema, accelerators: amountSchema});
 
 /** Most fields of a step are 0, false or empty and are left out of the row: every process reads all rows, some over links with little bandwidth. */
 const stepSchema = z.object({
 	taskCount: z.number().int().positive(),
 	needs: resourcesSchema,
-	estimateMs: z.number().default(0),
-	after: z.array(z.number().int()).default([]),
+	estimateMs: amountSchema.default(0),
+	after: z.array(z.number().int().nonnegative()).default([]),
 	isCheckpointing: z.boolean().default(false),
 	isGang: z.boolean().default(false),
 	prefersOneRack: z.boolean().default(false),
 	requiredLabel: z.string().default(''),
 	dataRack: z.string().default(''),
-	maxPerWorker: z.number().default(0),
+	maxPerWorker: amountSchema.default(0),
 	isLasting: z.boolean().default(false),
 	image: z.string().default(''),
-	targetMs: z.number().default(0),
+	targetMs: amountSchema.default(0),
 	isFilling: z.boolean().default(false),
-	mayMiss: z.number().default(0),
+	mayMiss: amountSchema.default(0),
 });
 
 const jobSchema = z.object({
@@ -57,12 +61,13 @@
 	queue: z.string(),
 	customer: z.string(),
 	payload: z.string(),
-	steps: z.array(stepSchema),
-	recurrence: z.object({count: z.number(), firstDueWallMs: z.number(), periodMs: z.number()}),
+	steps: z.array(stepSchema).min(1),
+	recurrence: z.object({count: z.number().int().nonnegative(), firstDueWallMs: z.number(), periodMs: amountSchema}),
 	acceptedWallMs: z.number(),
-});
+}).refine(({steps, recurrence}) => steps.reduce((sum, {taskCount}) => sum + taskCount, 0) * Math.max(1, recurrence.count) <= maxTasksPerJob, 'too many tasks')
+	.refine(({steps}) => steps.every(({after}, index) => after.every(earlier => earlier < index)), 'a step waits for one that does not come before it');
 
-const taskRecordsSchema = z.record(z.string(), z.array(z.number().int()));
+const taskRecordsSchema = z.record(z.string(), z.array(z.number().int().nonnegative()));
 
 const crashRecordSchema = z.object({
 	crashedAttempts: z.array(z.number().int()).default([]),
@@ -107,7 +112,7 @@
 
 const keyPattern = /^jobs\/[^\/]+\/(?<jobId>[^\/]+)(?:\/(?<part>progress|cancel))?$/v;
 
-/** Decodes a changed row; returns `undefined` if it is not a job row or cannot be read. */
+/** Decodes a changed row; returns `undefined` if it is not a job row, cannot be read, or is not under the key of its job. */
 export const jobChangeFrom = ({key, value}: RowChange): JobChange | undefined => {
 	const groups = keyPattern.exec(key)?.groups;
 	if (groups === undefined) {
@@ -116,12 +121,16 @@
 
 	const {jobId, part} = groups as {readonly jobId: string; readonly part?: string};
 	if (part === 'cancel') {
-		return value === undefined ? undefined : {type: 'cancelled', jobId, rowKey: key};
+		return value === undefined || key !== cancelKey(jobId) ? undefined : {type: 'cancelled', jobId, rowKey: key};
 	}
 
 	if (part === 'progress') {
 		const progress = parseWith(progressSchema, value, key);
-		return E.isRight(progress) ? {type: 'progressed', jobId, progress: progress.right} : undefined;
+		return E.isRight(progress) && key === progressKey(jobId) ? {type: 'progressed', jobId, progress: progress.right} : undefined;
+	}
+
+	if (key !== jobKey(jobId)) {
+		return undefined;
 	}
 
 	if (value === undefined) {
@@ -129,5 +138,5 @@
 	}
 
 	const job = parseWith(jobSchema, value, key);
-	return E.isRight(job) ? {type: 'accepted', job: job.right, rowKey: key} : undefined;
+	return E.isRight(job) && job.right.jobId === jobId ? {type: 'accepted', job: job.right, rowKey: key} : undefined;
 };
--- a/packages/scheduler/tests/jobs/rows.test.ts
+++ b/packages/scheduler/tests/jobs/rows.test.ts
@@ -1,7 +1,10 @@
 /**
 Encoding of job rows: rows decode to what was encoded, and are no larger than necessary.
 */
+import fc from 'fast-check';
 import {expect, test} from 'vitest';
+import {type JsonValue} from '@poplarnotch/common';
+import {maxTasksPerJob} from '../../src/index.js';
 import {
 	jobChangeFrom, jobKey, jobToJson, progressKey, progressToJson,
 } from '../../src/jobs/rows.js';
@@ -40,3 +43,38 @@
 	expect(ended).toEqual({hasBegun: true, outcome: 'completed', endedWallMs: 5});
 	expect(jobChangeFrom({key, value: ended, version: 3})).toMatchObject({type: 'progressed', progress: {outcome: 'completed', doneTasks: {}, failures: {}}});
 });
+
+const oddValue = fc.oneof(fc.jsonValue({maxDepth: 3}), fc.constantFrom(-1, 0.5, 1e308, 1e15, '', [], {}, null));
+
+test('an odd row in the table of jobs is decoded as nothing, or as a job whose tasks can be created', () => {
+	const valid = jobToJson(jobOf(1, {steps: [stepOf(), stepOf({after: [0]})]}));
+	const key = jobKey(jobOf(1).jobId);
+	const mutated = fc.dictionary(fc.constantFrom(...Object.keys(valid)), oddValue, {minKeys: 1}).map(changes => structuredClone({...valid, ...changes}) as JsonValue);
+	fc.assert(fc.property(fc.oneof(mutated, fc.jsonValue() as fc.Arbitrary<JsonValue>), value => {
+		const change = jobChangeFrom({key, value, version: 1});
+		if (change?.type === 'accepted') {
+			expect(change.job.jobId).toBe(jobOf(1).jobId);
+			expect(change.job.steps.reduce((sum, {taskCount}) => sum + taskCount, 0) * Math.max(1, change.job.recurrence.count)).toBeLessThanOrEqual(maxTasksPerJob);
+			expect(change.job.steps.every(({after}, index) => after.every(earlier => earlier < index))).toBe(true);
+		}
+	}), {seed: 20_261_205, numRuns: 400});
+});
+
+test.each([
+	['more tasks than can be created', {steps: [{...stepOf(), taskCount: 1e9}]}],
+	['more occurrences than can be created', {recurrence: {count: 1e9, firstDueWallMs: 0, periodMs: 0}}],
+	['a step that waits for a later one', {steps: [{...stepOf(), after: [1]}, stepOf()]}],
+	['no step', {steps: []}],
+	['the id of another job', {jobId: jobOf(2).jobId}],
+])('a job row with %s is not used', (_case, odd) => {
+	const {jobId} = jobOf(1);
+	expect(jobChangeFrom({key: jobKey(jobId), value: {...jobToJson(jobOf(1)), ...odd}, version: 1})).toBeUndefined();
+});
+
+test('a job row under a key of another partition is not used', () => {
+	const job = jobOf(1);
+	const elsewhere = jobKey(job.jobId).replace(/\/p\d\//v, '/other/');
+	expect(jobChangeFrom({key: elsewhere, value: jobToJson(job), version: 1})).toBeUndefined();
+	expect(jobChangeFrom({key: `${elsewhere}/cancel`, value: {}, version: 1})).toBeUndefined();
+	expect(jobChangeFrom({key: elsewhere, value: undefined, version: 1})).toBeUndefined();
+});
