Let an odd entry of a shared list cost only itself

What callers could have seen: work waited for a worker that does not exist, since an entry with port 99999 or a capacity of 1e308 counted as room; a host without a direct path stopped following a list with one deeply nested row, since a relayed answer cannot be serialized from it; and no machine list, policy answer or configuration was used at all while one of its entries was odd.

Cause: entries were checked for their types and not for what they can mean, and lists were decoded as a whole. The class of fault: one entry of another writer decides over the rest of a shared list.

Values nested deeper than 64 levels are read as null where rows enter. Ports, addresses, ids, amounts and times are bounded. Machines, tickets, routes, services and customers are decoded one by one; what is known of a machine with an unreadable entry stays, so its tasks are not started again elsewhere. Each odd entry is logged once (row_unreadable, machine_unreadable, advice_unreadable, configuration_entries_left_out). A call to an address that cannot be called counts as not sent.

Changed tests: decodeConfiguration returns the configuration with its findings, and list() the machines with the unreadable ones.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,13 +14,16 @@
 export {
 	parseIni, placeInIni, type IniDocument, type IniLines,
 } from './ini-file.js';
-export {type JsonObject, type JsonValue} from './json.js';
+export {
+	isNestedTooDeep, withoutDeepNesting, type JsonObject, type JsonValue,
+} from './json.js';
 export {LifecycleManager, ReleaseTimeoutError, type ReleaseFailure} from './lifecycle.js';
 export {listenOn} from './listen.js';
 export {
 	createLogger, formatLogRecord, logLevels, silentLogger, type LogFields, type Logger, type LogLevel, type LogOutput, type LogValue,
 } from './log.js';
 export {MetricsRegistry} from './metrics.js';
+export {OddEntryLog} from './odd-entry-log.js';
 export {
 	OperationsServer, type OperationsHandler, type OperationsRoute, type OperationsSource,
 } from './operations-server.js';
@@ -36,7 +39,7 @@
 	ReducerRuntime, type PerformEffect, type Reducer, type Step,
 } from './reducer-runtime.js';
 export {
-	baseUrlSchema, countSchema, durationMsSchema, isTextSchema, parseWith, segmentSchema, z,
+	baseUrlSchema, type CheckedEntries, countSchema, durationMsSchema, isTextSchema, parseEntries, parseWith, segmentSchema, z,
 } from './schema.js';
 export {
 	hashSecret, isSameHash, issueKey, keyFromAuthorization, parseKey, type IssuedKey, type PresentedKey,
--- a/packages/common/src/schema.ts
+++ b/packages/common/src/schema.ts
@@ -48,4 +48,27 @@
 		: E.left(result.error.issues.map(issue => toFinding(place, issue)));
 };
 
+/** A list whose entries were validated one by one. */
+export type CheckedEntries<Value> = {
+	readonly valid: readonly Value[];
+	/** The entries that the schema does not accept, with their findings. */
+	readonly odd: ReadonlyArray<{readonly entry: unknown; readonly findings: readonly Finding[]}>;
+};
+
+/** Validates each entry of a list from outside the process on its own, so that an odd entry costs only itself. */
+export const parseEntries = <Schema extends z.ZodType>(schema: Schema, entries: readonly unknown[], place: string): CheckedEntries<z.infer<Schema>> => {
+	const valid: Array<z.infer<Schema>> = [];
+	const odd: Array<{readonly entry: unknown; readonly findings: readonly Finding[]}> = [];
+	for (const [index, entry] of entries.entries()) {
+		const parsed = parseWith(schema, entry, `${place}/${index}`);
+		if (E.isRight(parsed)) {
+			valid.push(parsed.right);
+		} else {
+			odd.push({entry, findings: parsed.left});
+		}
+	}
+
+	return {valid, odd};
+};
+
 export {z} from 'zod';
--- /dev/null
+++ b/packages/entry/tests/support/entry-host.ts
@@ -0,0 +1,120 @@
+/**
+Runs `poplarnotch-entry` as a process of its own.
+*/
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createServer} from 'node:http';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {request} from 'undici';
+import {listenOn} from '@poplarnotch/common';
+
+/** Returns consecutive ports that are free at this moment. */
+const freePorts = async (count: number): Promise<number> => {
+	for (;;) {
+		const servers = [createServer()];
+		const first = await listenOn(servers[0]!, '127.0.0.1', 0);
+		try {
+			for (let index = 1; index < count; index++) {
+				const server = createServer();
+				await listenOn(server, '127.0.0.1', first + index);
+				servers.push(server);
+			}
+		} catch {
+			continue;
+		} finally {
+			await Promise.all(servers.map(async server => {
+				server.close();
+				await once(server, 'close');
+			}));
+		}
+
+		return first;
+	}
+};
+
+const portsPerHost = 5;
+
+/** Host name under which callers reach the queues. */
+export const callersHost = 'draws.example';
+
+export class EntryHost {
+	readonly name: string;
+	readonly storePort: number;
+	readonly #folder: string;
+	readonly #process: ChildProcess;
+	readonly #callersPort: number;
+	#output = '';
+
+	constructor(name: string, {storePort, folder, callersPort, child}: {
+		readonly storePort: number;
+		readonly folder: string;
+		readonly callersPort: number;
+		readonly child: ChildProcess;
+	}) {
+		this.name = name;
+		this.storePort = storePort;
+		this.#folder = folder;
+		this.#process = child;
+		this.#callersPort = callersPort;
+		for (const stream of [child.stdout, child.stderr]) {
+			stream?.on('data', chunk => {
+				this.#output += String(chunk);
+			});
+		}
+	}
+
+	get isRunning(): boolean {
+		return this.#process.exitCode === null && this.#process.signalCode === null;
+	}
+
+	get output(): string {
+		return this.#output;
+	}
+
+	/** Number of log lines with all of the texts. */
+	countLines(...texts: readonly string[]): number {
+		return this.#output.split('\n').filter(line => texts.every(text => line.includes(text))).length;
+	}
+
+	async call(method: 'GET' | 'POST', callPath: string, body?: unknown): Promise<{readonly status: number; readonly body: unknown}> {
+		const response = await request(`http://127.0.0.1:${this.#callersPort}${callPath}`, {
+			method, body: body === undefined ? null : JSON.stringify(body), headers: {'content-type': 'application/json', host: callersHost},
+		});
+		const text = await response.body.text();
+		return {status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
+	}
+
+	async kill(): Promise<void> {
+		if (this.isRunning) {
+			this.#process.kill('SIGKILL');
+			await once(this.#process, 'exit');
+		}
+
+		await rm(this.#folder, {recursive: true, force: true});
+	}
+}
+
+/** Starts a process that reaches the store and the machines at the given ports. */
+export const startEntryHost = async (name: string, storePort: number, machinesPort: number): Promise<EntryHost> => {
+	const first = await freePorts(portsPerHost);
+	const folder = await mkdtemp(path.join(os.tmpdir(), 'entry-host-'));
+	const settingsFile = path.join(folder, 'boot.conf');
+	await writeFile(settingsFile, [
+		`node=${name}`,
+		'zone=north',
+		'ip=127.0.0.1',
+		`port_range=${first + 2},${first + 3}`,
+		`listen_addrs.front=127.0.0.1:${first}`,
+		`listen_addrs.ready=127.0.0.1:${first + 1}`,
+		`platform.addr=127.0.0.1:${storePort}`,
+		`cloud_api.addr=127.0.0.1:${machinesPort}`,
+	].join('\n'));
+	const parameters = ['--import', 'tsx', 'packages/entry/src/main.ts', '--metricsPort', String(first + 4)];
+	const child = spawn(process.execPath, parameters, {env: {...process.env, POPLARNOTCH_CONFIG: settingsFile}});
+	return new EntryHost(name, {
+		storePort, folder, callersPort: first, child,
+	});
+};
--- a/packages/platform/src/http/connection.ts
+++ b/packages/platform/src/http/connection.ts
@@ -43,7 +43,9 @@
 	readonly text: string;
 };
 
-const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
+const notSentCodes = new Set([
+	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'ERR_INVALID_URL', 'ERR_SOCKET_BAD_PORT', 'UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_INVALID_ARG',
+]);
 
 const codeOf = (error: unknown): string | undefined => {
 	const {code, cause} = error as {readonly code?: unknown; readonly cause?: unknown};
--- a/packages/platform/src/http/schemas.ts
+++ b/packages/platform/src/http/schemas.ts
@@ -2,7 +2,7 @@
 Schemas of the bodies of the platform's HTTP interface, used by clients and by stand-ins of the platform.
 */
 import {
-	countSchema, durationMsSchema, type JsonObject, type JsonValue, z,
+	countSchema, durationMsSchema, type JsonObject, type JsonValue, withoutDeepNesting, z,
 } from '@poplarnotch/common';
 
 /** Accepts any value: values come from `JSON.parse`, so they are already JSON. */
@@ -16,7 +16,10 @@
 	z.object({type: z.literal('delete'), key: z.string()}),
 ]);
 
-const rowSchema = z.object({key: z.string(), value: jsonValueSchema, version: countSchema});
+/** Another writer's value may be nested too deep to be copied; it is read as null, which no decoder accepts. */
+const storedValueSchema = jsonValueSchema.transform(withoutDeepNesting);
+
+const rowSchema = z.object({key: z.string(), value: storedValueSchema, version: countSchema});
 
 export const transactionSchema = z.object({
 	conditions: z.array(conditionSchema),
@@ -37,7 +40,7 @@
 
 /** A change without a value is a deletion. */
 const rowChangeSchema = z
-	.object({key: z.string(), value: jsonValueSchema.optional(), version: countSchema})
+	.object({key: z.string(), value: storedValueSchema.optional(), version: countSchema})
 	.transform(({key, value, version}) => ({key, value, version}));
 
 export const changePageSchema = z.object({changes: z.array(rowChangeSchema), revision: countSchema, hasMore: z.boolean()});
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -2,7 +2,7 @@
 Events that the scheduler's reducer handles and effects that it emits.
 */
 import {
-	type AdviceAnswer, type PollAnswer, type MachineAnswer, type OrderAnswer, type StartAnswer,
+	type AdviceAnswer, type PollAnswer, type MachineAnswer, type OrderAnswer, type StartAnswer, type UnreadableMachine,
 } from '../ports.js';
 import {
 	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type WaveOrder, type WorkerEntry,
@@ -48,7 +48,7 @@
 	| {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly answer: OrderAnswer}
 	| {readonly type: 'adviceAnswered'; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workerIds: readonly string[]; readonly answer: AdviceAnswer}
 	| {readonly type: 'saved'; readonly saveNumber: number}
-	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly sentAtMs: number}
+	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly sentAtMs: number}
 	| {readonly type: 'machineAnswered'; readonly machineId: string; readonly answer: MachineAnswer}
 	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. */
 	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean}
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -2,16 +2,24 @@
 Tracks the state of machines and the orders sent for them. Orders carry the term's fencing token and may be repeated: the platform gives the same answer if the operation is already done.
 */
 import {minMachineAbsenceMs, machineOrderRetryMs} from '../constants.js';
-import {type MachineAnswer} from '../ports.js';
+import {type MachineAnswer, type UnreadableMachine} from '../ports.js';
 import {type MachineEntry} from '../types.js';
 import {type MachineRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {endWorker, type LossReason} from './workers.js';
 
-/** Applies a complete list of machines. */
-export const applyMachineList = (state: SchedulerState, entries: readonly MachineEntry[], {sentAtMs, wallMs}: {readonly sentAtMs: number; readonly wallMs: number}): void => {
-	const listed = new Set<string>();
-	for (const entry of entries) {
+/** A complete list of machines, and when it was requested. */
+export type ReceivedMachineList = {
+	readonly machines: readonly MachineEntry[];
+	readonly unreadable?: readonly UnreadableMachine[] | undefined;
+	readonly sentAtMs: number;
+	readonly wallMs: number;
+};
+
+/** Applies a complete list of machines. What is known of a machine whose entry cannot be read stays as it is. */
+export const applyMachineList = (state: SchedulerState, {machines, unreadable = [], sentAtMs, wallMs}: ReceivedMachineList): void => {
+	const listed = new Set<string | undefined>(unreadable.map(({machineId}) => machineId));
+	for (const entry of machines) {
 		listed.add(entry.machineId);
 		const known = state.machines.get(entry.machineId);
 		if (known === undefined) {
@@ -41,7 +49,7 @@
 	}
 
 	state.machinesListedAtMs = sentAtMs;
-	endUnlistedWorkers(state, sentAtMs, wallMs);
+	endUnlistedWorkers(state, unreadable, {sentAtMs, wallMs});
 };
 
 /** A worker that registers itself is named in the list of machines within this time. */
@@ -53,8 +61,12 @@
 const mayBeNewerThanList = (worker: WorkerRecord, nowMs: number, wallMs: number): boolean =>
 	nowMs - worker.firstSeenAtMs <= maxListingDelayMs && (worker.bornWallMs === undefined || wallMs - worker.bornWallMs <= minUnlistedAgeMs);
 
+/** Returns true if the worker may run on a machine whose entry cannot be read. */
+const mayRunOnUnreadable = ({entry, machineId}: WorkerRecord, unreadable: readonly UnreadableMachine[]): boolean => unreadable.some(machine =>
+	machine.workerId === entry.workerId || (machine.machineId === undefined ? machineId === undefined : machine.machineId === machineId));
+
 /** Ends workers that no machine runs any more, except for those that may have registered after the machines were listed. */
-const endUnlistedWorkers = (state: SchedulerState, nowMs: number, wallMs: number): void => {
+const endUnlistedWorkers = (state: SchedulerState, unreadable: readonly UnreadableMachine[], {sentAtMs: nowMs, wallMs}: {readonly sentAtMs: number; readonly wallMs: number}): void => {
 	const machineIdByWorker = new Map<string, string>();
 	const ended: WorkerRecord[] = [];
 	for (const {entry} of state.machines.values()) {
@@ -65,7 +77,7 @@
 
 	for (const [workerId, worker] of state.workers) {
 		const machineId = machineIdByWorker.get(workerId);
-		if (machineIdByWorker.size > 0 && machineId === undefined && (worker.machineId !== undefined || !worker.isListed || !mayBeNewerThanList(worker, nowMs, wallMs))) {
+		if (machineIdByWorker.size > 0 && machineId === undefined && !mayRunOnUnreadable(worker, unreadable) && (worker.machineId !== undefined || !worker.isListed || !mayBeNewerThanList(worker, nowMs, wallMs))) {
 			ended.push(worker);
 		}
 
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -194,7 +194,7 @@
 		}
 
 		case 'machinesListed': {
-			applyMachineList(state, event.machines, event);
+			applyMachineList(state, event);
 			break;
 		}
 
--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -99,9 +99,20 @@
 	readonly fencingToken: number;
 };
 
+/** A machine whose entry cannot be read. It may be up, and its worker with it. */
+export type UnreadableMachine = {
+	readonly machineId: string | undefined;
+	readonly workerId: string | undefined;
+};
+
+export type MachineListing = {
+	readonly machines: readonly MachineEntry[];
+	readonly unreadable: readonly UnreadableMachine[];
+};
+
 /** Lists and orders the machines of the fleet. Listing fails with `UnavailableError`; orders never throw. */
 export interface MachineControl {
-	list(): Promise<readonly MachineEntry[]>;
+	list(): Promise<MachineListing>;
 	move(machineId: string, pool: string, holder: MachineHolder): Promise<MachineAnswer>;
 	maintain(machineId: string, waveId: number, holder: MachineHolder): Promise<MachineAnswer>;
 }
--- a/packages/scheduler/src/shell/published-queues.ts
+++ b/packages/scheduler/src/shell/published-queues.ts
@@ -15,6 +15,9 @@
 /** Rows of one transaction, which stays below the platform's limit of 1 MB. */
 const maxRowsPerCommit = 10;
 
+/** Rows of one publication, which hold the counts of more than a million queues. */
+const maxRows = 1000;
+
 const pendingEntrySchema = z.tuple([z.literal('pending'), z.string(), z.number().int().nonnegative()]);
 const loadEntrySchema = z.tuple([z.literal('load'), z.string(), z.number(), z.array(z.number())]);
 const overShareEntrySchema = z.tuple([z.literal('overShare'), z.string(), z.number(), z.string()]);
@@ -25,7 +28,7 @@
 
 const rowSchema = z.object({
 	publication: z.string(),
-	rows: z.number().int().positive(),
+	rows: z.number().int().positive().max(maxRows),
 	entries: z.array(entrySchema),
 });
 
@@ -93,7 +96,7 @@
 	/** Applies a changed row. Returns the publication that the row completes, or `undefined`. */
 	apply({key, value}: RowChange): PublishedQueues | undefined {
 		const index = key.startsWith(publishedPrefix) ? Number(key.slice(publishedPrefix.length)) : Number.NaN;
-		if (!Number.isInteger(index)) {
+		if (!Number.isInteger(index) || index < 0 || index >= maxRows) {
 			return undefined;
 		}
 
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -2,7 +2,7 @@
 Runs the scheduler of one process: watches the state that the platform stores, contends for the lease, performs the reducer's effects and dispatches their results as events.
 */
 import {
-	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type LogFields, type Logger, type MetricsRegistry, ReducerRuntime,
+	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type LogFields, type Logger, type MetricsRegistry, OddEntryLog, ReducerRuntime,
 } from '@poplarnotch/common';
 import {
 	failureReason, type RowChange, type RowCondition, type TableService, type WatchableTable,
@@ -147,6 +147,7 @@
 	readonly #continuation: LeaseContinuation;
 	readonly #store: JobStore;
 	readonly #jobReplica: TableReplica;
+	readonly #oddJobRows: OddEntryLog;
 	readonly #jobRowsAge: CopyAgeMonitor;
 	readonly #controlReplica: TableReplica;
 	readonly #workerPoller: WorkerPoller;
@@ -208,6 +209,7 @@
 			outage: options.outage, leaseMs, clock, log, metrics: options.metrics,
 		});
 		this.#liveness = options.failureDetection === undefined ? undefined : this.#createLivenessMonitor(options.failureDetection, incarnation);
+		this.#oddJobRows = new OddEntryLog(log, 'row_unreadable');
 		this.#jobReplica = new TableReplica({
 			table, prefix: jobsPrefix, waitMs: watchWaitMs, clock, log,
 			pauseMs: () => this.#runtime.state.term === undefined ? successorPollPauseMs : holderPollPauseMs,
@@ -704,9 +706,11 @@
 
 	#applyJobRows(changes: readonly RowChange[]): void {
 		const read = changes.map(change => ({change, job: jobChangeFrom(change)}));
-		for (const {change, job} of read) {
-			if (job === undefined && change.value !== undefined) {
-				this.#options.log.warn({event: 'row_unreadable', key: change.key, version: change.version});
+		for (const {change: {key, value, version}, job} of read) {
+			if (job === undefined && value !== undefined) {
+				this.#oddJobRows.report(key, {version});
+			} else {
+				this.#oddJobRows.clear(key);
 			}
 		}
 
@@ -726,9 +730,9 @@
 		this.#isListing = true;
 		const sentAtMs = this.#options.clock.nowMs();
 		try {
-			const machines = await this.#options.machineControl.list();
+			const listing = await this.#options.machineControl.list();
 			this.#runtime.dispatch({
-				type: 'machinesListed', machines, sentAtMs, ...this.#now(),
+				type: 'machinesListed', ...listing, sentAtMs, ...this.#now(),
 			});
 		} catch (error) {
 			this.#options.log.warn({event: 'machines_not_listed', reason: failureReason(this.#options.log, 'list machines', error)});
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -384,7 +384,7 @@
 				machineControl: {
 					list: async () => {
 						await clock.wait(orderLatencyMs);
-						return [...this.machines.values()].map(({entry}) => entry);
+						return {machines: [...this.machines.values()].map(({entry}) => entry), unreadable: []};
 					},
 					move: async (machineId, target, {fencingToken}) => this.#orderMachine(clock, {
 						machineId, fencingToken, forMs: moveMs, target,
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -56,3 +56,18 @@
 	takeOver(wallOffsetMs - 1000);
 	expect(state.isSettled).toBe(false);
 });
+
+// Guards against starting tasks again elsewhere because the entry of their machine could not be read.
+test.each([
+	{about: 'its machine', unreadable: [{machineId: 'm-1', workerId: undefined}], isEnded: false},
+	{about: 'itself', unreadable: [{machineId: undefined, workerId: 'listed'}], isEnded: false},
+	{about: 'another machine', unreadable: [{machineId: 'm-9', workerId: 'i-9'}], isEnded: true},
+])('a worker that is missing from a list with an unreadable entry about $about has ended: $isEnded', ({unreadable, isEnded}) => {
+	takeOver(wallOffsetMs - 10_000);
+	const other: MachineEntry = {...machine, machineId: 'm-2', workerId: 'other'};
+	dispatch({
+		type: 'machinesListed', machines: [other], unreadable, sentAtMs: 3000,
+	}, 3010);
+	expect(state.workers.get('listed')!.isEnded).toBe(isEnded);
+	expect(state.machines.has('m-1')).toBe(unreadable.some(({machineId}) => machineId === 'm-1'));
+});
--- a/packages/state/src/relay/relay-directory.ts
+++ b/packages/state/src/relay/relay-directory.ts
@@ -4,7 +4,7 @@
 import {randomBytes} from 'node:crypto';
 import * as E from 'fp-ts/lib/Either.js';
 import {
-	type CancelTimer, type Clock, type Logger, parseWith, silentLogger, SystemClock, z,
+	baseUrlSchema, type CancelTimer, type Clock, type Logger, OddEntryLog, parseWith, portSchema, silentLogger, SystemClock, z,
 } from '@poplarnotch/common';
 import {
 	absentVersion, ConflictError, failureReason, type RowChange, type WatchableTable,
@@ -27,13 +27,16 @@
 
 const secretBytes = 24;
 
+/** More than any host has. */
+const maxCpuMillicores = 10_000_000;
+
 const peerSchema = z.object({
-	url: z.string(), beats: z.number(), cpuMillicores: z.number().default(0), dataCentre: z.string().default(''), datagramPort: z.number().default(0), isRelaying: z.boolean().default(false),
+	url: baseUrlSchema, beats: z.number(), cpuMillicores: z.number().nonnegative().max(maxCpuMillicores).default(0), dataCentre: z.string().default(''), datagramPort: portSchema.default(0), isRelaying: z.boolean().default(false),
 });
 
 /** A peer counts as larger if it has at least this many times this process's CPU, so that machines of one kind do not pass a lease back and forth. */
 const largerPeerFactor = 1.5;
-const secretSchema = z.object({secret: z.string()});
+const secretSchema = z.object({secret: z.string().regex(/^[\w\-]{16,200}$/v)});
 
 /** After the first peer rows have been read, those of processes that start at the same time arrive within this time. */
 const settlingMs = 2000;
@@ -70,6 +73,7 @@
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #peers = new Map<string, Peer>();
+	readonly #oddRows: OddEntryLog;
 	#secret: string | undefined;
 	#firstAppliedAtMs: number | undefined;
 	#lastAppliedAtMs = 0;
@@ -84,6 +88,7 @@
 		this.#options = options;
 		this.#clock = options.clock ?? new SystemClock();
 		this.#log = options.log ?? silentLogger;
+		this.#oddRows = new OddEntryLog(this.#log, 'row_unreadable');
 	}
 
 	/** The shared secret; `undefined` until it was read. */
@@ -165,16 +170,28 @@
 	apply(changes: readonly RowChange[]): void {
 		this.#lastAppliedAtMs = this.#clock.nowMs();
 		this.#firstAppliedAtMs ??= this.#lastAppliedAtMs;
-		for (const {key, value} of changes) {
+		for (const change of changes) {
+			const {key, value} = change;
 			if (key === secretKey) {
 				const parsed = parseWith(secretSchema, value, key);
 				this.#secret = E.isRight(parsed) ? parsed.right.secret : this.#secret;
+				this.#logOddRow(change, E.isRight(parsed));
 			} else if (key.startsWith(peersPrefix) && key !== `${peersPrefix}${this.#options.processId}`) {
-				this.#applyPeer(key, parseWith(peerSchema, value, key));
+				const parsed = parseWith(peerSchema, value, key);
+				this.#applyPeer(key, parsed);
+				this.#logOddRow(change, E.isRight(parsed));
 			}
 		}
 	}
 
+	#logOddRow({key, value, version}: RowChange, isReadable: boolean): void {
+		if (isReadable || value === undefined) {
+			this.#oddRows.clear(key);
+		} else {
+			this.#oddRows.report(key, {version});
+		}
+	}
+
 	#applyPeer(key: string, parsed: E.Either<unknown, z.infer<typeof peerSchema>>): void {
 		if (E.isRight(parsed)) {
 			const {url, cpuMillicores, dataCentre, datagramPort, isRelaying} = parsed.right;
