Do not suspect a holder that had no reason to send heartbeats

Cause: holders send heartbeats to their successors only. A process that relays is no successor, so it hears nothing, and took the silence for a loss once it was a successor again. It now waits until it hears the holder.

--- a/packages/state/src/liveness/holder-liveness.ts
+++ b/packages/state/src/liveness/holder-liveness.ts
@@ -81,6 +81,7 @@
 	/** The holder heard before it, or before this process acquired the lease. */
 	#earlierHolder: Holder | undefined;
 	#heldToken: number | undefined;
+	#wasSuccessor = false;
 	#sequence = 0;
 	/** Since when this process has run without a pause. */
 	#runningSinceMs: number;
@@ -165,6 +166,7 @@
 		}
 
 		this.#noteHeldToken(situation);
+		this.#noteSuccession(situation);
 		const effects: LivenessEffect[] = [];
 		if (nowMs >= this.#nextSendAtMs) {
 			this.#nextSendAtMs = this.#nextSendAfter(nowMs);
@@ -229,6 +231,17 @@
 		this.#heldToken = heldToken;
 	}
 
+	/** Holders send heartbeats to their successors only, so a process that was none knows nothing from the silence until it hears the holder again. */
+	#noteSuccession(situation: LivenessSituation): void {
+		const isSuccessor = this.#isSuccessor(situation);
+		if (isSuccessor && !this.#wasSuccessor) {
+			this.#holder = undefined;
+			this.#suspicion = undefined;
+		}
+
+		this.#wasSuccessor = isSuccessor;
+	}
+
 	#noticeLaterRun(processId: string): readonly LivenessEffect[] {
 		const {holder, earlier} = {holder: this.#holder, earlier: this.#earlierHolder};
 		const isHolderGone = [holder, earlier].some(each => each?.processId === processId && this.#isReplacedByLaterRun(each));
--- a/packages/state/tests/liveness/holder-liveness.test.ts
+++ b/packages/state/tests/liveness/holder-liveness.test.ts
@@ -240,3 +240,14 @@
 	expect(decodeDatagram('secret', datagram.subarray(0, 12))).toBeUndefined();
 	expect(decodeDatagram('secret', encodeDatagram('secret', {type: 'heartbeat'} as LivenessMessage))).toBeUndefined();
 });
+
+test('a process that becomes a successor again does not suspect a holder that sent it nothing meanwhile', () => {
+	process.peers = successors.filter(({processId}) => processId !== 'a');
+	process.runUntil(10_000);
+	process.peers = successors;
+	process.runUntil(13_000);
+	expect(process.suspectedAtMs).toEqual([]);
+	process.receive(13_100, {type: 'heartbeat', processId: 'h'});
+	process.runUntil(13_900);
+	expect(process.suspectedAtMs).toEqual([13_700]);
+});
