Store the progress of a large job in one row

A job with thousands of occurrences would have run tasks twice: its progress was refused by the store (112 KB of JSON text for 8,000 occurrences of one task, of 48 KB that a row takes), so its ends were acknowledged without being stored, and the next holder started them again.

Cause: progress listed each done task, with a key for each step of each occurrence. Done tasks are stored as ranges now, steps with the same tasks together; rows of earlier versions are still read, and an odd row cannot name more tasks than a job has. Many failed attempts of many tasks may still outgrow a row; save_rejected tells so.

Evidence: 'the progress of the largest job fits into a row' failed for 8,000 occurrences before.

--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -7,6 +7,7 @@
 import {maxTasksPerJob} from '../constants.js';
 import {type JobChange} from '../core/events.js';
 import {type JobProgress, type JobSpec} from '../types.js';
+import {decodeDone, doneRangesSchema, encodeDone} from './done-ranges.js';
 
 export const jobsPrefix = 'jobs/';
 
@@ -83,10 +84,21 @@
 	outcome: z.enum(['completed', 'failed', 'cancelled']).optional(),
 	endedWallMs: z.number().optional(),
 	hasBegun: z.boolean(),
-	doneTasks: taskRecordsSchema.default({}),
+	doneRanges: doneRangesSchema.default([]),
+	/** In rows of earlier versions, instead of the ranges. */
+	doneTasks: taskRecordsSchema.optional(),
 	failures: taskRecordsSchema.default({}),
 	crashRecords: z.record(z.string(), crashRecordSchema).default({}),
-}).transform(({outcome, endedWallMs, ...taskRecords}): JobProgress => ({...taskRecords, outcome, endedWallMs}));
+}).transform(({outcome, endedWallMs, doneRanges, doneTasks = decodeDone(doneRanges), ...taskRecords}, context): JobProgress => {
+	if (doneTasks === undefined) {
+		context.addIssue({code: 'custom', message: 'more tasks than a job has'});
+		return z.NEVER;
+	}
+
+	return {
+		...taskRecords, doneTasks, outcome, endedWallMs,
+	};
+});
 
 const isDefault = (value: unknown): boolean => value === 0 || value === false || value === '' || (Array.isArray(value) && value.length === 0);
 
@@ -98,9 +110,11 @@
 });
 
 /** Unset fields are left out, and so are the task records of an ended job, which are not needed any more. */
-export const progressToJson = ({outcome, endedWallMs, hasBegun, crashRecords, ...taskRecords}: JobProgress): JsonObject => ({
+export const progressToJson = ({
+	outcome, endedWallMs, hasBegun, doneTasks, failures, crashRecords,
+}: JobProgress): JsonObject => ({
 	hasBegun,
-	...(outcome === undefined ? {...taskRecords, ...crashRecordsToJson(crashRecords)} : {outcome}),
+	...(outcome === undefined ? {doneRanges: encodeDone(doneTasks), failures, ...crashRecordsToJson(crashRecords)} : {outcome}),
 	...(endedWallMs === undefined ? {} : {endedWallMs}),
 });
 
--- a/packages/scheduler/tests/jobs/rows.test.ts
+++ b/packages/scheduler/tests/jobs/rows.test.ts
@@ -78,3 +78,40 @@
 	expect(jobChangeFrom({key: `${elsewhere}/cancel`, value: {}, version: 1})).toBeUndefined();
 	expect(jobChangeFrom({key: elsewhere, value: undefined, version: 1})).toBeUndefined();
 });
+
+/** Size of a row's JSON text that the platform takes. */
+const maxRowBytes = 49_152;
+
+const progressWith = (doneTasks: Readonly<Record<string, readonly number[]>>) => ({
+	doneTasks, failures: {}, crashRecords: {}, outcome: undefined, endedWallMs: undefined, hasBegun: true,
+});
+
+const upTo = (count: number): readonly number[] => Array.from({length: count}, (_value, index) => index);
+
+// Guards against ends that are acknowledged but not stored, since the row of a large job is refused.
+test.each([
+	{occurrences: 1, tasks: maxTasksPerJob}, {occurrences: maxTasksPerJob, tasks: 1}, {occurrences: 100, tasks: 80},
+])('the progress of the largest job fits into a row: $occurrences times $tasks tasks', ({occurrences, tasks}) => {
+	const doneWhere = (isDone: (occurrence: number, index: number) => boolean): Readonly<Record<string, readonly number[]>> => Object.fromEntries(upTo(occurrences)
+		.map((occurrence): [string, readonly number[]] => [`${occurrence}.0`, upTo(tasks).filter(index => isDone(occurrence, index))])
+		.filter(([, done]) => done.length > 0));
+	for (const doneTasks of [doneWhere(() => true), doneWhere((occurrence, index) => (occurrence + index) % 2 === 0)]) {
+		const value = progressToJson(progressWith(doneTasks));
+		expect(JSON.stringify(value).length).toBeLessThan(maxRowBytes);
+		expect(jobChangeFrom({key: progressKey('00ff'), value, version: 3})).toMatchObject({progress: {doneTasks}});
+	}
+});
+
+test('any done tasks are decoded as encoded', () => {
+	const done = fc.dictionary(fc.tuple(fc.nat(20), fc.nat(3)).map(([occurrence, step]) => `${occurrence}.${step}`), fc.uniqueArray(fc.nat(90), {minLength: 1, maxLength: 40}).map(indexes => indexes.toSorted((a, b) => a - b)));
+	fc.assert(fc.property(done, doneTasks => {
+		expect(jobChangeFrom({key: progressKey('00ff'), value: progressToJson(progressWith(doneTasks)), version: 3})).toMatchObject({progress: {doneTasks}});
+	}), {seed: 20_261_205, numRuns: 200});
+});
+
+test('progress of an earlier version is read, and ranges of more tasks than a job has are not', () => {
+	const key = progressKey('00ff');
+	expect(jobChangeFrom({key, value: {hasBegun: true, doneTasks: {'0.0': [0, 2]}}, version: 3})).toMatchObject({progress: {doneTasks: {'0.0': [0, 2]}}});
+	expect(jobChangeFrom({key, value: {hasBegun: true, doneRanges: [['0-9999', 0, '0-9999']]}, version: 3})).toBeUndefined();
+	expect(jobChangeFrom({key, value: {hasBegun: true, doneRanges: [['9-1', 0, 'x']]}, version: 3})).toBeUndefined();
+});
