Spread arriving jobs over more partitions of the store

Cause: jobs were spread over eight partitions. One applies its transactions one after the other, a few a second while the platform is slow; eight of them took less than arrives on a grown fleet. The class of fault: a fixed number of places that the growing work has to pass.

There are 32 partitions now. A job that an earlier version stored in one of the eight is still followed, found and cancelled.

The new test of job-store.test.ts guards the update.

--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -9,7 +9,7 @@
 import {waveKey} from '../shell/wave-rows.js';
 import {type JobSpec} from '../types.js';
 import {
-	cancelKey, jobChangeFrom, jobKey, jobToJson, partitionOf, progressKey, progressToJson,
+	cancelKey, earlierJobKey, jobChangeFrom, jobKey, jobToJson, partitionOf, progressKey, progressToJson,
 } from './rows.js';
 
 /** Result of storing a submitted job. */
@@ -106,12 +106,18 @@
 
 	/** Reads the stored rows of one job, its specification first; empty if the job is not stored. */
 	async read(jobId: string): Promise<readonly JobChange[]> {
-		const key = jobKey(jobId);
-		const [{rows}, progressRows] = await Promise.all([
-			this.#table.readPrefix(key, {limit: rowsPerJob}),
+		const [changes, progressRows] = await Promise.all([
+			this.#readUnder(jobKey(jobId), jobId),
 			this.#table.readRows([progressKey(jobId)]),
 		]);
-		return [...rows, ...progressRows].flatMap(row => {
+		const isStored = changes.some(({type}) => type === 'accepted');
+		const earlier = isStored ? [] : await this.#readUnder(earlierJobKey(jobId), jobId);
+		return [...earlier, ...changes, ...progressRows.flatMap(row => jobChangeFrom(row) ?? [])];
+	}
+
+	async #readUnder(key: string, jobId: string): Promise<readonly JobChange[]> {
+		const {rows} = await this.#table.readPrefix(key, {limit: rowsPerJob});
+		return rows.flatMap(row => {
 			const change = jobChangeFrom(row);
 			return change === undefined || jobIdOf(change) !== jobId ? [] : [change];
 		});
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -14,24 +14,35 @@
 /** Partition that only the lease holder writes to. */
 const sharedPartition = 'shared';
 
-const partitionCount = 8;
+/** A partition applies its transactions one after the other. While the platform is slow it applies a few a second, and all partitions together have to take the jobs that arrive. */
+const partitionCount = 32;
+
+/** Earlier versions stored jobs in so many partitions; lasting jobs outlive an update. */
+const earlierPartitionCount = 8;
 
 /** Returns the partition that holds the specification and the cancellation of a job. */
-export const partitionOf = (jobId: string): string => {
+export const partitionOf = (jobId: string, count = partitionCount): string => {
 	let hash = 0;
 	for (let index = 0; index < jobId.length; index++) {
 		hash = ((hash * 31) + jobId.codePointAt(index)!) % 65_521;
 	}
 
-	return `p${hash % partitionCount}`;
+	return `p${hash % count}`;
 };
 
 /** Key of a job's specification, and prefix of its cancellation. */
 export const jobKey = (jobId: string): string => `${jobsPrefix}${partitionOf(jobId)}/${jobId}`;
 
+/** Key under which an earlier version may have stored a job's specification. */
+export const earlierJobKey = (jobId: string): string => `${jobsPrefix}${partitionOf(jobId, earlierPartitionCount)}/${jobId}`;
+
 export const progressKey = (jobId: string): string => `${jobsPrefix}${sharedPartition}/${jobId}/progress`;
 
-export const cancelKey = (jobId: string): string => `${jobKey(jobId)}/cancel`;
+const cancelSuffix = '/cancel';
+
+export const cancelKey = (jobId: string): string => `${jobKey(jobId)}${cancelSuffix}`;
+
+const isKeyOfJob = (key: string, jobId: string): boolean => key === jobKey(jobId) || key === earlierJobKey(jobId);
 
 /** An amount of resources or of time. */
 const amountSchema = z.number().nonnegative();
@@ -135,7 +146,7 @@
 
 	const {jobId, part} = groups as {readonly jobId: string; readonly part?: string};
 	if (part === 'cancel') {
-		return value === undefined || key !== cancelKey(jobId) ? undefined : {type: 'cancelled', jobId, rowKey: key};
+		return value === undefined || !isKeyOfJob(key.slice(0, -cancelSuffix.length), jobId) ? undefined : {type: 'cancelled', jobId, rowKey: key};
 	}
 
 	if (part === 'progress') {
@@ -143,7 +154,7 @@
 		return E.isRight(progress) && key === progressKey(jobId) ? {type: 'progressed', jobId, progress: progress.right} : undefined;
 	}
 
-	if (key !== jobKey(jobId)) {
+	if (!isKeyOfJob(key, jobId)) {
 		return undefined;
 	}
 
--- a/packages/scheduler/tests/jobs/job-store.test.ts
+++ b/packages/scheduler/tests/jobs/job-store.test.ts
@@ -9,7 +9,7 @@
 import {expect, test} from 'vitest';
 import {type AcceptResult, JobStore} from '../../src/jobs/job-store.js';
 import {
-	jobKey, partitionOf, progressKey, progressToJson,
+	earlierJobKey, jobKey, jobToJson, partitionOf, progressKey, progressToJson,
 } from '../../src/jobs/rows.js';
 import {jobOf} from '../support/jobs.js';
 
@@ -155,3 +155,13 @@
 	const rows = await table.memory.readRows(['a', 'b', 'c'].map(jobId => progressKey(jobId)));
 	expect(rows.map(({key}) => key)).toEqual([progressKey('a'), progressKey('c')]);
 });
+
+test('a job that an earlier version stored in another partition is found, with its cancellation', async () => {
+	const table = new ScriptedTable([]);
+	const store = storeOn(table);
+	const job = Array.from({length: 40}, (_value, index) => jobOf(index + 1)).find(({jobId}) => earlierJobKey(jobId) !== jobKey(jobId))!;
+	await table.memory.commit({conditions: [], writes: [{type: 'put', key: earlierJobKey(job.jobId), value: jobToJson(job)}]});
+	expect(await store.read(job.jobId)).toMatchObject([{type: 'accepted', job}]);
+	await store.cancel(job.jobId);
+	expect(await store.read(job.jobId)).toMatchObject([{type: 'accepted', job}, {type: 'cancelled', jobId: job.jobId}]);
+});
--- a/packages/scheduler/tests/jobs/rows.test.ts
+++ b/packages/scheduler/tests/jobs/rows.test.ts
@@ -73,7 +73,7 @@
 
 test('a job row under a key of another partition is not used', () => {
 	const job = jobOf(1);
-	const elsewhere = jobKey(job.jobId).replace(/\/p\d\//v, '/other/');
+	const elsewhere = jobKey(job.jobId).replace(/\/p\d+\//v, '/other/');
 	expect(jobChangeFrom({key: elsewhere, value: jobToJson(job), version: 1})).toBeUndefined();
 	expect(jobChangeFrom({key: `${elsewhere}/cancel`, value: {}, version: 1})).toBeUndefined();
 	expect(jobChangeFrom({key: elsewhere, value: undefined, version: 1})).toBeUndefined();
