Split the keeping of the lease from the scheduler's process

TermKeeper holds them now, and reaches the process through what it needs: a refresh of the copies, and what follows a change of the lease and the begin of a term.

--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -1,18 +1,18 @@
 /**
-Runs the scheduler of one process: watches the state that the platform stores, contends for the lease, performs the reducer's effects and dispatches their results as events.
+Runs the scheduler of one process: watches the state that the platform stores, performs the reducer's effects and dispatches their results as events. `TermKeeper` keeps the lease.
 */
 import {
-	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type LogFields, type Logger, type MetricsRegistry, OddEntryLog, ReducerRuntime,
+	type CancelTimer, type Clock, type JsonObject, LifecycleManager, type Logger, type MetricsRegistry, OddEntryLog, ReducerRuntime,
 } from '@poplarnotch/common';
 import {
-	failureReason, type RowChange, type RowCondition, type TableService, type WatchableTable,
+	failureReason, type RowChange, type TableService, type WatchableTable,
 } from '@poplarnotch/platform';
 import {
-	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, type OutageKnowledge, TableReplica,
+	type FailureDetection, type OutageKnowledge, TableReplica,
 } from '@poplarnotch/state';
 import {admitAll, type AdmissionControl} from '../admission/admission-control.js';
-import {endedJobRetentionMs, storeRetryDelayMs} from '../constants.js';
-import {type EarlierHolder, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {endedJobRetentionMs} from '../constants.js';
+import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {describeEvacuations} from '../core/evacuation.js';
 import {createOrderPolicy, type OrderPolicyName} from '../core/order/order-policies.js';
 import {reduceScheduler} from '../core/reducer.js';
@@ -30,33 +30,11 @@
 import {type FleetConfiguration} from '../types.js';
 import {CopyAgeMonitor} from './copy-age-monitor.js';
 import {EffectPerformer} from './effect-performer.js';
-import {LeaseContinuation} from './lease-continuation.js';
 import {QueuePublisher} from './queue-publisher.js';
+import {TermKeeper} from './term-keeper.js';
 import {WorkerPoller} from './worker-poller.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
-/** Name of the lease whose holder schedules the fleet. */
-export const schedulerLease = 'scheduler';
-
-/** A holder that does not renew the lease for this long is replaced. Two renewals may be lost, and no lease on the workers lapses meanwhile. */
-const leaseMs = 3000;
-
-/** A holder that was replaced on suspicion stops trusting its lease this long after its last renewal at the latest. */
-const leaseTrustMs = 2400;
-
-/** A holder whose ticks pause for this long may have been replaced on suspicion meanwhile. Less than the silence after which a holder is suspected, less an interval of heartbeats. */
-const pauseThresholdMs = 400;
-
-/** How long a small process waits before it acquires a free lease, so that a larger one can acquire it first: each process checks the lease once in a third of the lease time. */
-const smallHostDelayMs = leaseMs / 3;
-
-/** How often a lease holder checks for a larger process, and the minimum time for which it holds the lease before it yields to one. */
-const yieldCheckIntervalMs = 2000;
-
-/** A holder that has reached the store only through peers for this long hands the lease over. Probes find a path that was lost for a moment within 200 ms. */
-const maxRelayedMs = 400;
-const relayedReason = 'the store is reached only through peers';
-
 /** Interval of ticks with the lease, on which decisions are made, and without it. */
 const decisionIntervalMs = 25;
 const idleTickIntervalMs = 250;
@@ -71,19 +49,12 @@
 /** Delay between two reads of the rows that all processes share. */
 const controlPollPauseMs = 1000;
 
-/** A process that is no successor waits this long before it acquires a free lease, and checks the lease less often: successors know the jobs and workers already. */
-const outsiderDelayMs = 500;
-const outsiderCheckIntervalMs = leaseMs / 2;
-
 /** A process that stops being a successor goes on following jobs and workers for this long, so that a short change of the ranking costs nothing. */
 const followingLingerMs = 10_000;
 
 /** Interval at which machines are listed. */
 const machineListIntervalMs = 400;
 
-/** The wall clock and the monotonic clock diverge by more than this only if the machine was suspended or its time of day was set. */
-const suspensionThresholdMs = 200;
-
 /** Interval at which ended jobs are removed, and the maximum number removed each time. */
 const sweepIntervalMs = 5000;
 const maxJobsPerSweep = 20;
@@ -143,22 +114,18 @@
 	readonly #runtime: ReducerRuntime<SchedulerState, SchedulerEvent, SchedulerEffect>;
 	readonly #performer: EffectPerformer;
 	readonly #lifecycle: LifecycleManager;
-	readonly #leases: LeaseContender;
-	readonly #continuation: LeaseContinuation;
+	readonly #term: TermKeeper;
 	readonly #store: JobStore;
 	readonly #jobReplica: TableReplica;
 	readonly #oddJobRows: OddEntryLog;
 	readonly #jobRowsAge: CopyAgeMonitor;
 	readonly #controlReplica: TableReplica;
 	readonly #workerPoller: WorkerPoller;
-	readonly #liveness: LivenessMonitor | undefined;
-	#fence: RowCondition | undefined;
 	#lastTickAtMs: number | undefined;
 	#cancelTick: CancelTimer | undefined;
 	#isListing = false;
 	#nextListingAtMs = 0;
 	#nextSweepAtMs = 0;
-	#nextYieldCheckAtMs = 0;
 	/** When the store was last known to be unavailable for every process. */
 	#outageEvidenceAtMs = Number.NEGATIVE_INFINITY;
 	/** Until when the process follows jobs and workers. */
@@ -167,18 +134,10 @@
 	readonly #replicaView: JobView;
 	readonly #storedView: JobView;
 	readonly #publisher: QueuePublisher;
-	/** The process is stopping and must not acquire the lease again. */
-	#isLeaving = false;
 	#isClosed = false;
-	/** Token of a holder whose replacement this process has left to others once. */
-	#leftToOthersToken: number | undefined;
-	/** A read that confirms whether the fence is still valid is in flight. */
-	#isConfirmingFence = false;
-	/** Difference between the wall clock and the monotonic clock at the last tick. */
-	#wallOffsetMs: number | undefined;
 
 	constructor(options: SchedulerProcessOptions) {
-		const {table, clock, log, processId} = options;
+		const {table, clock, log} = options;
 		this.#options = options;
 		this.#lifecycle = new LifecycleManager(clock);
 		this.#runtime = new ReducerRuntime(new SchedulerState(createOrderPolicy(options.orderPolicy ?? 'likely-in-time-first'), options.poolForecast), reduceScheduler, effect => {
@@ -192,23 +151,32 @@
 			...options,
 			store: this.#store,
 			state: () => this.#runtime.state,
-			fence: () => this.#fence,
+			fence: () => this.#term.fence,
 			clearFence: () => {
-				this.#fence = undefined;
+				this.#term.clearFence();
 			},
 			dispatch: event => {
 				this.#runtime.dispatch(event);
 			},
 			isClosed: () => this.#isClosed,
 		});
-		const incarnation = clock.wallTimeMs();
-		this.#leases = new LeaseContender({
-			table, holder: `${processId}@${incarnation}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => this.#acquireDelayMs(), readIntervalMs: () => options.isSuccessor() ? undefined : outsiderCheckIntervalMs, clock, log,
-		});
-		this.#continuation = new LeaseContinuation({
-			outage: options.outage, leaseMs, clock, log, metrics: options.metrics,
+		this.#term = new TermKeeper({
+			...options,
+			state: () => this.state,
+			dispatch: event => {
+				this.#runtime.dispatch(event);
+			},
+			refreshCopies: async () => {
+				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), options.workers.refresh(), options.orders.refresh()]);
+			},
+			refreshOrders: async () => options.orders.refresh(),
+			onLeaseChanged: () => {
+				this.#updateFollowing();
+			},
+			onTermBegun: () => {
+				this.#onTermBegun();
+			},
 		});
-		this.#liveness = options.failureDetection === undefined ? undefined : this.#createLivenessMonitor(options.failureDetection, incarnation);
 		this.#oddJobRows = new OddEntryLog(log, 'row_unreadable');
 		this.#jobReplica = new TableReplica({
 			table, prefix: jobsPrefix, waitMs: watchWaitMs, clock, log,
@@ -303,8 +271,7 @@
 			});
 		}
 
-		this.#contend();
-		this.#liveness?.start();
+		this.#term.start();
 		this.#scheduleTick();
 	}
 
@@ -318,17 +285,13 @@
 
 	/** Releases the lease permanently, so that another process takes over at once, and goes on answering callers. */
 	async leave(): Promise<void> {
-		this.#isLeaving = true;
-		await this.#releaseLease();
-		// A process that leaves is no successor, and others need not wait for it.
-		this.#liveness?.close();
+		await this.#term.leave();
 	}
 
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		this.#cancelTick?.();
-		this.#liveness?.close();
-		this.#leases.close();
+		this.#term.close();
 		await this.#lifecycle.releaseAll();
 	}
 
@@ -357,85 +320,10 @@
 		};
 	}
 
-	#createLivenessMonitor(detection: FailureDetection, incarnation: number): LivenessMonitor {
-		const {processId, clock, log, metrics} = this.#options;
-		return new LivenessMonitor({
-			...detection,
-			processId,
-			incarnation,
-			heldToken: () => this.#heldToken(),
-			onHolderSuspected: token => {
-				this.#suspectHolder(token);
-			},
-			onHolderCleared: token => {
-				this.#leases.clearHolder(schedulerLease, token);
-			},
-			onSuperseded: token => {
-				this.#suspendTerm({event: 'term_suspended', supersededBy: token});
-			},
-			onEarlierHolderHeard: isGone => {
-				this.#applyEarlierHolder(isGone);
-			},
-			clock,
-			log,
-			metrics,
-		});
-	}
-
-	/** A process that reaches the store only through peers leaves the first attempt to replace a holder to others. */
-	#suspectHolder(token: number): void {
-		if (this.#options.relayedForMs?.() !== undefined && this.#leftToOthersToken !== token) {
-			this.#leftToOthersToken = token;
-			return;
-		}
-
-		this.#leases.suspectHolder(schedulerLease, token);
-	}
-
-	/** The token for which this process sends heartbeats: it holds the lease, or goes on scheduling since no other process can hold it. */
-	#heldToken(): number | undefined {
-		const {term, isSuspended} = this.state;
-		return this.#leases.heldLease(schedulerLease)?.fence.version ?? (isSuspended ? undefined : term?.fencingToken);
-	}
-
-	/** The earlier holder has released the lease or announced that it does, or a later run of its process was heard. */
-	#isPredecessorGone({isPredecessorGone, replacedToken}: HeldLease): boolean {
-		return isPredecessorGone === true || (replacedToken !== undefined && this.#liveness?.isHolderGone(replacedToken) === true);
-	}
-
-	/** The replaced holder may still be alive unless it is known to be gone. */
-	#earlierHolderOf(lease: HeldLease): EarlierHolder | undefined {
-		const {replacedToken} = lease;
-		if (replacedToken === undefined || this.#isPredecessorGone(lease)) {
-			return undefined;
-		}
-
-		const {nowMs} = this.#now();
-		return {
-			// The earlier holder cannot renew its lease any more.
-			mayStartUntilMs: nowMs + leaseTrustMs,
-			mayOrderMachinesUntilMs: (this.#liveness?.holderHeardAtMs(replacedToken) ?? nowMs) + leaseMs,
-		};
-	}
-
-	#applyEarlierHolder(isGone: boolean): void {
-		const {earlierHolder} = this.state;
-		if (earlierHolder !== undefined) {
-			const now = this.#now();
-			this.#runtime.dispatch({type: 'earlierHolderChanged', earlierHolder: isGone ? undefined : {...earlierHolder, mayOrderMachinesUntilMs: now.nowMs + leaseMs}, ...now});
-		}
-	}
-
-	/** How long the process leaves a free lease to others: to larger hosts, to successors, which know the jobs and workers, and to processes that reach the store themselves. */
-	#acquireDelayMs(): number {
-		const relayingDelayMs = this.#options.relayedForMs?.() === undefined ? 0 : leaseMs;
-		return (this.#options.hasLargerPeer() ? smallHostDelayMs : 0) + (this.#options.isSuccessor() ? 0 : outsiderDelayMs) + relayingDelayMs;
-	}
-
 	/** Follows jobs and workers while the process holds the lease or is a likely successor. */
 	#updateFollowing(): void {
 		const nowMs = this.#options.clock.nowMs();
-		const isHolder = this.#fence !== undefined || this.state.term !== undefined;
+		const isHolder = this.#term.fence !== undefined || this.state.term !== undefined;
 		if (isHolder || this.#options.isSuccessor()) {
 			this.#followsUntilMs = nowMs + followingLingerMs;
 		}
@@ -451,57 +339,6 @@
 		this.#options.workers.setMode(isHolder ? 'scheduling' : standbyMode);
 	}
 
-	#contend(): void {
-		this.#leases.contend(schedulerLease, lease => {
-			this.#onLeaseChanged(lease);
-		});
-	}
-
-	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
-	async #releaseLease(): Promise<void> {
-		const token = this.#fence?.version ?? this.state.term?.fencingToken;
-		this.#fence = undefined;
-		this.#runtime.dispatch({type: 'leaseLost', ...this.#now()});
-		if (token !== undefined) {
-			this.#liveness?.announceRelease(token);
-		}
-
-		await this.#leases.withdrawAll();
-	}
-
-	/** Returns true if a successor that reaches the store itself should hold the lease instead. */
-	#isReachedOnlyThroughPeers(): boolean {
-		const {processId, relayedForMs, failureDetection} = this.#options;
-		const hasOtherSuccessor = failureDetection?.successors().some(successor => successor.processId !== processId) === true;
-		return hasOtherSuccessor && (relayedForMs?.() ?? 0) >= maxRelayedMs;
-	}
-
-	/**
-	Returns why another process should hold the lease. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. A holder that reaches the store only through peers sees new jobs late, and every write takes longer.
-	*/
-	#reasonToYield({nowMs}: {readonly nowMs: number}): string | undefined {
-		if (this.#isReachedOnlyThroughPeers()) {
-			return relayedReason;
-		}
-
-		if (nowMs < this.#nextYieldCheckAtMs) {
-			return undefined;
-		}
-
-		this.#nextYieldCheckAtMs = nowMs + yieldCheckIntervalMs;
-		const {term, isSuspended, isLeaseUnconfirmed} = this.state;
-		const mayYield = term !== undefined && !isSuspended && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
-		return mayYield && this.#options.hasLargerPeer(term.wonAtMs) ? 'a larger process is running' : undefined;
-	}
-
-	async #yieldLease(reason: string): Promise<void> {
-		this.#options.log.info({event: 'lease_yielded', reason});
-		await this.#releaseLease();
-		if (!this.#isClosed && !this.#isLeaving) {
-			this.#contend();
-		}
-	}
-
 	#now(): {readonly nowMs: number; readonly wallMs: number} {
 		return {nowMs: this.#options.clock.nowMs(), wallMs: this.#options.clock.wallTimeMs()};
 	}
@@ -516,16 +353,21 @@
 		});
 	}
 
+	#onTermBegun(): void {
+		// The longer pause of a successor would delay the first jobs of the term.
+		this.#jobReplica.endPause();
+		this.#nextListingAtMs = 0;
+		this.#cancelTick?.();
+		this.#tick();
+		this.#scheduleTick();
+	}
+
 	#tick(): void {
 		const now = this.#now();
 		const pausedMs = now.nowMs - (this.#lastTickAtMs ?? now.nowMs);
 		this.#lastTickAtMs = now.nowMs;
 		this.#updateFollowing();
-		if (this.#liveness !== undefined && pausedMs > pauseThresholdMs) {
-			this.#suspendTerm({event: 'term_suspended', pausedMs: Math.round(pausedMs)});
-		}
-
-		this.#suspendIfLeaseUncertain(now);
+		this.#term.check(now, pausedMs);
 		this.#runtime.dispatch({type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), ...now});
 		this.#workerPoller.pollDueWorkers();
 		if (this.state.term === undefined) {
@@ -538,14 +380,12 @@
 			void this.#listMachines();
 		}
 
-		const reasonToYield = this.#reasonToYield(now);
-		if (reasonToYield !== undefined) {
-			void this.#yieldLease(reasonToYield);
+		if (this.#term.yieldIfBetterHolder(now)) {
 			return;
 		}
 
-		if (this.#fence !== undefined) {
-			this.#publisher.publishWhenDue(this.#fence);
+		if (this.#term.fence !== undefined) {
+			this.#publisher.publishWhenDue(this.#term.fence);
 		}
 
 		if (now.nowMs >= this.#nextSweepAtMs) {
@@ -569,141 +409,6 @@
 		return areOutdated;
 	}
 
-	/**
-	A suspended machine's monotonic clock stops, so after a suspension the lease still seems to be valid; only the wall clock shows the gap. Nothing is ordered until a read from the store has confirmed the fence.
-	*/
-	#suspendIfLeaseUncertain({nowMs, wallMs}: {readonly nowMs: number; readonly wallMs: number}): void {
-		const gapMs = wallMs - nowMs - (this.#wallOffsetMs ?? (wallMs - nowMs));
-		this.#wallOffsetMs = wallMs - nowMs;
-		const {term, isSuspended} = this.state;
-		if (term === undefined) {
-			return;
-		}
-
-		const hasClockJumped = Math.abs(gapMs) > suspensionThresholdMs;
-		if (hasClockJumped) {
-			this.#continuation.invalidate();
-		}
-
-		const lease = this.#leases.heldLease(schedulerLease) ?? this.#continueLease(term.fencingToken);
-		if (isSuspended && !hasClockJumped && !this.#isConfirmingFence && lease?.fence.version === term.fencingToken) {
-			this.#runtime.dispatch({type: 'leaseWon', fencingToken: term.fencingToken, ...this.#now()});
-			this.#markUnconfirmed();
-		} else if (!isSuspended && (hasClockJumped || lease === undefined)) {
-			this.#options.log.warn({event: 'term_suspended', fencingToken: term.fencingToken, gapMs: Math.round(gapMs)});
-			this.#fence = lease?.fence;
-			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
-			if (hasClockJumped && !this.#isConfirmingFence) {
-				void this.#confirmFence(term.fencingToken);
-			}
-		}
-	}
-
-	/** Gives no orders until a read from the store has confirmed that no other process holds the lease. */
-	#suspendTerm(fields: LogFields): void {
-		const {term, isSuspended} = this.state;
-		if (term === undefined || this.#isConfirmingFence) {
-			return;
-		}
-
-		this.#options.log.warn({...fields, fencingToken: term.fencingToken});
-		if (!isSuspended) {
-			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
-		}
-
-		void this.#confirmFence(term.fencingToken);
-	}
-
-	async #confirmFence(fencingToken: number): Promise<void> {
-		this.#isConfirmingFence = true;
-		let isKnown = false;
-		while (!isKnown && this.state.term?.fencingToken === fencingToken) {
-			try {
-				// The age of the operators' rows does not show the time for which the machine was suspended.
-				const [[row]] = await Promise.all([this.#options.table.readRows([fenceKey(schedulerLease)]), this.#options.orders.refresh()]);
-				this.#runtime.dispatch(row?.version === fencingToken ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
-				isKnown = true;
-			} catch (error) {
-				this.#options.log.warn({event: 'fence_not_confirmed', reason: failureReason(this.#options.log, 'confirm fence', error)});
-				await this.#pause(storeRetryDelayMs);
-			}
-		}
-
-		this.#isConfirmingFence = false;
-	}
-
-	/** Returns the lease that could not be renewed in time if no other process can have acquired it. */
-	#continueLease(fencingToken: number): HeldLease | undefined {
-		const lease = this.#leases.unconfirmedLease(schedulerLease);
-		if (this.#isConfirmingFence || lease?.fence.version !== fencingToken || !this.#continuation.mayContinue(lease)) {
-			return undefined;
-		}
-
-		this.#fence = lease.fence;
-		this.#continuation.countRound();
-		this.#markUnconfirmed();
-		return lease;
-	}
-
-	/** Stops machine orders while the lease is not confirmed: another holder's orders may follow within a lease time. */
-	#markUnconfirmed(): void {
-		if (!this.state.isLeaseUnconfirmed && this.#leases.heldLease(schedulerLease) === undefined) {
-			this.#runtime.dispatch({type: 'leaseUnconfirmed', ...this.#now()});
-		}
-	}
-
-	#onLeaseChanged(lease: HeldLease | undefined): void {
-		if (lease === undefined && this.state.term !== undefined && !this.state.isSuspended && this.#continueLease(this.state.term.fencingToken) !== undefined) {
-			return;
-		}
-
-		this.#fence = lease?.fence;
-		this.#liveness?.wake();
-		this.#options.metrics.increment('early_takeovers', lease?.replacedToken === undefined ? 0 : 1);
-		this.#updateFollowing();
-		if (lease === undefined) {
-			this.#runtime.dispatch({type: 'leaseSuspended', ...this.#now()});
-			return;
-		}
-
-		void this.#beginTerm(lease);
-	}
-
-	/** Begins the term once the replicas hold everything that the earlier lease holder stored, since orders rely on it, and all operators' rows, since an evacuation may have been ordered of which only the earlier holder knew. */
-	async #beginTerm(lease: HeldLease): Promise<void> {
-		const {fence} = lease;
-		while (this.#fence?.version === fence.version) {
-			try {
-				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), this.#options.workers.refresh(), this.#options.orders.refresh()]);
-				this.#continuation.confirm();
-				this.#runtime.dispatch({
-					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone: this.#isPredecessorGone(lease), earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
-				});
-				// The longer pause of a successor would delay the first jobs of the term.
-				this.#jobReplica.endPause();
-				this.#nextListingAtMs = 0;
-				this.#cancelTick?.();
-				this.#tick();
-				this.#scheduleTick();
-				return;
-			} catch (error) {
-				this.#options.log.warn({event: 'takeover_waits', reason: failureReason(this.#options.log, 'take over', error)});
-				if (this.#isReachedOnlyThroughPeers()) {
-					void this.#yieldLease(relayedReason);
-					return;
-				}
-
-				await this.#pause(storeRetryDelayMs);
-			}
-		}
-	}
-
-	async #pause(durationMs: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#options.clock.schedule(durationMs, resolve);
-		});
-	}
-
 	#applyJobRows(changes: readonly RowChange[]): void {
 		const read = changes.map(change => ({change, job: jobChangeFrom(change)}));
 		for (const {change: {key, value, version}, job} of read) {
--- /dev/null
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -0,0 +1,411 @@
+/**
+Keeps the scheduler's lease in one process: contends for it, detects the loss of its holder, takes over, suspends the term while it is uncertain who holds the lease, and hands it over to a process that should hold it instead.
+*/
+import {
+	type Clock, type LogFields, type Logger, type MetricsRegistry,
+} from '@poplarnotch/common';
+import {failureReason, type RowCondition, type TableService} from '@poplarnotch/platform';
+import {
+	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, type OutageKnowledge,
+} from '@poplarnotch/state';
+import {storeRetryDelayMs} from '../constants.js';
+import {type EarlierHolder, type SchedulerEvent} from '../core/events.js';
+import {type SchedulerState} from '../core/scheduler-state.js';
+import {LeaseContinuation} from './lease-continuation.js';
+
+/** Name of the lease whose holder schedules the fleet. */
+const schedulerLease = 'scheduler';
+
+/** A holder that does not renew the lease for this long is replaced. Two renewals may be lost, and no lease on the workers lapses meanwhile. */
+const leaseMs = 3000;
+
+/** A holder that was replaced on suspicion stops trusting its lease this long after its last renewal at the latest. */
+const leaseTrustMs = 2400;
+
+/** A holder whose ticks pause for this long may have been replaced on suspicion meanwhile. Less than the silence after which a holder is suspected, less an interval of heartbeats. */
+const pauseThresholdMs = 400;
+
+/** How long a small process waits before it acquires a free lease, so that a larger one can acquire it first: each process checks the lease once in a third of the lease time. */
+const smallHostDelayMs = leaseMs / 3;
+
+/** How often a lease holder checks for a larger process, and the minimum time for which it holds the lease before it yields to one. */
+const yieldCheckIntervalMs = 2000;
+
+/** A holder that has reached the store only through peers for this long hands the lease over. Probes find a path that was lost for a moment within 200 ms. */
+const maxRelayedMs = 400;
+const relayedReason = 'the store is reached only through peers';
+
+/** A process that is no successor waits this long before it acquires a free lease, and checks the lease less often: successors know the jobs and workers already. */
+const outsiderDelayMs = 500;
+const outsiderCheckIntervalMs = leaseMs / 2;
+
+/** The wall clock and the monotonic clock diverge by more than this only if the machine was suspended or its time of day was set. */
+const suspensionThresholdMs = 200;
+
+/** One moment on both clocks. */
+type Moment = {readonly nowMs: number; readonly wallMs: number};
+
+export type TermKeeperOptions = {
+	readonly processId: string;
+	readonly table: TableService;
+	readonly state: () => SchedulerState;
+	readonly dispatch: (event: SchedulerEvent) => void;
+	/** Brings all copies of shared rows up to date, so that they hold everything that an earlier holder and the operators stored. */
+	readonly refreshCopies: () => Promise<void>;
+	/** Brings the copy of the operators' rows up to date. */
+	readonly refreshOrders: () => Promise<void>;
+	/** Called after this process has acquired the lease or is no longer sure to hold it. */
+	readonly onLeaseChanged: () => void;
+	/** Called when the process begins to schedule. */
+	readonly onTermBegun: () => void;
+	readonly hasLargerPeer: (sinceMs?: number) => boolean;
+	readonly isSuccessor: () => boolean;
+	readonly relayedForMs?: (() => number | undefined) | undefined;
+	readonly outage?: OutageKnowledge | undefined;
+	readonly failureDetection?: FailureDetection | undefined;
+	readonly clock: Clock;
+	readonly log: Logger;
+	readonly metrics: MetricsRegistry;
+};
+
+export class TermKeeper {
+	readonly #options: TermKeeperOptions;
+	readonly #leases: LeaseContender;
+	readonly #continuation: LeaseContinuation;
+	readonly #liveness: LivenessMonitor | undefined;
+	#fence: RowCondition | undefined;
+	#nextYieldCheckAtMs = 0;
+	/** The process is stopping and must not acquire the lease again. */
+	#isLeaving = false;
+	/** Token of a holder whose replacement this process has left to others once. */
+	#leftToOthersToken: number | undefined;
+	/** A read that confirms whether the fence is still valid is in flight. */
+	#isConfirmingFence = false;
+	/** Difference between the wall clock and the monotonic clock at the last check. */
+	#wallOffsetMs: number | undefined;
+
+	constructor(options: TermKeeperOptions) {
+		const {processId, table, isSuccessor, outage, failureDetection, clock, log, metrics} = options;
+		this.#options = options;
+		const incarnation = clock.wallTimeMs();
+		this.#leases = new LeaseContender({
+			table, holder: `${processId}@${incarnation}`, previousRunPrefix: `${processId}@`, leaseMs, acquireDelayMs: () => this.#acquireDelayMs(), readIntervalMs: () => isSuccessor() ? undefined : outsiderCheckIntervalMs, clock, log,
+		});
+		this.#continuation = new LeaseContinuation({
+			outage, leaseMs, clock, log, metrics,
+		});
+		this.#liveness = failureDetection === undefined ? undefined : this.#createLivenessMonitor(failureDetection, incarnation);
+	}
+
+	/** The condition of every write under the lease; `undefined` while this process does not hold it. */
+	get fence(): RowCondition | undefined {
+		return this.#fence;
+	}
+
+	/** Drops the fence, for use when another process is known to hold the lease. */
+	clearFence(): void {
+		this.#fence = undefined;
+	}
+
+	start(): void {
+		this.#contend();
+		this.#liveness?.start();
+	}
+
+	/** Suspends the term if another process may hold the lease, and resumes it once it is certain that none does. `pausedMs` is the time since the last check. */
+	check(now: Moment, pausedMs: number): void {
+		if (this.#liveness !== undefined && pausedMs > pauseThresholdMs) {
+			this.#suspendTerm({event: 'term_suspended', pausedMs: Math.round(pausedMs)});
+		}
+
+		this.#suspendIfLeaseUncertain(now);
+	}
+
+	/** Hands the lease over if another process should hold it. Returns true if it does so. */
+	yieldIfBetterHolder(now: Moment): boolean {
+		const reason = this.#reasonToYield(now);
+		if (reason !== undefined) {
+			void this.#yieldLease(reason);
+		}
+
+		return reason !== undefined;
+	}
+
+	/** Releases the lease permanently, so that another process takes over at once. */
+	async leave(): Promise<void> {
+		this.#isLeaving = true;
+		await this.#releaseLease();
+		// A process that leaves is no successor, and others need not wait for it.
+		this.#liveness?.close();
+	}
+
+	close(): void {
+		this.#isLeaving = true;
+		this.#liveness?.close();
+		this.#leases.close();
+	}
+
+	get #state(): SchedulerState {
+		return this.#options.state();
+	}
+
+	#createLivenessMonitor(detection: FailureDetection, incarnation: number): LivenessMonitor {
+		const {processId, clock, log, metrics} = this.#options;
+		return new LivenessMonitor({
+			...detection,
+			processId,
+			incarnation,
+			heldToken: () => this.#heldToken(),
+			onHolderSuspected: token => {
+				this.#suspectHolder(token);
+			},
+			onHolderCleared: token => {
+				this.#leases.clearHolder(schedulerLease, token);
+			},
+			onSuperseded: token => {
+				this.#suspendTerm({event: 'term_suspended', supersededBy: token});
+			},
+			onEarlierHolderHeard: isGone => {
+				this.#applyEarlierHolder(isGone);
+			},
+			clock,
+			log,
+			metrics,
+		});
+	}
+
+	/** A process that reaches the store only through peers leaves the first attempt to replace a holder to others. */
+	#suspectHolder(token: number): void {
+		if (this.#options.relayedForMs?.() !== undefined && this.#leftToOthersToken !== token) {
+			this.#leftToOthersToken = token;
+			return;
+		}
+
+		this.#leases.suspectHolder(schedulerLease, token);
+	}
+
+	/** The token for which this process sends heartbeats: it holds the lease, or goes on scheduling since no other process can hold it. */
+	#heldToken(): number | undefined {
+		const {term, isSuspended} = this.#state;
+		return this.#leases.heldLease(schedulerLease)?.fence.version ?? (isSuspended ? undefined : term?.fencingToken);
+	}
+
+	/** The earlier holder has released the lease or announced that it does, or a later run of its process was heard. */
+	#isPredecessorGone({isPredecessorGone, replacedToken}: HeldLease): boolean {
+		return isPredecessorGone === true || (replacedToken !== undefined && this.#liveness?.isHolderGone(replacedToken) === true);
+	}
+
+	/** The replaced holder may still be alive unless it is known to be gone. */
+	#earlierHolderOf(lease: HeldLease): EarlierHolder | undefined {
+		const {replacedToken} = lease;
+		if (replacedToken === undefined || this.#isPredecessorGone(lease)) {
+			return undefined;
+		}
+
+		const {nowMs} = this.#now();
+		return {
+			// The earlier holder cannot renew its lease any more.
+			mayStartUntilMs: nowMs + leaseTrustMs,
+			mayOrderMachinesUntilMs: (this.#liveness?.holderHeardAtMs(replacedToken) ?? nowMs) + leaseMs,
+		};
+	}
+
+	#applyEarlierHolder(isGone: boolean): void {
+		const {earlierHolder} = this.#state;
+		if (earlierHolder !== undefined) {
+			const now = this.#now();
+			this.#options.dispatch({type: 'earlierHolderChanged', earlierHolder: isGone ? undefined : {...earlierHolder, mayOrderMachinesUntilMs: now.nowMs + leaseMs}, ...now});
+		}
+	}
+
+	/** How long the process leaves a free lease to others: to larger hosts, to successors, which know the jobs and workers, and to processes that reach the store themselves. */
+	#acquireDelayMs(): number {
+		const relayingDelayMs = this.#options.relayedForMs?.() === undefined ? 0 : leaseMs;
+		return (this.#options.hasLargerPeer() ? smallHostDelayMs : 0) + (this.#options.isSuccessor() ? 0 : outsiderDelayMs) + relayingDelayMs;
+	}
+
+	#contend(): void {
+		this.#leases.contend(schedulerLease, lease => {
+			this.#onLeaseChanged(lease);
+		});
+	}
+
+	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
+	async #releaseLease(): Promise<void> {
+		const token = this.#fence?.version ?? this.#state.term?.fencingToken;
+		this.#fence = undefined;
+		this.#options.dispatch({type: 'leaseLost', ...this.#now()});
+		if (token !== undefined) {
+			this.#liveness?.announceRelease(token);
+		}
+
+		await this.#leases.withdrawAll();
+	}
+
+	/** Returns true if a successor that reaches the store itself should hold the lease instead. */
+	#isReachedOnlyThroughPeers(): boolean {
+		const {processId, relayedForMs, failureDetection} = this.#options;
+		const hasOtherSuccessor = failureDetection?.successors().some(successor => successor.processId !== processId) === true;
+		return hasOtherSuccessor && (relayedForMs?.() ?? 0) >= maxRelayedMs;
+	}
+
+	/**
+	Returns why another process should hold the lease. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. A holder that reaches the store only through peers sees new jobs late, and every write takes longer.
+	*/
+	#reasonToYield({nowMs}: Moment): string | undefined {
+		if (this.#isReachedOnlyThroughPeers()) {
+			return relayedReason;
+		}
+
+		if (nowMs < this.#nextYieldCheckAtMs) {
+			return undefined;
+		}
+
+		this.#nextYieldCheckAtMs = nowMs + yieldCheckIntervalMs;
+		const {term, isSuspended, isLeaseUnconfirmed} = this.#state;
+		const mayYield = term !== undefined && !isSuspended && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
+		return mayYield && this.#options.hasLargerPeer(term.wonAtMs) ? 'a larger process is running' : undefined;
+	}
+
+	async #yieldLease(reason: string): Promise<void> {
+		this.#options.log.info({event: 'lease_yielded', reason});
+		await this.#releaseLease();
+		if (!this.#isLeaving) {
+			this.#contend();
+		}
+	}
+
+	/**
+	A suspended machine's monotonic clock stops, so after a suspension the lease still seems to be valid; only the wall clock shows the gap. Nothing is ordered until a read from the store has confirmed the fence.
+	*/
+	#suspendIfLeaseUncertain({nowMs, wallMs}: Moment): void {
+		const gapMs = wallMs - nowMs - (this.#wallOffsetMs ?? (wallMs - nowMs));
+		this.#wallOffsetMs = wallMs - nowMs;
+		const {term, isSuspended} = this.#state;
+		if (term === undefined) {
+			return;
+		}
+
+		const hasClockJumped = Math.abs(gapMs) > suspensionThresholdMs;
+		if (hasClockJumped) {
+			this.#continuation.invalidate();
+		}
+
+		const lease = this.#leases.heldLease(schedulerLease) ?? this.#continueLease(term.fencingToken);
+		if (isSuspended && !hasClockJumped && !this.#isConfirmingFence && lease?.fence.version === term.fencingToken) {
+			this.#options.dispatch({type: 'leaseWon', fencingToken: term.fencingToken, ...this.#now()});
+			this.#markUnconfirmed();
+		} else if (!isSuspended && (hasClockJumped || lease === undefined)) {
+			this.#options.log.warn({event: 'term_suspended', fencingToken: term.fencingToken, gapMs: Math.round(gapMs)});
+			this.#fence = lease?.fence;
+			this.#options.dispatch({type: 'leaseSuspended', ...this.#now()});
+			if (hasClockJumped && !this.#isConfirmingFence) {
+				void this.#confirmFence(term.fencingToken);
+			}
+		}
+	}
+
+	/** Gives no orders until a read from the store has confirmed that no other process holds the lease. */
+	#suspendTerm(fields: LogFields): void {
+		const {term, isSuspended} = this.#state;
+		if (term === undefined || this.#isConfirmingFence) {
+			return;
+		}
+
+		this.#options.log.warn({...fields, fencingToken: term.fencingToken});
+		if (!isSuspended) {
+			this.#options.dispatch({type: 'leaseSuspended', ...this.#now()});
+		}
+
+		void this.#confirmFence(term.fencingToken);
+	}
+
+	async #confirmFence(fencingToken: number): Promise<void> {
+		this.#isConfirmingFence = true;
+		let isKnown = false;
+		while (!isKnown && this.#state.term?.fencingToken === fencingToken) {
+			try {
+				// The age of the operators' rows does not show the time for which the machine was suspended.
+				const [[row]] = await Promise.all([this.#options.table.readRows([fenceKey(schedulerLease)]), this.#options.refreshOrders()]);
+				this.#options.dispatch(row?.version === fencingToken ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
+				isKnown = true;
+			} catch (error) {
+				this.#options.log.warn({event: 'fence_not_confirmed', reason: failureReason(this.#options.log, 'confirm fence', error)});
+				await this.#pause(storeRetryDelayMs);
+			}
+		}
+
+		this.#isConfirmingFence = false;
+	}
+
+	/** Returns the lease that could not be renewed in time if no other process can have acquired it. */
+	#continueLease(fencingToken: number): HeldLease | undefined {
+		const lease = this.#leases.unconfirmedLease(schedulerLease);
+		if (this.#isConfirmingFence || lease?.fence.version !== fencingToken || !this.#continuation.mayContinue(lease)) {
+			return undefined;
+		}
+
+		this.#fence = lease.fence;
+		this.#continuation.countRound();
+		this.#markUnconfirmed();
+		return lease;
+	}
+
+	/** Stops machine orders while the lease is not confirmed: another holder's orders may follow within a lease time. */
+	#markUnconfirmed(): void {
+		if (!this.#state.isLeaseUnconfirmed && this.#leases.heldLease(schedulerLease) === undefined) {
+			this.#options.dispatch({type: 'leaseUnconfirmed', ...this.#now()});
+		}
+	}
+
+	#onLeaseChanged(lease: HeldLease | undefined): void {
+		if (lease === undefined && this.#state.term !== undefined && !this.#state.isSuspended && this.#continueLease(this.#state.term.fencingToken) !== undefined) {
+			return;
+		}
+
+		this.#fence = lease?.fence;
+		this.#liveness?.wake();
+		this.#options.metrics.increment('early_takeovers', lease?.replacedToken === undefined ? 0 : 1);
+		this.#options.onLeaseChanged();
+		if (lease === undefined) {
+			this.#options.dispatch({type: 'leaseSuspended', ...this.#now()});
+			return;
+		}
+
+		void this.#beginTerm(lease);
+	}
+
+	/** Begins the term once the replicas hold everything that the earlier lease holder stored, since orders rely on it, and all operators' rows, since an evacuation may have been ordered of which only the earlier holder knew. */
+	async #beginTerm(lease: HeldLease): Promise<void> {
+		const {fence} = lease;
+		while (this.#fence?.version === fence.version) {
+			try {
+				await this.#options.refreshCopies();
+				this.#continuation.confirm();
+				this.#options.dispatch({
+					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone: this.#isPredecessorGone(lease), earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
+				});
+				this.#options.onTermBegun();
+				return;
+			} catch (error) {
+				this.#options.log.warn({event: 'takeover_waits', reason: failureReason(this.#options.log, 'take over', error)});
+				if (this.#isReachedOnlyThroughPeers()) {
+					void this.#yieldLease(relayedReason);
+					return;
+				}
+
+				await this.#pause(storeRetryDelayMs);
+			}
+		}
+	}
+
+	async #pause(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#options.clock.schedule(durationMs, resolve);
+		});
+	}
+
+	#now(): Moment {
+		return {nowMs: this.#options.clock.nowMs(), wallMs: this.#options.clock.wallTimeMs()};
+	}
+}
