Test that a process that relays is no successor

Guards the hand-over: a host without a path of its own leaves the ranking at once, for itself and for the others, and returns with its path. A comment said that unnamed entries are counted; they are not.

--- a/packages/common/src/odd-entry-log.ts
+++ b/packages/common/src/odd-entry-log.ts
@@ -3,7 +3,7 @@
 */
 import {type Logger} from './log.js';
 
-/** Number of odd entries that are remembered; beyond it, new ones are counted but not named. */
+/** Number of odd entries that are remembered; beyond it, new ones are not named. */
 const maxNamedEntries = 1000;
 
 export class OddEntryLog {
--- a/packages/state/tests/relay/relay-directory.test.ts
+++ b/packages/state/tests/relay/relay-directory.test.ts
@@ -2,7 +2,7 @@
 The ranking of processes by CPU, which decides who is ready to take over a lease.
 */
 import {VirtualClock} from '@poplarnotch/common';
-import {MemoryTableService} from '@poplarnotch/standin';
+import {advanceVirtualTime, MemoryTableService} from '@poplarnotch/standin';
 import {expect, test} from 'vitest';
 import {type WatchableTable} from '@poplarnotch/platform';
 import {RelayDirectory} from '@poplarnotch/state';
@@ -54,3 +54,35 @@
 	directory.apply([rowOf('edge-1', 1350, 2)]);
 	expect(directory.isAmongLargest(1)).toBe(false);
 });
+
+test('a process that reaches the table only through others is no successor, and says so at once', async () => {
+	const clock = new VirtualClock();
+	const table = new MemoryTableService();
+	let isRelaying = false;
+	const relaying = new RelayDirectory({
+		table: table as unknown as WatchableTable, processId: 'edge-1', url: 'http://edge-1', cpuMillicores: 1350, isRelaying: () => isRelaying, clock,
+	});
+	const other = directoryOf('edge-2', 324, clock);
+	const copyRows = async (): Promise<void> => {
+		const {rows} = await table.readPrefix('control/');
+		relaying.apply(rows);
+		other.apply(rows);
+	};
+
+	relaying.start();
+	await advanceVirtualTime(clock, 500);
+	await copyRows();
+	await advanceVirtualTime(clock, settledMs);
+	expect([relaying.isAmongLargest(1), other.isAmongLargest(1), other.hasLargerPeer()]).toEqual([true, false, true]);
+	isRelaying = true;
+	await advanceVirtualTime(clock, 500);
+	await copyRows();
+	expect([relaying.isAmongLargest(1), other.isAmongLargest(1), other.hasLargerPeer()]).toEqual([false, true, false]);
+	expect(relaying.largest(2).map(({processId}) => processId)).toEqual([]);
+	expect(other.largest(2).map(({processId}) => processId)).toEqual(['edge-2']);
+	isRelaying = false;
+	await advanceVirtualTime(clock, 500);
+	await copyRows();
+	expect([relaying.isAmongLargest(1), other.isAmongLargest(1)]).toEqual([true, false]);
+	relaying.stop();
+});
