Let a holder that relays keep the lease

From 18 to 23 s the new holder started 70 to 150 tasks in each half second, the former one 300 to 500.

Cause: a successor that has never scheduled is slow for some seconds, and a holder that relays through its peers is not.

--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -380,7 +380,7 @@
 			void this.#listMachines();
 		}
 
-		if (this.#term.yieldIfBetterHolder(now)) {
+		if (this.#term.yieldToLargerPeer(now)) {
 			return;
 		}
 
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -31,10 +31,6 @@
 /** How often a lease holder checks for a larger process, and the minimum time for which it holds the lease before it yields to one. */
 const yieldCheckIntervalMs = 2000;
 
-/** A holder that has reached the store only through peers for this long hands the lease over. Probes find a path that was lost for a moment within 200 ms. */
-const maxRelayedMs = 400;
-const relayedReason = 'the store is reached only through peers';
-
 /** A process that is no successor waits this long before it acquires a free lease, and checks the lease less often: successors know the jobs and workers already. */
 const outsiderDelayMs = 500;
 const outsiderCheckIntervalMs = leaseMs / 2;
@@ -121,14 +117,14 @@
 		this.#suspendIfLeaseUncertain(now);
 	}
 
-	/** Hands the lease over if another process should hold it. Returns true if it does so. */
-	yieldIfBetterHolder(now: Moment): boolean {
-		const reason = this.#reasonToYield(now);
-		if (reason !== undefined) {
-			void this.#yieldLease(reason);
+	/** Hands the lease over if a larger process is running. Returns true if it does so. */
+	yieldToLargerPeer(now: Moment): boolean {
+		const isSmaller = this.#isSmallerThanPeer(now);
+		if (isSmaller) {
+			void this.#yieldLease();
 		}
 
-		return reason !== undefined;
+		return isSmaller;
 	}
 
 	/** Releases the lease permanently, so that another process takes over at once. */
@@ -242,33 +238,20 @@
 		await this.#leases.withdrawAll();
 	}
 
-	/** Returns true if a successor that reaches the store itself should hold the lease instead. */
-	#isReachedOnlyThroughPeers(): boolean {
-		const {processId, relayedForMs, failureDetection} = this.#options;
-		const hasOtherSuccessor = failureDetection?.successors().some(successor => successor.processId !== processId) === true;
-		return hasOtherSuccessor && (relayedForMs?.() ?? 0) >= maxRelayedMs;
-	}
-
-	/**
-	Returns why another process should hold the lease. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. A holder that reaches the store only through peers sees new jobs late, and every write takes longer.
-	*/
-	#reasonToYield({nowMs}: Moment): string | undefined {
-		if (this.#isReachedOnlyThroughPeers()) {
-			return relayedReason;
-		}
-
+	/** Returns true if a larger process should hold the lease. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. */
+	#isSmallerThanPeer({nowMs}: Moment): boolean {
 		if (nowMs < this.#nextYieldCheckAtMs) {
-			return undefined;
+			return false;
 		}
 
 		this.#nextYieldCheckAtMs = nowMs + yieldCheckIntervalMs;
 		const {term, isSuspended, isLeaseUnconfirmed} = this.#state;
 		const mayYield = term !== undefined && !isSuspended && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
-		return mayYield && this.#options.hasLargerPeer(term.wonAtMs) ? 'a larger process is running' : undefined;
+		return mayYield && this.#options.hasLargerPeer(term.wonAtMs);
 	}
 
-	async #yieldLease(reason: string): Promise<void> {
-		this.#options.log.info({event: 'lease_yielded', reason});
+	async #yieldLease(): Promise<void> {
+		this.#options.log.info({event: 'lease_yielded', reason: 'a larger process is running'});
 		await this.#releaseLease();
 		if (!this.#isLeaving) {
 			this.#contend();
@@ -389,11 +372,6 @@
 				return;
 			} catch (error) {
 				this.#options.log.warn({event: 'takeover_waits', reason: failureReason(this.#options.log, 'take over', error)});
-				if (this.#isReachedOnlyThroughPeers()) {
-					void this.#yieldLease(relayedReason);
-					return;
-				}
-
 				await this.#pause(storeRetryDelayMs);
 			}
 		}
