--- a/packages/scheduler/tests/holder-without-store.test.ts
+++ b/packages/scheduler/tests/holder-without-store.test.ts
@@ -38,11 +38,6 @@
 	}
 };
 
-const longestGapMs = (sinceMs: number): number => {
-	const times = [sinceMs, ...simulation.fleet.starts.map(({atMs}) => atMs).filter(atMs => atMs >= sinceMs), simulation.clock.nowMs()];
-	return Math.max(...times.slice(1).map((atMs, index) => atMs - times[index]!));
-};
-
 test.each([
 	{loss: {isSilent: true}, cut: 1}, {loss: {isDown: true}, cut: 1}, {loss: {isSilent: true}, cut: 2}, {loss: {isDown: true}, cut: 2},
 ])('no start is missing for longer than a second while the store answers others: $loss, $cut hosts', async ({loss, cut}) => {
@@ -56,7 +51,7 @@
 	}
 
 	await runUnderLoad(6000);
-	expect(longestGapMs(lostAtMs)).toBeLessThan(maxGapMs);
+	expect(simulation.longestGapMs(lostAtMs)).toBeLessThan(maxGapMs);
 	// A successor that has never scheduled is slower for seconds than a holder that relays.
 	expect(simulation.holder).toBe(former);
 	expect(former.scheduler.state.term!.fencingToken).toBe(fencingToken);
@@ -65,7 +60,7 @@
 	}
 
 	await runUnderLoad(3000);
-	expect(longestGapMs(lostAtMs)).toBeLessThan(maxGapMs);
+	expect(simulation.longestGapMs(lostAtMs)).toBeLessThan(maxGapMs);
 	const keys = simulation.fleet.starts.map(({taskKey}) => taskKey);
 	expect(new Set(keys).size).toBe(keys.length);
 });
--- a/packages/scheduler/tests/lost-holder.test.ts
+++ b/packages/scheduler/tests/lost-holder.test.ts
@@ -35,12 +35,6 @@
 	}
 };
 
-/** Longest time without a start after the given time. */
-const longestGapMs = (sinceMs: number): number => {
-	const times = [sinceMs, ...simulation.fleet.starts.map(({atMs}) => atMs).filter(atMs => atMs >= sinceMs), simulation.clock.nowMs()];
-	return Math.max(...times.slice(1).map((atMs, index) => atMs - times[index]!));
-};
-
 /** The process with the highest token; a paused holder still believes in its own. */
 const newestHolder = (): (typeof simulation.processes)[number] => simulation.processes.filter(({clock}) => !clock.isDead)
 	.toSorted((a, b) => (b.scheduler.state.term?.fencingToken ?? 0) - (a.scheduler.state.term?.fencingToken ?? 0))[0]!;
@@ -52,7 +46,7 @@
 	const killedAtMs = simulation.clock.nowMs();
 	simulation.kill(simulation.holder!);
 	await runUnderLoad(4000);
-	expect(longestGapMs(killedAtMs)).toBeLessThan(1000);
+	expect(simulation.longestGapMs(killedAtMs)).toBeLessThan(1000);
 });
 
 test('the next successor takes over in time when the first one is killed together with the holder', async () => {
@@ -61,7 +55,7 @@
 	simulation.kill(simulation.holder!);
 	simulation.kill(simulation.processes.find(({clock}) => !clock.isDead)!);
 	await runUnderLoad(4000);
-	expect(longestGapMs(killedAtMs)).toBeLessThan(1000);
+	expect(simulation.longestGapMs(killedAtMs)).toBeLessThan(1000);
 });
 
 // Without a hand-over, the successors' reads of the lease, once a second, may find it free by chance at one of these times, but not at all of them.
@@ -78,7 +72,7 @@
 	await runUnderLoad(300);
 	simulation.datagrams.isLost = () => false;
 	await runUnderLoad(2000);
-	expect(longestGapMs(leftAtMs)).toBeLessThan(300);
+	expect(simulation.longestGapMs(leftAtMs)).toBeLessThan(300);
 	expect(newestHolder()).not.toBe(former);
 });
 
@@ -134,7 +128,7 @@
 	await runUnderLoad(600);
 	expect(simulation.fleet.starts.length).toBe(before);
 	await runUnderLoad(2500);
-	expect(longestGapMs(takenOverAtMs)).toBeLessThan(2400);
+	expect(simulation.longestGapMs(takenOverAtMs)).toBeLessThan(2400);
 });
 
 test('machines are ordered only 3 s after the last heartbeat of a holder that may be alive', async () => {
--- a/packages/scheduler/tests/store-outage.test.ts
+++ b/packages/scheduler/tests/store-outage.test.ts
@@ -44,13 +44,6 @@
 	}
 };
 
-/** The longest interval without a start after `fromMs`. */
-const longestGapMs = (fromMs: number): number => {
-	const startsMs = simulation.fleet.starts.map(({atMs}) => atMs).filter(atMs => atMs >= fromMs);
-	const timesMs = [fromMs, ...startsMs, simulation.clock.nowMs()];
-	return Math.max(...timesMs.slice(1).map((atMs, index) => atMs - timesMs[index]!));
-};
-
 const startsAfter = (fromMs: number): number => simulation.fleet.starts.filter(({atMs}) => atMs > fromMs).length;
 
 const isAllDone = (): boolean => Array.from({length: jobCount}, (_value, index) => jobOf(index + 1).jobId).every(jobId => simulation.fleet.isDone(`${jobId}.0.1.1`));
@@ -64,7 +57,7 @@
 	expect(holder.scheduler.hasOutageEvidence()).toBe(true);
 	setStoreDown(false);
 	await simulation.run(1500);
-	expect(longestGapMs(fromMs)).toBeLessThan(maxIdleMs);
+	expect(simulation.longestGapMs(fromMs)).toBeLessThan(maxIdleMs);
 	expect(simulation.holder).toBe(holder);
 	expect(holder.scheduler.state.term?.fencingToken).toBe(fencingToken);
 	expect(holder.scheduler.hasOutageEvidence()).toBe(false);
@@ -82,7 +75,7 @@
 	const fromMs = simulation.clock.nowMs();
 	simulation.peers.setCut(simulation.processes.find(process => process !== holder)!.name, true);
 	await simulation.run(4000);
-	expect(longestGapMs(fromMs)).toBeLessThan(maxIdleMs);
+	expect(simulation.longestGapMs(fromMs)).toBeLessThan(maxIdleMs);
 });
 
 test('during an outage no machine is moved or sent to maintenance', async () => {
@@ -106,7 +99,7 @@
 	setStoreDown(true, [holder]);
 	await simulation.run(2600);
 	expect(holder.scheduler.state.isSuspended).toBe(true);
-	expect(longestGapMs(cutAtMs)).toBeGreaterThan(150);
+	expect(simulation.longestGapMs(cutAtMs)).toBeGreaterThan(150);
 	await simulation.run(3500);
 	expect(simulation.holder).toBeDefined();
 	expect(simulation.holder).not.toBe(holder);
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -461,6 +461,13 @@
 		return result === 'accepted';
 	}
 
+	/** Longest time without a start since the given time. */
+	longestGapMs(sinceMs: number): number {
+		const startsMs = this.fleet.starts.map(({atMs}) => atMs).filter(atMs => atMs >= sinceMs);
+		const timesMs = [sinceMs, ...startsMs, this.clock.nowMs()];
+		return Math.max(...timesMs.slice(1).map((atMs, index) => atMs - timesMs[index]!));
+	}
+
 	get hasRunningProcess(): boolean {
 		return this.processes.some(({clock}) => !clock.isDead && !clock.isFrozen);
 	}
