--- a/packages/scheduler/src/jobs/job-service.ts
+++ b/packages/scheduler/src/jobs/job-service.ts
@@ -149,7 +149,12 @@
 
 		const found = await this.#findWithin(statusTimeoutMs, view, jobId);
 		if (found !== 'unanswered') {
-			return visibleTo(customer, found)?.state ?? 'no-such-job';
+			const visible = visibleTo(customer, found);
+			if (visible === undefined) {
+				this.#logNotFound(jobId, view, found !== undefined);
+			}
+
+			return visible?.state ?? 'no-such-job';
 		}
 
 		return visibleTo(customer, view.findRecent(jobId, maxStaleStateMs))?.state ?? 'unavailable';
@@ -250,6 +255,13 @@
 		return 'unanswered';
 	}
 
+	/** Logs on what the answer that there is no such job relies. */
+	#logNotFound(jobId: string, view: JobView, isOfOtherCustomer: boolean): void {
+		this.#options.log.info({
+			event: 'job_not_found', jobId, isOfOtherCustomer, configuration: this.configuration.version, ...view.describe(),
+		});
+	}
+
 	/** Logs an expected failure of a read; throws any other error. */
 	#logFailedRead(error: unknown, purpose: string, subject: string): void {
 		if (!(error instanceof PlatformError)) {
--- a/packages/scheduler/src/jobs/job-view.ts
+++ b/packages/scheduler/src/jobs/job-view.ts
@@ -24,8 +24,18 @@
 	findRecent(jobId: string, maxAgeMs: number): KnownJob | undefined;
 	/** Resolves to the number of the queue's accepted jobs of which no task has started. */
 	countPending(queue: string): Promise<number>;
+	/** Tells on what the view's answers rely. */
+	describe(): ViewDescription;
 }
 
+/** What a view relies on: its name, and the age and revision of its copy and the number of changes that it read last, if it keeps one. */
+export type ViewDescription = {
+	readonly view: 'replica' | 'stored';
+	readonly copyAgeMs?: number;
+	readonly copyRevision?: number | undefined;
+	readonly lastPageSize?: number | undefined;
+};
+
 /** Returns the state shown to callers. An outcome is shown only once it is stored, so that it is never reverted. */
 const visibleStateOf = (job: JobRecord): JobState => {
 	if (job.isOutcomeStored) {
@@ -47,6 +57,8 @@
 	readonly refresh: () => Promise<void>;
 	/** Time since the replica was last confirmed. */
 	readonly ageMs: () => number;
+	/** The replica's revision and the number of changes in its newest answer, for diagnosis. */
+	readonly copy?: () => {readonly revision: number | undefined; readonly lastPageSize: number};
 };
 
 /** The view of a process that follows all job rows. */
@@ -76,6 +88,13 @@
 		return countPendingJobs(this.#options.state()).get(queue) ?? 0;
 	}
 
+	describe(): ViewDescription {
+		const copy = this.#options.copy?.();
+		return {
+			view: 'replica', copyAgeMs: Math.round(this.#options.ageMs()), copyRevision: copy?.revision, lastPageSize: copy?.lastPageSize,
+		};
+	}
+
 	#known(jobId: string): KnownJob | undefined {
 		const job = this.#options.state().jobs.get(jobId);
 		return job === undefined ? undefined : knownJobOf(job);
@@ -115,6 +134,10 @@
 		const pending = this.#options.publishedPending() ?? await this.#options.readPending();
 		return pending.get(queue) ?? 0;
 	}
+
+	describe(): ViewDescription {
+		return {view: 'stored'};
+	}
 }
 
 /** Returns the job that the rows describe, or `undefined` if its specification is not among them. */
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -30,6 +30,7 @@
 import {type FleetConfiguration} from '../types.js';
 import {CopyAgeMonitor} from './copy-age-monitor.js';
 import {EffectPerformer} from './effect-performer.js';
+import {LoadMonitor} from './load-monitor.js';
 import {QueuePublisher} from './queue-publisher.js';
 import {TermKeeper} from './term-keeper.js';
 import {WorkerPoller} from './worker-poller.js';
@@ -121,6 +122,7 @@
 	readonly #jobRowsAge: CopyAgeMonitor;
 	readonly #controlReplica: TableReplica;
 	readonly #workerPoller: WorkerPoller;
+	readonly #load: LoadMonitor;
 	#lastTickAtMs: number | undefined;
 	#cancelTick: CancelTimer | undefined;
 	#isListing = false;
@@ -205,10 +207,17 @@
 				this.#runtime.dispatch(event);
 			},
 		});
+		this.#load = new LoadMonitor({
+			work: () => ({
+				starts: this.state.startCount, polls: this.#workerPoller.pollCount, openJobs: this.state.openJobs.size, termBeganAtMs: this.state.term?.wonAtMs,
+			}),
+			clock, log, metrics: options.metrics,
+		});
 		this.#replicaView = new ReplicaJobView({
 			state: () => this.#runtime.state,
 			refresh: async () => this.#jobReplica.refresh(),
 			ageMs: () => clock.nowMs() - (this.#jobReplica.confirmedAtMs ?? Number.NEGATIVE_INFINITY),
+			copy: () => this.#jobReplica,
 		});
 		this.#storedView = new StoredJobView({
 			readJob: async jobId => this.#store.read(jobId),
@@ -331,7 +340,9 @@
 		const isFollowing = nowMs < this.#followsUntilMs;
 		if (isFollowing !== this.#isFollowing) {
 			this.#isFollowing = isFollowing;
-			this.#options.log.info({event: isFollowing ? 'following_started' : 'following_suspended', isHolder, jobs: this.state.jobs.size});
+			this.#options.log.info({
+				event: isFollowing ? 'following_started' : 'following_suspended', isHolder, jobs: this.state.jobs.size, revision: this.#jobReplica.revision,
+			});
 			this.#jobReplica.endPause();
 		}
 
@@ -371,9 +382,12 @@
 		this.#runtime.dispatch({type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), ...now});
 		this.#workerPoller.pollDueWorkers();
 		if (this.state.term === undefined) {
+			this.#load.reset();
 			return;
 		}
 
+		this.#load.recordRound(this.#options.clock.nowMs() - now.nowMs, Math.max(0, pausedMs - decisionIntervalMs));
+
 		this.#jobRowsAge.check();
 
 		if (now.nowMs >= this.#nextListingAtMs && !this.#isListing) {
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -29,11 +29,17 @@
 export class WorkerPoller {
 	readonly #options: WorkerPollerOptions;
 	readonly #pollStates = new Map<string, PollState>();
+	#pollCount = 0;
 
 	constructor(options: WorkerPollerOptions) {
 		this.#options = options;
 	}
 
+	/** Number of polls sent since the process started. */
+	get pollCount(): number {
+		return this.#pollCount;
+	}
+
 	/** Starts the polls that are due. */
 	pollDueWorkers(): void {
 		const state = this.#options.state();
@@ -72,6 +78,7 @@
 		const {clock, control, dispatch} = this.#options;
 		const {workerId, address} = worker.entry;
 		pollState.isPolling = true;
+		this.#pollCount++;
 		const sentAtMs = clock.nowMs();
 		const sentAcknowledgement = worker.acknowledgedSequence;
 		// The lease of a silent worker is not extended, so that its runs are guaranteed to end.
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -39,6 +39,7 @@
 	readonly #versions = new Map<string, number>();
 	#revision: number | undefined;
 	#confirmedAtMs: number | undefined;
+	#lastPageSize = 0;
 	#isStopped = false;
 	#isReachable = true;
 	#currentRefresh: Promise<void> | undefined;
@@ -62,6 +63,11 @@
 		return this.#revision;
 	}
 
+	/** Number of changes in the newest answer, for diagnosis. */
+	get lastPageSize(): number {
+		return this.#lastPageSize;
+	}
+
 	start(): void {
 		void this.#follow();
 	}
@@ -183,6 +189,7 @@
 
 	/** Responses of two calls may arrive in either order, so changes that were already applied are skipped. */
 	#apply(changes: readonly RowChange[], revision: number, sentAtMs: number): void {
+		this.#lastPageSize = changes.length;
 		this.#deliver(changes.filter(change => change.version > (this.#revision ?? 0) && change.version > (this.#versions.get(change.key) ?? 0)));
 		this.#confirm(revision, sentAtMs);
 	}
