Read all changes before a copy of shared rows counts as current

Cause: the store answers a read of changes with at most 500 rows or so. The adapter reported each page as the last one, and a copy counted as confirmed after one page. A host that had stopped following the job rows as it was no successor, and became one again, answered from a copy that was up to nine seconds behind; so did a holder that took over. Takeovers wait for the same reads.

--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -1,13 +1,13 @@
 /**
 Keeps a local copy of all rows under one prefix by following the table's changes.
 
-One long-polling call waits for the next change; after each response the replica pauses for `pauseMs`, so that changes in quick succession arrive in one batch. `refresh` reads without waiting, for readers that must see every change that was acknowledged before their call. If the table service has dropped its history, all rows are listed again.
+One long-polling call waits for the next change; after each response the replica pauses for `pauseMs`, so that changes in quick succession arrive in one batch. An answer may hold only the first of many changes: the copy counts as confirmed once an answer has held all of them. `refresh` reads without waiting, for readers that must see every change that was acknowledged before their call. If the table service has dropped its history, all rows are listed again.
 */
 import {
 	type CancelTimer, type Clock, type Logger, silentLogger, SystemClock,
 } from '@poplarnotch/common';
 import {
-	failureReason, HistoryLostError, type RowChange, type WatchableTable,
+	type ChangePage, failureReason, HistoryLostError, type RowChange, type WatchableTable,
 } from '@poplarnotch/platform';
 
 /** Pause after a failed call: it allows several attempts within the second in which the end of an outage should be detected. */
@@ -144,6 +144,7 @@
 		}
 	}
 
+	/** Reads all changes. Waits for the first one for `waitMs` if there is none. */
 	async #readChanges(waitMs: number): Promise<void> {
 		if (this.#revision === undefined) {
 			const isJoining = this.#currentListing !== undefined;
@@ -153,10 +154,18 @@
 			}
 		}
 
+		for (let hasMore = await this.#readPage(waitMs); hasMore;) {
+			hasMore = await this.#readPage(0);
+		}
+	}
+
+	/** Returns true if there may be further changes that the replica does not contain although they were acknowledged before. */
+	async #readPage(waitMs: number): Promise<boolean> {
 		const sentAtMs = this.#clock.nowMs();
 		try {
 			const page = await this.#options.table.waitForChanges(this.#options.prefix, this.#revision!, waitMs);
-			this.#apply(page.changes, page.revision, sentAtMs);
+			this.#apply(page, sentAtMs);
+			return page.hasMore;
 		} catch (error) {
 			if (!(error instanceof HistoryLostError)) {
 				throw error;
@@ -164,6 +173,7 @@
 
 			this.#log.info({event: 'replica_relisted', prefix: this.#options.prefix, revision: this.#revision});
 			await this.#listOnce();
+			return false;
 		}
 	}
 
@@ -188,10 +198,14 @@
 	}
 
 	/** Responses of two calls may arrive in either order, so changes that were already applied are skipped. */
-	#apply(changes: readonly RowChange[], revision: number, sentAtMs: number): void {
+	#apply({changes, revision, hasMore}: ChangePage, sentAtMs: number): void {
 		this.#lastPageSize = changes.length;
 		this.#deliver(changes.filter(change => change.version > (this.#revision ?? 0) && change.version > (this.#versions.get(change.key) ?? 0)));
-		this.#confirm(revision, sentAtMs);
+		if (hasMore) {
+			this.#revision = Math.max(this.#revision ?? 0, revision);
+		} else {
+			this.#confirm(revision, sentAtMs);
+		}
 	}
 
 	#confirm(revision: number, sentAtMs: number): void {
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -153,3 +153,23 @@
 	expect(applied).toEqual([1, 2, 3]);
 	expect(replica.revision).toBe(8);
 });
+
+/** A table whose answers hold at most `pageSize` changes. */
+const pagedTable = (stored: () => number, pageSize: number): Script => ({
+	listRows: async () => ({rows: [], revision: 0}),
+	async waitForChanges(revision) {
+		const last = Math.min(stored(), revision + pageSize);
+		const changes = Array.from({length: last - revision}, (_value, index): RowChange => ({key: `jobs/${revision + index + 1}`, value: 1, version: revision + index + 1}));
+		return {changes, revision: last, hasMore: last < stored()};
+	},
+});
+
+test('a reader of a copy that has fallen behind sees what was acknowledged before, although it does not fit into one page', async () => {
+	let stored = 0;
+	const {replica, rows} = replicaOf(pagedTable(() => stored, 200));
+	await replica.refresh();
+	stored = 650;
+	await replica.refresh();
+	expect(rows.has('jobs/650')).toBe(true);
+	expect(replica.revision).toBe(650);
+});
