Read changes again after joining a listing that began earlier

A reader whose history was dropped joined a listing that was under way, and took its rows as current, although parts of them had been read before the reader's call. A job that was stored in between would be answered 410. The first listing of a copy did this already.

--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -172,8 +172,10 @@
 			}
 
 			this.#log.info({event: 'replica_relisted', prefix: this.#options.prefix, revision: this.#revision});
+			// A listing that is under way may have read some rows before they were changed.
+			const isJoining = this.#currentListing !== undefined;
 			await this.#listOnce();
-			return false;
+			return isJoining;
 		}
 	}
 
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -173,3 +173,40 @@
 	expect(rows.has('jobs/650')).toBe(true);
 	expect(replica.revision).toBe(650);
 });
+
+/** Lets pending promises settle. */
+const passTurns = async (): Promise<void> => {
+	for (let turn = 0; turn < 20; turn++) {
+		await Promise.resolve();
+	}
+};
+
+test('a reader that joins a listing after the history was dropped sees rows that were stored after it began', async () => {
+	let finish: ((listing: RowListing) => void) | undefined;
+	let isDropped = false;
+	const {replica, rows} = replicaOf({
+		async listRows() {
+			return isDropped
+				? new Promise(resolve => {
+					finish = resolve;
+				})
+				: {rows: [], revision: 1};
+		},
+		async waitForChanges(revision) {
+			if (isDropped && revision < 3) {
+				throw new HistoryLostError('dropped');
+			}
+
+			return {changes: [{key: 'jobs/b', value: 2, version: 4}], revision: 4, hasMore: false};
+		},
+	});
+	await replica.refresh();
+	isDropped = true;
+	replica.readNow();
+	await passTurns();
+	const reader = replica.refresh();
+	await passTurns();
+	finish!({rows: [{key: 'jobs/a', value: 1, version: 1}], revision: 3});
+	await reader;
+	expect([...rows.keys()]).toEqual(['jobs/a', 'jobs/b']);
+});
