Space polls and rounds apart while the lease holder lacks processor time

A waiting poll is answered at the first run end, and the next one followed 30 ms later whatever the load, so a worker with eight short tasks was polled a dozen times a second. HolderPacing follows the mean lateness of rounds: up to 3 ms, the pause stays at 30 ms; beyond, it grows to at most 160 ms, so that a poll gathers more run ends. Workers on trial, draining or reserved keep the short pause.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -20,6 +20,9 @@
 /** Delay between two polls of a worker, so that run ends in quick succession arrive in one report. */
 export const pollPauseMs = 30;
 
+/** The same while the lease holder lacks processor time. It adds little to a task's run time and is short against leases, stall detection and the poll that proves a run. */
+export const maxPollPauseMs = 160;
+
 /** Delay after an unanswered poll. */
 export const pollRetryMs = 250;
 
--- a/packages/scheduler/src/shell/load-monitor.ts
+++ b/packages/scheduler/src/shell/load-monitor.ts
@@ -11,6 +11,8 @@
 	readonly starts: number;
 	readonly polls: number;
 	readonly openJobs: number;
+	/** Present pause between two polls of a busy worker. */
+	readonly pollPauseMs: number;
 	/** When the current term began; `undefined` without one. */
 	readonly termBeganAtMs: number | undefined;
 };
@@ -66,7 +68,9 @@
 	}
 
 	#report(nowMs: number): void {
-		const {starts, polls, openJobs, termBeganAtMs} = this.#options.work();
+		const {
+			starts, polls, openJobs, pollPauseMs, termBeganAtMs,
+		} = this.#options.work();
 		const last = this.#last;
 		this.#last = {
 			atMs: nowMs, cpuMs: this.#cpuTimeMs(), starts, polls,
@@ -83,6 +87,7 @@
 				largestDelayMs: Math.round(this.#largestDelayMs),
 				starts: starts - last.starts,
 				polls: polls - last.polls,
+				pollPauseMs: Math.round(pollPauseMs),
 				openJobs,
 			});
 		}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -30,14 +30,14 @@
 import {type FleetConfiguration} from '../types.js';
 import {CopyAgeMonitor} from './copy-age-monitor.js';
 import {EffectPerformer} from './effect-performer.js';
+import {HolderPacing} from './holder-pacing.js';
 import {LoadMonitor} from './load-monitor.js';
 import {QueuePublisher} from './queue-publisher.js';
 import {TermKeeper} from './term-keeper.js';
 import {WorkerPoller} from './worker-poller.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
-/** Interval of ticks with the lease, on which decisions are made, and without it. */
-const decisionIntervalMs = 25;
+/** Interval of ticks without the lease; with it, `HolderPacing` decides. */
 const idleTickIntervalMs = 250;
 
 /** How long one watch call waits for changes; this bounds the time until a silent connection is noticed. */
@@ -122,7 +122,10 @@
 	readonly #jobRowsAge: CopyAgeMonitor;
 	readonly #controlReplica: TableReplica;
 	readonly #workerPoller: WorkerPoller;
+	readonly #pacing = new HolderPacing();
 	readonly #load: LoadMonitor;
+	/** When the next tick is planned. */
+	#tickDueAtMs = Number.POSITIVE_INFINITY;
 	#lastTickAtMs: number | undefined;
 	#cancelTick: CancelTimer | undefined;
 	#isListing = false;
@@ -203,13 +206,13 @@
 			},
 		});
 		this.#workerPoller = new WorkerPoller({
-			control: options.workerControl, clock, state: () => this.#runtime.state, dispatch: event => {
+			control: options.workerControl, clock, state: () => this.#runtime.state, pauseMs: () => this.#pacing.pollPauseMs, dispatch: event => {
 				this.#runtime.dispatch(event);
 			},
 		});
 		this.#load = new LoadMonitor({
 			work: () => ({
-				starts: this.state.startCount, polls: this.#workerPoller.pollCount, openJobs: this.state.openJobs.size, termBeganAtMs: this.state.term?.wonAtMs,
+				starts: this.state.startCount, polls: this.#workerPoller.pollCount, openJobs: this.state.openJobs.size, pollPauseMs: this.#pacing.pollPauseMs, termBeganAtMs: this.state.term?.wonAtMs,
 			}),
 			clock, log, metrics: options.metrics,
 		});
@@ -355,7 +358,8 @@
 	}
 
 	#scheduleTick(): void {
-		const delayMs = this.state.term === undefined ? idleTickIntervalMs : decisionIntervalMs;
+		const delayMs = this.state.term === undefined ? idleTickIntervalMs : this.#pacing.roundIntervalMs;
+		this.#tickDueAtMs = this.#options.clock.nowMs() + delayMs;
 		this.#cancelTick = this.#options.clock.schedule(delayMs, () => {
 			this.#tick();
 			if (!this.#isClosed) {
@@ -376,6 +380,7 @@
 	#tick(): void {
 		const now = this.#now();
 		const pausedMs = now.nowMs - (this.#lastTickAtMs ?? now.nowMs);
+		const latenessMs = Math.max(0, now.nowMs - this.#tickDueAtMs);
 		this.#lastTickAtMs = now.nowMs;
 		this.#updateFollowing();
 		this.#term.check(now, pausedMs);
@@ -383,10 +388,13 @@
 		this.#workerPoller.pollDueWorkers();
 		if (this.state.term === undefined) {
 			this.#load.reset();
+			this.#pacing.reset();
 			return;
 		}
 
-		this.#load.recordRound(this.#options.clock.nowMs() - now.nowMs, Math.max(0, pausedMs - decisionIntervalMs));
+		const durationMs = this.#options.clock.nowMs() - now.nowMs;
+		this.#load.recordRound(durationMs, latenessMs);
+		this.#pacing.recordRound(durationMs, latenessMs);
 
 		this.#jobRowsAge.check();
 
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -1,5 +1,5 @@
 /**
-Polls the workers. Each poll extends the lease of the runs on the worker, returns a status report, and acknowledges run ends, which the worker may then discard. A busy worker is polled continuously, an idle one rarely.
+Polls the workers. Each poll extends the lease of the runs on the worker, returns a status report, and acknowledges run ends, which the worker may then discard. A busy worker is polled continuously, with a pause that depends on the load of this process, an idle one rarely.
 */
 import {type Clock} from '@poplarnotch/common';
 import {
@@ -16,6 +16,8 @@
 	readonly clock: Clock;
 	readonly state: () => SchedulerState;
 	readonly dispatch: (event: SchedulerEvent) => void;
+	/** Pause between two polls of a worker whose run ends can wait. */
+	readonly pauseMs: () => number;
 };
 
 type PollState = {
@@ -26,6 +28,9 @@
 const needsPoll = (worker: WorkerRecord): boolean =>
 	!worker.isFenced || worker.runs.size > 0 || worker.acknowledgedSequence > worker.sentAcknowledgement || worker.silentSinceMs !== undefined;
 
+/** Returns true if each report of the worker is needed early: a trial keeps it from starting other tasks, and a draining worker is about to be gone. */
+const isUrgent = (worker: WorkerRecord): boolean => worker.trial !== undefined || worker.entry.isDraining || worker.isReserved;
+
 export class WorkerPoller {
 	readonly #options: WorkerPollerOptions;
 	readonly #pollStates = new Map<string, PollState>();
@@ -95,7 +100,8 @@
 		});
 		const nowMs = clock.nowMs();
 		pollState.isPolling = false;
-		pollState.nextPollAtMs = nowMs + (answer.type === 'report' ? pollPauseMs : pollRetryMs);
+		const pauseMs = isUrgent(worker) ? pollPauseMs : this.#options.pauseMs();
+		pollState.nextPollAtMs = nowMs + (answer.type === 'report' ? pauseMs : pollRetryMs);
 		dispatch({
 			type: 'polled', workerId, answer, sentAtMs, sentAcknowledgement, nowMs, wallMs: clock.wallTimeMs(),
 		});
--- a/packages/scheduler/tests/load-monitor.test.ts
+++ b/packages/scheduler/tests/load-monitor.test.ts
@@ -11,7 +11,7 @@
 	const clock = new VirtualClock();
 	const lines: LogFields[] = [];
 	const work = {
-		starts: 0, polls: 0, openJobs: 3, termBeganAtMs: 0,
+		starts: 0, polls: 0, openJobs: 3, pollPauseMs: 30.4, termBeganAtMs: 0,
 	};
 	const monitor = new LoadMonitor({
 		work: () => work,
@@ -35,7 +35,7 @@
 
 	runRounds(41);
 	expect(lines).toEqual([{
-		event: 'scheduler_load', overMs: 1000, termAgeMs: 1025, cpuMs: 400, rounds: 40, roundMs: 200, longestRoundMs: 5, largestDelayMs: 9, starts: 80, polls: 40, openJobs: 3,
+		event: 'scheduler_load', overMs: 1000, termAgeMs: 1025, cpuMs: 400, rounds: 40, roundMs: 200, longestRoundMs: 5, largestDelayMs: 9, starts: 80, polls: 40, pollPauseMs: 30, openJobs: 3,
 	}]);
 	monitor.reset();
 	clock.advance(10_000);
