Answer every request that was read before a stopping process ends

A process that is stopped took new connections until its end, and cut whatever was in progress 5 s after SIGTERM: callers saw connections that broke after their request was read. If the process held the lease and the store did not confirm its release, it waited for that without limit, took requests until SIGKILL and was ended by it.

The process now stops listening once the load balancer has noticed, closes idle connections, waits for the requests in progress, and answers those that are left at the end of the grace period as it would at their deadlines. The release of the lease is no longer waited for beyond that; the lease expires.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -55,6 +55,10 @@
 /** Time reserved for closing after the last answer. */
 const closeReserveMs = 1000;
 
+/** Time in which the answers that remain at the end are written, and the interval at which it is checked whether they are. */
+const lastAnswersMs = 200;
+const drainCheckMs = 50;
+
 type PeerCall = readonly [baseUrl: string, method: string, parameters: JsonValue, timeoutMs: number];
 
 export type EntryProcessOptions = {
@@ -228,12 +232,19 @@
 		const startedAtMs = clock.nowMs();
 		this.#isDraining = true;
 		log.info({event: 'process_stopping', inFlight: this.#jobServer.inFlight});
-		await this.#scheduler.leave();
 		const latestMs = startedAtMs + settings.stopGraceMs - closeReserveMs;
-		while (clock.nowMs() < latestMs && (this.#jobServer.inFlight > 0 || clock.nowMs() < startedAtMs + balancerDetectionMs)) {
-			await new Promise<void>(resolve => {
-				clock.schedule(50, resolve);
-			});
+		let hasLeft = false;
+		// Not awaited: a release that the store does not confirm is repeated without end, and the lease then expires.
+		void this.#scheduler.leave().then(() => {
+			hasLeft = true;
+		});
+		await this.#waitUntil(() => false, Math.min(startedAtMs + balancerDetectionMs, latestMs));
+		this.#jobServer.stopListening();
+		await this.#waitUntil(() => hasLeft && this.#jobServer.inFlight === 0, latestMs);
+		this.#jobServer.answerWaiting();
+		await this.#waitUntil(() => this.#jobServer.inFlight === 0, latestMs + lastAnswersMs);
+		if (!hasLeft) {
+			log.warn({event: 'lease_not_released', reason: 'the store did not confirm the release in time'});
 		}
 
 		const failures = await this.#lifecycle.releaseAll();
@@ -242,6 +253,16 @@
 		});
 	}
 
+	/** Waits until the condition holds, at most until `latestMs`. */
+	async #waitUntil(holds: () => boolean, latestMs: number): Promise<void> {
+		const {clock} = this.#options;
+		while (!holds() && clock.nowMs() < latestMs) {
+			await new Promise<void>(resolve => {
+				clock.schedule(Math.min(drainCheckMs, latestMs - clock.nowMs()), resolve);
+			});
+		}
+	}
+
 	/** Returns the route for relayed calls. Peers authenticate with the shared secret, which this process may learn only after it has started to listen. */
 	#relayRoute(): OperationsRoute {
 		return {
--- a/packages/entry/tests/support/entry-host.ts
+++ b/packages/entry/tests/support/entry-host.ts
@@ -43,9 +43,9 @@
 export class EntryHost {
 	readonly name: string;
 	readonly storePort: number;
+	readonly callersPort: number;
 	readonly #folder: string;
 	readonly #process: ChildProcess;
-	readonly #callersPort: number;
 	#output = '';
 
 	constructor(name: string, {storePort, folder, callersPort, child}: {
@@ -58,7 +58,7 @@
 		this.storePort = storePort;
 		this.#folder = folder;
 		this.#process = child;
-		this.#callersPort = callersPort;
+		this.callersPort = callersPort;
 		for (const stream of [child.stdout, child.stderr]) {
 			stream?.on('data', chunk => {
 				this.#output += String(chunk);
@@ -66,6 +66,10 @@
 		}
 	}
 
+	get exitCode(): number | undefined {
+		return this.#process.exitCode ?? undefined;
+	}
+
 	get isRunning(): boolean {
 		return this.#process.exitCode === null && this.#process.signalCode === null;
 	}
@@ -80,13 +84,18 @@
 	}
 
 	async call(method: 'GET' | 'POST', callPath: string, body?: unknown): Promise<{readonly status: number; readonly body: unknown}> {
-		const response = await request(`http://127.0.0.1:${this.#callersPort}${callPath}`, {
+		const response = await request(`http://127.0.0.1:${this.callersPort}${callPath}`, {
 			method, body: body === undefined ? null : JSON.stringify(body), headers: {'content-type': 'application/json', host: callersHost},
 		});
 		const text = await response.body.text();
 		return {status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
 	}
 
+	/** Requests the end of the process, without waiting for it. */
+	terminate(): void {
+		this.#process.kill('SIGTERM');
+	}
+
 	async kill(): Promise<void> {
 		if (this.isRunning) {
 			this.#process.kill('SIGKILL');
--- a/packages/entry/tests/support/platform-server.ts
+++ b/packages/entry/tests/support/platform-server.ts
@@ -127,6 +127,8 @@
 	readonly machines: unknown[] = [];
 	/** Ports of the store that answer nothing. */
 	readonly silentPorts = new Set<number>();
+	/** Paths on which calls are answered nowhere. */
+	readonly silentPaths = new Set<string>();
 	readonly #worker = new TestWorker();
 	readonly #servers: Server[] = [];
 
@@ -158,7 +160,7 @@
 	}
 
 	async #respond(port: number, {pathname, searchParams}: URL, text: string, response: ServerResponse): Promise<void> {
-		const answer = this.silentPorts.has(port) ? undefined : await this.#answer(pathname, searchParams, text);
+		const answer = this.silentPorts.has(port) || this.silentPaths.has(pathname) ? undefined : await this.#answer(pathname, searchParams, text);
 		if (answer !== undefined && !this.silentPorts.has(port)) {
 			response.writeHead(answer.status, {'content-type': 'application/json'});
 			response.end(answer.body === undefined ? '' : JSON.stringify(answer.body));
