Group log lines into shared writes and format them with less work

Each line of a busy lease holder cost a write of its own on a thread of the pool, with the wake-ups that belong to it. Lines now wait up to 5 ms for others, and a process that stops flushes its last lines before it exits. The bounds on lines and bytes stay. The format of a line does not change; its date and time of day are formatted once in a second, and numbers are not passed through JSON.

--- a/packages/common/src/bounded-output.ts
+++ b/packages/common/src/bounded-output.ts
@@ -1,9 +1,9 @@
 /**
-Writes log lines without ever blocking the process. A synchronous write to a pipe blocks when the pipe's reader has stopped; here writes are asynchronous, and both the buffered bytes and the lines per second are bounded. Dropped lines are counted, and their number is logged once lines are accepted again.
+Writes log lines without ever blocking the process. A synchronous write to a pipe blocks when the pipe's reader has stopped; here writes are asynchronous, and both the buffered bytes and the lines per second are bounded. Lines that follow each other closely can share a write, which costs a busy process several system calls and a wake-up. Dropped lines are counted, and their number is logged once lines are accepted again.
 */
 import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
-import {type Clock} from './clock.js';
+import {type CancelTimer, type Clock} from './clock.js';
 
 /** Limit on bytes buffered for a slow reader: about two seconds of a busy process's lines. */
 const maxBufferedBytes = 1_048_576;
@@ -51,17 +51,22 @@
 	readonly #writeBytes: WriteBytes;
 	readonly #clock: Clock;
 	readonly #describeDropped: (count: number) => string;
-	#buffered: Uint8Array[] = [];
+	readonly #groupMs: number;
+	#buffered: string[] = [];
 	#bufferedBytes = 0;
 	#isWriting = false;
+	#cancelTimer: CancelTimer | undefined;
+	#flushed: Array<() => void> = [];
 	#windowStartedAtMs = 0;
 	#linesInWindow = 0;
 	#dropped = 0;
 
-	constructor(writeBytes: WriteBytes, clock: Clock, describeDropped: (count: number) => string) {
+	/** A line waits up to `groupMs` for further lines; with 0, each line is written at once if no write is under way. */
+	constructor(writeBytes: WriteBytes, clock: Clock, describeDropped: (count: number) => string, groupMs = 0) {
 		this.#writeBytes = writeBytes;
 		this.#clock = clock;
 		this.#describeDropped = describeDropped;
+		this.#groupMs = groupMs;
 	}
 
 	/** Number of dropped lines that have not been logged yet. */
@@ -92,31 +97,64 @@
 		return true;
 	}
 
+	/** Writes the buffered lines now, and resolves when they have been written or cannot be. */
+	async flush(): Promise<void> {
+		return new Promise(resolve => {
+			this.#flushed.push(resolve);
+			this.#writeBuffered();
+		});
+	}
+
 	#enqueue(line: string): void {
-		const bytes = Buffer.from(line);
-		this.#buffered.push(bytes);
-		this.#bufferedBytes += bytes.length;
-		this.#flush();
+		this.#buffered.push(line);
+		this.#bufferedBytes += Buffer.byteLength(line);
+		this.#scheduleWrite();
+	}
+
+	#scheduleWrite(): void {
+		if (this.#groupMs === 0 || this.#flushed.length > 0) {
+			this.#writeBuffered();
+		} else if (!this.#isWriting && this.#buffered.length > 0) {
+			this.#cancelTimer ??= this.#clock.schedule(this.#groupMs, () => {
+				this.#writeBuffered();
+			});
+		}
 	}
 
-	#flush(): void {
-		if (this.#isWriting || this.#buffered.length === 0) {
+	#writeBuffered(): void {
+		this.#cancelTimer?.();
+		this.#cancelTimer = undefined;
+		if (this.#isWriting) {
+			return;
+		}
+
+		if (this.#buffered.length === 0) {
+			this.#resolveFlushed();
 			return;
 		}
 
 		this.#isWriting = true;
-		const bytes = Buffer.concat(this.#buffered);
+		const bytes = Buffer.from(this.#buffered.join(''));
 		this.#buffered = [];
 		this.#writeBytes(bytes, error => {
 			this.#isWriting = false;
 			this.#bufferedBytes -= bytes.length;
 			if (error === null || error === undefined) {
-				this.#flush();
+				this.#scheduleWrite();
 			} else {
 				// The output has no reader any more, so the error cannot be logged either.
 				this.#buffered = [];
 				this.#bufferedBytes = 0;
+				this.#resolveFlushed();
 			}
 		});
 	}
+
+	#resolveFlushed(): void {
+		const resolvers = this.#flushed;
+		this.#flushed = [];
+		for (const resolve of resolvers) {
+			resolve();
+		}
+	}
 }
--- a/packages/common/src/log.ts
+++ b/packages/common/src/log.ts
@@ -28,10 +28,37 @@
 const needsQuotes = /[\s"=]/v;
 
 const formatValue = (value: unknown): string => {
+	if (typeof value === 'number') {
+		return Number.isFinite(value) ? String(value) : 'null';
+	}
+
 	const text = typeof value === 'string' ? value : JSON.stringify(value);
 	return text === '' || needsQuotes.test(text) ? JSON.stringify(text) : text;
 };
 
+const secondMs = 1000;
+const millisecondDigits = 3;
+
+/** Formats wall times for log lines. Most lines belong to the same second as the line before, whose date and time of day are kept. */
+class TimeFormat {
+	#second = Number.NaN;
+	#prefix = '';
+
+	format(time: Date): string {
+		const timeMs = time.getTime();
+		const second = Math.floor(timeMs / secondMs);
+		if (second !== this.#second) {
+			const text = time.toISOString();
+			this.#second = second;
+			this.#prefix = text.slice(0, text.lastIndexOf('.') + 1);
+		}
+
+		return `${this.#prefix}${String(timeMs - (second * secondMs)).padStart(millisecondDigits, '0')}Z`;
+	}
+}
+
+const timeFormat = new TimeFormat();
+
 type BunyanRecord = Readonly<Record<string, unknown>> & {
 	readonly name: string;
 	readonly level: bunyan.LogLevel;
@@ -41,16 +68,16 @@
 
 /** Renders one bunyan record as a line. */
 export const formatLogRecord = (record: BunyanRecord): string => {
-	const head = [
-		`time=${record.time.toISOString()}`,
-		`level=${bunyan.nameFromLevel[Number(record.level)] ?? record.level}`,
-		`process=${formatValue(record.name)}`,
-		`event=${formatValue(record.event ?? 'unnamed')}`,
-	];
-	const fields = Object.entries(record)
-		.filter(([key, value]) => !hiddenFields.has(key) && value !== undefined)
-		.map(([key, value]) => `${key}=${formatValue(value)}`);
-	return [...head, ...fields].join(' ');
+	const level = bunyan.nameFromLevel[Number(record.level)] ?? record.level;
+	let line = `time=${timeFormat.format(record.time)} level=${level} process=${formatValue(record.name)} event=${formatValue(record.event ?? 'unnamed')}`;
+	for (const key of Object.keys(record)) {
+		const value = record[key];
+		if (value !== undefined && !hiddenFields.has(key)) {
+			line += ` ${key}=${formatValue(value)}`;
+		}
+	}
+
+	return line;
 };
 
 /** Destination of the log lines; `write` returns false if the line was dropped or the buffer is full. */
--- a/packages/common/tests/bounded-output.test.ts
+++ b/packages/common/tests/bounded-output.test.ts
@@ -74,3 +74,30 @@
 	await expect.poll(() => text).toBe('the first line\nthe second line\n');
 	expect(output.dropped).toBe(0);
 });
+
+test('lines that follow each other closely share a write, and a process that ends writes its last lines', async () => {
+	const writes: string[] = [];
+	const pending: Array<() => void> = [];
+	const clock = new VirtualClock();
+	const output = new BoundedOutput((bytes, done) => {
+		writes.push(Buffer.from(bytes).toString());
+		pending.push(() => {
+			done(undefined);
+		});
+	}, clock, describeDropped, 5);
+	output.write('a\n');
+	clock.advance(4);
+	output.write('b\n');
+	expect(writes).toEqual([]);
+	clock.advance(1);
+	expect(writes).toEqual(['a\nb\n']);
+	output.write('c\n');
+	clock.advance(5);
+	expect(writes).toHaveLength(1);
+	const flushed = output.flush();
+	pending[0]!();
+	expect(writes).toEqual(['a\nb\n', 'c\n']);
+	pending[1]!();
+	await flushed;
+	await output.flush();
+});
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -3,6 +3,7 @@
 */
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import * as E from 'fp-ts/lib/Either.js';
 import {
 	BoundedOutput, createLogger, formatFinding, MetricsRegistry, SystemClock, writeToDescriptor,
@@ -17,6 +18,9 @@
 
 /** Time for the last log lines to be written. */
 const logFlushMs = 100;
+
+/** Time for which a log line waits for further lines, so that they share a write. */
+const logGroupMs = 5;
 const defaultMetricsPort = 9464;
 
 const defaultFailureDetectionMs = 600;
@@ -44,14 +48,16 @@
 } else {
 	const clock = new SystemClock();
 	const output = new BoundedOutput(writeToDescriptor(process.stdout.fd), clock, count =>
-		`time=${new Date().toISOString()} level=warn process=${settings.right.host} event=log_lines_dropped lines=${count}\n`);
+		`time=${new Date().toISOString()} level=warn process=${settings.right.host} event=log_lines_dropped lines=${count}\n`, logGroupMs);
 	const log = createLogger(settings.right.host, 'info', output);
 	const entry = new EntryProcess({
 		settings: settings.right, metricsPort, poolForecast, admission, orderPolicy, outageScheduling: outageScheduling === 'on', failureDetectionMs, clock, log, metrics: new MetricsRegistry(),
 	});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
-			void entry.stop().then(() => {
+			void entry.stop().then(async () => {
+				// The reader of the log may have stopped.
+				await Promise.race([output.flush(), sleep(logFlushMs)]);
 				process.exit(0);
 			});
 		});
