Try another peer for a commit that did not reach the first one

While a process relays its calls, a commit for which the peer's port was closed, no connection was established or the peer refused the call counted as a commit of unknown outcome. No other peer was tried, and the caller who submitted the job got 504, although nothing had been sent.

Errors of calls between processes now tell whether the peer may have performed the call. If it has not, the commit goes to the next peer, and is reported as not applied if none is reached, so that the caller gets 503.

--- a/packages/platform/src/http/connection.ts
+++ b/packages/platform/src/http/connection.ts
@@ -56,10 +56,13 @@
 	return cause === undefined ? undefined : codeOf(cause);
 };
 
+/** Returns true if the error of an HTTP client shows that no connection was established, so that nothing was sent. */
+export const isNotSent = (error: unknown): boolean => notSentCodes.has(codeOf(error) ?? '');
+
 /** Returns the error for a call that failed without an answer. The outcome is unknown only for a write that may have been sent. */
 export const classifyMissingAnswer = (description: string, isWrite: boolean, cause: unknown): PlatformError => {
-	const code = codeOf(cause);
-	if (code !== undefined && notSentCodes.has(code)) {
+	if (isNotSent(cause)) {
+		const code = codeOf(cause);
 		return new UnavailableError(`${description}: the platform was not reached (${code})`, {cause});
 	}
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -24,7 +24,7 @@
 	type TaskReport, type TaskResources, type TaskSpec, type WorkerReport, type Workers,
 } from './workers.js';
 export {
-	classifyMissingAnswer, clientNameHeader, PlatformConnection, type PlatformCall, type PlatformConnectionOptions,
+	classifyMissingAnswer, clientNameHeader, isNotSent, PlatformConnection, type PlatformCall, type PlatformConnectionOptions,
 } from './http/connection.js';
 export {HttpHostList} from './http/http-host-list.js';
 export {HttpObjectStore} from './http/http-object-store.js';
--- a/packages/state/src/peers/rpc-client.ts
+++ b/packages/state/src/peers/rpc-client.ts
@@ -5,6 +5,7 @@
 import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
 import {Agent, request as httpRequest} from 'undici';
 import {type JsonValue, type MetricsRegistry, withTimeLimit} from '@poplarnotch/common';
+import {isNotSent} from '@poplarnotch/platform';
 import {PeerUnreachableError} from './errors.js';
 import {rpcPath} from './rpc-server.js';
 
@@ -23,9 +24,12 @@
 
 const keepAliveTimeoutMs = 30_000;
 
+/** A peer that has not accepted a connection by then is down or cut off. Shorter than the limits of calls with an effect, so that these are known not to have been sent. */
+const connectTimeoutMs = 400;
+
 /** Calls methods of processes by the base URL of their operations port. */
 export class RpcClient {
-	readonly #agent = new Agent({connections: connectionsPerPeer, keepAliveTimeout: keepAliveTimeoutMs});
+	readonly #agent = new Agent({connections: connectionsPerPeer, keepAliveTimeout: keepAliveTimeoutMs, connect: {timeout: connectTimeoutMs}});
 	readonly #secret: string;
 	readonly #timeoutMs: number;
 	readonly #metrics: MetricsRegistry | undefined;
@@ -38,13 +42,23 @@
 
 	/** Returns the method's result. Fails with `PeerUnreachableError`. */
 	async call(baseUrl: string, method: string, parameters: JsonValue, timeoutMs = this.#timeoutMs): Promise<unknown> {
+		// The JSON-RPC client passes on only the message of an error.
+		let failure: unknown;
 		const client: JSONRPCClient = new JSONRPCClient(async payload => {
-			client.receive(await withTimeLimit(timeoutMs, async signal => this.#post(baseUrl, JSON.stringify(payload), signal)));
+			try {
+				client.receive(await withTimeLimit(timeoutMs, async signal => this.#post(baseUrl, JSON.stringify(payload), signal)));
+			} catch (error) {
+				failure = error;
+				throw error;
+			}
 		});
 		try {
 			return await client.request(method, parameters) as unknown;
 		} catch (error) {
-			throw new PeerUnreachableError(`${method} at ${baseUrl} failed: ${String(error)}`, {cause: error});
+			const isUnperformed = failure !== undefined && (isNotSent(failure) || (failure instanceof PeerUnreachableError && !failure.mayBePerformed));
+			throw new PeerUnreachableError(`${method} at ${baseUrl} failed: ${String(error)}`, {
+				cause: failure ?? error, mayBePerformed: !isUnperformed,
+			});
 		}
 	}
 
@@ -65,7 +79,8 @@
 		this.#metrics?.increment('peer_rpc_calls_total');
 		this.#metrics?.increment('peer_rpc_body_bytes_total', Buffer.byteLength(body) + Buffer.byteLength(text));
 		if (response.statusCode !== 200) {
-			throw new PeerUnreachableError(`Status ${response.statusCode} from ${baseUrl}`);
+			// The endpoint refuses calls with a status before it runs a method.
+			throw new PeerUnreachableError(`Status ${response.statusCode} from ${baseUrl}`, {mayBePerformed: false});
 		}
 
 		return JSON.parse(text) as JSONRPCResponse;
--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -313,14 +313,15 @@
 	}
 };
 
-/** The error of a failed relayed call. A commit that was sent to a peer without a response may have been applied. */
+/** The error of a failed relayed call. A commit that was sent to a peer without a response may have been applied; one that did not reach the peer was not. */
 const failureOf = (call: RelayedCall, error: unknown): PlatformError => {
 	if (error instanceof PlatformError) {
 		return error;
 	}
 
 	const message = `${call.type} through a peer: ${String(error)}`;
-	return call.type === 'commit' || !(error instanceof PeerUnreachableError)
-		? new WriteOutcomeUnknownError(message, {cause: error})
-		: new UnavailableError(message, {cause: error});
+	const isPerformedNowhere = error instanceof PeerUnreachableError && (call.type !== 'commit' || !error.mayBePerformed);
+	return isPerformedNowhere
+		? new UnavailableError(message, {cause: error})
+		: new WriteOutcomeUnknownError(message, {cause: error});
 };
--- a/packages/state/tests/peers/rpc.test.ts
+++ b/packages/state/tests/peers/rpc.test.ts
@@ -61,6 +61,15 @@
 		expect(await client.call(url, 'echo', {still: 'there'})).toEqual({still: 'there'});
 	});
 
+	test('a call that reached no process or was refused is told apart from one that may have been performed', async () => {
+		const stranger = new RpcClient({secret: 'something-else-altogether'});
+		await expect(stranger.call(url, 'echo', {})).rejects.toMatchObject({mayBePerformed: false});
+		await stranger.close();
+		await expect(client.call('http://127.0.0.1:1', 'echo', {})).rejects.toMatchObject({mayBePerformed: false});
+		await expect(client.call(url, 'hang', {}, 50)).rejects.toMatchObject({mayBePerformed: true});
+		await expect(client.call(url, 'fail', {})).rejects.toMatchObject({mayBePerformed: true});
+	});
+
 	test('the timeout also applies to a call that waits for a free connection', async () => {
 		// More calls than a process opens connections to one peer.
 		const hanging = Array.from({length: 3}, async () => client.call(url, 'hang', {}, 3000).catch(() => undefined));
--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -7,7 +7,7 @@
 } from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
 import {expect, test} from 'vitest';
-import {performRelayed, RelayedTable} from '@poplarnotch/state';
+import {PeerUnreachableError, performRelayed, RelayedTable} from '@poplarnotch/state';
 
 class TablePath {
 	isDown = false;
@@ -60,12 +60,14 @@
 	const memory = new MemoryTableService();
 	const [own, other] = [new TablePath(memory), new TablePath(memory)];
 	const clock = new VirtualClock();
+	const failedPeers: string[] = [];
 	let peerFailure: Error | undefined;
 	const relayed = new RelayedTable({
 		direct: own.table,
 		peers: () => peers,
-		async callPeer(_url, _method, parameters: JsonValue) {
+		async callPeer(url, _method, parameters: JsonValue) {
 			if (peerFailure !== undefined) {
+				failedPeers.push(url);
 				throw peerFailure;
 			}
 
@@ -74,7 +76,7 @@
 		clock,
 	});
 	return {
-		memory, own, other, clock, relayed, failPeer(error: Error) {
+		memory, own, other, clock, relayed, failedPeers, failPeer(error: Error) {
 			peerFailure = error;
 		},
 	};
@@ -126,6 +128,16 @@
 	await expect(relayed.commit(put('a'))).rejects.toBeInstanceOf(WriteOutcomeUnknownError);
 });
 
+test('a commit that did not reach a peer is relayed through another one, and is reported as not applied if no peer is reached', async () => {
+	const {memory, own, relayed, failPeer, failedPeers} = setUp(['http://gone-1', 'http://gone-2', 'http://peer']);
+	own.isDown = true;
+	await expect(relayed.readRows(['a'])).rejects.toBeInstanceOf(UnavailableError);
+	failPeer(new PeerUnreachableError('connection refused', {mayBePerformed: false}));
+	await expect(relayed.commit(put('a'))).rejects.toBeInstanceOf(UnavailableError);
+	expect(failedPeers).toHaveLength(2);
+	expect(memory.valueOf('a')).toBeUndefined();
+});
+
 test('a commit relayed through a peer that cannot reach the table service either is reported as not applied', async () => {
 	const {own, other, relayed} = setUp();
 	own.isDown = true;
