--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -2,7 +2,9 @@
 Processes status reports and order answers of workers: which runs are active, which have ended, and whether the worker is still the same incarnation.
 */
 import {assertNever} from '@poplarnotch/common';
-import {failureWindowMs, quarantineFailures, quarantineMs} from '../constants.js';
+import {
+	failureWindowMs, maxLoggedRuns, quarantineFailures, quarantineMs,
+} from '../constants.js';
 import {type OrderAnswer, type StartAnswer} from '../ports.js';
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
 import {recordSurvival, settleTrial} from './crash-attribution.js';
@@ -108,13 +110,17 @@
 	worker.lastAnswerAtMs = event.nowMs;
 	worker.clock = {clockMs: report.clockMs, readAtMs: event.nowMs};
 	worker.sentAcknowledgement = Math.max(worker.sentAcknowledgement, event.sentAcknowledgement);
+	const ended: FinishedEntry[] = [];
 	for (const entry of report.finished.toSorted((a, b) => a.sequence - b.sequence)) {
 		if (entry.sequence > worker.processedSequence) {
 			worker.processedSequence = entry.sequence;
 			applyFinishedEntry(state, worker, entry, event);
+			ended.push(entry);
 		}
 	}
 
+	logEnds(state, event.workerId, ended);
+
 	const listed = new Set<string>();
 	for (const entry of report.running) {
 		listed.add(entry.taskKey);
@@ -283,12 +289,29 @@
 			assertNever(entry.end);
 		}
 	}
+};
 
-	state.emit({
-		type: 'log', fields: {
-			event: 'run_ended', taskKey: entry.taskKey, attempt: entry.attempt, end: entry.end, workerId: worker.entry.workerId,
-		},
-	});
+/** Logs all ends of a report that are done in one line, and each of the others in one of its own. */
+const logEnds = (state: SchedulerState, workerId: string, ended: readonly FinishedEntry[]): void => {
+	const done = ended.filter(({end}) => end === 'done');
+	for (let from = 0; from < done.length; from += maxLoggedRuns) {
+		const part = done.slice(from, from + maxLoggedRuns);
+		state.emit({
+			type: 'log', fields: {
+				event: 'runs_done', workerId, count: part.length, tasks: part.map(({taskKey, attempt}) => `${taskKey}#${attempt}`).join(','),
+			},
+		});
+	}
+
+	for (const {taskKey, attempt, end} of ended) {
+		if (end !== 'done') {
+			state.emit({
+				type: 'log', fields: {
+					event: 'run_ended', taskKey, attempt, end, workerId,
+				},
+			});
+		}
+	}
 };
 
 /** Records a failed run. A worker with `quarantineFailures` failures within `failureWindowMs` is quarantined. */
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -12,6 +12,7 @@
 import {
 	type MachineControl, type PlacementAdvisor, type WaveReporter, type WorkerAddress, type WorkerControl,
 } from '../ports.js';
+import {StartLog} from './start-log.js';
 
 export type EffectPerformerOptions = {
 	readonly processId: string;
@@ -34,9 +35,16 @@
 
 export class EffectPerformer {
 	readonly #options: EffectPerformerOptions;
+	readonly #startLog: StartLog;
 
 	constructor(options: EffectPerformerOptions) {
 		this.#options = options;
+		this.#startLog = new StartLog(options.clock, options.log);
+	}
+
+	/** Writes the log lines that wait for others. */
+	flushLog(): void {
+		this.#startLog.flush();
 	}
 
 	get #state(): SchedulerState {
@@ -116,9 +124,17 @@
 		const durationMs = this.#options.clock.nowMs() - sentAtMs;
 		this.#options.metrics.recordMs('task_wait_ms', waitedMs);
 		this.#options.metrics.recordMs('worker_start_ms', durationMs);
-		this.#options.log.info({
-			event: 'task_start', taskKey, attempt, workerId, answer, waitedMs, durationMs: Math.round(durationMs), fencingToken: order.fencingToken,
-		});
+		const {fencingToken} = order;
+		if (answer === 'started') {
+			this.#startLog.record({
+				taskKey, attempt, workerId, waitedMs, durationMs, fencingToken,
+			});
+		} else {
+			this.#options.log.info({
+				event: 'task_not_started', taskKey, attempt, workerId, answer, waitedMs, durationMs: Math.round(durationMs), fencingToken,
+			});
+		}
+
 		this.#options.dispatch({
 			type: 'startAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
 		});
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -303,6 +303,7 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		this.#cancelTick?.();
+		this.#performer.flushLog();
 		this.#term.close();
 		await this.#lifecycle.releaseAll();
 	}
