Refuse relayed calls in a process that relays its own

While the store turns a third of the hosts away without an answer, a host that relays its calls could choose a peer that is turned away as well. That peer considered the store reached, since its own relayed calls were answered, and performed the call on its silent direct path. The caller waited 1.1 s and then got 504; its next attempt at another host was accepted within some 10 ms.

A process now performs calls of peers only while its direct path is in use and its oldest call has been waiting for less than 300 ms; otherwise it refuses them at once and the caller tries the next peer.

packages/state/tests/relay/relayed-table.test.ts: both new tests hang with the earlier condition and pass now.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -12,7 +12,7 @@
 	admitAll, DrainTimeAdmission, type OrderPolicyName, type PoolForecastName, SchedulerProcess,
 } from '@poplarnotch/scheduler';
 import {
-	createRpcRoute, OutageEvidence, OutageProber, ReachabilityMeter, probeKey, reachabilityMethods, RelayDirectory, performRelayed, RelayedTable, relayMethod, RpcClient, rpcPath,
+	createRpcRoute, OutageEvidence, OutageProber, ReachabilityMeter, probeKey, reachabilityMethods, RelayDirectory, RelayedTable, relayMethod, RpcClient, rpcPath,
 } from '@poplarnotch/state';
 import {UdpTransport} from './udp-transport.js';
 
@@ -82,7 +82,7 @@
 	readonly #lifecycle: LifecycleManager;
 	readonly #scheduler: SchedulerProcess;
 	readonly #jobServer: JobHttpServer;
-	readonly #directTable: TableStore;
+	readonly #table: RelayedTable;
 	readonly #relayDirectory: RelayDirectory;
 	readonly #meter: ReachabilityMeter;
 	readonly #outageProber: OutageProber;
@@ -98,16 +98,16 @@
 		this.#lifecycle = new LifecycleManager(clock);
 		const storeClient = this.#closeOnStop(new HttpClient({connections: storeConnections}));
 		const workerClient = this.#closeOnStop(new HttpClient({connections: workerConnections}));
-		this.#directTable = new TableStore({client: storeClient, url: settings.tableServiceUrl});
 		const meter = new ReachabilityMeter(clock);
 		this.#meter = meter;
 		const callPeer = async (...call: PeerCall): Promise<unknown> => this.#callPeer(...call);
 		const table = new RelayedTable({
-			direct: this.#directTable, peers: () => this.#relayDirectory.peerUrls, callPeer, meter, clock, log,
+			direct: new TableStore({client: storeClient, url: settings.tableServiceUrl}), peers: () => this.#relayDirectory.peerUrls, callPeer, meter, clock, log,
 			onDirectPathRegained: () => {
 				this.#scheduler.readNow();
 			},
 		});
+		this.#table = table;
 		this.#relayDirectory = new RelayDirectory({
 			table, processId: settings.host, url: `http://${settings.peersAddress.ip}:${settings.peersAddress.port}`, cpuMillicores: settings.cpuMillicores, dataCentre: settings.dataCentre, datagramPort: settings.datagramAddress?.port, isRelaying: () => (table.relayedForMs ?? 0) >= relayingAfterMs, clock, log,
 		});
@@ -276,7 +276,7 @@
 				}
 
 				this.#cachedRelayRoute ??= createRpcRoute(secret, {
-					[relayMethod]: async parameters => performRelayed(this.#directTable, parameters, () => this.#meter.failingSinceMs === undefined), ...reachabilityMethods(this.#meter),
+					[relayMethod]: async parameters => this.#table.performForPeer(parameters), ...reachabilityMethods(this.#meter),
 				});
 				this.#cachedRelayRoute.handle(request, response);
 			},
--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -12,6 +12,7 @@
 import {Deferred} from '../deferred.js';
 import {PeerUnreachableError} from '../peers/errors.js';
 import {ReachabilityMeter} from '../reachability/reachability-meter.js';
+import {performRelayed} from './perform-relayed.js';
 import {
 	type RelayResponse, relayResponseSchema, type RelayedCall, relayMethod,
 } from './messages.js';
@@ -52,6 +53,9 @@
 /** If the tried peers cannot reach the table service either, it is assumed to be down for all, and only the direct path is tried for this long. */
 const relayBackoffMs = 500;
 
+/** A process whose own calls have had no answer for this long performs none for peers, which try another peer instead. A slow table service answers some call within 300 ms. */
+const silentForPeersMs = 300;
+
 /** Key of a row that is read to probe the direct path; the row need not exist. */
 export const probeKey = 'control/probe';
 
@@ -105,6 +109,11 @@
 		}
 	}
 
+	/** Performs a call of another process on the direct path. It is refused at once unless that path answers: calls that this process relays itself say nothing about it. */
+	async performForPeer(parameters: unknown): Promise<JsonValue> {
+		return performRelayed(this.#options.direct, parameters, () => !this.#isDirectPathDown && this.#meter.failingSinceMs === undefined && this.#meter.unansweredForMs < silentForPeersMs);
+	}
+
 	async commit(transaction: Transaction): Promise<CommitResult> {
 		return this.#perform(async table => table.commit(transaction), {type: 'commit', transaction});
 	}
--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -197,3 +197,36 @@
 	expect(response).toMatchObject({type: 'unavailable'});
 	expect(other.calls).toBe(0);
 });
+
+const neverResolves = async (): Promise<never> => new Promise(() => {
+	// Never settles.
+});
+
+/** A direct path on which calls are never answered. */
+const silentTable = (): WatchableTable => {
+	const {table} = new TablePath(new MemoryTableService());
+	return {
+		...table, commit: neverResolves, readRows: neverResolves,
+	};
+};
+
+test('a process that relays its own calls refuses those of peers, which its silent path would leave without an answer', async () => {
+	const memory = new MemoryTableService();
+	const relaying = new RelayedTable({
+		direct: silentTable(), peers: () => ['http://peer'], callPeer: async (_url, _method, parameters) => performRelayed(new TablePath(memory).table, parameters), clock: new VirtualClock(),
+	});
+	relaying.abandonDirectPath(500);
+	await relaying.commit(put('own'));
+	expect(await relaying.performForPeer({type: 'commit', transaction: put('of-peer')})).toMatchObject({type: 'unavailable'});
+	expect(memory.valueOf('of-peer')).toBeUndefined();
+});
+
+test('a process whose own calls are not answered refuses those of peers before it has given up its path', async () => {
+	const clock = new VirtualClock();
+	const waiting = new RelayedTable({
+		direct: silentTable(), peers: () => [], callPeer: async () => undefined, clock,
+	});
+	void waiting.readRows(['a']);
+	clock.advance(300);
+	expect(await waiting.performForPeer({type: 'commit', transaction: put('of-peer')})).toMatchObject({type: 'unavailable'});
+});
