Read back stored progress without a walk over all tasks

The lease holder reads back the rows that it has saved, several hundred in a second under load, and each read went through every task of the job for failed attempts and crash records, which few rows have. The walk is left out where the row has none; tasks that are done are still looked up by index.

--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -246,6 +246,7 @@
 	job.storedDoneTasks = mergeByKey(job.storedDoneTasks, progress.doneTasks, unionOf);
 	job.storedFailures = mergeByKey(job.storedFailures, progress.failures, unionOf);
 	job.storedCrashRecords = mergeByKey(job.storedCrashRecords, progress.crashRecords, mergeCrashRecords);
+	const hasTaskRecords = Object.keys(progress.failures).length > 0 || Object.keys(progress.crashRecords).length > 0;
 	for (const step of stepsOf(job)) {
 		for (const index of progress.doneTasks[storedStepKey(step.occurrence, step.stepIndex)] ?? []) {
 			const task = step.tasks[index];
@@ -255,7 +256,8 @@
 			}
 		}
 
-		for (const task of step.tasks) {
+		// Most rows are the lease holder's own saves, read back several hundred times a second, and few of them have such records.
+		for (const task of hasTaskRecords ? step.tasks : []) {
 			const storedKey = storedTaskKey(step.occurrence, step.stepIndex, task.index);
 			for (const attempt of progress.failures[storedKey] ?? []) {
 				task.failedAttempts.add(attempt);
