Leave rows that change during a listing to the changes that follow it

Hosts list the job rows part by part, the progress of all jobs last. Of a job that was stored after its own part was read, and ended before the progress was, only the progress was listed. It belonged to no known job and was dropped, its version remembered, so that the same row among the later changes was skipped: the job stayed queued in that copy, callers were told so, and a takeover would have started its tasks again. Rows newer than the listing's revision are left to the changes that are read from that revision on, where they come in order.

--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -154,7 +154,7 @@
 			}
 		}
 
-		for (let hasMore = await this.#readPage(waitMs); hasMore;) {
+		for (let hasMore = await this.#readPage(waitMs); hasMore && !this.#isStopped;) {
 			hasMore = await this.#readPage(0);
 		}
 	}
@@ -187,6 +187,9 @@
 		return this.#currentListing;
 	}
 
+	/**
+	Rows are listed one part after the other. Those that changed since the listing's revision are left to the changes that are read after it: the rows of one job stand in several parts, of which only the later ones would have been read after the change.
+	*/
 	async #listAll(): Promise<void> {
 		const sentAtMs = this.#clock.nowMs();
 		const {rows, revision} = await this.#options.table.listRows(this.#options.prefix);
@@ -194,7 +197,7 @@
 		const gone = [...this.#versions]
 			.filter(([key, version]) => !listed.has(key) && version <= revision)
 			.map(([key]): RowChange => ({key, value: undefined, version: revision}));
-		const changed = rows.filter(row => row.version > (this.#versions.get(row.key) ?? 0));
+		const changed = rows.filter(({key, version}) => version <= revision && version > (this.#versions.get(key) ?? 0));
 		this.#deliver([...gone, ...changed]);
 		this.#confirm(revision, sentAtMs);
 	}
