Do not bring back a row that was removed while rows are listed

A waiting call may be answered with the removal of a row while a listing is under way that has read the row before. The listing brought it back for good: a worker that is gone, a job that was swept or an evacuation that was taken back. Versions of removed rows are kept while rows are listed. Test that failed before: 'a row that was removed while rows are listed does not come back with the listing'.

--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -37,6 +37,8 @@
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #versions = new Map<string, number>();
+	/** Versions of the rows that were removed since the last listing began, which may still hold them. */
+	readonly #removedVersions = new Map<string, number>();
 	#revision: number | undefined;
 	#confirmedAtMs: number | undefined;
 	#lastPageSize = 0;
@@ -192,12 +194,14 @@
 	*/
 	async #listAll(): Promise<void> {
 		const sentAtMs = this.#clock.nowMs();
+		this.#removedVersions.clear();
 		const {rows, revision} = await this.#options.table.listRows(this.#options.prefix);
 		const listed = new Set(rows.map(row => row.key));
 		const gone = [...this.#versions]
 			.filter(([key, version]) => !listed.has(key) && version <= revision)
 			.map(([key]): RowChange => ({key, value: undefined, version: revision}));
-		const changed = rows.filter(({key, version}) => version <= revision && version > (this.#versions.get(key) ?? 0));
+		const changed = rows.filter(({key, version}) => version <= revision
+			&& version > Math.max(this.#versions.get(key) ?? 0, this.#removedVersions.get(key) ?? 0));
 		this.#deliver([...gone, ...changed]);
 		this.#confirm(revision, sentAtMs);
 	}
@@ -222,6 +226,9 @@
 		for (const {key, value, version} of changes) {
 			if (value === undefined) {
 				this.#versions.delete(key);
+				if (this.#currentListing !== undefined) {
+					this.#removedVersions.set(key, version);
+				}
 			} else {
 				this.#versions.set(key, version);
 			}
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -210,3 +210,39 @@
 	await reader;
 	expect([...rows.keys()]).toEqual(['jobs/a', 'jobs/b']);
 });
+
+test('a row that was removed while rows are listed does not come back with the listing', async () => {
+	let finish: ((listing: RowListing) => void) | undefined;
+	let isDropped = false;
+	const pages: ChangePage[] = [{changes: [{key: 'jobs/a', value: undefined, version: 9}], revision: 9, hasMore: false}];
+	const {replica, rows} = replicaOf({
+		async listRows() {
+			return isDropped
+				? new Promise(resolve => {
+					finish = resolve;
+				})
+				: {rows: [{key: 'jobs/a', value: 1, version: 1}], revision: 1};
+		},
+		async waitForChanges(_revision, waitMs) {
+			if (waitMs === 0) {
+				throw new HistoryLostError('dropped');
+			}
+
+			await passTurns();
+			return pages.shift() ?? {changes: [], revision: 9, hasMore: false};
+		},
+	});
+	await replica.refresh();
+	isDropped = true;
+	const reader = replica.refresh();
+	await passTurns();
+	// A waiting call is answered meanwhile.
+	replica.start();
+	await passTurns();
+	await passTurns();
+	expect([...rows.keys()]).toEqual([]);
+	finish!({rows: [{key: 'jobs/a', value: 1, version: 1}], revision: 5});
+	await reader;
+	replica.stop();
+	expect([...rows.keys()]).toEqual([]);
+});
