Do not take a full report of run ends for all of them

Found by the review; the class is that of the lost job: a part of an answer taken for the whole. A worker lists at most 500 ends. A run whose end was number 501 stood in neither list of the report, so its holder logged run_vanished and started the task again; a new holder took the worker for known, settled its takeover and started tasks whose ends were still to come. While a report is full, no run counts as vanished, and a worker that has not reported before is asked again before the takeover is settled. Both tests of cut-reports.test.ts failed before: 2 starts instead of 1, and a settled takeover.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -23,6 +23,9 @@
 /** The same while the lease holder lacks processor time. It adds little to a task's run time and is short against leases, stall detection and the poll that proves a run. */
 export const maxPollPauseMs = 160;
 
+/** A report with so many ends may have left out further ones. */
+export const maxEndsPerReport = 500;
+
 /** Delay after an unanswered poll. */
 export const pollRetryMs = 250;
 
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -3,7 +3,7 @@
 */
 import {assertNever} from '@poplarnotch/common';
 import {
-	failureWindowMs, maxLoggedRuns, quarantineFailures, quarantineMs,
+	failureWindowMs, maxEndsPerReport, maxLoggedRuns, quarantineFailures, quarantineMs,
 } from '../constants.js';
 import {type OrderAnswer, type StartAnswer} from '../ports.js';
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
@@ -104,7 +104,8 @@
 		recordLeaseSent(worker, state.term!.wonAtMs);
 	}
 
-	worker.isFenced = true;
+	const mayLackEnds = report.finished.length >= maxEndsPerReport;
+	worker.isFenced ||= !mayLackEnds;
 	worker.silentSinceMs = undefined;
 	worker.expiredRuns = [];
 	worker.lastAnswerAtMs = event.nowMs;
@@ -127,8 +128,10 @@
 		applyRunningEntry(state, worker, entry, event);
 	}
 
-	removeVanishedRuns(state, worker, listed, event);
-	preventLateStarts(state, worker, listed, event);
+	if (!mayLackEnds) {
+		removeVanishedRuns(state, worker, listed, event);
+		preventLateStarts(state, worker, listed, event);
+	}
 };
 
 /** Orders a stop for unanswered starts that the worker does not list. The start order could still arrive late; once the worker has accepted the stop, it refuses such a start. */
