End relayed calls when the direct path works again

The holder went on scheduling, regained its path at 22.238 s, lost the evidence of the outage at 22.252 s and suspended its term until a renewal would confirm the lease. No renewal was confirmed: a peer suspected it at 22.839 s and held the lease from 22.872 s, settled at 23.384 s. Between 22.25 and 23.4 s nothing was started, in the middle of a burst. Renewals are repeated every 150 ms once they fail, so that one must have been waiting for a peer, for up to 1.1 s.

When the direct path works again, calls that wait for a peer now end: reads are made on the direct path, commits fail with an unknown outcome, which every caller of a commit handles (renewals, saves and submissions are repeated or resolved).

packages/state/tests/relay/relayed-table.test.ts: the new test found both calls pending before.

--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -64,7 +64,7 @@
 /** Pause after a relayed wait for changes that found none: peers return the existing changes without waiting. */
 const relayedPollMs = 120;
 
-/** Outcome of a direct call that is no longer waited for. */
+/** Outcome of a call that is no longer waited for. */
 const abandoned = Symbol('abandoned');
 
 type Perform<Result> = (table: WatchableTable) => Promise<Result>;
@@ -86,6 +86,8 @@
 	#lastWorkingPeer: string | undefined;
 	/** Direct calls without an answer. */
 	readonly #pendingDirect = new Set<Deferred<typeof abandoned>>();
+	/** Calls that peers have not answered. */
+	readonly #pendingRelayed = new Set<Deferred<typeof abandoned>>();
 	#hasRelayed = false;
 
 	constructor(options: RelayedTableOptions) {
@@ -164,7 +166,8 @@
 			throw new UnavailableError('the table service can be reached neither directly nor through peers');
 		}
 
-		return await this.#relay(call) as Result;
+		const outcome = await this.#relay(call);
+		return outcome === abandoned ? this.#performDirect(perform, call.type) : outcome as Result;
 	}
 
 	async #performDirect<Result>(perform: Perform<Result>, type: RelayedCall['type']): Promise<Result> {
@@ -245,15 +248,30 @@
 		if (this.#isDirectPathDown) {
 			this.#isDirectPathDown = false;
 			this.#log.info({event: 'store_path_regained', downMs: Math.round(this.#clock.nowMs() - this.#downSinceMs), peers: this.#options.peers().length});
+			// A peer may wait for an answer on a silent path of its own, and the holder of a lease must renew it at once.
+			for (const call of this.#pendingRelayed) {
+				call.resolve(abandoned);
+			}
+
 			this.#options.onDirectPathRegained?.();
 		}
 	}
 
+	/** Returns `abandoned` for a call other than a commit if the direct path was regained meanwhile. */
 	async #relay(call: RelayedCall): Promise<unknown> {
 		let failure: PlatformError = new UnavailableError('the table service cannot be reached directly, and no peer is available');
 		for (const peer of this.#choosePeers()) {
 			try {
-				const response = relayResponseSchema.parse(await this.#options.callPeer(peer, relayMethod, call, relayTimeoutMs));
+				const answer = await this.#callUntilRegained(peer, call);
+				if (answer === abandoned && call.type !== 'commit') {
+					return abandoned;
+				}
+
+				if (answer === abandoned) {
+					throw new WriteOutcomeUnknownError('commit: no answer of a peer, and the direct path works again');
+				}
+
+				const response = relayResponseSchema.parse(answer);
 				this.#lastWorkingPeer = peer;
 				this.#hasRelayed ||= response.type !== 'unavailable' && response.type !== 'unknown-outcome';
 				return resultOf(response);
@@ -274,6 +292,16 @@
 		throw failure;
 	}
 
+	async #callUntilRegained(peer: string, call: RelayedCall): Promise<unknown> {
+		const regained = new Deferred<typeof abandoned>();
+		this.#pendingRelayed.add(regained);
+		try {
+			return await Promise.race([this.#options.callPeer(peer, relayMethod, call, relayTimeoutMs), regained.promise]);
+		} finally {
+			this.#pendingRelayed.delete(regained);
+		}
+	}
+
 	#avoid(peer: string): void {
 		this.#avoidedUntilMs.set(peer, this.#clock.nowMs() + peerAvoidanceMs);
 		this.#lastWorkingPeer = undefined;
--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -5,7 +5,7 @@
 import {
 	ConflictError, RejectedError, UnavailableError, type WatchableTable, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
-import {MemoryTableService} from '@poplarnotch/standin';
+import {advanceVirtualTime, MemoryTableService} from '@poplarnotch/standin';
 import {expect, test} from 'vitest';
 import {PeerUnreachableError, performRelayed, RelayedTable} from '@poplarnotch/state';
 
@@ -230,3 +230,21 @@
 	clock.advance(300);
 	expect(await waiting.performForPeer({type: 'commit', transaction: put('of-peer')})).toMatchObject({type: 'unavailable'});
 });
+
+test('calls that a peer leaves without an answer end as soon as the direct path works again', async () => {
+	const memory = new MemoryTableService();
+	await memory.commit(put('stored'));
+	const own = new TablePath(memory);
+	const clock = new VirtualClock();
+	const relayed = new RelayedTable({
+		direct: own.table, peers: () => ['http://peer-1', 'http://peer-2'], callPeer: neverResolves, clock,
+	});
+	own.isDown = true;
+	await expect(relayed.readRows(['stored'])).rejects.toBeInstanceOf(UnavailableError);
+	const commit = relayed.commit(put('a')).catch((error: unknown) => error);
+	const read = relayed.readRows(['stored']);
+	own.isDown = false;
+	await advanceVirtualTime(clock, 300);
+	expect(await Promise.race([commit, Promise.resolve('pending')])).toBeInstanceOf(WriteOutcomeUnknownError);
+	expect(await Promise.race([read, Promise.resolve('pending')])).toMatchObject([{key: 'stored'}]);
+});
