--- a/bench/start-cost.bench.ts
+++ b/bench/start-cost.bench.ts
@@ -1,5 +1,5 @@
 /**
-Measures what one task costs the lease holder in processor time, from its start to its stored end: an old holder that has scheduled for some seconds, and a new one right after its takeover. Runs the built `poplarnotch-entry`; run `npm run build` first. Options: jobs per second, seconds, a folder for processor profiles.
+Measures what one task costs the lease holder in processor time, from its start to its stored end: an old holder that has scheduled for some seconds, and a new one right after its takeover. Runs the built `poplarnotch-entry`; run `npm run build` first. Options: jobs per second, seconds, a folder for processor profiles or `-`, further flags for Node.js.
 */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
@@ -17,6 +17,7 @@
 const tasksPerStep = 8;
 const runMs = 400;
 const workerCount = 60;
+const noFolder = '-';
 const firstPort = 21_700;
 const portsPerHost = 10;
 const callersHost = 'draws.example';
@@ -24,7 +25,7 @@
 
 type Host = {readonly child: ChildProcess; readonly callersPort: number; readonly output: () => string};
 
-const startHost = async (index: number, storePort: number, profileFolder: string | undefined): Promise<Host> => {
+const startHost = async (index: number, storePort: number, profileFolder: string, nodeFlags: readonly string[]): Promise<Host> => {
 	const first = firstPort + (index * portsPerHost);
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'start-cost-'));
 	const settingsFile = path.join(folder, 'boot.conf');
@@ -38,8 +39,9 @@
 		`platform.addr=127.0.0.1:${storePort}`,
 		`cloud_api.addr=127.0.0.1:${storePort}`,
 	].join('\n'));
-	const profiling = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`, `--cpu-prof-name=edge-${index}.cpuprofile`];
-	const child = spawn(process.execPath, [...profiling, '--max-old-space-size=160', '--max-semi-space-size=8', 'dist/poplarnotch-entry.mjs', '--metricsPort', String(first + 4)], {env: {...process.env, POPLARNOTCH_CONFIG: settingsFile}});
+	const profiling = profileFolder === noFolder ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`, `--cpu-prof-name=edge-${index}.cpuprofile`];
+	const args = [...profiling, '--max-old-space-size=160', '--max-semi-space-size=8', ...nodeFlags, 'dist/poplarnotch-entry.mjs', '--metricsPort', String(first + 4)];
+	const child = spawn(process.execPath, args, {env: {...process.env, POPLARNOTCH_CONFIG: settingsFile}});
 	let output = '';
 	const collect = (chunk: unknown): void => {
 		output += String(chunk);
@@ -95,7 +97,8 @@
 
 const secondMs = 1000;
 
-export const run = async ([jobsPerSecond = String(jobsPerSecondDefault), seconds = String(secondsDefault), profileFolder]: readonly string[]): Promise<Readonly<Record<string, unknown>>> => {
+export const run = async (options: readonly string[]): Promise<Readonly<Record<string, unknown>>> => {
+	const [jobsPerSecond = String(jobsPerSecondDefault), seconds = String(secondsDefault), profileFolder = noFolder, ...nodeFlags] = options;
 	const platform = new BenchPlatform();
 	platform.rows.put('op', 'config', JSON.stringify({
 		version: 1, routes: [{
@@ -106,7 +109,7 @@
 	const storePort = await platform.listenStore();
 	const hosts: Host[] = [];
 	for (const index of [0, 1]) {
-		hosts.push(await startHost(index, storePort, profileFolder));
+		hosts.push(await startHost(index, storePort, profileFolder, nodeFlags));
 	}
 
 	const first = await holderOf(hosts);
@@ -136,6 +139,6 @@
 	await once(other.child, 'exit');
 	platform.close();
 	return {
-		jobsPerSecond: Number(jobsPerSecond), submitted, refused, idleCpuShare: idle.cpuShare, freshBySecond: fresh, old, successorBySecond: successor,
+		jobsPerSecond: Number(jobsPerSecond), nodeFlags: nodeFlags.join(' '), submitted, refused, idleCpuShare: idle.cpuShare, freshBySecond: fresh, old, successorBySecond: successor,
 	};
 };
