Leave the machines of a burst to its pool while a wave can wait

A burst now goes on for up to 3 s while its work finds no room; a wave that can wait releases machines of a pool in a burst, and leaves standby machines while such a pool lacks room. A trial that held the wave up for any pool without room failed two tests, since a pool that is always full gains nothing by waiting.

Three tests failed before: a burst that goes on while its work finds no room, a reserved machine that serves its pool again, standby machines that are left. 228 tests of the package pass.

--- a/packages/scheduler/src/core/pools/burst-forecast.ts
+++ b/packages/scheduler/src/core/pools/burst-forecast.ts
@@ -21,6 +21,9 @@
 /** A burst ends when its rate falls below this part of its own mean. */
 const endShare = 1 / 3;
 
+/** A burst whose work still finds no room goes on for at most this long after its rate fell. Its jobs may not be seen for a moment, while job rows are listed anew, and its pool must not lose machines then. */
+const maxWaitingMs = 3000;
+
 /** Peak of a pool's first burst as a multiple of the mean, and its limit as a multiple of what arrives. */
 const firstPeakFactor = 5;
 const maxArrivedFactor = 2;
@@ -55,6 +58,8 @@
 	readonly expected: BurstSize;
 	jobs: number;
 	peakMillicores: number;
+	/** Since when the rate has been below the part of its mean at which the burst ends. */
+	fellAtMs: number | undefined;
 };
 
 /** The burst of another pool that came before one of this pool, and the time between their begins. */
@@ -172,11 +177,11 @@
 		}
 	}
 
-	advance(nowMs: number): readonly BurstChange[] {
+	advance(nowMs: number, lackingRoom: ReadonlySet<string>): readonly BurstChange[] {
 		const changes: BurstChange[] = [];
 		for (const [pool, history] of this.#pools) {
 			history.advance(nowMs);
-			const change = history.burst === undefined ? this.#beginBurst(pool, history, nowMs) : this.#followBurst(pool, history, nowMs);
+			const change = history.burst === undefined ? this.#beginBurst(pool, history, nowMs) : this.#followBurst(pool, history, lackingRoom.has(pool), nowMs);
 			if (change !== undefined) {
 				changes.push(change);
 			}
@@ -240,21 +245,28 @@
 
 		this.#lastBegun = {pool, atMs: nowMs};
 		history.burst = {
-			beganAtMs: nowMs, expected: history.learned, jobs, peakMillicores: 0,
+			beganAtMs: nowMs, expected: history.learned, jobs, peakMillicores: 0, fellAtMs: undefined,
 		};
 		return {pool, expected: history.learned, actual: undefined};
 	}
 
-	/** Measures the burst, and ends it once its rate has fallen. */
-	#followBurst(pool: string, history: PoolHistory, nowMs: number): BurstChange | undefined {
+	/** Measures the burst, and ends it once its rate has fallen and its work finds room. */
+	#followBurst(pool: string, history: PoolHistory, lacksRoom: boolean, nowMs: number): BurstChange | undefined {
 		const burst = history.burst!;
 		burst.peakMillicores = Math.max(burst.peakMillicores, history.peakMillicores());
-		const lengthMs = nowMs - burst.beganAtMs;
+		const followedMs = (burst.fellAtMs ?? nowMs) - burst.beganAtMs;
 		const windowMs = recentBuckets * bucketMs;
-		if (lengthMs < windowMs || history.recentJobs() >= endShare * burst.jobs * windowMs / (lengthMs + windowMs)) {
+		if (followedMs < windowMs || history.recentJobs() >= endShare * burst.jobs * windowMs / (followedMs + windowMs)) {
+			burst.fellAtMs = undefined;
+			return undefined;
+		}
+
+		burst.fellAtMs ??= nowMs;
+		if (lacksRoom && nowMs - burst.fellAtMs < maxWaitingMs) {
 			return undefined;
 		}
 
+		const lengthMs = burst.fellAtMs - burst.beganAtMs;
 		history.burst = undefined;
 		history.endedAtMs = nowMs;
 		const actual: BurstSize = {peakMillicores: burst.peakMillicores, lengthMs};
--- a/packages/scheduler/src/core/pools/demand-forecast.ts
+++ b/packages/scheduler/src/core/pools/demand-forecast.ts
@@ -26,8 +26,8 @@
 	/** By how much the last expected peak was off, in percent of the actual one. */
 	readonly errorPercent: number;
 	recordArrival(arrival: Arrival): void;
-	/** Called once a round. Returns the bursts that have begun or ended since the last call. */
-	advance(nowMs: number): readonly BurstChange[];
+	/** Called once a round, with the pools that have more ready work than room. Returns the bursts that have begun or ended since the last call. */
+	advance(nowMs: number, lackingRoom: ReadonlySet<string>): readonly BurstChange[];
 	/** Forgets what is in progress; called at the begin of a term, since the rounds before it were not seen. */
 	restart(): void;
 	/** Returns the CPU capacity for which the pool should be sized. */
--- a/packages/scheduler/src/core/pools/pool-capacity.ts
+++ b/packages/scheduler/src/core/pools/pool-capacity.ts
@@ -1,6 +1,7 @@
 /**
 Totals of each pool's capacity, collected once a round and adjusted with each move that the round orders. Pool sizing compares them with the demand for every machine; adding up all workers for each of them would make a round's cost grow with the square of the fleet's size.
 */
+import {type Shortage} from '../dispatch.js';
 import {isMachineEvacuated, workerOn} from '../machines.js';
 import {type MachineRecord, type WorkerRecord} from '../records.js';
 import {type SchedulerState} from '../scheduler-state.js';
@@ -91,3 +92,16 @@
 		capacity.arrivingCount++;
 	}
 }
+
+/** Returns the pools whose unplaced tasks ask for more CPU than their workers have free. A task that finds no worker for its label or rack, although CPU is free, does not count: another machine would not help. */
+export const poolsLackingRoom = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, nowMs: number): ReadonlySet<string> => {
+	const freeByPool = new Map<string, number>();
+	for (const worker of shortages.size === 0 ? [] : state.workers.values()) {
+		const {pool} = worker.entry;
+		if (shortages.has(pool) && isUsable(worker, nowMs)) {
+			freeByPool.set(pool, (freeByPool.get(pool) ?? 0) + state.freeMillicores(worker));
+		}
+	}
+
+	return new Set([...shortages].filter(([pool, {needs}]) => needs.cpuMillicores > (freeByPool.get(pool) ?? 0)).map(([pool]) => pool));
+};
--- a/packages/scheduler/src/core/pools/pool-sizing.ts
+++ b/packages/scheduler/src/core/pools/pool-sizing.ts
@@ -128,9 +128,9 @@
 	}
 };
 
-/** Brings the forecast up to date and logs the bursts that have begun or ended. */
-export const updateForecast = (state: SchedulerState, nowMs: number): void => {
-	for (const {pool, expected, actual} of state.demand.advance(nowMs)) {
+/** Brings the forecast up to date and logs the bursts that have begun or ended. `lackingRoom` has the pools with more ready work than room. */
+export const updateForecast = (state: SchedulerState, lackingRoom: ReadonlySet<string>, nowMs: number): void => {
+	for (const {pool, expected, actual} of state.demand.advance(nowMs, lackingRoom)) {
 		state.emit({
 			type: 'log', fields: {
 				event: actual === undefined ? 'burst_began' : 'burst_ended',
@@ -157,6 +157,7 @@
 		state, shortages, movable, nowMs, capacities: new PoolCapacities(state, nowMs),
 	};
 	growPools(round);
+	state.poolLoadLog.log(state, shortages, round.capacities, nowMs);
 	const standby = [...state.configuration.pools.values()].find(pool => pool.isStandby)?.name;
 	if (standby !== undefined) {
 		shrinkPools(round, standby);
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -12,6 +12,7 @@
 	applyMachineAnswer, applyMachineList, limitMachineOrders, repeatMachineOrders,
 } from './machines.js';
 import {applyPaceAnswer, updatePace} from './throttling.js';
+import {poolsLackingRoom} from './pools/pool-capacity.js';
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {reconcileRuns} from './relocation.js';
 import {applyPollAnswer, applyStartAnswer, applyStopAnswer} from './worker-reports.js';
@@ -66,9 +67,10 @@
 
 	const shortages = mayStart ? dispatchTasks(state, displaced, nowMs) : undefined;
 	limitMachineOrders(state, nowMs);
-	updateForecast(state, nowMs);
+	const lackingRoom = poolsLackingRoom(state, shortages ?? new Map(), nowMs);
+	updateForecast(state, lackingRoom, nowMs);
 	if (mayOrderMachines) {
-		advanceWaves(state, nowMs);
+		advanceWaves(state, lackingRoom, nowMs);
 	}
 
 	if (shortages !== undefined && mayOrderMachines) {
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -11,6 +11,7 @@
 import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
 import {type OrderPolicy} from './order/order-policy.js';
 import {createDemandForecast, type DemandForecast, type PoolForecastName} from './pools/demand-forecast.js';
+import {PoolLoadLog} from './pools/pool-load-log.js';
 import {addResources, noResources, subtractResources} from './resources.js';
 import {type EarlierHolder, type SchedulerEffect} from './events.js';
 import {ShareMeter} from './share-meter.js';
@@ -78,6 +79,7 @@
 	/** How long steps take compared with their announced durations. */
 	readonly durations = new DurationModel();
 	readonly shares = new ShareMeter();
+	readonly poolLoadLog = new PoolLoadLog();
 	/** Number of tasks started by this process. */
 	startCount = 0;
 	/** Number of advice requests in flight. */
--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -1,11 +1,11 @@
 /**
 Runs maintenance waves: reserves machines so that they drain, orders their maintenance within the wave's concurrency, and reports a wave as completed once every machine that still exists has been maintained.
 
-Idle machines go first, those in an evacuated data centre before all others, since nothing starts there, and machines of a pool in a burst last, as long as the wave still ends in time. Of the others, as many are reserved in advance as may be down at once, so that they drain while the first ones are being maintained.
+Idle machines go first, those in an evacuated data centre before all others, since nothing starts there. As long as the wave still ends in time, it leaves the machines of a pool in a burst and, while such a pool lacks room, the standby machines, with which the pool grows. Machines that were reserved before the burst are released. Of the others, as many are reserved in advance as may be down at once, so that they drain while the first ones are being maintained.
 */
 import {type MachineRecord, type WaveRecord} from './records.js';
 import {
-	isIdle, isMachineEvacuated, isOrderable, orderMaintenance, workerOn,
+	isIdle, isMachineEvacuated, isOrderable, isStandby, orderMaintenance, workerOn,
 } from './machines.js';
 import {type SchedulerState} from './scheduler-state.js';
 
@@ -38,6 +38,15 @@
 	}
 };
 
+/** Returns the machine to its pool, unless it has been ordered away. */
+const releaseMachine = (state: SchedulerState, wave: WaveRecord, machine: MachineRecord): void => {
+	const worker = workerOn(state, machine);
+	wave.reserved.delete(machine.entry.machineId);
+	if (worker !== undefined && machine.order === undefined) {
+		worker.isReserved = false;
+	}
+};
+
 /** Marks machines whose maintenance is pending, so that lasting tasks are not placed there. */
 const markMaintenanceDue = (state: SchedulerState, remaining: readonly MachineRecord[]): void => {
 	for (const machine of remaining) {
@@ -55,18 +64,23 @@
 const hasTimeLeft = ({order, orderedAtMs}: WaveRecord, remainingCount: number, nowMs: number): boolean =>
 	orderedAtMs + order.withinMs - nowMs > Math.ceil(remainingCount / Math.max(1, order.concurrency)) * expectedAbsenceMs;
 
-/** Returns the machines that can accept an order, the first to be drained first. The sort keys are collected beforehand, because a drain cost goes through all runs on the machine. */
-const inDrainOrder = (state: SchedulerState, remaining: readonly MachineRecord[], {canWait, nowMs}: {readonly canWait: boolean; readonly nowMs: number}): readonly MachineRecord[] => remaining
-	.filter(machine => isOrderable(state, machine, nowMs))
-	.map(machine => ({machine, isInBurst: state.demand.isInBurst(machine.entry.pool)}))
-	.filter(({isInBurst}) => !(canWait && isInBurst))
-	.map(({machine, isInBurst}) => ({
-		machine, isInBurst, isEmptied: isEmptied(state, machine), drainCost: drainCost(state, machine),
+/** Returns the machines that can accept an order and that the wave may take, the first to be drained first. The sort keys are collected beforehand, because a drain cost goes through all runs on the machine. */
+const inDrainOrder = (state: SchedulerState, remaining: readonly MachineRecord[], {needed, canWait, nowMs}: {readonly needed: ReadonlySet<MachineRecord>; readonly canWait: boolean; readonly nowMs: number}): readonly MachineRecord[] => remaining
+	.filter(machine => isOrderable(state, machine, nowMs) && !(canWait && needed.has(machine)))
+	.map(machine => ({
+		machine, isNeeded: needed.has(machine), isEmptied: isEmptied(state, machine), drainCost: drainCost(state, machine),
 	}))
-	.toSorted((a, b) => Number(b.isEmptied) - Number(a.isEmptied) || Number(a.isInBurst) - Number(b.isInBurst) || a.drainCost - b.drainCost)
+	.toSorted((a, b) => Number(b.isEmptied) - Number(a.isEmptied) || Number(a.isNeeded) - Number(b.isNeeded) || a.drainCost - b.drainCost)
 	.map(({machine}) => machine);
 
-const advanceWave = (state: SchedulerState, wave: WaveRecord, nowMs: number): void => {
+/** Returns the machines that pools in a burst use, and the standby machines while such a pool lacks room. */
+const neededMachines = (state: SchedulerState, remaining: readonly MachineRecord[], lackingRoom: ReadonlySet<string>): ReadonlySet<MachineRecord> => {
+	const isGrowing = [...lackingRoom].some(pool => state.demand.isInBurst(pool));
+	return new Set(remaining.filter(machine => !isEmptied(state, machine)
+		&& (isStandby(state, machine) ? isGrowing : state.demand.isInBurst(machine.entry.pool))));
+};
+
+const advanceWave = (state: SchedulerState, wave: WaveRecord, lackingRoom: ReadonlySet<string>, nowMs: number): void => {
 	const machines = machinesOf(state, wave);
 	const remaining = machines.filter(({entry}) => !wave.maintained.has(entry.machineId));
 	const downCount = machines.filter(machine => isDownFor(machine, wave)).length;
@@ -77,11 +91,18 @@
 	}
 
 	let maintenanceSlots = wave.order.concurrency - downCount;
+	const needed = neededMachines(state, remaining, lackingRoom);
+	const canWait = hasTimeLeft(wave, remaining.length, nowMs);
+	// A reserved machine that the wave does not take now would serve nobody.
+	for (const machine of canWait ? needed : []) {
+		if (wave.reserved.has(machine.entry.machineId)) {
+			releaseMachine(state, wave, machine);
+		}
+	}
+
 	const beingDrained = remaining.filter(({entry}) => wave.reserved.has(entry.machineId));
 	let drainSlots = wave.order.concurrency - beingDrained.length;
-	const orderable = maintenanceSlots > 0 || drainSlots > 0
-		? inDrainOrder(state, remaining, {canWait: hasTimeLeft(wave, remaining.length, nowMs), nowMs})
-		: [];
+	const orderable = maintenanceSlots > 0 || drainSlots > 0 ? inDrainOrder(state, remaining, {needed, canWait, nowMs}) : [];
 	for (const machine of orderable) {
 		if (maintenanceSlots > 0 && state.machineOrdersLeft > 0 && isIdle(state, machine, nowMs)) {
 			maintenanceSlots--;
@@ -113,14 +134,14 @@
 };
 
 /** Advances all waves. Requires a machine list from this term, so that a machine that another holder sent to maintenance is not counted as up. */
-export const advanceWaves = (state: SchedulerState, nowMs: number): void => {
+export const advanceWaves = (state: SchedulerState, lackingRoom: ReadonlySet<string>, nowMs: number): void => {
 	if (state.machinesListedAtMs === undefined || state.machinesListedAtMs < state.term!.wonAtMs) {
 		return;
 	}
 
 	for (const wave of state.waves.values()) {
 		if (wave.state === 'running') {
-			advanceWave(state, wave, nowMs);
+			advanceWave(state, wave, lackingRoom, nowMs);
 		}
 
 		if (wave.reportedState !== wave.state && !(wave.state === 'completed' && wave.isDirty)) {
--- a/packages/scheduler/tests/pools/burst-forecast.test.ts
+++ b/packages/scheduler/tests/pools/burst-forecast.test.ts
@@ -18,7 +18,7 @@
 	nowMs = 0;
 
 	/** Lets the given pool burst, or none. */
-	run(forMs: number, bursting?: string): void {
+	run(forMs: number, bursting?: string, lackingRoom: ReadonlySet<string> = new Set()): void {
 		const untilMs = this.nowMs + forMs;
 		while (this.nowMs < untilMs) {
 			this.nowMs += 25;
@@ -26,7 +26,7 @@
 				this.forecast.recordArrival({pool: bursting, millicoreMs: jobMillicoreMs, atMs: this.nowMs});
 			}
 
-			this.changes.push(...this.forecast.advance(this.nowMs).map(change => ({...change, atMs: this.nowMs})));
+			this.changes.push(...this.forecast.advance(this.nowMs, lackingRoom).map(change => ({...change, atMs: this.nowMs})));
 		}
 	}
 
@@ -140,3 +140,18 @@
 
 	expect(load.demandOf('draws')).toBeGreaterThan(0.9 * peakMillicores);
 });
+
+test('a burst goes on while its work finds no room, at most for 3 s, and only its arrivals count for its length', () => {
+	const load = new Load();
+	load.run(10_000);
+	load.run(1500, 'draws');
+	load.run(1500, undefined, new Set(['draws']));
+	expect(load.forecast.isInBurst('draws')).toBe(true);
+	load.run(25);
+	expect(load.forecast.isInBurst('draws')).toBe(false);
+	expect(load.changes.at(-1)!.actual!.lengthMs).toBeLessThan(2100);
+	load.run(10_000);
+	load.run(1500, 'draws', new Set(['draws']));
+	load.run(5000, undefined, new Set(['draws']));
+	expect(load.forecast.isInBurst('draws')).toBe(false);
+});
--- a/packages/scheduler/tests/pools/machine-orders.test.ts
+++ b/packages/scheduler/tests/pools/machine-orders.test.ts
@@ -21,7 +21,10 @@
 		machineId: `${pool}-${index}`, pool, dataCentre: 'dc', state: 'up' as const, capacity, workerId: `w-${pool}-${index}`,
 	})));
 
-	constructor({hasStandby}: {readonly hasStandby: boolean}) {
+	constructor({hasStandby, standbyCount = 0}: {readonly hasStandby: boolean; readonly standbyCount?: number}) {
+		const standbyMachines = Array.from({length: standbyCount}, (_value, index) => ({
+			machineId: `standby-${index}`, pool: 'standby', dataCentre: 'dc', state: 'up' as const, capacity, workerId: undefined,
+		}));
 		const names = hasStandby ? [...pools, 'standby'] : pools;
 		this.dispatch({
 			type: 'configured', configuration: configurationOf(2, {
@@ -35,7 +38,7 @@
 			})),
 		});
 		this.dispatch({type: 'leaseWon', fencingToken: 1});
-		this.dispatch({type: 'machinesListed', machines: this.#machines, sentAtMs: this.nowMs});
+		this.dispatch({type: 'machinesListed', machines: [...this.#machines, ...standbyMachines], sentAtMs: this.nowMs});
 		for (const {workerId} of this.#machines) {
 			this.dispatch({
 				type: 'polled', workerId, sentAtMs: this.nowMs, sentAcknowledgement: 0, answer: {
@@ -60,8 +63,19 @@
 		}
 	}
 
-	orderWave(withinMs: number): void {
-		const machineIds = this.#machines.map(({machineId}) => machineId);
+	/** Submits one job to `draws` whose tasks each fill a machine. */
+	submitWide(number: number, taskCount: number): void {
+		const job = jobOf(number, {
+			queue: 'draws', acceptedWallMs: this.nowMs, steps: [stepOf({taskCount, needs: {cpuMillicores: capacity.cpuMillicores, memoryMb: 10, accelerators: 0}, estimateMs: 1000})],
+		});
+		this.dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+	}
+
+	reservedIn(pool: string): number {
+		return [...this.state.workers.values()].filter(({entry, isReserved}) => entry.pool === pool && isReserved).length;
+	}
+
+	orderWave(withinMs: number, machineIds: readonly string[] = this.#machines.map(({machineId}) => machineId)): void {
 		this.dispatch({
 			type: 'wavesOrdered', waves: [{
 				waveId: 1, machineIds, withinMs, concurrency: 50,
@@ -69,10 +83,15 @@
 		});
 	}
 
+	/** Runs one round and returns the orders for machines. */
+	roundEffects(): ReadonlyArray<Extract<SchedulerEffect, {type: 'move' | 'maintain'}>> {
+		this.nowMs += 25;
+		return this.dispatch({type: 'tick'}).filter(effect => effect.type === 'move' || effect.type === 'maintain');
+	}
+
 	/** Runs one round and returns the machines that it orders to move or to be maintained. */
 	round(): readonly string[] {
-		this.nowMs += 25;
-		return this.dispatch({type: 'tick'}).flatMap(effect => effect.type === 'move' || effect.type === 'maintain' ? [effect.machineId] : []);
+		return this.roundEffects().map(({machineId}) => machineId);
 	}
 }
 
@@ -114,3 +133,30 @@
 	expect(ordered.slice(0, machinesPerPool).every(machineId => machineId.startsWith('watches'))).toBe(true);
 	expect(ordered.length).toBeGreaterThan(machinesPerPool);
 });
+
+test('a machine that a wave reserved before its pool burst serves the pool again, instead of standing idle until the burst is over', () => {
+	const holder = new Holder({hasStandby: false});
+	holder.nowMs += 4000;
+	holder.submitWide(100, machinesPerPool);
+	holder.round();
+	holder.orderWave(60_000, Array.from({length: machinesPerPool}, (_value, index) => `draws-${index}`));
+	holder.round();
+	expect(holder.reservedIn('draws')).toBe(machinesPerPool);
+	holder.burst();
+	expect(holder.reservedIn('draws')).toBe(0);
+});
+
+test('a wave leaves standby machines while a pool in a burst lacks room, so that the pool can grow, and takes them when it is short of time', () => {
+	const standbyIds = Array.from({length: 100}, (_value, index) => `standby-${index}`);
+	const take = (withinMs: number): readonly string[] => {
+		const holder = new Holder({hasStandby: true, standbyCount: standbyIds.length});
+		holder.nowMs += 4000;
+		holder.burst();
+		holder.submitWide(100, machinesPerPool + 10);
+		holder.orderWave(withinMs, standbyIds);
+		return holder.roundEffects().filter(({type}) => type === 'maintain').map(({machineId}) => machineId);
+	};
+
+	expect(take(60_000)).toEqual([]);
+	expect(take(8000)).toHaveLength(50);
+});
