Keep pools at their size until arrivals have been measured

The jobs of a queue whose turn begins with the traffic waited 2.5 s for machines: a holder that has seen no job yet sent the idle machines of all pools to standby, so the queue's pool had 7 of its 44 machines when the first jobs came, and a machine needs 1.5 s to come back.

Until arrivals have been measured for 10 s, as long as their mean is taken over, no idle machine goes to standby, except in an evacuated data centre; pools in need take idle machines of others directly. After a minute without any job the fleet counts as quiet.

Two tests failed before; one also plays the first burst. The test on machine orders after a takeover now has a holder that has followed jobs, as a successor does; its bounds are the same.

--- a/packages/scheduler/src/core/pools/burst-forecast.ts
+++ b/packages/scheduler/src/core/pools/burst-forecast.ts
@@ -52,6 +52,11 @@
 const minSuccessions = 2;
 const maxSuccessions = 3;
 
+/** Demand is known once arrivals have been measured for as long as their mean is taken over. After 2 s, a burst still rises, and the machines that it is about to need would be on their way to standby. */
+const minMeasuredMs = bucketCount * bucketMs;
+/** A fleet that has had no job for this long is taken to have no traffic. */
+const maxUnknownMs = 60_000;
+
 /** A burst in progress. */
 type Burst = {
 	readonly beganAtMs: number;
@@ -161,10 +166,13 @@
 	errorPercent = 0;
 	readonly #meter = new DemandMeter();
 	readonly #pools = new Map<string, PoolHistory>();
+	#firstArrivalAtMs = Number.POSITIVE_INFINITY;
+	#firstRoundAtMs = Number.POSITIVE_INFINITY;
 	#lastBegun: {readonly pool: string; readonly atMs: number} | undefined;
 
 	recordArrival(arrival: Arrival): void {
 		this.#meter.recordArrival(arrival);
+		this.#firstArrivalAtMs = Math.min(this.#firstArrivalAtMs, arrival.atMs);
 		let history = this.#pools.get(arrival.pool);
 		if (history === undefined) {
 			history = new PoolHistory();
@@ -178,6 +186,7 @@
 	}
 
 	advance(nowMs: number, lackingRoom: ReadonlySet<string>): readonly BurstChange[] {
+		this.#firstRoundAtMs = Math.min(this.#firstRoundAtMs, nowMs);
 		const changes: BurstChange[] = [];
 		for (const [pool, history] of this.#pools) {
 			history.advance(nowMs);
@@ -211,6 +220,11 @@
 		return this.#isBurstExpected(pool, history, nowMs) ? Math.max(current, history.learned.peakMillicores) : current;
 	}
 
+	/** The first jobs of a fleet may be a burst, for which the pools as the operators sized them are the best guess. */
+	isDemandKnown(nowMs: number): boolean {
+		return nowMs - this.#firstArrivalAtMs >= minMeasuredMs || nowMs - this.#firstRoundAtMs >= maxUnknownMs;
+	}
+
 	isInBurst(pool: string): boolean {
 		return this.#pools.get(pool)?.burst !== undefined;
 	}
--- a/packages/scheduler/src/core/pools/demand-forecast.ts
+++ b/packages/scheduler/src/core/pools/demand-forecast.ts
@@ -32,6 +32,8 @@
 	restart(): void;
 	/** Returns the CPU capacity for which the pool should be sized. */
 	demandMillicores(pool: string, nowMs: number): number;
+	/** Returns false while nothing is known of what queues ask for, so that no pool can be told to be larger than it needs to be. */
+	isDemandKnown(nowMs: number): boolean;
 	isInBurst(pool: string): boolean;
 	/** Returns true if a machine that is moved to the pool now would arrive only for the end of its burst. */
 	isBurstEnding(pool: string, nowMs: number): boolean;
--- a/packages/scheduler/src/core/pools/demand-meter.ts
+++ b/packages/scheduler/src/core/pools/demand-meter.ts
@@ -30,6 +30,10 @@
 		// What arrived before the term still counts.
 	}
 
+	isDemandKnown(): boolean {
+		return true;
+	}
+
 	isInBurst(): boolean {
 		return false;
 	}
--- a/packages/scheduler/src/core/pools/pool-load-log.ts
+++ b/packages/scheduler/src/core/pools/pool-load-log.ts
@@ -49,11 +49,18 @@
 			if (!isStandby && isOfInterest(pool)) {
 				const {expectedMillicores, freeMillicores, arrivingCount} = capacities.of(pool);
 				const shortage = shortages.get(pool);
-				state.emit({
-					type: 'log', fields: {
-						event: 'pool_load', pool, isInBurst: state.demand.isInBurst(pool), demandMillicores: Math.round(state.demand.demandMillicores(pool, nowMs)), unplacedTasks: shortage?.taskCount ?? 0, unplacedMillicores: shortage?.needs.cpuMillicores ?? 0, expectedMillicores, freeMillicores, arriving: arrivingCount, ...machines.get(pool), standbyMachines,
-					},
-				});
+				const fields = {
+					isInBurst: state.demand.isInBurst(pool),
+					demandMillicores: Math.round(state.demand.demandMillicores(pool, nowMs)),
+					unplacedTasks: shortage?.taskCount ?? 0,
+					unplacedMillicores: shortage?.needs.cpuMillicores ?? 0,
+					expectedMillicores,
+					freeMillicores,
+					arriving: arrivingCount,
+					...machines.get(pool),
+					standbyMachines,
+				};
+				state.emit({type: 'log', fields: {event: 'pool_load', pool, ...fields}});
 			}
 		}
 	}
--- a/packages/scheduler/src/core/pools/pool-sizing.ts
+++ b/packages/scheduler/src/core/pools/pool-sizing.ts
@@ -1,7 +1,7 @@
 /**
 Resizes pools by moving machines between them and the standby pool.
 
-Demand peaks in different pools at different times. A pool that lacks capacity, or will lack it at the current arrival rate, gets machines from standby first and then idle machines of pools with no shortage. A machine that has been idle for a while goes to standby, where it costs nothing. A move ends everything on a machine, so only idle machines are moved.
+Demand peaks in different pools at different times. A pool that lacks capacity, or will lack it at the current arrival rate, gets machines from standby first and then idle machines of pools with no shortage. A machine that has been idle for a while goes to standby, where it costs nothing, once the fleet's demand has been measured: before its first jobs, pools keep the size that the operators gave them. A move ends everything on a machine, so only idle machines are moved.
 */
 import {type Shortage} from '../dispatch.js';
 import {
@@ -114,6 +114,7 @@
 const shrinkPools = (round: SizingRound, standby: string): void => {
 	const {state, movable, capacities, nowMs} = round;
 	const isSpare = spareCheck(round);
+	const isDemandKnown = state.demand.isDemandKnown(nowMs);
 	const idleLongest = movable
 		.filter(machine => !isStandby(state, machine) && machine.order === undefined && idleForMs(state, machine, nowMs) >= idleBeforeStandbyMs)
 		.toSorted((a, b) => idleForMs(state, b, nowMs) - idleForMs(state, a, nowMs));
@@ -122,7 +123,7 @@
 		// Machines of an evacuated data centre are no capacity of their pool.
 		const isEvacuated = isMachineEvacuated(state, machine);
 		const keepsHeadroom = capacities.of(pool).freeMillicores - cpuMillicores >= cpuMillicores * headroomShare;
-		if (state.machineOrdersLeft > 0 && (isEvacuated || (keepsHeadroom && isSpare(machine)))) {
+		if (state.machineOrdersLeft > 0 && (isEvacuated || (isDemandKnown && keepsHeadroom && isSpare(machine)))) {
 			moveTo(round, machine, standby, 'idle');
 		}
 	}
--- a/packages/scheduler/tests/pools/machine-orders.test.ts
+++ b/packages/scheduler/tests/pools/machine-orders.test.ts
@@ -63,6 +63,11 @@
 		}
 	}
 
+	/** Lets the holder have followed jobs before its term, as a successor does. */
+	followedJobs(): void {
+		this.state.demand.recordArrival({pool: 'watches', millicoreMs: 1, atMs: this.nowMs - 10_000});
+	}
+
 	/** Submits one job to `draws` whose tasks each fill a machine. */
 	submitWide(number: number, taskCount: number): void {
 		const job = jobOf(number, {
@@ -97,6 +102,7 @@
 
 test('after a takeover at most 20 machines are ordered in a round, so that these orders do not delay the starts of tasks', () => {
 	const holder = new Holder({hasStandby: true});
+	holder.followedJobs();
 	holder.nowMs += 2000;
 	expect(holder.round()).toHaveLength(20);
 	expect(holder.round()).toHaveLength(20);
@@ -160,3 +166,25 @@
 	expect(take(60_000)).toEqual([]);
 	expect(take(8000)).toHaveLength(50);
 });
+
+test('pools keep the size that the operators gave them until arrivals were measured, so that a first burst finds machines', () => {
+	const holder = new Holder({hasStandby: true});
+	holder.nowMs += 16_000;
+	expect(holder.round()).toEqual([]);
+	holder.submitWide(1, machinesPerPool);
+	const starts = [...holder.state.workers.values()].filter(({entry}) => entry.pool === 'draws').length;
+	holder.round();
+	expect(holder.state.startCount).toBe(starts);
+	holder.nowMs += 5000;
+	expect(holder.round().filter(machineId => machineId.startsWith('watches'))).toEqual([]);
+	holder.nowMs += 5000;
+	expect(holder.round().some(machineId => machineId.startsWith('watches'))).toBe(true);
+});
+
+test('a fleet without any traffic is emptied after a minute', () => {
+	const holder = new Holder({hasStandby: true});
+	holder.nowMs += 2000;
+	expect(holder.round()).toEqual([]);
+	holder.nowMs += 60_000;
+	expect(holder.round().length).toBeGreaterThan(0);
+});
