Spread the probes of a silent path over their time limit

While the store answers nobody and closes no connection, a process sent six probes within 0.9 s, each of which waits 1.5 s for an answer, and then none until the first was given up. All processes lose their paths within some 0.2 s, so their pauses coincide.

Once two probes are without an answer, the next ones are 200 to 300 ms apart, so that six are spread over 1.5 s. The limit of six stays.

--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -44,6 +44,10 @@
 /** Maximum number of probes without an answer: each occupies a connection until its time limit. */
 const maxPendingProbes = 6;
 
+/** Added to the delay while several probes are without an answer, so that the permitted number of them is spread over their time limit of 1.5 s: otherwise no probe is sent for 0.6 s after every six. */
+const pendingProbesDelayMs = 100;
+const fewPendingProbes = 2;
+
 /** Time for which a peer is not used after it has failed. */
 const peerAvoidanceMs = 1500;
 
@@ -218,7 +222,8 @@
 	#scheduleProbe(): void {
 		const {shortest, longest} = probeDelayMs;
 		const factor = this.#clock.nowMs() - this.#downSinceMs < longOutageMs ? 1 : longOutageFactor;
-		this.#clock.schedule(factor * (shortest + ((longest - shortest) * this.#random.next())), () => {
+		const pendingDelayMs = this.#pendingProbes < fewPendingProbes ? 0 : pendingProbesDelayMs;
+		this.#clock.schedule(factor * (pendingDelayMs + shortest + ((longest - shortest) * this.#random.next())), () => {
 			if (this.#isDirectPathDown) {
 				this.#scheduleProbe();
 				void this.#probe();
--- a/packages/state/tests/relay/recovery.test.ts
+++ b/packages/state/tests/relay/recovery.test.ts
@@ -119,6 +119,42 @@
 	expect(meter.failingSinceMs).toBeDefined();
 });
 
+// Two probes are at most 300 ms apart; half as much is allowed for a moment in which all permitted probes are without an answer.
+test('after an outage without answers, the direct path is found again within 450 ms, whenever the outage ends', async () => {
+	const callTimeoutMs = 1500;
+	const noticesMs: number[] = [];
+	for (let outageMs = 2500; outageMs < 4500; outageMs += 100) {
+		const time = new VirtualClock();
+		let isSilent = true;
+		let regainedAtMs = Number.POSITIVE_INFINITY;
+		const table = new RelayedTable({
+			direct: {
+				async readRows() {
+					if (isSilent) {
+						await new Promise<void>(resolve => {
+							time.schedule(callTimeoutMs, resolve);
+						});
+						throw new UnavailableError('no answer');
+					}
+
+					return [];
+				},
+			} as unknown as WatchableTable,
+			peers: () => [], callPeer: async () => undefined, random: new SeededRandom(outageMs), clock: time,
+			onDirectPathRegained() {
+				regainedAtMs = time.nowMs();
+			},
+		});
+		table.abandonDirectPath(500);
+		await advanceVirtualTime(time, outageMs, 10);
+		isSilent = false;
+		await advanceVirtualTime(time, 1000, 10);
+		noticesMs.push(regainedAtMs - outageMs);
+	}
+
+	expect(Math.max(...noticesMs)).toBeLessThanOrEqual(450);
+});
+
 test('a call that loses its connection after later calls were answered does not make the process leave the direct path', async () => {
 	const lost = new Deferred<undefined>();
 	let isFirst = true;
