Repeat a poll whose answer is late

From 2.8 to 8.5 s workers leave 5.8% of orders unanswered. A poll that is not answered 200 ms after its wait is sent once more, without a wait, and the first report counts. The worker counts as silent only if both fail, so a slow answer of a sound worker takes nothing from it, which a shorter time limit would do. While the holder is short of processor time, the repetition comes later in proportion. Test that failed before: 'the ends of a worker that leaves one poll without an answer are known soon'.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -26,6 +26,9 @@
 /** A report with so many ends may have left out further ones. */
 export const maxEndsPerReport = 500;
 
+/** A poll that has not been answered this long after its wait is sent once more: workers leave some calls without an answer, and until the next one is answered the ends of their runs are not known. A healthy worker answers within a few ms. */
+export const pollRepeatMs = 200;
+
 /** Delay after an unanswered poll. */
 export const pollRetryMs = 250;
 
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -3,13 +3,15 @@
 */
 import {type Clock} from '@poplarnotch/common';
 import {
-	busyPollWaitMs, idlePollIntervalMs, pollPauseMs, pollRetryMs, trialPollWaitMs,
+	busyPollWaitMs, idlePollIntervalMs, pollPauseMs, pollRepeatMs, pollRetryMs, trialPollWaitMs,
 } from '../constants.js';
 import {type SchedulerEvent} from '../core/events.js';
 import {type WorkerRecord} from '../core/records.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {deadlineClockMs, recordLeaseSent} from '../core/workers.js';
-import {type WorkerControl} from '../ports.js';
+import {
+	type PollAnswer, type PollOrder, type WorkerAddress, type WorkerControl,
+} from '../ports.js';
 
 export type WorkerPollerOptions = {
 	readonly control: WorkerControl;
@@ -80,7 +82,7 @@
 	}
 
 	async #poll(worker: WorkerRecord, pollState: PollState, fencingToken: number): Promise<void> {
-		const {clock, control, dispatch} = this.#options;
+		const {clock, dispatch} = this.#options;
 		const {workerId, address} = worker.entry;
 		pollState.isPolling = true;
 		this.#pollCount++;
@@ -95,9 +97,10 @@
 		// Only a worker that has answered before waits for a run to end; the first poll and idle workers' acknowledgements are answered at once.
 		const busyWaitMs = worker.trial === undefined ? busyPollWaitMs : trialPollWaitMs;
 		const waitMs = worker.isFenced && worker.runs.size > 0 && worker.silentSinceMs === undefined ? busyWaitMs : 0;
-		const answer = await control.poll({workerId, address}, {
+		const order = {
 			fencingToken, acknowledgedSequence: sentAcknowledgement, deadlineClockMs: deadline, waitMs,
-		});
+		};
+		const answer = await this.#pollTwice({workerId, address}, order);
 		const nowMs = clock.nowMs();
 		pollState.isPolling = false;
 		const pauseMs = isUrgent(worker) ? pollPauseMs : this.#options.pauseMs();
@@ -106,4 +109,29 @@
 			type: 'polled', workerId, answer, sentAtMs, sentAcknowledgement, nowMs, wallMs: clock.wallTimeMs(),
 		});
 	}
+
+	/** Sends the poll once more if its answer is late, and returns the first report. A report that comes after it is left out, since the worker may have made it earlier; what it lists is listed again. */
+	async #pollTwice(worker: WorkerAddress, order: PollOrder): Promise<PollAnswer> {
+		const {control, clock, pauseMs} = this.#options;
+		// While this process is short of processor time, it reads answers late.
+		const repeatMs = pollRepeatMs * pauseMs() / pollPauseMs;
+		return new Promise(resolve => {
+			let pendingCount = 0;
+			const send = async (waitMs: number): Promise<void> => {
+				pendingCount++;
+				const answer = await control.poll(worker, {...order, waitMs});
+				pendingCount--;
+				if (answer.type !== 'unreachable' || pendingCount === 0) {
+					cancelRepeat();
+					resolve(answer);
+				}
+			};
+
+			const cancelRepeat = clock.schedule(order.waitMs + repeatMs, () => {
+				this.#pollCount++;
+				void send(0);
+			});
+			void send(order.waitMs);
+		});
+	}
 }
--- a/packages/scheduler/tests/worker-poller.test.ts
+++ b/packages/scheduler/tests/worker-poller.test.ts
@@ -1,5 +1,5 @@
 /**
-A holder under load must gather run ends of busy workers, but not at the cost of trials, which keep their workers from other tasks, or of machines that are about to leave.
+A holder under load must gather run ends of busy workers, but not at the cost of trials, which keep their workers from other tasks, or of machines that are about to leave. A single poll without an answer must not hide the ends of a worker's runs for seconds.
 */
 import {expect, test} from 'vitest';
 import {VirtualClock} from '@poplarnotch/common';
@@ -56,3 +56,63 @@
 		expect(countOf(workerId), workerId).toBeGreaterThan(40);
 	}
 });
+
+/** Polls one worker until it has been reported on or given up, and returns what was dispatched, with the time. */
+const pollOnce = async (answers: ReadonlyArray<{readonly afterMs: number; readonly type: 'report' | 'unreachable'}>): Promise<ReadonlyArray<{readonly atMs: number; readonly type: string}>> => {
+	const clock = new VirtualClock();
+	const state = new SchedulerState();
+	reduceScheduler(state, {
+		type: 'workersListed', workers: [entryOf('busy')], nowMs: 0, wallMs: 0,
+	});
+	reduceScheduler(state, {
+		type: 'leaseWon', fencingToken: 1, nowMs: 0, wallMs: 0,
+	});
+	const dispatched: Array<{readonly atMs: number; readonly type: string}> = [];
+	let sent = 0;
+	const poller = new WorkerPoller({
+		control: {
+			async poll() {
+				const {afterMs, type} = answers[sent]!;
+				sent++;
+				await new Promise<void>(resolve => {
+					clock.schedule(afterMs, resolve);
+				});
+				return type === 'unreachable'
+					? {type}
+					: {
+						type, report: {
+							clockMs: 0, bornWallMs: 1, running: [], finished: [],
+						},
+					};
+			},
+		} as unknown as WorkerControl,
+		clock, state: () => state, pauseMs: () => pollPauseMs, dispatch(event) {
+			if (event.type === 'polled') {
+				dispatched.push({atMs: clock.nowMs(), type: event.answer.type});
+			}
+		},
+	});
+	poller.pollDueWorkers();
+	for (let elapsedMs = 0; elapsedMs < 3000; elapsedMs += 10) {
+		clock.advance(10);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	expect(sent).toBe(answers.length);
+	return dispatched;
+};
+
+test('the ends of a worker that leaves one poll without an answer are known soon', async () => {
+	expect(await pollOnce([{afterMs: 1400, type: 'unreachable'}, {afterMs: 5, type: 'report'}])).toEqual([{atMs: 210, type: 'report'}]);
+});
+
+test('a poll that is answered in time is not sent twice, and a late report after the repeated one is left out', async () => {
+	expect(await pollOnce([{afterMs: 100, type: 'report'}])).toEqual([{atMs: 100, type: 'report'}]);
+	expect(await pollOnce([{afterMs: 300, type: 'report'}, {afterMs: 20, type: 'report'}])).toEqual([{atMs: 220, type: 'report'}]);
+});
+
+test('a worker counts as unreachable once neither poll was answered', async () => {
+	expect(await pollOnce([{afterMs: 900, type: 'unreachable'}, {afterMs: 900, type: 'unreachable'}])).toEqual([{atMs: 1100, type: 'unreachable'}]);
+});
