Keep a machine reserved while its maintenance order is answered

A wave that releases the machines of a pool in a burst also forgot the reservation of a machine whose maintenance was already ordered, and could reserve another one in its place too early. Found by reading; no test failed. 73 tests of pools, waves, evacuation, lost holders and the property test pass.

--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -38,11 +38,11 @@
 	}
 };
 
-/** Returns the machine to its pool, unless it has been ordered away. */
+/** Returns the machine to its pool. */
 const releaseMachine = (state: SchedulerState, wave: WaveRecord, machine: MachineRecord): void => {
 	const worker = workerOn(state, machine);
 	wave.reserved.delete(machine.entry.machineId);
-	if (worker !== undefined && machine.order === undefined) {
+	if (worker !== undefined) {
 		worker.isReserved = false;
 	}
 };
@@ -95,7 +95,7 @@
 	const canWait = hasTimeLeft(wave, remaining.length, nowMs);
 	// A reserved machine that the wave does not take now would serve nobody.
 	for (const machine of canWait ? needed : []) {
-		if (wave.reserved.has(machine.entry.machineId)) {
+		if (machine.order === undefined && wave.reserved.has(machine.entry.machineId)) {
 			releaseMachine(state, wave, machine);
 		}
 	}
