Go on draining when the release of the lease meets an unexpected error

Found by the review: the release is not awaited any more, so an error that nothing expects would have been an unhandled rejection, which ends a draining process with requests in progress. It is logged now.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -237,6 +237,8 @@
 		// Not awaited: a release that the store does not confirm is repeated without end, and the lease then expires.
 		void this.#scheduler.leave().then(() => {
 			hasLeft = true;
+		}, (error: unknown) => {
+			log.error({event: 'task_failed', task: 'release the lease', reason: error instanceof Error ? error.stack : String(error)});
 		});
 		await this.#waitUntil(() => false, Math.min(startedAtMs + balancerDetectionMs, latestMs));
 		this.#jobServer.stopListening();
--- a/packages/state/src/peers/rpc-client.ts
+++ b/packages/state/src/peers/rpc-client.ts
@@ -24,7 +24,7 @@
 
 const keepAliveTimeoutMs = 30_000;
 
-/** A peer that has not accepted a connection by then is down or cut off. Shorter than the limits of calls with an effect, so that these are known not to have been sent. */
+/** A peer that has not accepted a connection by then is down or cut off. undici's timer for this is coarse and may take up to a second, which is still shorter than the limits of calls with an effect, so that these are known not to have been sent. */
 const connectTimeoutMs = 400;
 
 /** Calls methods of processes by the base URL of their operations port. */
