Start the tests' entry hosts with other ports if theirs were taken

The test of odd entries failed in 4 of some 45 runs since a second test file starts entry hosts beside it. Traced with the hosts' output in two of them: listen EADDRINUSE, another process had taken a port between its choice and the host's start, and the host ended (in the first two failures the output was not kept; the assertion and line were the same).

--- a/packages/entry/tests/support/entry-host.ts
+++ b/packages/entry/tests/support/entry-host.ts
@@ -8,6 +8,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
 import {listenOn} from '@poplarnotch/common';
 
@@ -106,8 +107,26 @@
 	}
 }
 
-/** Starts a process that reaches the store and the machines at the given ports. */
+const maxStartAttempts = 5;
+const startCheckMs = 20;
+
+/** Starts a process that reaches the store and the machines at the given ports. Another process may take its ports before it listens; it is then started with others. */
 export const startEntryHost = async (name: string, storePort: number, machinesPort: number): Promise<EntryHost> => {
+	for (let attempt = 1; ; attempt++) {
+		const host = await spawnEntryHost(name, storePort, machinesPort);
+		while (host.isRunning && host.countLines('event=process_started') === 0 && host.countLines('EADDRINUSE') === 0) {
+			await sleep(startCheckMs);
+		}
+
+		if (host.countLines('EADDRINUSE') === 0 || attempt === maxStartAttempts) {
+			return host;
+		}
+
+		await host.kill();
+	}
+};
+
+const spawnEntryHost = async (name: string, storePort: number, machinesPort: number): Promise<EntryHost> => {
 	const first = await freePorts(portsPerHost);
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'entry-host-'));
 	const settingsFile = path.join(folder, 'boot.conf');
