--- a/bench/start-cost.bench.ts
+++ b/bench/start-cost.bench.ts
@@ -9,6 +9,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
+import {callersHost, entrySettings} from '../packages/entry/tests/support/entry-host.js';
 import {readProcessUse} from './capacity/process-probe.js';
 import {BenchPlatform} from './start-cost/platform.js';
 
@@ -20,7 +21,6 @@
 const noFolder = '-';
 const firstPort = 21_700;
 const portsPerHost = 10;
-const callersHost = 'draws.example';
 const pool = 'pool';
 
 type Host = {readonly child: ChildProcess; readonly callersPort: number; readonly output: () => string};
@@ -29,16 +29,7 @@
 	const first = firstPort + (index * portsPerHost);
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'start-cost-'));
 	const settingsFile = path.join(folder, 'boot.conf');
-	await writeFile(settingsFile, [
-		`node=edge-${index}`,
-		'zone=north',
-		'ip=127.0.0.1',
-		`port_range=${first + 2},${first + 3}`,
-		`listen_addrs.front=127.0.0.1:${first}`,
-		`listen_addrs.ready=127.0.0.1:${first + 1}`,
-		`platform.addr=127.0.0.1:${storePort}`,
-		`cloud_api.addr=127.0.0.1:${storePort}`,
-	].join('\n'));
+	await writeFile(settingsFile, entrySettings(`edge-${index}`, first, storePort, storePort));
 	const profiling = profileFolder === noFolder ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`, `--cpu-prof-name=edge-${index}.cpuprofile`];
 	const args = [...profiling, '--max-old-space-size=160', '--max-semi-space-size=8', ...nodeFlags, 'dist/poplarnotch-entry.mjs', '--metricsPort', String(first + 4)];
 	const child = spawn(process.execPath, args, {env: {...process.env, POPLARNOTCH_CONFIG: settingsFile}});
--- a/bench/start-cost/platform.ts
+++ b/bench/start-cost/platform.ts
@@ -4,7 +4,7 @@
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {listenOn} from '@poplarnotch/common';
-import {StoredRows} from '../../packages/entry/tests/support/platform-server.js';
+import {type Answer, StoredRows} from '../../packages/entry/tests/support/platform-server.js';
 
 type Run = {readonly task: string; readonly attempt: number; readonly endsAtMs: number};
 
@@ -74,36 +74,14 @@
 
 	/** Serves the store and the machines, and returns the port. */
 	async listenStore(): Promise<number> {
-		return this.#listen(async (path, query, body) => {
-			switch (path) {
-				case '/rows-tx': {
-					return this.rows.transact(body as Parameters<StoredRows['transact']>[0]);
-				}
-
-				case '/rows-get': {
-					return this.rows.get(query);
-				}
-
-				case '/rows-parts': {
-					return this.rows.parts(query);
-				}
-
-				case '/rows-feed': {
-					return this.rows.feed(query);
-				}
-
-				default: {
-					return {status: 200, body: {machines: this.#machines}};
-				}
-			}
-		});
+		return this.#listen(async (path, query, text) => await this.rows.answer(path, query, text) ?? {status: 200, body: {machines: this.#machines}});
 	}
 
 	async addWorkers(count: number, pool: string, runMs: number): Promise<void> {
 		for (let index = 0; index < count; index++) {
 			const worker = new SlowWorker(runMs, this.#bornWallMs);
 			this.#workers.push(worker);
-			const port = await this.#listen(async (path, _query, body) => ({status: 200, body: await worker.answer(path, body as Body)}));
+			const port = await this.#listen(async (path, _query, text) => ({status: 200, body: await worker.answer(path, JSON.parse(text) as Body)}));
 			const id = `i-${index}`;
 			this.rows.put('servers', id, JSON.stringify({
 				service: pool, addr: `127.0.0.1:${port}`, zone: 'north', state: 'ready', capacity, labels: ['kind', `r-${Math.floor(index / 8)}`], born: this.#bornWallMs, seq: 1,
@@ -121,7 +99,7 @@
 		}
 	}
 
-	async #listen(answer: (path: string, query: URLSearchParams, body: unknown) => Promise<{readonly status: number; readonly body?: unknown}>): Promise<number> {
+	async #listen(answer: (path: string, query: URLSearchParams, text: string) => Promise<Answer>): Promise<number> {
 		const server = createServer((request, response) => {
 			let text = '';
 			request.on('data', chunk => {
@@ -129,7 +107,7 @@
 			});
 			request.on('end', () => {
 				const {pathname, searchParams} = new URL(request.url ?? '/', 'http://platform');
-				void answer(pathname, searchParams, text === '' ? {} : JSON.parse(text)).then(answered => {
+				void answer(pathname, searchParams, text).then(answered => {
 					send(response, answered);
 				});
 			});
@@ -140,7 +118,7 @@
 	}
 }
 
-const send = (response: ServerResponse, {status, body}: {readonly status: number; readonly body?: unknown}): void => {
+const send = (response: ServerResponse, {status, body}: Answer): void => {
 	const text = JSON.stringify(body ?? {});
 	response.writeHead(status, {'content-type': 'application/json', 'content-length': String(text.length)});
 	response.end(text);
--- a/packages/entry/tests/support/entry-host.ts
+++ b/packages/entry/tests/support/entry-host.ts
@@ -107,6 +107,18 @@
 	}
 }
 
+/** Settings of an entry host on this machine with consecutive ports from `firstPort` on. */
+export const entrySettings = (name: string, firstPort: number, storePort: number, machinesPort: number): string => [
+	`node=${name}`,
+	'zone=north',
+	'ip=127.0.0.1',
+	`port_range=${firstPort + 2},${firstPort + 3}`,
+	`listen_addrs.front=127.0.0.1:${firstPort}`,
+	`listen_addrs.ready=127.0.0.1:${firstPort + 1}`,
+	`platform.addr=127.0.0.1:${storePort}`,
+	`cloud_api.addr=127.0.0.1:${machinesPort}`,
+].join('\n');
+
 const maxStartAttempts = 5;
 const startCheckMs = 20;
 
@@ -130,16 +142,7 @@
 	const first = await freePorts(portsPerHost);
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'entry-host-'));
 	const settingsFile = path.join(folder, 'boot.conf');
-	await writeFile(settingsFile, [
-		`node=${name}`,
-		'zone=north',
-		'ip=127.0.0.1',
-		`port_range=${first + 2},${first + 3}`,
-		`listen_addrs.front=127.0.0.1:${first}`,
-		`listen_addrs.ready=127.0.0.1:${first + 1}`,
-		`platform.addr=127.0.0.1:${storePort}`,
-		`cloud_api.addr=127.0.0.1:${machinesPort}`,
-	].join('\n'));
+	await writeFile(settingsFile, entrySettings(name, first, storePort, machinesPort));
 	const parameters = ['--import', 'tsx', 'packages/entry/src/main.ts', '--metricsPort', String(first + 4)];
 	const child = spawn(process.execPath, parameters, {env: {...process.env, POPLARNOTCH_CONFIG: settingsFile}});
 	return new EntryHost(name, {
--- a/packages/entry/tests/support/platform-server.ts
+++ b/packages/entry/tests/support/platform-server.ts
@@ -16,7 +16,7 @@
 
 type RowName = Pick<StoredRow, 'table' | 'part' | 'key'>;
 
-type Answer = {readonly status: number; readonly body?: unknown};
+export type Answer = {readonly status: number; readonly body?: unknown};
 
 const nameOf = ({table, part, key}: RowName): string => [table, part, key].join('\n');
 
@@ -82,6 +82,31 @@
 		}
 	}
 
+	/** Answers a call of the store; `undefined` if the path is none of the store's. */
+	async answer(path: string, query: URLSearchParams, text: string): Promise<Answer | undefined> {
+		switch (path) {
+			case '/rows-tx': {
+				return this.transact(JSON.parse(text) as Parameters<StoredRows['transact']>[0]);
+			}
+
+			case '/rows-get': {
+				return this.get(query);
+			}
+
+			case '/rows-parts': {
+				return this.parts(query);
+			}
+
+			case '/rows-feed': {
+				return this.feed(query);
+			}
+
+			default: {
+				return undefined;
+			}
+		}
+	}
+
 	#live(name: RowName): StoredRow | undefined {
 		const row = this.#rows.get(nameOf(name));
 		return row?.removed === true ? undefined : row;
@@ -168,23 +193,12 @@
 	}
 
 	async #answer(path: string, query: URLSearchParams, text: string): Promise<Answer> {
-		switch (path) {
-			case '/rows-tx': {
-				return this.rows.transact(JSON.parse(text) as Parameters<StoredRows['transact']>[0]);
-			}
-
-			case '/rows-get': {
-				return this.rows.get(query);
-			}
-
-			case '/rows-parts': {
-				return this.rows.parts(query);
-			}
-
-			case '/rows-feed': {
-				return this.rows.feed(query);
-			}
+		const stored = await this.rows.answer(path, query, text);
+		if (stored !== undefined) {
+			return stored;
+		}
 
+		switch (path) {
 			case '/machines': {
 				return {status: 200, body: {machines: this.machines}};
 			}
