--- a/review/support/deployment.js
+++ b/review/support/deployment.js
@@ -242,6 +242,14 @@
 	const deployment = new Deployment();
 	const hasTrouble = process.env.TROUBLE !== '0';
 	let exitCode = 2;
+	for (const name of ['SIGINT', 'SIGTERM']) {
+		process.on(name, async () => {
+			deployment.record.print(`could not run: ended by ${name}`);
+			await deployment.stop(folder);
+			process.exit(2);
+		});
+	}
+
 	try {
 		const broken = await play(deployment, hasTrouble);
 		exitCode = broken.length > 0 ? 1 : 0;
