review: a holder that keeps its lease schedules nothing any more

Tried: the holder's renewals and progress get no answer from the store for 4.5 s and are carried out 5 s later; the two daemons that can take over are stopped in turn, 1.3 s apart.

--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,25 +1,38 @@
 /* eslint camelcase: "off" -- the fields of messages are named by the platform's pages */
 /**
-An idle worker crashes and starts again under its id, and receives new tasks right after. The holder learns of the new life a moment later and takes these tasks for lost.
+Answers of the store are lost, so that the holder of the scheduler's lease loses it, and the daemons that took over are restarted in turn. The first holder acquires the lease again and holds it, but schedules nothing any more.
 */
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {findDoubleRuns, runCase} from '../support/deployment.js';
+import {runCase} from '../support/deployment.js';
 
 const folder = path.dirname(fileURLToPath(import.meta.url));
 
-const workerCount = 30;
-const downMs = 1000;
+const daemonCount = 3;
 
-/** When the job of each round is handed in, after the moment at which the worker starts again. */
-const offsetsMs = [-20, -10, 0, 10, -20, -10, 0, 10];
+/** How long answers are lost, and when the writes without an answer are carried out. */
+const lossMs = 4500;
+const lateMs = 5000;
 
-/** Time in which all tasks of a round end. */
-const pauseMs = 4000;
+/** Pause between two stops of the restart in turn, and time until a process that has ended is started again. */
+const gapMs = 1300;
+const restartMs = 500;
+
+/** A holder that cannot renew its lease is replaced within this time. */
+const takeoverMs = 10_000;
+
+const jobIntervalMs = 100;
+const warmUpMs = 4000;
+
+/** After the last restart, all daemons have been back for this long before it is judged. */
+const calmMs = 20_000;
+
+/** `finish_s`: jobs that were accepted this long ago must have begun. */
+const finishMs = 14_000;
 
 await runCase(folder, async (deployment, hasTrouble) => {
-	await deployment.start({capacity: {cpu: 8000, mem_mb: 16_384}, standby: ''});
+	await deployment.start({capacity: {cpu: 32_000, mem_mb: 65_536}, standby: ''});
 	deployment.configure({
 		pools: [{name: 'draws', admission_check: false}],
 		tenants: [{
@@ -27,32 +40,86 @@
 		}],
 		queue: {},
 	});
-	const {cloud, record} = deployment;
-	for (let index = 0; index < workerCount; index++) {
-		await cloud.addMachine(`m${10 + index}`, 'draws', {zone: ['north', 'east', 'south'][index % 3], rack: `r${index % 8}`});
-		await sleep(50);
+	const {cloud, record, store, daemons} = deployment;
+	for (let index = 0; index < 6; index++) {
+		await cloud.addMachine(`m${index + 1}`, 'draws', {zone: ['north', 'east', 'south'][index % 3], rack: `r${index % 3}`});
 	}
 
-	await deployment.startDaemons(3);
-	const {holder} = deployment;
-	record.add(`${holder.name} holds the lease`);
-	const job = {
-		spec: 'work=2000', phases: [{
-			count: 8, cpu: 1000, mem_mb: 100, estimate_ms: 2000,
-		}],
+	await deployment.startDaemons(daemonCount);
+	const accepted = new Map();
+	const handInJob = async job => {
+		const jobId = job.toString(16).padStart(16, '0');
+		const isAccepted = await deployment.submit(daemons[job % daemonCount], jobId, {
+			spec: 'work=300', phases: [{
+				count: 4, cpu: 1000, mem_mb: 100, estimate_ms: 300,
+			}],
+		});
+		if (isAccepted) {
+			accepted.set(jobId, Date.now());
+		}
 	};
-	await deployment.submit(holder, '00000000000000d0', job);
-	await sleep(1000);
-	// The tasks of a job go to the same worker each time while all are idle.
-	const target = cloud.workers.toSorted((a, b) => b.running.length - a.running.length)[0];
-	await sleep(pauseMs);
-	for (const [round, offsetMs] of offsetsMs.entries()) {
-		const restarted = hasTrouble ? target.restart(downMs) : undefined;
-		await sleep(downMs + offsetMs);
-		await deployment.submit(holder, `00000000000000d${round + 1}`, job);
-		await restarted;
-		await sleep(pauseMs);
+
+	let jobs = 0;
+	const timer = setInterval(() => {
+		handInJob(jobs++);
+	}, jobIntervalMs);
+	await sleep(warmUpMs);
+	const first = deployment.holder;
+	const leaseVersion = () => store.versionOf('leases', 'scheduler', 'shared');
+	const firstVersion = leaseVersion();
+	record.add(`${first.name} holds the lease, version ${firstVersion}`);
+	if (hasTrouble) {
+		const lossEndsAtMs = Date.now() + lossMs;
+		let writes = 0;
+		let lost = 0;
+		store.lateMsOf = ({expect_rev: conditions = [], upserts = []}) => {
+			if (Date.now() >= lossEndsAtMs) {
+				return undefined;
+			}
+
+			writes++;
+			// Of the writes under the holder's lease: its progress, and its renewals until another daemon has acquired the lease. They are few among all writes.
+			const isUnderLease = conditions.some(({table, key, ver}) => table === 'leases' && key === 'scheduler' && ver === firstVersion);
+			const isProgress = upserts.some(({table, key}) => table === 'jobs' && key.endsWith('/progress'));
+			const isRenewal = upserts.some(({table}) => table === 'lease-renewals') && !upserts.some(({table}) => table === 'leases') && leaseVersion() === firstVersion;
+			if (!isUnderLease || !(isProgress || isRenewal)) {
+				return undefined;
+			}
+
+			lost++;
+			return lateMs;
+		};
+
+		record.add('answers of the store begin to be lost');
+		for (const untilMs = Date.now() + takeoverMs; leaseVersion() === firstVersion;) {
+			if (Date.now() > untilMs) {
+				throw new Error('the lease was not acquired by another daemon');
+			}
+
+			await sleep(20);
+		}
+
+		const second = daemons.find(({name}) => store.get('leases', 'scheduler', 'shared')?.holder.startsWith(`${name}@`));
+		record.add(`${second.name} has acquired the lease, version ${leaseVersion()}`);
+		const inTurn = [...daemons.filter(daemon => daemon !== first && daemon !== second), second];
+		const restarts = [];
+		for (const daemon of inTurn) {
+			restarts.push(deployment.restart(daemon, restartMs));
+			await sleep(gapMs);
+		}
+
+		await Promise.all(restarts);
+		record.add(`all daemons run again; ${lost} of ${writes} writes were lost, a share of ${(lost / writes).toFixed(3)}`);
+	}
+
+	await sleep(calmMs);
+	clearInterval(timer);
+	const begun = new Set(cloud.workers.flatMap(worker => worker.starts).map(({task}) => task.split('.')[0]));
+	const stuck = [...accepted].filter(([jobId, atMs]) => !begun.has(jobId) && Date.now() - atMs > finishMs);
+	for (const daemon of daemons) {
+		await deployment.state(daemon, stuck[0]?.[0] ?? [...accepted.keys()].at(-1));
 	}
 
-	return findDoubleRuns(cloud.workers);
+	record.add(`${accepted.size} jobs were accepted, ${begun.size} have begun; ${store.get('leases', 'scheduler', 'shared')?.holder} holds the lease, version ${leaseVersion()}`);
+	return stuck.length === 0 ? [] : [`LOST: ${stuck.length} accepted jobs have had nothing running for over ${finishMs} ms, with all daemons up and all workers idle`];
 });
--- a/review/support/deployment.js
+++ b/review/support/deployment.js
@@ -195,6 +195,28 @@
 		daemon.child.kill(name);
 	}
 
+	/** Stops a daemon with SIGTERM, kills it after `grace_s`, and starts it again some time after its end. Resolves once it is ready. */
+	async restart(daemon, downMs) {
+		const {child} = daemon;
+		const ended = new Promise(resolve => {
+			child.on('exit', resolve);
+		});
+		this.signal(daemon, 'SIGTERM');
+		const killTimer = setTimeout(() => {
+			this.signal(daemon, 'SIGKILL');
+		}, siteBounds.grace_s * 1000);
+		await ended;
+		clearTimeout(killTimer);
+		await sleep(downMs);
+		this.spawn(daemon);
+		for (let status = 0; status !== 200;) {
+			await sleep(100);
+			({status} = await call(`${daemon.ip}:8343`, 'GET', '/ready'));
+		}
+
+		this.record.add(`${daemon.name} is ready again`);
+	}
+
 	/** Ends all processes and writes the record. */
 	async stop(folder) {
 		for (const {child} of this.daemons) {
--- a/review/support/store.js
+++ b/review/support/store.js
@@ -16,6 +16,8 @@
 const compareKeys = (a, b) => Buffer.compare(Buffer.from(a.key), Buffer.from(b.key));
 
 export class Store {
+	/** Returns the time in ms after which a transaction is carried out without an answer, or `undefined` if it is answered. */
+	lateMsOf = () => undefined;
 	/** Names of the daemons that get no answer. */
 	cutOff = new Set();
 	#rows = new Map();
@@ -56,7 +58,20 @@
 		return row === undefined ? undefined : JSON.parse(Buffer.from(row.value, 'base64').toString());
 	}
 
+	/** Returns the version of a row, 0 if there is none. */
+	versionOf(table, key, part = '') {
+		return this.#live({table, part, key})?.ver ?? 0;
+	}
+
 	async #answerLater(call, daemon) {
+		const lateMs = call.path === '/rows-tx' ? this.lateMsOf(call.body) : undefined;
+		if (lateMs !== undefined) {
+			setTimeout(() => {
+				this.#transact(call.body);
+			}, lateMs);
+			return silence;
+		}
+
 		const answer = await this.#answer(call);
 		await new Promise(resolve => {
 			setTimeout(resolve, answerMs);
