Drop answers of an earlier term instead of applying them to the present one

The holder kept and renewed the lease and scheduled nothing until its process ended.

Cause: a save whose answer was lost is resolved for seconds. When it is found to be fenced, `leaseLost` was dispatched without the term that it belongs to, and ended whichever term was in force by then. A trace of the case: edge-east-1 loses lease 13, wins it again as 309, settles 35 ms later, and 0.28 s after that logs `save_fenced saveNumber=59`, the save of the term under 13; nothing is logged by its scheduler after it. A late `fenced` answer of a worker or a machine, and a late read of the fence, could do the same. By the same cause a report to an earlier term marked a worker as fenced by the present one, a confirmed fence could begin its old term again, a step-down of an earlier term dropped the fence of a lease acquired since, and a save of an earlier term was written under a later fence, over progress that the holder in between had stored.

Change: answers carry the fencing token of their term, and `dropOutdatedEvent` drops those of another one, with a log line and a counter. A save is only written under its own fence. `stepDown` ends the term completely.

--- a/bench/pool-forecast.bench.ts
+++ b/bench/pool-forecast.bench.ts
@@ -168,7 +168,7 @@
 					const worker = this.#workers.get(effect.workerId)!;
 					worker.runs.set(effect.taskKey, {taskKey: effect.taskKey, attempt: effect.attempt, endsAtMs: this.#clock.nowMs() + 500 + (500 * this.#random.next())});
 					this.#dispatch({
-						type: 'startAnswered', workerId: effect.workerId, taskKey: effect.taskKey, attempt: effect.attempt, answer: worker.isGone ? 'wrong-worker' : 'started',
+						type: 'startAnswered', fencingToken: 1, workerId: effect.workerId, taskKey: effect.taskKey, attempt: effect.attempt, answer: worker.isGone ? 'wrong-worker' : 'started',
 					});
 				});
 				break;
@@ -176,7 +176,7 @@
 
 			case 'save': {
 				this.#clock.schedule(answerMs, () => {
-					this.#dispatch({type: 'saved', saveNumber: effect.save.saveNumber});
+					this.#dispatch({type: 'saved', fencingToken: 1, saveNumber: effect.save.saveNumber});
 				});
 				break;
 			}
@@ -212,7 +212,7 @@
 	#orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): void {
 		const machine = this.#machines.get(effect.machineId)!;
 		if (machine.state !== 'up') {
-			this.#dispatch({type: 'machineAnswered', machineId: effect.machineId, answer: 'busy'});
+			this.#dispatch({type: 'machineAnswered', fencingToken: 1, machineId: effect.machineId, answer: 'busy'});
 			return;
 		}
 
@@ -229,7 +229,7 @@
 		this.#clock.schedule(effect.type === 'move' ? moveMs : maintenanceMs, () => {
 			this.#boot(effect.machineId);
 		});
-		this.#dispatch({type: 'machineAnswered', machineId: effect.machineId, answer: 'accepted'});
+		this.#dispatch({type: 'machineAnswered', fencingToken: 1, machineId: effect.machineId, answer: 'accepted'});
 	}
 
 	#boot(machineId: string): void {
@@ -284,7 +284,7 @@
 		worker.isPollDue = false;
 		worker.lastPollAtMs = nowMs;
 		this.#dispatch({
-			type: 'polled', workerId: worker.entry.workerId, sentAtMs: nowMs - 1, sentAcknowledgement: 0, answer: {
+			type: 'polled', fencingToken: 1, workerId: worker.entry.workerId, sentAtMs: nowMs - 1, sentAcknowledgement: 0, answer: {
 				type: 'report', report: {
 					clockMs: nowMs, bornWallMs: 1, finished, running: [...worker.runs.values()].map(({taskKey, attempt}) => ({
 						taskKey, attempt, checkpoint: '', percent: 0, figure: 0,
--- a/bench/scheduling-cost.bench.ts
+++ b/bench/scheduling-cost.bench.ts
@@ -83,7 +83,7 @@
 	poll(workerId: string): void {
 		const runs = [...this.state.workers.get(workerId)!.runs.values()];
 		this.dispatch({
-			type: 'polled', workerId, sentAtMs: this.nowMs, sentAcknowledgement: 0, answer: {
+			type: 'polled', fencingToken: 1, workerId, sentAtMs: this.nowMs, sentAcknowledgement: 0, answer: {
 				type: 'report', report: {
 					clockMs: this.nowMs, bornWallMs: 1, finished: [], running: runs.map(run => ({
 						taskKey: run.taskKey, attempt: run.attempt, checkpoint: '', percent: Math.min(99, Math.floor(this.nowMs / 50) % 100), figure: 0,
@@ -121,10 +121,10 @@
 			if (effect.type === 'start') {
 				this.placed++;
 				this.dispatch({
-					type: 'startAnswered', workerId: effect.workerId, taskKey: effect.taskKey, attempt: effect.attempt, answer: 'started',
+					type: 'startAnswered', fencingToken: 1, workerId: effect.workerId, taskKey: effect.taskKey, attempt: effect.attempt, answer: 'started',
 				});
 			} else if (effect.type === 'save') {
-				this.dispatch({type: 'saved', saveNumber: effect.save.saveNumber});
+				this.dispatch({type: 'saved', fencingToken: 1, saveNumber: effect.save.saveNumber});
 			}
 		}
 	}
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -17,6 +17,9 @@
 /** Time of an event on the process's monotonic clock and on the wall clock. */
 type EventTime = {readonly nowMs: number; readonly wallMs: number};
 
+/** The term in which an order was sent, or which an event ends or resumes. `dropOutdatedEvent` drops the event if that term is not the present one. */
+type OfTerm = {readonly fencingToken: number};
+
 /** A change to the stored rows of one job. */
 export type JobChange
 	= | {readonly type: 'accepted'; readonly job: JobSpec; readonly rowKey: string}
@@ -40,16 +43,18 @@
 	| {readonly type: 'earlierHolderChanged'; readonly earlierHolder: EarlierHolder | undefined}
 	/** The lease could not be renewed in time and may pass to another process. */
 	| {readonly type: 'leaseSuspended'}
-	/** Another process holds the lease. */
-	| {readonly type: 'leaseLost'}
-	| {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number}
-	| {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer}
-	| {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer}
-	| {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly answer: OrderAnswer}
+	/** A read from the store has confirmed that no other process holds the lease, so a suspended term goes on. */
+	| (OfTerm & {readonly type: 'leaseConfirmed'})
+	/** Another process holds the lease of the term, or this one has released it. */
+	| (OfTerm & {readonly type: 'leaseLost'})
+	| (OfTerm & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number})
+	| (OfTerm & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
+	| (OfTerm & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
+	| (OfTerm & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly answer: OrderAnswer})
 	| {readonly type: 'adviceAnswered'; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workerIds: readonly string[]; readonly answer: AdviceAnswer}
-	| {readonly type: 'saved'; readonly saveNumber: number}
+	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly sentAtMs: number}
-	| {readonly type: 'machineAnswered'; readonly machineId: string; readonly answer: MachineAnswer}
+	| (OfTerm & {readonly type: 'machineAnswered'; readonly machineId: string; readonly answer: MachineAnswer})
 	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. */
 	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean}
 );
@@ -71,11 +76,13 @@
 	| {readonly type: 'stop'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly reason: string; readonly percent: number}
 	| {readonly type: 'pace'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly percent: number}
 	| {readonly type: 'requestAdvice'; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workerIds: readonly string[]}
-	| {readonly type: 'save'; readonly save: ProgressSave}
+	/** `fencingToken`: the term whose fence is the condition of the save. */
+	| {readonly type: 'save'; readonly save: ProgressSave; readonly fencingToken: number}
 	| {readonly type: 'move'; readonly machineId: string; readonly pool: string; readonly fencingToken: number; readonly reason: string}
 	| {readonly type: 'maintain'; readonly machineId: string; readonly waveId: number; readonly fencingToken: number}
 	| {readonly type: 'reportWave'; readonly waveId: number; readonly state: 'running' | 'completed'}
-	| {readonly type: 'stepDown'; readonly reason: string}
+	/** The term with this token has ended because a higher token was seen. */
+	| {readonly type: 'stepDown'; readonly fencingToken: number; readonly reason: string}
 	/** Increments a counter of the process's metrics. */
 	| {readonly type: 'count'; readonly name: string}
 	| {readonly type: 'log'; readonly level?: 'warn'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -6,6 +6,7 @@
 import {type MachineEntry} from '../types.js';
 import {type MachineRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {stepDown} from './terms.js';
 import {endWorker, type LossReason} from './workers.js';
 
 /** A complete list of machines, and when it was requested. */
@@ -163,8 +164,7 @@
 export const applyMachineAnswer = (state: SchedulerState, machineId: string, answer: MachineAnswer, nowMs: number): void => {
 	const machine = state.machines.get(machineId);
 	if (answer === 'fenced') {
-		state.term = undefined;
-		state.emit({type: 'stepDown', reason: `machine ${machineId} was ordered with a higher token`});
+		stepDown(state, `machine ${machineId} was ordered with a higher token`, nowMs);
 		return;
 	}
 
--- /dev/null
+++ b/packages/scheduler/src/core/outdated-events.ts
@@ -0,0 +1,50 @@
+/**
+Drops events that do not belong to the present: the answer to a call may arrive after the term in which it was sent has ended and another one of the same process has begun. What such an answer says was true of what it belongs to only. See `docs/design/event-identity.md` for the identity of each event.
+*/
+import {type SchedulerEvent} from './events.js';
+import {type SchedulerState} from './scheduler-state.js';
+
+type OutdatedEvent = {
+	readonly reason: string;
+	/** What the event belongs to, and what is present instead. */
+	readonly fields: Readonly<Record<string, string | number | undefined>>;
+};
+
+/** Returns why the event does not belong to the present, or `undefined` if it does. */
+const findOutdated = (state: SchedulerState, event: SchedulerEvent): OutdatedEvent | undefined => {
+	if (event.type === 'leaseWon') {
+		const presentToken = state.term?.fencingToken ?? 0;
+		return event.fencingToken < presentToken ? {reason: 'earlier-term', fields: {fencingToken: event.fencingToken, presentToken}} : undefined;
+	}
+
+	if ('fencingToken' in event && event.fencingToken !== state.term?.fencingToken) {
+		return {reason: 'other-term', fields: {fencingToken: event.fencingToken, presentToken: state.term?.fencingToken}};
+	}
+
+	return undefined;
+};
+
+/** Logs and counts what was dropped. */
+const recordOutdated = (state: SchedulerState, {reason, fields}: OutdatedEvent, about: OutdatedEvent['fields']): void => {
+	state.emit({type: 'count', name: 'scheduler_outdated_events_total'});
+	state.emit({
+		type: 'log', fields: {
+			event: 'event_outdated', reason, ...about, ...fields,
+		},
+	});
+};
+
+/** Returns true, and logs the event, if it is not to be applied because it does not belong to the present. */
+export const dropOutdatedEvent = (state: SchedulerState, event: SchedulerEvent): boolean => {
+	const outdated = findOutdated(state, event);
+	if (outdated !== undefined) {
+		recordOutdated(state, outdated, {
+			type: event.type,
+			workerId: 'workerId' in event ? event.workerId : undefined,
+			taskKey: 'taskKey' in event ? event.taskKey : undefined,
+			machineId: 'machineId' in event ? event.machineId : undefined,
+		});
+	}
+
+	return outdated !== undefined;
+};
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -48,6 +48,7 @@
 
 	state.emit({
 		type: 'save',
+		fencingToken: state.term!.fencingToken,
 		save: {
 			saveNumber: state.saveCount,
 			jobs: jobs.map(job => ({jobId: job.spec.jobId, progress: progressOf(job)})),
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -5,7 +5,7 @@
 import {type WaveOrder} from '../types.js';
 import {applyAdvice} from './placement-advice.js';
 import {dispatchTasks} from './dispatch.js';
-import {applyEvacuationOrders, logEvacuations, resetEvacuationLogs} from './evacuation.js';
+import {applyEvacuationOrders, logEvacuations} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
 import {
@@ -14,10 +14,12 @@
 import {applyPaceAnswer, updatePace} from './throttling.js';
 import {poolsLackingRoom} from './pools/pool-capacity.js';
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
+import {dropOutdatedEvent} from './outdated-events.js';
 import {reconcileRuns} from './relocation.js';
 import {applyPollAnswer, applyStartAnswer, applyStopAnswer} from './worker-reports.js';
 import {applySaved, prepareAcknowledgements, saveProgress} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {endTerm, resumeTerm} from './terms.js';
 import {advanceWaves} from './waves.js';
 import {applyWorkerList, checkTakeoverSettled, expireWorkers} from './workers.js';
 
@@ -37,19 +39,6 @@
 	}
 };
 
-const endTerm = (state: SchedulerState, nowMs: number): void => {
-	state.term = undefined;
-	state.clearRuns(nowMs);
-	resetEvacuationLogs(state);
-	for (const machine of state.machines.values()) {
-		machine.order = undefined;
-	}
-
-	for (const wave of state.waves.values()) {
-		wave.reserved.clear();
-	}
-};
-
 /** Runs one scheduling pass under the current term. */
 const runSchedulingPass = (state: SchedulerState, now: CurrentTime): void => {
 	const {nowMs} = now;
@@ -131,8 +120,7 @@
 
 		case 'leaseWon': {
 			if (state.term?.fencingToken === event.fencingToken) {
-				state.isSuspended = false;
-				state.isLeaseUnconfirmed = false;
+				resumeTerm(state);
 			} else {
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs, event.isPredecessorGone);
@@ -144,6 +132,11 @@
 			break;
 		}
 
+		case 'leaseConfirmed': {
+			resumeTerm(state);
+			break;
+		}
+
 		case 'leaseUnconfirmed': {
 			state.isLeaseUnconfirmed = true;
 			break;
@@ -224,6 +217,9 @@
 
 /** Mutates the state, which only the reducer owns, and returns the effects to perform. */
 export const reduceScheduler = (state: SchedulerState, event: SchedulerEvent): Step<SchedulerState, SchedulerEffect> => {
-	apply(state, event);
+	if (!dropOutdatedEvent(state, event)) {
+		apply(state, event);
+	}
+
 	return {state, effects: state.takeEffects()};
 };
--- a/packages/scheduler/src/core/throttling.ts
+++ b/packages/scheduler/src/core/throttling.ts
@@ -7,8 +7,8 @@
 import {orderStop, type CurrentTime} from './jobs.js';
 import {chooseWorker} from './placement.js';
 import {type TaskRun, type WorkerRecord} from './records.js';
-import {stepDown} from './worker-reports.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {stepDown} from './terms.js';
 
 /** Workers report averages of the last half second; a shorter interval would evaluate the same load twice. */
 const sampleIntervalMs = 500;
@@ -123,7 +123,7 @@
 
 export const applyPaceAnswer = (state: SchedulerState, event: PaceAnsweredEvent): void => {
 	if (event.answer === 'fenced') {
-		stepDown(state, `worker ${event.workerId} has seen a higher token`);
+		stepDown(state, `worker ${event.workerId} has seen a higher token`, event.nowMs);
 		return;
 	}
 
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -18,6 +18,7 @@
 } from './records.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
+import {stepDown} from './terms.js';
 import {beginIncarnation, loseRuns, recordLeaseSent} from './workers.js';
 
 type PolledEvent = Extract<SchedulerEvent, {readonly type: 'polled'}>;
@@ -31,14 +32,6 @@
 	return job?.occurrences.get(Number(groups!.occurrence))?.[Number(groups!.step)]?.tasks[Number(groups!.index)];
 };
 
-/** Ends the term after a higher fencing token was seen, which shows that another process holds the lease. */
-export const stepDown = (state: SchedulerState, reason: string): void => {
-	if (state.term !== undefined) {
-		state.term = undefined;
-		state.emit({type: 'stepDown', reason});
-	}
-};
-
 export const applyPollAnswer = (state: SchedulerState, event: PolledEvent): void => {
 	const worker = state.workers.get(event.workerId);
 	if (worker === undefined || state.term === undefined) {
@@ -53,7 +46,7 @@
 		}
 
 		case 'fenced': {
-			stepDown(state, `worker ${event.workerId} has seen a higher token`);
+			stepDown(state, `worker ${event.workerId} has seen a higher token`, event.nowMs);
 			break;
 		}
 
@@ -356,7 +349,7 @@
 
 export const applyStartAnswer = (state: SchedulerState, event: OrderAnsweredEvent<StartAnswer>): void => {
 	if (event.answer === 'fenced') {
-		stepDown(state, `worker ${event.workerId} has seen a higher token`);
+		stepDown(state, `worker ${event.workerId} has seen a higher token`, event.nowMs);
 	}
 
 	const run = findRun(state, event);
@@ -419,7 +412,7 @@
 
 export const applyStopAnswer = (state: SchedulerState, event: OrderAnsweredEvent<OrderAnswer>): void => {
 	if (event.answer === 'fenced') {
-		stepDown(state, `worker ${event.workerId} has seen a higher token`);
+		stepDown(state, `worker ${event.workerId} has seen a higher token`, event.nowMs);
 		return;
 	}
 
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -24,8 +24,8 @@
 	readonly state: () => SchedulerState;
 	/** The fence of the held lease, which is a condition of every save. */
 	readonly fence: () => RowCondition | undefined;
-	/** Drops the fence once another process is known to hold the lease. */
-	readonly clearFence: () => void;
+	/** Drops the fence with this token once another process is known to hold the lease. */
+	readonly clearFence: (fencingToken: number) => void;
 	readonly dispatch: (event: SchedulerEvent) => void;
 	readonly isClosed: () => boolean;
 	readonly clock: Clock;
@@ -74,7 +74,7 @@
 			}
 
 			case 'save': {
-				void this.#save(effect.save);
+				void this.#save(effect.save, effect.fencingToken);
 				break;
 			}
 
@@ -90,8 +90,8 @@
 			}
 
 			case 'stepDown': {
-				this.#options.log.warn({event: 'lease_superseded', reason: effect.reason});
-				this.#options.clearFence();
+				this.#options.log.warn({event: 'lease_superseded', fencingToken: effect.fencingToken, reason: effect.reason});
+				this.#options.clearFence(effect.fencingToken);
 				break;
 			}
 
@@ -136,19 +136,19 @@
 		}
 
 		this.#options.dispatch({
-			type: 'startAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
+			type: 'startAnswered', fencingToken, workerId, taskKey, attempt, answer, ...this.#now(),
 		});
 	}
 
 	async #stop({type: _type, reason, percent, ...order}: Extract<SchedulerEffect, {readonly type: 'stop'}>): Promise<void> {
-		const {workerId, taskKey, attempt} = order;
+		const {workerId, taskKey, attempt, fencingToken} = order;
 		const worker = this.#addressOf(workerId);
 		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.stop(worker, order);
 		this.#options.log.info({
 			event: 'task_stop', taskKey, attempt, workerId, reason, percent, answer,
 		});
 		this.#options.dispatch({
-			type: 'stopAnswered', workerId, taskKey, attempt, answer, ...this.#now(),
+			type: 'stopAnswered', fencingToken, workerId, taskKey, attempt, answer, ...this.#now(),
 		});
 	}
 
@@ -158,9 +158,9 @@
 		this.#options.log.info({
 			event: 'task_pace', taskKey: order.taskKey, workerId: order.workerId, percent: order.percent, answer,
 		});
-		const {workerId, taskKey, attempt, percent} = order;
+		const {workerId, taskKey, attempt, percent, fencingToken} = order;
 		this.#options.dispatch({
-			type: 'paceAnswered', workerId, taskKey, attempt, percent, answer, ...this.#now(),
+			type: 'paceAnswered', fencingToken, workerId, taskKey, attempt, percent, answer, ...this.#now(),
 		});
 	}
 
@@ -186,22 +186,26 @@
 			...(effect.type === 'move' ? {pool: effect.pool, reason: effect.reason} : {waveId: effect.waveId}),
 		});
 		this.#options.dispatch({
-			type: 'machineAnswered', machineId: effect.machineId, answer, ...this.#now(),
+			type: 'machineAnswered', fencingToken: effect.fencingToken, machineId: effect.machineId, answer, ...this.#now(),
 		});
 	}
 
-	async #save(save: ProgressSave): Promise<void> {
-		for (let fence = this.#options.fence(); this.#isSavePending(save); fence = this.#options.fence()) {
+	/** Stores the progress under the fence of the term that it belongs to. A save of an earlier term must not be written under a later fence: the holder in between may have stored newer progress. */
+	async #save(save: ProgressSave, fencingToken: number): Promise<void> {
+		while (this.#isSavePending(save, fencingToken)) {
+			const fence = this.#options.fence();
 			try {
-				if (fence !== undefined) {
+				if (fence?.version === fencingToken) {
 					await this.#options.store.save(save, fence);
-					this.#options.dispatch({type: 'saved', saveNumber: save.saveNumber, ...this.#now()});
+					this.#options.dispatch({
+						type: 'saved', fencingToken, saveNumber: save.saveNumber, ...this.#now(),
+					});
 					return;
 				}
 			} catch (error) {
 				if (error instanceof ConflictError) {
-					this.#options.log.warn({event: 'save_fenced', saveNumber: save.saveNumber});
-					this.#options.dispatch({type: 'leaseLost', ...this.#now()});
+					this.#options.log.warn({event: 'save_fenced', saveNumber: save.saveNumber, fencingToken});
+					this.#options.dispatch({type: 'leaseLost', fencingToken, ...this.#now()});
 					return;
 				}
 
@@ -214,8 +218,8 @@
 		}
 	}
 
-	#isSavePending(save: ProgressSave): boolean {
-		return this.#state.term !== undefined && this.#state.pendingSaveNumber === save.saveNumber && !this.#options.isClosed();
+	#isSavePending(save: ProgressSave, fencingToken: number): boolean {
+		return this.#state.term?.fencingToken === fencingToken && this.#state.pendingSaveNumber === save.saveNumber && !this.#options.isClosed();
 	}
 
 	async #reportWave(waveId: number, state: 'running' | 'completed'): Promise<void> {
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -157,8 +157,8 @@
 			store: this.#store,
 			state: () => this.#runtime.state,
 			fence: () => this.#term.fence,
-			clearFence: () => {
-				this.#term.clearFence();
+			clearFence: fencingToken => {
+				this.#term.clearFence(fencingToken);
 			},
 			dispatch: event => {
 				this.#runtime.dispatch(event);
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -75,8 +75,8 @@
 	#isLeaving = false;
 	/** Token of a holder whose replacement this process has left to others once. */
 	#leftToOthersToken: number | undefined;
-	/** A read that confirms whether the fence is still valid is in flight. */
-	#isConfirmingFence = false;
+	/** Token of the term for which a read is in flight that confirms whether its fence is still valid. */
+	#confirmingToken: number | undefined;
 	/** Difference between the wall clock and the monotonic clock at the last check. */
 	#wallOffsetMs: number | undefined;
 
@@ -98,9 +98,11 @@
 		return this.#fence;
 	}
 
-	/** Drops the fence, for use when another process is known to hold the lease. */
-	clearFence(): void {
-		this.#fence = undefined;
+	/** Drops the fence with this token, for use when another process is known to hold the lease. The fence of a lease that was acquired since stays. */
+	clearFence(fencingToken: number): void {
+		if (this.#fence?.version === fencingToken) {
+			this.#fence = undefined;
+		}
 	}
 
 	start(): void {
@@ -228,9 +230,13 @@
 
 	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
 	async #releaseLease(): Promise<void> {
-		const token = this.#fence?.version ?? this.#state.term?.fencingToken;
+		const {term} = this.#state;
+		const token = this.#fence?.version ?? term?.fencingToken;
 		this.#fence = undefined;
-		this.#options.dispatch({type: 'leaseLost', ...this.#now()});
+		if (term !== undefined) {
+			this.#options.dispatch({type: 'leaseLost', fencingToken: term.fencingToken, ...this.#now()});
+		}
+
 		if (token !== undefined) {
 			this.#liveness?.announceRelease(token);
 		}
@@ -275,14 +281,14 @@
 		}
 
 		const lease = this.#leases.heldLease(schedulerLease) ?? this.#continueLease(term.fencingToken);
-		if (isSuspended && !hasClockJumped && !this.#isConfirmingFence && lease?.fence.version === term.fencingToken) {
-			this.#options.dispatch({type: 'leaseWon', fencingToken: term.fencingToken, ...this.#now()});
+		if (isSuspended && !hasClockJumped && !this.#isConfirming(term.fencingToken) && lease?.fence.version === term.fencingToken) {
+			this.#options.dispatch({type: 'leaseConfirmed', fencingToken: term.fencingToken, ...this.#now()});
 			this.#markUnconfirmed();
 		} else if (!isSuspended && (hasClockJumped || lease === undefined)) {
 			this.#options.log.warn({event: 'term_suspended', fencingToken: term.fencingToken, gapMs: Math.round(gapMs)});
 			this.#fence = lease?.fence;
 			this.#options.dispatch({type: 'leaseSuspended', ...this.#now()});
-			if (hasClockJumped && !this.#isConfirmingFence) {
+			if (hasClockJumped && !this.#isConfirming(term.fencingToken)) {
 				void this.#confirmFence(term.fencingToken);
 			}
 		}
@@ -291,7 +297,7 @@
 	/** Gives no orders until a read from the store has confirmed that no other process holds the lease. */
 	#suspendTerm(fields: LogFields): void {
 		const {term, isSuspended} = this.#state;
-		if (term === undefined || this.#isConfirmingFence) {
+		if (term === undefined || this.#isConfirming(term.fencingToken)) {
 			return;
 		}
 
@@ -304,13 +310,13 @@
 	}
 
 	async #confirmFence(fencingToken: number): Promise<void> {
-		this.#isConfirmingFence = true;
+		this.#confirmingToken = fencingToken;
 		let isKnown = false;
 		while (!isKnown && this.#state.term?.fencingToken === fencingToken) {
 			try {
 				// The age of the operators' rows does not show the time for which the machine was suspended.
 				const [[row]] = await Promise.all([this.#options.table.readRows([fenceKey(schedulerLease)]), this.#options.refreshOrders()]);
-				this.#options.dispatch(row?.version === fencingToken ? {type: 'leaseWon', fencingToken, ...this.#now()} : {type: 'leaseLost', ...this.#now()});
+				this.#options.dispatch({type: row?.version === fencingToken ? 'leaseConfirmed' : 'leaseLost', fencingToken, ...this.#now()});
 				isKnown = true;
 			} catch (error) {
 				this.#options.log.warn({event: 'fence_not_confirmed', reason: failureReason(this.#options.log, 'confirm fence', error)});
@@ -318,13 +324,19 @@
 			}
 		}
 
-		this.#isConfirmingFence = false;
+		if (this.#isConfirming(fencingToken)) {
+			this.#confirmingToken = undefined;
+		}
+	}
+
+	#isConfirming(fencingToken: number): boolean {
+		return this.#confirmingToken === fencingToken;
 	}
 
 	/** Returns the lease that could not be renewed in time if no other process can have acquired it. */
 	#continueLease(fencingToken: number): HeldLease | undefined {
 		const lease = this.#leases.unconfirmedLease(schedulerLease);
-		if (this.#isConfirmingFence || lease?.fence.version !== fencingToken || !this.#continuation.mayContinue(lease)) {
+		if (this.#isConfirming(fencingToken) || lease?.fence.version !== fencingToken || !this.#continuation.mayContinue(lease)) {
 			return undefined;
 		}
 
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -106,7 +106,7 @@
 		const pauseMs = isUrgent(worker) ? pollPauseMs : this.#options.pauseMs();
 		pollState.nextPollAtMs = nowMs + (answer.type === 'report' ? pauseMs : pollRetryMs);
 		dispatch({
-			type: 'polled', workerId, answer, sentAtMs, sentAcknowledgement, nowMs, wallMs: clock.wallTimeMs(),
+			type: 'polled', fencingToken, workerId, answer, sentAtMs, sentAcknowledgement, nowMs, wallMs: clock.wallTimeMs(),
 		});
 	}
 
--- a/packages/scheduler/tests/cut-reports.test.ts
+++ b/packages/scheduler/tests/cut-reports.test.ts
@@ -49,7 +49,7 @@
 
 	report(report: WorkerReport): void {
 		this.dispatch({
-			type: 'polled', workerId, sentAtMs: this.#nowMs + 10, sentAcknowledgement: 0, answer: {type: 'report', report},
+			type: 'polled', fencingToken: 5, workerId, sentAtMs: this.#nowMs + 10, sentAcknowledgement: 0, answer: {type: 'report', report},
 		});
 	}
 }
@@ -61,7 +61,7 @@
 	holder.dispatch(accepted);
 	const start = holder.dispatch({type: 'tick'}).find(effect => effect.type === 'start');
 	holder.dispatch({
-		type: 'startAnswered', workerId, taskKey: start!.taskKey, attempt: start!.attempt, answer: 'started',
+		type: 'startAnswered', fencingToken: 5, workerId, taskKey: start!.taskKey, attempt: start!.attempt, answer: 'started',
 	});
 	holder.report(fullReport);
 	holder.dispatch({type: 'tick'});
--- a/packages/scheduler/tests/support/overload-model.ts
+++ b/packages/scheduler/tests/support/overload-model.ts
@@ -224,7 +224,7 @@
 		}
 
 		this.#dispatch({
-			type: 'polled', workerId, sentAtMs: this.#nowMs, sentAcknowledgement: 0, answer: {
+			type: 'polled', fencingToken: 1, workerId, sentAtMs: this.#nowMs, sentAcknowledgement: 0, answer: {
 				type: 'report', report: {
 					clockMs: this.#nowMs, bornWallMs: 1, finished, running: [...ends].map(([taskKey, {attempt}]) => ({
 						taskKey, attempt, checkpoint: '', percent: (this.#nowMs / roundMs) % 100, figure: 0,
@@ -249,7 +249,7 @@
 			this.starts.push({atMs: this.#nowMs, ageFactor: (this.#nowMs - job.atMs) / job.objectiveMs});
 			this.#ends.get(workerId)!.set(taskKey, {attempt, atMs: this.#nowMs + durationMs});
 			this.#dispatch({
-				type: 'startAnswered', workerId, taskKey, attempt, answer: 'started',
+				type: 'startAnswered', fencingToken: 1, workerId, taskKey, attempt, answer: 'started',
 			});
 		} else if (effect.type === 'save') {
 			for (const {jobId, progress} of effect.save.jobs) {
@@ -258,7 +258,7 @@
 				}
 			}
 
-			this.#dispatch({type: 'saved', saveNumber: effect.save.saveNumber});
+			this.#dispatch({type: 'saved', fencingToken: 1, saveNumber: effect.save.saveNumber});
 		}
 	}
 }
