Release a lease whose holder has no term

A process that holds the lease without a term keeps all others from scheduling, and only a change of the lease began a term.

Change: `TermKeeper` checks on every tick that the held lease has a term, or one that is beginning.

--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -35,6 +35,9 @@
 const outsiderDelayMs = 500;
 const outsiderCheckIntervalMs = leaseMs / 2;
 
+/** A process that has held the lease for this long without a term, and without beginning one, releases it. By then a renewal has shown whether another process holds it. */
+const maxTimeWithoutTermMs = leaseMs / 2;
+
 /** The wall clock and the monotonic clock diverge by more than this only if the machine was suspended or its time of day was set. */
 const suspensionThresholdMs = 200;
 
@@ -77,6 +80,10 @@
 	#leftToOthersToken: number | undefined;
 	/** Token of the term for which a read is in flight that confirms whether its fence is still valid. */
 	#confirmingToken: number | undefined;
+	/** Token of the lease whose term begins once the copies are up to date. */
+	#beginningToken: number | undefined;
+	/** Since when this process has held the lease without a term. */
+	#withoutTermSinceMs: number | undefined;
 	/** Difference between the wall clock and the monotonic clock at the last check. */
 	#wallOffsetMs: number | undefined;
 
@@ -117,13 +124,14 @@
 		}
 
 		this.#suspendIfLeaseUncertain(now);
+		this.#releaseLeaseWithoutTerm(now);
 	}
 
 	/** Hands the lease over if a larger process is running. Returns true if it does so. */
 	yieldToLargerPeer(now: Moment): boolean {
 		const isSmaller = this.#isSmallerThanPeer(now);
 		if (isSmaller) {
-			void this.#yieldLease();
+			void this.#yieldLease('a larger process is running');
 		}
 
 		return isSmaller;
@@ -256,14 +264,31 @@
 		return mayYield && this.#options.hasLargerPeer(term.wonAtMs);
 	}
 
-	async #yieldLease(): Promise<void> {
-		this.#options.log.info({event: 'lease_yielded', reason: 'a larger process is running'});
+	async #yieldLease(reason: string): Promise<void> {
+		this.#options.log.info({event: 'lease_yielded', reason});
 		await this.#releaseLease();
 		if (!this.#isLeaving) {
 			this.#contend();
 		}
 	}
 
+	/** While a process holds the lease, no other one schedules. If it has no term for whatever reason, it releases the lease, so that a term under a new token can begin. */
+	#releaseLeaseWithoutTerm({nowMs}: Moment): void {
+		const token = this.#leases.heldLease(schedulerLease)?.fence.version;
+		if (token === undefined || this.#isLeaving || token === this.#state.term?.fencingToken || token === this.#beginningToken) {
+			this.#withoutTermSinceMs = undefined;
+			return;
+		}
+
+		this.#withoutTermSinceMs ??= nowMs;
+		if (nowMs - this.#withoutTermSinceMs >= maxTimeWithoutTermMs) {
+			this.#withoutTermSinceMs = undefined;
+			this.#options.metrics.increment('leases_without_term_total');
+			this.#options.log.warn({event: 'lease_without_term', fencingToken: token, forMs: Math.round(maxTimeWithoutTermMs)});
+			void this.#yieldLease('no term has begun');
+		}
+	}
+
 	/**
 	A suspended machine's monotonic clock stops, so after a suspension the lease still seems to be valid; only the wall clock shows the gap. Nothing is ordered until a read from the store has confirmed the fence.
 	*/
@@ -373,6 +398,7 @@
 	/** Begins the term once the replicas hold everything that the earlier lease holder stored, since orders rely on it, and all operators' rows, since an evacuation may have been ordered of which only the earlier holder knew. */
 	async #beginTerm(lease: HeldLease): Promise<void> {
 		const {fence} = lease;
+		this.#beginningToken = fence.version;
 		while (this.#fence?.version === fence.version) {
 			try {
 				await this.#options.refreshCopies();
@@ -381,12 +407,16 @@
 					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone: this.#isPredecessorGone(lease), earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
 				});
 				this.#options.onTermBegun();
-				return;
+				break;
 			} catch (error) {
 				this.#options.log.warn({event: 'takeover_waits', reason: failureReason(this.#options.log, 'take over', error)});
 				await this.#pause(storeRetryDelayMs);
 			}
 		}
+
+		if (this.#beginningToken === fence.version) {
+			this.#beginningToken = undefined;
+		}
 	}
 
 	async #pause(durationMs: number): Promise<void> {
