Let an answered machine order end only the worker that it was sent for

Cause: when an order was answered, the worker that the machine ran at that moment was taken for ended. If the answer had been lost, that is the worker which the order itself had brought. A trace of the case: the move of m3 is unanswered at 18.085 s, m3 is up again as w-m3-2 at 18.279 s, the repeated order is accepted at 18.811 s, and `runs_lost workerId=w-m3-2 runs=8 reason=machine-ordered-away` follows 1 ms later. After a wave whose answers were lost, the same left a pool without workers.

Change: workers have numbered incarnations, and an order keeps the one that it was first sent for. Orders are numbered; an answer to another order for the machine, and a list of machines older than the present one, are dropped. A list that shows a move done finishes its order. A machine that runs another worker by then is drained before its order is repeated. An accepted order that changed nothing leaves its worker in use: the list of machines shows that it goes on.

Orders in evacuation.test.ts have the new fields; the test is as strict.

--- a/bench/pool-forecast.bench.ts
+++ b/bench/pool-forecast.bench.ts
@@ -212,7 +212,9 @@
 	#orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): void {
 		const machine = this.#machines.get(effect.machineId)!;
 		if (machine.state !== 'up') {
-			this.#dispatch({type: 'machineAnswered', fencingToken: 1, machineId: effect.machineId, answer: 'busy'});
+			this.#dispatch({
+				type: 'machineAnswered', fencingToken: 1, machineId: effect.machineId, orderNumber: effect.orderNumber, answer: 'busy',
+			});
 			return;
 		}
 
@@ -229,7 +231,9 @@
 		this.#clock.schedule(effect.type === 'move' ? moveMs : maintenanceMs, () => {
 			this.#boot(effect.machineId);
 		});
-		this.#dispatch({type: 'machineAnswered', fencingToken: 1, machineId: effect.machineId, answer: 'accepted'});
+		this.#dispatch({
+			type: 'machineAnswered', fencingToken: 1, machineId: effect.machineId, orderNumber: effect.orderNumber, answer: 'accepted',
+		});
 	}
 
 	#boot(machineId: string): void {
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -54,7 +54,7 @@
 	| {readonly type: 'adviceAnswered'; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workerIds: readonly string[]; readonly answer: AdviceAnswer}
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly sentAtMs: number}
-	| (OfTerm & {readonly type: 'machineAnswered'; readonly machineId: string; readonly answer: MachineAnswer})
+	| (OfTerm & {readonly type: 'machineAnswered'; readonly machineId: string; readonly orderNumber: number; readonly answer: MachineAnswer})
 	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. */
 	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean}
 );
@@ -78,8 +78,8 @@
 	| {readonly type: 'requestAdvice'; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workerIds: readonly string[]}
 	/** `fencingToken`: the term whose fence is the condition of the save. */
 	| {readonly type: 'save'; readonly save: ProgressSave; readonly fencingToken: number}
-	| {readonly type: 'move'; readonly machineId: string; readonly pool: string; readonly fencingToken: number; readonly reason: string}
-	| {readonly type: 'maintain'; readonly machineId: string; readonly waveId: number; readonly fencingToken: number}
+	| {readonly type: 'move'; readonly machineId: string; readonly orderNumber: number; readonly pool: string; readonly fencingToken: number; readonly reason: string}
+	| {readonly type: 'maintain'; readonly machineId: string; readonly orderNumber: number; readonly waveId: number; readonly fencingToken: number}
 	| {readonly type: 'reportWave'; readonly waveId: number; readonly state: 'running' | 'completed'}
 	/** The term with this token has ended because a higher token was seen. */
 	| {readonly type: 'stepDown'; readonly fencingToken: number; readonly reason: string}
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -4,10 +4,12 @@
 import {minMachineAbsenceMs, machineOrderRetryMs} from '../constants.js';
 import {type MachineAnswer, type UnreadableMachine} from '../ports.js';
 import {type MachineEntry} from '../types.js';
-import {type MachineRecord, type WorkerRecord} from './records.js';
+import {type MachineOrder, type MachineRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {stepDown} from './terms.js';
-import {endWorker, type LossReason} from './workers.js';
+import {
+	endWorker, isPresent, type LossReason, presentIncarnation, returnToService,
+} from './workers.js';
 
 /** A complete list of machines, and when it was requested. */
 export type ReceivedMachineList = {
@@ -37,10 +39,7 @@
 		}
 
 		known.entry = entry;
-		const {order} = known;
-		if (order?.phase === 'accepted' && entry.state === 'up' && sentAtMs >= order.answeredAtMs! + minMachineAbsenceMs) {
-			known.order = undefined;
-		}
+		finishOrder(state, known, sentAtMs);
 	}
 
 	for (const machineId of state.machines.keys()) {
@@ -53,6 +52,28 @@
 	endUnlistedWorkers(state, unreadable, {sentAtMs, wallMs});
 };
 
+/** Returns true if the list shows that a move was carried out whose answer is not known. */
+const isMoveDone = ({entry, order}: MachineRecord, listSentAtMs: number): boolean => order?.type === 'move'
+	&& order.phase !== 'accepted'
+	&& listSentAtMs > order.firstSentAtMs
+	&& entry.pool === order.pool
+	&& order.formerPool !== order.pool;
+
+/** Finishes the machine's order once a list shows its effect, and lets the worker take tasks that the machine runs now. An order that had been carried out before changes nothing when it is accepted, so that worker may be one that was taken for ended. */
+const finishOrder = (state: SchedulerState, machine: MachineRecord, listSentAtMs: number): void => {
+	const {entry, order} = machine;
+	const isAbsenceOver = order?.phase === 'accepted' && listSentAtMs >= order.answeredAtMs! + minMachineAbsenceMs;
+	if (order === undefined || entry.state !== 'up' || !(isAbsenceOver || isMoveDone(machine, listSentAtMs))) {
+		return;
+	}
+
+	machine.order = undefined;
+	const worker = workerOn(state, machine);
+	if (worker !== undefined) {
+		returnToService(state, worker);
+	}
+};
+
 /** A worker that registers itself is named in the list of machines within this time. */
 const maxListingDelayMs = 1000;
 
@@ -114,25 +135,35 @@
 export const workerOn = (state: SchedulerState, machine: MachineRecord): WorkerRecord | undefined =>
 	machine.entry.workerId === undefined ? undefined : state.workers.get(machine.entry.workerId);
 
+/** Creates the order, or its repetition if the machine has one already. */
+const newOrder = (state: SchedulerState, {entry, order: earlier}: MachineRecord, worker: WorkerRecord | undefined, nowMs: number): Omit<MachineOrder, 'type' | 'waveId' | 'pool'> => ({
+	orderNumber: ++state.machineOrderCount,
+	firstSentAtMs: earlier?.firstSentAtMs ?? nowMs,
+	endsIncarnation: earlier === undefined ? worker && presentIncarnation(worker) : earlier.endsIncarnation,
+	formerPool: earlier?.formerPool ?? entry.pool,
+	phase: 'sent',
+	answeredAtMs: undefined,
+});
+
 export const orderMove = (state: SchedulerState, machine: MachineRecord, pool: string, nowMs: number, reason: string): void => {
 	machine.order = {
-		type: 'move', waveId: undefined, pool, sentAtMs: nowMs, phase: 'sent', answeredAtMs: undefined,
+		...newOrder(state, machine, workerOn(state, machine), nowMs), type: 'move', waveId: undefined, pool,
 	};
 	state.machineOrdersLeft--;
 	reserveWorker(state, machine);
 	state.emit({
-		type: 'move', machineId: machine.entry.machineId, pool, fencingToken: state.term!.fencingToken, reason,
+		type: 'move', machineId: machine.entry.machineId, orderNumber: machine.order.orderNumber, pool, fencingToken: state.term!.fencingToken, reason,
 	});
 };
 
 export const orderMaintenance = (state: SchedulerState, machine: MachineRecord, waveId: number, nowMs: number): void => {
 	machine.order = {
-		type: 'maintain', waveId, pool: undefined, sentAtMs: nowMs, phase: 'sent', answeredAtMs: undefined,
+		...newOrder(state, machine, workerOn(state, machine), nowMs), type: 'maintain', waveId, pool: undefined,
 	};
 	state.machineOrdersLeft--;
 	reserveWorker(state, machine);
 	state.emit({
-		type: 'maintain', machineId: machine.entry.machineId, waveId, fencingToken: state.term!.fencingToken,
+		type: 'maintain', machineId: machine.entry.machineId, orderNumber: machine.order.orderNumber, waveId, fencingToken: state.term!.fencingToken,
 	});
 };
 
@@ -161,6 +192,7 @@
 	}
 };
 
+/** Applies the answer to the machine's present order. */
 export const applyMachineAnswer = (state: SchedulerState, machineId: string, answer: MachineAnswer, nowMs: number): void => {
 	const machine = state.machines.get(machineId);
 	if (answer === 'fenced') {
@@ -177,9 +209,8 @@
 	switch (answer) {
 		case 'accepted': {
 			order.phase = 'accepted';
-			const worker = workerOn(state, machine);
-			if (worker !== undefined) {
-				endWorker(state, worker, nowMs, 'machine-ordered-away');
+			if (order.endsIncarnation !== undefined && isPresent(order.endsIncarnation)) {
+				endWorker(state, order.endsIncarnation.worker, nowMs, 'machine-ordered-away');
 			}
 
 			if (order.waveId !== undefined) {
@@ -221,7 +252,13 @@
 	}
 };
 
-/** Repeats orders whose outcome is unknown. A move into a pool is not repeated in a data centre that has been evacuated since; the list of machines shows whether it was carried out. */
+/** Returns true if the machine runs a worker that the order was not sent for. If the order is carried out only when it is repeated, it ends that worker. */
+const runsOtherWorker = (state: SchedulerState, machine: MachineRecord, {endsIncarnation}: MachineOrder): boolean => {
+	const worker = workerOn(state, machine);
+	return worker !== undefined && !(endsIncarnation?.worker === worker && isPresent(endsIncarnation));
+};
+
+/** Repeats orders whose outcome is unknown. A machine that runs another worker by now is drained first. A move into a pool is not repeated in a data centre that has been evacuated since; the list of machines shows whether it was carried out. */
 export const repeatMachineOrders = (state: SchedulerState, nowMs: number): void => {
 	for (const machine of state.machines.values()) {
 		const {order} = machine;
@@ -230,6 +267,8 @@
 			if (isIntoPool && isMachineEvacuated(state, machine)) {
 				machine.order = undefined;
 				releaseWorker(state, machine);
+			} else if (runsOtherWorker(state, machine, order) && !isIdle(state, machine, nowMs)) {
+				reserveWorker(state, machine);
 			} else if (order.type === 'maintain') {
 				orderMaintenance(state, machine, order.waveId!, nowMs);
 			} else {
--- a/packages/scheduler/src/core/outdated-events.ts
+++ b/packages/scheduler/src/core/outdated-events.ts
@@ -1,5 +1,5 @@
 /**
-Drops events that do not belong to the present: the answer to a call may arrive after the term in which it was sent has ended and another one of the same process has begun. What such an answer says was true of what it belongs to only. See `docs/design/event-identity.md` for the identity of each event.
+Drops events that do not belong to the present: the answer to a call may arrive after the term in which it was sent has ended and another one of the same process has begun, or after another order for the same machine. What such an answer says was true of what it belongs to only. See `docs/design/event-identity.md` for the identity of each event.
 */
 import {type SchedulerEvent} from './events.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -21,6 +21,15 @@
 		return {reason: 'other-term', fields: {fencingToken: event.fencingToken, presentToken: state.term?.fencingToken}};
 	}
 
+	if (event.type === 'machineAnswered' && event.answer !== 'fenced') {
+		const presentOrder = state.machines.get(event.machineId)?.order?.orderNumber;
+		return event.orderNumber === presentOrder ? undefined : {reason: 'other-order', fields: {orderNumber: event.orderNumber, presentOrder}};
+	}
+
+	if (event.type === 'machinesListed' && event.sentAtMs < (state.machinesListedAtMs ?? event.sentAtMs)) {
+		return {reason: 'earlier-list', fields: {sentAtMs: event.sentAtMs, presentSentAtMs: state.machinesListedAtMs}};
+	}
+
 	return undefined;
 };
 
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -145,6 +145,8 @@
 
 export type WorkerRecord = {
 	entry: WorkerEntry;
+	/** Number of the incarnation, as counted by this process. */
+	incarnation: number;
 	/** When this process first saw this incarnation of the worker. */
 	firstSeenAtMs: number;
 	isListed: boolean;
@@ -224,11 +226,24 @@
 	nextOrderAtMs: number;
 };
 
+/** One incarnation of a worker: the time between two starts of it, in which its runs and counts last. */
+export type WorkerIncarnation = {
+	readonly worker: WorkerRecord;
+	readonly incarnation: number;
+};
+
 export type MachineOrder = {
 	readonly type: 'move' | 'maintain';
 	readonly waveId: number | undefined;
 	readonly pool: string | undefined;
-	readonly sentAtMs: number;
+	/** Tells the answer from those to other orders for the machine. A repeated order has a new number. */
+	readonly orderNumber: number;
+	/** When the order was sent for the first time. */
+	readonly firstSentAtMs: number;
+	/** What the machine ran when the order was sent for the first time, which ends with it. A worker that the machine runs later may be the one that the order has brought. */
+	readonly endsIncarnation: WorkerIncarnation | undefined;
+	/** The machine's pool before the order. */
+	readonly formerPool: string;
 	phase: 'sent' | 'accepted' | 'retry';
 	answeredAtMs: number | undefined;
 };
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -94,6 +94,10 @@
 	storedSaveNumber = 0;
 	/** Trials of this term that have not ended. */
 	readonly trials = new Set<Trial>();
+	/** Number of orders for machines that were sent, repeated ones included. */
+	machineOrderCount = 0;
+	/** Number of incarnations of workers that this process has seen begin. */
+	incarnationCount = 0;
 	/** Number of machine orders that this round may still send. */
 	machineOrdersLeft = Number.POSITIVE_INFINITY;
 	readonly #resourcesInUse = new Map<string, Resources>();
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -6,11 +6,12 @@
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
 import {attributeCrash, resolveLostTrials} from './crash-attribution.js';
-import {type TaskRun, type WorkerRecord} from './records.js';
+import {type TaskRun, type WorkerIncarnation, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 const newWorker = (state: SchedulerState, entry: WorkerEntry, nowMs: number): WorkerRecord => ({
 	entry,
+	incarnation: ++state.incarnationCount,
 	firstSeenAtMs: nowMs,
 	isListed: true,
 	unlistedAtMs: undefined,
@@ -98,6 +99,7 @@
 /** Resets the record of a restarted worker, which runs nothing and has seen no fencing token. */
 export const beginIncarnation = (state: SchedulerState, worker: WorkerRecord, bornWallMs: number | undefined, nowMs: number): void => {
 	loseRuns(state, worker, nowMs, 'worker-restarted');
+	worker.incarnation = ++state.incarnationCount;
 	worker.bornWallMs = bornWallMs;
 	worker.isEnded = false;
 	worker.firstSeenAtMs = nowMs;
@@ -114,6 +116,11 @@
 	worker.quarantinedUntilMs = 0;
 };
 
+export const presentIncarnation = (worker: WorkerRecord): WorkerIncarnation => ({worker, incarnation: worker.incarnation});
+
+/** Returns true if the worker has not started again since. */
+export const isPresent = ({worker, incarnation}: WorkerIncarnation): boolean => worker.incarnation === incarnation;
+
 /** Why a worker's runs ended with an unknown result. */
 export type LossReason = 'machine-ordered-away' | 'machine-runs-another-worker' | 'rack-lost' | 'worker-restarted' | 'worker-replaced' | 'silent-past-lease' | 'unlisted-past-lease';
 
@@ -133,10 +140,27 @@
 	}
 };
 
+/** Uses a worker again that was taken for ended, once the list of machines shows that it goes on. */
+const reviveWorker = (state: SchedulerState, worker: WorkerRecord): void => {
+	worker.isEnded = false;
+	// The next report tells what runs on it.
+	worker.isFenced = false;
+	state.emit({type: 'log', fields: {event: 'worker_goes_on', workerId: worker.entry.workerId, machineId: worker.machineId}});
+};
+
+/** Lets the worker take tasks again after an order for its machine. */
+export const returnToService = (state: SchedulerState, worker: WorkerRecord): void => {
+	worker.isReserved = false;
+	if (worker.isEnded) {
+		reviveWorker(state, worker);
+	}
+};
+
 /** Returns true if the worker may have ended because it was drained or its machine was ordered away. */
 const isLeaving = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean => {
 	const isDrained = worker.drainNoticedAtMs !== undefined && nowMs - worker.drainNoticedAtMs >= minDrainMs;
-	const isOrderedAway = worker.machineId !== undefined && state.machines.get(worker.machineId)?.order !== undefined;
+	const endsIncarnation = worker.machineId === undefined ? undefined : state.machines.get(worker.machineId)?.order?.endsIncarnation;
+	const isOrderedAway = endsIncarnation?.worker === worker && isPresent(endsIncarnation);
 	return isDrained || isOrderedAway;
 };
 
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -186,7 +186,7 @@
 			...(effect.type === 'move' ? {pool: effect.pool, reason: effect.reason} : {waveId: effect.waveId}),
 		});
 		this.#options.dispatch({
-			type: 'machineAnswered', fencingToken: effect.fencingToken, machineId: effect.machineId, answer, ...this.#now(),
+			type: 'machineAnswered', fencingToken: effect.fencingToken, machineId: effect.machineId, orderNumber: effect.orderNumber, answer, ...this.#now(),
 		});
 	}
 
--- a/packages/scheduler/tests/evacuation.test.ts
+++ b/packages/scheduler/tests/evacuation.test.ts
@@ -480,7 +480,7 @@
 	});
 	for (const machine of state.machines.values()) {
 		machine.order = {
-			type: 'move', waveId: undefined, pool, sentAtMs: 3, phase: 'retry', answeredAtMs: 4,
+			type: 'move', waveId: undefined, pool, orderNumber: 1, firstSentAtMs: 3, endsIncarnation: undefined, formerPool: standbyPool, phase: 'retry', answeredAtMs: 4,
 		};
 	}
 
--- a/packages/scheduler/tests/outdated-events.test.ts
+++ b/packages/scheduler/tests/outdated-events.test.ts
@@ -81,7 +81,7 @@
 		type: 'paceAnswered', fencingToken: earlierToken, workerId: 'w1', taskKey, attempt: 1, percent: 50, answer: 'fenced',
 	},
 	{
-		type: 'machineAnswered', fencingToken: earlierToken, machineId: 'm1', answer: 'fenced',
+		type: 'machineAnswered', fencingToken: earlierToken, machineId: 'm1', orderNumber: 1, answer: 'fenced',
 	},
 ])('a late $type of an earlier term does not end the present term', event => {
 	dispatch({type: 'leaseSuspended'});
