Leave it to a restarted worker's report which runs ended with its restart

Cause: a start names the worker by its id, which stays over a restart, so the new incarnation takes orders before the holder has read its registration. When the registration was read, all runs of the worker were taken for lost with the earlier incarnation, also those that the present one had confirmed. Related: a late answer to a poll of an earlier incarnation, an answer that the address belongs to another worker, and a list of machines requested while the worker was down ended runs that were ordered since.

Change: a restart only marks the worker; its first report tells which runs go on and which are lost, with the crash attribution that followed at once before. If it does not answer, only the runs that an earlier incarnation had listed are lost. Polls, stops and paces carry the incarnation that they were sent to, and answers of an earlier one are dropped. A registration of an earlier incarnation no longer replaces that of the present one.

--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -53,6 +53,7 @@
 		phase: 'starting',
 		orderedAtMs: nowMs,
 		startedAtMs: undefined,
+		listedIncarnation: undefined,
 		isConfirmed: false,
 		isTrial: worker.trial?.tasks.includes(task) === true,
 		isAdopted: false,
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -20,6 +20,9 @@
 /** The term in which an order was sent, or which an event ends or resumes. `dropOutdatedEvent` drops the event if that term is not the present one. */
 type OfTerm = {readonly fencingToken: number};
 
+/** The incarnation of the worker that a call was sent to, as this process numbers them. */
+type OfIncarnation = {readonly incarnation: number};
+
 /** A change to the stored rows of one job. */
 export type JobChange
 	= | {readonly type: 'accepted'; readonly job: JobSpec; readonly rowKey: string}
@@ -47,10 +50,10 @@
 	| (OfTerm & {readonly type: 'leaseConfirmed'})
 	/** Another process holds the lease of the term, or this one has released it. */
 	| (OfTerm & {readonly type: 'leaseLost'})
-	| (OfTerm & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number})
+	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number})
 	| (OfTerm & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
-	| (OfTerm & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
-	| (OfTerm & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly answer: OrderAnswer})
+	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
+	| (OfTerm & OfIncarnation & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly answer: OrderAnswer})
 	| {readonly type: 'adviceAnswered'; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workerIds: readonly string[]; readonly answer: AdviceAnswer}
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly sentAtMs: number}
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -8,7 +8,7 @@
 import {type SchedulerState} from './scheduler-state.js';
 import {stepDown} from './terms.js';
 import {
-	endWorker, isPresent, type LossReason, presentIncarnation, returnToService,
+	endWorker, isPresent, loseRuns, type LossReason, presentIncarnation, returnToService,
 } from './workers.js';
 
 /** A complete list of machines, and when it was requested. */
@@ -99,7 +99,7 @@
 
 	for (const [workerId, worker] of state.workers) {
 		const machineId = machineIdByWorker.get(workerId);
-		if (machineIdByWorker.size > 0 && machineId === undefined && !mayRunOnUnreadable(worker, unreadable) && (worker.machineId !== undefined || !worker.isListed || !mayBeNewerThanList(worker, nowMs, wallMs))) {
+		if (machineIdByWorker.size > 0 && machineId === undefined && worker.lastReportSentAtMs < nowMs && !mayRunOnUnreadable(worker, unreadable) && (worker.machineId !== undefined || !worker.isListed || !mayBeNewerThanList(worker, nowMs, wallMs))) {
 			ended.push(worker);
 		}
 
@@ -108,7 +108,13 @@
 
 	const losses = ended.filter(({isEnded}) => !isEnded).map((worker, _index, all) => ({worker, reason: lossReasonOf(state, worker, all)}));
 	for (const {worker, reason} of losses) {
-		endWorker(state, worker, nowMs, reason);
+		const ordered = [...worker.runs.values()].filter(({orderedAtMs}) => orderedAtMs <= nowMs);
+		if (ordered.length === worker.runs.size) {
+			endWorker(state, worker, nowMs, reason);
+		} else {
+			// Runs that were ordered since may be those of a worker that has started again under its id. The next list decides.
+			loseRuns(state, worker, nowMs, {reason, lost: ordered});
+		}
 	}
 };
 
--- a/packages/scheduler/src/core/outdated-events.ts
+++ b/packages/scheduler/src/core/outdated-events.ts
@@ -1,7 +1,9 @@
 /**
-Drops events that do not belong to the present: the answer to a call may arrive after the term in which it was sent has ended and another one of the same process has begun, or after another order for the same machine. What such an answer says was true of what it belongs to only. See `docs/design/event-identity.md` for the identity of each event.
+Drops events that do not belong to the present: the answer to a call may arrive after the term in which it was sent has ended and another one of the same process has begun, after the worker that it was sent to has started again, or after another order for the same machine. What such an answer says was true of what it belongs to only. See `docs/design/event-identity.md` for the identity of each event.
 */
+import {type WorkerEntry} from '../types.js';
 import {type SchedulerEvent} from './events.js';
+import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 type OutdatedEvent = {
@@ -10,6 +12,30 @@
 	readonly fields: Readonly<Record<string, string | number | undefined>>;
 };
 
+type IncarnationEvent = Extract<SchedulerEvent, {readonly incarnation: number}>;
+
+/** Compares the incarnation that a call was sent to, or that a report names, with the worker's present one. Any incarnation may tell of a higher fencing token. */
+const findOutdatedCall = (state: SchedulerState, event: IncarnationEvent): OutdatedEvent | undefined => {
+	const worker = state.workers.get(event.workerId);
+	const answer = event.type === 'polled' ? event.answer : undefined;
+	if (worker === undefined || answer?.type === 'fenced' || event.answer === 'fenced') {
+		return undefined;
+	}
+
+	const reportedBornWallMs = answer?.type === 'report' ? answer.report.bornWallMs : undefined;
+	if (reportedBornWallMs !== undefined && worker.bornWallMs !== undefined) {
+		if (reportedBornWallMs < worker.bornWallMs) {
+			return {reason: 'earlier-incarnation', fields: {bornWallMs: reportedBornWallMs, presentBornWallMs: worker.bornWallMs}};
+		}
+	} else if (event.incarnation !== worker.incarnation) {
+		return {reason: 'earlier-incarnation', fields: {incarnation: event.incarnation, presentIncarnation: worker.incarnation}};
+	}
+
+	return event.type === 'polled' && answer?.type === 'report' && event.sentAtMs < worker.lastReportSentAtMs
+		? {reason: 'earlier-report', fields: {sentAtMs: event.sentAtMs, presentSentAtMs: worker.lastReportSentAtMs}}
+		: undefined;
+};
+
 /** Returns why the event does not belong to the present, or `undefined` if it does. */
 const findOutdated = (state: SchedulerState, event: SchedulerEvent): OutdatedEvent | undefined => {
 	if (event.type === 'leaseWon') {
@@ -21,6 +47,10 @@
 		return {reason: 'other-term', fields: {fencingToken: event.fencingToken, presentToken: state.term?.fencingToken}};
 	}
 
+	if ('incarnation' in event) {
+		return findOutdatedCall(state, event);
+	}
+
 	if (event.type === 'machineAnswered' && event.answer !== 'fenced') {
 		const presentOrder = state.machines.get(event.machineId)?.order?.orderNumber;
 		return event.orderNumber === presentOrder ? undefined : {reason: 'other-order', fields: {orderNumber: event.orderNumber, presentOrder}};
@@ -57,3 +87,14 @@
 
 	return outdated !== undefined;
 };
+
+/** Returns true if the registration is of an earlier incarnation than the present one, which has reported itself already. It is logged once. */
+export const dropOutdatedEntry = (state: SchedulerState, worker: WorkerRecord, entry: WorkerEntry): boolean => {
+	const isOutdated = entry.bornWallMs !== undefined && worker.bornWallMs !== undefined && entry.bornWallMs < worker.bornWallMs;
+	if (isOutdated && worker.outdatedEntry !== entry) {
+		worker.outdatedEntry = entry;
+		recordOutdated(state, {reason: 'earlier-incarnation', fields: {bornWallMs: entry.bornWallMs, presentBornWallMs: worker.bornWallMs}}, {type: 'workersListed', workerId: entry.workerId});
+	}
+
+	return isOutdated;
+};
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -31,6 +31,8 @@
 	readonly orderedAtMs: number;
 	/** When the worker confirmed the start. */
 	startedAtMs: number | undefined;
+	/** The incarnation of the worker that listed the run; `undefined` if none has. A start is confirmed without naming the incarnation. */
+	listedIncarnation: number | undefined;
 	/** The worker has confirmed that it started the run, or has listed it. */
 	isConfirmed: boolean;
 	/** The run is the only unproven one on its worker, so a crash of the worker is blamed on it. */
@@ -147,6 +149,10 @@
 	entry: WorkerEntry;
 	/** Number of the incarnation, as counted by this process. */
 	incarnation: number;
+	/** The worker has started again and has not reported since, so it is not known which runs were ordered from its present incarnation. */
+	restart: {readonly wasLeaving: boolean} | undefined;
+	/** The last registration that was found to be of an earlier incarnation. */
+	outdatedEntry: WorkerEntry | undefined;
 	/** When this process first saw this incarnation of the worker. */
 	firstSeenAtMs: number;
 	isListed: boolean;
@@ -168,6 +174,8 @@
 	/** Time, on this process's clock, until which tasks may keep running on the worker without another lease renewal. */
 	leaseExpiresAtMs: number;
 	lastAnswerAtMs: number;
+	/** When the last report was asked for. */
+	lastReportSentAtMs: number;
 	silentSinceMs: number | undefined;
 	/** When the first unanswered poll of the present silence failed. */
 	silenceNoticedAtMs: number;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -239,6 +239,7 @@
 			}
 
 			worker.expiredRuns = [];
+			worker.restart = undefined;
 			worker.trial = undefined;
 			worker.isFenced = false;
 			worker.processedSequence = 0;
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -19,7 +19,9 @@
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
 import {stepDown} from './terms.js';
-import {beginIncarnation, loseRuns, recordLeaseSent} from './workers.js';
+import {
+	beginIncarnation, loseEarlierRuns, loseRuns, recordLeaseSent, settleRestart,
+} from './workers.js';
 
 type PolledEvent = Extract<SchedulerEvent, {readonly type: 'polled'}>;
 
@@ -51,14 +53,15 @@
 		}
 
 		case 'wrong-worker': {
-			// The address now belongs to another worker, so the runs on this one are gone.
-			loseRuns(state, worker, event.nowMs, 'worker-replaced');
+			// The address belonged to another worker by then, so the runs that were ordered before are gone.
+			loseRuns(state, worker, event.nowMs, {reason: 'worker-replaced', lost: [...worker.runs.values()].filter(({orderedAtMs}) => orderedAtMs <= event.sentAtMs)});
 			worker.silentSinceMs ??= event.nowMs;
 			worker.isFenced ||= !worker.isListed;
 			break;
 		}
 
 		case 'unreachable': {
+			loseEarlierRuns(state, worker, event.nowMs);
 			if (worker.silentSinceMs === undefined) {
 				worker.silentSinceMs = event.sentAtMs;
 				worker.silenceNoticedAtMs = event.nowMs;
@@ -79,11 +82,7 @@
 };
 
 const applyReport = (state: SchedulerState, worker: WorkerRecord, report: WorkerReport, event: PolledEvent): void => {
-	if (report.bornWallMs !== undefined && worker.bornWallMs !== undefined && report.bornWallMs !== worker.bornWallMs) {
-		if (report.bornWallMs < worker.bornWallMs) {
-			return;
-		}
-
+	if (report.bornWallMs !== undefined && worker.bornWallMs !== undefined && report.bornWallMs > worker.bornWallMs) {
 		beginIncarnation(state, worker, report.bornWallMs, event.nowMs);
 	}
 
@@ -100,8 +99,8 @@
 	const mayLackEnds = report.finished.length >= maxEndsPerReport;
 	worker.isFenced ||= !mayLackEnds;
 	worker.silentSinceMs = undefined;
-	worker.expiredRuns = [];
 	worker.lastAnswerAtMs = event.nowMs;
+	worker.lastReportSentAtMs = event.sentAtMs;
 	worker.clock = {clockMs: report.clockMs, readAtMs: event.nowMs};
 	worker.sentAcknowledgement = Math.max(worker.sentAcknowledgement, event.sentAcknowledgement);
 	const ended: FinishedEntry[] = [];
@@ -122,9 +121,12 @@
 	}
 
 	if (!mayLackEnds) {
+		settleRestart(state, worker, listed, event);
 		removeVanishedRuns(state, worker, listed, event);
 		preventLateStarts(state, worker, listed, event);
 	}
+
+	worker.expiredRuns = [];
 };
 
 /** Orders a stop for unanswered starts that the worker does not list. The start order could still arrive late; once the worker has accepted the stop, it refuses such a start. */
@@ -147,6 +149,7 @@
 		return;
 	}
 
+	known.listedIncarnation = worker.incarnation;
 	known.checkpoint = entry.checkpoint;
 	known.figure = entry.figure;
 	if (known.percent !== entry.percent) {
@@ -188,6 +191,7 @@
 		phase: 'running',
 		orderedAtMs: nowMs,
 		startedAtMs: nowMs,
+		listedIncarnation: worker.incarnation,
 		isConfirmed: true,
 		isTrial: false,
 		isAdopted: true,
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -6,12 +6,15 @@
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
 import {attributeCrash, resolveLostTrials} from './crash-attribution.js';
+import {dropOutdatedEntry} from './outdated-events.js';
 import {type TaskRun, type WorkerIncarnation, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 const newWorker = (state: SchedulerState, entry: WorkerEntry, nowMs: number): WorkerRecord => ({
 	entry,
 	incarnation: ++state.incarnationCount,
+	restart: undefined,
+	outdatedEntry: undefined,
 	firstSeenAtMs: nowMs,
 	isListed: true,
 	unlistedAtMs: undefined,
@@ -26,6 +29,7 @@
 	clock: undefined,
 	leaseExpiresAtMs: nowMs,
 	lastAnswerAtMs: nowMs,
+	lastReportSentAtMs: Number.NEGATIVE_INFINITY,
 	silentSinceMs: undefined,
 	silenceNoticedAtMs: nowMs,
 	processedSequence: 0,
@@ -55,6 +59,12 @@
 			continue;
 		}
 
+		known.isListed = true;
+		known.unlistedAtMs = undefined;
+		if (dropOutdatedEntry(state, known, entry)) {
+			continue;
+		}
+
 		const hasDrainChanged = known.entry.isDraining !== entry.isDraining;
 		if (hasDrainChanged && state.term !== undefined) {
 			state.emit({
@@ -75,8 +85,6 @@
 
 		known.entry = entry;
 		known.isEvacuated = state.evacuations.has(entry.dataCentre);
-		known.isListed = true;
-		known.unlistedAtMs = undefined;
 	}
 
 	for (const [workerId, worker] of state.workers) {
@@ -96,9 +104,16 @@
 	}
 };
 
-/** Resets the record of a restarted worker, which runs nothing and has seen no fencing token. */
+/** Resets the record of a restarted worker, which has seen no fencing token. Its registration may be learned of after tasks were started on the new incarnation, so what has ended with the earlier one is left to the first report. */
 export const beginIncarnation = (state: SchedulerState, worker: WorkerRecord, bornWallMs: number | undefined, nowMs: number): void => {
-	loseRuns(state, worker, nowMs, 'worker-restarted');
+	worker.restart ??= {wasLeaving: isLeaving(state, worker, nowMs)};
+	for (const run of worker.runs.values()) {
+		if (run.phase === 'unconfirmed') {
+			// An earlier incarnation accepted the stop; the present one may still carry out the start.
+			run.stopOrderedAtMs = undefined;
+		}
+	}
+
 	worker.incarnation = ++state.incarnationCount;
 	worker.bornWallMs = bornWallMs;
 	worker.isEnded = false;
@@ -111,7 +126,7 @@
 	worker.acknowledgedSequence = 0;
 	worker.sentAcknowledgement = 0;
 	worker.pendingAcknowledgement = undefined;
-	worker.leaseExpiresAtMs = nowMs;
+	worker.leaseExpiresAtMs = worker.runs.size === 0 ? nowMs : worker.leaseExpiresAtMs;
 	worker.recentFailuresMs.length = 0;
 	worker.quarantinedUntilMs = 0;
 };
@@ -136,7 +151,7 @@
 		worker.isEnded = true;
 		worker.isFenced = true;
 		worker.leaseExpiresAtMs = nowMs;
-		loseRuns(state, worker, nowMs, reason);
+		loseRuns(state, worker, nowMs, {reason});
 	}
 };
 
@@ -170,9 +185,19 @@
 	.map(run => `${run.taskKey}#${run.attempt}:${Math.round(nowMs - run.orderedAtMs)}ms`)
 	.join(',');
 
-/** Removes all runs of a worker that have definitely ended with an unknown result. */
-export const loseRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number, reason: LossReason): void => {
-	const lost = [...worker.runs.values()];
+/** Why runs of a worker are lost, and which; by default all. */
+export type Loss = {
+	readonly reason: LossReason;
+	readonly lost?: readonly TaskRun[];
+	/** Runs that may go on, but may also have crashed the worker. */
+	readonly undecided?: readonly TaskRun[];
+	readonly wasLeaving?: boolean;
+};
+
+/** Removes runs of a worker that have definitely ended with an unknown result. */
+export const loseRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number, {
+	reason, lost = [...worker.runs.values()], undecided = [], wasLeaving = isLeaving(state, worker, nowMs),
+}: Loss): void => {
 	if (lost.length > 0) {
 		state.emit({
 			type: 'log', fields: {
@@ -197,13 +222,39 @@
 		return;
 	}
 
-	const underCrash = [...lost, ...worker.expiredRuns];
+	const underCrash = [...lost, ...undecided, ...worker.expiredRuns];
 	worker.expiredRuns = [];
-	if (underCrash.length > 0 && crashReasons.has(reason) && !isLeaving(state, worker, nowMs)) {
+	if (underCrash.length > 0 && crashReasons.has(reason) && !wasLeaving) {
 		attributeCrash(state, worker, underCrash, nowMs);
 	}
 };
 
+/** Removes the runs of earlier incarnations once the first report of the present one shows which runs it has. A run that was confirmed after that report was asked for is left to the next one. */
+export const settleRestart = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, {sentAtMs, nowMs}: {readonly sentAtMs: number; readonly nowMs: number}): void => {
+	const {restart} = worker;
+	if (restart !== undefined) {
+		worker.restart = undefined;
+		const missing = [...worker.runs.values()].filter(({taskKey}) => !listed.has(taskKey));
+		const isGone = ({startedAtMs}: TaskRun): boolean => startedAtMs !== undefined && startedAtMs < sentAtMs;
+		loseRuns(state, worker, nowMs, {
+			reason: 'worker-restarted', lost: missing.filter(run => isGone(run)), undecided: missing.filter(run => !isGone(run)), wasLeaving: restart.wasLeaving,
+		});
+	}
+};
+
+/** Removes the runs that an earlier incarnation listed, when the present one does not answer. Its own runs count as running until their leases expire. */
+export const loseEarlierRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
+	const {restart} = worker;
+	if (restart !== undefined) {
+		worker.restart = undefined;
+		const runs = [...worker.runs.values()];
+		const isEarlier = ({listedIncarnation}: TaskRun): boolean => listedIncarnation !== undefined && listedIncarnation < worker.incarnation;
+		loseRuns(state, worker, nowMs, {
+			reason: 'worker-restarted', lost: runs.filter(run => isEarlier(run)), undecided: runs.filter(run => !isEarlier(run)), wasLeaving: restart.wasLeaving,
+		});
+	}
+};
+
 /** Returns a deadline one lease from now on the worker's clock, or `undefined` while its clock is unknown. */
 export const deadlineClockMs = (worker: WorkerRecord, nowMs: number): number | undefined =>
 	worker.clock === undefined ? undefined : Math.floor(worker.clock.clockMs + (nowMs - worker.clock.readAtMs) + taskLeaseMs);
@@ -230,7 +281,7 @@
 		const isSilent = worker.silentSinceMs !== undefined && nowMs - worker.silentSinceMs >= workerSilenceTimeoutMs;
 		const isLeaseExpired = nowMs >= worker.leaseExpiresAtMs;
 		if (isLeaseExpired && (isSilent || !worker.isListed)) {
-			loseRuns(state, worker, nowMs, worker.isListed ? 'silent-past-lease' : 'unlisted-past-lease');
+			loseRuns(state, worker, nowMs, {reason: worker.isListed ? 'silent-past-lease' : 'unlisted-past-lease'});
 		}
 
 		if (!worker.isListed && worker.runs.size === 0 && (isLeaseExpired || state.term === undefined) && nowMs - (worker.unlistedAtMs ?? nowMs) > taskLeaseMs * 2) {
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -111,9 +111,10 @@
 		}
 	}
 
-	#addressOf(workerId: string): WorkerAddress | undefined {
+	/** Returns where the worker is reached, and which incarnation of it is called. */
+	#addressOf(workerId: string): WorkerAddress & {readonly incarnation: number} | undefined {
 		const worker = this.#state.workers.get(workerId);
-		return worker === undefined ? undefined : {workerId, address: worker.entry.address};
+		return worker === undefined ? undefined : {workerId, address: worker.entry.address, incarnation: worker.incarnation};
 	}
 
 	async #start({type: _type, waitedMs, ...order}: Extract<SchedulerEffect, {readonly type: 'start'}>): Promise<void> {
@@ -148,7 +149,7 @@
 			event: 'task_stop', taskKey, attempt, workerId, reason, percent, answer,
 		});
 		this.#options.dispatch({
-			type: 'stopAnswered', fencingToken, workerId, taskKey, attempt, answer, ...this.#now(),
+			type: 'stopAnswered', fencingToken, workerId, incarnation: worker?.incarnation ?? 0, taskKey, attempt, answer, ...this.#now(),
 		});
 	}
 
@@ -160,7 +161,7 @@
 		});
 		const {workerId, taskKey, attempt, percent, fencingToken} = order;
 		this.#options.dispatch({
-			type: 'paceAnswered', fencingToken, workerId, taskKey, attempt, percent, answer, ...this.#now(),
+			type: 'paceAnswered', fencingToken, workerId, incarnation: worker?.incarnation ?? 0, taskKey, attempt, percent, answer, ...this.#now(),
 		});
 	}
 
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -23,6 +23,8 @@
 };
 
 type PollState = {
+	/** Incarnation of the worker. A poll of an earlier one may be in flight for long, and its answer may be outdated. */
+	readonly incarnation: number;
 	isPolling: boolean;
 	nextPollAtMs: number;
 };
@@ -55,8 +57,8 @@
 		}
 
 		const nowMs = this.#options.clock.nowMs();
-		for (const [workerId, worker] of state.workers) {
-			const pollState = this.#pollStateOf(workerId);
+		for (const worker of state.workers.values()) {
+			const pollState = this.#pollStateOf(worker);
 			const dueMs = needsPoll(worker) ? pollState.nextPollAtMs : Math.max(pollState.nextPollAtMs, worker.lastAnswerAtMs + idlePollIntervalMs);
 			const mayHaveRuns = !worker.isEnded && (worker.isListed || nowMs < worker.leaseExpiresAtMs || !worker.isFenced);
 			if (!pollState.isPolling && mayHaveRuns && nowMs >= dueMs) {
@@ -71,10 +73,10 @@
 		}
 	}
 
-	#pollStateOf(workerId: string): PollState {
+	#pollStateOf({entry: {workerId}, incarnation}: WorkerRecord): PollState {
 		let pollState = this.#pollStates.get(workerId);
-		if (pollState === undefined) {
-			pollState = {isPolling: false, nextPollAtMs: 0};
+		if (pollState?.incarnation !== incarnation) {
+			pollState = {incarnation, isPolling: false, nextPollAtMs: 0};
 			this.#pollStates.set(workerId, pollState);
 		}
 
@@ -106,7 +108,7 @@
 		const pauseMs = isUrgent(worker) ? pollPauseMs : this.#options.pauseMs();
 		pollState.nextPollAtMs = nowMs + (answer.type === 'report' ? pauseMs : pollRetryMs);
 		dispatch({
-			type: 'polled', fencingToken, workerId, answer, sentAtMs, sentAcknowledgement, nowMs, wallMs: clock.wallTimeMs(),
+			type: 'polled', fencingToken, workerId, incarnation: pollState.incarnation, answer, sentAtMs, sentAcknowledgement, nowMs, wallMs: clock.wallTimeMs(),
 		});
 	}
 
--- a/packages/scheduler/tests/admission.test.ts
+++ b/packages/scheduler/tests/admission.test.ts
@@ -74,7 +74,7 @@
 		reduceScheduler(state, {type: 'jobsChanged', changes: jobs.map(accepted => ({type: 'accepted', job: accepted, rowKey: accepted.jobId})), ...time});
 		reduceScheduler(state, {type: 'leaseWon', fencingToken: 1, ...time});
 		reduceScheduler(state, {
-			type: 'polled', fencingToken: 1, workerId: 'w', sentAtMs: 100_000, sentAcknowledgement: 0, answer: {
+			type: 'polled', fencingToken: 1, workerId: 'w', incarnation: 1, sentAtMs: 100_000, sentAcknowledgement: 0, answer: {
 				type: 'report', report: {
 					clockMs: 0, bornWallMs: 1, finished: [], running: [],
 				},
--- a/packages/scheduler/tests/cut-reports.test.ts
+++ b/packages/scheduler/tests/cut-reports.test.ts
@@ -49,7 +49,7 @@
 
 	report(report: WorkerReport): void {
 		this.dispatch({
-			type: 'polled', fencingToken: 5, workerId, sentAtMs: this.#nowMs + 10, sentAcknowledgement: 0, answer: {type: 'report', report},
+			type: 'polled', fencingToken: 5, workerId, incarnation: 1, sentAtMs: this.#nowMs + 10, sentAcknowledgement: 0, answer: {type: 'report', report},
 		});
 	}
 }
--- a/packages/scheduler/tests/outdated-events.test.ts
+++ b/packages/scheduler/tests/outdated-events.test.ts
@@ -39,7 +39,7 @@
 /** Reports on the worker to the given term. */
 const report = (fencingToken: number, changes: Partial<WorkerReport> = {}): void => {
 	dispatch({
-		type: 'polled', fencingToken, workerId: 'w1', sentAtMs: nowMs + 10, sentAcknowledgement: 0, answer: {type: 'report', report: {...emptyReport, ...changes}},
+		type: 'polled', fencingToken, workerId: 'w1', incarnation: 1, sentAtMs: nowMs + 10, sentAcknowledgement: 0, answer: {type: 'report', report: {...emptyReport, ...changes}},
 	});
 };
 
@@ -69,16 +69,16 @@
 test.each<Extract<EventBody, {readonly type: 'leaseLost' | 'polled' | 'startAnswered' | 'stopAnswered' | 'paceAnswered' | 'machineAnswered'}>>([
 	{type: 'leaseLost', fencingToken: earlierToken},
 	{
-		type: 'polled', fencingToken: earlierToken, workerId: 'w1', sentAtMs: 0, sentAcknowledgement: 0, answer: {type: 'fenced'},
+		type: 'polled', fencingToken: earlierToken, workerId: 'w1', incarnation: 1, sentAtMs: 0, sentAcknowledgement: 0, answer: {type: 'fenced'},
 	},
 	{
 		type: 'startAnswered', fencingToken: earlierToken, workerId: 'w1', taskKey, attempt: 1, answer: 'fenced',
 	},
 	{
-		type: 'stopAnswered', fencingToken: earlierToken, workerId: 'w1', taskKey, attempt: 1, answer: 'fenced',
+		type: 'stopAnswered', fencingToken: earlierToken, workerId: 'w1', incarnation: 1, taskKey, attempt: 1, answer: 'fenced',
 	},
 	{
-		type: 'paceAnswered', fencingToken: earlierToken, workerId: 'w1', taskKey, attempt: 1, percent: 50, answer: 'fenced',
+		type: 'paceAnswered', fencingToken: earlierToken, workerId: 'w1', incarnation: 1, taskKey, attempt: 1, percent: 50, answer: 'fenced',
 	},
 	{
 		type: 'machineAnswered', fencingToken: earlierToken, machineId: 'm1', orderNumber: 1, answer: 'fenced',
@@ -149,7 +149,7 @@
 	/** Has an end to store, and a round in which it is saved. */
 	finishTask(fencingToken: number): void {
 		this.dispatch({
-			type: 'polled', fencingToken, workerId: 'w1', sentAtMs: nowMs + 10, sentAcknowledgement: 0, answer: {
+			type: 'polled', fencingToken, workerId: 'w1', incarnation: 1, sentAtMs: nowMs + 10, sentAcknowledgement: 0, answer: {
 				type: 'report', report: {
 					...emptyReport, finished: [{
 						sequence: 1, taskKey, attempt: 1, end: 'done', checkpoint: '',
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -33,7 +33,7 @@
 	dispatch({type: 'workersListed', workers: [workerOf('listed', wallOffsetMs - 60_000), workerOf('gone', bornWallMs)]}, 0);
 	dispatch({type: 'leaseWon', fencingToken: 5}, 0);
 	dispatch({
-		type: 'polled', fencingToken: 5, workerId: 'listed', sentAtMs: 1, sentAcknowledgement: 0, answer: {
+		type: 'polled', fencingToken: 5, workerId: 'listed', incarnation: 1, sentAtMs: 1, sentAcknowledgement: 0, answer: {
 			type: 'report', report: {
 				clockMs: 0, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [],
 			},
