Keep ends and runs of jobs that have not been read yet

Cause: a holder that was replaced on suspicion goes on for a while and starts jobs that its successor has not read. The successor polled the workers, found no task for such an end, had nothing to store for it and acknowledged it at once. When the job's row arrived, the task seemed to wait and was started again. A run of such a job was stopped as not wanted, and its task started beside it. The same for an occurrence that was due by the earlier holder's clock only.

Change: an end whose task cannot be known yet is kept and not acknowledged, and a run is neither stopped nor forgotten, until the job is read or a read of all job rows that was sent after the report does not have it. The table of the simulation takes its time for the way back of an answer too, as the network does, and a lost answer hides a conflict.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -58,8 +58,8 @@
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly sentAtMs: number}
 	| (OfTerm & {readonly type: 'machineAnswered'; readonly machineId: string; readonly orderNumber: number; readonly answer: MachineAnswer})
-	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. */
-	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean}
+	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. `jobRowsConfirmedAtMs`: when the newest read was sent that found all job rows. */
+	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean; readonly jobRowsConfirmedAtMs?: number | undefined}
 );
 
 /** Progress to store. The shell retries the save until it succeeds or the lease is lost. */
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -2,6 +2,7 @@
 Decides when progress is stored and which run ends workers may discard. A run end is acknowledged only after all progress processed up to it is stored, so that no lease holder ever restarts a finished task.
 */
 import {progressOf} from './jobs.js';
+import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 /** Minimum interval between two saves. It groups run ends into one transaction and adds little to the time at which a job is shown as completed. */
@@ -11,18 +12,22 @@
 export const prepareAcknowledgements = (state: SchedulerState): void => {
 	const hasUnsaved = state.dirtyJobs.size > 0;
 	for (const worker of state.workers.values()) {
-		if (worker.processedSequence <= worker.acknowledgedSequence || worker.pendingAcknowledgement?.sequence === worker.processedSequence) {
+		const sequence = resolvedSequence(worker);
+		if (sequence <= worker.acknowledgedSequence || worker.pendingAcknowledgement?.sequence === sequence) {
 			continue;
 		}
 
 		if (hasUnsaved || state.pendingSaveNumber !== undefined) {
-			worker.pendingAcknowledgement = {sequence: worker.processedSequence, saveNumber: state.saveCount + 1};
+			worker.pendingAcknowledgement = {sequence, saveNumber: state.saveCount + 1};
 		} else {
-			worker.acknowledgedSequence = worker.processedSequence;
+			worker.acknowledgedSequence = sequence;
 		}
 	}
 };
 
+/** Returns the sequence number up to which all ends have been applied to their tasks. */
+const resolvedSequence = ({unresolvedEnds: [first], processedSequence}: WorkerRecord): number => first === undefined ? processedSequence : first.entry.sequence - 1;
+
 /** Emits a save if some progress is not stored yet. */
 export const saveProgress = (state: SchedulerState, nowMs: number): void => {
 	if (state.pendingSaveNumber !== undefined || nowMs - state.lastSaveAtMs < minSaveIntervalMs) {
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -2,7 +2,7 @@
 The scheduler's working records. They are mutable and owned by `SchedulerState` alone: hundreds of runs change each second, and copying the records for each event would cost more than the decisions themselves.
 */
 import {
-	type CrashRecord, type JobOutcome, type JobSpec, type MachineEntry, type Resources, type StepSpec, type WaveOrder, type WorkerEntry,
+	type CrashRecord, type FinishedEntry, type JobOutcome, type JobSpec, type MachineEntry, type Resources, type StepSpec, type WaveOrder, type WorkerEntry,
 } from '../types.js';
 
 /** The policy service's answer about one worker for one step. */
@@ -181,6 +181,8 @@
 	silenceNoticedAtMs: number;
 	/** Run ends up to this sequence number have been processed. */
 	processedSequence: number;
+	/** Processed ends of tasks whose jobs have not been read yet, by rising sequence number. */
+	unresolvedEnds: ReportedEnd[];
 	/** Run ends up to this sequence number may be discarded by the worker. */
 	acknowledgedSequence: number;
 	/** Run ends up to this sequence number may be discarded once the given save is stored. */
@@ -234,6 +236,12 @@
 	nextOrderAtMs: number;
 };
 
+/** An end that a worker reported, and when the report arrived. */
+export type ReportedEnd = {
+	readonly entry: FinishedEntry;
+	readonly reportedAtMs: number;
+};
+
 /** One incarnation of a worker: the time between two starts of it, in which its runs and counts last. */
 export type WorkerIncarnation = {
 	readonly worker: WorkerRecord;
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -16,7 +16,9 @@
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {dropOutdatedEvent} from './outdated-events.js';
 import {reconcileRuns} from './relocation.js';
-import {applyPollAnswer, applyStartAnswer, applyStopAnswer} from './worker-reports.js';
+import {
+	applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
+} from './worker-reports.js';
 import {applySaved, prepareAcknowledgements, saveProgress} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {endTerm, resumeTerm} from './terms.js';
@@ -45,6 +47,7 @@
 	expireWorkers(state, nowMs);
 	checkTakeoverSettled(state, nowMs);
 	updateOpenJobs(state, now);
+	resolveReports(state, now);
 	const displaced = reconcileRuns(state, nowMs);
 	logEvacuations(state, nowMs);
 	// Without a confirmed lease, no machine is ordered; with outdated operators' orders, nothing is started or moved.
@@ -200,6 +203,7 @@
 
 		case 'tick': {
 			state.areOrdersOutdated = event.areOrdersOutdated === true;
+			state.jobRowsConfirmedAtMs = event.jobRowsConfirmedAtMs;
 			if (state.term === undefined || state.isSuspended) {
 				expireWorkers(state, event.nowMs);
 			} else {
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -92,6 +92,10 @@
 	saveCount = 0;
 	/** Number of the last stored save. */
 	storedSaveNumber = 0;
+	/** When the newest read of the job rows was sent that found all of them; the copy holds every job that was accepted before. */
+	jobRowsConfirmedAtMs: number | undefined;
+	/** Runs of tasks whose jobs have not been read yet. */
+	readonly unresolvedRuns = new Set<TaskRun>();
 	/** Trials of this term that have not ended. */
 	readonly trials = new Set<Trial>();
 	/** Number of orders for machines that were sent, repeated ones included. */
@@ -229,6 +233,7 @@
 	/** Discards all runs and per-term worker state before a new term or after the end of one. */
 	clearRuns(nowMs: number): void {
 		this.trials.clear();
+		this.unresolvedRuns.clear();
 		for (const run of this.#replacements.keys()) {
 			this.releaseCapacity(run);
 		}
@@ -243,6 +248,7 @@
 			worker.trial = undefined;
 			worker.isFenced = false;
 			worker.processedSequence = 0;
+			worker.unresolvedEnds = [];
 			worker.acknowledgedSequence = 0;
 			worker.sentAcknowledgement = 0;
 			worker.pendingAcknowledgement = undefined;
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -9,12 +9,13 @@
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
 import {recordSurvival, settleTrial} from './crash-attribution.js';
 import {discardTicket} from './placement-advice.js';
+import {findTask, isUnresolved} from './unresolved-tasks.js';
 import {type SchedulerEvent} from './events.js';
 import {
 	failTask, finishTask, type CurrentTime, orderStop,
 } from './jobs.js';
 import {
-	type StepInstance, type TaskRun, type Task, type WorkerRecord,
+	type ReportedEnd, type StepInstance, type TaskRun, type Task, type WorkerRecord,
 } from './records.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
@@ -25,15 +26,6 @@
 
 type PolledEvent = Extract<SchedulerEvent, {readonly type: 'polled'}>;
 
-const taskKeyPattern = /^(?<jobId>[^.]+)\.(?<occurrence>\d+)\.(?<step>\d+)\.(?<index>\d+)$/v;
-
-/** Finds the task with the given key. */
-export const findTask = (state: SchedulerState, taskKey: string): Task | undefined => {
-	const groups = taskKeyPattern.exec(taskKey)?.groups;
-	const job = groups === undefined ? undefined : state.jobs.get(groups.jobId!);
-	return job?.occurrences.get(Number(groups!.occurrence))?.[Number(groups!.step)]?.tasks[Number(groups!.index)];
-};
-
 export const applyPollAnswer = (state: SchedulerState, event: PolledEvent): void => {
 	const worker = state.workers.get(event.workerId);
 	if (worker === undefined || state.term === undefined) {
@@ -107,7 +99,7 @@
 	for (const entry of report.finished.toSorted((a, b) => a.sequence - b.sequence)) {
 		if (entry.sequence > worker.processedSequence) {
 			worker.processedSequence = entry.sequence;
-			applyFinishedEntry(state, worker, entry, event);
+			applyReportedEnd(state, worker, {entry, reportedAtMs: event.nowMs}, event);
 			ended.push(entry);
 		}
 	}
@@ -143,7 +135,7 @@
 	const known = worker.runs.get(entry.taskKey);
 	if (known?.attempt !== entry.attempt) {
 		if (entry.attempt > (known?.attempt ?? 0)) {
-			adoptRun(state, worker, entry, nowMs);
+			adoptRun(state, worker, {entry, reportedAtMs: nowMs}, nowMs);
 		}
 
 		return;
@@ -175,8 +167,14 @@
 	}
 };
 
-/** Adopts a run that an earlier lease holder started: it is kept if its task still waits and stopped otherwise. */
-const adoptRun = (state: SchedulerState, worker: WorkerRecord, entry: RunningEntry, nowMs: number): void => {
+/** A run that a worker listed, and when the report arrived. */
+type ReportedRun = {
+	readonly entry: RunningEntry;
+	readonly reportedAtMs: number;
+};
+
+/** Adopts a run that an earlier lease holder started: it is kept if its task still waits, or cannot be known yet, and stopped otherwise. */
+const adoptRun = (state: SchedulerState, worker: WorkerRecord, {entry, reportedAtMs}: ReportedRun, nowMs: number): void => {
 	const task = findTask(state, entry.taskKey);
 	const isWanted = task?.phase === 'waiting' && task.step.job.outcome === undefined;
 	const run: TaskRun = {
@@ -189,8 +187,8 @@
 		limitUsage: task?.step.spec.needs ?? noResources,
 		task: isWanted ? task : undefined,
 		phase: 'running',
-		orderedAtMs: nowMs,
-		startedAtMs: nowMs,
+		orderedAtMs: reportedAtMs,
+		startedAtMs: reportedAtMs,
 		listedIncarnation: worker.incarnation,
 		isConfirmed: true,
 		isTrial: false,
@@ -214,27 +212,67 @@
 	state.addRun(run);
 	if (isWanted) {
 		task.step.job.hasBegun = true;
+	} else if (task === undefined && isUnresolved(state, {taskKey: entry.taskKey, reportedAtMs})) {
+		state.unresolvedRuns.add(run);
 	} else {
 		orderStop(state, run, nowMs, 'not-wanted');
 	}
 };
 
-const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, entry: FinishedEntry, event: PolledEvent): void => {
+/** Adopts or stops runs, and applies ends, that were reported before their jobs were read. Called before tasks are started, since the job of such a run has tasks that seem to wait. */
+export const resolveReports = (state: SchedulerState, now: CurrentTime): void => {
+	for (const run of state.unresolvedRuns) {
+		if (run.worker.runs.get(run.taskKey) !== run) {
+			state.unresolvedRuns.delete(run);
+		} else if (!isUnresolved(state, {taskKey: run.taskKey, reportedAtMs: run.orderedAtMs})) {
+			state.unresolvedRuns.delete(run);
+			adoptRun(state, run.worker, {entry: run, reportedAtMs: run.orderedAtMs}, now.nowMs);
+		}
+	}
+
+	for (const worker of state.workers.values()) {
+		const reported = worker.unresolvedEnds;
+		if (reported.length === 0) {
+			continue;
+		}
+
+		worker.unresolvedEnds = [];
+		for (const end of reported) {
+			applyReportedEnd(state, worker, end, now);
+		}
+	}
+};
+
+/** Applies an end, or keeps it until its task can be known. It is not acknowledged before that: the worker would forget it, and the task would be started again once its job is read. */
+const applyReportedEnd = (state: SchedulerState, worker: WorkerRecord, end: ReportedEnd, now: CurrentTime): void => {
+	const {entry: {taskKey, attempt}, reportedAtMs} = end;
+	if (isUnresolved(state, {taskKey, reportedAtMs})) {
+		worker.unresolvedEnds.push(end);
+		const run = worker.runs.get(taskKey);
+		if (run?.attempt === attempt) {
+			state.removeRun(run, now.nowMs);
+		}
+	} else {
+		applyFinishedEntry(state, worker, end.entry, now);
+	}
+};
+
+const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, entry: FinishedEntry, now: CurrentTime): void => {
 	const run = worker.runs.get(entry.taskKey);
 	const task = findTask(state, entry.taskKey);
 	if (run?.attempt === entry.attempt) {
 		run.checkpoint = entry.checkpoint;
 		if (entry.end === 'done') {
-			measureRun(run, event.nowMs);
+			measureRun(run, now.nowMs);
 		}
 
-		state.removeRun(run, event.nowMs);
+		state.removeRun(run, now.nowMs);
 	}
 
 	settleTrial(state, task, entry.attempt);
 
 	if (task !== undefined && task.step.job.outcome === undefined) {
-		applyTaskEnd(state, task, worker, entry, event);
+		applyTaskEnd(state, task, worker, entry, now);
 	}
 };
 
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -33,6 +33,7 @@
 	silentSinceMs: undefined,
 	silenceNoticedAtMs: nowMs,
 	processedSequence: 0,
+	unresolvedEnds: [],
 	acknowledgedSequence: 0,
 	pendingAcknowledgement: undefined,
 	sentAcknowledgement: 0,
@@ -123,6 +124,7 @@
 	worker.isFenced = false;
 	worker.clock = undefined;
 	worker.processedSequence = 0;
+	worker.unresolvedEnds = [];
 	worker.acknowledgedSequence = 0;
 	worker.sentAcknowledgement = 0;
 	worker.pendingAcknowledgement = undefined;
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -385,7 +385,9 @@
 		this.#lastTickAtMs = now.nowMs;
 		this.#updateFollowing();
 		this.#term.check(now, pausedMs);
-		this.#runtime.dispatch({type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), ...now});
+		this.#runtime.dispatch({
+			type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), jobRowsConfirmedAtMs: this.#jobReplica.confirmedAtMs, ...now,
+		});
 		this.#workerPoller.pollDueWorkers();
 		if (this.state.term === undefined) {
 			this.#load.reset();
--- a/packages/scheduler/tests/restarted-workers.test.ts
+++ b/packages/scheduler/tests/restarted-workers.test.ts
@@ -5,7 +5,7 @@
 import {
 	type PollAnswer, reduceScheduler, type SchedulerEffect, SchedulerState, type WorkerEntry, type WorkerReport,
 } from '../src/index.js';
-import {findTask} from '../src/core/worker-reports.js';
+import {findTask} from '../src/core/unresolved-tasks.js';
 import {type EventBody} from './support/event-body.js';
 import {jobOf, stepOf} from './support/jobs.js';
 import {configurationWithoutStandby, pool} from './support/scheduler-simulation.js';
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -86,26 +86,26 @@
 	async readRows(keys: readonly string[]): Promise<readonly Row[]> {
 		await this.#simulateTransit();
 		await this.#failIfSilent();
-		return this.#table.readRows(keys);
+		return this.#return(await this.#table.readRows(keys));
 	}
 
 	async readPrefix(prefix: string, options?: PageOptions): Promise<RowPage> {
 		await this.#simulateTransit();
 		await this.#failIfSilent();
-		return this.#table.readPrefix(prefix, options);
+		return this.#return(await this.#table.readPrefix(prefix, options));
 	}
 
 	async changesSince(prefix: string, revision: number): Promise<ChangePage> {
 		await this.#simulateTransit();
 		await this.#failIfSilent();
-		return this.#table.changesSince(prefix, revision);
+		return this.#return(await this.#table.changesSince(prefix, revision));
 	}
 
 	async listRows(prefix: string): Promise<RowListing> {
 		await this.#simulateTransit();
 		await this.#failIfSilent();
 		const {rows, revision} = await this.#table.readPrefix(prefix, {limit: 100_000});
-		return {rows, revision};
+		return this.#return({rows, revision});
 	}
 
 	async waitForChanges(prefix: string, revision: number, waitMs: number): Promise<ChangePage> {
@@ -119,7 +119,7 @@
 
 			const page = await this.#table.changesSince(prefix, revision);
 			if (page.changes.length > 0 || this.#clock.nowMs() >= untilMs) {
-				return page;
+				return this.#return(page);
 			}
 
 			await this.#clock.wait(pollMs);
@@ -129,18 +129,19 @@
 		}
 	}
 
+	/** Returns what was read after the time that the answer takes; meanwhile the table may change. */
+	async #return<Answer>(answer: Answer): Promise<Answer> {
+		await this.#clock.wait(this.#faults.latencyMs / 2);
+		return answer;
+	}
+
+	/** A lost answer does not tell either that the conditions did not hold. */
 	async #loseAnswer(transaction: Transaction): Promise<never> {
 		if (this.#random.next() < 0.5) {
-			this.#table.commitNow(transaction);
+			this.#commitIfConditionsHold(transaction);
 		} else {
 			this.#platformClock.schedule(this.#random.next() * maxCommitDelayMs, () => {
-				try {
-					this.#table.commitNow(transaction);
-				} catch (error) {
-					if (!(error instanceof ConflictError)) {
-						throw error;
-					}
-				}
+				this.#commitIfConditionsHold(transaction);
 			});
 		}
 
@@ -148,6 +149,16 @@
 		throw new WriteOutcomeUnknownError('the answer to the commit was lost');
 	}
 
+	#commitIfConditionsHold(transaction: Transaction): void {
+		try {
+			this.#table.commitNow(transaction);
+		} catch (error) {
+			if (!(error instanceof ConflictError)) {
+				throw error;
+			}
+		}
+	}
+
 	async #failIfSilent(): Promise<void> {
 		if (this.#faults.isSilent === true) {
 			await this.#clock.wait(callTimeoutMs);
