Stop repeating a report on a wave that a later one has replaced

A report that failed was repeated as long as any term was in force. The report that a wave is running, whose write failed at first, was written after the one that the wave is completed, or by an earlier holder's next term, and the operators saw the wave as running for good.

A report belongs to its term and to the state that it reports; it is repeated only while both are present. The new test in outdated-events.test.ts fails on the former code: three reports instead of two.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -83,7 +83,7 @@
 	| {readonly type: 'save'; readonly save: ProgressSave; readonly fencingToken: number}
 	| {readonly type: 'move'; readonly machineId: string; readonly orderNumber: number; readonly pool: string; readonly fencingToken: number; readonly reason: string}
 	| {readonly type: 'maintain'; readonly machineId: string; readonly orderNumber: number; readonly waveId: number; readonly fencingToken: number}
-	| {readonly type: 'reportWave'; readonly waveId: number; readonly state: 'running' | 'completed'}
+	| {readonly type: 'reportWave'; readonly fencingToken: number; readonly waveId: number; readonly state: 'running' | 'completed'}
 	/** The term with this token has ended because a higher token was seen. */
 	| {readonly type: 'stepDown'; readonly fencingToken: number; readonly reason: string}
 	/** Increments a counter of the process's metrics. */
--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -146,7 +146,9 @@
 
 		if (wave.reportedState !== wave.state && !(wave.state === 'completed' && wave.isDirty)) {
 			wave.reportedState = wave.state;
-			state.emit({type: 'reportWave', waveId: wave.order.waveId, state: wave.state});
+			state.emit({
+				type: 'reportWave', fencingToken: state.term!.fencingToken, waveId: wave.order.waveId, state: wave.state,
+			});
 		}
 	}
 };
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -85,7 +85,7 @@
 			}
 
 			case 'reportWave': {
-				void this.#reportWave(effect.waveId, effect.state);
+				void this.#reportWave(effect);
 				break;
 			}
 
@@ -223,8 +223,10 @@
 		return this.#state.term?.fencingToken === fencingToken && this.#state.pendingSaveNumber === save.saveNumber && !this.#options.isClosed();
 	}
 
-	async #reportWave(waveId: number, state: 'running' | 'completed'): Promise<void> {
-		while (this.#state.term !== undefined && !this.#options.isClosed()) {
+	/** Repeats a report until it is written, unless the wave has reached another state or another term has begun meanwhile: the later report may be written already. */
+	async #reportWave({fencingToken, waveId, state}: Extract<SchedulerEffect, {readonly type: 'reportWave'}>): Promise<void> {
+		const isCurrent = (): boolean => this.#state.term?.fencingToken === fencingToken && this.#state.waves.get(waveId)?.state === state && !this.#options.isClosed();
+		while (isCurrent()) {
 			try {
 				await this.#options.waveReporter.report(waveId, state);
 				this.#options.log.info({event: 'wave_reported', waveId, state});
--- a/packages/scheduler/tests/outdated-events.test.ts
+++ b/packages/scheduler/tests/outdated-events.test.ts
@@ -5,7 +5,7 @@
 import {
 	MetricsRegistry, ReducerRuntime, silentLogger, VirtualClock,
 } from '@poplarnotch/common';
-import {ConflictError, type RowCondition} from '@poplarnotch/platform';
+import {ConflictError, type RowCondition, UnavailableError} from '@poplarnotch/platform';
 import {
 	reduceScheduler, type SchedulerEffect, type SchedulerEvent, SchedulerState, type WorkerReport,
 } from '../src/index.js';
@@ -114,9 +114,10 @@
 	expect(state.workers.get('w1')!.isFenced).toBe(true);
 });
 
-/** A process whose saves wait until the test answers them. */
+/** A process whose saves, and reports on waves, wait until the test answers them. */
 class SavingProcess {
 	readonly clock = new VirtualClock();
+	readonly waveReports: Array<{readonly waveState: string; readonly resolve: () => void; readonly reject: (error: Error) => void}> = [];
 	readonly saves: Array<{readonly fence: RowCondition; readonly reject: (error: Error) => void}> = [];
 	fence: RowCondition | undefined;
 	readonly runtime = new ReducerRuntime(state, reduceScheduler, effect => {
@@ -129,6 +130,11 @@
 				this.saves.push({fence, reject});
 			}),
 		},
+		waveReporter: {
+			report: async (_waveId: number, waveState: string) => new Promise<void>((resolve, reject) => {
+				this.waveReports.push({waveState, resolve, reject});
+			}),
+		},
 		state: () => this.runtime.state,
 		fence: () => this.fence,
 		clearFence: () => undefined,
@@ -191,3 +197,25 @@
 	await settle();
 	expect(saving.saves).toEqual([]);
 });
+
+// A completed wave was shown as running for good.
+test('the report that a wave is running is not repeated once the wave is completed', async () => {
+	const saving = new SavingProcess();
+	saving.dispatch({
+		type: 'wavesOrdered', waves: [{
+			waveId: 1, machineIds: ['m1'], withinMs: 60_000, concurrency: 1,
+		}],
+	});
+	saving.dispatch({type: 'tick'});
+	saving.dispatch({
+		type: 'waveProgressed', waveId: 1, maintained: ['m1'], isCompleted: true,
+	});
+	saving.dispatch({type: 'tick'});
+	expect(saving.waveReports.map(({waveState}) => waveState)).toEqual(['running', 'completed']);
+	saving.waveReports[1]!.resolve();
+	saving.waveReports[0]!.reject(new UnavailableError('the store is away'));
+	await settle();
+	saving.clock.advance(1000);
+	await settle();
+	expect(saving.waveReports).toHaveLength(2);
+});
