Match advice, paces and the begin of a term to what they were asked for

An answer of the policy service was kept for the incarnation of the worker at the time of the answer, not of the request, so a ticket was tried on a worker that rejects it; two answers to one request let a third request go out at once. The answer to an earlier pace order overwrote that of the last one, so a pace could be believed in that the worker does not keep. A term began although the lease was lost while the copies were brought up to date. A poll that failed was applied after a later one had been answered.

Advice requests are numbered and name incarnations, paces carry the time of their order, polls are compared with the last one that was answered, and the lease is checked again before its term begins.

The tests of advice and paces fail on the former code, which has none of these fields.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -23,6 +23,9 @@
 /** The incarnation of the worker that a call was sent to, as this process numbers them. */
 type OfIncarnation = {readonly incarnation: number};
 
+/** A worker that the policy service was asked about, and which incarnation of it. */
+export type AdvisedWorker = {readonly workerId: string; readonly incarnation: number};
+
 /** A change to the stored rows of one job. */
 export type JobChange
 	= | {readonly type: 'accepted'; readonly job: JobSpec; readonly rowKey: string}
@@ -53,8 +56,8 @@
 	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number})
 	| (OfTerm & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
-	| (OfTerm & OfIncarnation & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly answer: OrderAnswer})
-	| {readonly type: 'adviceAnswered'; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workerIds: readonly string[]; readonly answer: AdviceAnswer}
+	| (OfTerm & OfIncarnation & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly orderedAtMs: number; readonly answer: OrderAnswer})
+	| {readonly type: 'adviceAnswered'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]; readonly answer: AdviceAnswer; readonly sentAtMs: number}
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly sentAtMs: number}
 	| (OfTerm & {readonly type: 'machineAnswered'; readonly machineId: string; readonly orderNumber: number; readonly answer: MachineAnswer})
@@ -77,8 +80,8 @@
 		readonly waitedMs: number;
 	}
 	| {readonly type: 'stop'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly reason: string; readonly percent: number}
-	| {readonly type: 'pace'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly percent: number}
-	| {readonly type: 'requestAdvice'; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workerIds: readonly string[]}
+	| {readonly type: 'pace'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly percent: number; readonly orderedAtMs: number}
+	| {readonly type: 'requestAdvice'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]}
 	/** `fencingToken`: the term whose fence is the condition of the save. */
 	| {readonly type: 'save'; readonly save: ProgressSave; readonly fencingToken: number}
 	| {readonly type: 'move'; readonly machineId: string; readonly orderNumber: number; readonly pool: string; readonly fencingToken: number; readonly reason: string}
--- a/packages/scheduler/src/core/outdated-events.ts
+++ b/packages/scheduler/src/core/outdated-events.ts
@@ -31,8 +31,8 @@
 		return {reason: 'earlier-incarnation', fields: {incarnation: event.incarnation, presentIncarnation: worker.incarnation}};
 	}
 
-	return event.type === 'polled' && answer?.type === 'report' && event.sentAtMs < worker.lastReportSentAtMs
-		? {reason: 'earlier-report', fields: {sentAtMs: event.sentAtMs, presentSentAtMs: worker.lastReportSentAtMs}}
+	return event.type === 'polled' && event.sentAtMs <= worker.lastReportSentAtMs
+		? {reason: 'earlier-poll', fields: {sentAtMs: event.sentAtMs, presentSentAtMs: worker.lastReportSentAtMs}}
 		: undefined;
 };
 
@@ -56,6 +56,10 @@
 		return event.orderNumber === presentOrder ? undefined : {reason: 'other-order', fields: {orderNumber: event.orderNumber, presentOrder}};
 	}
 
+	if (event.type === 'adviceAnswered' && !state.pendingAdviceRequests.has(event.requestNumber)) {
+		return {reason: 'answered-before', fields: {requestNumber: event.requestNumber}};
+	}
+
 	if (event.type === 'machinesListed' && event.sentAtMs < (state.machinesListedAtMs ?? event.sentAtMs)) {
 		return {reason: 'earlier-list', fields: {sentAtMs: event.sentAtMs, presentSentAtMs: state.machinesListedAtMs}};
 	}
--- a/packages/scheduler/src/core/placement-advice.ts
+++ b/packages/scheduler/src/core/placement-advice.ts
@@ -3,7 +3,7 @@
 
 An answer is valid for one incarnation of a worker. The ticket in it expires and is then requested again. A ticket is valid for every task of the step.
 */
-import {type AdviceAnswer} from '../ports.js';
+import {type SchedulerEvent} from './events.js';
 import {type StepInstance, type WorkerAdvice, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
@@ -23,7 +23,7 @@
 
 const adviceFor = (step: StepInstance, worker: WorkerRecord): WorkerAdvice | undefined => {
 	const advice = step.advice.get(worker.entry.workerId);
-	return advice?.bornWallMs === worker.bornWallMs ? advice : undefined;
+	return advice?.incarnation === worker.incarnation ? advice : undefined;
 };
 
 /** Returns the ticket for a start on the worker: empty where the queue needs no advice, `undefined` where the worker may not run the step or no valid ticket is known. */
@@ -44,7 +44,7 @@
 
 /** Requests advice on workers of the pool when tasks of the step found no free capacity on the workers already allowed. */
 export const requestAdvice = (state: SchedulerState, step: StepInstance, workers: readonly WorkerRecord[], nowMs: number): void => {
-	if (!needsAdvice(state, step) || step.adviceRequestedAtMs !== undefined || nowMs < step.nextAdviceRequestAtMs || state.pendingAdviceRequests >= maxConcurrentRequests) {
+	if (!needsAdvice(state, step) || step.adviceRequestedAtMs !== undefined || nowMs < step.nextAdviceRequestAtMs || state.pendingAdviceRequests.size >= maxConcurrentRequests) {
 		return;
 	}
 
@@ -52,42 +52,35 @@
 	const requested = workers.filter(worker => needsAdviceRequest(step, worker, nowMs))
 		.toSorted((a, b) => Number(step.advice.has(b.entry.workerId)) - Number(step.advice.has(a.entry.workerId)) || state.room(b).cpuMillicores - state.room(a).cpuMillicores)
 		.slice(0, maxWorkersPerRequest)
-		.map(worker => worker.entry.workerId);
+		.map(({entry: {workerId}, incarnation}) => ({workerId, incarnation}));
 	if (requested.length > 0) {
 		step.adviceRequestedAtMs = nowMs;
-		state.pendingAdviceRequests++;
+		const requestNumber = ++state.adviceRequestCount;
+		state.pendingAdviceRequests.add(requestNumber);
 		state.emit({
-			type: 'requestAdvice', jobId: step.job.spec.jobId, occurrence: step.occurrence, stepIndex: step.stepIndex, workerIds: requested,
+			type: 'requestAdvice', requestNumber, jobId: step.job.spec.jobId, occurrence: step.occurrence, stepIndex: step.stepIndex, workers: requested,
 		});
 	}
 };
 
-export type AdviceAnsweredEvent = {
-	readonly jobId: string;
-	readonly occurrence: number;
-	readonly stepIndex: number;
-	readonly workerIds: readonly string[];
-	readonly answer: AdviceAnswer;
-	readonly nowMs: number;
-};
+type AdviceAnsweredEvent = Extract<SchedulerEvent, {readonly type: 'adviceAnswered'}>;
 
 export const applyAdvice = (state: SchedulerState, event: AdviceAnsweredEvent): void => {
-	state.pendingAdviceRequests = Math.max(0, state.pendingAdviceRequests - 1);
+	state.pendingAdviceRequests.delete(event.requestNumber);
 	const step = state.jobs.get(event.jobId)?.occurrences.get(event.occurrence)?.[event.stepIndex];
 	if (step === undefined) {
 		return;
 	}
 
-	const requestedAtMs = step.adviceRequestedAtMs ?? event.nowMs;
 	step.adviceRequestedAtMs = undefined;
 	if (event.answer.type === 'unanswered') {
 		step.nextAdviceRequestAtMs = event.nowMs + adviceRetryMs;
 		return;
 	}
 
-	for (const workerId of event.workerIds) {
+	for (const {workerId, incarnation} of event.workers) {
 		step.advice.set(workerId, {
-			bornWallMs: state.workers.get(workerId)?.bornWallMs, ticket: event.answer.tickets.get(workerId), validUntilMs: requestedAtMs + event.answer.validMs,
+			incarnation, ticket: event.answer.tickets.get(workerId), validUntilMs: event.sentAtMs + event.answer.validMs,
 		});
 	}
 };
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -7,8 +7,8 @@
 
 /** The policy service's answer about one worker for one step. */
 export type WorkerAdvice = {
-	/** Start time of the worker incarnation that the answer applies to. */
-	readonly bornWallMs: number | undefined;
+	/** The incarnation of the worker that the answer applies to. */
+	readonly incarnation: number;
 	/** `undefined` where the worker may not run the step. */
 	readonly ticket: string | undefined;
 	readonly validUntilMs: number;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -82,8 +82,10 @@
 	readonly poolLoadLog = new PoolLoadLog();
 	/** Number of tasks started by this process. */
 	startCount = 0;
-	/** Number of advice requests in flight. */
-	pendingAdviceRequests = 0;
+	/** Number of advice requests that were sent. */
+	adviceRequestCount = 0;
+	/** Numbers of the advice requests in flight. */
+	readonly pendingAdviceRequests = new Set<number>();
 	pendingSaveNumber: number | undefined;
 	/** What the pending save contains; it is saved again in the next term if the outcome is not known by then. */
 	pendingSaveJobs: readonly JobRecord[] = [];
--- a/packages/scheduler/src/core/throttling.ts
+++ b/packages/scheduler/src/core/throttling.ts
@@ -96,7 +96,7 @@
 const orderPace = (state: SchedulerState, run: TaskRun, nowMs: number): void => {
 	run.paceOrderedAtMs = nowMs;
 	state.emit({
-		type: 'pace', workerId: run.worker.entry.workerId, taskKey: run.taskKey, attempt: run.attempt, percent: run.worker.fillingPacePercent, fencingToken: state.term!.fencingToken,
+		type: 'pace', workerId: run.worker.entry.workerId, taskKey: run.taskKey, attempt: run.attempt, percent: run.worker.fillingPacePercent, fencingToken: state.term!.fencingToken, orderedAtMs: nowMs,
 	});
 };
 
@@ -118,9 +118,11 @@
 	readonly taskKey: string;
 	readonly attempt: number;
 	readonly percent: number;
+	readonly orderedAtMs: number;
 	readonly answer: OrderAnswer;
 };
 
+/** Applies the answer to the last pace order for the run; an earlier one may be answered after it. */
 export const applyPaceAnswer = (state: SchedulerState, event: PaceAnsweredEvent): void => {
 	if (event.answer === 'fenced') {
 		stepDown(state, `worker ${event.workerId} has seen a higher token`, event.nowMs);
@@ -128,7 +130,7 @@
 	}
 
 	const run = state.workers.get(event.workerId)?.runs.get(event.taskKey);
-	if (run?.attempt === event.attempt && event.answer === 'accepted') {
+	if (run?.attempt === event.attempt && run.paceOrderedAtMs === event.orderedAtMs && event.answer === 'accepted') {
 		run.pacePercent = event.percent;
 		run.paceOrderedAtMs = undefined;
 	}
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -159,21 +159,21 @@
 		this.#options.log.info({
 			event: 'task_pace', taskKey: order.taskKey, workerId: order.workerId, percent: order.percent, answer,
 		});
-		const {workerId, taskKey, attempt, percent, fencingToken} = order;
+		const {workerId, taskKey, attempt, percent, orderedAtMs, fencingToken} = order;
 		this.#options.dispatch({
-			type: 'paceAnswered', fencingToken, workerId, incarnation: worker?.incarnation ?? 0, taskKey, attempt, percent, answer, ...this.#now(),
+			type: 'paceAnswered', fencingToken, workerId, incarnation: worker?.incarnation ?? 0, taskKey, attempt, percent, orderedAtMs, answer, ...this.#now(),
 		});
 	}
 
-	async #requestAdvice({jobId, occurrence, stepIndex, workerIds}: Extract<SchedulerEffect, {readonly type: 'requestAdvice'}>): Promise<void> {
+	async #requestAdvice({requestNumber, jobId, occurrence, stepIndex, workers}: Extract<SchedulerEffect, {readonly type: 'requestAdvice'}>): Promise<void> {
 		const stepKey = `${jobId}.${occurrence}.${stepIndex}`;
 		const sentAtMs = this.#options.clock.nowMs();
-		const answer = await this.#options.advisor.advise(stepKey, workerIds);
+		const answer = await this.#options.advisor.advise(stepKey, workers.map(({workerId}) => workerId));
 		this.#options.log.info({
-			event: 'advice', stepKey, asked: workerIds.length, allowed: answer.type === 'advised' ? answer.tickets.size : undefined, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs),
+			event: 'advice', stepKey, asked: workers.length, allowed: answer.type === 'advised' ? answer.tickets.size : undefined, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs),
 		});
 		this.#options.dispatch({
-			type: 'adviceAnswered', jobId, occurrence, stepIndex, workerIds, answer, ...this.#now(),
+			type: 'adviceAnswered', requestNumber, jobId, occurrence, stepIndex, workers, answer, sentAtMs, ...this.#now(),
 		});
 	}
 
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -402,6 +402,10 @@
 		while (this.#fence?.version === fence.version) {
 			try {
 				await this.#options.refreshCopies();
+				if (this.#fence?.version !== fence.version) {
+					break;
+				}
+
 				this.#continuation.confirm();
 				this.#options.dispatch({
 					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone: this.#isPredecessorGone(lease), earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
--- a/packages/scheduler/tests/outdated-events.test.ts
+++ b/packages/scheduler/tests/outdated-events.test.ts
@@ -78,7 +78,7 @@
 		type: 'stopAnswered', fencingToken: earlierToken, workerId: 'w1', incarnation: 1, taskKey, attempt: 1, answer: 'fenced',
 	},
 	{
-		type: 'paceAnswered', fencingToken: earlierToken, workerId: 'w1', incarnation: 1, taskKey, attempt: 1, percent: 50, answer: 'fenced',
+		type: 'paceAnswered', fencingToken: earlierToken, workerId: 'w1', incarnation: 1, taskKey, attempt: 1, percent: 50, orderedAtMs: 0, answer: 'fenced',
 	},
 	{
 		type: 'machineAnswered', fencingToken: earlierToken, machineId: 'm1', orderNumber: 1, answer: 'fenced',
@@ -114,6 +114,24 @@
 	expect(state.workers.get('w1')!.isFenced).toBe(true);
 });
 
+// HARM: the holder believed in a pace that the worker does not keep any more, and did not order it again.
+test('the answer to an earlier pace order is not taken for that to the last one', () => {
+	report(earlierToken, {
+		running: [{
+			taskKey, attempt: 1, checkpoint: '', percent: 10, figure: 0,
+		}],
+	});
+	const run = state.workers.get('w1')!.runs.get(taskKey)!;
+	run.paceOrderedAtMs = 200;
+	const answer = {
+		type: 'paceAnswered', fencingToken: earlierToken, workerId: 'w1', incarnation: 1, taskKey, attempt: 1, answer: 'accepted',
+	} as const;
+	dispatch({...answer, percent: 50, orderedAtMs: 100});
+	expect(run).toMatchObject({pacePercent: undefined, paceOrderedAtMs: 200});
+	dispatch({...answer, percent: 100, orderedAtMs: 200});
+	expect(run).toMatchObject({pacePercent: 100, paceOrderedAtMs: undefined});
+});
+
 /** A process whose saves, and reports on waves, wait until the test answers them. */
 class SavingProcess {
 	readonly clock = new VirtualClock();
--- a/packages/scheduler/tests/restarted-workers.test.ts
+++ b/packages/scheduler/tests/restarted-workers.test.ts
@@ -8,7 +8,7 @@
 import {findTask} from '../src/core/unresolved-tasks.js';
 import {type EventBody} from './support/event-body.js';
 import {jobOf, stepOf} from './support/jobs.js';
-import {configurationWithoutStandby, pool} from './support/scheduler-simulation.js';
+import {configurationWithoutStandby, pool, queueOf} from './support/scheduler-simulation.js';
 
 const capacity = {cpuMillicores: 4000, memoryMb: 16_000, accelerators: 0};
 const fencingToken = 5;
@@ -201,3 +201,26 @@
 	dispatch({type: 'workersListed', workers: [earlier]});
 	expect(effects).toEqual([]);
 });
+
+test('advice that was requested for an earlier incarnation permits no start on the present one', () => {
+	dispatch({type: 'configured', configuration: {...configurationWithoutStandby(2), queues: new Map([['draws', queueOf({needsAdvice: true})]])}});
+	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job: jobOf(1, {steps: [stepOf({taskCount: 1})]}), rowKey: 'row'}]});
+	round();
+	const request = effects.find(effect => effect.type === 'requestAdvice')!;
+	register(secondBornMs);
+	report('w1', {bornWallMs: secondBornMs});
+	const answer = {
+		...request, type: 'adviceAnswered', sentAtMs: nowMs, answer: {type: 'advised', tickets: new Map([['w1', 'ticket']]), validMs: 2000},
+	} as const;
+	dispatch(answer);
+	round();
+	expect(startsOf()).toEqual([]);
+	const next = effects.find(effect => effect.type === 'requestAdvice')!;
+	expect(next.workers).toEqual([{workerId: 'w1', incarnation: state.workers.get('w1')!.incarnation}]);
+	dispatch({...answer, ...next, type: 'adviceAnswered'});
+	round();
+	expect(startsOf()).toMatchObject([{taskKey, workerId: 'w1', ticket: 'ticket'}]);
+	// A repeated answer does not count as that to another request.
+	dispatch({...answer, ...next, type: 'adviceAnswered'});
+	expect(effects).toContainEqual({type: 'log', fields: expect.objectContaining({event: 'event_outdated', reason: 'answered-before'}) as never});
+});
