Test answers that arrive late, twice and across terms, orders and incarnations

A property test disturbs the answers that processes receive: a tenth are delivered twice, a twentieth late only, up to 6 s later, whatever has begun by then. Workers start again under their ids after a while and register late, and machine orders lose their answers. The fakes are stricter, by PROTOCOL.md: an order reaches the incarnation that is there when it arrives, a restarted worker's clock starts anew, a lease is at most 10 s long, a report has at most 500 ends, and an order for a machine that is done already is accepted again.

--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -52,6 +52,10 @@
 
 const ticketValidMs = 2000;
 
+/** Longest lease that a worker grants, and number of ends that it lists at once. */
+const maxLeaseMs = 10_000;
+const maxListedEnds = 500;
+
 const startupMs = 300;
 const stopMs = 100;
 
@@ -92,8 +96,9 @@
 		this.enforcedCapacity = entry.capacity;
 	}
 
+	/** The worker's clock starts anew with each incarnation. */
 	get #clockMs(): number {
-		return Math.floor(this.#fleet.clock.nowMs());
+		return Math.floor(this.#fleet.clock.nowMs()) - (this.entry.bornWallMs ?? 0);
 	}
 
 	/** Advances time: runs end, leases expire. */
@@ -217,7 +222,7 @@
 				running: [...this.runs.values()].map(run => ({
 					taskKey: run.taskKey, attempt: run.attempt, checkpoint: '', percent: this.#percentOf(run), figure: this.responseMs(run),
 				})),
-				finished: this.#finished,
+				finished: this.#finished.slice(0, maxListedEnds),
 			},
 		};
 	}
@@ -270,8 +275,9 @@
 		return Math.min(100, Math.floor(100 * (nowMs - run.startedAtMs) / lengthMs));
 	}
 
+	/** A deadline is never shortened, and lies at most `maxLeaseMs` ahead. */
 	#extend(deadlineClockMs: number): void {
-		this.#deadlineClockMs = Math.max(this.#deadlineClockMs, deadlineClockMs);
+		this.#deadlineClockMs = Math.max(this.#deadlineClockMs, Math.min(deadlineClockMs, this.#clockMs + maxLeaseMs));
 	}
 
 	#end(run: WorkerRun, end: RunEnd, checkpoint = ''): void {
--- a/packages/scheduler/tests/support/random-scenario.ts
+++ b/packages/scheduler/tests/support/random-scenario.ts
@@ -6,6 +6,7 @@
 import {
 	configurationOf, queueOf, SchedulerSimulation, takeoverMs,
 } from './scheduler-simulation.js';
+import {disturbAnswers} from './disturbed-answers.js';
 import {normalLatencyMs, type TableFaults} from './fake-table.js';
 import {type HostClock} from './host-clock.js';
 import {jobOf, lastingStepOf, stepOf} from './jobs.js';
@@ -43,7 +44,8 @@
 type WorkerFault = 'crash-worker' | 'drain-worker';
 type StoreFault = 'store-down' | 'store-slow' | 'lost-answers';
 type OutageFault = 'store-out' | 'cut-half' | 'isolate-holder';
-export type Fault = OutageFault | HolderFault | WorkerFault | StoreFault | 'late-orders' | 'wave' | 'kill-all' | 'burst';
+type AnswerFault = 'restart-worker' | 'machine-answers-lost' | 'answers-repeated';
+export type Fault = AnswerFault | OutageFault | HolderFault | WorkerFault | StoreFault | 'late-orders' | 'wave' | 'kill-all' | 'burst';
 
 export const faults: readonly Fault[] = [
 	'kill-holder', 'freeze-holder', 'cut-holder', 'store-down', 'store-slow', 'lost-answers', 'late-orders', 'crash-worker', 'drain-worker', 'wave', 'kill-all', 'clock-step', 'burst',
@@ -54,6 +56,11 @@
 	'store-out', 'store-out', 'store-out', 'cut-half', 'isolate-holder', 'kill-holder', 'freeze-holder', 'cut-holder', 'lost-answers', 'late-orders', 'wave', 'burst',
 ];
 
+/** Faults after which answers and observations may be taken for those of another term, machine order or worker incarnation, each together with what ends and begins these. */
+export const answerFaults: readonly Fault[] = [
+	'answers-repeated', 'answers-repeated', 'restart-worker', 'restart-worker', 'machine-answers-lost', 'kill-holder', 'freeze-holder', 'cut-holder', 'store-slow', 'lost-answers', 'late-orders', 'crash-worker', 'wave', 'burst',
+];
+
 /** Number of jobs that one customer submits in a burst. */
 const jobsPerBurst = 12;
 
@@ -215,6 +222,30 @@
 			break;
 		}
 
+		case 'restart-worker': {
+			const workers = [...simulation.fleet.workers.values()].filter(({isUp}) => isUp);
+			const victim = workers[Math.floor(simulation.random.next() * workers.length)];
+			if (victim !== undefined) {
+				simulation.restartWorkerLate(victim.entry.workerId, 50 + (1000 * simulation.random.next()), 150 * simulation.random.next());
+			}
+
+			break;
+		}
+
+		case 'machine-answers-lost': {
+			simulation.faults.lostMachineAnswerRate = 0.5;
+			simulation.clock.schedule(2500, () => {
+				simulation.faults.lostMachineAnswerRate = 0;
+			});
+			break;
+		}
+
+		case 'answers-repeated': {
+			const restore = disturbAnswers(simulation, {repeatRate: 0.1, lateRate: 0.05, maxDelayMs: 6000});
+			simulation.clock.schedule(4000, restore);
+			break;
+		}
+
 		case 'late-orders': {
 			Object.assign(simulation.faults, {lostOrderRate: 0.1, lateOrderMs: 4000});
 			simulation.clock.schedule(2000, () => {
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -23,6 +23,9 @@
 const orderTimeoutMs = 1000;
 const moveMs = 1500;
 
+/** Time limit of a machine order. */
+const machineOrderTimeoutMs = 1500;
+
 /** Time after which a crashed worker is back on its machine, and after which its old registration has expired. */
 const restartMs = 3000;
 const registrationMs = 4500;
@@ -47,6 +50,8 @@
 	lostOrderRate: number;
 	/** Maximum of that delay. */
 	lateOrderMs: number;
+	/** Share of machine orders whose answer is lost; half of them are carried out. */
+	lostMachineAnswerRate: number;
 };
 
 export type SimulationOptions = {
@@ -86,13 +91,17 @@
 	nextPool: string;
 	/** Highest fencing token of any order. */
 	fencingToken: number;
+	/** The waves for which the machine has been maintained. */
+	readonly waves: Set<number>;
 };
 
 type MachineOrder = {
 	readonly machineId: string;
 	readonly fencingToken: number;
 	readonly forMs: number;
+	/** Pool of a move. */
 	readonly target?: string;
+	readonly waveId?: number;
 };
 
 /** Time within which a process wins the lease and polls all workers. */
@@ -262,7 +271,7 @@
 	readonly table = new MemoryTableService();
 	readonly fleet: FakeWorkers;
 	readonly processes: SimulatedProcess[] = [];
-	readonly faults: SimulationFaults = {lostOrderRate: 0, lateOrderMs: 0};
+	readonly faults: SimulationFaults = {lostOrderRate: 0, lateOrderMs: 0, lostMachineAnswerRate: 0};
 	readonly machines = new Map<string, SimulatedMachine>();
 	readonly waveStates = new Map<number, string>();
 	readonly maintained = new Set<string>();
@@ -389,15 +398,9 @@
 					move: async (machineId, target, {fencingToken}) => this.#orderMachine(clock, {
 						machineId, fencingToken, forMs: moveMs, target,
 					}),
-					maintain: async (machineId, _waveId, {fencingToken}) => {
-						const answer = await this.#orderMachine(clock, {machineId, fencingToken, forMs: maintenanceMs});
-						if (answer === 'accepted') {
-							this.maintained.add(machineId);
-							this.maintenanceOrder.push(machineId);
-						}
-
-						return answer;
-					},
+					maintain: async (machineId, waveId, {fencingToken}) => this.#orderMachine(clock, {
+						machineId, fencingToken, forMs: maintenanceMs, waveId,
+					}),
 				},
 				advisor: {
 					advise: async (stepKey, workerIds) => {
@@ -553,11 +556,24 @@
 		this.#publishWorkers();
 	}
 
+	/** Crashes the worker, which starts again under its id after some time; its registration is read some time after that. */
+	restartWorkerLate(workerId: string, downMs: number, registrationDelayMs: number): void {
+		this.fleet.workers.get(workerId)!.crash();
+		this.clock.schedule(downMs, () => {
+			// The machine may have been ordered away meanwhile.
+			if (this.#machineOf(workerId) !== undefined) {
+				this.#beginIncarnation(workerId);
+				this.clock.schedule(registrationDelayMs, () => {
+					this.#publishWorkers();
+				});
+			}
+		});
+	}
+
 	/** Restarts the worker under its id; the new incarnation does not drain and knows nothing. */
 	restartWorker(workerId: string): void {
-		const worker = this.fleet.workers.get(workerId)!;
-		worker.crash();
-		this.fleet.workers.set(workerId, new FakeWorker(this.fleet, {...worker.entry, bornWallMs: this.clock.nowMs()}));
+		this.fleet.workers.get(workerId)!.crash();
+		this.#beginIncarnation(workerId);
 		this.#publishWorkers();
 	}
 
@@ -632,7 +648,7 @@
 		this.machines.set(machineId, {
 			entry: {
 				machineId, pool: machinePool, dataCentre: this.#dataCentres[this.machines.size % this.#dataCentres.length]!, state: 'up', capacity, workerId: undefined,
-			}, returnsAtMs: 0, nextState: 'up', nextPool: machinePool, fencingToken: 0,
+			}, returnsAtMs: 0, nextState: 'up', nextPool: machinePool, fencingToken: 0, waves: new Set(),
 		});
 		this.#bootWorker(machineId, rack);
 	}
@@ -706,13 +722,32 @@
 		}
 	}
 
-	async #orderMachine(clock: HostClock, {machineId, fencingToken, forMs, target}: MachineOrder): Promise<MachineAnswer> {
+	async #orderMachine(clock: HostClock, order: MachineOrder): Promise<MachineAnswer> {
 		await clock.wait(orderLatencyMs);
+		const {lostMachineAnswerRate} = this.faults;
+		const isLost = lostMachineAnswerRate > 0 && this.random.next() < lostMachineAnswerRate;
+		if (isLost && this.random.next() < 0.5) {
+			await clock.wait(machineOrderTimeoutMs);
+			return 'unknown';
+		}
+
+		const answer = this.#performMachineOrder(order);
+		await clock.wait(isLost ? machineOrderTimeoutMs : 0);
+		return isLost ? 'unknown' : answer;
+	}
+
+	/** Carries an order out as the platform does: one that is done already is accepted again and changes nothing. */
+	#performMachineOrder({machineId, fencingToken, forMs, target, waveId}: MachineOrder): MachineAnswer {
 		const machine = this.machines.get(machineId);
 		if (machine !== undefined && fencingToken < machine.fencingToken) {
 			return 'fenced';
 		}
 
+		if (machine !== undefined && (waveId === undefined ? machine.nextPool === target : machine.waves.has(waveId))) {
+			machine.fencingToken = fencingToken;
+			return 'accepted';
+		}
+
 		if (machine?.entry.state !== 'up') {
 			return 'busy';
 		}
@@ -727,7 +762,11 @@
 		machine.fencingToken = fencingToken;
 		machine.entry = {...machine.entry, state: target === undefined ? 'maintenance' : 'moving', workerId: undefined};
 		machine.nextPool = target ?? machine.entry.pool;
-		if (target !== undefined) {
+		if (target === undefined) {
+			machine.waves.add(waveId!);
+			this.maintained.add(machineId);
+			this.maintenanceOrder.push(machineId);
+		} else {
 			this.moves.push({machineId, target, atMs: this.clock.nowMs()});
 		}
 
@@ -736,6 +775,15 @@
 		return 'accepted';
 	}
 
+	#machineOf(workerId: string): SimulatedMachine | undefined {
+		return [...this.machines.values()].find(({entry}) => entry.workerId === workerId);
+	}
+
+	#beginIncarnation(workerId: string): void {
+		const {entry} = this.fleet.workers.get(workerId)!;
+		this.fleet.workers.set(workerId, new FakeWorker(this.fleet, {...entry, bornWallMs: this.clock.nowMs()}));
+	}
+
 	#publishWorkers(): void {
 		const entries = [...this.fleet.workers.values()].filter(worker => this.#isRegistered(worker)).map(({entry, isDraining}) => ({...entry, isDraining}));
 		this.#workers.publish(entries);
@@ -747,11 +795,12 @@
 
 	/** Delivers an order, possibly late and possibly without returning its answer. */
 	async #deliver<Answer>(clock: HostClock, {workerId}: WorkerAddress, execute: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
-		const worker = this.fleet.workers.get(workerId);
 		// A sent order reaches its worker even if the sender dies or freezes.
 		await new Promise<void>(resolve => {
 			this.clock.schedule(orderLatencyMs, resolve);
 		});
+		// The incarnation that is there when the order arrives takes it.
+		const worker = this.fleet.workers.get(workerId);
 		if (!worker?.isUp || worker.isCut) {
 			await clock.wait(worker?.isCrashed === true ? orderLatencyMs : orderTimeoutMs);
 			return lost;
@@ -760,9 +809,10 @@
 		if (this.random.next() < this.faults.lostOrderRate) {
 			if (this.random.next() < 0.5) {
 				this.clock.schedule(this.random.next() * this.faults.lateOrderMs, () => {
-					if (worker.isUp) {
+					const present = this.fleet.workers.get(workerId);
+					if (present?.isUp === true) {
 						this.fleet.isOrderLate = true;
-						execute(worker);
+						execute(present);
 						this.fleet.isOrderLate = false;
 					}
 				});
