Settle a restart in one place, and look a reported task up once

The two ways to learn what ended with a worker's restart, its first report and its silence, shared all but their conditions: `endRestart` serves both. Incarnation numbers are given once in a process, so comparing the number tells worker and incarnation; the two comparisons of both are gone. `newOrder` looks up the machine's worker itself.

--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -142,18 +142,19 @@
 	machine.entry.workerId === undefined ? undefined : state.workers.get(machine.entry.workerId);
 
 /** Creates the order, or its repetition if the machine has one already. */
-const newOrder = (state: SchedulerState, {entry, order: earlier}: MachineRecord, worker: WorkerRecord | undefined, nowMs: number): Omit<MachineOrder, 'type' | 'waveId' | 'pool'> => ({
-	orderNumber: ++state.machineOrderCount,
-	firstSentAtMs: earlier?.firstSentAtMs ?? nowMs,
-	endsIncarnation: earlier === undefined ? worker && presentIncarnation(worker) : earlier.endsIncarnation,
-	formerPool: earlier?.formerPool ?? entry.pool,
-	phase: 'sent',
-	answeredAtMs: undefined,
-});
+const newOrder = (state: SchedulerState, machine: MachineRecord, nowMs: number): Omit<MachineOrder, 'type' | 'waveId' | 'pool'> => {
+	const worker = workerOn(state, machine);
+	const {firstSentAtMs, endsIncarnation, formerPool} = machine.order ?? {
+		firstSentAtMs: nowMs, endsIncarnation: worker && presentIncarnation(worker), formerPool: machine.entry.pool,
+	};
+	return {
+		orderNumber: ++state.machineOrderCount, firstSentAtMs, endsIncarnation, formerPool, phase: 'sent', answeredAtMs: undefined,
+	};
+};
 
 export const orderMove = (state: SchedulerState, machine: MachineRecord, pool: string, nowMs: number, reason: string): void => {
 	machine.order = {
-		...newOrder(state, machine, workerOn(state, machine), nowMs), type: 'move', waveId: undefined, pool,
+		...newOrder(state, machine, nowMs), type: 'move', waveId: undefined, pool,
 	};
 	state.machineOrdersLeft--;
 	reserveWorker(state, machine);
@@ -164,7 +165,7 @@
 
 export const orderMaintenance = (state: SchedulerState, machine: MachineRecord, waveId: number, nowMs: number): void => {
 	machine.order = {
-		...newOrder(state, machine, workerOn(state, machine), nowMs), type: 'maintain', waveId, pool: undefined,
+		...newOrder(state, machine, nowMs), type: 'maintain', waveId, pool: undefined,
 	};
 	state.machineOrdersLeft--;
 	reserveWorker(state, machine);
@@ -261,7 +262,7 @@
 /** Returns true if the machine runs a worker that the order was not sent for. If the order is carried out only when it is repeated, it ends that worker. */
 const runsOtherWorker = (state: SchedulerState, machine: MachineRecord, {endsIncarnation}: MachineOrder): boolean => {
 	const worker = workerOn(state, machine);
-	return worker !== undefined && !(endsIncarnation?.worker === worker && isPresent(endsIncarnation));
+	return worker !== undefined && worker.incarnation !== endsIncarnation?.incarnation;
 };
 
 /** Repeats orders whose outcome is unknown. A machine that runs another worker by now is drained first. A move into a pool is not repeated in a data centre that has been evacuated since; the list of machines shows whether it was carried out. */
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -147,7 +147,7 @@
 
 export type WorkerRecord = {
 	entry: WorkerEntry;
-	/** Number of the incarnation, as counted by this process. */
+	/** Number of the incarnation, as counted by this process; no two incarnations, of whatever worker, have the same. */
 	incarnation: number;
 	/** The worker has started again and has not reported since, so it is not known which runs were ordered from its present incarnation. */
 	restart: {readonly wasLeaving: boolean} | undefined;
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -246,20 +246,20 @@
 /** Applies an end, or keeps it until its task can be known. It is not acknowledged before that: the worker would forget it, and the task would be started again once its job is read. */
 const applyReportedEnd = (state: SchedulerState, worker: WorkerRecord, end: ReportedEnd, now: CurrentTime): void => {
 	const {entry: {taskKey, attempt}, reportedAtMs} = end;
-	if (isUnresolved(state, {taskKey, reportedAtMs})) {
+	const task = findTask(state, taskKey);
+	if (task === undefined && isUnresolved(state, {taskKey, reportedAtMs})) {
 		worker.unresolvedEnds.push(end);
 		const run = worker.runs.get(taskKey);
 		if (run?.attempt === attempt) {
 			state.removeRun(run, now.nowMs);
 		}
 	} else {
-		applyFinishedEntry(state, worker, end.entry, now);
+		applyFinishedEntry(state, worker, {entry: end.entry, task}, now);
 	}
 };
 
-const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, entry: FinishedEntry, now: CurrentTime): void => {
+const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, {entry, task}: {readonly entry: FinishedEntry; readonly task: Task | undefined}, now: CurrentTime): void => {
 	const run = worker.runs.get(entry.taskKey);
-	const task = findTask(state, entry.taskKey);
 	if (run?.attempt === entry.attempt) {
 		run.checkpoint = entry.checkpoint;
 		if (entry.end === 'done') {
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -176,8 +176,8 @@
 /** Returns true if the worker may have ended because it was drained or its machine was ordered away. */
 const isLeaving = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean => {
 	const isDrained = worker.drainNoticedAtMs !== undefined && nowMs - worker.drainNoticedAtMs >= minDrainMs;
-	const endsIncarnation = worker.machineId === undefined ? undefined : state.machines.get(worker.machineId)?.order?.endsIncarnation;
-	const isOrderedAway = endsIncarnation?.worker === worker && isPresent(endsIncarnation);
+	const order = worker.machineId === undefined ? undefined : state.machines.get(worker.machineId)?.order;
+	const isOrderedAway = order?.endsIncarnation?.incarnation === worker.incarnation;
 	return isDrained || isOrderedAway;
 };
 
@@ -231,30 +231,38 @@
 	}
 };
 
-/** Removes the runs of earlier incarnations once the first report of the present one shows which runs it has. A run that was confirmed after that report was asked for is left to the next one. */
-export const settleRestart = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, {sentAtMs, nowMs}: {readonly sentAtMs: number; readonly nowMs: number}): void => {
+/** Which runs of a restarted worker may have ended with its earlier incarnation, and which of these have. */
+type RestartEvidence = {
+	readonly mayBeGone: (run: TaskRun) => boolean;
+	readonly isGone: (run: TaskRun) => boolean;
+};
+
+/** Removes the runs of a restarted worker that are gone, and blames the crash on these and on those that may be. */
+const endRestart = (state: SchedulerState, worker: WorkerRecord, nowMs: number, {mayBeGone, isGone}: RestartEvidence): void => {
 	const {restart} = worker;
 	if (restart !== undefined) {
 		worker.restart = undefined;
-		const missing = [...worker.runs.values()].filter(({taskKey}) => !listed.has(taskKey));
-		const isGone = ({startedAtMs}: TaskRun): boolean => startedAtMs !== undefined && startedAtMs < sentAtMs;
+		const runs = [...worker.runs.values()].filter(run => mayBeGone(run));
 		loseRuns(state, worker, nowMs, {
-			reason: 'worker-restarted', lost: missing.filter(run => isGone(run)), undecided: missing.filter(run => !isGone(run)), wasLeaving: restart.wasLeaving,
+			reason: 'worker-restarted', lost: runs.filter(run => isGone(run)), undecided: runs.filter(run => !isGone(run)), wasLeaving: restart.wasLeaving,
 		});
 	}
 };
 
+/** Removes the runs of earlier incarnations once the first report of the present one shows which runs it has. A run that was confirmed after that report was asked for is left to the next one. */
+export const settleRestart = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, {sentAtMs, nowMs}: {readonly sentAtMs: number; readonly nowMs: number}): void => {
+	endRestart(state, worker, nowMs, {
+		mayBeGone: ({taskKey}) => !listed.has(taskKey),
+		isGone: ({startedAtMs}) => startedAtMs !== undefined && startedAtMs < sentAtMs,
+	});
+};
+
 /** Removes the runs that an earlier incarnation listed, when the present one does not answer. Its own runs count as running until their leases expire. */
 export const loseEarlierRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
-	const {restart} = worker;
-	if (restart !== undefined) {
-		worker.restart = undefined;
-		const runs = [...worker.runs.values()];
-		const isEarlier = ({listedIncarnation}: TaskRun): boolean => listedIncarnation !== undefined && listedIncarnation < worker.incarnation;
-		loseRuns(state, worker, nowMs, {
-			reason: 'worker-restarted', lost: runs.filter(run => isEarlier(run)), undecided: runs.filter(run => !isEarlier(run)), wasLeaving: restart.wasLeaving,
-		});
-	}
+	endRestart(state, worker, nowMs, {
+		mayBeGone: () => true,
+		isGone: ({listedIncarnation}) => listedIncarnation !== undefined && listedIncarnation < worker.incarnation,
+	});
 };
 
 /** Returns a deadline one lease from now on the worker's clock, or `undefined` while its clock is unknown. */
