Confirm a copy of rows by what the store says, not by the size of its answers

Callers saw TWICE where a process took over whose copy of the job rows lagged: it started tasks whose ends the holder before it had stored and acknowledged.

Cause: an answer of fewer than 100 rows and 500 KB counted as whole, also one that ended with its own version. The store's page gives no size for these answers. It does say that reading goes on from the answer's version, so that an answer holds all changes up to it, and that answers about rows name the newest version.

So the copy holds what it has been told: everything up to its revision. It counts as confirmed by an answer without changes, or once its revision has reached the newest one, which readRevision reads while the refresh is under way. A test counts the calls: over 350 changes in 20 s are followed with at most 10 reads of the revision and 10 others.

A refresh makes two calls at once instead of one. Every term logs copy_refreshed for each copy: its age and revision before, the newest revision, and the pages that were read.

The simulated table no longer says either whether it has cut an answer, and cuts after 1, 5, 20 or 100 changes in four of five random scenarios.

--- a/packages/platform/src/table-service.ts
+++ b/packages/platform/src/table-service.ts
@@ -56,8 +56,9 @@
 /** Changes ordered by version; each changed row appears once, with its latest state. */
 export type ChangePage = {
 	readonly changes: readonly RowChange[];
-	/** Revision from which to request the next changes. */
+	/** The page holds every change from the requested revision up to this one, from which to request the next changes. */
 	readonly revision: number;
+	/** False only if the table service has said that there was no further change when it answered. */
 	readonly hasMore: boolean;
 };
 
--- a/packages/platform/src/watchable-table.ts
+++ b/packages/platform/src/watchable-table.ts
@@ -20,6 +20,8 @@
 /** Reads fail with `UnavailableError`; `waitForChanges` also with `HistoryLostError`. */
 export interface WatchableTable extends TableService {
 	listRows(prefix: string): Promise<RowListing>;
+	/** Returns the revision of the newest transaction on any row, which is at least that of each one acknowledged before the call. */
+	readRevision(): Promise<number>;
 	/** Returns as soon as there is a change after `revision`, or returns no changes once `waitMs` have passed. */
 	waitForChanges(prefix: string, revision: number, waitMs: number): Promise<ChangePage>;
 }
--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -1,6 +1,7 @@
 /**
 Interfaces to the platform that the scheduler runs on. The platform adapter implements them; tests use stand-ins.
 */
+import {type RefreshRecord} from '@poplarnotch/state';
 import {
 	type FleetConfiguration, type MachineEntry, type WaveOrder, type WorkerEntry, type WorkerReport,
 } from './types.js';
@@ -17,8 +18,8 @@
 
 /** A source that can be brought up to date on demand. */
 export interface RefreshableSource<Value> extends StateSource<Value> {
-	/** Resolves once the listener has received every change that was acknowledged before this call; fails with `UnavailableError`. */
-	refresh(): Promise<void>;
+	/** Resolves once the listener has received every change that was acknowledged before this call, to what was read if the source keeps a copy of rows; fails with `UnavailableError`. */
+	refresh(): Promise<RefreshRecord | undefined>;
 }
 
 /** How closely a process follows the registered workers, of which each heartbeat is a change: not at all, as a likely successor of the lease holder, or as the holder, which assigns work to them. */
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -171,10 +171,10 @@
 			dispatch: event => {
 				this.#runtime.dispatch(event);
 			},
-			refreshCopies: async () => {
-				await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), options.workers.refresh(), options.orders.refresh()]);
+			refreshCopies: async () => this.#refreshCopies(),
+			async refreshOrders() {
+				await options.orders.refresh();
 			},
-			refreshOrders: async () => options.orders.refresh(),
 			onLeaseChanged: () => {
 				this.#updateFollowing();
 			},
@@ -184,7 +184,7 @@
 		});
 		this.#oddJobRows = new OddEntryLog(log, 'row_unreadable');
 		this.#jobReplica = new TableReplica({
-			table, prefix: jobsPrefix, waitMs: watchWaitMs, clock, log,
+			table, prefix: jobsPrefix, waitMs: watchWaitMs, maxConfirmationAgeMs: watchWaitMs, clock, log,
 			pauseMs: () => this.#runtime.state.term === undefined ? successorPollPauseMs : holderPollPauseMs,
 			isActive: () => this.#isFollowing,
 			onChanges: changes => {
@@ -218,7 +218,9 @@
 		});
 		this.#replicaView = new ReplicaJobView({
 			state: () => this.#runtime.state,
-			refresh: async () => this.#jobReplica.refresh(),
+			refresh: async () => {
+				await this.#jobReplica.refresh();
+			},
 			ageMs: () => clock.nowMs() - (this.#jobReplica.confirmedAtMs ?? Number.NEGATIVE_INFINITY),
 			copy: () => this.#jobReplica,
 		});
@@ -358,6 +360,21 @@
 		return {nowMs: this.#options.clock.nowMs(), wallMs: this.#options.clock.wallTimeMs()};
 	}
 
+	/** Brings all copies of stored rows up to date, and logs how far behind each was: a term that begins with a copy that is not whole starts tasks that have ended. */
+	async #refreshCopies(): Promise<void> {
+		const {orders, workers} = this.#options;
+		const [jobs, control, workerRows, orderRows] = await Promise.all([this.#jobReplica.refresh(), this.#controlReplica.refresh(), workers.refresh(), orders.refresh()]);
+		for (const [copy, record] of Object.entries({
+			jobs, control, workers: workerRows, orders: orderRows,
+		})) {
+			if (record !== undefined) {
+				this.#options.log.info({
+					event: 'copy_refreshed', copy, ...record, pages: record.pages.join(' '),
+				});
+			}
+		}
+	}
+
 	#scheduleTick(): void {
 		const delayMs = this.state.term === undefined ? idleTickIntervalMs : this.#pacing.roundIntervalMs;
 		this.#tickDueAtMs = this.#options.clock.nowMs() + delayMs;
--- a/packages/scheduler/tests/jobs/listed-progress.test.ts
+++ b/packages/scheduler/tests/jobs/listed-progress.test.ts
@@ -23,6 +23,7 @@
 	// The part of the job was read before the job was stored, the part of all progress after its end.
 	const table = {
 		listRows: async () => ({rows: [ended], revision: 10}),
+		readRevision: async () => 20,
 		waitForChanges: async () => ({changes: [accepted, ended], revision: 20, hasMore: false}),
 	};
 	const replica = new TableReplica({
--- a/packages/scheduler/tests/support/fake-peers.ts
+++ b/packages/scheduler/tests/support/fake-peers.ts
@@ -21,6 +21,7 @@
 	readPrefix: async (prefix, options) => meter.measure(async () => table.readPrefix(prefix, options), false, isAnswer),
 	changesSince: async (prefix, revision) => meter.measure(async () => table.changesSince(prefix, revision), false, isAnswer),
 	listRows: async prefix => meter.measure(async () => table.listRows(prefix), true, isAnswer),
+	readRevision: async () => meter.measure(async () => table.readRevision(), false, isAnswer),
 	waitForChanges: async (prefix, revision, waitMs) => meter.measure(async () => table.waitForChanges(prefix, revision, waitMs), true, isAnswer),
 });
 
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -38,6 +38,8 @@
 	lostAnswerRate: number;
 	/** Duration of a call. */
 	latencyMs: number;
+	/** An answer of changes is cut after this many, at the end of a transaction. */
+	maxChangesPerAnswer?: number | undefined;
 };
 
 export type FakeTableOptions = {
@@ -98,7 +100,7 @@
 	async changesSince(prefix: string, revision: number): Promise<ChangePage> {
 		await this.#simulateTransit();
 		await this.#failIfSilent();
-		return this.#return(await this.#table.changesSince(prefix, revision));
+		return this.#return(await this.#readChanges(prefix, revision));
 	}
 
 	async listRows(prefix: string): Promise<RowListing> {
@@ -108,6 +110,12 @@
 		return this.#return({rows, revision});
 	}
 
+	async readRevision(): Promise<number> {
+		await this.#simulateTransit();
+		await this.#failIfSilent();
+		return this.#return(this.#table.revision);
+	}
+
 	async waitForChanges(prefix: string, revision: number, waitMs: number): Promise<ChangePage> {
 		await this.#simulateTransit();
 		const untilMs = this.#clock.nowMs() + waitMs;
@@ -117,7 +125,7 @@
 				throw new UnavailableError('no answer');
 			}
 
-			const page = await this.#table.changesSince(prefix, revision);
+			const page = await this.#readChanges(prefix, revision);
 			if (page.changes.length > 0 || this.#clock.nowMs() >= untilMs) {
 				return this.#return(page);
 			}
@@ -129,6 +137,12 @@
 		}
 	}
 
+	/** Like the platform's store, the table does not say whether it has cut an answer. */
+	async #readChanges(prefix: string, revision: number): Promise<ChangePage> {
+		const page = await this.#table.changesSince(prefix, revision, this.#faults.maxChangesPerAnswer);
+		return {...page, hasMore: page.changes.length > 0};
+	}
+
 	/** Returns what was read after the time that the answer takes; meanwhile the table may change. */
 	async #return<Answer>(answer: Answer): Promise<Answer> {
 		await this.#clock.wait(this.#faults.latencyMs / 2);
--- a/packages/scheduler/tests/support/random-scenario.ts
+++ b/packages/scheduler/tests/support/random-scenario.ts
@@ -375,11 +375,16 @@
 	});
 };
 
+/** After how many changes the table cuts its answers. */
+const answerSizes = [1000, 1, 5, 20, 100];
+
 /** Runs a scenario: four jobs and then a fault, in turns, and time to finish at the end. */
 export const runScenario = async ({
 	seed, faults: scenarioFaults, size = defaultSize, crashingEvery,
 }: Scenario): Promise<ScenarioResult> => {
-	const simulation = new SchedulerSimulation({seed, failureRate: crashingEvery === undefined ? 0.03 : 0, ...size});
+	const simulation = new SchedulerSimulation({
+		seed, failureRate: crashingEvery === undefined ? 0.03 : 0, maxChangesPerAnswer: answerSizes[seed % answerSizes.length], ...size,
+	});
 	const isCrashing = (job: JobSpec): boolean => crashingEvery !== undefined && !isLasting(job) && Number.parseInt(job.jobId, 16) % crashingEvery === 0;
 	simulation.fleet.behaviour.crashesAfterMs = taskKey => taskKey.endsWith('.0.0.0') && isCrashing(simulation.fleet.findStep(taskKey).job) ? crashDelayMs : undefined;
 	simulation.fleet.upperLimits.set('altan', upperLimit);
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -61,6 +61,8 @@
 	readonly standbyMachines: number;
 	/** Share of runs that fail. */
 	readonly failureRate?: number;
+	/** The table cuts its answers after this many changes. */
+	readonly maxChangesPerAnswer?: number | undefined;
 	/** Data centres among which the machines are distributed by turns; one, called `dc`, if left out. */
 	readonly dataCentres?: readonly string[];
 	/** Whether the holder schedules during a full outage of the table; true by default. */
@@ -229,7 +231,7 @@
 		this.#listener = undefined;
 	}
 
-	async refresh(): Promise<void> {
+	async refresh(): Promise<undefined> {
 		await this.#clock.wait(this.#table.latencyMs / 2);
 		if (!this.#confirm()) {
 			throw new UnavailableError('the store is down');
@@ -297,6 +299,7 @@
 	readonly #failureDetectionMs: number;
 	readonly #successorCount: number;
 	readonly #relays: boolean;
+	readonly #maxChangesPerAnswer: number | undefined;
 	readonly #orders: PublishedValue<OperatorOrders>;
 	readonly #workers = new PublishedValue<readonly WorkerEntry[]>([]);
 	#configuration = configurationOf(1);
@@ -324,6 +327,7 @@
 		this.#failureDetectionMs = options.failureDetectionMs ?? 600;
 		this.#successorCount = options.successors ?? successorCount;
 		this.#relays = options.relays ?? false;
+		this.#maxChangesPerAnswer = options.maxChangesPerAnswer;
 		const taskRandom = new Map<string, number>();
 		const drawFor = (key: string): number => {
 			let value = taskRandom.get(key);
@@ -361,7 +365,9 @@
 	addProcess(): SimulatedProcess {
 		const name = `process-${this.#processCount++}`;
 		const clock = new HostClock(this.clock);
-		const tableFaults: TableFaults = {isDown: false, lostAnswerRate: 0, latencyMs: normalLatencyMs};
+		const tableFaults: TableFaults = {
+			isDown: false, lostAnswerRate: 0, latencyMs: normalLatencyMs, maxChangesPerAnswer: this.#maxChangesPerAnswer,
+		};
 		const {meter, outage} = this.peers.add(name, clock, {
 			isActive: () => process.scheduler.state.term !== undefined,
 			probe: async () => relayed?.readRows([probeKey]),
--- a/packages/state/src/relay/messages.ts
+++ b/packages/state/src/relay/messages.ts
@@ -12,7 +12,8 @@
 		| {readonly type: 'readRows'; readonly keys: readonly string[]}
 		| {readonly type: 'readPrefix'; readonly prefix: string; readonly options: PageOptions}
 		| {readonly type: 'changesSince'; readonly prefix: string; readonly revision: number}
-		| {readonly type: 'listRows'; readonly prefix: string};
+		| {readonly type: 'listRows'; readonly prefix: string}
+		| {readonly type: 'readRevision'};
 
 export const relayedCallSchema = z.discriminatedUnion('type', [
 	z.object({type: z.literal('commit'), transaction: transactionSchema}),
@@ -22,6 +23,7 @@
 	}),
 	z.object({type: z.literal('changesSince'), prefix: z.string(), revision: z.number()}),
 	z.object({type: z.literal('listRows'), prefix: z.string()}),
+	z.object({type: z.literal('readRevision')}),
 ]);
 
 export const relayResponseSchema = z.discriminatedUnion('type', [
--- a/packages/state/src/relay/perform-relayed.ts
+++ b/packages/state/src/relay/perform-relayed.ts
@@ -32,6 +32,10 @@
 			return table.listRows(call.prefix);
 		}
 
+		case 'readRevision': {
+			return table.readRevision();
+		}
+
 		default: {
 			return assertNever(call);
 		}
--- a/packages/state/src/relay/relayed-table.ts
+++ b/packages/state/src/relay/relayed-table.ts
@@ -141,6 +141,10 @@
 		return this.#perform(async table => table.listRows(prefix), {type: 'listRows', prefix});
 	}
 
+	async readRevision(): Promise<number> {
+		return this.#perform(async table => table.readRevision(), {type: 'readRevision'});
+	}
+
 	async waitForChanges(prefix: string, revision: number, waitMs: number): Promise<ChangePage> {
 		const wasDown = this.#isDirectPathDown;
 		const page = await this.#perform(
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -1,13 +1,15 @@
 /**
 Keeps a local copy of all rows under one prefix by following the table's changes.
 
-One long-polling call waits for the next change; after each response the replica pauses for `pauseMs`, so that changes in quick succession arrive in one batch. An answer may hold only the first of many changes: the copy counts as confirmed once an answer has held all of them. `refresh` reads without waiting, for readers that must see every change that was acknowledged before their call. If the table service has dropped its history, all rows are listed again.
+One long-polling call waits for the next change; after each response the replica pauses for `pauseMs`, so that changes in quick succession arrive in one batch. If the table service has dropped its history, all rows are listed again.
+
+An answer may hold only the first of many changes, and the table service need not say so. What it does say is that the answer holds all changes up to its revision. So the copy is confirmed, that is, known to hold all that was acknowledged before some moment, in two ways: by an answer without changes, or by reaching the revision that the table service named as the newest one at that moment. `refresh` reads until one of them holds. While changes are followed, the replica is refreshed only if no answer has confirmed it for `maxConfirmationAgeMs`, since every call has a price.
 */
 import {
 	type CancelTimer, type Clock, type Logger, silentLogger, SystemClock,
 } from '@poplarnotch/common';
 import {
-	type ChangePage, failureReason, HistoryLostError, type RowChange, type WatchableTable,
+	type ChangePage, failureReason, HistoryLostError, type RowChange, UnavailableError, type WatchableTable,
 } from '@poplarnotch/platform';
 
 /** Pause after a failed call: it allows several attempts within the second in which the end of an outage should be detected. */
@@ -20,6 +22,8 @@
 	readonly waitMs: number;
 	/** Pause between two calls. */
 	readonly pauseMs: () => number;
+	/** If changes come faster than a call waits, the replica is refreshed at this age of its confirmation. A table that cuts its answers is caught up with at the same time. */
+	readonly maxConfirmationAgeMs?: number;
 	/** While it returns false, changes are not followed, and only `refresh` brings the replica up to date. */
 	readonly isActive?: () => boolean;
 	/** Called with each batch of changes, in order; `undefined` values are deletions. */
@@ -28,6 +32,24 @@
 	readonly log?: Logger;
 };
 
+/** The default of `maxConfirmationAgeMs`, as a multiple of the time that a call waits. */
+const defaultConfirmationAgeFactor = 2;
+
+/** Maximum number of pages that the record of a refresh names. */
+const maxRecordedPages = 20;
+
+/** What a refresh has read, for diagnosis. */
+export type RefreshRecord = {
+	/** Age of the replica's confirmation before the refresh, and its revision. */
+	readonly confirmedAgoMs: number | undefined;
+	readonly fromRevision: number | undefined;
+	/** Revision that the replica has reached, and the newest one that the table service named meanwhile. */
+	readonly revision: number;
+	readonly newestRevision: number;
+	/** The answers that were read, as `changes@revision`. */
+	readonly pages: readonly string[];
+};
+
 /** How often a suspended replica checks whether it is active again; `endPause` makes it check at once. */
 const suspendedCheckMs = 1000;
 
@@ -42,10 +64,12 @@
 	#revision: number | undefined;
 	#confirmedAtMs: number | undefined;
 	#lastPageSize = 0;
+	/** The newest answer held all changes that there were. */
+	#isWhole = false;
 	#isStopped = false;
 	#isReachable = true;
-	#currentRefresh: Promise<void> | undefined;
-	#nextRefresh: Promise<void> | undefined;
+	#currentRefresh: Promise<RefreshRecord> | undefined;
+	#nextRefresh: Promise<RefreshRecord> | undefined;
 	#currentListing: Promise<void> | undefined;
 	#endCurrentPause: (() => void) | undefined;
 
@@ -55,7 +79,7 @@
 		this.#log = options.log ?? silentLogger;
 	}
 
-	/** When the newest successful call was sent; the replica contains everything that was acknowledged before. `undefined` before the first listing. */
+	/** The replica contains everything that was acknowledged before this time. `undefined` before the first listing. */
 	get confirmedAtMs(): number | undefined {
 		return this.#confirmedAtMs;
 	}
@@ -80,9 +104,9 @@
 	}
 
 	/** Resolves once the replica contains every change that was acknowledged before this call; fails with `UnavailableError`. */
-	async refresh(): Promise<void> {
+	async refresh(): Promise<RefreshRecord> {
 		if (this.#currentRefresh === undefined) {
-			this.#currentRefresh = this.#readChanges(0).finally(() => {
+			this.#currentRefresh = this.#readUntilConfirmed().finally(() => {
 				this.#currentRefresh = undefined;
 			});
 			return this.#currentRefresh;
@@ -102,11 +126,11 @@
 	readNow(): void {
 		if (!this.#isStopped && this.#options.isActive?.() !== false) {
 			this.endPause();
-			void this.#tryRead(0);
+			void this.#tryRead(async () => this.#readUntilConfirmed());
 		}
 	}
 
-	async #refreshAfter(current: Promise<void>): Promise<void> {
+	async #refreshAfter(current: Promise<RefreshRecord>): Promise<RefreshRecord> {
 		await Promise.allSettled([current]);
 		this.#nextRefresh = undefined;
 		return this.refresh();
@@ -119,15 +143,21 @@
 				continue;
 			}
 
-			// After a failure, the replica is confirmed before it waits for changes again.
-			const isRead = await this.#tryRead(this.#isReachable ? this.#options.waitMs : 0);
+			const isRead = await this.#tryRead(async () => this.#readNext());
 			await this.#pause(isRead ? this.#options.pauseMs() : retryPauseMs);
 		}
 	}
 
-	async #tryRead(waitMs: number): Promise<boolean> {
+	/** Reads the next changes. After a failure, or if it has not been confirmed for too long, the replica is confirmed before it waits for changes again. */
+	async #readNext(): Promise<unknown> {
+		const {waitMs, maxConfirmationAgeMs = defaultConfirmationAgeFactor * waitMs} = this.#options;
+		const isConfirmed = this.#isWhole || (this.#confirmedAtMs !== undefined && this.#clock.nowMs() - this.#confirmedAtMs < maxConfirmationAgeMs);
+		return this.#isReachable && isConfirmed ? this.#readPage(waitMs) : this.#readUntilConfirmed();
+	}
+
+	async #tryRead(read: () => Promise<unknown>): Promise<boolean> {
 		try {
-			await this.#readChanges(waitMs);
+			await read();
 			this.#setReachable(true);
 			return true;
 		} catch (error) {
@@ -146,28 +176,54 @@
 		}
 	}
 
-	/** Reads all changes. Waits for the first one for `waitMs` if there is none. */
-	async #readChanges(waitMs: number): Promise<void> {
-		if (this.#revision === undefined) {
+	/** Reads until the replica contains everything that was acknowledged before this call. */
+	async #readUntilConfirmed(): Promise<RefreshRecord> {
+		const sentAtMs = this.#clock.nowMs();
+		const pages: string[] = [];
+		const fromRevision = this.#revision;
+		const confirmedAgoMs = this.#confirmedAtMs === undefined ? undefined : Math.round(sentAtMs - this.#confirmedAtMs);
+		if (fromRevision === undefined) {
 			const isJoining = this.#currentListing !== undefined;
 			await this.#listOnce();
 			if (!isJoining) {
-				return;
+				return {
+					confirmedAgoMs, fromRevision, revision: this.#revision!, newestRevision: this.#revision!, pages,
+				};
 			}
 		}
 
-		for (let hasMore = await this.#readPage(waitMs); hasMore && !this.#isStopped;) {
-			hasMore = await this.#readPage(0);
+		const [newestRevision, isFirstWhole] = await Promise.all([this.#options.table.readRevision(), this.#readPage(0, pages)]);
+		for (let isWhole = isFirstWhole; !isWhole && this.#revision! < newestRevision;) {
+			if (this.#isStopped) {
+				throw new UnavailableError(`the copy of ${this.#options.prefix} is no longer kept`);
+			}
+
+			isWhole = await this.#readPage(0, pages);
 		}
+
+		this.#isWhole = true;
+		this.#confirm(this.#revision!, sentAtMs);
+		return {
+			confirmedAgoMs, fromRevision, revision: this.#revision!, newestRevision, pages,
+		};
 	}
 
-	/** Returns true if there may be further changes that the replica does not contain although they were acknowledged before. */
-	async #readPage(waitMs: number): Promise<boolean> {
+	/** Returns true if the replica then contains every change that was acknowledged before the call. */
+	async #readPage(waitMs: number, record: string[] = []): Promise<boolean> {
 		const sentAtMs = this.#clock.nowMs();
+		const afterRevision = this.#revision!;
 		try {
-			const page = await this.#options.table.waitForChanges(this.#options.prefix, this.#revision!, waitMs);
+			const page = await this.#options.table.waitForChanges(this.#options.prefix, afterRevision, waitMs);
+			if (page.hasMore && page.revision <= afterRevision) {
+				throw new UnavailableError(`the changes after revision ${afterRevision} end at revision ${page.revision}`);
+			}
+
 			this.#apply(page, sentAtMs);
-			return page.hasMore;
+			if (record.length < maxRecordedPages) {
+				record.push(`${page.changes.length}@${page.revision}`);
+			}
+
+			return !page.hasMore;
 		} catch (error) {
 			if (!(error instanceof HistoryLostError)) {
 				throw error;
@@ -177,7 +233,7 @@
 			// A listing that is under way may have read some rows before they were changed.
 			const isJoining = this.#currentListing !== undefined;
 			await this.#listOnce();
-			return isJoining;
+			return !isJoining;
 		}
 	}
 
@@ -209,6 +265,7 @@
 	/** Responses of two calls may arrive in either order, so changes that were already applied are skipped. */
 	#apply({changes, revision, hasMore}: ChangePage, sentAtMs: number): void {
 		this.#lastPageSize = changes.length;
+		this.#isWhole = !hasMore;
 		this.#deliver(changes.filter(change => change.version > (this.#revision ?? 0) && change.version > (this.#versions.get(change.key) ?? 0)));
 		if (hasMore) {
 			this.#revision = Math.max(this.#revision ?? 0, revision);
--- a/packages/state/tests/relay/recovery.test.ts
+++ b/packages/state/tests/relay/recovery.test.ts
@@ -50,6 +50,10 @@
 				await reach();
 				return {rows: [], revision: 0};
 			},
+			async readRevision() {
+				await reach();
+				return 0;
+			},
 			async waitForChanges(_prefix: string, _revision: number, waitMs: number) {
 				await reach();
 				await new Promise<void>(resolve => {
--- a/packages/state/tests/relay/relayed-table.test.ts
+++ b/packages/state/tests/relay/relayed-table.test.ts
@@ -48,6 +48,10 @@
 				reach();
 				return memory.readPrefix(prefix);
 			},
+			async readRevision() {
+				reach();
+				return memory.revision;
+			},
 			async waitForChanges(prefix, revision) {
 				reach();
 				return memory.changesSince(prefix, revision);
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -11,6 +11,8 @@
 
 type Script = {
 	readonly listRows: () => Promise<RowListing>;
+	/** By default, the table names no newer revision than its answers of changes. */
+	readonly readRevision?: () => Promise<number>;
 	readonly waitForChanges: (revision: number, waitMs: number) => Promise<ChangePage>;
 };
 
@@ -19,6 +21,7 @@
 	const replica = new TableReplica({
 		table: {
 			listRows: script.listRows,
+			readRevision: script.readRevision ?? (async () => 0),
 			waitForChanges: async (_prefix: string, revision: number, waitMs: number) => script.waitForChanges(revision, waitMs),
 		} as unknown as WatchableTable,
 		prefix: 'jobs/', waitMs: 1000, pauseMs: () => 0, clock: new VirtualClock(),
@@ -136,6 +139,7 @@
 	const replica = new TableReplica({
 		table: {
 			listRows: async () => ({rows: [], revision: 3}),
+			readRevision: async () => 3,
 			waitForChanges: async () => pages.shift()!,
 		} as unknown as WatchableTable,
 		prefix: 'jobs/', waitMs: 1000, pauseMs: () => 0, clock: new VirtualClock(),
@@ -157,6 +161,7 @@
 /** A table whose answers hold at most `pageSize` changes. */
 const pagedTable = (stored: () => number, pageSize: number): Script => ({
 	listRows: async () => ({rows: [], revision: 0}),
+	readRevision: async () => stored(),
 	async waitForChanges(revision) {
 		const last = Math.min(stored(), revision + pageSize);
 		const changes = Array.from({length: last - revision}, (_value, index): RowChange => ({key: `jobs/${revision + index + 1}`, value: 1, version: revision + index + 1}));
@@ -174,6 +179,47 @@
 	expect(replica.revision).toBe(650);
 });
 
+test('a copy of a busy table is followed with one call for each change, and confirmed by few others', async () => {
+	const clock = new VirtualClock();
+	const calls = {waiting: 0, immediate: 0, revision: 0};
+	let revision = 0;
+	const maxAgeMs = 2000;
+	const replica = new TableReplica({
+		table: {
+			listRows: async () => ({rows: [], revision}),
+			async readRevision() {
+				calls.revision++;
+				return revision;
+			},
+			async waitForChanges(_prefix: string, afterRevision: number, waitMs: number) {
+				calls[waitMs === 0 ? 'immediate' : 'waiting']++;
+				if (waitMs > 0) {
+					await new Promise<void>(resolve => {
+						clock.schedule(50, resolve);
+					});
+					revision++;
+				}
+
+				const changes = revision > afterRevision ? [{key: 'jobs/a', value: revision, version: revision}] : [];
+				return {changes, revision, hasMore: changes.length > 0};
+			},
+		} as unknown as WatchableTable,
+		prefix: 'jobs/', waitMs: 1000, maxConfirmationAgeMs: maxAgeMs, pauseMs: () => 0, onChanges: () => undefined, clock,
+	});
+	replica.start();
+	const ages: number[] = [];
+	for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 10) {
+		await advanceVirtualTime(clock, 10);
+		ages.push(clock.nowMs() - (replica.confirmedAtMs ?? clock.nowMs()));
+	}
+
+	replica.stop();
+	expect(calls.waiting).toBeGreaterThan(350);
+	expect(calls.immediate).toBeLessThanOrEqual(10);
+	expect(calls.revision).toBeLessThanOrEqual(10);
+	expect(Math.max(...ages)).toBeLessThanOrEqual(maxAgeMs + 100);
+});
+
 /** Lets pending promises settle. */
 const passTurns = async (): Promise<void> => {
 	for (let turn = 0; turn < 20; turn++) {
@@ -192,6 +238,7 @@
 				})
 				: {rows: [], revision: 1};
 		},
+		readRevision: async () => 4,
 		async waitForChanges(revision) {
 			if (isDropped && revision < 3) {
 				throw new HistoryLostError('dropped');
