Acknowledge no end whose progress the store has refused

Whether the users' cases had this cause is not known.

Cause: progress rows that the store rejects by themselves were left out of their save, and the save was reported as stored, so that the ends in them were acknowledged and the job no longer counted as unsaved. A trial whose planned attempt was in such a row started.

Change: a save tells which jobs and waves the store refused. They stay unsaved and are tried again after 1 s, in a transaction of their own. The first end of such a job and all later ones on its worker wait, since acknowledgements are cumulative; other workers and jobs do not. Rejected transactions are divided in halves, so that one bad row of 80 costs 13 to 15 commits, by reckoning, rather than 81.

Remains: a row that the store never takes holds its workers' acknowledgements until the job ends.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -94,5 +94,8 @@
 /** Maximum number of a job's tasks over all its occurrences. The scheduler creates a record for each. */
 export const maxTasksPerJob = 8000;
 
+/** Progress that the store has refused for its size or form is saved again after this time: it may be refused for another cause, and it shrinks when its job ends. */
+export const refusedSaveRetryMs = 1000;
+
 /** Delay after a failed call to the store. It allows a few attempts within the second in which the end of an outage should be noticed. */
 export const storeRetryDelayMs = 150;
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -58,18 +58,19 @@
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly orderedAtMs: number; readonly answer: OrderAnswer})
 	| {readonly type: 'adviceAnswered'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]; readonly answer: AdviceAnswer; readonly sentAtMs: number}
-	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number})
+	/** The jobs and waves whose rows the store refused are not stored. */
+	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number; readonly refusedJobIds?: readonly string[]; readonly refusedWaveIds?: readonly number[]})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly sentAtMs: number}
 	| (OfTerm & {readonly type: 'machineAnswered'; readonly machineId: string; readonly orderNumber: number; readonly answer: MachineAnswer})
 	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. `jobRowsConfirmedAtMs`: when the newest read was sent that found all job rows. */
 	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean; readonly jobRowsConfirmedAtMs?: number | undefined}
 );
 
-/** Progress to store. The shell retries the save until it succeeds or the lease is lost. */
+/** Progress to store. The shell retries the save until it succeeds or the lease is lost. `isRetry`: the store has refused the row before, and may refuse it again. */
 export type ProgressSave = {
 	readonly saveNumber: number;
-	readonly jobs: ReadonlyArray<{readonly jobId: string; readonly progress: JobProgress}>;
-	readonly waves: ReadonlyArray<{readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}>;
+	readonly jobs: ReadonlyArray<{readonly jobId: string; readonly progress: JobProgress; readonly isRetry?: boolean}>;
+	readonly waves: ReadonlyArray<{readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean; readonly isRetry?: boolean}>;
 };
 
 export type SchedulerEffect
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -1,18 +1,25 @@
 /**
-Decides when progress is stored and which run ends workers may discard. A run end is acknowledged only after all progress processed up to it is stored, so that no lease holder ever restarts a finished task.
+Decides when progress is stored and which run ends workers may discard. A run end is acknowledged only after all progress processed up to it is stored, so that no lease holder ever restarts a finished task. Progress that the store refuses is saved again from time to time; until it is stored, the ends of its job, and later ones on the same workers, are not acknowledged.
 */
+import {refusedSaveRetryMs} from '../constants.js';
+import {type SchedulerEvent} from './events.js';
 import {progressOf} from './jobs.js';
-import {type WorkerRecord} from './records.js';
+import {type JobRecord, type WaveRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 /** Minimum interval between two saves. It groups run ends into one transaction and adds little to the time at which a job is shown as completed. */
 const minSaveIntervalMs = 40;
 
+/** Returns false while the store has refused the job or wave too recently. */
+const isSaveDue = (state: SchedulerState, record: JobRecord | WaveRecord, nowMs: number): boolean =>
+	(state.refusedUntilMs.get(record) ?? Number.NEGATIVE_INFINITY) <= nowMs;
+
 /** Schedules the acknowledgement of processed run ends for when the next save is stored. */
-export const prepareAcknowledgements = (state: SchedulerState): void => {
-	const hasUnsaved = state.dirtyJobs.size > 0;
+export const prepareAcknowledgements = (state: SchedulerState, nowMs: number): void => {
+	forgetObsoleteRefusals(state);
+	const hasUnsaved = state.refusedUntilMs.size === 0 ? state.dirtyJobs.size > 0 : [...state.dirtyJobs].some(job => isSaveDue(state, job, nowMs));
 	for (const worker of state.workers.values()) {
-		const sequence = resolvedSequence(worker);
+		const sequence = Math.min(resolvedSequence(worker), storedSequence(state, worker));
 		if (sequence <= worker.acknowledgedSequence || worker.pendingAcknowledgement?.sequence === sequence) {
 			continue;
 		}
@@ -20,11 +27,37 @@
 		if (hasUnsaved || state.pendingSaveNumber !== undefined) {
 			worker.pendingAcknowledgement = {sequence, saveNumber: state.saveCount + 1};
 		} else {
-			worker.acknowledgedSequence = sequence;
+			acknowledge(worker, sequence);
+		}
+	}
+};
+
+/** Jobs that are removed, or whose outcome another process has stored, are not saved again. */
+const forgetObsoleteRefusals = (state: SchedulerState): void => {
+	for (const record of state.refusedUntilMs.keys()) {
+		if ('spec' in record && (record.isOutcomeStored || state.jobs.get(record.spec.jobId) !== record)) {
+			state.refusedUntilMs.delete(record);
 		}
 	}
 };
 
+/** Returns the sequence number before the first end whose job the store has refused. */
+const storedSequence = (state: SchedulerState, worker: WorkerRecord): number => {
+	let sequence = Number.POSITIVE_INFINITY;
+	for (const end of state.refusedUntilMs.size === 0 ? [] : worker.unacknowledgedEnds) {
+		if (state.refusedUntilMs.has(end.job)) {
+			sequence = Math.min(sequence, end.sequence - 1);
+		}
+	}
+
+	return sequence;
+};
+
+const acknowledge = (worker: WorkerRecord, sequence: number): void => {
+	worker.acknowledgedSequence = sequence;
+	worker.unacknowledgedEnds = worker.unacknowledgedEnds.filter(end => end.sequence > sequence);
+};
+
 /** Returns the sequence number up to which all ends have been applied to their tasks. */
 const resolvedSequence = ({unresolvedEnds: [first], processedSequence}: WorkerRecord): number => first === undefined ? processedSequence : first.entry.sequence - 1;
 
@@ -34,8 +67,8 @@
 		return;
 	}
 
-	const jobs = [...state.dirtyJobs];
-	const waves = [...state.waves.values()].filter(wave => wave.isDirty);
+	const jobs = [...state.dirtyJobs].filter(job => isSaveDue(state, job, nowMs));
+	const waves = [...state.waves.values()].filter(wave => wave.isDirty && isSaveDue(state, wave, nowMs));
 	const isAcknowledgementPending = [...state.workers.values()].some(worker => worker.pendingAcknowledgement !== undefined);
 	if (jobs.length === 0 && waves.length === 0 && !isAcknowledgementPending) {
 		return;
@@ -46,7 +79,10 @@
 	state.pendingSaveNumber = state.saveCount;
 	state.pendingSaveJobs = jobs;
 	state.pendingSaveWaves = waves;
-	state.dirtyJobs.clear();
+	for (const job of jobs) {
+		state.dirtyJobs.delete(job);
+	}
+
 	for (const wave of waves) {
 		wave.isDirty = false;
 	}
@@ -56,18 +92,46 @@
 		fencingToken: state.term!.fencingToken,
 		save: {
 			saveNumber: state.saveCount,
-			jobs: jobs.map(job => ({jobId: job.spec.jobId, progress: progressOf(job)})),
-			waves: waves.map(wave => ({waveId: wave.order.waveId, maintained: [...wave.maintained], isCompleted: wave.state === 'completed'})),
+			jobs: jobs.map(job => ({jobId: job.spec.jobId, progress: progressOf(job), isRetry: state.refusedUntilMs.has(job)})),
+			waves: waves.map(wave => ({
+				waveId: wave.order.waveId, maintained: [...wave.maintained], isCompleted: wave.state === 'completed', isRetry: state.refusedUntilMs.has(wave),
+			})),
 		},
 	});
 };
 
-/** Releases the acknowledgements that waited for the save. */
-export const applySaved = (state: SchedulerState, saveNumber: number): void => {
+type SavedEvent = Extract<SchedulerEvent, {readonly type: 'saved'}>;
+
+/** Keeps what the store refused as unsaved, to be saved again later. */
+const keepRefused = (state: SchedulerState, {refusedJobIds = [], refusedWaveIds = [], nowMs}: SavedEvent): void => {
+	const refusedJobs = new Set(refusedJobIds);
+	for (const job of state.pendingSaveJobs) {
+		state.refusedUntilMs.delete(job);
+		if (refusedJobs.has(job.spec.jobId)) {
+			state.refusedUntilMs.set(job, nowMs + refusedSaveRetryMs);
+			state.dirtyJobs.add(job);
+		}
+	}
+
+	const refusedWaves = new Set(refusedWaveIds);
+	for (const wave of state.pendingSaveWaves) {
+		state.refusedUntilMs.delete(wave);
+		if (refusedWaves.has(wave.order.waveId)) {
+			state.refusedUntilMs.set(wave, nowMs + refusedSaveRetryMs);
+			wave.isDirty = true;
+		}
+	}
+};
+
+/** Releases the acknowledgements that waited for the save, up to the ends of jobs that it did not store. */
+export const applySaved = (state: SchedulerState, event: SavedEvent): void => {
+	const {saveNumber} = event;
 	if (state.pendingSaveNumber !== saveNumber) {
 		return;
 	}
 
+	keepRefused(state, event);
+	forgetObsoleteRefusals(state);
 	state.pendingSaveNumber = undefined;
 	state.pendingSaveJobs = [];
 	state.pendingSaveWaves = [];
@@ -75,8 +139,11 @@
 	for (const worker of state.workers.values()) {
 		const {pendingAcknowledgement} = worker;
 		if (pendingAcknowledgement !== undefined && pendingAcknowledgement.saveNumber <= saveNumber) {
-			worker.acknowledgedSequence = pendingAcknowledgement.sequence;
+			const sequence = Math.min(pendingAcknowledgement.sequence, storedSequence(state, worker));
 			worker.pendingAcknowledgement = undefined;
+			if (sequence > worker.acknowledgedSequence) {
+				acknowledge(worker, sequence);
+			}
 		}
 	}
 };
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -69,7 +69,7 @@
 		resizePools(state, shortages, nowMs);
 	}
 
-	prepareAcknowledgements(state);
+	prepareAcknowledgements(state, nowMs);
 	saveProgress(state, nowMs);
 };
 
@@ -187,7 +187,7 @@
 		}
 
 		case 'saved': {
-			applySaved(state, event.saveNumber);
+			applySaved(state, event);
 			break;
 		}
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -90,6 +90,8 @@
 	/** What the pending save contains; it is saved again in the next term if the outcome is not known by then. */
 	pendingSaveJobs: readonly JobRecord[] = [];
 	pendingSaveWaves: readonly WaveRecord[] = [];
+	/** Jobs and waves whose last save the store refused, with the time from which they are saved again. They count as unsaved until a save with them is stored. */
+	readonly refusedUntilMs = new Map<JobRecord | WaveRecord, number>();
 	lastSaveAtMs = 0;
 	saveCount = 0;
 	/** Number of the last stored save. */
@@ -251,6 +253,7 @@
 			worker.isFenced = false;
 			worker.processedSequence = 0;
 			worker.unresolvedEnds = [];
+			worker.unacknowledgedEnds = [];
 			worker.acknowledgedSequence = 0;
 			worker.sentAcknowledgement = 0;
 			worker.pendingAcknowledgement = undefined;
--- a/packages/scheduler/src/core/trials.ts
+++ b/packages/scheduler/src/core/trials.ts
@@ -85,8 +85,10 @@
 };
 
 /** Returns true if the attempt is stored and nothing on the trial's workers could be taken for the cause of a crash. */
-export const canStartTrial = (state: SchedulerState, {saveNumber, workers, isStarted}: Trial): boolean =>
-	!isStarted && state.storedSaveNumber >= saveNumber && !workers.some(worker => hasUnprovenRun(worker));
+export const canStartTrial = (state: SchedulerState, {
+	saveNumber, tasks, workers, isStarted,
+}: Trial): boolean =>
+	!isStarted && state.storedSaveNumber >= saveNumber && !tasks.some(({step: {job}}) => state.refusedUntilMs.has(job)) && !workers.some(worker => hasUnprovenRun(worker));
 
 const isUndecided = (run: TaskRun | undefined, {attempt}: Trial): boolean => run?.attempt === attempt && !run.isProven;
 
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -271,6 +271,10 @@
 
 	settleTrial(state, task, entry.attempt);
 
+	if (task !== undefined) {
+		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job});
+	}
+
 	if (task !== undefined && task.step.job.outcome === undefined) {
 		applyTaskEnd(state, task, worker, entry, now);
 	}
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -34,6 +34,7 @@
 	silenceNoticedAtMs: nowMs,
 	processedSequence: 0,
 	unresolvedEnds: [],
+	unacknowledgedEnds: [],
 	acknowledgedSequence: 0,
 	pendingAcknowledgement: undefined,
 	sentAcknowledgement: 0,
@@ -125,6 +126,7 @@
 	worker.clock = undefined;
 	worker.processedSequence = 0;
 	worker.unresolvedEnds = [];
+	worker.unacknowledgedEnds = [];
 	worker.acknowledgedSequence = 0;
 	worker.sentAcknowledgement = 0;
 	worker.pendingAcknowledgement = undefined;
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -29,6 +29,12 @@
 	mayBeStored: boolean;
 };
 
+/** The jobs and waves of a save whose rows the store refused. */
+export type RefusedProgress = {
+	readonly refusedJobIds: readonly string[];
+	readonly refusedWaveIds: readonly number[];
+};
+
 /** Maximum number of jobs in one transaction; the store limits the number of its conditions and writes together. */
 const maxJobsPerCommit = 40;
 
@@ -88,15 +94,23 @@
 		});
 	}
 
-	/** Stores progress under the fence, in as many transactions as needed. Throws the errors of a commit. A row holds all progress of its job, so a write applied late would overwrite newer progress; the resolving table prevents that. */
-	async save(save: ProgressSave, fence: RowCondition): Promise<void> {
-		const writes: RowWrite[] = [
-			...save.jobs.map(({jobId, progress}): RowWrite => ({type: 'put', key: progressKey(jobId), value: progressToJson(progress)})),
-			...save.waves.map(({waveId, maintained, isCompleted}): RowWrite => ({type: 'put', key: waveKey(waveId), value: {maintained, isCompleted}})),
+	/** Stores progress under the fence, in as many transactions as needed, and resolves to what of it the store refused. Throws the errors of a commit. A row holds all progress of its job, so a write applied late would overwrite newer progress; the resolving table prevents that. */
+	async save(save: ProgressSave, fence: RowCondition): Promise<RefusedProgress> {
+		const rows = [
+			...save.jobs.map(({jobId, progress, isRetry}) => ({isRetry, write: {type: 'put', key: progressKey(jobId), value: progressToJson(progress)} satisfies RowWrite})),
+			...save.waves.map(({
+				waveId, maintained, isCompleted, isRetry,
+			}) => ({isRetry, write: {type: 'put', key: waveKey(waveId), value: {maintained, isCompleted}} satisfies RowWrite})),
 		];
-		for (let from = 0; from < writes.length; from += maxProgressRowsPerCommit) {
-			await this.#saveWrites(writes.slice(from, from + maxProgressRowsPerCommit), fence);
-		}
+		// Rows that were refused before come last, so that they divide no transaction of others.
+		const refusedKeys = new Set([
+			...await this.#saveInParts(rows.filter(({isRetry}) => isRetry !== true).map(({write}) => write), fence),
+			...await this.#saveInParts(rows.filter(({isRetry}) => isRetry === true).map(({write}) => write), fence),
+		]);
+		return {
+			refusedJobIds: save.jobs.map(({jobId}) => jobId).filter(jobId => refusedKeys.has(progressKey(jobId))),
+			refusedWaveIds: save.waves.map(({waveId}) => waveId).filter(waveId => refusedKeys.has(waveKey(waveId))),
+		};
 	}
 
 	/** Removes a row of a job whose retention time has passed. */
@@ -123,10 +137,20 @@
 		});
 	}
 
-	/** Commits the writes together. If the store rejects them for their size or form, each is committed on its own, and those that are rejected again are left out: one row must not keep the progress of all jobs from being stored. */
-	async #saveWrites(writes: readonly RowWrite[], fence: RowCondition): Promise<void> {
+	async #saveInParts(writes: readonly RowWrite[], fence: RowCondition): Promise<readonly string[]> {
+		const refusedKeys: string[] = [];
+		for (let from = 0; from < writes.length; from += maxProgressRowsPerCommit) {
+			refusedKeys.push(...await this.#saveWrites(writes.slice(from, from + maxProgressRowsPerCommit), fence));
+		}
+
+		return refusedKeys;
+	}
+
+	/** Commits the writes together. If the store rejects them for their size or form, each half is committed on its own: one row must not keep the progress of all jobs from being stored. Resolves to the keys of the rows that are rejected by themselves. */
+	async #saveWrites(writes: readonly RowWrite[], fence: RowCondition): Promise<readonly string[]> {
 		try {
 			await this.#resolvingTable.commit({conditions: [fence], writes});
+			return [];
 		} catch (error) {
 			if (!(error instanceof RejectedError)) {
 				throw error;
@@ -135,9 +159,12 @@
 			this.#log.error({
 				event: 'save_rejected', rows: writes.length, key: writes[0]!.key, reason: error.message,
 			});
-			for (const write of writes.length > 1 ? writes : []) {
-				await this.#saveWrites([write], fence);
+			if (writes.length === 1) {
+				return [writes[0]!.key];
 			}
+
+			const middle = Math.ceil(writes.length / 2);
+			return [...await this.#saveWrites(writes.slice(0, middle), fence), ...await this.#saveWrites(writes.slice(middle), fence)];
 		}
 	}
 
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -197,9 +197,9 @@
 			const fence = this.#options.fence();
 			try {
 				if (fence?.version === fencingToken) {
-					await this.#options.store.save(save, fence);
+					const refused = await this.#options.store.save(save, fence);
 					this.#options.dispatch({
-						type: 'saved', fencingToken, saveNumber: save.saveNumber, ...this.#now(),
+						type: 'saved', fencingToken, saveNumber: save.saveNumber, ...refused, ...this.#now(),
 					});
 					return;
 				}
--- a/packages/scheduler/tests/jobs/job-store.test.ts
+++ b/packages/scheduler/tests/jobs/job-store.test.ts
@@ -149,11 +149,29 @@
 	const progressOf = (attempts: number) => ({
 		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {}, failures: {'0.0.0': Array.from({length: attempts}, (_value, index) => index)}, crashRecords: {},
 	});
-	await storeOn(table).save({
+	const result = await storeOn(table).save({
 		saveNumber: 1, waves: [], jobs: [{jobId: 'a', progress: progressOf(2)}, {jobId: 'b', progress: progressOf(5000)}, {jobId: 'c', progress: progressOf(3)}],
 	}, {key: 'leases/scheduler', version: 1});
 	const rows = await table.memory.readRows(['a', 'b', 'c'].map(jobId => progressKey(jobId)));
 	expect(rows.map(({key}) => key)).toEqual([progressKey('a'), progressKey('c')]);
+	expect(result).toEqual({refusedJobIds: ['b'], refusedWaveIds: []});
+});
+
+test('progress that the store has rejected before takes one commit, apart from that of other jobs', async () => {
+	const table = new ScriptedTable([]);
+	await table.memory.commit({conditions: [], writes: [{type: 'put', key: 'leases/scheduler', value: {}}]});
+	const progress = {
+		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {}, failures: {}, crashRecords: {},
+	};
+	const jobs = Array.from({length: 60}, (_value, index) => ({jobId: `j${index}`, progress}));
+	const oversized = {jobId: 'oversized', progress: {...progress, failures: {'0.0.0': Array.from({length: 5000}, (_value, index) => index)}}};
+	const store = storeOn(table);
+	const fence = {key: 'leases/scheduler', version: 1};
+	expect(await store.save({saveNumber: 1, waves: [], jobs: [oversized, ...jobs]}, fence)).toEqual({refusedJobIds: ['oversized'], refusedWaveIds: []});
+	expect(table.transactions.length).toBeLessThanOrEqual(15);
+	table.transactions.length = 0;
+	expect(await store.save({saveNumber: 2, waves: [], jobs: [{...oversized, isRetry: true}, ...jobs]}, fence)).toEqual({refusedJobIds: ['oversized'], refusedWaveIds: []});
+	expect(table.transactions.map(({writes}) => writes.length)).toEqual([60, 1]);
 });
 
 test('a job that an earlier version stored in another partition is found, with its cancellation', async () => {
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -40,6 +40,8 @@
 	latencyMs: number;
 	/** An answer of changes is cut after this many, at the end of a transaction. */
 	maxChangesPerAnswer?: number | undefined;
+	/** Returns true for keys of rows that the table rejects for their size or form. */
+	isRejected?: (key: string) => boolean;
 };
 
 export type FakeTableOptions = {
@@ -75,6 +77,10 @@
 		}
 
 		checkLimits(transaction);
+		if (transaction.writes.some(({key}) => this.#faults.isRejected?.(key) === true)) {
+			throw new RejectedError('refused with status 400');
+		}
+
 		if (this.#random.next() < this.#faults.lostAnswerRate) {
 			await this.#loseAnswer(transaction);
 		}
