Log up to which ends workers may discard, with the save before it

The record of the incident did not show which save an acknowledgement rested on. The line is emitted once a save or a round, and only if something is acknowledged.

Evidence: refused-progress.test.ts, "what a save acknowledges is logged in one line"; without the line it finds none.

--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -1,7 +1,7 @@
 /**
 Decides when progress is stored and which run ends workers may discard. A run end is acknowledged only after all progress processed up to it is stored, so that no lease holder ever restarts a finished task. Progress that the store refuses is saved again from time to time; until it is stored, the ends of its job, and later ones on the same workers, are not acknowledged.
 */
-import {refusedSaveRetryMs} from '../constants.js';
+import {maxLoggedRuns, refusedSaveRetryMs} from '../constants.js';
 import {type SchedulerEvent} from './events.js';
 import {progressOf} from './jobs.js';
 import {type JobRecord, type WaveRecord, type WorkerRecord} from './records.js';
@@ -18,6 +18,7 @@
 export const prepareAcknowledgements = (state: SchedulerState, nowMs: number): void => {
 	forgetObsoleteRefusals(state);
 	const hasUnsaved = state.refusedUntilMs.size === 0 ? state.dirtyJobs.size > 0 : [...state.dirtyJobs].some(job => isSaveDue(state, job, nowMs));
+	const acknowledged: WorkerRecord[] = [];
 	for (const worker of state.workers.values()) {
 		const sequence = Math.min(resolvedSequence(worker), storedSequence(state, worker));
 		if (sequence <= worker.acknowledgedSequence || worker.pendingAcknowledgement?.sequence === sequence) {
@@ -28,8 +29,11 @@
 			worker.pendingAcknowledgement = {sequence, saveNumber: state.saveCount + 1};
 		} else {
 			acknowledge(worker, sequence);
+			acknowledged.push(worker);
 		}
 	}
+
+	logAcknowledged(state, acknowledged, state.storedSaveNumber);
 };
 
 /** Jobs that are removed, or whose outcome another process has stored, are not saved again. */
@@ -58,6 +62,17 @@
 	worker.unacknowledgedEnds = worker.unacknowledgedEnds.filter(end => end.sequence > sequence);
 };
 
+/** Names the workers and the ends up to which they may discard them, and the last save that was stored before. */
+const logAcknowledged = (state: SchedulerState, workers: readonly WorkerRecord[], saveNumber: number): void => {
+	if (workers.length > 0) {
+		state.emit({
+			type: 'log', fields: {
+				event: 'ends_acknowledged', saveNumber, fencingToken: state.term?.fencingToken, count: workers.length, workers: workers.slice(0, maxLoggedRuns).map(({entry: {workerId}, acknowledgedSequence}) => `${workerId}:${acknowledgedSequence}`).join(','),
+			},
+		});
+	}
+};
+
 /** Returns the sequence number up to which all ends have been applied to their tasks. */
 const resolvedSequence = ({unresolvedEnds: [first], processedSequence}: WorkerRecord): number => first === undefined ? processedSequence : first.entry.sequence - 1;
 
@@ -136,6 +151,7 @@
 	state.pendingSaveJobs = [];
 	state.pendingSaveWaves = [];
 	state.storedSaveNumber = saveNumber;
+	const acknowledged: WorkerRecord[] = [];
 	for (const worker of state.workers.values()) {
 		const {pendingAcknowledgement} = worker;
 		if (pendingAcknowledgement !== undefined && pendingAcknowledgement.saveNumber <= saveNumber) {
@@ -143,7 +159,10 @@
 			worker.pendingAcknowledgement = undefined;
 			if (sequence > worker.acknowledgedSequence) {
 				acknowledge(worker, sequence);
+				acknowledged.push(worker);
 			}
 		}
 	}
+
+	logAcknowledged(state, acknowledged, saveNumber);
 };
--- a/packages/scheduler/tests/refused-progress.test.ts
+++ b/packages/scheduler/tests/refused-progress.test.ts
@@ -159,6 +159,16 @@
 	expect(canStartTrial(state, trial!)).toBe(false);
 });
 
+test('what a save acknowledges is logged in one line, with the save and the term', () => {
+	report('w1', end(1, stored, 0), end(2, refused, 0));
+	report('w2', end(1, stored, 1), end(2, stored, 2));
+	const save = round();
+	answerSave(save, true);
+	expect(effects.filter(effect => effect.type === 'log').map(({fields}) => fields).filter(({event}) => event === 'ends_acknowledged')).toEqual([{
+		event: 'ends_acknowledged', saveNumber: save!.saveNumber, fencingToken, count: 2, workers: 'w1:1,w2:2',
+	}]);
+});
+
 test('tasks whose ends the store does not take are not started again by the next holder', async () => {
 	const simulation = new SchedulerSimulation({
 		seed: 7, processes: 2, workersPerPool: 6, standbyMachines: 0,
