Count an acknowledgement only for the incarnation that was polled

Callers would see ends of a restarted worker that are not taken note of: a poll that acknowledged ends of the earlier incarnation was answered by the present one, and its number was noted as acknowledged to that one, whose numbers start anew. So its first ends were never acknowledged.

Evidence: restarted-workers.test.ts, which failed without the change ("expected 7 to be +0").

Change: the number counts if the incarnation that was called is the present one. If another one answers, acknowledged_other_incarnation is logged.

--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -94,7 +94,13 @@
 	worker.lastAnswerAtMs = event.nowMs;
 	worker.lastReportSentAtMs = event.sentAtMs;
 	worker.clock = {clockMs: report.clockMs, readAtMs: event.nowMs};
-	worker.sentAcknowledgement = Math.max(worker.sentAcknowledgement, event.sentAcknowledgement);
+	if (event.incarnation === worker.incarnation) {
+		worker.sentAcknowledgement = Math.max(worker.sentAcknowledgement, event.sentAcknowledgement);
+	} else if (event.sentAcknowledgement > 0) {
+		// The number was meant for an earlier incarnation; the present one has forgotten its own ends up to it, if it had any.
+		state.emit({type: 'log', level: 'warn', fields: {event: 'acknowledged_other_incarnation', workerId: event.workerId, sequence: event.sentAcknowledgement}});
+	}
+
 	const ended: FinishedEntry[] = [];
 	for (const entry of report.finished.toSorted((a, b) => a.sequence - b.sequence)) {
 		if (entry.sequence > worker.processedSequence) {
--- a/packages/scheduler/tests/restarted-workers.test.ts
+++ b/packages/scheduler/tests/restarted-workers.test.ts
@@ -224,3 +224,29 @@
 	dispatch({...answer, ...next, type: 'adviceAnswered'});
 	expect(effects).toContainEqual({type: 'log', fields: expect.objectContaining({event: 'event_outdated', reason: 'answered-before'}) as never});
 });
+
+// The worker forgets only what is listed when a poll arrives, so ends that come later need an acknowledgement of their own.
+test('the ends of a worker that started again are acknowledged although a poll that reached it carried a higher number', () => {
+	startTask();
+	const {incarnation} = state.workers.get('w1')!;
+	for (const sequence of [1, 2]) {
+		dispatch({
+			type: 'polled', fencingToken, workerId: 'w1', incarnation, sentAtMs: nowMs, sentAcknowledgement: sequence === 1 ? 7 : 0, answer: {
+				type: 'report', report: {
+					clockMs: nowMs, bornWallMs: secondBornMs, running: [], finished: sequence === 1
+						? []
+						: [{
+							sequence: 1, taskKey: 'unknown.0.0.0', attempt: 1, end: 'done', checkpoint: '',
+						}],
+				},
+			},
+		});
+	}
+
+	dispatch({type: 'tick', jobRowsConfirmedAtMs: nowMs + 10});
+	dispatch({type: 'saved', fencingToken, saveNumber: state.pendingSaveNumber ?? 0});
+	dispatch({type: 'tick', jobRowsConfirmedAtMs: nowMs + 10});
+	const {acknowledgedSequence, sentAcknowledgement} = state.workers.get('w1')!;
+	expect(acknowledgedSequence).toBe(1);
+	expect(sentAcknowledgement).toBe(0);
+});
