Keep progress and cancellations that are read before their job

What callers saw: nothing that was traced to this.

Cause: a copy passes each row on once, and `applyChange` dropped progress and cancellations of unknown jobs. After an error in a batch, `TableReplica` passes its rows on one by one in the order of the listing's answers, so the part with all progress may come first. Besides, the removal of one of a job's two specifications made the job unknown, and so did a removal and a new row in one batch.

Why it works: rows of a job whose specification is not known are kept until it is read, or until they are removed. Removals name their row. Each row kept is one that is stored, so memory is bounded as the copy's own is.

--- a/bench/scheduling-cost.bench.ts
+++ b/bench/scheduling-cost.bench.ts
@@ -107,7 +107,7 @@
 		const {jobId} = jobOf(number);
 		this.dispatch({
 			type: 'jobsChanged', changes: [{
-				type: 'progressed', jobId, progress: {
+				type: 'progressed', jobId, rowKey: `${jobId}/progress`, version: 1, progress: {
 					outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {'0.0': [0]}, failures: {}, crashRecords: {},
 				},
 			}],
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -26,12 +26,15 @@
 /** A worker that the policy service was asked about, and which incarnation of it. */
 export type AdvisedWorker = {readonly workerId: string; readonly incarnation: number};
 
+/** What a row of a job holds. */
+export type JobRowKind = 'specification' | 'progress' | 'cancellation';
+
 /** A change to the stored rows of one job. */
 export type JobChange
 	= | {readonly type: 'accepted'; readonly job: JobSpec; readonly rowKey: string}
-		| {readonly type: 'progressed'; readonly jobId: string; readonly progress: JobProgress}
+		| {readonly type: 'progressed'; readonly jobId: string; readonly progress: JobProgress; readonly rowKey: string; readonly version: number}
 		| {readonly type: 'cancelled'; readonly jobId: string; readonly rowKey: string}
-		| {readonly type: 'removed'; readonly jobId: string};
+		| {readonly type: 'removed'; readonly jobId: string; readonly row: JobRowKind; readonly rowKey: string};
 
 export type SchedulerEvent = EventTime & (
 	| {readonly type: 'configured'; readonly configuration: FleetConfiguration}
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -51,6 +51,7 @@
 const newJob = (spec: JobSpec, submittedAtMs: number, nowMs: number): JobRecord => ({
 	spec,
 	rowKeys: new Set(),
+	cancelKeys: new Set(),
 	firstSeenAtMs: nowMs,
 	submittedAtMs,
 	wholeChainMs: longestChainMs(spec.steps.map(({after, estimateMs}) => ({after, durationMs: estimateMs}))),
@@ -61,6 +62,7 @@
 	exceedsShare: false,
 	hasBegun: false,
 	isOutcomeStored: false,
+	progressVersion: 0,
 	storedDoneTasks: {},
 	storedFailures: {},
 	storedCrashRecords: {},
@@ -241,6 +243,15 @@
 	}
 };
 
+const mergeProgress = (a: JobProgress, b: JobProgress): JobProgress => ({
+	outcome: a.outcome ?? b.outcome,
+	endedWallMs: b.endedWallMs ?? a.endedWallMs,
+	hasBegun: a.hasBegun || b.hasBegun,
+	doneTasks: mergeByKey(a.doneTasks, b.doneTasks, unionOf),
+	failures: mergeByKey(a.failures, b.failures, unionOf),
+	crashRecords: mergeByKey(a.crashRecords, b.crashRecords, mergeCrashRecords),
+});
+
 const applyProgress = (state: SchedulerState, job: JobRecord, progress: JobProgress, now: CurrentTime): void => {
 	job.hasBegun ||= progress.hasBegun;
 	job.storedDoneTasks = mergeByKey(job.storedDoneTasks, progress.doneTasks, unionOf);
@@ -295,6 +306,7 @@
 			state.jobs.set(change.job.jobId, accepted);
 			state.openJobs.add(accepted);
 			recordShare(state, accepted, now);
+			attachRows(state, accepted, now);
 		}
 
 		accepted.rowKeys.add(change.rowKey);
@@ -303,25 +315,25 @@
 
 	const job = state.jobs.get(change.jobId);
 	if (job === undefined) {
+		applyDetachedChange(state, change);
 		return;
 	}
 
 	switch (change.type) {
 		case 'progressed': {
 			applyProgress(state, job, change.progress, now);
+			job.progressVersion = Math.max(job.progressVersion, change.version);
 			break;
 		}
 
 		case 'cancelled': {
 			job.isCancelRequested = true;
-			job.rowKeys.add(change.rowKey);
+			job.cancelKeys.add(change.rowKey);
 			break;
 		}
 
 		case 'removed': {
-			state.jobs.delete(change.jobId);
-			state.openJobs.delete(job);
-			state.dirtyJobs.delete(job);
+			applyRemoval(state, job, change);
 			break;
 		}
 
@@ -331,6 +343,108 @@
 	}
 };
 
+type RemovedRow = Extract<JobChange, {readonly type: 'removed'}>;
+
+/** Forgets that a row of a known job is stored. What was read from it stays in force while the job is known. */
+const applyRemoval = (state: SchedulerState, job: JobRecord, {jobId, row, rowKey}: RemovedRow): void => {
+	switch (row) {
+		case 'specification': {
+			job.rowKeys.delete(rowKey);
+			if (job.rowKeys.size === 0) {
+				state.jobs.delete(jobId);
+				state.openJobs.delete(job);
+				state.dirtyJobs.delete(job);
+				detachRows(state, job);
+			}
+
+			break;
+		}
+
+		case 'progress': {
+			job.progressVersion = 0;
+			break;
+		}
+
+		case 'cancellation': {
+			job.cancelKeys.delete(rowKey);
+			break;
+		}
+
+		default: {
+			assertNever(row);
+		}
+	}
+};
+
+/** Keeps what is still stored of a job whose specification was removed. */
+const detachRows = (state: SchedulerState, job: JobRecord): void => {
+	const {progressVersion, cancelKeys} = job;
+	if (progressVersion === 0 && cancelKeys.size === 0) {
+		return;
+	}
+
+	const progress: JobProgress = {
+		outcome: job.isOutcomeStored ? job.outcome : undefined, endedWallMs: job.endedWallMs, hasBegun: job.hasBegun, doneTasks: job.storedDoneTasks, failures: job.storedFailures, crashRecords: job.storedCrashRecords,
+	};
+	state.detachedRows.set(job.spec.jobId, {progress: progressVersion === 0 ? undefined : progress, progressVersion, cancelKeys});
+};
+
+/** Applies the rows of the job that were read before its specification. */
+const attachRows = (state: SchedulerState, job: JobRecord, now: CurrentTime): void => {
+	const rows = state.detachedRows.get(job.spec.jobId);
+	if (rows === undefined) {
+		return;
+	}
+
+	state.detachedRows.delete(job.spec.jobId);
+	for (const key of rows.cancelKeys) {
+		job.cancelKeys.add(key);
+		job.isCancelRequested = true;
+	}
+
+	job.progressVersion = rows.progressVersion;
+	if (rows.progress !== undefined) {
+		applyProgress(state, job, rows.progress, now);
+	}
+};
+
+/** Applies a change to a row of a job whose specification is not known. */
+const applyDetachedChange = (state: SchedulerState, change: Exclude<JobChange, {readonly type: 'accepted'}>): void => {
+	const rows = state.detachedRows.get(change.jobId) ?? {progress: undefined, progressVersion: 0, cancelKeys: new Set()};
+	switch (change.type) {
+		case 'progressed': {
+			rows.progress = rows.progress === undefined ? change.progress : mergeProgress(rows.progress, change.progress);
+			rows.progressVersion = Math.max(rows.progressVersion, change.version);
+			break;
+		}
+
+		case 'cancelled': {
+			rows.cancelKeys.add(change.rowKey);
+			break;
+		}
+
+		case 'removed': {
+			if (change.row === 'progress') {
+				rows.progress = undefined;
+				rows.progressVersion = 0;
+			}
+
+			rows.cancelKeys.delete(change.rowKey);
+			break;
+		}
+
+		default: {
+			assertNever(change);
+		}
+	}
+
+	if (rows.progress === undefined && rows.cancelKeys.size === 0) {
+		state.detachedRows.delete(change.jobId);
+	} else {
+		state.detachedRows.set(change.jobId, rows);
+	}
+};
+
 /** Records the job's demand on its pool. Lasting and scheduled jobs are left out, since they do not arrive in bursts. */
 const recordDemand = (state: SchedulerState, job: JobSpec, {nowMs, wallMs}: CurrentTime): void => {
 	const pool = state.queueOf(job)?.pool;
@@ -342,8 +456,25 @@
 	state.demand.recordArrival({pool, millicoreMs, atMs: nowMs - Math.max(0, wallMs - job.acceptedWallMs)});
 };
 
-/** Applies changes to job rows. Job specifications are applied first, because a job's other rows may be listed before its specification. */
-export const applyJobChanges = (state: SchedulerState, changes: readonly JobChange[], now: CurrentTime): void => {
+/** Leaves out the rows that a later change of the batch removes. */
+const withoutRemovedRows = (changes: readonly JobChange[]): readonly JobChange[] => {
+	const removedAt = new Map<string, number>();
+	for (const [index, change] of changes.entries()) {
+		if (change.type === 'removed') {
+			removedAt.set(change.rowKey, index);
+		}
+	}
+
+	return removedAt.size === 0 ? changes : changes.filter((change, index) => change.type === 'removed' || index > (removedAt.get(change.rowKey) ?? -1));
+};
+
+/** Applies changes to job rows: the removals, then the specifications by the time of acceptance, then what belongs to them. A row that is stored again after its removal is the newer one. */
+export const applyJobChanges = (state: SchedulerState, batch: readonly JobChange[], now: CurrentTime): void => {
+	const changes = withoutRemovedRows(batch);
+	for (const change of changes.filter(({type}) => type === 'removed')) {
+		applyChange(state, change, now);
+	}
+
 	const accepted = changes.filter(change => change.type === 'accepted')
 		.toSorted((a, b) => a.job.acceptedWallMs - b.job.acceptedWallMs);
 	for (const change of accepted) {
@@ -354,7 +485,7 @@
 		applyChange(state, change, now);
 	}
 
-	for (const change of changes.filter(({type}) => type !== 'accepted')) {
+	for (const change of changes.filter(({type}) => type === 'progressed' || type === 'cancelled')) {
 		applyChange(state, change, now);
 	}
 };
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -2,7 +2,7 @@
 The scheduler's working records. They are mutable and owned by `SchedulerState` alone: hundreds of runs change each second, and copying the records for each event would cost more than the decisions themselves.
 */
 import {
-	type CrashRecord, type FinishedEntry, type JobOutcome, type JobSpec, type MachineEntry, type Resources, type StepSpec, type WaveOrder, type WorkerEntry,
+	type CrashRecord, type FinishedEntry, type JobOutcome, type JobProgress, type JobSpec, type MachineEntry, type Resources, type StepSpec, type WaveOrder, type WorkerEntry,
 } from '../types.js';
 
 /** The policy service's answer about one worker for one step. */
@@ -116,8 +116,10 @@
 
 export type JobRecord = {
 	readonly spec: JobSpec;
-	/** Keys of the rows that are deleted when the ended job is removed. */
+	/** Keys of the rows that hold the specification. The job is known until all of them are removed. */
 	readonly rowKeys: Set<string>;
+	/** Keys of the rows that hold a cancellation. */
+	readonly cancelKeys: Set<string>;
 	/** When this process first saw the job. */
 	readonly firstSeenAtMs: number;
 	/** When the job was submitted, on this process's clock, by the wall clock of the process that accepted it. */
@@ -133,12 +135,22 @@
 	exceedsShare: boolean;
 	hasBegun: boolean;
 	isOutcomeStored: boolean;
+	/** Version of the newest progress row that was read; 0 if none is stored. */
+	progressVersion: number;
 	/** Stored progress, used when an occurrence's tasks are created after it was read. */
 	storedDoneTasks: Readonly<Record<string, readonly number[]>>;
 	storedFailures: Readonly<Record<string, readonly number[]>>;
 	storedCrashRecords: Readonly<Record<string, CrashRecord>>;
 };
 
+/** What is stored of a job whose specification is not known: it has not been read yet, or was removed first. Kept until the specification is read or the rows are removed, since each row is passed on once. */
+export type DetachedRows = {
+	progress: JobProgress | undefined;
+	/** Version of the newest progress row that was read; 0 if none is stored. */
+	progressVersion: number;
+	readonly cancelKeys: Set<string>;
+};
+
 /** The last reading of a worker's clock. */
 export type WorkerClock = {
 	readonly clockMs: number;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -5,7 +5,7 @@
 	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
 import {
-	type Evacuation, type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
+	type DetachedRows, type Evacuation, type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DurationModel} from './model/duration-model.js';
 import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
@@ -57,6 +57,8 @@
 	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
 	earlierHolder: EarlierHolder | undefined;
 	readonly jobs = new Map<string, JobRecord>();
+	/** Stored rows of jobs whose specification is not known, by job id. */
+	readonly detachedRows = new Map<string, DetachedRows>();
 	/** Jobs that have not ended. */
 	readonly openJobs = new Set<JobRecord>();
 	/** Jobs with progress that is not stored yet. */
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -5,7 +5,7 @@
 import {type JsonObject, parseWith, z} from '@poplarnotch/common';
 import {type RowChange} from '@poplarnotch/platform';
 import {maxTasksPerJob} from '../constants.js';
-import {type JobChange} from '../core/events.js';
+import {type JobChange, type JobRowKind} from '../core/events.js';
 import {type JobProgress, type JobSpec} from '../types.js';
 import {decodeDone, doneRangesSchema, encodeDone} from './done-ranges.js';
 
@@ -137,8 +137,27 @@
 
 const keyPattern = /^jobs\/[^\/]+\/(?<jobId>[^\/]+)(?:\/(?<part>progress|cancel))?$/v;
 
+const removedRow = (jobId: string, row: JobRowKind, rowKey: string): JobChange => ({
+	type: 'removed', jobId, row, rowKey,
+});
+
+const progressChangeFrom = (jobId: string, {key, value, version}: RowChange): JobChange | undefined => {
+	if (value === undefined) {
+		return removedRow(jobId, 'progress', key);
+	}
+
+	const parsed = parseWith(progressSchema, value, key);
+	if (E.isLeft(parsed)) {
+		return undefined;
+	}
+
+	return {
+		type: 'progressed', jobId, progress: parsed.right, rowKey: key, version,
+	};
+};
+
 /** Decodes a changed row; returns `undefined` if it is not a job row, cannot be read, or is not under the key of its job. */
-export const jobChangeFrom = ({key, value}: RowChange): JobChange | undefined => {
+export const jobChangeFrom = ({key, value, version}: RowChange): JobChange | undefined => {
 	const groups = keyPattern.exec(key)?.groups;
 	if (groups === undefined) {
 		return undefined;
@@ -146,12 +165,15 @@
 
 	const {jobId, part} = groups as {readonly jobId: string; readonly part?: string};
 	if (part === 'cancel') {
-		return value === undefined || !isKeyOfJob(key.slice(0, -cancelSuffix.length), jobId) ? undefined : {type: 'cancelled', jobId, rowKey: key};
+		if (!isKeyOfJob(key.slice(0, -cancelSuffix.length), jobId)) {
+			return undefined;
+		}
+
+		return value === undefined ? removedRow(jobId, 'cancellation', key) : {type: 'cancelled', jobId, rowKey: key};
 	}
 
 	if (part === 'progress') {
-		const progress = parseWith(progressSchema, value, key);
-		return E.isRight(progress) && key === progressKey(jobId) ? {type: 'progressed', jobId, progress: progress.right} : undefined;
+		return key === progressKey(jobId) ? progressChangeFrom(jobId, {key, value, version}) : undefined;
 	}
 
 	if (!isKeyOfJob(key, jobId)) {
@@ -159,7 +181,7 @@
 	}
 
 	if (value === undefined) {
-		return {type: 'removed', jobId};
+		return removedRow(jobId, 'specification', key);
 	}
 
 	const job = parseWith(jobSchema, value, key);
--- a/packages/scheduler/tests/jobs/job-view.test.ts
+++ b/packages/scheduler/tests/jobs/job-view.test.ts
@@ -14,7 +14,7 @@
 const accepted: JobChange = {type: 'accepted', job, rowKey: 'row'};
 const cancelled: JobChange = {type: 'cancelled', jobId: job.jobId, rowKey: 'row/cancel'};
 const progressed = (overrides: Partial<JobProgress>): JobChange => ({
-	type: 'progressed', jobId: job.jobId, progress: {
+	type: 'progressed', jobId: job.jobId, rowKey: 'progress', version: 1, progress: {
 		outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {}, failures: {}, crashRecords: {}, ...overrides,
 	},
 });
