Take nothing from the answer to a refused commit that cannot be read

What callers would see: a holder ends its term on a 412 whose body tells nothing, and jobs in such a commit are committed again at once and for ever, while their callers wait.

`JobStore` repeated a batch of which the conflict named no job, without a pause and without counting the attempt.

Why it works: a 412 says that some row differs, and its rows say which. A body that cannot be read, or in which no row differs, does not, so the outcome is unknown and is resolved as after a lost answer. A row that a readable answer leaves out does not exist, as before.

--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -220,6 +220,12 @@
 	async #acceptStored(batch: readonly PendingJob[], {conflicts}: ConflictError, attempt: number): Promise<void> {
 		const storedKeys = new Set(conflicts.map(({key}) => key));
 		const isStored = ({job}: PendingJob): boolean => storedKeys.has(jobKey(job.jobId));
+		if (!batch.some(pendingJob => isStored(pendingJob))) {
+			// Some row exists, but the answer does not tell which.
+			this.#handleFailure(batch, new WriteOutcomeUnknownError('conflict that names no job'), attempt);
+			return;
+		}
+
 		this.#log.info({event: 'jobs_already_stored', jobs: storedKeys.size, attempt});
 		resolveAll(batch.filter(pendingJob => isStored(pendingJob)), 'accepted');
 		const rest = batch.filter(pendingJob => !isStored(pendingJob));
--- a/packages/scheduler/tests/jobs/job-store.test.ts
+++ b/packages/scheduler/tests/jobs/job-store.test.ts
@@ -3,7 +3,7 @@
 */
 import {silentLogger, VirtualClock} from '@poplarnotch/common';
 import {
-	type CommitResult, RejectedError, type TableService, type Transaction, UnavailableError, WriteOutcomeUnknownError,
+	type CommitResult, ConflictError, RejectedError, type TableService, type Transaction, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
 import {advanceVirtualTime, MemoryTableService} from '@poplarnotch/standin';
 import {expect, test} from 'vitest';
@@ -183,3 +183,26 @@
 	await store.cancel(job.jobId);
 	expect(await store.read(job.jobId)).toMatchObject([{type: 'accepted', job}, {type: 'cancelled', jobId: job.jobId}]);
 });
+
+// The conflict of an answer that cannot be read names no row.
+test('a job whose commit meets a conflict without rows is not committed for ever, and its outcome is unknown', async () => {
+	const mostCalls = 50;
+	let calls = 0;
+	const service = {
+		async commit(): Promise<CommitResult> {
+			calls++;
+			throw calls > mostCalls ? new RejectedError('called too often') : new ConflictError([]);
+		},
+	} as unknown as TableService;
+	const store = new JobStore({
+		table: service, resolvingTable: service, clock, log: silentLogger,
+	});
+	let result: AcceptResult | undefined;
+	void (async () => {
+		result = await store.accept(jobOf(1));
+	})();
+
+	await advanceVirtualTime(clock, 1000);
+	expect(calls).toBeLessThan(10);
+	expect(result).toBe('unknown');
+});
