Let a suspended holder extend no leases on workers

What callers saw: a task runs twice at once after a cut that leaves the former holder and some workers on one side, and the next holder and the other workers on the other.

Cause: a suspended term starts nothing, but its polls went on extending leases. A renewal that conflicts only suspends the term, and workers that the next holder does not reach never answer `fenced`, so the leases there never ended, while the next holder counted them as over and started their tasks elsewhere.

Why it works: a deadline is sent only if the process trusted its lease at the check of the same round, and counts from that check.

Known cost: after 5 s of suspension without evidence of a full outage, tasks lapse. Before, they went on.

--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -73,7 +73,7 @@
 	readonly waves = new Map<number, WaveRecord>();
 	/** Stored progress of waves, which may be read before the wave's order arrives. */
 	readonly storedWaves = new Map<number, StoredWave>();
-	/** The lease may have passed to another process, so no task is started, and no machine is moved or sent to maintenance. Polling goes on, so that running tasks keep their leases. */
+	/** The lease may have passed to another process, so no task is started, no lease on a worker extended, and no machine moved or sent to maintenance. Polling goes on. */
 	isSuspended = false;
 	/** The lease could not be renewed in time. Tasks are started, since no other process can have acquired the lease, but no machine is moved or sent to maintenance: the next holder may order the same machine at once. */
 	isLeaseUnconfirmed = false;
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -405,7 +405,7 @@
 		this.#runtime.dispatch({
 			type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), jobRowsConfirmedAtMs: this.#jobReplica.confirmedAtMs, ...now,
 		});
-		this.#workerPoller.pollDueWorkers();
+		this.#workerPoller.pollDueWorkers(now.nowMs);
 		if (this.state.term === undefined) {
 			this.#load.reset();
 			this.#pacing.reset();
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -1,5 +1,5 @@
 /**
-Polls the workers. Each poll extends the lease of the runs on the worker, returns a status report, and acknowledges run ends, which the worker may then discard. A busy worker is polled continuously, with a pause that depends on the load of this process, an idle one rarely.
+Polls the workers. Each poll extends the lease of the runs on the worker unless the term is suspended, returns a status report, and acknowledges run ends, which the worker may then discard. A busy worker is polled continuously, with a pause that depends on the load of this process, an idle one rarely.
 */
 import {type Clock} from '@poplarnotch/common';
 import {
@@ -59,8 +59,8 @@
 		return this.#pollCount;
 	}
 
-	/** Starts the polls that are due. */
-	pollDueWorkers(): void {
+	/** Starts the polls that are due. `checkedAtMs` is when the lease of this process was checked: leases on workers count from then, even if the process was paused since. */
+	pollDueWorkers(checkedAtMs: number): void {
 		const state = this.#options.state();
 		if (state.term === undefined) {
 			return;
@@ -72,7 +72,7 @@
 			const dueMs = needsPoll(worker) ? pollState.nextPollAtMs : Math.max(pollState.nextPollAtMs, worker.lastAnswerAtMs + idlePollIntervalMs);
 			const mayHaveRuns = !worker.isEnded && (worker.isListed || nowMs < worker.leaseExpiresAtMs || !worker.isFenced);
 			if (!pollState.isPolling && mayHaveRuns && nowMs >= dueMs) {
-				void this.#poll(worker, pollState, state.term.fencingToken);
+				void this.#poll(worker, pollState, {fencingToken: state.term.fencingToken, checkedAtMs});
 			}
 		}
 
@@ -93,17 +93,18 @@
 		return pollState;
 	}
 
-	async #poll(worker: WorkerRecord, pollState: PollState, fencingToken: number): Promise<void> {
+	async #poll(worker: WorkerRecord, pollState: PollState, {fencingToken, checkedAtMs}: {readonly fencingToken: number; readonly checkedAtMs: number}): Promise<void> {
 		const {clock, dispatch} = this.#options;
 		const {workerId, address} = worker.entry;
 		pollState.isPolling = true;
 		this.#pollCount++;
 		const sentAtMs = clock.nowMs();
 		const acknowledgedSequence = dueAcknowledgement(worker);
-		// The lease of a silent worker is not extended, so that its runs are guaranteed to end.
-		const deadline = worker.runs.size > 0 && worker.silentSinceMs === undefined ? deadlineClockMs(worker, sentAtMs) : undefined;
+		// The lease of a silent worker is not extended, so that its runs are guaranteed to end. Neither is any lease while another process may hold the scheduler's: it counts the leases on workers that it does not reach as over after a time.
+		const mayExtend = worker.runs.size > 0 && worker.silentSinceMs === undefined && !this.#options.state().isSuspended;
+		const deadline = mayExtend ? deadlineClockMs(worker, checkedAtMs) : undefined;
 		if (deadline !== undefined) {
-			recordLeaseSent(worker, sentAtMs);
+			recordLeaseSent(worker, checkedAtMs);
 		}
 
 		// Only a worker that has answered before waits for a run to end; the first poll and idle workers' acknowledgements are answered at once.
--- /dev/null
+++ b/packages/scheduler/tests/replaced-holder.test.ts
@@ -0,0 +1,67 @@
+/**
+A holder that is replaced on suspicion while it reaches workers that the next holder does not, as after a cut between data centres. No task may run on such a worker and elsewhere at once.
+*/
+import {
+	afterEach, beforeEach, expect, test,
+} from 'vitest';
+import {jobOf, stepOf} from './support/jobs.js';
+import {configurationWithoutStandby, SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
+
+/** Longer than any test, so that a run ends only with its lease. */
+const runMs = 60_000;
+
+let simulation: SchedulerSimulation;
+let jobCount = 0;
+
+beforeEach(async () => {
+	jobCount = 0;
+	simulation = new SchedulerSimulation({
+		seed: 31, processes: 5, workersPerPool: 8, standbyMachines: 0, successors: 4,
+	});
+	simulation.configure(configurationWithoutStandby(2));
+	simulation.fleet.behaviour.runMs = () => runMs;
+	for (const worker of simulation.fleet.workers.values()) {
+		worker.clockRate = 0.98;
+	}
+
+	await simulation.run(takeoverMs);
+});
+
+afterEach(() => {
+	simulation.close();
+	expect(simulation.fleet.brokenPromises).toEqual([]);
+});
+
+const submitJob = (): void => {
+	jobCount++;
+	const submitter = simulation.processes.find(process => process !== simulation.holder && !process.table.isDown);
+	void simulation.submit(jobOf(jobCount, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount: 1})]}), submitter);
+};
+
+/** Starts tasks on all workers, then cuts the holder and two workers off from the other processes and workers; the holder still reaches the store. */
+const cutHolderOff = async (phaseMs: number) => {
+	for (let count = 0; count < 24; count++) {
+		submitJob();
+	}
+
+	await simulation.run(1000 + phaseMs);
+	const former = simulation.holder!;
+	const isolated = new Set([...simulation.fleet.workers.keys()].slice(0, 2));
+	simulation.datagrams.isLost = (from, to) => from === former.name || to === former.name;
+	simulation.peers.setCut(former.name, true);
+	simulation.isOrderLost = (name, workerId) => (name === former.name) !== isolated.has(workerId);
+	return former;
+};
+
+const newestToken = (): number => Math.max(...simulation.processes.map(({scheduler}) => scheduler.state.term?.fencingToken ?? 0));
+
+// Guards against a suspended holder that goes on extending leases on workers.
+test.each([0, 250, 500, 750])('a task of a holder that has lost its lease is started again only once its lease on the worker is over: %i', async phaseMs => {
+	const former = await cutHolderOff(phaseMs);
+	const {fencingToken} = former.scheduler.state.term!;
+	await simulation.run(15_000);
+	expect(newestToken()).toBeGreaterThan(fencingToken);
+	// The tasks of the two workers are started elsewhere in the end.
+	const keys = simulation.fleet.starts.map(({taskKey}) => taskKey);
+	expect(keys.length).toBeGreaterThan(new Set(keys).size);
+});
--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -82,6 +82,8 @@
 	isCrashed = false;
 	/** The worker runs but is out of reach. */
 	isCut = false;
+	/** Speed of the worker's clock. */
+	clockRate = 1;
 	readonly runs = new Map<string, WorkerRun>();
 	#finished: FinishedEntry[] = [];
 	readonly #highestAttempt = new Map<string, number>();
@@ -98,7 +100,7 @@
 
 	/** The worker's clock starts anew with each incarnation. */
 	get #clockMs(): number {
-		return Math.floor(this.#fleet.clock.nowMs()) - (this.entry.bornWallMs ?? 0);
+		return Math.floor((this.#fleet.clock.nowMs() - (this.entry.bornWallMs ?? 0)) * this.clockRate);
 	}
 
 	/** Advances time: runs end, leases expire. */
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -139,6 +139,8 @@
 export const configurationWithoutStandby = (version: number): FleetConfiguration =>
 	configurationOf(version, {pools: new Map([[pool, {name: pool, isStandby: false, enforcesCapacity: false}]])});
 
+const loseNoOrder: (processName: string, workerId: string) => boolean = () => false;
+
 /** Passes its current value and each newer one to its listeners. */
 class PublishedValue<Value> {
 	readonly #listeners = new Set<(value: Value) => void>();
@@ -293,6 +295,8 @@
 	ordersConfirmMs = defaultOrdersConfirmMs;
 	readonly peers = new FakePeers();
 	readonly datagrams = new DatagramNetwork(this.clock);
+	/** Returns true if the process's orders do not reach the worker. */
+	isOrderLost = loseNoOrder;
 	/** Accepted orders to machines. */
 	readonly machineOrders: Array<{readonly machineId: string; readonly fencingToken: number; readonly atMs: number}> = [];
 	readonly #outageScheduling: boolean;
@@ -395,7 +399,7 @@
 					clock, table: tableFaults, isReached: () => relayed?.relayedForMs !== undefined || (!tableFaults.isDown && tableFaults.isSilent !== true), confirmIntervalMs: () => this.ordersConfirmMs,
 				}),
 				workers: {...this.#workers.follow(clock), setMode: () => undefined, refresh: async () => undefined},
-				workerControl: this.#controlFor(clock),
+				workerControl: this.#controlFor(name, clock),
 				machineControl: {
 					list: async () => {
 						await clock.wait(orderLatencyMs);
@@ -800,14 +804,14 @@
 	}
 
 	/** Delivers an order, possibly late and possibly without returning its answer. */
-	async #deliver<Answer>(clock: HostClock, {workerId}: WorkerAddress, execute: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
+	async #deliver<Answer>({name, clock}: Pick<SimulatedProcess, 'name' | 'clock'>, {workerId}: WorkerAddress, execute: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
 		// A sent order reaches its worker even if the sender dies or freezes.
 		await new Promise<void>(resolve => {
 			this.clock.schedule(orderLatencyMs, resolve);
 		});
 		// The incarnation that is there when the order arrives takes it.
 		const worker = this.fleet.workers.get(workerId);
-		if (!worker?.isUp || worker.isCut) {
+		if (!worker?.isUp || worker.isCut || this.isOrderLost(name, workerId)) {
 			await clock.wait(worker?.isCrashed === true ? orderLatencyMs : orderTimeoutMs);
 			return lost;
 		}
@@ -833,14 +837,15 @@
 		return answer;
 	}
 
-	#controlFor(clock: HostClock): WorkerControl {
+	#controlFor(name: string, clock: HostClock): WorkerControl {
+		const sender = {name, clock};
 		return {
-			start: async (worker, order) => this.#deliver<StartAnswer>(clock, worker, target => target.start(order), 'unknown'),
-			stop: async (worker, order) => this.#deliver<OrderAnswer>(clock, worker, target => target.stop(order), 'unknown'),
-			pace: async (worker, order) => this.#deliver<OrderAnswer>(clock, worker, target => target.pace(order), 'unknown'),
+			start: async (worker, order) => this.#deliver<StartAnswer>(sender, worker, target => target.start(order), 'unknown'),
+			stop: async (worker, order) => this.#deliver<OrderAnswer>(sender, worker, target => target.stop(order), 'unknown'),
+			pace: async (worker, order) => this.#deliver<OrderAnswer>(sender, worker, target => target.pace(order), 'unknown'),
 			poll: async (worker, order) => {
 				await clock.wait(Math.min(order.waitMs, 50));
-				return this.#deliver<PollAnswer>(clock, worker, target => target.poll(order), {type: 'unreachable'});
+				return this.#deliver<PollAnswer>(sender, worker, target => target.poll(order), {type: 'unreachable'});
 			},
 		};
 	}
--- a/packages/scheduler/tests/worker-poller.test.ts
+++ b/packages/scheduler/tests/worker-poller.test.ts
@@ -3,7 +3,7 @@
 */
 import {expect, test} from 'vitest';
 import {VirtualClock} from '@poplarnotch/common';
-import {maxPollPauseMs, pollPauseMs} from '../src/constants.js';
+import {maxPollPauseMs, pollPauseMs, taskLeaseMs} from '../src/constants.js';
 import {
 	type PollAnswer, type PollOrder, reduceScheduler, SchedulerState, type WorkerAddress, type WorkerControl, type WorkerEntry,
 } from '../src/index.js';
@@ -43,7 +43,7 @@
 		},
 	});
 	for (let elapsedMs = 0; elapsedMs < 10 * maxPollPauseMs; elapsedMs += pollPauseMs / 2) {
-		poller.pollDueWorkers();
+		poller.pollDueWorkers(clock.nowMs());
 		await new Promise(resolve => {
 			setImmediate(resolve);
 		});
@@ -92,7 +92,7 @@
 			}
 		},
 	});
-	poller.pollDueWorkers();
+	poller.pollDueWorkers(clock.nowMs());
 	for (let elapsedMs = 0; elapsedMs < 3000; elapsedMs += 10) {
 		clock.advance(10);
 		await new Promise(resolve => {
@@ -155,7 +155,7 @@
 		// Each report is followed by another end, so that there is always one to acknowledge.
 		const worker = state.workers.get('busy')!;
 		worker.acknowledgedSequence = worker.sentAcknowledgement + 1;
-		poller.pollDueWorkers();
+		poller.pollDueWorkers(clock.nowMs());
 		clock.advance(10);
 		await new Promise(resolve => {
 			setImmediate(resolve);
@@ -165,3 +165,48 @@
 	// The second poll is not answered, the third one repeats it, and the fourth one goes to a silent worker.
 	expect(acknowledged.slice(0, 6)).toEqual([1, 2, 0, 0, 2, 3]);
 });
+
+/** Polls a worker that runs a task, a second after the lease of the process was checked, and returns the lease's deadline on the worker's clock. */
+const deadlineAfterPause = (isSuspended: boolean): number | undefined => {
+	const clock = new VirtualClock();
+	const state = new SchedulerState();
+	reduceScheduler(state, {
+		type: 'workersListed', workers: [entryOf('busy')], nowMs: 0, wallMs: 0,
+	});
+	reduceScheduler(state, {
+		type: 'leaseWon', fencingToken: 1, nowMs: 0, wallMs: 0,
+	});
+	reduceScheduler(state, {
+		type: 'polled', fencingToken: 1, workerId: 'busy', incarnation: 1, sentAtMs: 0, sentAcknowledgement: 0, nowMs: 0, wallMs: 0, answer: {
+			type: 'report', report: {
+				clockMs: 0, bornWallMs: 1, finished: [], running: [{
+					taskKey: '1.0.0.0', attempt: 1, checkpoint: '', percent: 0, figure: 0,
+				}],
+			},
+		},
+	});
+	state.isSuspended = isSuspended;
+	const orders: PollOrder[] = [];
+	const poller = new WorkerPoller({
+		control: {
+			async poll(_worker: WorkerAddress, order: PollOrder) {
+				orders.push(order);
+				return {type: 'unreachable'};
+			},
+		} as unknown as WorkerControl,
+		clock, state: () => state, pauseMs: () => pollPauseMs, dispatch: () => undefined,
+	});
+	clock.advance(1000);
+	poller.pollDueWorkers(0);
+	expect(orders).toHaveLength(1);
+	return orders[0]!.deadlineClockMs;
+};
+
+// TWICE: both guard against leases that outlast the time for which a next holder counts with them.
+test('a process that was paused after it had checked its lease extends no lease on a worker beyond what the check allows', () => {
+	expect(deadlineAfterPause(false)).toBe(taskLeaseMs);
+});
+
+test('a suspended holder extends no lease on a worker', () => {
+	expect(deadlineAfterPause(true)).toBeUndefined();
+});
