Report a rejected commit only once no earlier attempt can be applied

Callers would see nothing of it at first: a commit whose first attempt got no answer and whose second one was rejected was reported as rejected, although the first one had been applied, or could still be, over newer progress. It takes a store that rejects a transaction for another cause than its size or form; whether the users' store does so is not known.

Change: after a lost answer, a rejection is resolved like a conflict: the nonce row is read, and if it is unchanged, a barrier is written, so that the earlier attempt's condition can no longer hold.

--- a/packages/platform/src/retrying/commit-resolution.ts
+++ b/packages/platform/src/retrying/commit-resolution.ts
@@ -1,7 +1,7 @@
 /**
 Resolves whether one commit was applied although answers to its calls may be lost. It is a pure state machine: its input is how each call ended, its output is the next call to make.
 
-Every attempt writes a nonce into the commit's nonce row, under the condition that the row still has the version it had before. A lost answer is resolved by reading that row: it contains the nonce if the attempt was applied. If it does not, the attempt may still be in flight; sending the same transaction again is safe, because at most one of the attempts with that condition can be applied. Before a conflict is reported after a lost answer, a barrier is written into the nonce row, so that the attempt in flight can never be applied.
+Every attempt writes a nonce into the commit's nonce row, under the condition that the row still has the version it had before. A lost answer is resolved by reading that row: it contains the nonce if the attempt was applied. If it does not, the attempt may still be in flight; sending the same transaction again is safe, because at most one of the attempts with that condition can be applied. Before a conflict or a rejection is reported after a lost answer, a barrier is written into the nonce row, so that the attempt in flight can never be applied.
 */
 import {assertNever} from '@poplarnotch/common';
 import {type ConflictError, type PlatformError} from '../errors.js';
@@ -36,17 +36,22 @@
 	/** The commit was not applied and never will be. `nonceRowRevision` is set if the barrier changed the nonce row. */
 		| {readonly type: 'conflict'; readonly error: ConflictError; readonly nonceRowRevision: number | undefined}
 		| {readonly type: 'unavailable'; readonly error: PlatformError}
-	/** The platform does not take the transaction, also not an earlier attempt of it. */
-		| {readonly type: 'rejected'; readonly error: PlatformError}
+	/** The platform does not take the transaction; no earlier attempt of it was applied or ever will be. `nonceRowRevision` as for a conflict. */
+		| {readonly type: 'rejected'; readonly error: PlatformError; readonly nonceRowRevision: number | undefined}
 	/** The time limit passed before the outcome was known, or another process changed the nonce row. */
 		| {readonly type: 'unknown'; readonly error: PlatformError};
 
+/** Why an attempt was certainly not applied, and none with the same condition on the nonce row is to be sent any more. */
+type Refusal
+	= | {readonly type: 'conflict'; readonly error: ConflictError}
+		| {readonly type: 'rejected'; readonly error: PlatformError};
+
 /** What is known of a commit in progress. */
 export type CommitResolution = {
 	/** Set after a lost answer: an attempt was applied, or may still be. */
 	readonly lostAnswer: PlatformError | undefined;
-	/** The conflict to report if no attempt was applied. */
-	readonly conflict: ConflictError | undefined;
+	/** What to report if no attempt was applied. */
+	readonly refusal: Refusal | undefined;
 	readonly step: ResolutionStep;
 	/** Whether the next call follows a failure, so that a back-off pause precedes it. */
 	readonly isRetry: boolean;
@@ -55,7 +60,7 @@
 /** State of a commit that has not been sent yet. */
 export const newResolution: CommitResolution = {
 	lostAnswer: undefined,
-	conflict: undefined,
+	refusal: undefined,
 	step: {type: 'send'},
 	isRetry: false,
 };
@@ -74,7 +79,7 @@
 
 		case 'conflict': {
 			if (resolution.lostAnswer !== undefined) {
-				return next({...resolution, conflict: outcome.error}, 'readNonceRow', false);
+				return next({...resolution, refusal: {type: 'conflict', error: outcome.error}}, 'readNonceRow', false);
 			}
 
 			return outcome.isNonceRowChanged
@@ -87,7 +92,10 @@
 		}
 
 		case 'rejected': {
-			return done(resolution, outcome);
+			// The platform may have refused for a cause that an earlier attempt does not share.
+			return resolution.lostAnswer === undefined
+				? done(resolution, {...outcome, nonceRowRevision: undefined})
+				: next({...resolution, refusal: outcome}, 'readNonceRow', false);
 		}
 
 		case 'unknown': {
@@ -108,11 +116,11 @@
 		}
 
 		case 'barrier': {
-			return done(resolution, {type: 'conflict', error: resolution.conflict!, nonceRowRevision: finding.revision});
+			return done(resolution, {...resolution.refusal!, nonceRowRevision: finding.revision});
 		}
 
 		case 'unchanged': {
-			return next(resolution, resolution.conflict === undefined ? 'send' : 'sendBarrier', false);
+			return next(resolution, resolution.refusal === undefined ? 'send' : 'sendBarrier', false);
 		}
 
 		case 'foreign': {
@@ -129,11 +137,11 @@
 	}
 };
 
-/** Returns the state after the barrier was sent, which happens only after a lost answer and a conflict. */
+/** Returns the state after the barrier was sent, which happens only after a lost answer and a refusal. */
 export const afterBarrier = (resolution: CommitResolution, outcome: CommitOutcome): CommitResolution => {
 	switch (outcome.type) {
 		case 'applied': {
-			return done(resolution, {type: 'conflict', error: resolution.conflict!, nonceRowRevision: outcome.revision});
+			return done(resolution, {...resolution.refusal!, nonceRowRevision: outcome.revision});
 		}
 
 		case 'conflict': {
--- a/packages/platform/src/retrying/retrying-table-service.ts
+++ b/packages/platform/src/retrying/retrying-table-service.ts
@@ -218,13 +218,13 @@
 				return {revision: result.revision};
 			}
 
-			case 'conflict': {
+			case 'conflict':
+			case 'rejected': {
 				this.#nonceRows.release({key: nonceRow.key, version: result.nonceRowRevision ?? nonceRow.version});
 				throw errorOf(result);
 			}
 
-			case 'unavailable':
-			case 'rejected': {
+			case 'unavailable': {
 				this.#nonceRows.release(nonceRow);
 				throw errorOf(result);
 			}
