Log with each early start the version of the progress that it rests on

`tasks_started` names each start of the first 10 s of a term as `index#attempt:worker@version`, where the version is that of the newest progress row of the job that was read, and 0 if none was. With it, a start of a task whose end was stored tells a copy that lagged behind (an old version, or 0, while the store has a newer one) from an end that was never stored.

10 s, because the tasks of an earlier holder start only when the takeover is settled, which waits for the leases of workers that do not answer. The version stands in the start effect; nothing is kept but one number for each job, and a line holds as many starts as before.

--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -38,8 +38,11 @@
 /** Returns the number of the tasks' next common attempt, which is above all of earlier lease holders. */
 const nextAttempt = (state: SchedulerState, ...tasks: readonly Task[]): number => Math.max(state.term!.attemptBase, ...tasks.map(task => task.lastAttempt)) + 1;
 
+/** For this long after a term has begun, starts are logged with the version of the progress that they rest on. A takeover is settled within it. */
+const detailedStartsMs = 10_000;
+
 const startTask = (state: SchedulerState, task: Task, worker: WorkerRecord, nowMs: number): void => {
-	const {fencingToken} = state.term!;
+	const {fencingToken, wonAtMs} = state.term!;
 	const attempt = nextAttempt(state, task);
 	const {job, spec} = task.step;
 	const run: TaskRun = {
@@ -72,7 +75,7 @@
 	state.startCount++;
 	recordLeaseSent(worker, nowMs);
 	state.emit({
-		type: 'start', workerId: worker.entry.workerId, taskKey: task.key, attempt, ticket: ticketFor(state, task.step, worker, nowMs) ?? '', payload: job.spec.payload, checkpoint: task.checkpoint, deadlineClockMs: deadlineClockMs(worker, nowMs)!, fencingToken, waitedMs: Math.round(nowMs - task.waitingSinceMs),
+		type: 'start', workerId: worker.entry.workerId, taskKey: task.key, attempt, ticket: ticketFor(state, task.step, worker, nowMs) ?? '', payload: job.spec.payload, checkpoint: task.checkpoint, deadlineClockMs: deadlineClockMs(worker, nowMs)!, fencingToken, waitedMs: Math.round(nowMs - task.waitingSinceMs), progressVersion: nowMs - wonAtMs < detailedStartsMs ? job.progressVersion : undefined,
 	});
 };
 
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -82,6 +82,8 @@
 		readonly ticket: string; readonly payload: string; readonly checkpoint: string; readonly deadlineClockMs: number; readonly fencingToken: number;
 		/** How long the task has waited, for the log and the wait-time metric. */
 		readonly waitedMs: number;
+		/** At the beginning of a term, the version of the stored progress that the start rests on, for the log; 0 if none was read. */
+		readonly progressVersion: number | undefined;
 	}
 	| {readonly type: 'stop'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly reason: string; readonly percent: number}
 	| {readonly type: 'pace'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly fencingToken: number; readonly percent: number; readonly orderedAtMs: number}
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -117,7 +117,7 @@
 		return worker === undefined ? undefined : {workerId, address: worker.entry.address, incarnation: worker.incarnation};
 	}
 
-	async #start({type: _type, waitedMs, ...order}: Extract<SchedulerEffect, {readonly type: 'start'}>): Promise<void> {
+	async #start({type: _type, waitedMs, progressVersion, ...order}: Extract<SchedulerEffect, {readonly type: 'start'}>): Promise<void> {
 		const {workerId, taskKey, attempt} = order;
 		const worker = this.#addressOf(workerId);
 		const sentAtMs = this.#options.clock.nowMs();
@@ -128,7 +128,7 @@
 		const {fencingToken} = order;
 		if (answer === 'started') {
 			this.#startLog.record({
-				taskKey, attempt, workerId, waitedMs, durationMs, fencingToken,
+				taskKey, attempt, workerId, waitedMs, durationMs, fencingToken, progressVersion,
 			});
 		} else {
 			this.#options.log.info({
--- a/packages/scheduler/src/shell/start-log.ts
+++ b/packages/scheduler/src/shell/start-log.ts
@@ -16,6 +16,8 @@
 	readonly waitedMs: number;
 	readonly durationMs: number;
 	readonly fencingToken: number;
+	/** At the beginning of a term, the version of the job's progress row that the start rests on; 0 if none was read. */
+	readonly progressVersion: number | undefined;
 };
 
 export class StartLog {
@@ -61,7 +63,8 @@
 		let waitedMs = 0;
 		let durationMs = 0;
 		for (const start of starts) {
-			tasks += `${tasks === '' ? '' : ','}${start.taskKey.slice(stepKey.length + 1)}#${start.attempt}:${start.workerId}`;
+			const version = start.progressVersion === undefined ? '' : `@${start.progressVersion}`;
+			tasks += `${tasks === '' ? '' : ','}${start.taskKey.slice(stepKey.length + 1)}#${start.attempt}:${start.workerId}${version}`;
 			waitedMs = Math.max(waitedMs, start.waitedMs);
 			durationMs = Math.max(durationMs, start.durationMs);
 		}
--- a/packages/scheduler/tests/start-log.test.ts
+++ b/packages/scheduler/tests/start-log.test.ts
@@ -13,10 +13,10 @@
 			lines.push(fields);
 		},
 	});
-	const record = (step: string, count: number): void => {
+	const record = (step: string, count: number, progressVersion?: number): void => {
 		for (let index = 0; index < count; index++) {
 			startLog.record({
-				taskKey: `${step}.${index}`, attempt: 7, workerId: `w-${index}`, waitedMs: index, durationMs: 3.4, fencingToken: 9,
+				taskKey: `${step}.${index}`, attempt: 7, workerId: `w-${index}`, waitedMs: index, durationMs: 3.4, fencingToken: 9, progressVersion,
 			});
 		}
 	};
@@ -29,9 +29,10 @@
 		event: 'tasks_started', stepKey: 'a.0.0', count: 3, tasks: '0#7:w-0,1#7:w-1,2#7:w-2', waitedMs: 2, durationMs: 3, fencingToken: 9,
 	});
 	expect(lines.slice(1).map(({count}) => count)).toEqual([40, 40, 20]);
-	record('c.0.0', 1);
+	record('c.0.0', 1, 0);
+	record('c.0.0', 1, 417);
 	startLog.flush();
-	expect(lines.at(-1)?.stepKey).toBe('c.0.0');
+	expect(lines.at(-1)).toMatchObject({stepKey: 'c.0.0', tasks: '0#7:w-0@0,0#7:w-0@417'});
 	clock.advance(100);
 	expect(lines.length).toBe(5);
 });
