Count with a replaced holder's orders for as long as it may give them

What callers saw: a task runs twice at once after a cut that takes the holder and some workers from the other processes: the next holder counts the leases there as over while the former one still extends them.

Cause: the former holder trusts its lease 2,400 ms after its last renewal; the end of the takeover counted with 1,000 ms after the begin of the term, the start of new jobs with 2,400 ms after it, and the lease of a worker that answered once and then fell silent with none.

One new test of the lease reducer failed. With the change they pass.

Why it works: an acquisition is conditional on the renewal that was read, and that one was sent before it was first seen. So the replaced holder's trust ends at the latest its trust time after the successor first saw the renewal. The lease carries this time, and all waiting follows from it. A holder that continues without trust does so on evidence at most 1,000 ms old, from before the acquisition. A released lease, and one that was not renewed for the whole lease time, need no overlap: unanswered workers are waited for 1,000 ms less than before after the latter.

takeover_settled names overlapMs. `isPredecessorGone` is gone from HeldLease, LeaseTerm and the event leaseWon: what it told follows from `replaced` and `earlierHolder`; tests that set it leave it out and mean the same, no overlap.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -11,9 +11,6 @@
 /** Added to the end of a lease to allow for rounding and for the time that an expiry takes. */
 export const leaseMarginMs = 250;
 
-/** An earlier lease holder may extend leases on workers for this long after another process has acquired the lease, until a failed renewal or a worker's answer shows it. */
-export const predecessorOverlapMs = 1000;
-
 /** How long a busy worker may wait for a run to end before it answers a poll. This is also the sampling interval of its progress. */
 export const busyPollWaitMs = 500;
 
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -29,11 +29,9 @@
 	return staysWithin(limit, state.resourcesInUse(customer), more);
 };
 
-/** Returns false for jobs that an earlier lease holder may have started, until the takeover is settled: such a job could be running on a worker that has not reported to this process yet. An earlier holder that was replaced on suspicion may start new jobs as well until it loses its lease. */
-const canStart = (state: SchedulerState, step: StepInstance, nowMs: number): boolean => {
-	const mayBeStartedElsewhere = nowMs < (state.earlierHolder?.mayStartUntilMs ?? 0);
-	return state.isSettled || (!mayBeStartedElsewhere && step.job.firstSeenAtMs > (state.term?.wonAtMs ?? Number.POSITIVE_INFINITY));
-};
+/** Returns false for jobs that an earlier lease holder may have started, until the takeover is settled: such a job could be running on a worker that has not reported to this process yet. An earlier holder that was replaced on suspicion may start new jobs as well until its orders are over. */
+const canStart = (state: SchedulerState, step: StepInstance, nowMs: number): boolean =>
+	state.isSettled || (nowMs >= state.earlierOrdersOverAtMs && step.job.firstSeenAtMs > state.term!.wonAtMs);
 
 /** Returns the number of the tasks' next common attempt, which is above all of earlier lease holders. */
 const nextAttempt = (state: SchedulerState, ...tasks: readonly Task[]): number => Math.max(state.term!.attemptBase, ...tasks.map(task => task.lastAttempt)) + 1;
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -8,9 +8,9 @@
 	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type WaveOrder, type WorkerEntry,
 } from '../types.js';
 
-/** Until when a holder that was replaced on suspicion may still start tasks, and until when its orders to machines count as recent. */
+/** Until when a holder that was replaced on suspicion may still start tasks and extend leases on workers, and until when its orders to machines count as recent. */
 export type EarlierHolder = {
-	readonly mayStartUntilMs: number;
+	readonly mayOrderUntilMs: number;
 	readonly mayOrderMachinesUntilMs: number;
 };
 
@@ -44,12 +44,12 @@
 	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
 	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
 	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
-	/** `isPredecessorGone`: the earlier holder gives no more orders. `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive. */
-	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly isPredecessorGone?: boolean | undefined; readonly earlierHolder?: EarlierHolder | undefined}
+	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. */
+	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined}
 	/** The lease could not be renewed in time, but no other process can have acquired it. */
 	| {readonly type: 'leaseUnconfirmed'}
 	/** The replaced holder was heard again, or is known to be gone. */
-	| {readonly type: 'earlierHolderChanged'; readonly earlierHolder: EarlierHolder | undefined}
+	| {readonly type: 'earlierHolderChanged'; readonly earlierHolder: EarlierHolder}
 	/** The lease could not be renewed in time and may pass to another process. */
 	| {readonly type: 'leaseSuspended'}
 	/** A read from the store has confirmed that no other process holds the lease, so a suspended term goes on. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -126,7 +126,7 @@
 				resumeTerm(state);
 			} else {
 				endTerm(state, event.nowMs);
-				state.beginTerm(event.fencingToken, event.nowMs, event.isPredecessorGone);
+				state.beginTerm(event.fencingToken, event.nowMs);
 				state.earlierHolder = event.earlierHolder;
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -34,8 +34,6 @@
 	readonly wonAtMs: number;
 	/** Attempt numbers of this term start above this base, which rises from holder to holder. */
 	readonly attemptBase: number;
-	/** The earlier holder gives no more orders. */
-	readonly isPredecessorGone: boolean;
 };
 
 /** Progress of a wave as stored, possibly by an earlier lease holder. */
@@ -131,9 +129,9 @@
 		return effects;
 	}
 
-	beginTerm(fencingToken: number, nowMs: number, isPredecessorGone = false): void {
+	beginTerm(fencingToken: number, nowMs: number): void {
 		this.term = {
-			fencingToken, wonAtMs: nowMs, attemptBase: fencingToken * attemptsPerTerm, isPredecessorGone,
+			fencingToken, wonAtMs: nowMs, attemptBase: fencingToken * attemptsPerTerm,
 		};
 		this.isSettled = false;
 		this.earlierHolder = undefined;
@@ -147,6 +145,11 @@
 		return this.configuration.queues.get('spec' in job ? job.spec.queue : job.queue);
 	}
 
+	/** When the orders of earlier holders are over: none of them starts a task, or extends a lease on a worker, after that. */
+	get earlierOrdersOverAtMs(): number {
+		return Math.max(this.term!.wonAtMs, this.earlierHolder?.mayOrderUntilMs ?? 0);
+	}
+
 	/** Returns the pool that the job's queue uses at present. */
 	poolOf(job: JobRecord): string | undefined {
 		return this.queueOf(job)?.pool;
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -84,8 +84,8 @@
 	}
 
 	if (!worker.isFenced && report.running.length > 0) {
-		// The earlier holder may have extended the leases until it lost its own.
-		recordLeaseSent(worker, state.term!.wonAtMs);
+		// The earlier holder may have extended the leases until its orders were over or the worker knew the present token.
+		recordLeaseSent(worker, Math.min(event.nowMs, state.earlierOrdersOverAtMs));
 	}
 
 	const mayLackEnds = report.finished.length >= maxEndsPerReport;
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -2,7 +2,7 @@
 Tracks workers: which ones are registered, which ones answer polls, and when everything on a silent worker has definitely ended.
 */
 import {
-	leaseMarginMs, clockDriftFactor, maxLoggedRuns, minDrainMs, predecessorOverlapMs, workerSilenceTimeoutMs, taskLeaseMs,
+	leaseMarginMs, clockDriftFactor, maxLoggedRuns, minDrainMs, workerSilenceTimeoutMs, taskLeaseMs,
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
 import {attributeCrash, resolveLostTrials} from './crash-attribution.js';
@@ -271,9 +271,12 @@
 export const deadlineClockMs = (worker: WorkerRecord, nowMs: number): number | undefined =>
 	worker.clock === undefined ? undefined : Math.floor(worker.clock.clockMs + (nowMs - worker.clock.readAtMs) + taskLeaseMs);
 
+/** Returns when a lease that was sent at this time is over on its worker, whatever the rate of the worker's clock. */
+const leaseExpiryAfter = (sentAtMs: number): number => sentAtMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs;
+
 /** Records that a lease deadline was sent: tasks may run on the worker until then. */
 export const recordLeaseSent = (worker: WorkerRecord, nowMs: number): void => {
-	worker.leaseExpiresAtMs = Math.max(worker.leaseExpiresAtMs, nowMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs);
+	worker.leaseExpiresAtMs = Math.max(worker.leaseExpiresAtMs, leaseExpiryAfter(nowMs));
 };
 
 /** Returns true if the worker can be assigned tasks. */
@@ -308,18 +311,17 @@
 		return;
 	}
 
-	const overlapMs = state.term.isPredecessorGone ? 0 : predecessorOverlapMs;
-	const earlierLeaseExpiresAtMs = state.term.wonAtMs + overlapMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs;
+	const {term: {wonAtMs}, earlierOrdersOverAtMs} = state;
 	const workers = [...state.workers.values()];
-	const isMachineListCurrent = state.machinesListedAtMs !== undefined && state.machinesListedAtMs >= state.term.wonAtMs;
+	const isMachineListCurrent = state.machinesListedAtMs !== undefined && state.machinesListedAtMs >= wonAtMs;
 	const unregistered = [...state.machines.values()].filter(({entry}) => entry.workerId !== undefined && entry.state === 'up' && !state.workers.has(entry.workerId));
 	const areAllKnown = workers.every(worker => worker.isFenced) && isMachineListCurrent && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
-	if (areAllKnown || nowMs >= earlierLeaseExpiresAtMs) {
+	if (areAllKnown || nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs)) {
 		state.isSettled = true;
 		resolveLostTrials(state);
 		state.emit({
 			type: 'log', fields: {
-				event: 'takeover_settled', workers: workers.length, unanswered: workers.filter(worker => !worker.isFenced).length, afterMs: Math.round(nowMs - state.term.wonAtMs),
+				event: 'takeover_settled', workers: workers.length, unanswered: workers.filter(worker => !worker.isFenced).length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs),
 			},
 		});
 	}
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -6,7 +6,7 @@
 } from '@poplarnotch/common';
 import {failureReason, type RowCondition, type TableService} from '@poplarnotch/platform';
 import {
-	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, type OutageKnowledge,
+	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, maxAnswerAgeMs, type OutageKnowledge,
 } from '@poplarnotch/state';
 import {storeRetryDelayMs} from '../constants.js';
 import {type EarlierHolder, type SchedulerEvent} from '../core/events.js';
@@ -19,9 +19,6 @@
 /** A holder that does not renew the lease for this long is replaced. Two renewals may be lost, and no lease on the workers lapses meanwhile. */
 const leaseMs = 3000;
 
-/** A holder that was replaced on suspicion stops trusting its lease this long after its last renewal at the latest. */
-const leaseTrustMs = 2400;
-
 /** A holder whose ticks pause for this long may have been replaced on suspicion meanwhile. Less than the silence after which a holder is suspected, less an interval of heartbeats. */
 const pauseThresholdMs = 400;
 
@@ -196,31 +193,29 @@
 		return this.#leases.heldLease(schedulerLease)?.fence.version ?? (isSuspended ? undefined : term?.fencingToken);
 	}
 
-	/** The earlier holder has released the lease or announced that it does, or a later run of its process was heard. */
-	#isPredecessorGone({isPredecessorGone, replacedToken}: HeldLease): boolean {
-		return isPredecessorGone === true || (replacedToken !== undefined && this.#liveness?.isHolderGone(replacedToken) === true);
-	}
-
-	/** The replaced holder may still be alive unless it is known to be gone. */
-	#earlierHolderOf(lease: HeldLease): EarlierHolder | undefined {
-		const {replacedToken} = lease;
-		if (replacedToken === undefined || this.#isPredecessorGone(lease)) {
+	/** The replaced holder may still be alive unless it has announced the release of its lease or a later run of its process was heard. */
+	#earlierHolderOf({replaced}: HeldLease): EarlierHolder | undefined {
+		if (replaced === undefined || this.#liveness?.isHolderGone(replaced.token) === true) {
 			return undefined;
 		}
 
 		const {nowMs} = this.#now();
-		return {
-			// The earlier holder cannot renew its lease any more.
-			mayStartUntilMs: nowMs + leaseTrustMs,
-			mayOrderMachinesUntilMs: (this.#liveness?.holderHeardAtMs(replacedToken) ?? nowMs) + leaseMs,
-		};
+		// It goes on without trust in its lease only on evidence of an outage, from before this process acquired the lease.
+		const mayOrderUntilMs = Math.max(replaced.trustedUntilMs, nowMs + maxAnswerAgeMs);
+		const heardAtMs = this.#liveness?.holderHeardAtMs(replaced.token) ?? nowMs;
+		return {mayOrderUntilMs, mayOrderMachinesUntilMs: Math.max(mayOrderUntilMs, heardAtMs + leaseMs)};
 	}
 
 	#applyEarlierHolder(isGone: boolean): void {
 		const {earlierHolder} = this.#state;
 		if (earlierHolder !== undefined) {
 			const now = this.#now();
-			this.#options.dispatch({type: 'earlierHolderChanged', earlierHolder: isGone ? undefined : {...earlierHolder, mayOrderMachinesUntilMs: now.nowMs + leaseMs}, ...now});
+			const {mayOrderUntilMs} = earlierHolder;
+			// A holder that is gone may have given orders until now.
+			const changed = isGone
+				? {mayOrderUntilMs: Math.min(mayOrderUntilMs, now.nowMs), mayOrderMachinesUntilMs: now.nowMs}
+				: {mayOrderUntilMs, mayOrderMachinesUntilMs: Math.max(mayOrderUntilMs, now.nowMs + leaseMs)};
+			this.#options.dispatch({type: 'earlierHolderChanged', earlierHolder: changed, ...now});
 		}
 	}
 
@@ -385,7 +380,7 @@
 
 		this.#fence = lease?.fence;
 		this.#liveness?.wake();
-		this.#options.metrics.increment('early_takeovers', lease?.replacedToken === undefined ? 0 : 1);
+		this.#options.metrics.increment('early_takeovers', lease?.replaced === undefined ? 0 : 1);
 		this.#options.onLeaseChanged();
 		if (lease === undefined) {
 			this.#options.dispatch({type: 'leaseSuspended', ...this.#now()});
@@ -408,7 +403,7 @@
 
 				this.#continuation.confirm();
 				this.#options.dispatch({
-					type: 'leaseWon', fencingToken: fence.version, isPredecessorGone: this.#isPredecessorGone(lease), earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
+					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
 				});
 				this.#options.onTermBegun();
 				break;
--- a/packages/scheduler/tests/cut-reports.test.ts
+++ b/packages/scheduler/tests/cut-reports.test.ts
@@ -39,7 +39,7 @@
 				workerId, pool, address: 'w1:1', dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs: 900_000, coldLeftMs: 0,
 			}],
 		});
-		this.dispatch({type: 'leaseWon', fencingToken: 5, isPredecessorGone: true});
+		this.dispatch({type: 'leaseWon', fencingToken: 5});
 		this.dispatch({
 			type: 'machinesListed', sentAtMs: this.#nowMs, machines: [{
 				machineId: 'm', pool, dataCentre: 'dc', state: 'up', capacity, workerId,
--- a/packages/scheduler/tests/outdated-events.test.ts
+++ b/packages/scheduler/tests/outdated-events.test.ts
@@ -44,7 +44,7 @@
 };
 
 const win = (fencingToken: number): void => {
-	dispatch({type: 'leaseWon', fencingToken, isPredecessorGone: true});
+	dispatch({type: 'leaseWon', fencingToken});
 	dispatch({
 		type: 'machinesListed', sentAtMs: nowMs, machines: [{
 			machineId: 'm1', pool, dataCentre: 'dc', state: 'up', capacity, workerId: 'w1',
--- a/packages/scheduler/tests/pools/machine-answers.test.ts
+++ b/packages/scheduler/tests/pools/machine-answers.test.ts
@@ -85,7 +85,7 @@
 	nowMs = 0;
 	dispatch({type: 'configured', configuration: configurationOf(2)});
 	dispatch({type: 'workersListed', workers: [workerOf('w-m1', 900_000)]});
-	dispatch({type: 'leaseWon', fencingToken, isPredecessorGone: true});
+	dispatch({type: 'leaseWon', fencingToken});
 	list(machineOf('m1'), machineOf('m2', {pool: standbyPool, workerId: undefined}));
 	report('w-m1', 900_000);
 	round();
--- a/packages/scheduler/tests/replaced-holder.test.ts
+++ b/packages/scheduler/tests/replaced-holder.test.ts
@@ -38,9 +38,9 @@
 	void simulation.submit(jobOf(jobCount, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount: 1})]}), submitter);
 };
 
-/** Starts tasks on all workers, then cuts the holder and two workers off from the other processes and workers; the holder still reaches the store. */
-const cutHolderOff = async (phaseMs: number) => {
-	for (let count = 0; count < 24; count++) {
+/** Starts tasks, which fill one worker after the other, then cuts the holder and two workers off from the other processes and workers. */
+const cutHolderOff = async ({phaseMs, isStoreCut, tasks}: {readonly phaseMs: number; readonly isStoreCut: boolean; readonly tasks: number}) => {
+	for (let count = 0; count < tasks; count++) {
 		submitJob();
 	}
 
@@ -50,14 +50,17 @@
 	simulation.datagrams.isLost = (from, to) => from === former.name || to === former.name;
 	simulation.peers.setCut(former.name, true);
 	simulation.isOrderLost = (name, workerId) => (name === former.name) !== isolated.has(workerId);
+	former.table.isDown = isStoreCut;
 	return former;
 };
 
 const newestToken = (): number => Math.max(...simulation.processes.map(({scheduler}) => scheduler.state.term?.fencingToken ?? 0));
 
-// Guards against a suspended holder that goes on extending leases on workers.
-test.each([0, 250, 500, 750])('a task of a holder that has lost its lease is started again only once its lease on the worker is over: %i', async phaseMs => {
-	const former = await cutHolderOff(phaseMs);
+const phasesMs = [0, 125, 250, 375, 500, 625, 750, 875];
+
+// Guards against a holder that extends leases on workers after the next holder counts them as over, when suspended or before.
+test.each(phasesMs.flatMap(phaseMs => [true, false].map(isStoreCut => ({phaseMs, isStoreCut}))))('a task of a holder that was replaced is started again only once its lease on the worker is over: $phaseMs, $isStoreCut', async cut => {
+	const former = await cutHolderOff({...cut, tasks: 24});
 	const {fencingToken} = former.scheduler.state.term!;
 	await simulation.run(15_000);
 	expect(newestToken()).toBeGreaterThan(fencingToken);
--- a/packages/scheduler/tests/restarted-workers.test.ts
+++ b/packages/scheduler/tests/restarted-workers.test.ts
@@ -82,7 +82,7 @@
 	nowMs = 0;
 	dispatch({type: 'configured', configuration: configurationWithoutStandby(1)});
 	register(firstBornMs);
-	dispatch({type: 'leaseWon', fencingToken, isPredecessorGone: true});
+	dispatch({type: 'leaseWon', fencingToken});
 	const up = {
 		pool, dataCentre: 'dc', state: 'up', capacity,
 	} as const;
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -2,6 +2,7 @@
 The end of a takeover. Each test guards against jobs of the earlier lease holder that wait although nothing of it can run unseen any more, or that start too early.
 */
 import {beforeEach, expect, test} from 'vitest';
+import {type EarlierHolder, type SchedulerEffect} from '../src/core/events.js';
 import {reduceScheduler} from '../src/core/reducer.js';
 import {SchedulerState} from '../src/core/scheduler-state.js';
 import {type MachineEntry, type WorkerEntry} from '../src/index.js';
@@ -15,9 +16,8 @@
 
 let state: SchedulerState;
 
-const dispatch = (event: EventBody, nowMs: number): void => {
-	reduceScheduler(state, {...event, nowMs, wallMs: wallOffsetMs + nowMs});
-};
+const dispatch = (event: EventBody, nowMs: number): readonly SchedulerEffect[] =>
+	reduceScheduler(state, {...event, nowMs, wallMs: wallOffsetMs + nowMs}).effects;
 
 const workerOf = (workerId: string, bornWallMs: number): WorkerEntry => ({
 	workerId, pool, address: `${workerId}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs, coldLeftMs: 0,
@@ -71,3 +71,65 @@
 	expect(state.workers.get('listed')!.isEnded).toBe(isEnded);
 	expect(state.machines.has('m-1')).toBe(unreadable.some(({machineId}) => machineId === 'm-1'));
 });
+
+/** When the last lease that was sent to a worker at this time is over. */
+const leaseOverMs = (sentAtMs: number): number => sentAtMs + (5000 * 1.03) + 250;
+
+/** Ticks until the takeover is settled, and returns the time and the line that is logged. */
+const settle = (fromMs: number) => {
+	for (let nowMs = fromMs; nowMs < 20_000; nowMs += 10) {
+		const line = dispatch({type: 'tick'}, nowMs).find(effect => effect.type === 'log' && effect.fields.event === 'takeover_settled');
+		if (line?.type === 'log') {
+			return {atMs: nowMs, ...line.fields};
+		}
+	}
+
+	return undefined;
+};
+
+// Guards against starting tasks elsewhere while a replaced holder keeps them running on a worker that it still reaches.
+test.each([
+	{
+		about: 'may give orders for 2 s', earlierHolder: {mayOrderUntilMs: 2000, mayOrderMachinesUntilMs: 3000}, goneAtMs: undefined, overlapMs: 2000,
+	},
+	{
+		about: 'is gone after 1 s', earlierHolder: {mayOrderUntilMs: 2000, mayOrderMachinesUntilMs: 3000}, goneAtMs: 1000, overlapMs: 1000,
+	},
+	{
+		about: 'was gone before', earlierHolder: undefined, goneAtMs: undefined, overlapMs: 0,
+	},
+])('a worker that does not answer is waited for until the last lease of an earlier holder is over that $about', ({earlierHolder, goneAtMs, overlapMs}) => {
+	dispatch({type: 'configured', configuration: configurationOf(1)}, 0);
+	dispatch({type: 'workersListed', workers: [workerOf('cut', wallOffsetMs - 1000)]}, 0);
+	dispatch({type: 'leaseWon', fencingToken: 5, earlierHolder}, 0);
+	if (goneAtMs !== undefined) {
+		dispatch({type: 'earlierHolderChanged', earlierHolder: {mayOrderUntilMs: goneAtMs, mayOrderMachinesUntilMs: goneAtMs}}, goneAtMs);
+	}
+
+	expect(settle(goneAtMs ?? 0)).toMatchObject({atMs: leaseOverMs(overlapMs), unanswered: 1, overlapMs});
+});
+
+// Guards against a task that is started again before the lease is over that a replaced holder sent after the next one had begun.
+test('the runs of a worker that answers once are kept until the last lease is over that the replaced holder may have sent before', () => {
+	const earlierHolder: EarlierHolder = {mayOrderUntilMs: 2000, mayOrderMachinesUntilMs: 3000};
+	dispatch({type: 'configured', configuration: configurationOf(1)}, 0);
+	dispatch({type: 'workersListed', workers: [workerOf('cut', wallOffsetMs - 1000)]}, 0);
+	dispatch({type: 'leaseWon', fencingToken: 5, earlierHolder}, 0);
+	const poll = {
+		type: 'polled', fencingToken: 5, workerId: 'cut', incarnation: 1, sentAcknowledgement: 0,
+	} as const;
+	dispatch({
+		...poll, sentAtMs: 1490, answer: {
+			type: 'report', report: {
+				clockMs: 0, bornWallMs: wallOffsetMs - 1000, finished: [], running: [{
+					taskKey: '1.0.0.0', attempt: 1, checkpoint: '', percent: 0, figure: 0,
+				}],
+			},
+		},
+	}, 1500);
+	dispatch({...poll, sentAtMs: 1600, answer: {type: 'unreachable'}}, 1800);
+	dispatch({type: 'tick'}, leaseOverMs(1500) - 10);
+	expect(state.workers.get('cut')!.runs.size).toBe(1);
+	dispatch({type: 'tick'}, leaseOverMs(1500));
+	expect(state.workers.get('cut')!.runs.size).toBe(0);
+});
--- a/packages/scheduler/tests/unread-jobs.test.ts
+++ b/packages/scheduler/tests/unread-jobs.test.ts
@@ -73,7 +73,7 @@
 			workerId: 'w1', pool, address: 'w1:1', dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs: 900_000, coldLeftMs: 0,
 		}],
 	});
-	dispatch({type: 'leaseWon', fencingToken, isPredecessorGone: true});
+	dispatch({type: 'leaseWon', fencingToken});
 	dispatch({
 		type: 'machinesListed', sentAtMs: nowMs, machines: [{
 			machineId: 'm1', pool, dataCentre: 'dc', state: 'up', capacity, workerId: 'w1',
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -38,7 +38,7 @@
 export {probeKey, RelayedTable, type RelayedTableOptions} from './relay/relayed-table.js';
 export {ReachabilityMeter, type ReachabilityReport} from './reachability/reachability-meter.js';
 export {
-	OutageEvidence, type OutageEvidenceOptions, type OutageKnowledge, type OutagePeer,
+	maxAnswerAgeMs, OutageEvidence, type OutageEvidenceOptions, type OutageKnowledge, type OutagePeer,
 } from './reachability/outage-evidence.js';
 export {
 	OutageProber, reachabilityMethod, reachabilityMethods, type OutageProberOptions,
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -5,7 +5,7 @@
 */
 import {assertNever, type Step} from '@poplarnotch/common';
 import {type RowCondition, type Transaction} from '@poplarnotch/platform';
-import {type HeldLease, type UnconfirmedLease} from '../types.js';
+import {type HeldLease, type ReplacedHolder, type UnconfirmedLease} from '../types.js';
 import {
 	leaseRetryMs, readGapShare, renewalRetryMs, renewalsPerLease, safetyMarginShare,
 } from './constants.js';
@@ -40,8 +40,6 @@
 	readonly trustedUntilMs: number | undefined;
 	/** When the last confirmed acquisition or renewal was sent; `undefined` while the lease is not held. */
 	readonly confirmedAtMs: number | undefined;
-	/** The lease was acquired after its holder had released it or had certainly ended. */
-	readonly isPredecessorGone: boolean;
 	readonly renewals: number;
 	readonly nextCall: LeaseCall;
 	/** When the next call is due; `undefined` while a call is pending. */
@@ -49,8 +47,8 @@
 	readonly wantsToWithdraw: boolean;
 	/** Token of a holder that its peers believe to be lost; its lease is acquired without waiting. */
 	readonly suspectedToken: number | undefined;
-	/** Token of the holder that the last attempt to acquire the lease replaces on suspicion. */
-	readonly replacedToken: number | undefined;
+	/** The holder that the last attempt to acquire the lease replaces on suspicion. */
+	readonly replaced: ReplacedHolder | undefined;
 };
 
 export type LeaseEvent
@@ -76,7 +74,7 @@
 
 /** A contender that has not read the lease yet. */
 export const newContender = (name: string, holder: string, leaseMs: number, previousRunPrefix = ''): LeaseState => ({
-	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, isPredecessorGone: false, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false, suspectedToken: undefined, replacedToken: undefined,
+	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false, suspectedToken: undefined, replaced: undefined,
 });
 
 const unchanged = (state: LeaseState): LeaseStep => ({state, effects: []});
@@ -85,6 +83,9 @@
 
 const intervalMs = (state: LeaseState): number => state.leaseMs / renewalsPerLease;
 
+/** How long a holder trusts its lease after it has sent a renewal. */
+const trustMs = (state: LeaseState): number => state.leaseMs * (1 - safetyMarginShare);
+
 /** The lease if this contender holds it and trusts it at this moment. */
 export const trustedLease = (state: LeaseState, nowMs: number): HeldLease | undefined => {
 	const isTrusted = state.phase === 'held' && state.trustedUntilMs !== undefined && nowMs < state.trustedUntilMs;
@@ -97,11 +98,7 @@
 		? {...leaseOf(state), confirmedAtMs: state.confirmedAtMs}
 		: undefined;
 
-const leaseOf = ({
-	name, fence, isPredecessorGone, replacedToken,
-}: LeaseState): HeldLease => ({
-	name, fence: fence!, isPredecessorGone, replacedToken,
-});
+const leaseOf = ({name, fence, replaced}: LeaseState): HeldLease => ({name, fence: fence!, replaced});
 
 const effectOfCall = (state: LeaseState): LeaseEffect => {
 	switch (state.nextCall) {
@@ -195,20 +192,20 @@
 		observed: {
 			rows, sinceMs, lastReadAtMs: nowMs, readIntervalMs,
 		},
-		isPredecessorGone: rows.holder === undefined || isHeldByPreviousRun,
 		suspectedToken: undefined,
 	};
 	if (state.suspectedToken !== undefined && (rows.holder === undefined || rows.fenceVersion === state.suspectedToken)) {
-		const replacedToken = rows.holder === undefined || isHeldByPreviousRun ? undefined : rows.fenceVersion;
+		// The lease is acquired only if the holder's last renewal is one that was sent before these rows were first read.
+		const replaced = rows.holder === undefined || isHeldByPreviousRun ? undefined : {token: rows.fenceVersion, trustedUntilMs: sinceMs + trustMs(state)};
 		const acquiring: LeaseState = {
-			...withObserved, nextCall: 'acquire', dueMs: undefined, replacedToken,
+			...withObserved, nextCall: 'acquire', dueMs: undefined, replaced,
 		};
 		return {state: acquiring, effects: [effectOfCall(acquiring)]};
 	}
 
 	// The read must have been sent a whole lease time after the same rows were first seen.
 	const mayAcquire = rows.holder === undefined || isHeldByPreviousRun || sentAtMs - sinceMs >= state.leaseMs;
-	return unchanged(mayAcquire ? scheduleCall({...withObserved, replacedToken: undefined}, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + readIntervalMs));
+	return unchanged(mayAcquire ? scheduleCall({...withObserved, replaced: undefined}, 'acquire', nowMs + (isHeldByPreviousRun ? 0 : acquireDelayMs)) : scheduleCall(withObserved, 'read', nowMs + readIntervalMs));
 };
 
 const handleCommitted = (state: LeaseState, revision: number, sentAtMs: number, nowMs: number): LeaseStep => {
@@ -223,7 +220,7 @@
 		suspectedToken: undefined,
 		fence,
 		renewals: state.nextCall === 'acquire' ? 0 : state.renewals + 1,
-		trustedUntilMs: sentAtMs + (state.leaseMs * (1 - safetyMarginShare)),
+		trustedUntilMs: sentAtMs + trustMs(state),
 		confirmedAtMs: sentAtMs,
 	};
 	if (state.wantsToWithdraw) {
--- a/packages/state/src/reachability/outage-evidence.ts
+++ b/packages/state/src/reachability/outage-evidence.ts
@@ -9,7 +9,7 @@
 import {type ReachabilityMeter, type ReachabilityReport} from './reachability-meter.js';
 
 /** Age up to which an answer counts: three queries may be lost or late. */
-const maxAnswerAgeMs = 1000;
+export const maxAnswerAgeMs = 1000;
 
 /** The wall clock and the monotonic clock diverge by more than this only if the machine was suspended or its time of day was set. */
 const suspensionThresholdMs = 200;
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -60,10 +60,15 @@
 export type HeldLease = {
 	readonly name: string;
 	readonly fence: RowCondition;
-	/** The earlier holder had released the lease or had certainly ended when this one acquired it; not known if left out. */
-	readonly isPredecessorGone?: boolean;
-	/** Token of the earlier holder if it was replaced on suspicion, so that it may still act on the lease for a while. */
-	readonly replacedToken?: number | undefined;
+	/** The earlier holder if it was replaced on suspicion. Any other has stopped to act on the lease. */
+	readonly replaced?: ReplacedHolder | undefined;
+};
+
+/** A holder that was replaced on suspicion, so that it may still act on its lease for a while. */
+export type ReplacedHolder = {
+	readonly token: number;
+	/** Until when it trusts its lease at the latest, on this process's clock. */
+	readonly trustedUntilMs: number;
 };
 
 /** A lease that may have passed to another process. */
--- a/packages/state/tests/leases/takeover.test.ts
+++ b/packages/state/tests/leases/takeover.test.ts
@@ -74,3 +74,21 @@
 	}).state;
 	expect(restarted).toMatchObject({nextCall: 'acquire', dueMs: 10});
 });
+
+// Guards against a next holder that counts with less time than the replaced one trusts its lease for.
+test('a replaced holder trusts its lease no longer than its successor counts with, which saw the last renewal later than it was sent', () => {
+	const rows = {fenceVersion: 5, holder: 'gate-1@1', renewalVersion: 7};
+	const held = reduceLease({...newContender(name, 'gate-1@1', leaseMs), phase: 'held', nextCall: 'renew', fence: {key: fenceKey(name), version: 5}}, {
+		type: 'committed', revision: 7, sentAtMs: 1000, nowMs: 1050,
+	}).state;
+	const suspecting = reduceLease(readAt(1040), {type: 'holderSuspected', nowMs: 1700, fencingToken: 5}).state;
+	const acquiring = reduceLease(suspecting, {
+		type: 'rowsRead', sentAtMs: 1700, nowMs: 1710, rows,
+	}).state;
+	expect(acquiring).toMatchObject({nextCall: 'acquire', replaced: {token: 5, trustedUntilMs: 1040 + 2400}});
+	expect(held.trustedUntilMs).toBe(1000 + 2400);
+	const ofReleased = reduceLease(suspecting, {
+		type: 'rowsRead', sentAtMs: 1700, nowMs: 1710, rows: {fenceVersion: 0, holder: undefined, renewalVersion: 0},
+	}).state;
+	expect(ofReleased).toMatchObject({nextCall: 'acquire', replaced: undefined});
+});
