Let jobs that a replaced holder may have started wait for the takeover

What callers saw: a job that came in around a replacement on suspicion runs twice at once, on a worker that only the former holder reaches and on another one.

Cause: the next holder started no new job while the former one might start it, and then started all of them, also those that had come in meanwhile and that the former holder may have started.

Why it works: a job counts as new only if it was first seen after the orders of the former holder were over. Earlier ones wait until every worker has answered or the last leases are over, as those from before the term do.

Known cost: with a worker that does not answer, jobs of the overlap wait for the end of the takeover, up to 5.4 s longer than before.

--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -29,9 +29,8 @@
 	return staysWithin(limit, state.resourcesInUse(customer), more);
 };
 
-/** Returns false for jobs that an earlier lease holder may have started, until the takeover is settled: such a job could be running on a worker that has not reported to this process yet. An earlier holder that was replaced on suspicion may start new jobs as well until its orders are over. */
-const canStart = (state: SchedulerState, step: StepInstance, nowMs: number): boolean =>
-	state.isSettled || (nowMs >= state.earlierOrdersOverAtMs && step.job.firstSeenAtMs > state.term!.wonAtMs);
+/** Returns false for jobs that an earlier lease holder may have started, until the takeover is settled: such a job could be running on a worker that has not reported to this process yet. */
+const canStart = (state: SchedulerState, step: StepInstance): boolean => state.isSettled || step.job.firstSeenAtMs > state.earlierOrdersOverAtMs;
 
 /** Returns the number of the tasks' next common attempt, which is above all of earlier lease holders. */
 const nextAttempt = (state: SchedulerState, ...tasks: readonly Task[]): number => Math.max(state.term!.attemptBase, ...tasks.map(task => task.lastAttempt)) + 1;
@@ -152,12 +151,12 @@
 };
 
 /** Collects the suspected tasks that wait without a planned trial, by pool. The trial of a gang is planned by `startGang`. */
-const collectSuspects = (state: SchedulerState, queued: readonly QueuedStep[], nowMs: number): ReadonlyMap<string, PoolSuspects> => {
+const collectSuspects = (state: SchedulerState, queued: readonly QueuedStep[]): ReadonlyMap<string, PoolSuspects> => {
 	const byPool = new Map<string, PoolSuspects>();
 	for (const {step, pool} of queued) {
 		const found = byPool.get(pool) ?? {suspects: [], isOtherWaiting: false};
 		byPool.set(pool, found);
-		for (const task of canStart(state, step, nowMs) ? step.tasks : []) {
+		for (const task of canStart(state, step) ? step.tasks : []) {
 			if (task.phase !== 'waiting') {
 				continue;
 			}
@@ -178,7 +177,7 @@
 		return;
 	}
 
-	for (const [pool, {suspects, isOtherWaiting}] of collectSuspects(state, queued, nowMs)) {
+	for (const [pool, {suspects, isOtherWaiting}] of collectSuspects(state, queued)) {
 		if (suspects.length > 0) {
 			planTrials(state, suspects, {usable: workers.of(pool).usable, isOtherWaiting}, nowMs);
 		}
@@ -316,7 +315,7 @@
 	planPoolTrials(state, queuedSteps, usable, nowMs);
 	startReadyTrials(state, nowMs);
 	for (const queued of queuedSteps) {
-		if (!canStart(state, queued.step, nowMs)) {
+		if (!canStart(state, queued.step)) {
 			continue;
 		}
 
--- a/packages/scheduler/tests/replaced-holder.test.ts
+++ b/packages/scheduler/tests/replaced-holder.test.ts
@@ -68,3 +68,15 @@
 	const keys = simulation.fleet.starts.map(({taskKey}) => taskKey);
 	expect(keys.length).toBeGreaterThan(new Set(keys).size);
 });
+
+// Guards against a job that both holders start, since it was new to the second one while the first still trusted its lease.
+test.each(phasesMs)('a job that is accepted while the replaced holder may still start it is not started twice: %i', async phaseMs => {
+	await cutHolderOff({phaseMs, isStoreCut: false, tasks: 2});
+	for (let count = 0; count < 60; count++) {
+		submitJob();
+		await simulation.run(50);
+	}
+
+	await simulation.run(10_000);
+	expect(simulation.fleet.starts.length).toBeGreaterThan(40);
+});
