Wait for the workers of unreadable machines before a takeover is settled

What callers would see: a task that runs on a worker is started again elsewhere, right after a change of the holder.

Cause: a takeover is settled once all registered workers, and those of all listed machines, have reported. A machine whose entry cannot be read was left out, so a worker on it whose registration is missing or unreadable was not waited for.

Evidence: tests/takeover-settling.test.ts, "a takeover with an unreadable machine of ...": two of three cases failed before with "expected true to be false".

Why it works: a list with an unreadable entry does not tell all workers. The takeover is settled when the entry's worker is known, and waited for as the others are, or when every lease of the earlier holder is over. An entry that stays unreadable makes each takeover take that long.

--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -49,6 +49,7 @@
 	}
 
 	state.machinesListedAtMs = sentAtMs;
+	state.unreadableMachines = unreadable;
 	endUnlistedWorkers(state, unreadable, {sentAtMs, wallMs});
 };
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -1,6 +1,7 @@
 /**
 State of the scheduler, with the totals that decisions need: resources occupied on each worker and used by each customer. Only the functions of this folder change it, one event at a time.
 */
+import {type UnreadableMachine} from '../ports.js';
 import {
 	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
@@ -64,6 +65,8 @@
 	readonly workers = new Map<string, WorkerRecord>();
 	readonly machines = new Map<string, MachineRecord>();
 	machinesListedAtMs: number | undefined;
+	/** The entries of the newest list that cannot be read. */
+	unreadableMachines: readonly UnreadableMachine[] = [];
 	/** Evacuations in force, by data centre. */
 	readonly evacuations = new Map<string, Evacuation>();
 	/** The operators' rows have not been confirmed for too long, so nothing is started, relocated or moved into a pool. */
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -315,7 +315,8 @@
 	const workers = [...state.workers.values()];
 	const isMachineListCurrent = state.machinesListedAtMs !== undefined && state.machinesListedAtMs >= wonAtMs;
 	const unregistered = [...state.machines.values()].filter(({entry}) => entry.workerId !== undefined && entry.state === 'up' && !state.workers.has(entry.workerId));
-	const areAllKnown = workers.every(worker => worker.isFenced) && isMachineListCurrent && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
+	const areUnreadableKnown = state.unreadableMachines.every(({workerId}) => workerId !== undefined && state.workers.has(workerId));
+	const areAllKnown = workers.every(worker => worker.isFenced) && isMachineListCurrent && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
 	if (areAllKnown || nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs)) {
 		state.isSettled = true;
 		resolveLostTrials(state);
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -5,7 +5,7 @@
 import {type EarlierHolder, type SchedulerEffect} from '../src/core/events.js';
 import {reduceScheduler} from '../src/core/reducer.js';
 import {SchedulerState} from '../src/core/scheduler-state.js';
-import {type MachineEntry, type WorkerEntry} from '../src/index.js';
+import {type MachineEntry, type UnreadableMachine, type WorkerEntry} from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
 import {configurationOf, pool} from './support/scheduler-simulation.js';
 
@@ -28,7 +28,7 @@
 };
 
 /** A process that first sees the workers as it wins the lease. One of them, born at the given time, is no longer on any machine and does not answer. */
-const takeOver = (bornWallMs: number): void => {
+const takeOver = (bornWallMs: number, unreadable: readonly UnreadableMachine[] = []): void => {
 	dispatch({type: 'configured', configuration: configurationOf(1)}, 0);
 	dispatch({type: 'workersListed', workers: [workerOf('listed', wallOffsetMs - 60_000), workerOf('gone', bornWallMs)]}, 0);
 	dispatch({type: 'leaseWon', fencingToken: 5}, 0);
@@ -39,7 +39,9 @@
 			},
 		},
 	}, 5);
-	dispatch({type: 'machinesListed', machines: [machine], sentAtMs: 10}, 20);
+	dispatch({
+		type: 'machinesListed', machines: [machine], unreadable, sentAtMs: 10,
+	}, 20);
 	dispatch({type: 'tick'}, 25);
 };
 
@@ -133,3 +135,15 @@
 	dispatch({type: 'tick'}, leaseOverMs(1500));
 	expect(state.workers.get('cut')!.runs.size).toBe(0);
 });
+
+// Guards against starting a task again that runs on a worker of which neither the registration nor the machine can be read.
+test.each([
+	{about: 'a worker that has not registered', unreadable: {machineId: 'm-2', workerId: 'unknown'}, isSettled: false},
+	{about: 'a worker that cannot be read', unreadable: {machineId: 'm-2', workerId: undefined}, isSettled: false},
+	{about: 'a worker that has reported', unreadable: {machineId: 'm-2', workerId: 'listed'}, isSettled: true},
+])('a takeover with an unreadable machine of $about is settled at once: $isSettled', ({unreadable, isSettled}) => {
+	takeOver(wallOffsetMs - 10_000, [unreadable]);
+	expect(state.isSettled).toBe(isSettled);
+	dispatch({type: 'tick'}, 10_000);
+	expect(state.isSettled).toBe(true);
+});
