--- a/packages/scheduler/tests/refused-progress.test.ts
+++ b/packages/scheduler/tests/refused-progress.test.ts
@@ -70,7 +70,7 @@
 			workerId, pool, address: `${workerId}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs: 900_000, coldLeftMs: 0,
 		})),
 	});
-	dispatch({type: 'leaseWon', fencingToken, isPredecessorGone: true});
+	dispatch({type: 'leaseWon', fencingToken});
 	dispatch({type: 'jobsChanged', changes: [refused, stored].map(job => ({type: 'accepted', job, rowKey: job.jobId}))});
 });
 
--- a/packages/scheduler/tests/start-versions.test.ts
+++ b/packages/scheduler/tests/start-versions.test.ts
@@ -58,7 +58,7 @@
 		}, 0);
 	}
 
-	dispatch({type: 'leaseWon', fencingToken: 5, isPredecessorGone: true}, 10);
+	dispatch({type: 'leaseWon', fencingToken: 5}, 10);
 	dispatch({
 		type: 'machinesListed', sentAtMs: 15, machines: [{
 			machineId: 'm1', pool, dataCentre: 'dc', state: 'up', capacity, workerId: 'w1',
