Confirm no copy of rows by its listing alone

Callers could see a cancelled task run: a copy that was just listed, at the start of a process or after the store had dropped its history, counted as current although it lacked rows that had been acknowledged before.

Cause: a row that is written again while rows are listed is left to the changes since the listing's revision, in its earlier state as well, and the refresh ended with the listing. Job progress is written under the fence and was not affected; cancellations, registrations and operators' rows could be.

Evidence: two cases of table-replica.test.ts failed before ("expected [] to deeply equal [ [ 'jobs/a', 2 ] ]").

Why it works: after a listing, the newest revision is read, and changes until the copy has reached it. It costs one small read a listing. Tests whose table had no readRevision got one.

--- a/packages/scheduler/tests/jobs/detached-rows.test.ts
+++ b/packages/scheduler/tests/jobs/detached-rows.test.ts
@@ -63,7 +63,9 @@
 test('a listing that is passed on row by row after an error, progress first, does not lose the ends of jobs', async () => {
 	const state = new SchedulerState();
 	const replica = new TableReplica({
-		table: {listRows: async () => ({rows: [completed, accepted], revision: 12})} as unknown as WatchableTable, prefix: 'jobs/', waitMs: 0, pauseMs: () => 0, clock: new VirtualClock(),
+		table: {
+			listRows: async () => ({rows: [completed, accepted], revision: 12}), readRevision: async () => 12,
+		} as unknown as WatchableTable, prefix: 'jobs/', waitMs: 0, pauseMs: () => 0, clock: new VirtualClock(),
 		onChanges(changes) {
 			if (changes.length > 1) {
 				throw new Error('a row that cannot be applied');
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -3,7 +3,7 @@
 
 One long-polling call waits for the next change; after each response the replica pauses for `pauseMs`, so that changes in quick succession arrive in one batch. If the table service has dropped its history, all rows are listed again.
 
-An answer may hold only the first of many changes, and the table service need not say so. What it does say is that the answer holds all changes up to its revision. So the copy is confirmed, that is, known to hold all that was acknowledged before some moment, in two ways: by an answer without changes, or by reaching the revision that the table service named as the newest one at that moment. `refresh` reads until one of them holds. While changes are followed, the replica is refreshed only if no answer has confirmed it for `maxConfirmationAgeMs`, since every call has a price.
+An answer may hold only the first of many changes, and the table service need not say so. What it does say is that the answer holds all changes up to its revision. So the copy is confirmed, that is, known to hold all that was acknowledged before some moment, in two ways: by an answer without changes, or by reaching the revision that the table service named as the newest one after that moment. A listing does not confirm it: it leaves out rows that change while it is read. `refresh` reads until one of them holds. While changes are followed, the replica is refreshed only if no answer has confirmed it for `maxConfirmationAgeMs`, since every call has a price.
 */
 import {
 	type CancelTimer, type Clock, type Logger, silentLogger, SystemClock,
@@ -50,6 +50,9 @@
 	readonly pages: readonly string[];
 };
 
+/** What a read has brought: all changes that there were, some of them, or a listing, which leaves out what changes meanwhile. */
+type ReadOutcome = 'whole' | 'cut' | 'listed';
+
 /** How often a suspended replica checks whether it is active again; `endPause` makes it check at once. */
 const suspendedCheckMs = 1000;
 
@@ -182,23 +185,25 @@
 		const pages: string[] = [];
 		const fromRevision = this.#revision;
 		const confirmedAgoMs = this.#confirmedAtMs === undefined ? undefined : Math.round(sentAtMs - this.#confirmedAtMs);
+		let newestRevision = Number.POSITIVE_INFINITY;
+		let outcome: ReadOutcome = 'listed';
 		if (fromRevision === undefined) {
-			const isJoining = this.#currentListing !== undefined;
 			await this.#listOnce();
-			if (!isJoining) {
-				return {
-					confirmedAgoMs, fromRevision, revision: this.#revision!, newestRevision: this.#revision!, pages,
-				};
-			}
+		} else {
+			[newestRevision, outcome] = await Promise.all([this.#options.table.readRevision(), this.#readPage(0, pages)]);
 		}
 
-		const [newestRevision, isFirstWhole] = await Promise.all([this.#options.table.readRevision(), this.#readPage(0, pages)]);
-		for (let isWhole = isFirstWhole; !isWhole && this.#revision! < newestRevision;) {
-			if (this.#isStopped) {
-				throw new UnavailableError(`the copy of ${this.#options.prefix} is no longer kept`);
+		while (outcome !== 'whole') {
+			if (outcome === 'listed') {
+				// A row that changed while rows were listed is among the changes since then, in its earlier state as well.
+				newestRevision = await this.#options.table.readRevision();
 			}
 
-			isWhole = await this.#readPage(0, pages);
+			if (this.#revision! >= newestRevision) {
+				break;
+			}
+
+			outcome = await this.#readPage(0, pages);
 		}
 
 		this.#isWhole = true;
@@ -208,8 +213,8 @@
 		};
 	}
 
-	/** Returns true if the replica then contains every change that was acknowledged before the call. */
-	async #readPage(waitMs: number, record: string[] = []): Promise<boolean> {
+	/** Reads the next changes, or lists all rows if the changes are no longer kept. */
+	async #readPage(waitMs: number, record: string[] = []): Promise<ReadOutcome> {
 		const sentAtMs = this.#clock.nowMs();
 		const afterRevision = this.#revision!;
 		try {
@@ -223,17 +228,15 @@
 				record.push(`${page.changes.length}@${page.revision}`);
 			}
 
-			return !page.hasMore;
+			return page.hasMore ? 'cut' : 'whole';
 		} catch (error) {
 			if (!(error instanceof HistoryLostError)) {
 				throw error;
 			}
 
 			this.#log.info({event: 'replica_relisted', prefix: this.#options.prefix, revision: this.#revision});
-			// A listing that is under way may have read some rows before they were changed.
-			const isJoining = this.#currentListing !== undefined;
 			await this.#listOnce();
-			return !isJoining;
+			return 'listed';
 		}
 	}
 
@@ -246,10 +249,9 @@
 	}
 
 	/**
-	Rows are listed one part after the other. Those that changed since the listing's revision are left to the changes that are read after it: the rows of one job stand in several parts, of which only the later ones would have been read after the change.
+	Rows are listed one part after the other. Those that changed since the listing's revision are left to the changes that are read after it: the rows of one job stand in several parts, of which only the later ones would have been read after the change. So a listing alone does not confirm the replica.
 	*/
 	async #listAll(): Promise<void> {
-		const sentAtMs = this.#clock.nowMs();
 		this.#removedVersions.clear();
 		const {rows, revision} = await this.#options.table.listRows(this.#options.prefix);
 		const listed = new Set(rows.map(row => row.key));
@@ -259,7 +261,8 @@
 		const changed = rows.filter(({key, version}) => version <= revision
 			&& version > Math.max(this.#versions.get(key) ?? 0, this.#removedVersions.get(key) ?? 0));
 		this.#deliver([...gone, ...changed]);
-		this.#confirm(revision, sentAtMs);
+		this.#isWhole = false;
+		this.#revision = Math.max(this.#revision ?? 0, revision);
 	}
 
 	/** Responses of two calls may arrive in either order, so changes that were already applied are skipped. */
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -79,6 +79,7 @@
 				finish = resolve;
 			});
 		},
+		readRevision: async () => 4,
 		waitForChanges: async () => ({changes: [{key: 'jobs/b', value: 2, version: 4}], revision: 4, hasMore: false}),
 	});
 	replica.start();
@@ -158,6 +159,50 @@
 	expect(replica.revision).toBe(8);
 });
 
+/** Lets pending promises settle. */
+const passTurns = async (): Promise<void> => {
+	for (let turn = 0; turn < 20; turn++) {
+		await Promise.resolve();
+	}
+};
+
+test.each([
+	{about: 'first listed', firstRevision: undefined},
+	{about: 'listed again after the history was dropped', firstRevision: 3},
+])('a row that is rewritten while rows are $about is held by the refreshed copy', async ({firstRevision}) => {
+	const rewritten = {key: 'jobs/a', value: 2, version: 11};
+	let newestRevision = firstRevision ?? 10;
+	let finish: ((listing: RowListing) => void) | undefined;
+	const {replica, rows} = replicaOf({
+		listRows: async () => newestRevision === firstRevision
+			? {rows: [], revision: firstRevision}
+			: new Promise(resolve => {
+				finish = resolve;
+			}),
+		readRevision: async () => newestRevision,
+		async waitForChanges(revision) {
+			if (revision < 10) {
+				throw new HistoryLostError('dropped');
+			}
+
+			return {changes: [rewritten], revision: 11, hasMore: true};
+		},
+	});
+	if (firstRevision !== undefined) {
+		await replica.refresh();
+		newestRevision = 10;
+	}
+
+	// The row was acknowledged at version 5 before the refresh, and is written again before its part is listed.
+	const refreshed = replica.refresh();
+	await passTurns();
+	newestRevision = 11;
+	finish!({rows: [rewritten], revision: 10});
+	await refreshed;
+	expect([...rows]).toEqual([['jobs/a', 2]]);
+	expect(replica.revision).toBe(11);
+});
+
 /** A table whose answers hold at most `pageSize` changes. */
 const pagedTable = (stored: () => number, pageSize: number): Script => ({
 	listRows: async () => ({rows: [], revision: 0}),
@@ -220,13 +265,6 @@
 	expect(Math.max(...ages)).toBeLessThanOrEqual(maxAgeMs + 100);
 });
 
-/** Lets pending promises settle. */
-const passTurns = async (): Promise<void> => {
-	for (let turn = 0; turn < 20; turn++) {
-		await Promise.resolve();
-	}
-};
-
 test('a reader that joins a listing after the history was dropped sees rows that were stored after it began', async () => {
 	let finish: ((listing: RowListing) => void) | undefined;
 	let isDropped = false;
@@ -238,7 +276,7 @@
 				})
 				: {rows: [], revision: 1};
 		},
-		readRevision: async () => 4,
+		readRevision: async () => isDropped ? 4 : 1,
 		async waitForChanges(revision) {
 			if (isDropped && revision < 3) {
 				throw new HistoryLostError('dropped');
