Carry the trust of a replaced holder in the lease, so that a third holder counts with it

What callers saw: a task runs twice at once after the holder was cut off with some workers and replaced on suspicion, if the next holder releases the lease within 2.4 s, as a process does that is stopped.

Cause: the third holder takes over from one that is known gone and counts with no overlap. The first holder may still trust its lease.

Why it works: who acquires a lease on suspicion writes with it for how long the replaced holder may trust its own. The row is first seen after it was written, so counting from then is never too short; each renewal after the first shows that an interval has passed. A release within that time keeps the row without a holder and with the rest of it. Rows of other acquisitions and releases are as before.

--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -79,6 +79,8 @@
 	#confirmingToken: number | undefined;
 	/** Token of the lease whose term begins once the copies are up to date. */
 	#beginningToken: number | undefined;
+	/** Until when a holder may trust its lease that was replaced before the earlier one. */
+	#earlierTrustedUntilMs = Number.NEGATIVE_INFINITY;
 	/** Since when this process has held the lease without a term. */
 	#withoutTermSinceMs: number | undefined;
 	/** Difference between the wall clock and the monotonic clock at the last check. */
@@ -193,16 +195,19 @@
 		return this.#leases.heldLease(schedulerLease)?.fence.version ?? (isSuspended ? undefined : term?.fencingToken);
 	}
 
-	/** The replaced holder may still be alive unless it has announced the release of its lease or a later run of its process was heard. */
-	#earlierHolderOf({replaced}: HeldLease): EarlierHolder | undefined {
-		if (replaced === undefined || this.#liveness?.isHolderGone(replaced.token) === true) {
+	/** The replaced holder may still be alive unless it has announced the release of its lease or a later run of its process was heard. One that was replaced before it may be, too. */
+	#earlierHolderOf({replaced, earlierTrustedUntilMs = Number.NEGATIVE_INFINITY}: HeldLease): EarlierHolder | undefined {
+		const {nowMs} = this.#now();
+		this.#earlierTrustedUntilMs = earlierTrustedUntilMs;
+		const isGone = replaced === undefined || this.#liveness?.isHolderGone(replaced.token) === true;
+		if (isGone && earlierTrustedUntilMs <= nowMs) {
 			return undefined;
 		}
 
-		const {nowMs} = this.#now();
+		const trustedUntilMs = Math.max(isGone ? nowMs : replaced.trustedUntilMs, earlierTrustedUntilMs);
 		// It goes on without trust in its lease only on evidence of an outage, from before this process acquired the lease.
-		const mayOrderUntilMs = Math.max(replaced.trustedUntilMs, nowMs + maxAnswerAgeMs);
-		const heardAtMs = this.#liveness?.holderHeardAtMs(replaced.token) ?? nowMs;
+		const mayOrderUntilMs = Math.max(trustedUntilMs, nowMs + maxAnswerAgeMs);
+		const heardAtMs = (replaced === undefined ? undefined : this.#liveness?.holderHeardAtMs(replaced.token)) ?? nowMs;
 		return {mayOrderUntilMs, mayOrderMachinesUntilMs: Math.max(mayOrderUntilMs, heardAtMs + leaseMs)};
 	}
 
@@ -211,9 +216,9 @@
 		if (earlierHolder !== undefined) {
 			const now = this.#now();
 			const {mayOrderUntilMs} = earlierHolder;
-			// A holder that is gone may have given orders until now.
+			// A holder that is gone may have given orders until now, and the one that it replaced may go on.
 			const changed = isGone
-				? {mayOrderUntilMs: Math.min(mayOrderUntilMs, now.nowMs), mayOrderMachinesUntilMs: now.nowMs}
+				? {mayOrderUntilMs: Math.min(mayOrderUntilMs, Math.max(now.nowMs, this.#earlierTrustedUntilMs)), mayOrderMachinesUntilMs: now.nowMs}
 				: {mayOrderUntilMs, mayOrderMachinesUntilMs: Math.max(mayOrderUntilMs, now.nowMs + leaseMs)};
 			this.#options.dispatch({type: 'earlierHolderChanged', earlierHolder: changed, ...now});
 		}
--- a/packages/scheduler/tests/replaced-holder.test.ts
+++ b/packages/scheduler/tests/replaced-holder.test.ts
@@ -80,3 +80,18 @@
 	await simulation.run(10_000);
 	expect(simulation.fleet.starts.length).toBeGreaterThan(40);
 });
+
+// Guards against a third holder that knows of the released lease of the second one only.
+test.each(phasesMs)('a task of a replaced holder is not started twice if the next holder releases the lease at once: %i', async phaseMs => {
+	const former = await cutHolderOff({phaseMs, isStoreCut: true, tasks: 24});
+	const findNext = () => simulation.processes.find(process => process !== former && process.scheduler.state.term !== undefined);
+	while (findNext() === undefined) {
+		await simulation.run(5);
+	}
+
+	await simulation.run(50);
+	void findNext()!.scheduler.leave();
+	await simulation.run(15_000);
+	const keys = simulation.fleet.starts.map(({taskKey}) => taskKey);
+	expect(keys.length).toBeGreaterThan(new Set(keys).size);
+});
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -49,6 +49,8 @@
 	readonly suspectedToken: number | undefined;
 	/** The holder that the last attempt to acquire the lease replaces on suspicion. */
 	readonly replaced: ReplacedHolder | undefined;
+	/** Until when a holder that was replaced on suspicion before that one may trust its lease. */
+	readonly earlierTrustedUntilMs: number | undefined;
 };
 
 export type LeaseEvent
@@ -74,7 +76,7 @@
 
 /** A contender that has not read the lease yet. */
 export const newContender = (name: string, holder: string, leaseMs: number, previousRunPrefix = ''): LeaseState => ({
-	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false, suspectedToken: undefined, replaced: undefined,
+	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false, suspectedToken: undefined, replaced: undefined, earlierTrustedUntilMs: undefined,
 });
 
 const unchanged = (state: LeaseState): LeaseStep => ({state, effects: []});
@@ -98,16 +100,23 @@
 		? {...leaseOf(state), confirmedAtMs: state.confirmedAtMs}
 		: undefined;
 
-const leaseOf = ({name, fence, replaced}: LeaseState): HeldLease => ({name, fence: fence!, replaced});
+const leaseOf = ({
+	name, fence, replaced, earlierTrustedUntilMs,
+}: LeaseState): HeldLease => ({
+	name, fence: fence!, replaced, earlierTrustedUntilMs,
+});
+
+/** For how much longer earlier holders may trust their leases. */
+const overlapMs = ({replaced, earlierTrustedUntilMs}: LeaseState, nowMs: number): number => Math.max(0, ...[replaced?.trustedUntilMs, earlierTrustedUntilMs].map(untilMs => Math.ceil((untilMs ?? nowMs) - nowMs)));
 
-const effectOfCall = (state: LeaseState): LeaseEffect => {
+const effectOfCall = (state: LeaseState, nowMs: number): LeaseEffect => {
 	switch (state.nextCall) {
 		case 'read': {
 			return {type: 'read', name: state.name};
 		}
 
 		case 'acquire': {
-			return {type: 'commit', transaction: acquireTransaction(state.name, state.holder, state.observed!.rows)};
+			return {type: 'commit', transaction: acquireTransaction(state.name, state.holder, state.observed!.rows, overlapMs(state, nowMs))};
 		}
 
 		case 'renew': {
@@ -115,7 +124,7 @@
 		}
 
 		case 'release': {
-			return {type: 'commit', transaction: releaseTransaction(state.name, state.fence!)};
+			return {type: 'commit', transaction: releaseTransaction(state.name, state.fence!, overlapMs(state, nowMs))};
 		}
 
 		default: {
@@ -136,7 +145,7 @@
 		return expired;
 	}
 
-	return {state: {...expired.state, dueMs: undefined}, effects: [...expired.effects, effectOfCall(state)]};
+	return {state: {...expired.state, dueMs: undefined}, effects: [...expired.effects, effectOfCall(state, nowMs)]};
 };
 
 const endContention = (state: LeaseState): LeaseStep => ({
@@ -159,9 +168,13 @@
 	return {state: ended.state, effects: [...effects, ...ended.effects]};
 };
 
+/** Returns for how long after the rows were first read a holder may trust its lease that was replaced on suspicion before the present one. Renewals are an interval apart, but for the first one. */
+const remainingOverlapMs = (state: LeaseState, {overlapMs: writtenMs = 0, renewals = 0}: LeaseRows): number =>
+	Math.max(0, writtenMs - (Math.max(0, renewals - 1) * intervalMs(state)));
+
 /** Adopts a lease whose row names this contender: an acquisition of unknown outcome was applied. A renewal confirms it. */
 const adoptLease = (state: LeaseState, rows: LeaseRows, nowMs: number): LeaseState => scheduleCall({
-	...state, phase: 'held', fence: {key: fenceKey(state.name), version: rows.fenceVersion}, trustedUntilMs: undefined, confirmedAtMs: undefined,
+	...state, phase: 'held', fence: {key: fenceKey(state.name), version: rows.fenceVersion}, trustedUntilMs: undefined, confirmedAtMs: undefined, renewals: 0,
 }, state.wantsToWithdraw ? 'release' : 'renew', nowMs);
 
 const areSameRows = (a: LeaseRows, b: LeaseRows): boolean =>
@@ -192,6 +205,7 @@
 		observed: {
 			rows, sinceMs, lastReadAtMs: nowMs, readIntervalMs,
 		},
+		earlierTrustedUntilMs: sinceMs + remainingOverlapMs(state, rows),
 		suspectedToken: undefined,
 	};
 	if (state.suspectedToken !== undefined && (rows.holder === undefined || rows.fenceVersion === state.suspectedToken)) {
@@ -200,7 +214,7 @@
 		const acquiring: LeaseState = {
 			...withObserved, nextCall: 'acquire', dueMs: undefined, replaced,
 		};
-		return {state: acquiring, effects: [effectOfCall(acquiring)]};
+		return {state: acquiring, effects: [effectOfCall(acquiring, nowMs)]};
 	}
 
 	// The read must have been sent a whole lease time after the same rows were first seen.
@@ -227,7 +241,7 @@
 		const releasing: LeaseState = {
 			...held, trustedUntilMs: undefined, nextCall: 'release', dueMs: undefined,
 		};
-		return {state: releasing, effects: [effectOfCall(releasing)]};
+		return {state: releasing, effects: [effectOfCall(releasing, nowMs)]};
 	}
 
 	const wasUntrusted = state.trustedUntilMs === undefined;
@@ -267,7 +281,7 @@
 };
 
 /** Reads the lease at once, so that it can be acquired without waiting for its end. A pending call is awaited. */
-const handleSuspicion = (state: LeaseState, suspectedToken: number): LeaseStep => {
+const handleSuspicion = (state: LeaseState, suspectedToken: number, nowMs: number): LeaseStep => {
 	if (state.phase !== 'contending' || state.wantsToWithdraw) {
 		return unchanged(state);
 	}
@@ -278,7 +292,7 @@
 	}
 
 	const reading: LeaseState = {...suspecting, nextCall: 'read', dueMs: undefined};
-	return {state: reading, effects: [effectOfCall(reading)]};
+	return {state: reading, effects: [effectOfCall(reading, nowMs)]};
 };
 
 /** Applies one event and returns the new state with its effects. */
@@ -313,7 +327,7 @@
 		}
 
 		case 'holderSuspected': {
-			return handleSuspicion(state, event.fencingToken);
+			return handleSuspicion(state, event.fencingToken, event.nowMs);
 		}
 
 		case 'holderCleared': {
--- a/packages/state/src/leases/rows.ts
+++ b/packages/state/src/leases/rows.ts
@@ -1,5 +1,5 @@
 /**
-Rows of leases. `leases/{name}` names the holder and is written only when the holder changes: its version is the fence and serves as the number of the lease term. `lease-renewals/{name}` is written by each renewal.
+Rows of leases. `leases/{name}` names the holder and is written only when the holder changes: its version is the fence and serves as the number of the lease term. Until a holder that was replaced on suspicion no longer trusts its lease, the row says how long that takes, also after a release. `lease-renewals/{name}` is written by each renewal.
 */
 import * as E from 'fp-ts/lib/Either.js';
 import {type JsonValue, parseWith, z} from '@poplarnotch/common';
@@ -7,7 +7,8 @@
 	absentVersion, type Row, type RowCondition, type Transaction,
 } from '@poplarnotch/platform';
 
-const holderSchema = z.object({holder: z.string()});
+const holderSchema = z.object({holder: z.string().optional(), overlapMs: z.number().optional()});
+const renewalSchema = z.object({renewals: z.number()});
 
 /** Key of the fence row. */
 export const fenceKey = (name: string): string => `leases/${name}`;
@@ -20,6 +21,10 @@
 	readonly fenceVersion: number;
 	readonly holder: string | undefined;
 	readonly renewalVersion: number;
+	/** For how long after the fence row was written a holder that was replaced on suspicion may still trust its lease. */
+	readonly overlapMs?: number | undefined;
+	/** Number of renewals since the fence row was written. */
+	readonly renewals?: number | undefined;
 };
 
 /** Reads both rows of a lease. */
@@ -27,19 +32,22 @@
 	const fence = rows.find(row => row.key === fenceKey(name));
 	const renewal = rows.find(row => row.key === renewalKey(name));
 	const parsed = parseWith(holderSchema, fence?.value, fenceKey(name));
+	const parsedRenewal = parseWith(renewalSchema, renewal?.value, renewalKey(name));
 	return {
 		fenceVersion: fence?.version ?? absentVersion,
 		holder: E.isRight(parsed) ? parsed.right.holder : undefined,
 		renewalVersion: renewal?.version ?? absentVersion,
+		overlapMs: E.isRight(parsed) ? parsed.right.overlapMs : undefined,
+		renewals: E.isRight(parsedRenewal) ? parsedRenewal.right.renewals : undefined,
 	};
 };
 
 const put = (key: string, value: JsonValue) => ({type: 'put', key, value} as const);
 
 /** Acquires the lease if neither row has changed since it was read. */
-export const acquireTransaction = (name: string, holder: string, seen: LeaseRows): Transaction => ({
+export const acquireTransaction = (name: string, holder: string, seen: LeaseRows, overlapMs = 0): Transaction => ({
 	conditions: [{key: fenceKey(name), version: seen.fenceVersion}, {key: renewalKey(name), version: seen.renewalVersion}],
-	writes: [put(fenceKey(name), {holder}), put(renewalKey(name), {renewals: 0})],
+	writes: [put(fenceKey(name), overlapMs > 0 ? {holder, overlapMs} : {holder}), put(renewalKey(name), {renewals: 0})],
 });
 
 /** Renews the lease if it is still held. */
@@ -49,7 +57,7 @@
 });
 
 /** Releases the lease if it is still held. */
-export const releaseTransaction = (name: string, fence: RowCondition): Transaction => ({
+export const releaseTransaction = (name: string, fence: RowCondition, overlapMs = 0): Transaction => ({
 	conditions: [fence],
-	writes: [{type: 'delete', key: fenceKey(name)}, {type: 'delete', key: renewalKey(name)}],
+	writes: [overlapMs > 0 ? put(fenceKey(name), {overlapMs}) : {type: 'delete', key: fenceKey(name)}, {type: 'delete', key: renewalKey(name)}],
 });
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -62,6 +62,8 @@
 	readonly fence: RowCondition;
 	/** The earlier holder if it was replaced on suspicion. Any other has stopped to act on the lease. */
 	readonly replaced?: ReplacedHolder | undefined;
+	/** Until when a holder that was replaced on suspicion before that one may trust its lease, on this process's clock. */
+	readonly earlierTrustedUntilMs?: number | undefined;
 };
 
 /** A holder that was replaced on suspicion, so that it may still act on its lease for a while. */
--- a/packages/state/tests/leases/takeover.test.ts
+++ b/packages/state/tests/leases/takeover.test.ts
@@ -78,7 +78,9 @@
 // Guards against a next holder that counts with less time than the replaced one trusts its lease for.
 test('a replaced holder trusts its lease no longer than its successor counts with, which saw the last renewal later than it was sent', () => {
 	const rows = {fenceVersion: 5, holder: 'gate-1@1', renewalVersion: 7};
-	const held = reduceLease({...newContender(name, 'gate-1@1', leaseMs), phase: 'held', nextCall: 'renew', fence: {key: fenceKey(name), version: 5}}, {
+	const held = reduceLease({
+		...newContender(name, 'gate-1@1', leaseMs), phase: 'held', nextCall: 'renew', fence: {key: fenceKey(name), version: 5},
+	}, {
 		type: 'committed', revision: 7, sentAtMs: 1000, nowMs: 1050,
 	}).state;
 	const suspecting = reduceLease(readAt(1040), {type: 'holderSuspected', nowMs: 1700, fencingToken: 5}).state;
@@ -92,3 +94,48 @@
 	}).state;
 	expect(ofReleased).toMatchObject({nextCall: 'acquire', replaced: undefined});
 });
+
+// Guards against a third holder that counts with the orders of the second one only, which replaced the first on suspicion.
+test.each([
+	{
+		about: 'is restarted at once', renewals: 1, holder: 'gate-2@1', overlapMs: 1800,
+	},
+	{
+		about: 'is restarted after three renewals', renewals: 3, holder: 'gate-2@1', overlapMs: 0,
+	},
+	{
+		about: 'has released it', renewals: undefined, holder: undefined, overlapMs: 1800,
+	},
+])('the lease tells how long a replaced holder may trust it when the next one $about', ({renewals, holder, overlapMs}) => {
+	const restarted = reduceLease(newContender(name, 'gate-2@2', leaseMs, 'gate-2@'), {
+		type: 'rowsRead', sentAtMs: 0, nowMs: 10, rows: {
+			fenceVersion: 5, holder, renewalVersion: 7, overlapMs: 1800, renewals,
+		},
+	}).state;
+	expect(restarted).toMatchObject({nextCall: 'acquire', replaced: undefined, earlierTrustedUntilMs: 10 + overlapMs});
+});
+
+test('a holder that replaced another one on suspicion writes into the lease how long that one may trust it, also as it releases the lease', async () => {
+	const table = new MemoryTableService();
+	const free = {fenceVersion: 0, holder: undefined, renewalVersion: 0};
+	table.commitNow(acquireTransaction(name, 'gate-1@1', free));
+	const read = async () => leaseRowsFrom(name, await table.readRows([fenceKey(name), renewalKey(name)]));
+	const rows = await read();
+	const suspecting = reduceLease({...newContender(name, 'gate-2@1', leaseMs), dueMs: 1000}, {type: 'holderSuspected', nowMs: 0, fencingToken: rows.fenceVersion}).state;
+	const acquiring = reduceLease(suspecting, {
+		type: 'rowsRead', sentAtMs: 0, nowMs: 10, rows,
+	});
+	const [acquisition] = acquiring.effects;
+	const {revision} = table.commitNow(acquisition?.type === 'commit' ? acquisition.transaction : {conditions: [], writes: []});
+	expect(await read()).toMatchObject({holder: 'gate-2@1', overlapMs: 2400});
+	const held = reduceLease(acquiring.state, {
+		type: 'committed', revision, sentAtMs: 10, nowMs: 20,
+	}).state;
+	const withdrawing = reduceLease(held, {type: 'withdrawRequested', nowMs: 400}).state;
+	for (const {releasedAtMs, overlapMs} of [{releasedAtMs: 410, overlapMs: 2000}, {releasedAtMs: 2410, overlapMs: undefined}]) {
+		const [release] = reduceLease(withdrawing, {type: 'tick', nowMs: releasedAtMs}).effects;
+		const released = new MemoryTableService();
+		released.commitNow({...(release?.type === 'commit' ? release.transaction : {writes: []}), conditions: []});
+		expect(leaseRowsFrom(name, await released.readRows([fenceKey(name), renewalKey(name)]))).toMatchObject({holder: undefined, overlapMs});
+	}
+});
