--- /dev/null
+++ b/soak/checks.ts
@@ -0,0 +1,223 @@
+/**
+The checks: each judges one of the users' rules by what clients and workers have seen. A check that had nothing to judge counts neither as passed nor as failed.
+*/
+import {type Deployment} from './deployment.js';
+import {
+	isLasting, isNoted, type Job, type Look, occurrencesOf, parseTask, type Run,
+} from './ledger.js';
+import {bounds, queue, workerCapacity} from './settings.js';
+import {type Troubles} from './troubles.js';
+
+/** All that a run has shown. */
+export type Evidence = {
+	readonly deployment: Deployment;
+	readonly troubles: Troubles;
+	/** The answers for all jobs that were accepted and not cancelled, asked for `finish_s` after the traffic and the troubles. */
+	readonly lastLooks: readonly Look[];
+	/** Difference between the Unix time and the steady clock. */
+	readonly wallOffsetMs: number;
+};
+
+/** The result of a check: how many cases it judged, and what broke the rule. */
+export type Verdict = {
+	readonly judged: number;
+	readonly what: string;
+	readonly broken: readonly string[];
+};
+
+type Check = (evidence: Evidence) => Verdict;
+
+/** Time after which an answer about an ended job is no longer owed. */
+const statusMs = bounds.status_s * 1000;
+
+const describeRun = ({deployment}: Evidence, {task, attempt, worker, fence, startedAtMs, endedAtMs, how, notedAtMs}: Run): string => [
+	`${task}#${attempt} on ${worker} by ${deployment.daemonOfFence(fence)?.name} (fencing token ${fence}), from ${deployment.record.secondsAt(startedAtMs)}`,
+	endedAtMs === undefined ? 'still at work' : `until ${deployment.record.secondsAt(endedAtMs)} ${how}`,
+	notedAtMs === undefined ? 'not acknowledged' : `acknowledged at ${deployment.record.secondsAt(notedAtMs)}`,
+].join(', ');
+
+const jobOf = ({deployment: {ledger}}: Evidence, run: Run): Job | undefined => ledger.jobs.get(parseTask(run.task).id);
+
+/** Two runs of one task at once, or a start after an end `done` that is acknowledged then or later. */
+const checkTwice: Check = evidence => {
+	const {ledger} = evidence.deployment;
+	const broken: string[] = [];
+	for (const runs of ledger.runsByTask.values()) {
+		for (const run of runs) {
+			const earlier = runs.find(other => other !== run && other.startedAtMs <= run.startedAtMs && (other.endedAtMs ?? Number.POSITIVE_INFINITY) > run.startedAtMs);
+			const done = runs.find(other => other.how === 'done' && isNoted(other) && other.endedAtMs! < run.startedAtMs);
+			if (earlier !== undefined) {
+				broken.push(`two at once: ${describeRun(evidence, earlier)}; ${describeRun(evidence, run)}`);
+			} else if (done !== undefined) {
+				broken.push(`started after its end: ${describeRun(evidence, done)}; ${describeRun(evidence, run)}`);
+			}
+		}
+	}
+
+	return {judged: ledger.runs.length, what: 'starts', broken};
+};
+
+/** A start before its time, or before all tasks of the steps in `after` have ended done. */
+const checkOrder: Check = evidence => {
+	const {ledger} = evidence.deployment;
+	const broken: string[] = [];
+	let judged = 0;
+	for (const run of ledger.runs) {
+		const job = jobOf(evidence, run);
+		const {occurrence, step} = parseTask(run.task);
+		const after = job?.body.phases[step]?.after ?? [];
+		const dueAtMs = job?.body.start_ms === undefined ? Number.NEGATIVE_INFINITY : job.body.start_ms + (occurrence * job.body.period_ms!) - evidence.wallOffsetMs;
+		judged += job !== undefined && (after.length > 0 || job.body.start_ms !== undefined) ? 1 : 0;
+		if (run.startedAtMs < dueAtMs - bounds.early_ms) {
+			broken.push(`${Math.round(dueAtMs - run.startedAtMs)} ms before its time: ${describeRun(evidence, run)}`);
+		}
+
+		const missing = job === undefined ? undefined : after.flatMap(earlier => ledger.tasksOfStep(job, occurrence, earlier)).find(task => !ledger.isDoneBy(task, run.startedAtMs));
+		if (missing !== undefined) {
+			broken.push(`${missing} had not ended done: ${describeRun(evidence, run)}`);
+		}
+	}
+
+	return {judged, what: 'starts of steps that wait', broken};
+};
+
+/** A start after `max_attempts` runs of the task have ended failed, with these ends acknowledged then or later. */
+const checkBudget: Check = evidence => {
+	const broken: string[] = [];
+	let judged = 0;
+	for (const runs of evidence.deployment.ledger.runsByTask.values()) {
+		const failed = runs.filter(run => run.how === 'failed' && isNoted(run));
+		judged += failed.length;
+		for (const run of runs) {
+			const before = failed.filter(({endedAtMs}) => endedAtMs! < run.startedAtMs);
+			if (before.length >= queue.maxAttempts) {
+				broken.push(`${before.length} runs had failed: ${describeRun(evidence, run)}`);
+			}
+		}
+	}
+
+	return {judged, what: 'failed ends', broken};
+};
+
+/** A start of what no client sent, or with another spec. */
+const checkUnasked: Check = evidence => {
+	const {ledger} = evidence.deployment;
+	const broken = ledger.runs.filter(run => {
+		const job = jobOf(evidence, run);
+		const {occurrence, step, index} = parseTask(run.task);
+		return run.spec !== job?.body.spec || !(occurrence < occurrencesOf(job)) || !(index < (job.body.phases[step]?.count ?? 0));
+	});
+	return {judged: ledger.runs.length, what: 'starts', broken: broken.map(run => `not as a client sent it: ${describeRun(evidence, run)}`)};
+};
+
+/** Tasks of a cancelled job: a start by a daemon in touch later than `cancel_ms` after the acknowledgement, or one at work `stop_ms` after that. */
+const checkCancelled: Check = evidence => {
+	const {deployment, troubles} = evidence;
+	const {ledger} = deployment;
+	const broken: string[] = [];
+	const cancelled = [...ledger.jobs.values()].filter(({cancelledAtMs}) => cancelledAtMs !== undefined);
+	for (const job of cancelled) {
+		const startLimitMs = job.cancelledAtMs! + bounds.cancel_ms;
+		const endLimitMs = startLimitMs + bounds.stop_ms;
+		const isCalm = troubles.isCalm(job.cancelledAtMs!, endLimitMs);
+		for (const run of ledger.tasksOf(job).flatMap(task => ledger.runsOf(task))) {
+			const starter = deployment.daemonOfFence(run.fence)?.name;
+			const isSound = troubles.isSoundWorker(run.worker, run.startedAtMs, run.startedAtMs);
+			if (run.startedAtMs > startLimitMs && isSound && starter !== undefined && troubles.isInTouch(starter, run.startedAtMs, run.startedAtMs)) {
+				broken.push(`started ${Math.round(run.startedAtMs - job.cancelledAtMs!)} ms after the cancelling: ${describeRun(evidence, run)}`);
+			} else if (isCalm && run.startedAtMs <= startLimitMs && (run.endedAtMs ?? Number.POSITIVE_INFINITY) > endLimitMs) {
+				broken.push(`at work ${bounds.cancel_ms + bounds.stop_ms} ms after the cancelling: ${describeRun(evidence, run)}`);
+			}
+		}
+	}
+
+	return {judged: cancelled.length, what: 'cancelled jobs', broken};
+};
+
+/** A start of a job whose every submission was refused. */
+const checkRefused: Check = ({deployment: {ledger}}) => {
+	const refused = [...ledger.jobs.values()].filter(({refusals, otherAnswers}) => refusals > 0 && otherAnswers === 0);
+	const started = refused.filter(job => ledger.tasksOf(job).some(task => ledger.runsOf(task).length > 0));
+	return {judged: refused.length, what: 'refused jobs', broken: started.map(({id}) => `${id} was refused and has started`)};
+};
+
+/** A start that brings its worker over its capacity. */
+const checkLimit: Check = evidence => {
+	const {runs} = evidence.deployment.ledger;
+	const over = runs.filter(({usedCpu, usedMemoryMb}) => usedCpu > workerCapacity.cpu || usedMemoryMb > workerCapacity.mem_mb);
+	return {judged: runs.length, what: 'starts', broken: over.map(run => `${run.usedCpu} millicores in use: ${describeRun(evidence, run)}`)};
+};
+
+const describeLook = ({deployment: {record}}: Evidence, {job, daemon, atMs, status, state}: Look): string =>
+	`${job.id} at ${daemon}, ${record.secondsAt(atMs)}: ${status === 0 ? 'no answer' : status} ${state ?? ''}`;
+
+/** A job that is shown as completed while a task has not ended done. */
+const checkMixed: Check = evidence => {
+	const completed = [...evidence.deployment.ledger.looks, ...evidence.lastLooks].filter(({state}) => state === 'completed');
+	return {judged: completed.length, what: 'jobs shown as completed', broken: completed.filter(({isDone}) => !isDone).map(look => describeLook(evidence, look))};
+};
+
+/** An accepted job that a daemon in touch does not know, or that is shown as failed or cancelled without cause. */
+const checkShown: Check = evidence => {
+	const {deployment: {ledger}, troubles} = evidence;
+	const wrong = ledger.looks.filter(({job, daemon, atMs, status, state, hasFailed}) => {
+		const isUnknown = status === 410 && atMs > job.acceptedAtMs! + bounds.visible_ms && atMs < job.acceptedAtMs! + statusMs && troubles.isInTouch(daemon, atMs, atMs);
+		return (state === 'failed' && !hasFailed) || (job.cancelSentAtMs === undefined && (state === 'cancelled' || isUnknown));
+	});
+	return {judged: ledger.looks.length, what: 'answers', broken: wrong.map(look => describeLook(evidence, look))};
+};
+
+const expectedState = (job: Job): string => isLasting(job) ? 'running' : (job.failures < queue.maxAttempts ? 'completed' : 'failed');
+
+/** At the end: an accepted job that was not cancelled is not known, has no answer, or is not done though it could be. */
+const checkLost: Check = evidence => {
+	const {lastLooks, deployment: {ledger, machines}} = evidence;
+	const broken = lastLooks.flatMap(look => {
+		const {job, status, state} = look;
+		const missing = isLasting(job) ? ledger.tasksOf(job).filter(task => !machines.workers.some(worker => worker.isRunning(task))) : [];
+		return [
+			...(status === 200 && state === expectedState(job) ? [] : [`${describeLook(evidence, look)}, ${expectedState(job)} expected`]),
+			...missing.map(task => `${task} lasts and is not at work`),
+		];
+	});
+	return {judged: lastLooks.length, what: 'jobs at the end', broken};
+};
+
+/** A call that is refused though queue and key are there. */
+const checkConfiguration: Check = ({deployment: {ledger}}) => ({
+	judged: ledger.jobs.size, what: 'jobs sent', broken: ledger.oddAnswers,
+});
+
+/** A process that ended by itself or did not come back. */
+const checkFault: Check = ({deployment: {daemons}}) => ({
+	judged: daemons.length, what: 'daemons', broken: daemons.flatMap(({faults}) => faults),
+});
+
+/** The run shows something: troubles were played, and at least half of the jobs were accepted. */
+const checkPlayed: Check = ({deployment: {ledger, store}, troubles}) => {
+	const jobs = [...ledger.jobs.values()];
+	const accepted = jobs.filter(({acceptedAtMs}) => acceptedAtMs !== undefined).length;
+	const kinds = new Set(troubles.played.map(({kind}) => kind));
+	return {
+		judged: jobs.length, what: `jobs, ${accepted} accepted, ${troubles.played.length} troubles of ${kinds.size} kinds, ${store.cutAnswers} answers cut`, broken: [
+			...(accepted * 2 < jobs.length ? [`only ${accepted} of ${jobs.length} jobs were accepted`] : []),
+			...(troubles.played.length === 0 ? ['no trouble was played'] : []),
+		],
+	};
+};
+
+export const checks: Readonly<Record<string, Check>> = {
+	TWICE: checkTwice,
+	ORDER: checkOrder,
+	BUDGET: checkBudget,
+	UNASKED: checkUnasked,
+	CANCELLED: checkCancelled,
+	REFUSED: checkRefused,
+	LIMIT: checkLimit,
+	MIXED: checkMixed,
+	SHOWN: checkShown,
+	LOST: checkLost,
+	CONFIG: checkConfiguration,
+	FAULT: checkFault,
+	PLAYED: checkPlayed,
+};
--- /dev/null
+++ b/soak/daemons.ts
@@ -0,0 +1,165 @@
+/**
+The daemons of the deployment: processes with the command of the deploy file, on loopback addresses of their own.
+*/
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {
+	closeSync, openSync, readFileSync, writeFileSync,
+} from 'node:fs';
+import {join} from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {PoplarnotchError} from '@poplarnotch/common';
+import {KeepAliveClients} from './http.js';
+import {type Record} from './record.js';
+import {
+	bounds, type DaemonPlace, frontPort, readyPort, settingsTextOf,
+} from './settings.js';
+
+const rootPath = join(import.meta.dirname, '..');
+
+const probeIntervalMs = 1000;
+const missesUntilOut = 2;
+const readyPollMs = 100;
+const readyTimeoutMs = 12_000;
+
+/** Time within which a daemon that was started again has to be ready, whatever troubles go on. */
+const maxStartMs = 30_000;
+
+export class SoakError extends PoplarnotchError {
+	override readonly code = 'soak-not-playable';
+}
+
+/** Reads the command of the entry role from the deploy file. */
+const readDeployCommand = (): readonly string[] => {
+	const command = /^run = "(?<command>[^"]+)"$/mv.exec(readFileSync(join(rootPath, 'deploy/system.toml'), 'utf8'))?.groups?.command;
+	if (command === undefined) {
+		throw new SoakError('deploy/system.toml has no command for the entry role');
+	}
+
+	return command.split(' ');
+};
+
+export class Daemon {
+	readonly name: string;
+	readonly clients: KeepAliveClients;
+	/** Set while a trouble stops, ends or restarts the process. */
+	isDisturbed = false;
+	/** Ends of the process that the soak did not cause, and starts after which it did not become ready. */
+	readonly faults: string[] = [];
+	readonly #probes: KeepAliveClients;
+	readonly #settingsFile: string;
+	readonly #logFile: string;
+	readonly #record: Record;
+	#child: ChildProcess | undefined;
+	#isEndExpected = false;
+	#isClosed = false;
+	#misses = 0;
+	#probeTimer: NodeJS.Timeout | undefined;
+
+	constructor(place: DaemonPlace, folder: string, record: Record) {
+		this.name = place.name;
+		this.clients = new KeepAliveClients(place.ip, frontPort);
+		this.#probes = new KeepAliveClients(place.ip, readyPort);
+		this.#settingsFile = join(folder, `${place.name}.conf`);
+		this.#logFile = join(folder, `${place.name}.log`);
+		this.#record = record;
+		writeFileSync(this.#settingsFile, settingsTextOf(place));
+	}
+
+	/** Whether clients send their calls here: new connections as long as the probes are answered, and open ones until they break. */
+	get takesCalls(): boolean {
+		return this.#misses < missesUntilOut || this.clients.hasConnection;
+	}
+
+	spawn(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		const [program = '', ...parameters] = readDeployCommand();
+		const log = openSync(this.#logFile, 'a');
+		this.#isEndExpected = false;
+		const child = spawn(program === 'node' ? process.execPath : program, parameters, {
+			cwd: rootPath, stdio: ['ignore', log, log], env: {PATH: process.env.PATH, HOME: process.env.HOME, POPLARNOTCH_CONFIG: this.#settingsFile},
+		});
+		closeSync(log);
+		this.#child = child;
+		child.once('exit', (code, signal) => {
+			this.#record.add(`${this.name} ends with ${signal ?? code}`);
+			if (!this.#isEndExpected) {
+				this.faults.push(`${this.name} ended by itself with ${signal ?? code}`);
+			}
+		});
+		this.#record.add(`${this.name} is started as process ${child.pid}`);
+		this.#probeTimer ??= setInterval(() => {
+			void this.#probe();
+		}, probeIntervalMs);
+	}
+
+	signal(name: NodeJS.Signals): void {
+		this.#record.add(`${this.name} gets ${name}`);
+		this.#isEndExpected ||= name === 'SIGKILL' || name === 'SIGTERM';
+		this.#child?.kill(name);
+	}
+
+	/** Sends SIGTERM, and SIGKILL after `grace_s`. Resolves once the process has ended. */
+	async terminate(): Promise<void> {
+		const killTimer = setTimeout(() => {
+			this.signal('SIGKILL');
+		}, bounds.grace_s * 1000);
+		this.signal('SIGTERM');
+		await this.#ended();
+		clearTimeout(killTimer);
+	}
+
+	/** Starts the process again and resolves once it is ready. */
+	async startAgain(): Promise<void> {
+		await this.#ended();
+		this.spawn();
+		if (!await this.becomesReady(maxStartMs) && !this.#isClosed) {
+			this.faults.push(`${this.name} was not ready ${maxStartMs} ms after its start`);
+		}
+
+		this.#record.add(`${this.name} is ready again`);
+	}
+
+	async becomesReady(timeoutMs = readyTimeoutMs): Promise<boolean> {
+		const untilMs = performance.now() + timeoutMs;
+		while (performance.now() < untilMs && !this.#isClosed) {
+			if (await this.isReady()) {
+				return true;
+			}
+
+			await sleep(readyPollMs);
+		}
+
+		return false;
+	}
+
+	async isReady(): Promise<boolean> {
+		const {status} = await this.#probes.call({method: 'GET', path: '/ready'});
+		return status === 200;
+	}
+
+	/** Kills the process, also one that is stopped. */
+	kill(): void {
+		this.#isClosed = true;
+		this.#isEndExpected = true;
+		clearInterval(this.#probeTimer);
+		void this.clients.close();
+		void this.#probes.close();
+		this.#child?.kill('SIGKILL');
+	}
+
+	async #ended(): Promise<void> {
+		const child = this.#child;
+		if (child?.exitCode === null && child.signalCode === null) {
+			await once(child, 'exit');
+		}
+	}
+
+	async #probe(): Promise<void> {
+		this.#misses = await this.isReady() ? 0 : this.#misses + 1;
+	}
+}
--- /dev/null
+++ b/soak/soak-run.ts
@@ -0,0 +1,101 @@
+/**
+Plays one run: starts a deployment, sends traffic, injects troubles, waits until all has to be finished, and judges.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type LifecycleManager, SeededRandom, withTimeLimit} from '@poplarnotch/common';
+import {checks, type Evidence} from './checks.js';
+import {Deployment, type DeploymentOptions} from './deployment.js';
+import {type Job, type Look} from './ledger.js';
+import {bounds} from './settings.js';
+import {Traffic} from './traffic.js';
+import {Troubles} from './troubles.js';
+
+export type SoakOptions = DeploymentOptions & {
+	readonly seed: number;
+	/** Time for which jobs are handed in. */
+	readonly durationMs: number;
+	readonly jobsPerSecond: number;
+	readonly troubles: readonly string[];
+	/** Series of troubles that go on side by side. */
+	readonly series: number;
+};
+
+export type SoakReport = {
+	readonly passed: number;
+	readonly failed: number;
+	readonly lines: readonly string[];
+};
+
+/** Time from the moment at which all daemons are ready to the first job. */
+const leadMs = 1000;
+const clientsAtEnd = 16;
+const maxShownPerCheck = 10;
+
+/** Time that a run may take beyond its traffic. */
+const maxOverrunMs = 120_000;
+
+/** Separates the sequences that are drawn from one seed. */
+const streams = {
+	jobs: 1, calls: 2, troubles: 3, cuts: 4,
+} as const;
+const randomOf = (seed: number, stream: keyof typeof streams): SeededRandom => new SeededRandom((seed * 16) + streams[stream]);
+
+const lookAtAll = async (traffic: Traffic, jobs: readonly Job[]): Promise<readonly Look[]> => {
+	const looks: Look[] = [];
+	const waiting = [...jobs];
+	await Promise.all(Array.from({length: clientsAtEnd}, async () => {
+		for (let job = waiting.pop(); job !== undefined; job = waiting.pop()) {
+			looks.push(await traffic.lookAtEnd(job));
+		}
+	}));
+	return looks;
+};
+
+const judge = (evidence: Evidence): SoakReport => {
+	const results = Object.entries(checks).map(([rule, check]) => ({rule, ...check(evidence)}));
+	const lines = results.flatMap(({rule, judged, what, broken}) => {
+		const result = broken.length > 0 ? 'FAILED' : (judged === 0 ? 'none  ' : 'ok    ');
+		const shown = broken.slice(0, maxShownPerCheck).map(text => `         ${rule}: ${text}`);
+		return [`  ${result} ${rule} (${judged} ${what}, ${broken.length} broken)`, ...shown];
+	});
+	const failed = results.filter(({broken}) => broken.length > 0).length;
+	return {passed: results.filter(({judged, broken}) => judged > 0 && broken.length === 0).length, failed, lines};
+};
+
+const play = async (options: SoakOptions, lifecycle: LifecycleManager): Promise<SoakReport> => {
+	const {seed, durationMs, jobsPerSecond, series} = options;
+	const deployment = new Deployment(options, randomOf(seed, 'cuts'), lifecycle);
+	await deployment.start();
+	await sleep(leadMs);
+	const traffic = new Traffic(deployment, randomOf(seed, 'jobs'), randomOf(seed, 'calls'));
+	const troubles = new Troubles(deployment, randomOf(seed, 'troubles'));
+	lifecycle.own('traffic', () => {
+		traffic.stop();
+	});
+	traffic.start(jobsPerSecond, Date.now() + durationMs);
+	const troublesOver = troubles.play(options.troubles, series, durationMs);
+	await sleep(durationMs);
+	traffic.stop();
+	await Promise.all([troublesOver, traffic.finish()]);
+	deployment.record.add('traffic and troubles are over');
+	await sleep(bounds.finish_s * 1000);
+	const owed = [...deployment.ledger.jobs.values()].filter(({acceptedAtMs, cancelSentAtMs}) => acceptedAtMs !== undefined && cancelSentAtMs === undefined);
+	const lastLooks = await lookAtAll(traffic, owed);
+	const report = judge({
+		deployment, troubles, lastLooks, wallOffsetMs: Date.now() - performance.now(),
+	});
+	for (const line of report.lines) {
+		deployment.record.add(line);
+	}
+
+	return report;
+};
+
+/** Plays one run and releases all that it started. */
+export const playSoak = async (options: SoakOptions, lifecycle: LifecycleManager): Promise<SoakReport> => {
+	try {
+		return await withTimeLimit(options.durationMs + maxOverrunMs, async () => play(options, lifecycle));
+	} finally {
+		await lifecycle.releaseAll();
+	}
+};
--- /dev/null
+++ b/soak/tests/checks.test.ts
@@ -0,0 +1,115 @@
+/**
+Each check of the soak fails where its rule is broken, and holds beside it.
+*/
+import {describe, expect, it} from 'vitest';
+import {checks, type Evidence} from '../checks.js';
+import {
+	type Job, Ledger, type Look, type Run,
+} from '../ledger.js';
+import {Record} from '../record.js';
+import {type Trouble, Troubles} from '../troubles.js';
+
+const spec = 'work=300';
+const step = {
+	count: 1, cpu: 1500, mem_mb: 500, estimate_ms: 300,
+};
+
+const jobWith = (fields: Partial<Job> = {}): Job => ({
+	id: 'a', body: {spec, phases: [step, {...step, after: [0]}]}, workMs: 300, failures: 0, cancelAfterMs: undefined,
+	refusals: 0, otherAnswers: 1, acceptedAtMs: 0, cancelSentAtMs: undefined, cancelledAtMs: undefined, ...fields,
+});
+
+const runWith = (fields: Partial<Run> = {}): Run => ({
+	task: 'a.0.0.0', attempt: 1, spec, fence: 1, worker: 'w', startedAtMs: 100, usedCpu: 1500, usedMemoryMb: 500,
+	endedAtMs: 400, how: 'done', sequence: 1, notedAtMs: 450, hasLapsed: false, ...fields,
+});
+
+const lookWith = (fields: Partial<Look> = {}): Look => ({
+	job: jobWith(), daemon: 'd', atMs: 50_000, status: 200, state: 'completed', isDone: true, hasFailed: false, ...fields,
+});
+
+type Seen = {
+	readonly job?: Job;
+	readonly runs?: readonly Run[];
+	readonly looks?: readonly Look[];
+	readonly lastLooks?: readonly Look[];
+	readonly troubles?: readonly Trouble[];
+	readonly faults?: readonly string[];
+	readonly running?: readonly string[];
+};
+
+const evidenceWith = ({job = jobWith(), runs = [], looks = [], lastLooks = [], troubles = [], faults = [], running = []}: Seen): Evidence => {
+	const ledger = new Ledger();
+	ledger.jobs.set(job.id, job);
+	ledger.looks.push(...looks);
+	for (const run of runs) {
+		ledger.addRun(run);
+	}
+
+	const deployment = {
+		ledger, record: new Record(), store: {cutAnswers: 0}, daemons: [{faults}],
+		machines: {workers: [{isRunning: (task: string) => running.includes(task)}]}, daemonOfFence: () => ({name: 'd'}),
+	} as unknown as Evidence['deployment'];
+	const played = new Troubles(deployment, {next: () => 0});
+	played.played.push(...troubles);
+	return {
+		deployment, troubles: played, lastLooks, wallOffsetMs: 0,
+	};
+};
+
+const brokenOf = (rule: string, fields: Seen): number => checks[rule]!(evidenceWith(fields)).broken.length;
+
+const trouble: Trouble = {
+	kind: 'storeall', fromMs: 0, toMs: 60_000, daemons: 'all', workers: new Set(),
+};
+const lastingJob = jobWith({body: {spec, phases: [{...step, persistent: true}]}});
+const timedJob = jobWith({
+	body: {
+		spec, phases: [step], repeat_count: 2, start_ms: 1000, period_ms: 500,
+	},
+});
+
+describe('the checks of the soak', () => {
+	it.each([
+		['TWICE', 'two runs at once', {runs: [runWith(), runWith({attempt: 2, startedAtMs: 399, endedAtMs: 700})]}, 1],
+		['TWICE', 'a run beside one that never ended', {runs: [runWith({endedAtMs: undefined, how: undefined}), runWith({attempt: 2, startedAtMs: 9000})]}, 1],
+		['TWICE', 'a start after an end that is acknowledged later', {runs: [runWith({notedAtMs: 900}), runWith({attempt: 2, startedAtMs: 500, endedAtMs: 800})]}, 1],
+		['TWICE', 'a start after an end that is never acknowledged', {runs: [runWith({notedAtMs: undefined}), runWith({attempt: 2, startedAtMs: 500, endedAtMs: 800})]}, 0],
+		['TWICE', 'a start after an end whose lease lapsed', {runs: [runWith({hasLapsed: true}), runWith({attempt: 2, startedAtMs: 500, endedAtMs: 800})]}, 0],
+		['TWICE', 'a start after a run that was stopped', {runs: [runWith({how: 'stopped'}), runWith({attempt: 2, startedAtMs: 500, endedAtMs: 800})]}, 0],
+		['ORDER', 'a start before the step in `after` is done', {runs: [runWith(), runWith({task: 'a.0.1.0', startedAtMs: 399})]}, 1],
+		['ORDER', 'a start after the step in `after` is done', {runs: [runWith(), runWith({task: 'a.0.1.0', startedAtMs: 401})]}, 0],
+		['ORDER', 'a start before its time', {job: timedJob, runs: [runWith({task: 'a.1.0.0', startedAtMs: 1249})]}, 1],
+		['ORDER', 'a start at its time', {job: timedJob, runs: [runWith({task: 'a.1.0.0', startedAtMs: 1251})]}, 0],
+		['BUDGET', 'a start after two failed ends', {runs: [runWith({how: 'failed'}), runWith({how: 'failed', startedAtMs: 500, endedAtMs: 800}), runWith({startedAtMs: 900})]}, 1],
+		['BUDGET', 'a start after two failed ends, one not acknowledged', {runs: [runWith({how: 'failed'}), runWith({how: 'failed', notedAtMs: undefined}), runWith({startedAtMs: 900})]}, 0],
+		['UNASKED', 'another spec', {runs: [runWith({spec: 'work=1'})]}, 1],
+		['UNASKED', 'an unknown job', {runs: [runWith({task: 'b.0.0.0'})]}, 1],
+		['UNASKED', 'an unknown step', {runs: [runWith({task: 'a.0.2.0'})]}, 1],
+		['UNASKED', 'an unknown index', {runs: [runWith({task: 'a.0.0.1'})]}, 1],
+		['UNASKED', 'an unknown occurrence', {runs: [runWith({task: 'a.1.0.0'})]}, 1],
+		['UNASKED', 'a task as it was sent', {runs: [runWith()]}, 0],
+		['CANCELLED', 'a start over 3 s after the cancelling', {job: jobWith({cancelledAtMs: 100}), runs: [runWith({startedAtMs: 3101})]}, 1],
+		['CANCELLED', 'such a start beside a trouble', {job: jobWith({cancelledAtMs: 100}), runs: [runWith({startedAtMs: 3101})], troubles: [trouble]}, 0],
+		['CANCELLED', 'a run that goes on', {job: jobWith({cancelledAtMs: 150}), runs: [runWith({endedAtMs: 3351})]}, 1],
+		['REFUSED', 'a start of a refused job', {job: jobWith({refusals: 4, otherAnswers: 0}), runs: [runWith()]}, 1],
+		['REFUSED', 'a start of a job whose submission got no answer', {job: jobWith({refusals: 3}), runs: [runWith()]}, 0],
+		['LIMIT', 'too much processor time', {runs: [runWith({usedCpu: 16_001})]}, 1],
+		['LIMIT', 'too much memory', {runs: [runWith({usedMemoryMb: 40_000})]}, 1],
+		['MIXED', 'shown as completed before its end', {looks: [lookWith({isDone: false})]}, 1],
+		['SHOWN', 'an accepted job that is not known', {looks: [lookWith({status: 410, state: undefined})]}, 1],
+		['SHOWN', 'the same beside a trouble', {looks: [lookWith({status: 410, state: undefined})], troubles: [trouble]}, 0],
+		['SHOWN', 'failed without cause', {looks: [lookWith({state: 'failed'})]}, 1],
+		['SHOWN', 'cancelled without cause', {looks: [lookWith({state: 'cancelled'})]}, 1],
+		['LOST', 'no answer at the end', {lastLooks: [lookWith({status: 0, state: undefined})]}, 1],
+		['LOST', 'not completed at the end', {lastLooks: [lookWith({state: 'running'})]}, 1],
+		['LOST', 'a lasting task that is not at work', {job: lastingJob, lastLooks: [lookWith({job: lastingJob, state: 'running'})]}, 1],
+		['LOST', 'a lasting task at work', {job: lastingJob, lastLooks: [lookWith({job: lastingJob, state: 'running'})], running: ['a.0.0.0']}, 0],
+		['FAULT', 'a process that ended by itself', {faults: ['d ended by itself']}, 1],
+		['PLAYED', 'no trouble', {}, 1],
+		['PLAYED', 'no job accepted', {job: jobWith({acceptedAtMs: undefined}), troubles: [trouble]}, 1],
+		['PLAYED', 'a job and a trouble', {troubles: [trouble]}, 0],
+	])('%s: %s', (rule, _case, fields, broken) => {
+		expect(brokenOf(rule, fields)).toBe(broken);
+	});
+});
--- /dev/null
+++ b/soak/traffic.ts
@@ -0,0 +1,228 @@
+/**
+The clients: they hand jobs in, cancel some and look at others. What they do is drawn from a seed; how the calls interleave is not.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type RandomSource} from '@poplarnotch/common';
+import {type Daemon} from './daemons.js';
+import {type Received, type Sent} from './http.js';
+import {
+	isLasting, type Job, type JobBody, type Look, type Step,
+} from './ledger.js';
+import {type Deployment} from './deployment.js';
+import {queue} from './settings.js';
+
+const maxSubmissions = 4;
+const maxCancels = 10;
+const retryMs = 200;
+const lookIntervalMs = 100;
+const looksAtLast = 300;
+
+/** Shares of the jobs. */
+const lastingShare = 0.02;
+const repeatedShare = 0.06;
+const failingOnceShare = 0.06;
+const failingShare = 0.03;
+const cancelledShare = 0.08;
+const cancelledLastingShare = 0.4;
+
+/** Share of the accepted submissions that arrive once more, seconds later. */
+const lateCopyShare = 0.03;
+
+const images = ['left', 'right'] as const;
+const firstId = 0xA0_00_00_00;
+
+const deadlineMs = 3000;
+const refusals = new Set([429, 503]);
+const validAnswers = new Set([0, 200, 429, 502, 503, 504]);
+
+export class Traffic {
+	readonly #deployment: Deployment;
+	/** Draws the jobs, in the order in which they are handed in. */
+	readonly #jobRandom: RandomSource;
+	/** Draws the daemons and the looks, in an order that depends on the answers. */
+	readonly #callRandom: RandomSource;
+	readonly #timers: NodeJS.Timeout[] = [];
+	readonly #pending: Array<Promise<void>> = [];
+	readonly #jobs: Job[] = [];
+
+	constructor(deployment: Deployment, jobRandom: RandomSource, callRandom: RandomSource) {
+		this.#deployment = deployment;
+		this.#jobRandom = jobRandom;
+		this.#callRandom = callRandom;
+	}
+
+	start(jobsPerSecond: number, endsAtWallMs: number): void {
+		this.#timers.push(setInterval(() => {
+			this.#follow(this.#play(this.#drawJob(endsAtWallMs)));
+		}, 1000 / jobsPerSecond), setInterval(() => {
+			const job = this.#jobs.slice(-looksAtLast).at(Math.floor(this.#callRandom.next() * looksAtLast));
+			if (job?.acceptedAtMs !== undefined) {
+				this.#follow(this.#look(job));
+			}
+		}, lookIntervalMs));
+	}
+
+	stop(): void {
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+	}
+
+	/** Resolves once all clients have their answers. */
+	async finish(): Promise<void> {
+		await Promise.all(this.#pending);
+	}
+
+	/** Looks at a job; a call without an answer is sent once more, since an idle connection may just have been closed. */
+	async lookAtEnd(job: Job): Promise<Look> {
+		const look = await this.#lookOnce(job);
+		return look.status === 0 ? this.#lookOnce(job) : look;
+	}
+
+	#follow(work: Promise<void>): void {
+		this.#pending.push(work);
+	}
+
+	#between(min: number, max: number): number {
+		return min + Math.floor(this.#jobRandom.next() * (max - min + 1));
+	}
+
+	#drawJob(endsAtWallMs: number): Job {
+		const share = this.#jobRandom.next();
+		const lasts = share < lastingShare;
+		const isRepeated = !lasts && share < lastingShare + repeatedShare;
+		const failureDraw = this.#jobRandom.next();
+		const workMs = this.#between(200, 1700);
+		const isCancelled = this.#jobRandom.next() < (lasts ? cancelledLastingShare : cancelledShare);
+		const failures = failureDraw < failingShare ? Number.POSITIVE_INFINITY : (failureDraw < failingShare + failingOnceShare ? 1 : 0);
+		const phases = lasts ? [this.#drawLastingStep()] : Array.from({length: this.#between(1, 3)}, (_value, index) => this.#drawStep(index, workMs));
+		const body: JobBody = {spec: `work=${workMs},number=${this.#jobs.length}`, phases, ...(isRepeated ? this.#drawTimes(endsAtWallMs) : {})};
+		const job: Job = {
+			id: (firstId + this.#jobs.length).toString(16).padStart(16, '0'), body, workMs, failures: lasts ? 0 : failures, cancelAfterMs: isCancelled ? this.#between(0, 4000) : undefined,
+			refusals: 0, otherAnswers: 0, acceptedAtMs: undefined, cancelSentAtMs: undefined, cancelledAtMs: undefined,
+		};
+		this.#jobs.push(job);
+		this.#deployment.ledger.jobs.set(job.id, job);
+		return job;
+	}
+
+	#drawLastingStep(): Step {
+		return {
+			count: this.#between(1, 3), cpu: 500, mem_mb: 200, estimate_ms: 300, image: this.#drawImage(), persistent: true, target_ms: 400,
+		};
+	}
+
+	#drawStep(index: number, workMs: number): Step {
+		const step = {
+			count: this.#between(1, 10), cpu: 1500, mem_mb: 500, estimate_ms: workMs, image: this.#drawImage(),
+		};
+		const isFree = this.#jobRandom.next() < 0.3;
+		return index === 0 || isFree ? step : {...step, after: [this.#between(0, index - 1)]};
+	}
+
+	#drawImage(): string {
+		return images[this.#between(0, images.length - 1)]!;
+	}
+
+	/** Times of a job that repeats: all are due before the traffic ends. */
+	#drawTimes(endsAtWallMs: number): Pick<JobBody, 'repeat_count' | 'start_ms' | 'period_ms'> {
+		const count = this.#between(2, 4);
+		const startMs = Date.now() + this.#between(500, 4000);
+		const periodMs = Math.min(this.#between(800, 4000), Math.floor(Math.max(0, endsAtWallMs - startMs) / count));
+		return {repeat_count: count, start_ms: startMs, period_ms: Math.max(200, periodMs)};
+	}
+
+	async #play(job: Job): Promise<void> {
+		const hasLateCopy = this.#callRandom.next() < lateCopyShare;
+		if (!await this.#submit(job)) {
+			return;
+		}
+
+		if (hasLateCopy) {
+			await sleep(1000);
+			await this.#send('POST', job, this.#pickDaemon());
+		}
+
+		if (job.cancelAfterMs !== undefined) {
+			await sleep(job.cancelAfterMs);
+			await this.#cancel(job);
+		}
+	}
+
+	/** Hands a job in until it is accepted or the submissions are used up. */
+	async #submit(job: Job): Promise<boolean> {
+		for (let submission = 1; submission <= maxSubmissions; submission++) {
+			const {status} = await this.#send('POST', job, this.#pickDaemon());
+			if (refusals.has(status)) {
+				job.refusals++;
+			} else {
+				job.otherAnswers++;
+			}
+
+			if (status === 200) {
+				job.acceptedAtMs = performance.now();
+				return true;
+			}
+
+			await sleep(retryMs);
+		}
+
+		return false;
+	}
+
+	async #cancel(job: Job): Promise<void> {
+		job.cancelSentAtMs = performance.now();
+		for (let call = 1; call <= maxCancels; call++) {
+			const {status} = await this.#send('DELETE', job, this.#pickDaemon());
+			if (status === 200) {
+				job.cancelledAtMs = performance.now();
+			}
+
+			if (status === 200 || status === 410) {
+				return;
+			}
+
+			await sleep(retryMs);
+		}
+	}
+
+	async #look(job: Job): Promise<void> {
+		this.#deployment.ledger.looks.push(await this.#lookOnce(job));
+	}
+
+	async #lookOnce(job: Job): Promise<Look> {
+		const {ledger} = this.#deployment;
+		const daemon = this.#pickDaemon();
+		const {status, body} = await this.#send('GET', job, daemon);
+		const {state} = (body ?? {}) as {readonly state?: string};
+		const atMs = performance.now();
+		const tasks = ledger.tasksOf(job);
+		return {
+			job, daemon: daemon.name, atMs, status, state,
+			isDone: tasks.every(task => ledger.isDoneBy(task, atMs)), hasFailed: !isLasting(job) && tasks.some(task => ledger.failedRuns(task) >= queue.maxAttempts),
+		};
+	}
+
+	#pickDaemon(): Daemon {
+		const {daemons} = this.#deployment;
+		const open = daemons.filter(({takesCalls}) => takesCalls);
+		const choice = open.length === 0 ? daemons : open;
+		return choice[Math.floor(this.#callRandom.next() * choice.length)]!;
+	}
+
+	async #send(method: Sent['method'], job: Job, daemon: Daemon): Promise<Received> {
+		const {ledger, record} = this.#deployment;
+		const headers = {host: queue.host, key: queue.key, 'deadline-ms': String(deadlineMs)};
+		const received = await daemon.clients.call({
+			method, path: `${queue.prefix}${job.id}`, headers, body: method === 'POST' ? job.body : undefined,
+		});
+		const {state = ''} = (received.body ?? {}) as {readonly state?: string};
+		const text = `${method} ${job.id} at ${daemon.name}: ${received.status === 0 ? 'no answer' : received.status} ${state}`;
+		record.add(`client: ${text}`);
+		if (!validAnswers.has(received.status) && !(received.status === 410 && method !== 'POST')) {
+			ledger.oddAnswers.push(text);
+		}
+
+		return received;
+	}
+}
--- /dev/null
+++ b/soak/troubles.ts
@@ -0,0 +1,224 @@
+/**
+Troubles: each kind disturbs daemons, the store or workers for a while. They are drawn from a seed and overlap.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type RandomSource} from '@poplarnotch/common';
+import {type Daemon} from './daemons.js';
+import {type Deployment} from './deployment.js';
+import {bounds, zones} from './settings.js';
+import {type Refusal} from './store.js';
+import {type Worker} from './worker.js';
+
+/** A trouble, with what it disturbs; the store concerns all daemons. Times are those of the steady clock. */
+export type Trouble = {
+	readonly kind: string;
+	readonly fromMs: number;
+	/** When all that it disturbed was back, or infinity. */
+	toMs: number;
+	readonly daemons: ReadonlySet<string> | 'all';
+	readonly workers: ReadonlySet<string>;
+};
+
+/** What begins is undone by `end`. */
+type Begun = {
+	readonly daemons?: readonly Daemon[] | 'all';
+	readonly workers?: readonly Worker[];
+	readonly end: () => void | Promise<void>;
+};
+
+type Field = {
+	readonly deployment: Deployment;
+	readonly holder: Daemon;
+	readonly random: RandomSource;
+};
+
+type Begin = (field: Field) => Begun;
+
+const minPauseMs = 500;
+const maxPauseMs = 4000;
+const minDurationMs = 800;
+const maxDurationMs = 5000;
+
+/** Processes that are stopped together with the holder: those that would follow it. */
+const successors = 3;
+const disturbedWorkersShare = 0.15;
+const slowStoreMs = 240;
+const lateStoreShare = 0.35;
+const limitedRatesFactor = 0.05;
+const maxLateStartMs = 1500;
+
+/** Applies a change at once and takes it back at the end. */
+const change = (apply: (isOn: boolean) => void, scope: Omit<Begun, 'end'>): Begun => {
+	apply(true);
+	return {
+		...scope, end() {
+			apply(false);
+		},
+	};
+};
+
+const pause = (daemons: readonly Daemon[]): Begun => change(isOn => {
+	for (const daemon of daemons) {
+		daemon.isDisturbed = isOn;
+		daemon.signal(isOn ? 'SIGSTOP' : 'SIGCONT');
+	}
+}, {daemons});
+
+/** The process has been told to end; it is started again later. */
+const restart = (daemon: Daemon, ended: Promise<void>): Begun => {
+	daemon.isDisturbed = true;
+	return {
+		daemons: [daemon],
+		async end() {
+			await ended;
+			await daemon.startAgain();
+			daemon.isDisturbed = false;
+		},
+	};
+};
+
+const refuse = ({store: {refusals}}: Deployment, refusal: Refusal, disturbed: readonly Daemon[], daemons: Begun['daemons'] = disturbed): Begun => change(isOn => {
+	for (const {name} of disturbed) {
+		if (isOn) {
+			refusals.set(name, refusal);
+		} else {
+			refusals.delete(name);
+		}
+	}
+}, {daemons});
+
+const pickWorkers = ({deployment, random}: Field): readonly Worker[] => deployment.machines.workers.filter(() => random.next() < disturbedWorkersShare);
+
+const changeWorkers = (workers: readonly Worker[], apply: (worker: Worker, isOn: boolean) => void, daemons: readonly Daemon[] = []): Begun => change(isOn => {
+	for (const worker of workers) {
+		apply(worker, isOn);
+	}
+}, {workers, daemons});
+
+export const troubleKinds: Readonly<Record<string, Begin>> = {
+	/** The holder and those that would follow it are stopped together. */
+	race({deployment, holder}) {
+		const next = deployment.daemons.filter(daemon => !daemon.isDisturbed && daemon !== holder).toSorted((a, b) => a.name < b.name ? -1 : 1);
+		return pause([holder, ...next.slice(0, successors)]);
+	},
+	stop: ({holder}) => pause([holder]),
+	kill({holder}) {
+		holder.signal('SIGKILL');
+		return restart(holder, Promise.resolve());
+	},
+	term: ({holder}) => restart(holder, holder.terminate()),
+	storecut: ({deployment, holder}) => refuse(deployment, 'silent', [holder]),
+	storelost: ({deployment, holder}) => refuse(deployment, 'lost', [holder]),
+	storerefuse: ({deployment, holder}) => refuse(deployment, 'unavailable', [holder]),
+	storereset: ({deployment, holder}) => refuse(deployment, 'reset', [holder]),
+	storeall: ({deployment}) => refuse(deployment, 'silent', deployment.daemons, 'all'),
+	storeslow: ({deployment: {store}}) => change(isOn => {
+		store.slowMs = isOn ? slowStoreMs : 0;
+	}, {daemons: 'all'}),
+	storelate: ({deployment: {store}}) => change(isOn => {
+		store.lateShare = isOn ? lateStoreShare : 0;
+	}, {daemons: 'all'}),
+	storelimit: ({deployment: {store}}) => change(isOn => {
+		store.limitRates(isOn ? limitedRatesFactor : 1);
+	}, {daemons: 'all'}),
+	storeforget: ({deployment: {store}}) => change(() => {
+		store.rows.discardHistory(store.rows.ver);
+	}, {daemons: 'all'}),
+	workers: field => changeWorkers(pickWorkers(field), (worker, isOn) => {
+		worker.isSilent = isOn;
+	}),
+	/** Starts are carried out late, and their answers are lost. */
+	workerlate(field) {
+		const lateMs = 1 + Math.floor(field.random.next() * maxLateStartMs);
+		return changeWorkers(pickWorkers(field), (worker, isOn) => {
+			worker.lateMs = isOn ? lateMs : 0;
+		});
+	},
+	/** The holder is cut off from the workers of one zone, in one direction or both; a later holder is not. */
+	workercut({deployment: {fence, machines}, holder, random}) {
+		const zone = zones[Math.floor(random.next() * zones.length)];
+		const direction = random.next() < 0.5 ? 'muteUpToFence' : 'deafUpToFence';
+		return changeWorkers(machines.workers.filter(worker => worker.zone === zone), (worker, isOn) => {
+			worker[direction] = isOn ? fence : 0;
+		}, [holder]);
+	},
+	/** Workers crash and start again under their ids and addresses. */
+	restart(field) {
+		const workers = pickWorkers(field).filter(({isUp}) => isUp);
+		const back = workers.map(async worker => worker.restart(field.random.next() * bounds.contact_ms));
+		return {
+			workers,
+			async end() {
+				await Promise.all(back);
+			},
+		};
+	},
+};
+
+export class Troubles {
+	readonly played: Trouble[] = [];
+	readonly #deployment: Deployment;
+	readonly #random: RandomSource;
+	readonly #pending: Array<Promise<void>> = [];
+
+	constructor(deployment: Deployment, random: RandomSource) {
+		this.#deployment = deployment;
+		this.#random = random;
+	}
+
+	/** Plays troubles of the given kinds, and resolves once the last of them is over. */
+	async play(kinds: readonly string[], series: number, durationMs: number): Promise<void> {
+		const untilMs = performance.now() + durationMs;
+		await Promise.all(Array.from({length: series}, async () => this.#playSeries(kinds, untilMs)));
+		await Promise.all(this.#pending);
+	}
+
+	/** Whether nothing disturbed the daemon, or the store for all of them, in the span and for `contact_ms` before it. */
+	isInTouch(daemon: string, fromMs: number, toMs: number): boolean {
+		return !this.#near(fromMs, toMs).some(({daemons}) => daemons === 'all' || daemons.has(daemon));
+	}
+
+	/** Whether nothing disturbed the worker in the span and for `contact_ms` before it. */
+	isSoundWorker(worker: string, fromMs: number, toMs: number): boolean {
+		return !this.#near(fromMs, toMs).some(({workers}) => workers.has(worker));
+	}
+
+	/** Whether there was no trouble at all in the span and for `contact_ms` before it. */
+	isCalm(fromMs: number, toMs: number): boolean {
+		return this.#near(fromMs, toMs).length === 0;
+	}
+
+	#near(fromMs: number, toMs: number): readonly Trouble[] {
+		return this.played.filter(trouble => trouble.fromMs <= toMs && trouble.toMs >= fromMs - bounds.contact_ms);
+	}
+
+	async #playSeries(kinds: readonly string[], untilMs: number): Promise<void> {
+		for (;;) {
+			await sleep(minPauseMs + (this.#random.next() * (maxPauseMs - minPauseMs)));
+			const kind = kinds[Math.floor(this.#random.next() * kinds.length)];
+			const durationMs = minDurationMs + (this.#random.next() * (maxDurationMs - minDurationMs));
+			if (performance.now() >= untilMs || kind === undefined) {
+				return;
+			}
+
+			const {holder} = this.#deployment;
+			if (holder !== undefined && !holder.isDisturbed) {
+				this.#pending.push(this.#playOne(kind, holder, durationMs));
+			}
+		}
+	}
+
+	async #playOne(kind: string, holder: Daemon, durationMs: number): Promise<void> {
+		const {record} = this.#deployment;
+		const {daemons = [], workers = [], end} = troubleKinds[kind]!({deployment: this.#deployment, holder, random: this.#random});
+		const trouble: Trouble = {
+			kind, fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY, daemons: daemons === 'all' ? daemons : new Set(daemons.map(({name}) => name)), workers: new Set(workers.map(({id}) => id)),
+		};
+		this.played.push(trouble);
+		record.add(`TROUBLE ${kind} begins, holder ${holder.name}, for ${Math.round(durationMs)} ms`);
+		await sleep(durationMs);
+		await end();
+		trouble.toMs = performance.now();
+		record.add(`TROUBLE ${kind} is over`);
+	}
+}
--- /dev/null
+++ b/soak/worker.ts
@@ -0,0 +1,365 @@
+/**
+Stand-in of a worker. It runs tasks under leases, refuses orders with an outdated fencing token or attempt, keeps the ends of runs until they are acknowledged, and registers itself in the store.
+*/
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from '@poplarnotch/common';
+import {type Answer, type Call, JsonServer} from './http.js';
+import {
+	type Ledger, parseTask, type Run,
+} from './ledger.js';
+import {type Record} from './record.js';
+import {type RowStore} from './row-store.js';
+import {bounds, queue, workerCapacity} from './settings.js';
+import {WakeUp} from './wake-up.js';
+
+const maxEnds = 500;
+const stopMs = 50;
+const startupMs = 300;
+
+/** What a serving task reports as the tail of its response times. */
+const servingTailMs = 40;
+const maxHoldWaitMs = 2000;
+
+const orderSchema = z.object({
+	task: z.string().default(''),
+	attempt: z.number().default(0),
+	spec: z.string().default(''),
+	fencing_token: z.number().default(0),
+	deadline_ms: z.number().optional(),
+	ack_cursor: z.number().default(0),
+	wait_ms: z.number().int().max(maxHoldWaitMs).default(0),
+});
+type Order = z.infer<typeof orderSchema>;
+
+/** A run that is at work, with times of its worker's clock. */
+type ActiveRun = {
+	readonly run: Run;
+	readonly beganMs: number;
+	readonly endsMs: number;
+	readonly isFailing: boolean;
+	readonly cpu: number;
+	readonly memoryMb: number;
+	readonly isServing: boolean;
+	stopsMs: number | undefined;
+};
+
+/** What a worker knows between two starts. */
+const newIncarnation = () => ({
+	bornWallMs: Date.now(),
+	bornAtMs: performance.now(),
+	registrations: 0,
+	fence: 0,
+	deadlineMs: 0,
+	sequence: 0,
+	acknowledged: 0,
+	active: new Map<string, ActiveRun>(),
+	closedAttempts: new Map<string, number>(),
+	/** Ends that are not acknowledged yet, in their order. */
+	unacknowledged: [] as Run[],
+});
+
+export type WorkerOptions = {
+	readonly id: string;
+	readonly ip: string;
+	readonly zone: string;
+	readonly rack: string;
+	readonly rows: RowStore;
+	readonly ledger: Ledger;
+	readonly record: Record;
+};
+
+export class Worker {
+	/** While set, no call reaches the worker, and it runs on. */
+	isSilent = false;
+	/** Orders with this fencing token or a lower one are carried out, and their answers are lost. */
+	muteUpToFence = 0;
+	/** Orders with this fencing token or a lower one do not arrive. */
+	deafUpToFence = 0;
+	/** While above 0, starts are carried out after this time and without an answer. */
+	lateMs = 0;
+	readonly #options: WorkerOptions;
+	#server: JsonServer | undefined;
+	#isUp = false;
+	#incarnation = newIncarnation();
+	readonly #ended = new WakeUp();
+
+	constructor(options: WorkerOptions) {
+		this.#options = options;
+	}
+
+	get id(): string {
+		return this.#options.id;
+	}
+
+	get zone(): string {
+		return this.#options.zone;
+	}
+
+	get labels(): readonly string[] {
+		return ['a', this.#options.rack];
+	}
+
+	get isUp(): boolean {
+		return this.#isUp;
+	}
+
+	/** Highest fencing token that the worker has seen. */
+	get fence(): number {
+		return this.#incarnation.fence;
+	}
+
+	isRunning(task: string): boolean {
+		return this.#incarnation.active.has(task);
+	}
+
+	/** Starts an incarnation that knows nothing of earlier ones. */
+	async start(): Promise<void> {
+		this.#server = await JsonServer.listen(this.#options.ip, this.#server?.port ?? 0, async call => this.#answer(call));
+		this.#incarnation = newIncarnation();
+		this.#isUp = true;
+		this.register();
+	}
+
+	/** Crashes, and starts again after a while under the same id and address. */
+	async restart(downMs: number): Promise<void> {
+		this.#options.record.add(`${this.id} crashes`);
+		this.end();
+		await sleep(downMs);
+		await this.start();
+		this.#options.record.add(`${this.id} starts again`);
+	}
+
+	/** Ends everything that runs here, and the worker. */
+	end(): void {
+		this.#isUp = false;
+		this.#server?.close();
+		for (const {run} of this.#incarnation.active.values()) {
+			run.endedAtMs = performance.now();
+			run.how = 'gone';
+		}
+
+		this.#incarnation.active.clear();
+	}
+
+	register(): void {
+		if (this.#isUp) {
+			this.#incarnation.registrations++;
+			this.#options.rows.put('servers', this.id, {
+				service: queue.name, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, state: 'ready', cold_left_ms: 0,
+				capacity: workerCapacity, labels: this.labels, seq: this.#incarnation.registrations, born: this.#incarnation.bornWallMs,
+			});
+		}
+	}
+
+	/** Ends the runs whose time has come. */
+	advance(): void {
+		const nowMs = this.#clockMs;
+		const hasLapsed = nowMs >= this.#incarnation.deadlineMs;
+		if (hasLapsed) {
+			for (const run of this.#incarnation.unacknowledged) {
+				run.hasLapsed = true;
+			}
+		}
+
+		for (const active of this.#incarnation.active.values()) {
+			if (hasLapsed) {
+				this.#finish(active, 'lapsed');
+			} else if (active.stopsMs !== undefined && nowMs >= active.stopsMs) {
+				this.#finish(active, 'stopped');
+			} else if (nowMs >= active.endsMs) {
+				this.#finish(active, active.isFailing ? 'failed' : 'done');
+			}
+		}
+	}
+
+	get #clockMs(): number {
+		return Math.floor(performance.now() - this.#incarnation.bornAtMs);
+	}
+
+	#finish({run}: ActiveRun, how: NonNullable<Run['how']>): void {
+		this.#incarnation.active.delete(run.task);
+		this.#close(run.task, run.attempt);
+		run.endedAtMs = performance.now();
+		run.how = how;
+		run.sequence = ++this.#incarnation.sequence;
+		this.#incarnation.unacknowledged.push(run);
+		this.#options.record.add(`${this.id} ${run.task}#${run.attempt} ends ${how}, number ${run.sequence}`);
+		this.#ended.notify();
+	}
+
+	#close(task: string, attempt: number): void {
+		this.#incarnation.closedAttempts.set(task, Math.max(this.#incarnation.closedAttempts.get(task) ?? 0, attempt));
+	}
+
+	async #answer({path, headers, body}: Call): Promise<Answer> {
+		if (this.isSilent) {
+			return 'silence';
+		}
+
+		const target = headers['target-instance'];
+		if (target !== undefined && target !== this.id) {
+			return {status: 421, body: {clock_ms: this.#clockMs}};
+		}
+
+		const parsed = orderSchema.safeParse(body);
+		if (!parsed.success) {
+			return {status: 400};
+		}
+
+		const order = parsed.data;
+		if (order.fencing_token <= this.deafUpToFence) {
+			return 'silence';
+		}
+
+		if (path === '/run-start' && this.lateMs > 0) {
+			const incarnation = this.#incarnation;
+			setTimeout(() => {
+				if (incarnation === this.#incarnation) {
+					void this.#carryOut(path, order);
+				}
+			}, this.lateMs);
+			return 'silence';
+		}
+
+		const answer = await this.#carryOut(path, order);
+		return this.isSilent || order.fencing_token <= this.muteUpToFence ? 'silence' : answer;
+	}
+
+	async #carryOut(path: string, order: Order): Promise<Answer> {
+		if (!this.#isUp) {
+			return 'silence';
+		}
+
+		if (order.fencing_token < this.#incarnation.fence) {
+			return this.#refuse('fence');
+		}
+
+		this.#incarnation.fence = order.fencing_token;
+		switch (path) {
+			case '/run-start': {
+				return this.#begin(order);
+			}
+
+			case '/run-stop': {
+				return this.#stop(order);
+			}
+
+			case '/hold': {
+				return this.#hold(order);
+			}
+
+			case '/pace': {
+				return {status: 200, body: {clock_ms: this.#clockMs}};
+			}
+
+			default: {
+				return {status: 404};
+			}
+		}
+	}
+
+	#refuse(reason: string): Answer {
+		return {status: 409, body: {clock_ms: this.#clockMs, reason}};
+	}
+
+	#extend(deadlineMs: number): void {
+		this.#incarnation.deadlineMs = Math.max(this.#incarnation.deadlineMs, Math.min(deadlineMs, this.#clockMs + bounds.hold_max_ms));
+	}
+
+	#begin(order: Order): Answer {
+		this.advance();
+		const {task, attempt, deadline_ms: deadlineMs = 0} = order;
+		const nowMs = this.#clockMs;
+		if (deadlineMs <= nowMs) {
+			return this.#refuse('late');
+		}
+
+		this.#extend(deadlineMs);
+		const present = this.#incarnation.active.get(task);
+		if (present?.run.attempt === attempt) {
+			return {status: 200, body: {clock_ms: nowMs}};
+		}
+
+		if (present !== undefined || attempt <= (this.#incarnation.closedAttempts.get(task) ?? 0)) {
+			return this.#refuse('old');
+		}
+
+		this.#run(order, nowMs);
+		return {status: 200, body: {clock_ms: nowMs}};
+	}
+
+	#run({task, attempt, spec, fencing_token: fence}: Order, nowMs: number): void {
+		const {ledger, record} = this.#options;
+		const {id, step: stepNumber, index} = parseTask(task);
+		const job = ledger.jobs.get(id);
+		const step = job?.body.phases[stepNumber];
+		const cpu = step?.cpu ?? 0;
+		const memoryMb = step?.mem_mb ?? 0;
+		const others = [...this.#incarnation.active.values()];
+		const run: Run = {
+			task, attempt, spec, fence, worker: this.id, startedAtMs: performance.now(),
+			usedCpu: others.reduce((sum, other) => sum + other.cpu, cpu), usedMemoryMb: others.reduce((sum, other) => sum + other.memoryMb, memoryMb),
+			endedAtMs: undefined, how: undefined, sequence: undefined, notedAtMs: undefined, hasLapsed: false,
+		};
+		this.#incarnation.active.set(task, {
+			run, beganMs: nowMs, endsMs: step?.persistent ? Number.POSITIVE_INFINITY : nowMs + (job?.workMs ?? 0),
+			isFailing: index === 0 && ledger.failedRuns(task) < (job?.failures ?? 0), cpu, memoryMb, isServing: step?.target_ms !== undefined, stopsMs: undefined,
+		});
+		ledger.addRun(run);
+		record.add(`${this.id} ${task}#${attempt} starts, fencing token ${fence}`);
+	}
+
+	#stop({task, attempt}: Order): Answer {
+		const active = this.#incarnation.active.get(task);
+		if (active !== undefined && active.run.attempt <= attempt) {
+			active.stopsMs ??= this.#clockMs + stopMs;
+		}
+
+		this.#close(task, attempt);
+		return {status: 200, body: {clock_ms: this.#clockMs}};
+	}
+
+	async #hold({deadline_ms: deadlineMs, ack_cursor: acknowledged, wait_ms: waitMs}: Order): Promise<Answer> {
+		this.advance();
+		if (deadlineMs !== undefined) {
+			this.#extend(deadlineMs);
+		}
+
+		this.#acknowledge(acknowledged);
+		if (waitMs > 0 && this.#incarnation.unacknowledged.length === 0) {
+			await this.#ended.wait(waitMs);
+		}
+
+		const nowMs = this.#clockMs;
+		return {
+			status: 200, body: {
+				clock_ms: nowMs,
+				born: this.#incarnation.bornWallMs,
+				running: [...this.#incarnation.active.values()].map(active => this.#describe(active, nowMs)),
+				finished: this.#incarnation.unacknowledged.slice(0, maxEnds).map(({sequence, task, attempt, how}) => [sequence, task, attempt, how, '']),
+			},
+		};
+	}
+
+	#describe({run, beganMs, endsMs, isServing, cpu}: ActiveRun, nowMs: number): readonly unknown[] {
+		const durationMs = endsMs === Number.POSITIVE_INFINITY ? startupMs : endsMs - beganMs;
+		const maxPercent = endsMs === Number.POSITIVE_INFINITY ? 100 : 99;
+		const percent = Math.min(maxPercent, Math.floor(100 * (nowMs - beganMs) / Math.max(1, durationMs)));
+		return [run.task, run.attempt, '', percent, isServing ? servingTailMs : cpu];
+	}
+
+	#acknowledge(acknowledged: number): void {
+		if (acknowledged <= this.#incarnation.acknowledged) {
+			return;
+		}
+
+		this.#incarnation.acknowledged = acknowledged;
+		this.#options.record.add(`${this.id} ends acknowledged up to ${acknowledged}, fencing token ${this.#incarnation.fence}`);
+		for (const run of this.#incarnation.unacknowledged.filter(({sequence}) => sequence! <= acknowledged)) {
+			run.notedAtMs = performance.now();
+		}
+
+		this.#incarnation.unacknowledged = this.#incarnation.unacknowledged.filter(({sequence}) => sequence! > acknowledged);
+	}
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,7 +12,7 @@
 
 export default defineConfig({
 	test: {
-		include: ['{packages/*,platform}/tests/**/*.test.ts'],
+		include: ['{packages/*,platform,soak}/tests/**/*.test.ts'],
 		...(leftOut.length === 0 ? {} : {testNamePattern: new RegExp(`^(?!(?:${leftOut.map(name => escaped(name)).join('|')})$)`, 'v')}),
 		// Each test starts its own sockets and stand-ins; the default timeout of 5 s is too short on a loaded machine.
 		testTimeout: 30_000,
--- a/xo.config.js
+++ b/xo.config.js
@@ -35,7 +35,7 @@
 		},
 	},
 	{
-		files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts'],
+		files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts', 'soak/**/*.ts'],
 		rules: {
 			// Test tools and the workspace's own packages are installed at the root; knip checks that each is declared.
 			'import-x/no-extraneous-dependencies': 'off',
