Take a machine for gone only if two lists of several pages lack it

What callers saw: a task that is started again on another worker while the first one goes on (TWICE), if the list of machines has several pages and one machine is missed between two of them.

Cause: a list of several pages is neither in an order nor of one moment, but it was applied as if it were. A worker that no machine in it carries was ended at once, its machine was forgotten with its order, and a takeover did not wait for the unregistered worker of a machine that was missed.

Why it works: the listing says whether it is of one moment, which a single page is. If it is not, a machine stays known until a second list, requested after the first had arrived, lacks it too, and its worker ends only if it has not reported since the first was requested. A machine that is listed with another worker, or with none, decides at once, as before. A takeover, waves, moves and the notice of an unknown data centre wait for two such lists of the term, which together hold what one of them missed.

Not covered: the simulation of the property tests lists all machines at once.

--- a/packages/scheduler/src/core/evacuation.ts
+++ b/packages/scheduler/src/core/evacuation.ts
@@ -61,15 +61,12 @@
 	...[...state.machines.values()].map(({entry}) => entry.dataCentre),
 ].filter(dataCentre => dataCentre !== ''));
 
-const isMachineListCurrent = (state: SchedulerState): boolean =>
-	state.machinesListedAtMs !== undefined && state.machinesListedAtMs >= state.term!.wonAtMs;
-
 /** Logs an evacuation once it is certain whether its data centre exists. */
 const announce = (state: SchedulerState, evacuation: Evacuation, nowMs: number): void => {
 	const {dataCentre} = evacuation;
 	const known = knownDataCentres(state);
 	if (!known.has(dataCentre)) {
-		if (evacuation.announced === undefined && isMachineListCurrent(state)) {
+		if (evacuation.announced === undefined && state.areMachinesOfTerm) {
 			evacuation.announced = 'unknown';
 			state.emit({type: 'log', level: 'warn', fields: {event: 'evacuation_unknown', dataCentre, known: [...known].join(',')}});
 		}
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -63,7 +63,7 @@
 	| {readonly type: 'adviceAnswered'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]; readonly answer: AdviceAnswer; readonly sentAtMs: number}
 	/** The jobs and waves whose rows the store refused are not stored. */
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number; readonly refusedJobIds?: readonly string[]; readonly refusedWaveIds?: readonly number[]})
-	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly sentAtMs: number}
+	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly isOfOneMoment?: boolean; readonly sentAtMs: number}
 	| (OfTerm & {readonly type: 'machineAnswered'; readonly machineId: string; readonly orderNumber: number; readonly answer: MachineAnswer})
 	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. `jobRowsConfirmedAtMs`: when the newest read was sent that found all job rows. */
 	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean; readonly jobRowsConfirmedAtMs?: number | undefined}
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -4,29 +4,37 @@
 import {minMachineAbsenceMs, machineOrderRetryMs} from '../constants.js';
 import {type MachineAnswer, type UnreadableMachine} from '../ports.js';
 import {type MachineEntry} from '../types.js';
-import {type MachineOrder, type MachineRecord, type WorkerRecord} from './records.js';
+import {
+	type ListTimes, type MachineOrder, type MachineRecord, type WorkerRecord,
+} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {stepDown} from './terms.js';
 import {
 	endWorker, isPresent, loseRuns, type LossReason, presentIncarnation, returnToService,
 } from './workers.js';
 
-/** A complete list of machines, and when it was requested. */
+/** A list of machines, and when it was requested and arrived. One that is not of one moment may lack a machine that is there. */
 export type ReceivedMachineList = {
 	readonly machines: readonly MachineEntry[];
 	readonly unreadable?: readonly UnreadableMachine[] | undefined;
+	readonly isOfOneMoment?: boolean | undefined;
 	readonly sentAtMs: number;
+	readonly nowMs: number;
 	readonly wallMs: number;
 };
 
-/** Applies a complete list of machines. What is known of a machine whose entry cannot be read stays as it is. */
-export const applyMachineList = (state: SchedulerState, {machines, unreadable = [], sentAtMs, wallMs}: ReceivedMachineList): void => {
+/** Applies a list of machines. What is known of a machine whose entry cannot be read stays as it is, as does that of a machine missing from a single list that is not of one moment. */
+export const applyMachineList = (state: SchedulerState, {machines, unreadable = [], isOfOneMoment = true, sentAtMs, nowMs, wallMs}: ReceivedMachineList): void => {
+	const times: ListTimes = {sentAtMs, arrivedAtMs: nowMs};
+	const previous = state.machineList;
 	const listed = new Set<string | undefined>(unreadable.map(({machineId}) => machineId));
 	for (const entry of machines) {
 		listed.add(entry.machineId);
 		const known = state.machines.get(entry.machineId);
 		if (known === undefined) {
-			state.machines.set(entry.machineId, {entry, order: undefined, nextOrderAtMs: 0});
+			state.machines.set(entry.machineId, {
+				entry, order: undefined, nextOrderAtMs: 0, missingSince: undefined,
+			});
 			continue;
 		}
 
@@ -42,17 +50,33 @@
 		finishOrder(state, known, sentAtMs);
 	}
 
-	for (const machineId of state.machines.keys()) {
-		if (!listed.has(machineId)) {
+	for (const [machineId, machine] of state.machines) {
+		if (listed.has(machineId)) {
+			machine.missingSince = undefined;
+		} else if (isOfOneMoment || isLaterList(times, machine.missingSince)) {
 			state.machines.delete(machineId);
+		} else {
+			machine.missingSince ??= times;
 		}
 	}
 
-	state.machinesListedAtMs = sentAtMs;
-	state.unreadableMachines = unreadable;
-	endUnlistedWorkers(state, unreadable, {sentAtMs, wallMs});
+	state.machineList = {...times, unreadable};
+	if (isOfOneMoment) {
+		state.machinesKnownSinceMs = sentAtMs;
+	} else if (isLaterList(times, previous)) {
+		state.machinesKnownSinceMs = previous.sentAtMs;
+	}
+
+	const missedUnreadable = isOfOneMoment ? [] : previous?.unreadable.filter(({machineId}) => machineId === undefined || !listed.has(machineId)) ?? [];
+	state.unreadableMachines = [...unreadable, ...missedUnreadable];
+	endUnlistedWorkers(state, {
+		listed, isOfOneMoment, times, wallMs,
+	});
 };
 
+/** Returns true if the list was requested after the earlier one had arrived. */
+const isLaterList = ({sentAtMs}: ListTimes, earlier: ListTimes | undefined): earlier is ListTimes => earlier !== undefined && sentAtMs >= earlier.arrivedAtMs;
+
 /** Returns true if the list shows that a move was carried out whose answer is not known. */
 const isMoveDone = ({entry, order}: MachineRecord, listSentAtMs: number): boolean => order?.type === 'move'
 	&& order.phase !== 'accepted'
@@ -88,28 +112,54 @@
 const mayRunOnUnreadable = ({entry, machineId}: WorkerRecord, unreadable: readonly UnreadableMachine[]): boolean => unreadable.some(machine =>
 	machine.workerId === entry.workerId || (machine.machineId === undefined ? machineId === undefined : machine.machineId === machineId));
 
+type AppliedMachineList = {
+	readonly listed: ReadonlySet<string | undefined>;
+	readonly isOfOneMoment: boolean;
+	readonly times: ListTimes;
+	readonly wallMs: number;
+};
+
+/** Returns the time since when no machine can have run the worker that the list lacks, if the list proves that. A list that is not of one moment does so if the worker's machine is in it; otherwise it takes a second one. */
+const goneSinceMs = (worker: WorkerRecord, {listed, isOfOneMoment, times}: AppliedMachineList): number | undefined => {
+	if (isOfOneMoment || (worker.machineId !== undefined && listed.has(worker.machineId))) {
+		return times.sentAtMs;
+	}
+
+	return isLaterList(times, worker.missingSince) ? worker.missingSince.sentAtMs : undefined;
+};
+
 /** Ends workers that no machine runs any more, except for those that may have registered after the machines were listed. */
-const endUnlistedWorkers = (state: SchedulerState, unreadable: readonly UnreadableMachine[], {sentAtMs: nowMs, wallMs}: {readonly sentAtMs: number; readonly wallMs: number}): void => {
+const endUnlistedWorkers = (state: SchedulerState, list: AppliedMachineList): void => {
+	const {times, wallMs} = list;
+	const {sentAtMs: nowMs} = times;
 	const machineIdByWorker = new Map<string, string>();
-	const ended: WorkerRecord[] = [];
-	for (const {entry} of state.machines.values()) {
-		if (entry.workerId !== undefined) {
+	const ended = new Map<WorkerRecord, number>();
+	for (const {entry, missingSince} of state.machines.values()) {
+		if (entry.workerId !== undefined && missingSince === undefined) {
 			machineIdByWorker.set(entry.workerId, entry.machineId);
 		}
 	}
 
 	for (const [workerId, worker] of state.workers) {
 		const machineId = machineIdByWorker.get(workerId);
-		if (machineIdByWorker.size > 0 && machineId === undefined && worker.lastReportSentAtMs < nowMs && !mayRunOnUnreadable(worker, unreadable) && (worker.machineId !== undefined || !worker.isListed || !mayBeNewerThanList(worker, nowMs, wallMs))) {
-			ended.push(worker);
+		const isMissing = machineIdByWorker.size > 0 && machineId === undefined && !mayRunOnUnreadable(worker, state.unreadableMachines);
+		const sinceMs = isMissing ? goneSinceMs(worker, list) : undefined;
+		if (sinceMs !== undefined && worker.lastReportSentAtMs < sinceMs && (worker.machineId !== undefined || !worker.isListed || !mayBeNewerThanList(worker, nowMs, wallMs))) {
+			ended.set(worker, sinceMs);
+		}
+
+		if (!isMissing) {
+			worker.missingSince = undefined;
+		} else if (worker.missingSince === undefined || isLaterList(times, worker.missingSince)) {
+			worker.missingSince = times;
 		}
 
 		worker.machineId = machineId ?? worker.machineId;
 	}
 
-	const losses = ended.filter(({isEnded}) => !isEnded).map((worker, _index, all) => ({worker, reason: lossReasonOf(state, worker, all)}));
-	for (const {worker, reason} of losses) {
-		const ordered = [...worker.runs.values()].filter(({orderedAtMs}) => orderedAtMs <= nowMs);
+	const losses = [...ended].filter(([{isEnded}]) => !isEnded).map(([worker, sinceMs], _index, all) => ({worker, sinceMs, reason: lossReasonOf(state, worker, all.map(([other]) => other))}));
+	for (const {worker, sinceMs, reason} of losses) {
+		const ordered = [...worker.runs.values()].filter(({orderedAtMs}) => orderedAtMs <= sinceMs);
 		if (ordered.length === worker.runs.size) {
 			endWorker(state, worker, nowMs, reason);
 		} else {
--- a/packages/scheduler/src/core/pools/pool-sizing.ts
+++ b/packages/scheduler/src/core/pools/pool-sizing.ts
@@ -147,7 +147,7 @@
 
 /** Orders the machine moves that current demand requires. */
 export const resizePools = (state: SchedulerState, shortages: ReadonlyMap<string, Shortage>, nowMs: number): void => {
-	if (state.machinesListedAtMs === undefined || state.machinesListedAtMs < state.term!.wonAtMs) {
+	if (!state.areMachinesOfTerm) {
 		return;
 	}
 
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -207,6 +207,8 @@
 	quarantinedUntilMs: number;
 	/** Machine on which the platform's machine list names the worker, or last named it. */
 	machineId: string | undefined;
+	/** The last list of machines, if no machine in it runs the worker. */
+	missingSince: ListTimes | undefined;
 	/** This incarnation of the worker has ended: its machine was ordered to move or to be maintained, or runs another worker. */
 	isEnded: boolean;
 	/** The machine is due for maintenance, so lasting tasks prefer other workers. */
@@ -241,6 +243,12 @@
 	progressLoggedAtMs: number;
 };
 
+/** When a list was requested, and when it arrived. */
+export type ListTimes = {
+	readonly sentAtMs: number;
+	readonly arrivedAtMs: number;
+};
+
 /** A machine and the pending order for it. */
 export type MachineRecord = {
 	entry: MachineEntry;
@@ -248,6 +256,8 @@
 	order: MachineOrder | undefined;
 	/** After a refusal, no order is sent before this time. */
 	nextOrderAtMs: number;
+	/** The list that lacks the machine, which may be there all the same. */
+	missingSince: ListTimes | undefined;
 };
 
 /** An end that a worker reported, and when the report arrived. */
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -6,7 +6,7 @@
 	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
 import {
-	type DetachedRows, type Evacuation, type JobRecord, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
+	type DetachedRows, type Evacuation, type JobRecord, type ListTimes, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DurationModel} from './model/duration-model.js';
 import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
@@ -64,8 +64,11 @@
 	readonly dirtyJobs = new Set<JobRecord>();
 	readonly workers = new Map<string, WorkerRecord>();
 	readonly machines = new Map<string, MachineRecord>();
-	machinesListedAtMs: number | undefined;
-	/** The entries of the newest list that cannot be read. */
+	/** The newest list of machines. */
+	machineList: (ListTimes & {readonly unreadable: readonly UnreadableMachine[]}) | undefined;
+	/** Every machine that stayed in place since this time is known: a list of one moment was requested then, or the first of two lists that are not. */
+	machinesKnownSinceMs: number | undefined;
+	/** The entries that cannot be read, of the newest list and of the one before if the newest may lack machines. */
 	unreadableMachines: readonly UnreadableMachine[] = [];
 	/** Evacuations in force, by data centre. */
 	readonly evacuations = new Map<string, Evacuation>();
@@ -144,6 +147,16 @@
 		this.demand.restart();
 	}
 
+	/** When the newest list of machines was requested. */
+	get machinesListedAtMs(): number | undefined {
+		return this.machineList?.sentAtMs;
+	}
+
+	/** Returns true if the machines are known from lists that were requested in this term. */
+	get areMachinesOfTerm(): boolean {
+		return this.term !== undefined && this.machinesKnownSinceMs !== undefined && this.machinesKnownSinceMs >= this.term.wonAtMs;
+	}
+
 	queueOf(job: JobRecord | JobSpec): Queue | undefined {
 		return this.configuration.queues.get('spec' in job ? job.spec.queue : job.queue);
 	}
--- a/packages/scheduler/src/core/waves.ts
+++ b/packages/scheduler/src/core/waves.ts
@@ -135,7 +135,7 @@
 
 /** Advances all waves. Requires a machine list from this term, so that a machine that another holder sent to maintenance is not counted as up. */
 export const advanceWaves = (state: SchedulerState, lackingRoom: ReadonlySet<string>, nowMs: number): void => {
-	if (state.machinesListedAtMs === undefined || state.machinesListedAtMs < state.term!.wonAtMs) {
+	if (!state.areMachinesOfTerm) {
 		return;
 	}
 
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -41,6 +41,7 @@
 	recentFailuresMs: [],
 	quarantinedUntilMs: 0,
 	machineId: undefined,
+	missingSince: undefined,
 	isEnded: false,
 	isMaintenanceDue: false,
 	isReserved: false,
@@ -313,10 +314,9 @@
 
 	const {term: {wonAtMs}, earlierOrdersOverAtMs} = state;
 	const workers = [...state.workers.values()];
-	const isMachineListCurrent = state.machinesListedAtMs !== undefined && state.machinesListedAtMs >= wonAtMs;
 	const unregistered = [...state.machines.values()].filter(({entry}) => entry.workerId !== undefined && entry.state === 'up' && !state.workers.has(entry.workerId));
 	const areUnreadableKnown = state.unreadableMachines.every(({workerId}) => workerId !== undefined && state.workers.has(workerId));
-	const areAllKnown = workers.every(worker => worker.isFenced) && isMachineListCurrent && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
+	const areAllKnown = workers.every(worker => worker.isFenced) && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
 	if (areAllKnown || nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs)) {
 		state.isSettled = true;
 		resolveLostTrials(state);
--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -109,6 +109,8 @@
 export type MachineListing = {
 	readonly machines: readonly MachineEntry[];
 	readonly unreadable: readonly UnreadableMachine[];
+	/** False if the list was read in several parts, between which machines may have changed places so that one is missing. */
+	readonly isOfOneMoment: boolean;
 };
 
 /** Lists and orders the machines of the fleet. Listing fails with `UnavailableError`; orders never throw. */
--- a/packages/scheduler/tests/pools/machine-answers.test.ts
+++ b/packages/scheduler/tests/pools/machine-answers.test.ts
@@ -1,7 +1,9 @@
 /**
 Answers to machine orders that were lost, repeated or late. Each test guards against one that is taken for the end of a worker that goes on.
 */
-import {beforeEach, expect, test} from 'vitest';
+import {
+	beforeEach, describe, expect, test,
+} from 'vitest';
 import {
 	type MachineEntry, reduceScheduler, type SchedulerEffect, SchedulerState, type WorkerEntry,
 } from '../../src/index.js';
@@ -215,3 +217,76 @@
 	dispatch({type: 'machinesListed', sentAtMs: earlier, machines: [machineOf('m3')]});
 	expect(state.workers.get('w-m1')!.isEnded).toBe(false);
 });
+
+describe('a list of several pages', () => {
+	const other = machineOf('m2', {pool: standbyPool, workerId: undefined});
+	const another = machineOf('m3');
+
+	/** Receives a list that is not of one moment, 10 ms after its request. */
+	const listPages = (...machines: readonly MachineEntry[]): void => {
+		const sentAtMs = nowMs;
+		nowMs += 10;
+		dispatch({
+			type: 'machinesListed', sentAtMs, machines, isOfOneMoment: false,
+		});
+	};
+
+	const isEnded = (): boolean => state.workers.get('w-m1')!.isEnded;
+
+	// TWICE: the task was started again on another worker while the first one went on.
+	test('that misses a machine between two pages does not end its worker', () => {
+		const [started] = submit(1, 1);
+		nowMs += 100;
+		listPages(other, another);
+		expect(isEnded()).toBe(false);
+		expect(state.workers.get('w-m1')!.runs.has(started!.taskKey)).toBe(true);
+		expect(state.machines.has('m1')).toBe(true);
+		nowMs += 500;
+		listPages(machineOf('m1'), other, another);
+		nowMs += 500;
+		listPages(other, another);
+		expect(isEnded()).toBe(false);
+	});
+
+	test('ends a worker whose machine the one before lacked as well', () => {
+		nowMs += 100;
+		listPages(other, another);
+		nowMs += 500;
+		listPages(other, another);
+		expect(isEnded()).toBe(true);
+		expect(state.machines.has('m1')).toBe(false);
+	});
+
+	test('does not end a worker that reported after the one before was requested', () => {
+		nowMs += 100;
+		listPages(other, another);
+		nowMs += 100;
+		report('w-m1', 900_000);
+		nowMs += 400;
+		listPages(other, another);
+		expect(isEnded()).toBe(false);
+		nowMs += 500;
+		listPages(other, another);
+		expect(isEnded()).toBe(true);
+	});
+
+	test('counts together only with one that had arrived before its request', () => {
+		nowMs += 100;
+		const sentAtMs = nowMs + 5;
+		listPages(other, another);
+		dispatch({
+			type: 'machinesListed', sentAtMs, machines: [other, another], isOfOneMoment: false,
+		});
+		expect(isEnded()).toBe(false);
+		expect(state.machines.has('m1')).toBe(true);
+	});
+
+	test.each([
+		{about: 'with another worker', machine: machineOf('m1', {workerId: 'w-new'})},
+		{about: 'as moving', machine: machineOf('m1', {state: 'moving', workerId: undefined})},
+	])('ends the worker of a machine that it shows $about', ({machine}) => {
+		nowMs += 100;
+		listPages(machine, other, another);
+		expect(isEnded()).toBe(true);
+	});
+});
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -403,7 +403,7 @@
 				machineControl: {
 					list: async () => {
 						await clock.wait(orderLatencyMs);
-						return {machines: [...this.machines.values()].map(({entry}) => entry), unreadable: []};
+						return {machines: [...this.machines.values()].map(({entry}) => entry), unreadable: [], isOfOneMoment: true};
 					},
 					move: async (machineId, target, {fencingToken}) => this.#orderMachine(clock, {
 						machineId, fencingToken, forMs: moveMs, target,
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -74,6 +74,47 @@
 	expect(state.machines.has('m-1')).toBe(unreadable.some(({machineId}) => machineId === 'm-1'));
 });
 
+// Guards against starting tasks again elsewhere because a list of several pages missed the machine of an unregistered worker.
+test('a takeover waits for a second list where lists have several pages, and for the machines of both', () => {
+	const unregistered: MachineEntry = {...machine, machineId: 'm-2', workerId: 'unregistered'};
+	const listPages = (machines: readonly MachineEntry[], sentAtMs: number): boolean => {
+		dispatch({
+			type: 'machinesListed', machines, isOfOneMoment: false, sentAtMs,
+		}, sentAtMs + 10);
+		dispatch({type: 'tick'}, sentAtMs + 15);
+		return state.isSettled;
+	};
+
+	dispatch({type: 'configured', configuration: configurationOf(1)}, 0);
+	dispatch({type: 'workersListed', workers: [workerOf('listed', wallOffsetMs - 60_000)]}, 0);
+	dispatch({type: 'leaseWon', fencingToken: 5}, 0);
+	dispatch({
+		type: 'polled', fencingToken: 5, workerId: 'listed', incarnation: 1, sentAtMs: 1, sentAcknowledgement: 0, answer: {
+			type: 'report', report: {
+				clockMs: 0, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [],
+			},
+		},
+	}, 5);
+	expect(listPages([machine], 10)).toBe(false);
+	expect(listPages([machine, unregistered], 500)).toBe(false);
+	expect(listPages([machine], 1000)).toBe(false);
+	expect(listPages([machine], 1500)).toBe(true);
+});
+
+test('a takeover waits for an unreadable machine that the next list of several pages misses', () => {
+	takeOver(wallOffsetMs - 10_000, [{machineId: 'm-9', workerId: undefined}]);
+	const listPages = (sentAtMs: number): boolean => {
+		dispatch({
+			type: 'machinesListed', machines: [machine], isOfOneMoment: false, sentAtMs,
+		}, sentAtMs + 10);
+		dispatch({type: 'tick'}, sentAtMs + 15);
+		return state.isSettled;
+	};
+
+	expect(listPages(500)).toBe(false);
+	expect(listPages(1000)).toBe(true);
+});
+
 /** When the last lease that was sent to a worker at this time is over. */
 const leaseOverMs = (sentAtMs: number): number => sentAtMs + (5000 * 1.03) + 250;
 
