--- a/soak/store.ts
+++ b/soak/store.ts
@@ -20,7 +20,7 @@
 const answerMs = 4;
 const operatorTables = new Set(['op', 'servers']);
 
-/** A share of the answers is cut by bytes as well. */
+/** Share of the answers that are cut by bytes as well, where the rows are drawn. */
 const cutByBytesShare = 0.25;
 const minBytesPerPage = 300;
 
@@ -214,7 +214,7 @@
 	/** Cuts an answer of changes after a whole transaction. A whole answer keeps the newest version. */
 	#cut(rows: readonly Row[]): {readonly rows: readonly Row[]; readonly ver?: number} {
 		const maxRows = this.#feedCut === 0 ? this.#drawBetween(1, maxRowsPerPage) : this.#feedCut;
-		const maxBytes = this.#random.next() < cutByBytesShare ? this.#drawBetween(minBytesPerPage, maxBytesPerPage) : maxBytesPerPage;
+		const maxBytes = this.#feedCut === 0 && this.#random.next() < cutByBytesShare ? this.#drawBetween(minBytesPerPage, maxBytesPerPage) : maxBytesPerPage;
 		let bytes = 0;
 		const end = rows.findIndex((row, index) => {
 			const isFull = index >= maxRows || bytes >= maxBytes;
