Settle a second takeover without waiting for workers that ended in the first

Callers would see jobs that wait 5.4 s, or as long as the former holder's orders and leases last, where a process gets the lease again.

Cause: a term begins with no worker known. Workers that had ended in an earlier term of the same process are not polled any more, so they never became known, and the takeover was only settled once all leases were over.

Why it works: such a worker counts as gone if it is neither registered nor on any listed machine; the lists are of this term. If it is either, it is waited for as before (two more cases).

--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -316,7 +316,10 @@
 	const workers = [...state.workers.values()];
 	const unregistered = [...state.machines.values()].filter(({entry}) => entry.workerId !== undefined && entry.state === 'up' && !state.workers.has(entry.workerId));
 	const areUnreadableKnown = state.unreadableMachines.every(({workerId}) => workerId !== undefined && state.workers.has(workerId));
-	const areAllKnown = workers.every(worker => worker.isFenced) && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
+	const machineWorkers = new Set([...state.machines.values()].map(({entry}) => entry.workerId));
+	// Workers that ended in an earlier term of this process are not polled any more.
+	const isGone = ({entry: {workerId}, isEnded, isListed}: WorkerRecord): boolean => isEnded && !isListed && !machineWorkers.has(workerId);
+	const areAllKnown = workers.every(worker => worker.isFenced || isGone(worker)) && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
 	if (areAllKnown || nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs)) {
 		state.isSettled = true;
 		resolveLostTrials(state);
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -188,3 +188,29 @@
 	dispatch({type: 'tick'}, 10_000);
 	expect(state.isSettled).toBe(true);
 });
+
+// Guards against jobs that wait for the leases of a worker that had ended in an earlier term of the same process.
+test.each([
+	{about: 'is gone', isListed: false, workerId: 'next', isSettled: true},
+	{about: 'is registered again', isListed: true, workerId: 'next', isSettled: false},
+	{about: 'runs on a machine again', isListed: false, workerId: 'listed', isSettled: false},
+])('a second takeover with a worker that ended in the first term and $about is settled at once: $isSettled', ({isListed, workerId, isSettled}) => {
+	takeOver(wallOffsetMs - 10_000);
+	const next = workerOf('next', wallOffsetMs);
+	dispatch({type: 'workersListed', workers: [next]}, 30);
+	dispatch({type: 'machinesListed', machines: [{...machine, workerId: 'next'}], sentAtMs: 40}, 50);
+	expect(state.workers.get('listed')).toMatchObject({isEnded: true, isListed: false});
+	dispatch({type: 'leaseLost', fencingToken: 5}, 60);
+	dispatch({type: 'workersListed', workers: isListed ? [next, workerOf('listed', wallOffsetMs - 60_000)] : [next]}, 70);
+	dispatch({type: 'leaseWon', fencingToken: 9}, 80);
+	dispatch({
+		type: 'polled', fencingToken: 9, workerId: 'next', incarnation: state.workers.get('next')!.incarnation, sentAtMs: 85, sentAcknowledgement: 0, answer: {
+			type: 'report', report: {
+				clockMs: 0, bornWallMs: wallOffsetMs, running: [], finished: [],
+			},
+		},
+	}, 90);
+	dispatch({type: 'machinesListed', machines: [{...machine, workerId: 'next'}, {...machine, machineId: 'm-9', workerId}], sentAtMs: 95}, 100);
+	dispatch({type: 'tick'}, 105);
+	expect(state.isSettled).toBe(isSettled);
+});
