--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -191,9 +191,15 @@
 
 // Guards against jobs that wait for the leases of a worker that had ended in an earlier term of the same process.
 test.each([
-	{about: 'is gone', isListed: false, workerId: 'next', isSettled: true},
-	{about: 'is registered again', isListed: true, workerId: 'next', isSettled: false},
-	{about: 'runs on a machine again', isListed: false, workerId: 'listed', isSettled: false},
+	{
+		about: 'is gone', isListed: false, workerId: 'next', isSettled: true,
+	},
+	{
+		about: 'is registered again', isListed: true, workerId: 'next', isSettled: false,
+	},
+	{
+		about: 'runs on a machine again', isListed: false, workerId: 'listed', isSettled: false,
+	},
 ])('a second takeover with a worker that ended in the first term and $about is settled at once: $isSettled', ({isListed, workerId, isSettled}) => {
 	takeOver(wallOffsetMs - 10_000);
 	const next = workerOf('next', wallOffsetMs);
