--- a/soak/main.ts
+++ b/soak/main.ts
@@ -59,7 +59,7 @@
 		durationMs, daemons, workers, jobsPerSecond, feedCut, troubles, series,
 	}).flatMap(([name, value]) => [`--${name}`, String(value)]);
 	const failedSeeds = await playSeeds({
-		firstSeed: parsed.seed, count: parsed.seeds, parallel: parsed.parallel, options: passedOn,
+		firstSeed: parsed.seed, count: parsed.seeds, parallel: parsed.parallel, options: passedOn, out: parsed.out,
 	}, lifecycle);
 	console.log(`soak: ${parsed.seeds - failedSeeds.length} seeds passed, ${failedSeeds.length} failed${failedSeeds.length === 0 ? '' : `: ${failedSeeds.join(', ')}`}`);
 	process.exitCode = failedSeeds.length === 0 ? 0 : 1;
