Store that a job has begun when its run is adopted

Cause: the first holder had started the tasks and lost its lease before it had saved that the job had begun. The next one adopted the runs and noted the begin for itself only.

Evidence: adopted-runs.test.ts failed before (no save). The begin of an adopted run is now marked like that of any other.

--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -217,7 +217,7 @@
 
 	state.addRun(run);
 	if (isWanted) {
-		task.step.job.hasBegun = true;
+		markJobBegun(state, run);
 	} else if (task === undefined && isUnresolved(state, {taskKey: entry.taskKey, reportedAtMs})) {
 		state.unresolvedRuns.add(run);
 	} else {
