Merge the records of tasks in one place, and drop two wrappers

The merge of done tasks, failures and crash records stood twice in core/jobs.ts, for known jobs and for rows that are read before their job. Both use mergeTaskRecords now.

Two callbacks wrapped a refresh only to drop its record.

No behaviour changes; tests are as they were.

--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -243,20 +243,29 @@
 	}
 };
 
+type TaskRecords = Pick<JobProgress, 'doneTasks' | 'failures' | 'crashRecords'>;
+
+const mergeTaskRecords = (a: TaskRecords, b: TaskRecords): TaskRecords => ({
+	doneTasks: mergeByKey(a.doneTasks, b.doneTasks, unionOf),
+	failures: mergeByKey(a.failures, b.failures, unionOf),
+	crashRecords: mergeByKey(a.crashRecords, b.crashRecords, mergeCrashRecords),
+});
+
 const mergeProgress = (a: JobProgress, b: JobProgress): JobProgress => ({
 	outcome: a.outcome ?? b.outcome,
 	endedWallMs: b.endedWallMs ?? a.endedWallMs,
 	hasBegun: a.hasBegun || b.hasBegun,
-	doneTasks: mergeByKey(a.doneTasks, b.doneTasks, unionOf),
-	failures: mergeByKey(a.failures, b.failures, unionOf),
-	crashRecords: mergeByKey(a.crashRecords, b.crashRecords, mergeCrashRecords),
+	...mergeTaskRecords(a, b),
 });
 
+const storedTaskRecords = ({storedDoneTasks, storedFailures, storedCrashRecords}: JobRecord): TaskRecords => ({doneTasks: storedDoneTasks, failures: storedFailures, crashRecords: storedCrashRecords});
+
 const applyProgress = (state: SchedulerState, job: JobRecord, progress: JobProgress, now: CurrentTime): void => {
 	job.hasBegun ||= progress.hasBegun;
-	job.storedDoneTasks = mergeByKey(job.storedDoneTasks, progress.doneTasks, unionOf);
-	job.storedFailures = mergeByKey(job.storedFailures, progress.failures, unionOf);
-	job.storedCrashRecords = mergeByKey(job.storedCrashRecords, progress.crashRecords, mergeCrashRecords);
+	const stored = mergeTaskRecords(storedTaskRecords(job), progress);
+	job.storedDoneTasks = stored.doneTasks;
+	job.storedFailures = stored.failures;
+	job.storedCrashRecords = stored.crashRecords;
 	const hasTaskRecords = Object.keys(progress.failures).length > 0 || Object.keys(progress.crashRecords).length > 0;
 	for (const step of stepsOf(job)) {
 		for (const index of progress.doneTasks[storedStepKey(step.occurrence, step.stepIndex)] ?? []) {
@@ -384,7 +393,7 @@
 	}
 
 	const progress: JobProgress = {
-		outcome: job.isOutcomeStored ? job.outcome : undefined, endedWallMs: job.endedWallMs, hasBegun: job.hasBegun, doneTasks: job.storedDoneTasks, failures: job.storedFailures, crashRecords: job.storedCrashRecords,
+		outcome: job.isOutcomeStored ? job.outcome : undefined, endedWallMs: job.endedWallMs, hasBegun: job.hasBegun, ...storedTaskRecords(job),
 	};
 	state.detachedRows.set(job.spec.jobId, {progress: progressVersion === 0 ? undefined : progress, progressVersion, cancelKeys});
 };
--- a/packages/scheduler/src/jobs/job-view.ts
+++ b/packages/scheduler/src/jobs/job-view.ts
@@ -54,7 +54,7 @@
 export type ReplicaJobViewOptions = {
 	readonly state: () => SchedulerState;
 	/** Resolves once the replica contains everything that was acknowledged before the call. */
-	readonly refresh: () => Promise<void>;
+	readonly refresh: () => Promise<unknown>;
 	/** Time since the replica was last confirmed. */
 	readonly ageMs: () => number;
 	/** The replica's revision and the number of changes in its newest answer, for diagnosis. */
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -172,9 +172,7 @@
 				this.#runtime.dispatch(event);
 			},
 			refreshCopies: async () => this.#refreshCopies(),
-			async refreshOrders() {
-				await options.orders.refresh();
-			},
+			refreshOrders: async () => options.orders.refresh(),
 			onLeaseChanged: () => {
 				this.#updateFollowing();
 			},
@@ -218,9 +216,7 @@
 		});
 		this.#replicaView = new ReplicaJobView({
 			state: () => this.#runtime.state,
-			refresh: async () => {
-				await this.#jobReplica.refresh();
-			},
+			refresh: async () => this.#jobReplica.refresh(),
 			ageMs: () => clock.nowMs() - (this.#jobReplica.confirmedAtMs ?? Number.NEGATIVE_INFINITY),
 			copy: () => this.#jobReplica,
 		});
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -49,7 +49,7 @@
 	/** Brings all copies of shared rows up to date, so that they hold everything that an earlier holder and the operators stored. */
 	readonly refreshCopies: () => Promise<void>;
 	/** Brings the copy of the operators' rows up to date. */
-	readonly refreshOrders: () => Promise<void>;
+	readonly refreshOrders: () => Promise<unknown>;
 	/** Called after this process has acquired the lease or is no longer sure to hold it. */
 	readonly onLeaseChanged: () => void;
 	/** Called when the process begins to schedule. */
