Drop a cast and a second import from the soak

The server that claims a network is one of node:http, which listenOn takes without a cast, and machines.ts imported one class under two names. No behaviour changes.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -2,7 +2,7 @@
 One deployment: the stand-ins of the platform and its workers, and the daemons. It releases all of it, also if the soak is interrupted.
 */
 import {mkdirSync, mkdtempSync, rmSync} from 'node:fs';
-import {createServer, type Server} from 'node:net';
+import {createServer, type Server} from 'node:http';
 import os from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
@@ -143,7 +143,7 @@
 
 	async #canListen(server: Server, ip: string): Promise<boolean> {
 		try {
-			await listenOn(server as Parameters<typeof listenOn>[0], ip, readyPort);
+			await listenOn(server, ip, readyPort);
 			return true;
 		} catch {
 			// Another run has the address.
--- a/soak/machines.ts
+++ b/soak/machines.ts
@@ -1,7 +1,7 @@
 /**
 Stand-in of the users' machines: lists them and owns the workers on them.
 */
-import {type JsonServer as Server, JsonServer} from './http.js';
+import {JsonServer} from './http.js';
 import {queue, workerCapacity, zones} from './settings.js';
 import {Worker, type WorkerOptions} from './worker.js';
 
@@ -13,7 +13,7 @@
 	readonly workers: readonly Worker[];
 	readonly #ip: string;
 	readonly #timers: NodeJS.Timeout[] = [];
-	#server: Server | undefined;
+	#server: JsonServer | undefined;
 
 	constructor(count: number, options: Omit<WorkerOptions, 'id' | 'zone' | 'rack'>) {
 		this.#ip = options.ip;
