Review case 8: two holders order one machine within the lease time

A larger machine is added, the holder hands its lease over, and both order the same machine 1.7 to 3 s apart, both in touch.

--- /dev/null
+++ b/review/8/case.js
@@ -0,0 +1,75 @@
+/* eslint-disable camelcase -- Fields are named by the users' pages. */
+/**
+Case 8: a larger machine is added to the system, the smaller holder hands its work over, and both give orders for one machine within `lease_ms`.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import {bounds, isDisturbed, playCase} from '../stand-ins-2/deployment.js';
+
+/** Share of a core and number of cores, as on the sheet with machines of two sizes. */
+const smallCpu = [0.324, 1];
+const largeCpu = [0.675, 2];
+
+/** A machine is in touch after this time without a start; the sheets of machines of different sizes give 4 s. */
+const contactMs = 4000;
+
+const standby = 6;
+/** A wave takes this many machines, in turn. */
+const waveMachines = 3;
+const waveEveryMs = 5000;
+const burstEveryMs = 1200;
+const beforeAddingMs = 6000;
+const afterAddingMs = 16_000;
+
+const play = async deployment => {
+	const standbyMachines = deployment.workers.slice(-standby).map(({machine}) => machine);
+	const timers = [];
+	let wave = 0;
+	let job = 0;
+	timers.push(setInterval(() => {
+		wave++;
+		const from = (wave % (standby / waveMachines)) * waveMachines;
+		deployment.orderWave(wave, standbyMachines.slice(from, from + waveMachines), {withinS: 8, cap: waveMachines});
+	}, waveEveryMs), setInterval(async () => {
+		job++;
+		await deployment.call('POST', (0xA8_00_00_00_00_00_00_00n + BigInt(job)).toString(16), {
+			body: {
+				spec: 'burst', phases: [{
+					count: 16, cpu: 4000, mem_mb: 256, estimate_ms: 1000,
+				}],
+			},
+		});
+	}, burstEveryMs));
+	await sleep(beforeAddingMs);
+	if (isDisturbed) {
+		await deployment.addDaemon(largeCpu);
+	}
+
+	await sleep(afterAddingMs);
+
+	for (const timer of timers) {
+		clearInterval(timer);
+	}
+
+	const startedAtMs = new Map(deployment.daemons.map(daemon => [daemon.name, daemon.startedAtMs]));
+	const isInTouch = ({holder, atMs}) => atMs - startedAtMs.get(holder) >= contactMs;
+	const broken = [];
+	const {orders} = deployment.machines;
+	deployment.record(`${orders.length} orders for machines, by ${[...new Set(orders.map(({holder}) => holder))].join(', ')}`);
+	for (const [index, order] of orders.entries()) {
+		const former = orders.slice(0, index).findLast(({machine}) => machine === order.machine);
+		const gapMs = order.atMs - (former?.atMs ?? Number.NEGATIVE_INFINITY);
+		if (former !== undefined && former.holder !== order.holder && gapMs < bounds.lease_ms) {
+			const text = `ONE: ${order.machine}: ${former.kind} by ${former.holder}, ${order.kind} by ${order.holder} ${Math.round(gapMs)} ms later; the latter has run for ${Math.round(order.atMs - startedAtMs.get(order.holder))} ms`;
+			deployment.record(text);
+			if (isInTouch(former) && isInTouch(order)) {
+				broken.push(text);
+			}
+		}
+	}
+
+	return broken;
+};
+
+await playCase(import.meta.dirname, {
+	daemons: 3, cpu: smallCpu, workers: 9, standby, durationOf: () => 1000, keepLogLines: line => /lease_won|lease_yielded|lease_lost/v.test(line),
+}, play);
