Review case 8: daemons that start answer an old number of pending jobs

All machines lose power, that of the holder does not come back. Two of the five others answer 0 pending jobs, from the last publication, until 3.4 s after their start; 40 wait.

--- a/review/8/case.js
+++ b/review/8/case.js
@@ -1,75 +1,90 @@
 /* eslint-disable camelcase -- Fields are named by the users' pages. */
 /**
-Case 8: a larger machine is added to the system, the smaller holder hands its work over, and both give orders for one machine within `lease_ms`.
+Case 8: all machines lose power, and that of the holder does not come back. The others answer the number of pending jobs from what it published before.
 */
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {bounds, isDisturbed, playCase} from '../stand-ins-2/deployment.js';
+import {
+	bounds, isDisturbed, playCase, queue,
+} from '../stand-ins-2/deployment.js';
 
-/** Share of a core and number of cores, as on the sheet with machines of two sizes. */
-const smallCpu = [0.324, 1];
-const largeCpu = [0.675, 2];
+const workers = 3;
+const jobs = 40;
 
-/** A machine is in touch after this time without a start; the sheets of machines of different sizes give 4 s. */
-const contactMs = 4000;
+/** The tasks that fill the workers. */
+const longMs = 60_000;
 
-const standby = 6;
-/** A wave takes this many machines, in turn. */
-const waveMachines = 3;
-const waveEveryMs = 5000;
-const burstEveryMs = 1200;
-const beforeAddingMs = 6000;
-const afterAddingMs = 16_000;
+/** All machines are without power for this long. */
+const darkMs = 6000;
+const publishedMs = 4000;
+const marginMs = 20;
+const askEveryMs = 20;
+const askForMs = 3000;
+
+const started = new Set();
+
+const jobOf = count => ({
+	spec: 'job', phases: [{
+		count, cpu: 16_000, mem_mb: 256, estimate_ms: longMs,
+	}],
+});
 
 const play = async deployment => {
-	const standbyMachines = deployment.workers.slice(-standby).map(({machine}) => machine);
-	const timers = [];
-	let wave = 0;
-	let job = 0;
-	timers.push(setInterval(() => {
-		wave++;
-		const from = (wave % (standby / waveMachines)) * waveMachines;
-		deployment.orderWave(wave, standbyMachines.slice(from, from + waveMachines), {withinS: 8, cap: waveMachines});
-	}, waveEveryMs), setInterval(async () => {
-		job++;
-		await deployment.call('POST', (0xA8_00_00_00_00_00_00_00n + BigInt(job)).toString(16), {
-			body: {
-				spec: 'burst', phases: [{
-					count: 16, cpu: 4000, mem_mb: 256, estimate_ms: 1000,
-				}],
-			},
-		});
-	}, burstEveryMs));
-	await sleep(beforeAddingMs);
-	if (isDisturbed) {
-		await deployment.addDaemon(largeCpu);
+	const {record, daemons} = deployment;
+	await deployment.submit('a8a8a8a8a8a8a8a8', jobOf(workers));
+	await deployment.waitFor(() => started.size === workers, 5000);
+	// The count of pending jobs, none, is published once a second.
+	await sleep(publishedMs);
+	const ids = Array.from({length: jobs}, (_value, index) => (0xB8_00_00_00_00_00_00_00n + BigInt(index)).toString(16));
+	const answers = await Promise.all(ids.map(async (id, index) => deployment.call('POST', id, {body: jobOf(1), daemon: daemons[index % daemons.length]})));
+	const accepted = answers.filter(({status}) => status === 200).length;
+	const acceptedAtMs = performance.now();
+	record(`${accepted} jobs are accepted`);
+	if (accepted === 0) {
+		throw new Error('no job was accepted');
 	}
 
-	await sleep(afterAddingMs);
+	const holder = daemons.find(({log}) => log.includes('event=lease_won'));
+	if (isDisturbed) {
+		for (const daemon of daemons) {
+			daemon.signal('SIGKILL');
+		}
 
-	for (const timer of timers) {
-		clearInterval(timer);
+		await sleep(darkMs);
+		for (const daemon of daemons.filter(other => other !== holder)) {
+			daemon.spawn();
+		}
+	} else {
+		await sleep(darkMs);
 	}
 
-	const startedAtMs = new Map(deployment.daemons.map(daemon => [daemon.name, daemon.startedAtMs]));
-	const isInTouch = ({holder, atMs}) => atMs - startedAtMs.get(holder) >= contactMs;
+	const remaining = daemons.filter(daemon => !isDisturbed || daemon !== holder);
+	const inTouchAtMs = Math.max(...remaining.map(({startedAtMs}) => startedAtMs)) + bounds.contact_ms + marginMs;
+	await sleep(Math.max(0, inTouchAtMs - performance.now()));
 	const broken = [];
-	const {orders} = deployment.machines;
-	deployment.record(`${orders.length} orders for machines, by ${[...new Set(orders.map(({holder}) => holder))].join(', ')}`);
-	for (const [index, order] of orders.entries()) {
-		const former = orders.slice(0, index).findLast(({machine}) => machine === order.machine);
-		const gapMs = order.atMs - (former?.atMs ?? Number.NEGATIVE_INFINITY);
-		if (former !== undefined && former.holder !== order.holder && gapMs < bounds.lease_ms) {
-			const text = `ONE: ${order.machine}: ${former.kind} by ${former.holder}, ${order.kind} by ${order.holder} ${Math.round(gapMs)} ms later; the latter has run for ${Math.round(order.atMs - startedAtMs.get(order.holder))} ms`;
-			deployment.record(text);
-			if (isInTouch(former) && isInTouch(order)) {
-				broken.push(text);
+	const untilMs = performance.now() + askForMs;
+	while (performance.now() < untilMs) {
+		const askedAtMs = performance.now();
+		const begun = [...started].filter(task => task.startsWith('b8')).length;
+		await Promise.all(remaining.map(async daemon => {
+			const {status, body} = await deployment.call('GET', '', {daemon});
+			const isOwed = askedAtMs - acceptedAtMs > bounds.visible_ms + 2000;
+			if (status === 200 && isOwed && body.pending < (accepted - begun) / 2) {
+				broken.push(`MIXED: ${daemon.name}, running for ${Math.round(askedAtMs - daemon.startedAtMs)} ms, gives ${body.pending} jobs of ${queue.name} as pending; ${accepted - begun} were accepted ${Math.round(askedAtMs - acceptedAtMs)} ms before and have not begun`);
 			}
-		}
+		}));
+		await sleep(askEveryMs);
 	}
 
 	return broken;
 };
 
 await playCase(import.meta.dirname, {
-	daemons: 3, cpu: smallCpu, workers: 9, standby, durationOf: () => 1000, keepLogLines: line => /lease_won|lease_yielded|lease_lost/v.test(line),
+	daemons: 6,
+	workers,
+	durationOf: () => longMs,
+	onStart(_worker, task) {
+		started.add(task);
+	},
+	keepLogLines: line => /lease_won|process_started|following_started/v.test(line),
 }, play);
