Review case 8: the machine that stays away is the one that holds the lease

It was the first daemon that ever held it, which a hand-over at the start could have made another one.

--- a/review/8/case.js
+++ b/review/8/case.js
@@ -44,7 +44,11 @@
 		throw new Error('no job was accepted');
 	}
 
-	const holder = daemons.find(({log}) => log.includes('event=lease_won'));
+	const holder = daemons.find(({log}) => log.lastIndexOf('event=lease_won') > log.lastIndexOf('event=lease_lost'));
+	if (holder === undefined) {
+		throw new Error('no daemon holds the lease');
+	}
+
 	if (isDisturbed) {
 		for (const daemon of daemons) {
 			daemon.signal('SIGKILL');
