--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -13,6 +13,7 @@
 	addResources, fitsInto, multiplyResources, noResources, staysWithin,
 } from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
+import {canStartJob, logEarlyStart} from './takeover.js';
 import {
 	canPlanTrials, canStartTrial, endFinishedTrials, findTrial, freeTrialWorkers, planTrial, planTrials, skipAttempt, type TrialPlan, type WaitingSuspect,
 } from './trials.js';
@@ -29,9 +30,6 @@
 	return staysWithin(limit, state.resourcesInUse(customer), more);
 };
 
-/** Returns false for jobs that an earlier lease holder may have started, until the takeover is settled: such a job could be running on a worker that has not reported to this process yet. */
-const canStart = (state: SchedulerState, step: StepInstance): boolean => state.isSettled || step.job.firstSeenAtMs > state.earlierOrdersOverAtMs;
-
 /** Returns the number of the tasks' next common attempt, which is above all of earlier lease holders. */
 const nextAttempt = (state: SchedulerState, ...tasks: readonly Task[]): number => Math.max(state.term!.attemptBase, ...tasks.map(task => task.lastAttempt)) + 1;
 
@@ -156,7 +154,7 @@
 	for (const {step, pool} of queued) {
 		const found = byPool.get(pool) ?? {suspects: [], isOtherWaiting: false};
 		byPool.set(pool, found);
-		for (const task of canStart(state, step) ? step.tasks : []) {
+		for (const task of canStartJob(state, step.job) ? step.tasks : []) {
 			if (task.phase !== 'waiting') {
 				continue;
 			}
@@ -315,7 +313,7 @@
 	planPoolTrials(state, queuedSteps, usable, nowMs);
 	startReadyTrials(state, nowMs);
 	for (const queued of queuedSteps) {
-		if (!canStart(state, queued.step)) {
+		if (!canStartJob(state, queued.step.job)) {
 			continue;
 		}
 
@@ -326,6 +324,9 @@
 			: startIndividualTasks(state, queued, pool, nowMs);
 		if (state.startCount > startsBefore) {
 			state.order.recordStarts(queued, state.startCount - startsBefore);
+			if (!state.isSettled) {
+				logEarlyStart(state, queued.step, state.startCount - startsBefore);
+			}
 		}
 
 		if (unplaced > 0) {
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -21,9 +21,10 @@
 } from './worker-reports.js';
 import {applySaved, prepareAcknowledgements, saveProgress} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {checkTakeoverSettled} from './takeover.js';
 import {endTerm, resumeTerm} from './terms.js';
 import {advanceWaves} from './waves.js';
-import {applyWorkerList, checkTakeoverSettled, expireWorkers} from './workers.js';
+import {applyWorkerList, expireWorkers} from './workers.js';
 
 const applyWaveOrders = (state: SchedulerState, waves: readonly WaveOrder[], nowMs: number): void => {
 	for (const order of waves) {
--- /dev/null
+++ b/packages/scheduler/src/core/takeover.ts
@@ -0,0 +1,65 @@
+/**
+The takeover of the fleet by a new lease holder. Until it is settled, tasks of an earlier holder may be at work, or have ended, on workers that have not reported to this process, so only jobs that no earlier holder can have started are started.
+*/
+import {maxLoggedRuns} from '../constants.js';
+import {resolveLostTrials} from './crash-attribution.js';
+import {
+	type JobRecord, type StepInstance, type Task, type WorkerRecord,
+} from './records.js';
+import {type SchedulerState} from './scheduler-state.js';
+import {leaseExpiryAfter} from './workers.js';
+
+/** Returns true unless an earlier lease holder may have started the job, which could then be running on a worker that has not reported to this process yet. */
+export const canStartJob = (state: SchedulerState, job: JobRecord): boolean => state.isSettled || job.firstSeenAtMs > state.earlierOrdersOverAtMs;
+
+/** Why the takeover is settled although the worker has not reported all that it has. */
+const describeUnheard = ({entry: {workerId}, isEnded, isListed, silentSinceMs}: WorkerRecord, nowMs: number): string => {
+	const reach = silentSinceMs === undefined ? 'unanswered' : `silent-${Math.round(nowMs - silentSinceMs)}ms`;
+	return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}`;
+};
+
+/** Marks the takeover as settled once no worker can still run a task of an earlier lease holder that this process has not seen. */
+export const checkTakeoverSettled = (state: SchedulerState, nowMs: number): void => {
+	if (state.term === undefined || state.isSettled) {
+		return;
+	}
+
+	const {term: {wonAtMs}, earlierOrdersOverAtMs} = state;
+	const workers = [...state.workers.values()];
+	const unregistered = [...state.machines.values()].filter(({entry}) => entry.workerId !== undefined && entry.state === 'up' && !state.workers.has(entry.workerId));
+	const areUnreadableKnown = state.unreadableMachines.every(({workerId}) => workerId !== undefined && state.workers.has(workerId));
+	const machineWorkers = new Set([...state.machines.values()].map(({entry}) => entry.workerId));
+	// Workers that ended in an earlier term of this process are not polled any more.
+	const isGone = ({entry: {workerId}, isEnded, isListed}: WorkerRecord): boolean => isEnded && !isListed && !machineWorkers.has(workerId);
+	const areAllKnown = workers.every(worker => worker.isFenced || isGone(worker)) && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
+	if (areAllKnown || nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs)) {
+		state.isSettled = true;
+		resolveLostTrials(state);
+		const unheard = workers.filter(worker => !worker.isFenced);
+		state.emit({
+			type: 'log', fields: {
+				event: 'takeover_settled', by: areAllKnown ? 'reports' : 'time', workers: workers.length, unanswered: unheard.length, unregistered: unregistered.length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs),
+				unheard: unheard.slice(0, maxLoggedRuns).map(worker => describeUnheard(worker, nowMs)).join(','),
+			},
+		});
+	}
+};
+
+/** Logs why tasks of a job start although a worker of an earlier holder may not have reported yet. */
+export const logEarlyStart = (state: SchedulerState, {job, occurrence, stepIndex}: StepInstance, startCount: number): void => {
+	const {spec: {jobId}, firstSeenAtMs} = job;
+	state.emit({
+		type: 'log', fields: {
+			event: 'started_before_settled', stepKey: `${jobId}.${occurrence}.${stepIndex}`, count: startCount, reason: 'job is new', firstSeenAtMs: Math.round(firstSeenAtMs), earlierOrdersOverAtMs: Math.round(state.earlierOrdersOverAtMs),
+		},
+	});
+};
+
+/** Logs that a task had ended done in an earlier attempt when it was started again. */
+export const logStartedAfterEnd = (state: SchedulerState, {key, lastAttempt}: Task, {attempt, workerId}: {readonly attempt: number; readonly workerId: string}): void => {
+	state.emit({
+		type: 'log', level: 'warn', fields: {
+			event: 'started_after_end', taskKey: key, endedAttempt: attempt, workerId, startedAttempt: lastAttempt, isOfEarlierTerm: attempt <= (state.term?.attemptBase ?? 0), isSettled: state.isSettled,
+		},
+	});
+};
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -19,6 +19,7 @@
 } from './records.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
+import {logStartedAfterEnd} from './takeover.js';
 import {stepDown} from './terms.js';
 import {
 	beginIncarnation, loseEarlierRuns, loseRuns, recordLeaseSent, settleRestart,
@@ -276,6 +277,9 @@
 	}
 
 	settleTrial(state, task, entry.attempt);
+	if (entry.end === 'done' && task?.step.spec.isLasting === false && entry.attempt < task.lastAttempt) {
+		logStartedAfterEnd(state, task, {attempt: entry.attempt, workerId: worker.entry.workerId});
+	}
 
 	if (task !== undefined) {
 		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job});
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -5,7 +5,7 @@
 	leaseMarginMs, clockDriftFactor, maxLoggedRuns, minDrainMs, workerSilenceTimeoutMs, taskLeaseMs,
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
-import {attributeCrash, resolveLostTrials} from './crash-attribution.js';
+import {attributeCrash} from './crash-attribution.js';
 import {dropOutdatedEntry} from './outdated-events.js';
 import {type TaskRun, type WorkerIncarnation, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -273,7 +273,7 @@
 	worker.clock === undefined ? undefined : Math.floor(worker.clock.clockMs + (nowMs - worker.clock.readAtMs) + taskLeaseMs);
 
 /** Returns when a lease that was sent at this time is over on its worker, whatever the rate of the worker's clock. */
-const leaseExpiryAfter = (sentAtMs: number): number => sentAtMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs;
+export const leaseExpiryAfter = (sentAtMs: number): number => sentAtMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs;
 
 /** Records that a lease deadline was sent: tasks may run on the worker until then. */
 export const recordLeaseSent = (worker: WorkerRecord, nowMs: number): void => {
@@ -305,28 +305,3 @@
 		}
 	}
 };
-
-/** Marks the takeover as settled once no worker can still run a task of an earlier lease holder that this process has not seen. */
-export const checkTakeoverSettled = (state: SchedulerState, nowMs: number): void => {
-	if (state.term === undefined || state.isSettled) {
-		return;
-	}
-
-	const {term: {wonAtMs}, earlierOrdersOverAtMs} = state;
-	const workers = [...state.workers.values()];
-	const unregistered = [...state.machines.values()].filter(({entry}) => entry.workerId !== undefined && entry.state === 'up' && !state.workers.has(entry.workerId));
-	const areUnreadableKnown = state.unreadableMachines.every(({workerId}) => workerId !== undefined && state.workers.has(workerId));
-	const machineWorkers = new Set([...state.machines.values()].map(({entry}) => entry.workerId));
-	// Workers that ended in an earlier term of this process are not polled any more.
-	const isGone = ({entry: {workerId}, isEnded, isListed}: WorkerRecord): boolean => isEnded && !isListed && !machineWorkers.has(workerId);
-	const areAllKnown = workers.every(worker => worker.isFenced || isGone(worker)) && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
-	if (areAllKnown || nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs)) {
-		state.isSettled = true;
-		resolveLostTrials(state);
-		state.emit({
-			type: 'log', fields: {
-				event: 'takeover_settled', workers: workers.length, unanswered: workers.filter(worker => !worker.isFenced).length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs),
-			},
-		});
-	}
-};
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -33,6 +33,7 @@
 import {HolderPacing} from './holder-pacing.js';
 import {LoadMonitor} from './load-monitor.js';
 import {QueuePublisher} from './queue-publisher.js';
+import {SaveAgeMonitor} from './save-age-monitor.js';
 import {TermKeeper} from './term-keeper.js';
 import {WorkerPoller} from './worker-poller.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
@@ -120,6 +121,7 @@
 	readonly #jobReplica: TableReplica;
 	readonly #oddJobRows: OddEntryLog;
 	readonly #jobRowsAge: CopyAgeMonitor;
+	readonly #saveAge: SaveAgeMonitor;
 	readonly #controlReplica: TableReplica;
 	readonly #workerPoller: WorkerPoller;
 	readonly #pacing = new HolderPacing();
@@ -192,6 +194,12 @@
 		this.#jobRowsAge = new CopyAgeMonitor({
 			name: 'job_rows', confirmedAtMs: () => this.#jobReplica.confirmedAtMs, clock, log, metrics: options.metrics,
 		});
+		this.#saveAge = new SaveAgeMonitor({
+			unsaved: () => ({
+				saveNumber: this.state.pendingSaveNumber, orderedAtMs: this.state.lastSaveAtMs, jobs: this.state.dirtyJobs.size + this.state.pendingSaveJobs.length, fencingToken: this.state.term?.fencingToken, hasFence: this.#term.fence !== undefined,
+			}),
+			clock, log, metrics: options.metrics,
+		});
 		this.#publisher = new QueuePublisher({
 			table, state: () => this.state, maxRowBytes: options.maxRowBytes ?? defaultMaxRowBytes, clock, log, metrics: options.metrics,
 		});
@@ -413,6 +421,7 @@
 		this.#pacing.recordRound(durationMs, latenessMs);
 
 		this.#jobRowsAge.check();
+		this.#saveAge.check();
 
 		if (now.nowMs >= this.#nextListingAtMs && !this.#isListing) {
 			void this.#listMachines();
