Derive the fence of a holder from its term, so that it cannot be lost

What callers saw: a holder went on scheduling for the rest of its term, and nothing that it did was stored.

Cause: the keeper kept the fence beside the term. A lease that was not trusted at the moment of a check dropped it; if the renewal under way was answered before the contender's next tick, the contender had nothing to tell, and the check that resumed the term did not set it again. Every save then waited without a word.

The same gap kept a holder that went on through an outage from ever ordering a machine again: isLeaseUnconfirmed was only taken back with a term that was suspended, or by the contender.

The fence is now the row and the token of the term, and nothing else holds it. Writing under it is safe at any time, since the store refuses the write once another process has acquired the lease; so a suspended term saves too, and a conflict ends its doubt. What a doubt has suspended is taken back in one place, whenever the lease is found to be confirmed.

--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -22,10 +22,10 @@
 	readonly waveReporter: WaveReporter;
 	readonly store: JobStore;
 	readonly state: () => SchedulerState;
-	/** The fence of the held lease, which is a condition of every save. */
+	/** The fence of the present term, which is a condition of every save. */
 	readonly fence: () => RowCondition | undefined;
-	/** Drops the fence with this token once another process is known to hold the lease. */
-	readonly clearFence: (fencingToken: number) => void;
+	/** Called when another process is known to hold the lease of the term with this token. */
+	readonly abandonTerm: (fencingToken: number) => void;
 	readonly dispatch: (event: SchedulerEvent) => void;
 	readonly isClosed: () => boolean;
 	readonly clock: Clock;
@@ -91,7 +91,7 @@
 
 			case 'stepDown': {
 				this.#options.log.warn({event: 'lease_superseded', fencingToken: effect.fencingToken, reason: effect.reason});
-				this.#options.clearFence(effect.fencingToken);
+				this.#options.abandonTerm(effect.fencingToken);
 				break;
 			}
 
--- a/packages/scheduler/src/shell/save-age-monitor.ts
+++ b/packages/scheduler/src/shell/save-age-monitor.ts
@@ -15,8 +15,6 @@
 	/** Jobs with progress that is not stored. */
 	readonly jobs: number;
 	readonly fencingToken: number | undefined;
-	/** The process knows under which condition it may save. */
-	readonly hasFence: boolean;
 };
 
 export type SaveAgeMonitorOptions = {
@@ -38,13 +36,14 @@
 	/** Logs a save that has waited for too long. */
 	check(): void {
 		const {unsaved, clock, log} = this.#options;
-		const {saveNumber, jobs, fencingToken, hasFence} = unsaved();
-		const ageMs = this.#ageMs(unsaved());
+		const progress = unsaved();
+		const {saveNumber, jobs, fencingToken} = progress;
+		const ageMs = this.#ageMs(progress);
 		const nowMs = clock.nowMs();
 		if (ageMs >= reportIntervalMs && nowMs - this.#reportedAtMs >= reportIntervalMs) {
 			this.#reportedAtMs = nowMs;
 			log.warn({
-				event: 'progress_unsaved', saveNumber, ageMs: Math.round(ageMs), jobs, fencingToken, hasFence,
+				event: 'progress_unsaved', saveNumber, ageMs: Math.round(ageMs), jobs, fencingToken,
 			});
 		}
 	}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -159,8 +159,8 @@
 			store: this.#store,
 			state: () => this.#runtime.state,
 			fence: () => this.#term.fence,
-			clearFence: fencingToken => {
-				this.#term.clearFence(fencingToken);
+			abandonTerm: fencingToken => {
+				this.#term.abandonTerm(fencingToken);
 			},
 			dispatch: event => {
 				this.#runtime.dispatch(event);
@@ -196,7 +196,7 @@
 		});
 		this.#saveAge = new SaveAgeMonitor({
 			unsaved: () => ({
-				saveNumber: this.state.pendingSaveNumber, orderedAtMs: this.state.lastSaveAtMs, jobs: this.state.dirtyJobs.size + this.state.pendingSaveJobs.length, fencingToken: this.state.term?.fencingToken, hasFence: this.#term.fence !== undefined,
+				saveNumber: this.state.pendingSaveNumber, orderedAtMs: this.state.lastSaveAtMs, jobs: this.state.dirtyJobs.size + this.state.pendingSaveJobs.length, fencingToken: this.state.term?.fencingToken,
 			}),
 			clock, log, metrics: options.metrics,
 		});
@@ -342,7 +342,7 @@
 	/** Follows jobs and workers while the process holds the lease or is a likely successor. */
 	#updateFollowing(): void {
 		const nowMs = this.#options.clock.nowMs();
-		const isHolder = this.#term.fence !== undefined || this.state.term !== undefined;
+		const {isHolder} = this.#term;
 		if (isHolder || this.#options.isSuccessor()) {
 			this.#followsUntilMs = nowMs + followingLingerMs;
 		}
@@ -431,8 +431,9 @@
 			return;
 		}
 
-		if (this.#term.fence !== undefined) {
-			this.#publisher.publishWhenDue(this.#term.fence);
+		const {fence} = this.#term;
+		if (fence !== undefined) {
+			this.#publisher.publishWhenDue(fence);
 		}
 
 		if (now.nowMs >= this.#nextSweepAtMs) {
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -69,7 +69,6 @@
 	readonly #leases: LeaseContender;
 	readonly #continuation: LeaseContinuation;
 	readonly #liveness: LivenessMonitor | undefined;
-	#fence: RowCondition | undefined;
 	#nextYieldCheckAtMs = 0;
 	/** The process is stopping and must not acquire the lease again. */
 	#isLeaving = false;
@@ -99,18 +98,24 @@
 		this.#liveness = failureDetection === undefined ? undefined : this.#createLivenessMonitor(failureDetection, incarnation);
 	}
 
-	/** The condition of every write under the lease; `undefined` while this process does not hold it. */
+	/** The condition of every write in the present term; `undefined` without one. The store refuses the write once another process has acquired the lease, so a term that is suspended may write as well. */
 	get fence(): RowCondition | undefined {
-		return this.#fence;
+		const {term} = this.#state;
+		return term === undefined ? undefined : {key: fenceKey(schedulerLease), version: term.fencingToken};
 	}
 
-	/** Drops the fence with this token, for use when another process is known to hold the lease. The fence of a lease that was acquired since stays. */
-	clearFence(fencingToken: number): void {
-		if (this.#fence?.version === fencingToken) {
-			this.#fence = undefined;
+	/** Gives up to begin the term with this token, for use when another process is known to hold the lease. */
+	abandonTerm(fencingToken: number): void {
+		if (this.#beginningToken === fencingToken) {
+			this.#beginningToken = undefined;
 		}
 	}
 
+	/** Whether this process has a term, or is about to begin one. */
+	get isHolder(): boolean {
+		return this.#state.term !== undefined || this.#beginningToken !== undefined;
+	}
+
 	start(): void {
 		this.#contend();
 		this.#liveness?.start();
@@ -239,8 +244,8 @@
 	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
 	async #releaseLease(): Promise<void> {
 		const {term} = this.#state;
-		const token = this.#fence?.version ?? term?.fencingToken;
-		this.#fence = undefined;
+		const token = this.#leases.unconfirmedLease(schedulerLease)?.fence.version ?? term?.fencingToken;
+		this.#beginningToken = undefined;
 		if (term !== undefined) {
 			this.#options.dispatch({type: 'leaseLost', fencingToken: term.fencingToken, ...this.#now()});
 		}
@@ -306,16 +311,35 @@
 		}
 
 		const lease = this.#leases.heldLease(schedulerLease) ?? this.#continueLease(term.fencingToken);
-		if (isSuspended && !hasClockJumped && !this.#isConfirming(term.fencingToken) && lease?.fence.version === term.fencingToken) {
-			this.#options.dispatch({type: 'leaseConfirmed', fencingToken: term.fencingToken, ...this.#now()});
+		if (hasClockJumped || lease === undefined) {
+			this.#suspendUncertainTerm(term.fencingToken, {gapMs, hasClockJumped});
+		} else if (lease.fence.version === term.fencingToken && !this.#isConfirming(term.fencingToken)) {
+			this.#resumeCertainTerm(term.fencingToken);
+		}
+	}
+
+	#suspendUncertainTerm(fencingToken: number, {gapMs, hasClockJumped}: {readonly gapMs: number; readonly hasClockJumped: boolean}): void {
+		if (this.#state.isSuspended) {
+			return;
+		}
+
+		this.#options.log.warn({event: 'term_suspended', fencingToken, gapMs: Math.round(gapMs)});
+		this.#options.dispatch({type: 'leaseSuspended', ...this.#now()});
+		if (hasClockJumped && !this.#isConfirming(fencingToken)) {
+			void this.#confirmFence(fencingToken);
+		}
+	}
+
+	/** Takes back what a doubt about the lease has suspended. The contender does not tell of a renewal whose answer came before it had noticed the doubt. */
+	#resumeCertainTerm(fencingToken: number): void {
+		const isConfirmed = this.#leases.heldLease(schedulerLease) !== undefined;
+		if (this.#state.isSuspended || (this.#state.isLeaseUnconfirmed && isConfirmed)) {
+			this.#options.dispatch({type: 'leaseConfirmed', fencingToken, ...this.#now()});
 			this.#markUnconfirmed();
-		} else if (!isSuspended && (hasClockJumped || lease === undefined)) {
-			this.#options.log.warn({event: 'term_suspended', fencingToken: term.fencingToken, gapMs: Math.round(gapMs)});
-			this.#fence = lease?.fence;
-			this.#options.dispatch({type: 'leaseSuspended', ...this.#now()});
-			if (hasClockJumped && !this.#isConfirming(term.fencingToken)) {
-				void this.#confirmFence(term.fencingToken);
-			}
+		}
+
+		if (isConfirmed) {
+			this.#continuation.confirm();
 		}
 	}
 
@@ -365,7 +389,6 @@
 			return undefined;
 		}
 
-		this.#fence = lease.fence;
 		this.#continuation.countRound();
 		this.#markUnconfirmed();
 		return lease;
@@ -383,7 +406,7 @@
 			return;
 		}
 
-		this.#fence = lease?.fence;
+		this.#beginningToken = lease?.fence.version;
 		this.#liveness?.wake();
 		this.#options.metrics.increment('early_takeovers', lease?.replaced === undefined ? 0 : 1);
 		this.#options.onLeaseChanged();
@@ -398,11 +421,10 @@
 	/** Begins the term once the replicas hold everything that the earlier lease holder stored, since orders rely on it, and all operators' rows, since an evacuation may have been ordered of which only the earlier holder knew. */
 	async #beginTerm(lease: HeldLease): Promise<void> {
 		const {fence} = lease;
-		this.#beginningToken = fence.version;
-		while (this.#fence?.version === fence.version) {
+		while (this.#beginningToken === fence.version) {
 			try {
 				await this.#options.refreshCopies();
-				if (this.#fence?.version !== fence.version) {
+				if (this.#beginningToken !== fence.version) {
 					break;
 				}
 
--- a/packages/scheduler/tests/outdated-events.test.ts
+++ b/packages/scheduler/tests/outdated-events.test.ts
@@ -155,7 +155,7 @@
 		},
 		state: () => this.runtime.state,
 		fence: () => this.fence,
-		clearFence: () => undefined,
+		abandonTerm: () => undefined,
 		dispatch: (event: SchedulerEvent) => {
 			this.runtime.dispatch(event);
 		},
--- a/packages/scheduler/tests/save-age-monitor.test.ts
+++ b/packages/scheduler/tests/save-age-monitor.test.ts
@@ -11,7 +11,7 @@
 	const clock = new VirtualClock();
 	const lines: LogFields[] = [];
 	const unsaved = {
-		saveNumber: 1 as number | undefined, orderedAtMs: 0, jobs: 4, fencingToken: 9, hasFence: false,
+		saveNumber: 1 as number | undefined, orderedAtMs: 0, jobs: 4, fencingToken: 9,
 	};
 	const monitor = new SaveAgeMonitor({
 		unsaved: () => unsaved, clock, metrics: new MetricsRegistry(), log: {
@@ -32,7 +32,7 @@
 	checkFor(1100);
 	expect(lines.map(({ageMs}) => ageMs)).toEqual([1000, 2000]);
 	expect(lines[0]).toMatchObject({
-		event: 'progress_unsaved', saveNumber: 1, jobs: 4, fencingToken: 9, hasFence: false,
+		event: 'progress_unsaved', saveNumber: 1, jobs: 4, fencingToken: 9,
 	});
 	unsaved.saveNumber = undefined;
 	checkFor(3000);
