Keep a takeover open while a worker that answers has ends that it has not listed

What callers saw: after a term of which nothing was stored, tasks that had ended done were run again by the next holder.

Cause: the time limit of a takeover counts on the leases of workers that were not heard. A worker that answers with 500 ends was heard, its lease may go on, and its further ends follow only once the first ones are acknowledged, which takes a store that takes the progress. The time limit settled the takeover all the same, and the tasks of the further ends seemed to wait.

The time limit now waits for such a worker, unless it has been silent past its lease.

--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -182,6 +182,8 @@
 	isEvacuated: boolean;
 	/** The worker has acknowledged this holder's fencing token, so it rejects orders of earlier holders. */
 	isFenced: boolean;
+	/** The last report listed as many ends as a report holds, so further ones may follow. */
+	mayLackEnds: boolean;
 	clock: WorkerClock | undefined;
 	/** Time, on this process's clock, until which tasks may keep running on the worker without another lease renewal. */
 	leaseExpiresAtMs: number;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -272,6 +272,7 @@
 			worker.restart = undefined;
 			worker.trial = undefined;
 			worker.isFenced = false;
+			worker.mayLackEnds = false;
 			worker.processedSequence = 0;
 			worker.unresolvedEnds = [];
 			worker.unacknowledgedEnds = [];
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -12,6 +12,10 @@
 /** Returns true unless an earlier lease holder may have started the job, which could then be running on a worker that has not reported to this process yet. */
 export const canStartJob = (state: SchedulerState, job: JobRecord): boolean => state.isSettled || job.firstSeenAtMs > state.earlierOrdersOverAtMs;
 
+/** Returns true if the worker has ends that it has not listed yet. Its lease may go on for as long as it answers, so the time limit of the takeover says nothing about them. */
+const hasUnlistedEnds = ({mayLackEnds, silentSinceMs, leaseExpiresAtMs}: WorkerRecord, nowMs: number): boolean =>
+	mayLackEnds && (silentSinceMs === undefined || nowMs < leaseExpiresAtMs);
+
 /** Why the takeover is settled although the worker has not reported all that it has. */
 const describeUnheard = ({entry: {workerId}, isEnded, isListed, silentSinceMs}: WorkerRecord, nowMs: number): string => {
 	const reach = silentSinceMs === undefined ? 'unanswered' : `silent-${Math.round(nowMs - silentSinceMs)}ms`;
@@ -32,7 +36,8 @@
 	// Workers that ended in an earlier term of this process are not polled any more.
 	const isGone = ({entry: {workerId}, isEnded, isListed}: WorkerRecord): boolean => isEnded && !isListed && !machineWorkers.has(workerId);
 	const areAllKnown = workers.every(worker => worker.isFenced || isGone(worker)) && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
-	if (areAllKnown || nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs)) {
+	const areLeasesOver = nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs) && !workers.some(worker => hasUnlistedEnds(worker, nowMs));
+	if (areAllKnown || areLeasesOver) {
 		state.isSettled = true;
 		resolveLostTrials(state);
 		const unheard = workers.filter(worker => !worker.isFenced);
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -89,8 +89,8 @@
 		recordLeaseSent(worker, Math.min(event.nowMs, state.earlierOrdersOverAtMs));
 	}
 
-	const mayLackEnds = report.finished.length >= maxEndsPerReport;
-	worker.isFenced ||= !mayLackEnds;
+	worker.mayLackEnds = report.finished.length >= maxEndsPerReport;
+	worker.isFenced ||= !worker.mayLackEnds;
 	worker.silentSinceMs = undefined;
 	worker.lastAnswerAtMs = event.nowMs;
 	worker.lastReportSentAtMs = event.sentAtMs;
@@ -119,7 +119,7 @@
 		applyRunningEntry(state, worker, entry, event);
 	}
 
-	if (!mayLackEnds) {
+	if (!worker.mayLackEnds) {
 		settleRestart(state, worker, listed, event);
 		removeVanishedRuns(state, worker, listed, event);
 		preventLateStarts(state, worker, listed, event);
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -26,6 +26,7 @@
 	bornWallMs: entry.bornWallMs,
 	isEvacuated: state.evacuations.has(entry.dataCentre),
 	isFenced: false,
+	mayLackEnds: false,
 	clock: undefined,
 	leaseExpiresAtMs: nowMs,
 	lastAnswerAtMs: nowMs,
@@ -124,6 +125,7 @@
 	worker.machineId = undefined;
 	worker.isReserved = false;
 	worker.isFenced = false;
+	worker.mayLackEnds = false;
 	worker.clock = undefined;
 	worker.processedSequence = 0;
 	worker.unresolvedEnds = [];
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -220,3 +220,29 @@
 	dispatch({type: 'tick'}, 105);
 	expect(state.isSettled).toBe(isSettled);
 });
+
+// Guards against starting tasks again whose ends a worker has not listed yet, since its report was full.
+test('the time limit does not settle a takeover while a worker that answers has further ends, and does once it has been silent past its lease', () => {
+	dispatch({type: 'configured', configuration: configurationOf(1)}, 0);
+	dispatch({type: 'workersListed', workers: [workerOf('full', wallOffsetMs - 60_000)]}, 0);
+	dispatch({type: 'leaseWon', fencingToken: 5}, 0);
+	const poll = (answer: Extract<EventBody, {readonly type: 'polled'}>['answer'], nowMs: number): void => {
+		dispatch({
+			type: 'polled', fencingToken: 5, workerId: 'full', incarnation: 1, sentAtMs: nowMs - 5, sentAcknowledgement: 0, answer,
+		}, nowMs);
+	};
+
+	const report = {
+		clockMs: 0, bornWallMs: wallOffsetMs - 60_000, running: [], finished: Array.from({length: 500}, (_value, index) => ({
+			sequence: index + 1, taskKey: `ffffffffffffffff.0.0.${index}`, attempt: 1, end: 'done', checkpoint: '',
+		} as const)),
+	};
+	for (let nowMs = 100; nowMs <= 7000; nowMs += 100) {
+		poll({type: 'report', report}, nowMs);
+		dispatch({type: 'tick'}, nowMs);
+	}
+
+	expect(state.isSettled).toBe(false);
+	poll({type: 'unreachable'}, 7100);
+	expect(settle(7100)).toMatchObject({by: 'time', unanswered: 1});
+});
