Tell by its version whether a job is newer than the orders of earlier holders

What callers saw: a new holder could start a job a second time beside a worker that had not reported yet and ran it (TWICE).

Cause: before a takeover is settled, a job may start if no earlier holder can have started it. That was judged by when this process had read the job: a process that reads late, behind a slow store or short of processor time, read a job after the orders of the earlier holder were over that this one had read and started before. It did so in particular where the end of those orders moved forward, on news that the earlier holder was gone.

Once the orders of earlier holders are over, the holder now asks the store for its newest revision, and only jobs whose rows have a higher version count as new. It costs one read for a term whose takeover is not settled by then; until it is answered, no job is new.

--- a/bench/pool-forecast.bench.ts
+++ b/bench/pool-forecast.bench.ts
@@ -181,6 +181,13 @@
 				break;
 			}
 
+			case 'readRevision': {
+				this.#clock.schedule(answerMs, () => {
+					this.#dispatch({type: 'revisionRead', fencingToken: 1, revision: 0});
+				});
+				break;
+			}
+
 			case 'move':
 			case 'maintain': {
 				this.#clock.schedule(answerMs, () => {
@@ -325,7 +332,11 @@
 			})),
 		};
 		this.#specs.set(job.jobId, job);
-		this.#dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+		this.#dispatch({
+			type: 'jobsChanged', changes: [{
+				type: 'accepted', job, rowKey: job.jobId, version: 1,
+			}],
+		});
 	}
 
 	/** A job is in time if it ends within its objective, of which the chain is taken at the longest run time. */
--- a/bench/scheduling-cost.bench.ts
+++ b/bench/scheduling-cost.bench.ts
@@ -97,7 +97,9 @@
 		this.dispatch({
 			type: 'jobsChanged', changes: Array.from({length: count}, (_value, index) => {
 				const job = jobOf(index + 1);
-				return {type: 'accepted' as const, job, rowKey: job.jobId};
+				return {
+					type: 'accepted' as const, job, rowKey: job.jobId, version: 1,
+				};
 			}),
 		});
 	}
@@ -125,6 +127,8 @@
 				});
 			} else if (effect.type === 'save') {
 				this.dispatch({type: 'saved', fencingToken: 1, saveNumber: effect.save.saveNumber});
+			} else if (effect.type === 'readRevision') {
+				this.dispatch({type: 'revisionRead', fencingToken: 1, revision: 0});
 			}
 		}
 	}
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -31,7 +31,7 @@
 
 /** A change to the stored rows of one job. */
 export type JobChange
-	= | {readonly type: 'accepted'; readonly job: JobSpec; readonly rowKey: string}
+	= | {readonly type: 'accepted'; readonly job: JobSpec; readonly rowKey: string; readonly version: number}
 		| {readonly type: 'progressed'; readonly jobId: string; readonly progress: JobProgress; readonly rowKey: string; readonly version: number}
 		| {readonly type: 'cancelled'; readonly jobId: string; readonly rowKey: string}
 		| {readonly type: 'removed'; readonly jobId: string; readonly row: JobRowKind; readonly rowKey: string};
@@ -52,6 +52,8 @@
 	| {readonly type: 'earlierHolderChanged'; readonly earlierHolder: EarlierHolder}
 	/** The lease could not be renewed in time and may pass to another process. */
 	| {readonly type: 'leaseSuspended'}
+	/** The newest revision of the store after the orders of all earlier holders were over. */
+	| (OfTerm & {readonly type: 'revisionRead'; readonly revision: number})
 	/** A read from the store has confirmed that no other process holds the lease, so a suspended term goes on. */
 	| (OfTerm & {readonly type: 'leaseConfirmed'})
 	/** Another process holds the lease of the term, or this one has released it. */
@@ -93,6 +95,8 @@
 	| {readonly type: 'move'; readonly machineId: string; readonly orderNumber: number; readonly pool: string; readonly fencingToken: number; readonly reason: string}
 	| {readonly type: 'maintain'; readonly machineId: string; readonly orderNumber: number; readonly waveId: number; readonly fencingToken: number}
 	| {readonly type: 'reportWave'; readonly fencingToken: number; readonly waveId: number; readonly state: 'running' | 'completed'}
+	/** Asks for the newest revision of the store. The shell retries the read until it succeeds or the takeover is settled. */
+	| {readonly type: 'readRevision'; readonly fencingToken: number}
 	/** The term with this token has ended because a higher token was seen. */
 	| {readonly type: 'stepDown'; readonly fencingToken: number; readonly reason: string}
 	/** Increments a counter of the process's metrics. */
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -53,6 +53,7 @@
 	rowKeys: new Set(),
 	cancelKeys: new Set(),
 	firstSeenAtMs: nowMs,
+	storedVersion: Number.POSITIVE_INFINITY,
 	submittedAtMs,
 	wholeChainMs: longestChainMs(spec.steps.map(({after, estimateMs}) => ({after, durationMs: estimateMs}))),
 	occurrences: new Map(),
@@ -319,6 +320,7 @@
 		}
 
 		accepted.rowKeys.add(change.rowKey);
+		accepted.storedVersion = Math.min(accepted.storedVersion, change.version);
 		return;
 	}
 
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -122,6 +122,8 @@
 	readonly cancelKeys: Set<string>;
 	/** When this process first saw the job. */
 	readonly firstSeenAtMs: number;
+	/** Lowest version of the rows that hold the specification: the job was stored with it. */
+	storedVersion: number;
 	/** When the job was submitted, on this process's clock, by the wall clock of the process that accepted it. */
 	readonly submittedAtMs: number;
 	/** Estimated duration of the job's longest chain of steps. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -21,7 +21,7 @@
 } from './worker-reports.js';
 import {applySaved, prepareAcknowledgements, saveProgress} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
-import {checkTakeoverSettled} from './takeover.js';
+import {checkTakeoverSettled, requestRevision} from './takeover.js';
 import {endTerm, resumeTerm} from './terms.js';
 import {advanceWaves} from './waves.js';
 import {applyWorkerList, expireWorkers} from './workers.js';
@@ -47,6 +47,7 @@
 	const {nowMs} = now;
 	expireWorkers(state, nowMs);
 	checkTakeoverSettled(state, nowMs);
+	requestRevision(state, nowMs);
 	updateOpenJobs(state, now);
 	resolveReports(state, now);
 	const displaced = reconcileRuns(state, nowMs);
@@ -151,6 +152,11 @@
 			break;
 		}
 
+		case 'revisionRead': {
+			state.newJobsAfterRevision = event.revision;
+			break;
+		}
+
 		case 'leaseSuspended': {
 			state.isSuspended = true;
 			break;
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -53,6 +53,9 @@
 	term: LeaseTerm | undefined;
 	/** The takeover is settled: every worker that may run tasks of an earlier lease holder has reported, or its leases have expired. */
 	isSettled = false;
+	/** Jobs that were stored after this revision cannot have been read while an earlier holder gave orders; `undefined` until the store has named a revision after that. */
+	newJobsAfterRevision: number | undefined;
+	isRevisionRequested = false;
 	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
 	earlierHolder: EarlierHolder | undefined;
 	readonly jobs = new Map<string, JobRecord>();
@@ -141,6 +144,8 @@
 		};
 		this.isSettled = false;
 		this.earlierHolder = undefined;
+		this.newJobsAfterRevision = undefined;
+		this.isRevisionRequested = false;
 		this.isSuspended = false;
 		this.isLeaseUnconfirmed = false;
 		this.#repeatPendingSave();
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -9,8 +9,17 @@
 import {type SchedulerState} from './scheduler-state.js';
 import {leaseExpiryAfter} from './workers.js';
 
-/** Returns true unless an earlier lease holder may have started the job, which could then be running on a worker that has not reported to this process yet. */
-export const canStartJob = (state: SchedulerState, job: JobRecord): boolean => state.isSettled || job.firstSeenAtMs > state.earlierOrdersOverAtMs;
+/** Returns true unless an earlier lease holder may have started the job, which could then be running on a worker that has not reported to this process yet. The job's version decides, since this process may have read the job long after an earlier holder did. */
+export const canStartJob = ({isSettled, newJobsAfterRevision}: SchedulerState, {storedVersion}: JobRecord): boolean =>
+	isSettled || (newJobsAfterRevision !== undefined && storedVersion > newJobsAfterRevision);
+
+/** Asks the store for a revision once the orders of earlier holders are over. */
+export const requestRevision = (state: SchedulerState, nowMs: number): void => {
+	if (!state.isSettled && !state.isRevisionRequested && nowMs >= state.earlierOrdersOverAtMs) {
+		state.isRevisionRequested = true;
+		state.emit({type: 'readRevision', fencingToken: state.term!.fencingToken});
+	}
+};
 
 /** Returns true if the worker has ends that it has not listed yet. Its lease may go on for as long as it answers, so the time limit of the takeover says nothing about them. */
 const hasUnlistedEnds = ({mayLackEnds, silentSinceMs, leaseExpiresAtMs}: WorkerRecord, nowMs: number): boolean =>
@@ -52,10 +61,10 @@
 
 /** Logs why tasks of a job start although a worker of an earlier holder may not have reported yet. */
 export const logEarlyStart = (state: SchedulerState, {job, occurrence, stepIndex}: StepInstance, startCount: number): void => {
-	const {spec: {jobId}, firstSeenAtMs} = job;
+	const {spec: {jobId}, storedVersion} = job;
 	state.emit({
 		type: 'log', fields: {
-			event: 'started_before_settled', stepKey: `${jobId}.${occurrence}.${stepIndex}`, count: startCount, reason: 'job is new', firstSeenAtMs: Math.round(firstSeenAtMs), earlierOrdersOverAtMs: Math.round(state.earlierOrdersOverAtMs),
+			event: 'started_before_settled', stepKey: `${jobId}.${occurrence}.${stepIndex}`, count: startCount, reason: 'job is new', storedVersion, newJobsAfterRevision: state.newJobsAfterRevision,
 		},
 	});
 };
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -185,5 +185,9 @@
 	}
 
 	const job = parseWith(jobSchema, value, key);
-	return E.isRight(job) && job.right.jobId === jobId ? {type: 'accepted', job: job.right, rowKey: key} : undefined;
+	return E.isRight(job) && job.right.jobId === jobId
+		? {
+			type: 'accepted', job: job.right, rowKey: key, version,
+		}
+		: undefined;
 };
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -21,6 +21,8 @@
 	readonly advisor: PlacementAdvisor;
 	readonly waveReporter: WaveReporter;
 	readonly store: JobStore;
+	/** Reads the newest revision of the store. */
+	readonly readRevision: () => Promise<number>;
 	readonly state: () => SchedulerState;
 	/** The fence of the present term, which is a condition of every save. */
 	readonly fence: () => RowCondition | undefined;
@@ -89,6 +91,11 @@
 				break;
 			}
 
+			case 'readRevision': {
+				void this.#readRevision(effect.fencingToken);
+				break;
+			}
+
 			case 'stepDown': {
 				this.#options.log.warn({event: 'lease_superseded', fencingToken: effect.fencingToken, reason: effect.reason});
 				this.#options.abandonTerm(effect.fencingToken);
@@ -223,6 +230,21 @@
 		return this.#state.term?.fencingToken === fencingToken && this.#state.pendingSaveNumber === save.saveNumber && !this.#options.isClosed();
 	}
 
+	async #readRevision(fencingToken: number): Promise<void> {
+		while (this.#state.term?.fencingToken === fencingToken && !this.#state.isSettled && !this.#options.isClosed()) {
+			try {
+				const revision = await this.#options.readRevision();
+				this.#options.dispatch({
+					type: 'revisionRead', fencingToken, revision, ...this.#now(),
+				});
+				return;
+			} catch (error) {
+				this.#options.log.warn({event: 'revision_not_read', fencingToken, reason: failureReason(this.#options.log, 'read revision', error)});
+				await this.#pause(storeRetryDelayMs);
+			}
+		}
+	}
+
 	/** Repeats a report until it is written, unless the wave has reached another state or another term has begun meanwhile: the later report may be written already. */
 	async #reportWave({fencingToken, waveId, state}: Extract<SchedulerEffect, {readonly type: 'reportWave'}>): Promise<void> {
 		const isCurrent = (): boolean => this.#state.term?.fencingToken === fencingToken && this.#state.waves.get(waveId)?.state === state && !this.#options.isClosed();
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -157,6 +157,7 @@
 		this.#performer = new EffectPerformer({
 			...options,
 			store: this.#store,
+			readRevision: async () => table.readRevision(),
 			state: () => this.#runtime.state,
 			fence: () => this.#term.fence,
 			abandonTerm: fencingToken => {
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -300,7 +300,7 @@
 	#suspendIfLeaseUncertain({nowMs, wallMs}: Moment): void {
 		const gapMs = wallMs - nowMs - (this.#wallOffsetMs ?? (wallMs - nowMs));
 		this.#wallOffsetMs = wallMs - nowMs;
-		const {term, isSuspended} = this.#state;
+		const {term} = this.#state;
 		if (term === undefined) {
 			return;
 		}
--- a/packages/scheduler/tests/admission.test.ts
+++ b/packages/scheduler/tests/admission.test.ts
@@ -11,7 +11,9 @@
 import {type JobStore} from '../src/jobs/job-store.js';
 import {type JobView, type KnownJob} from '../src/jobs/job-view.js';
 import {PublicationReader, publicationWrites, type PublishedQueues} from '../src/shell/published-queues.js';
-import {jobOf, lastingStepOf, stepOf} from './support/jobs.js';
+import {
+	acceptedChange, jobOf, lastingStepOf, stepOf,
+} from './support/jobs.js';
 import {eitherWay, playOverload} from './support/overload-model.js';
 import {configurationOf, pool, queueOf} from './support/scheduler-simulation.js';
 
@@ -71,7 +73,7 @@
 			...Array.from({length: 10}, (_value, index) => jobOf(index + 1, {acceptedWallMs: 100_000 - ageMs, steps: [stepOf({taskCount: 8, estimateMs: 1000})]})),
 			jobOf(20, {acceptedWallMs: 100_000, steps: [stepOf({taskCount: 8, estimateMs: 3000})]}),
 		];
-		reduceScheduler(state, {type: 'jobsChanged', changes: jobs.map(accepted => ({type: 'accepted', job: accepted, rowKey: accepted.jobId})), ...time});
+		reduceScheduler(state, {type: 'jobsChanged', changes: jobs.map(accepted => acceptedChange(accepted)), ...time});
 		reduceScheduler(state, {type: 'leaseWon', fencingToken: 1, ...time});
 		reduceScheduler(state, {
 			type: 'polled', fencingToken: 1, workerId: 'w', incarnation: 1, sentAtMs: 100_000, sentAcknowledgement: 0, answer: {
--- a/packages/scheduler/tests/adopted-runs.test.ts
+++ b/packages/scheduler/tests/adopted-runs.test.ts
@@ -7,7 +7,7 @@
 } from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
 import {configurationWithoutStandby, pool} from './support/scheduler-simulation.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
 
@@ -32,7 +32,7 @@
 			workerId: 'w1', pool, address: 'w1:1', dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs: 900_000, coldLeftMs: 0,
 		}],
 	});
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: 'row'}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(job, {rowKey: 'row'})]});
 	dispatch({type: 'leaseWon', fencingToken: 5});
 	dispatch({
 		type: 'polled', fencingToken: 5, workerId: 'w1', incarnation: 1, sentAtMs: nowMs + 10, sentAcknowledgement: 0, answer: {
--- a/packages/scheduler/tests/cut-reports.test.ts
+++ b/packages/scheduler/tests/cut-reports.test.ts
@@ -7,12 +7,12 @@
 } from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
 import {configurationWithoutStandby, pool} from './support/scheduler-simulation.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
 const job = jobOf(1, {steps: [stepOf({taskCount: 1})]});
 const workerId = 'w1';
-const accepted = {type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: 'row'}]} as const;
+const accepted = {type: 'jobsChanged', changes: [acceptedChange(job, {rowKey: 'row'})]} as const;
 
 const fullReport: WorkerReport = {
 	clockMs: 600, bornWallMs: 900_000, running: [], finished: Array.from({length: 500}, (_value, index) => ({
--- a/packages/scheduler/tests/jobs/job-service.test.ts
+++ b/packages/scheduler/tests/jobs/job-service.test.ts
@@ -7,7 +7,7 @@
 import {type AcceptResult, type JobStore} from '../../src/jobs/job-store.js';
 import {ReplicaJobView} from '../../src/jobs/job-view.js';
 import {admitAll, reduceScheduler, SchedulerState} from '../../src/index.js';
-import {jobOf} from '../support/jobs.js';
+import {acceptedChange, jobOf} from '../support/jobs.js';
 import {configurationOf, queueOf} from '../support/scheduler-simulation.js';
 
 const target = {queue: queueOf(), customer: 'altan'};
@@ -24,7 +24,7 @@
 const serviceOf = (clock: VirtualClock, ageMs: number): JobService => {
 	const state = new SchedulerState();
 	reduceScheduler(state, {
-		type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: 'row'}], nowMs: 0, wallMs: 0,
+		type: 'jobsChanged', changes: [acceptedChange(job, {rowKey: 'row'})], nowMs: 0, wallMs: 0,
 	});
 	reduceScheduler(state, {
 		type: 'configured', configuration: configurationOf(3), nowMs: 0, wallMs: 0,
--- a/packages/scheduler/tests/jobs/job-view.test.ts
+++ b/packages/scheduler/tests/jobs/job-view.test.ts
@@ -8,10 +8,10 @@
 import {
 	type JobChange, type JobProgress, reduceScheduler, SchedulerState,
 } from '../../src/index.js';
-import {jobOf} from '../support/jobs.js';
+import {acceptedChange, jobOf} from '../support/jobs.js';
 
 const job = jobOf(1);
-const accepted: JobChange = {type: 'accepted', job, rowKey: 'row'};
+const accepted: JobChange = acceptedChange(job, {rowKey: 'row'});
 const cancelled: JobChange = {type: 'cancelled', jobId: job.jobId, rowKey: 'row/cancel'};
 const progressed = (overrides: Partial<JobProgress>): JobChange => ({
 	type: 'progressed', jobId: job.jobId, rowKey: 'progress', version: 1, progress: {
--- a/packages/scheduler/tests/late-renewal.test.ts
+++ b/packages/scheduler/tests/late-renewal.test.ts
@@ -49,7 +49,7 @@
 	const table = new MemoryTableService();
 	const state = new SchedulerState();
 	let latencyMs = normalLatencyMs;
-	let sentAtMs = 0;
+	const lastCommit = {sentAtMs: 0};
 	const keeper = new TermKeeper({
 		processId: 'holder',
 		table: {
@@ -57,7 +57,7 @@
 			readPrefix: async prefix => table.readPrefix(prefix),
 			changesSince: async (prefix, revision) => table.changesSince(prefix, revision),
 			async commit(transaction) {
-				sentAtMs = virtualClock.nowMs();
+				lastCommit.sentAtMs = virtualClock.nowMs();
 				const result = table.commitNow(transaction);
 				await clock.wait(latencyMs);
 				return result;
@@ -92,8 +92,8 @@
 
 	keeper.start();
 	await run(2000);
-	const renewedAtMs = sentAtMs;
-	while (sentAtMs === renewedAtMs) {
+	const renewedAtMs = lastCommit.sentAtMs;
+	while (lastCommit.sentAtMs === renewedAtMs) {
 		await run(stepMs);
 	}
 
--- a/packages/scheduler/tests/outdated-events.test.ts
+++ b/packages/scheduler/tests/outdated-events.test.ts
@@ -11,7 +11,7 @@
 } from '../src/index.js';
 import {EffectPerformer, type EffectPerformerOptions} from '../src/shell/effect-performer.js';
 import {type EventBody} from './support/event-body.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {configurationWithoutStandby, pool} from './support/scheduler-simulation.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
@@ -61,7 +61,7 @@
 			workerId: 'w1', pool, address: 'w1:1', dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs: 900_000, coldLeftMs: 0,
 		}],
 	});
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: 'row'}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(job, {rowKey: 'row'})]});
 	win(earlierToken);
 });
 
@@ -156,6 +156,7 @@
 		state: () => this.runtime.state,
 		fence: () => this.fence,
 		abandonTerm: () => undefined,
+		readRevision: async () => 0,
 		dispatch: (event: SchedulerEvent) => {
 			this.runtime.dispatch(event);
 		},
--- a/packages/scheduler/tests/overload-order.test.ts
+++ b/packages/scheduler/tests/overload-order.test.ts
@@ -5,7 +5,7 @@
 import {createOrderPolicy} from '../src/core/order/order-policies.js';
 import {type OrderPolicy} from '../src/core/order/order-policy.js';
 import {reduceScheduler, SchedulerState} from '../src/index.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {
 	eitherWay, longer, type OverloadLoad, playOverload,
 } from './support/overload-model.js';
@@ -77,7 +77,7 @@
 		}
 
 		const job = jobOf(1, {acceptedWallMs, steps: [stepOf()]});
-		reduceScheduler(state, {type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}], ...time});
+		reduceScheduler(state, {type: 'jobsChanged', changes: [acceptedChange(job)], ...time});
 		return state;
 	};
 
--- a/packages/scheduler/tests/pool-sizing.test.ts
+++ b/packages/scheduler/tests/pool-sizing.test.ts
@@ -5,7 +5,7 @@
 import {
 	reduceScheduler, type SchedulerEffect, SchedulerState,
 } from '../src/index.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {configurationOf, queueOf} from './support/scheduler-simulation.js';
 import {type EventBody} from './support/event-body.js';
 
@@ -56,7 +56,7 @@
 		const job = jobOf(number, {
 			queue, acceptedWallMs: this.nowMs, steps: [stepOf({taskCount, needs: {cpuMillicores: 8000, memoryMb: 100, accelerators: 0}, estimateMs: 1000})],
 		});
-		this.dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+		this.dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]});
 	}
 
 	/** Runs one round and returns the moves that it orders. */
--- a/packages/scheduler/tests/pools/machine-answers.test.ts
+++ b/packages/scheduler/tests/pools/machine-answers.test.ts
@@ -8,7 +8,7 @@
 	type MachineEntry, reduceScheduler, type SchedulerEffect, SchedulerState, type WorkerEntry,
 } from '../../src/index.js';
 import {type EventBody} from '../support/event-body.js';
-import {jobOf, stepOf} from '../support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from '../support/jobs.js';
 import {configurationOf, pool, standbyPool} from '../support/scheduler-simulation.js';
 
 const capacity = {cpuMillicores: 4000, memoryMb: 16_000, accelerators: 0};
@@ -66,7 +66,7 @@
 /** Submits a job that takes whole workers, and confirms its starts. Returns the keys of the started tasks, by worker. */
 const submit = (number: number, taskCount: number): ReadonlyArray<{readonly taskKey: string; readonly workerId: string}> => {
 	const job = jobOf(number, {acceptedWallMs: 1_000_000 + nowMs, steps: [stepOf({taskCount, needs: {cpuMillicores: capacity.cpuMillicores, memoryMb: 10, accelerators: 0}})]});
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]});
 	round();
 	return confirmStarts();
 };
@@ -96,7 +96,7 @@
 /** Submits a job for which the pool lacks a worker, and returns the move of the standby machine. */
 const growPool = (): Extract<SchedulerEffect, {readonly type: 'move'}> => {
 	const job = jobOf(1, {steps: [stepOf({taskCount: 2, needs: {cpuMillicores: capacity.cpuMillicores, memoryMb: 10, accelerators: 0}})]});
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]});
 	round();
 	const [move] = effectsOf('move');
 	expect(move).toMatchObject({machineId: 'm2', pool});
--- a/packages/scheduler/tests/pools/machine-orders.test.ts
+++ b/packages/scheduler/tests/pools/machine-orders.test.ts
@@ -5,7 +5,7 @@
 import {
 	reduceScheduler, type SchedulerEffect, SchedulerState,
 } from '../../src/index.js';
-import {jobOf, stepOf} from '../support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from '../support/jobs.js';
 import {configurationOf, queueOf} from '../support/scheduler-simulation.js';
 import {type EventBody} from '../support/event-body.js';
 
@@ -58,7 +58,7 @@
 	burst(): void {
 		for (let number = 1; number <= 20; number++) {
 			const job = jobOf(number, {queue: 'draws', acceptedWallMs: this.nowMs, steps: [stepOf({taskCount: 1})]});
-			this.dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+			this.dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]});
 			this.round();
 		}
 	}
@@ -73,7 +73,7 @@
 		const job = jobOf(number, {
 			queue: 'draws', acceptedWallMs: this.nowMs, steps: [stepOf({taskCount, needs: {cpuMillicores: capacity.cpuMillicores, memoryMb: 10, accelerators: 0}, estimateMs: 1000})],
 		});
-		this.dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+		this.dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]});
 	}
 
 	reservedIn(pool: string): number {
--- a/packages/scheduler/tests/refused-progress.test.ts
+++ b/packages/scheduler/tests/refused-progress.test.ts
@@ -9,7 +9,7 @@
 import {progressKey} from '../src/jobs/rows.js';
 import {canStartTrial, planTrial} from '../src/core/trials.js';
 import {type EventBody} from './support/event-body.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {
 	configurationWithoutStandby, pool, SchedulerSimulation, takeoverMs,
 } from './support/scheduler-simulation.js';
@@ -71,7 +71,7 @@
 		})),
 	});
 	dispatch({type: 'leaseWon', fencingToken});
-	dispatch({type: 'jobsChanged', changes: [refused, stored].map(job => ({type: 'accepted', job, rowKey: job.jobId}))});
+	dispatch({type: 'jobsChanged', changes: [refused, stored].map(job => acceptedChange(job))});
 });
 
 test('ends whose progress the store refuses are not acknowledged, nor those after them on their worker, and all others are', () => {
--- a/packages/scheduler/tests/restarted-workers.test.ts
+++ b/packages/scheduler/tests/restarted-workers.test.ts
@@ -7,7 +7,7 @@
 } from '../src/index.js';
 import {findTask} from '../src/core/unresolved-tasks.js';
 import {type EventBody} from './support/event-body.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {configurationWithoutStandby, pool, queueOf} from './support/scheduler-simulation.js';
 
 const capacity = {cpuMillicores: 4000, memoryMb: 16_000, accelerators: 0};
@@ -64,7 +64,7 @@
 
 /** Starts the only task on the first worker, and returns the attempt. */
 const startTask = (): number => {
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job: jobOf(1, {steps: [stepOf({taskCount: 1})]}), rowKey: 'row'}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {steps: [stepOf({taskCount: 1})]}), {rowKey: 'row'})]});
 	round();
 	const [start] = startsOf();
 	expect(start).toMatchObject({taskKey, workerId: 'w1'});
@@ -204,7 +204,7 @@
 
 test('advice that was requested for an earlier incarnation permits no start on the present one', () => {
 	dispatch({type: 'configured', configuration: {...configurationWithoutStandby(2), queues: new Map([['draws', queueOf({needsAdvice: true})]])}});
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job: jobOf(1, {steps: [stepOf({taskCount: 1})]}), rowKey: 'row'}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {steps: [stepOf({taskCount: 1})]}), {rowKey: 'row'})]});
 	round();
 	const request = effects.find(effect => effect.type === 'requestAdvice')!;
 	register(secondBornMs);
--- a/packages/scheduler/tests/start-versions.test.ts
+++ b/packages/scheduler/tests/start-versions.test.ts
@@ -6,7 +6,7 @@
 	type JobSpec, reduceScheduler, type SchedulerEffect, SchedulerState,
 } from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {configurationWithoutStandby, pool} from './support/scheduler-simulation.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
@@ -21,7 +21,7 @@
 	};
 
 	const accept = (job: JobSpec, nowMs: number): void => {
-		dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]}, nowMs);
+		dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]}, nowMs);
 	};
 
 	const report = (nowMs: number): void => {
--- a/packages/scheduler/tests/support/jobs.ts
+++ b/packages/scheduler/tests/support/jobs.ts
@@ -1,6 +1,7 @@
 /**
 Job specifications for tests.
 */
+import {type JobChange} from '../../src/core/events.js';
 import {type JobSpec, type StepSpec} from '../../src/index.js';
 
 export const stepOf = (overrides: Partial<StepSpec> = {}): StepSpec => ({
@@ -46,3 +47,8 @@
 	acceptedWallMs: 0,
 	...overrides,
 });
+
+/** The change that reports a job's row, stored with the given version. */
+export const acceptedChange = (job: JobSpec, {rowKey = job.jobId, version = 1}: {readonly rowKey?: string; readonly version?: number} = {}): JobChange => ({
+	type: 'accepted', job, rowKey, version,
+});
--- a/packages/scheduler/tests/support/overload-model.ts
+++ b/packages/scheduler/tests/support/overload-model.ts
@@ -8,7 +8,7 @@
 import {admitAll, type AdmissionControl} from '../../src/admission/admission-control.js';
 import {loadOfQueue, poolLoadsOf} from '../../src/admission/pool-loads.js';
 import {type OrderPolicy} from '../../src/core/order/order-policy.js';
-import {jobOf, stepOf} from './jobs.js';
+import {acceptedChange, jobOf, stepOf} from './jobs.js';
 import {type EventBody} from './event-body.js';
 
 const roundMs = 25;
@@ -195,7 +195,7 @@
 			}
 
 			if (next > first) {
-				this.#dispatch({type: 'jobsChanged', changes: jobs.slice(first, next).filter(({isRefused}) => !isRefused).map(({spec}) => ({type: 'accepted', job: spec, rowKey: spec.jobId}))});
+				this.#dispatch({type: 'jobsChanged', changes: jobs.slice(first, next).filter(({isRefused}) => !isRefused).map(({spec}) => acceptedChange(spec))});
 			}
 
 			for (const [workerId, ends] of this.#ends) {
@@ -259,6 +259,8 @@
 			}
 
 			this.#dispatch({type: 'saved', fencingToken: 1, saveNumber: effect.save.saveNumber});
+		} else if (effect.type === 'readRevision') {
+			this.#dispatch({type: 'revisionRead', fencingToken: 1, revision: 0});
 		}
 	}
 }
--- a/packages/scheduler/tests/unread-jobs.test.ts
+++ b/packages/scheduler/tests/unread-jobs.test.ts
@@ -7,7 +7,7 @@
 	type FinishedEntry, type JobSpec, reduceScheduler, type SchedulerEffect, SchedulerState, type WorkerReport,
 } from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {
 	configurationWithoutStandby, pool, SchedulerSimulation, takeoverMs,
 } from './support/scheduler-simulation.js';
@@ -36,7 +36,7 @@
 };
 
 const accept = (spec: JobSpec): void => {
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job: spec, rowKey: 'row'}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(spec, {rowKey: 'row'})]});
 };
 
 const report = (changes: Partial<WorkerReport>): void => {
