Ends are acknowledged also while others end during each save

Callers saw nothing of it at once; a worker whose runs end more often than a save takes listed all its ends with every report, and after 500 of them no newer ones. A next holder has to hear them all again.

An acknowledgement waits for the number of the save that stores its ends. Each later end replaced it by one that waits for the next save, also while the save that it waited for was under way. With an end in every save, none was ever released.

Now an acknowledgement whose save is under way is kept until that save is stored; later ends get theirs with the next one, which could not be sent before anyway.

--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -20,8 +20,11 @@
 	const hasUnsaved = state.refusedUntilMs.size === 0 ? state.dirtyJobs.size > 0 : [...state.dirtyJobs].some(job => isSaveDue(state, job, nowMs));
 	const acknowledged: WorkerRecord[] = [];
 	for (const worker of state.workers.values()) {
+		const {acknowledgedSequence, pendingAcknowledgement} = worker;
 		const sequence = Math.min(resolvedSequence(worker), storedSequence(state, worker));
-		if (sequence <= worker.acknowledgedSequence || worker.pendingAcknowledgement?.sequence === sequence) {
+		// An acknowledgement that the save under way releases is kept: later ends wait for the next save.
+		const isBeingSaved = pendingAcknowledgement !== undefined && pendingAcknowledgement.saveNumber === state.pendingSaveNumber;
+		if (isBeingSaved || sequence <= acknowledgedSequence || pendingAcknowledgement?.sequence === sequence) {
 			continue;
 		}
 
