A worker that was taken for ended is polled again once a list names it

Callers would see a task run again after its end (TWICE): the worker that lists the end is not polled by this holder, so that the takeover settles without it when the time limit is over, and the task is started elsewhere. The worker also takes no tasks from this holder any more.

A worker was used again only when the order that had ended it was finished by a list. The end of a term forgets all orders, and a worker that a list lacked has none. In both cases it counted as ended for the rest of the process, in later terms as well, although it was registered and each list named it.

An order for a machine that an earlier holder had had maintained for the same wave is accepted and changes nothing, and the lease is lost within the second until the next list; or one list lacks the machine of a worker that goes on.

Now a list that names a worker on a machine that is up, and for which no order is pending, returns the worker to service: it is polled, and a takeover waits for its report. If it is gone after all, it does not answer, and the next list without it ends it again.

--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -128,7 +128,7 @@
 	return isLaterList(times, worker.missingSince) ? worker.missingSince.sentAtMs : undefined;
 };
 
-/** Ends workers that no machine runs any more, except for those that may have registered after the machines were listed. */
+/** Ends workers that no machine runs any more, except for those that may have registered after the machines were listed. Uses those again that were taken for ended, by an earlier list or in an earlier term, and that a machine runs. */
 const endUnlistedWorkers = (state: SchedulerState, list: AppliedMachineList): void => {
 	const {times, wallMs} = list;
 	const {sentAtMs: nowMs} = times;
@@ -155,6 +155,11 @@
 		}
 
 		worker.machineId = machineId ?? worker.machineId;
+		// A worker that a pending order ends is left to the order's end.
+		const machine = machineId === undefined ? undefined : state.machines.get(machineId);
+		if (worker.isEnded && machine?.entry.state === 'up' && machine.order === undefined) {
+			returnToService(state, worker);
+		}
 	}
 
 	const losses = [...ended].filter(([{isEnded}]) => !isEnded).map(([worker, sinceMs], _index, all) => ({worker, sinceMs, reason: lossReasonOf(state, worker, all.map(([other]) => other))}));
