A wave is reported again in each term

Callers would see a wave that stays running, or is not shown at all, although it is completed.

A report is repeated until it is written, but only within its term. The wave was marked as reported when the report was sent, and the mark outlived the term: if the lease was lost before the report was written, and came back to the same process, nobody reported the wave's state any more. Another process that takes over reports all waves.

Evidence: the new test failed before (no report in the second term). A second one shows that a suspension, in which the report goes on being repeated, brings no further report.

Now the end of a term forgets what was reported. It costs one write for each wave and term of the same process.

--- a/packages/scheduler/src/core/terms.ts
+++ b/packages/scheduler/src/core/terms.ts
@@ -15,6 +15,8 @@
 
 	for (const wave of state.waves.values()) {
 		wave.reserved.clear();
+		// A report that is not written by now is not repeated any more.
+		wave.reportedState = undefined;
 	}
 };
 
