A copy is not confirmed while it lacks what a listing has left out

Callers could see answers, and a term could begin, from a copy that lacks rows in any state: jobs that are not known, or ends that were stored (TWICE). For the progress of jobs a term is safe by its fence, since nobody else writes it after that; the other rows have no such bound.

A listing leaves out rows that have changed since its revision, and the copy then counts as having that revision. The state that such a row had at the revision is not among the changes after it; only the later one is. The reader that had listed asked for the newest revision afterwards, which covers the change. Another reader, which had asked before and whose changes were cut, found its revision reached by the listing of the first one, and confirmed the copy. It takes a store that drops its history, and two readers at once.

Now the copy remembers the newest revision of the rows that its last listing left out, and is confirmed only once it has reached it.

What remains: a store that names in a cut answer only the newest change of each row would still confirm a copy too early.

--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -65,6 +65,8 @@
 	/** Versions of the rows that were removed since the last listing began, which may still hold them. */
 	readonly #removedVersions = new Map<string, number>();
 	#revision: number | undefined;
+	/** The replica lacks rows that the newest listing left out, in any state, until it has reached this revision. */
+	#wholeFromRevision = 0;
 	#confirmedAtMs: number | undefined;
 	#lastPageSize = 0;
 	/** The newest answer held all changes that there were. */
@@ -195,11 +197,10 @@
 
 		while (outcome !== 'whole') {
 			if (outcome === 'listed') {
-				// A row that changed while rows were listed is among the changes since then, in its earlier state as well.
 				newestRevision = await this.#options.table.readRevision();
 			}
 
-			if (this.#revision! >= newestRevision) {
+			if (this.#revision! >= Math.max(newestRevision, this.#wholeFromRevision)) {
 				break;
 			}
 
@@ -263,6 +264,8 @@
 		this.#deliver([...gone, ...changed]);
 		this.#isWhole = false;
 		this.#revision = Math.max(this.#revision ?? 0, revision);
+		// The state of such a row at the listing's revision is not among the changes since then, only the later one is.
+		this.#wholeFromRevision = Math.max(0, ...rows.map(({version}) => version).filter(version => version > revision));
 	}
 
 	/** Responses of two calls may arrive in either order, so changes that were already applied are skipped. */
