A read from before another suspension does not confirm a lease

Callers would see nothing in most cases: workers that have heard the next holder refuse the orders.

A holder whose machine was suspended, or that stood still, gives no orders until a read from the store shows its fence. The answer was taken whenever it came. If the machine was suspended again while the answer was on its way, the holder went on, on a lease that its monotonic clock still called trusted, until a renewal told it otherwise.

Now an answer counts only if the wall clock and the monotonic clock differ by the same as when the read was sent; otherwise the fence is read again. That another process holds the lease counts whenever it was read.

--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -41,6 +41,9 @@
 /** One moment on both clocks. */
 type Moment = {readonly nowMs: number; readonly wallMs: number};
 
+/** Differs between two moments if the machine was suspended, or its time of day set, between them. */
+const wallOffsetOf = ({nowMs, wallMs}: Moment): number => wallMs - nowMs;
+
 export type TermKeeperOptions = {
 	readonly processId: string;
 	readonly table: TableService;
@@ -338,11 +341,16 @@
 		this.#confirmingToken = fencingToken;
 		let isKnown = false;
 		while (!isKnown && this.#state.term?.fencingToken === fencingToken) {
+			const sentOffsetMs = wallOffsetOf(this.#now());
 			try {
 				// The age of the operators' rows does not show the time for which the machine was suspended.
 				const [[row]] = await Promise.all([this.#options.table.readRows([fenceKey(schedulerLease)]), this.#options.refreshOrders()]);
-				this.#options.dispatch({type: row?.version === fencingToken ? 'leaseConfirmed' : 'leaseLost', fencingToken, ...this.#now()});
-				isKnown = true;
+				// An answer from before another suspension of the machine says nothing of the time since.
+				const isPresent = Math.abs(wallOffsetOf(this.#now()) - sentOffsetMs) <= suspensionThresholdMs;
+				if (isPresent || row?.version !== fencingToken) {
+					this.#options.dispatch({type: row?.version === fencingToken ? 'leaseConfirmed' : 'leaseLost', fencingToken, ...this.#now()});
+					isKnown = true;
+				}
 			} catch (error) {
 				this.#options.log.warn({event: 'fence_not_confirmed', reason: failureReason(this.#options.log, 'confirm fence', error)});
 				await this.#pause(storeRetryDelayMs);
