The simulation also sees a start before an end is acknowledged

The simulated workers told of a task that was started again after its end had been acknowledged, but not of one that was started between the two, which the users count as well once the end is acknowledged, unless the worker's lease was over meanwhile.

Now an end that is acknowledged is compared with the last start of its task.

--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -85,7 +85,9 @@
 	/** Speed of the worker's clock. */
 	clockRate = 1;
 	readonly runs = new Map<string, WorkerRun>();
-	#finished: FinishedEntry[] = [];
+	#finished: Array<FinishedEntry & {readonly endedAtMs: number}> = [];
+	/** When the worker's lease was last over. */
+	#lapsedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #highestAttempt = new Map<string, number>();
 	#sequence = 0;
 	#fence = 0;
@@ -106,6 +108,7 @@
 	/** Advances time: runs end, leases expire. */
 	advance(passedMs: number): void {
 		const nowMs = this.#fleet.clock.nowMs();
+		this.#lapsedAtMs = this.#clockMs >= this.#deadlineClockMs ? nowMs : this.#lapsedAtMs;
 		for (const run of this.runs.values()) {
 			const crashesAfterMs = this.#fleet.behaviour.crashesAfterMs?.(run.taskKey);
 			if (crashesAfterMs !== undefined && nowMs - run.startedAtMs >= crashesAfterMs) {
@@ -213,7 +216,7 @@
 		}
 
 		for (const entry of this.#finished.filter(({sequence}) => sequence <= order.acknowledgedSequence)) {
-			this.#fleet.recordAcknowledged(entry);
+			this.#fleet.recordAcknowledged(entry, entry.endedAtMs, this.#lapsedAtMs > entry.endedAtMs);
 		}
 
 		this.#finished = this.#finished.filter(({sequence}) => sequence > order.acknowledgedSequence);
@@ -224,7 +227,7 @@
 				running: [...this.runs.values()].map(run => ({
 					taskKey: run.taskKey, attempt: run.attempt, checkpoint: '', percent: this.#percentOf(run), figure: this.responseMs(run),
 				})),
-				finished: this.#finished.slice(0, maxListedEnds),
+				finished: this.#finished.slice(0, maxListedEnds).map(({endedAtMs: _endedAtMs, ...entry}) => entry),
 			},
 		};
 	}
@@ -287,7 +290,7 @@
 		this.#highestAttempt.set(run.taskKey, Math.max(run.attempt, this.#highestAttempt.get(run.taskKey) ?? 0));
 		this.#sequence++;
 		this.#finished.push({
-			sequence: this.#sequence, taskKey: run.taskKey, attempt: run.attempt, end, checkpoint,
+			sequence: this.#sequence, taskKey: run.taskKey, attempt: run.attempt, end, checkpoint, endedAtMs: this.#fleet.clock.nowMs(),
 		});
 		this.#fleet.recordEnd(run, end);
 	}
@@ -319,6 +322,7 @@
 	readonly #done = new Set<string>();
 	/** Keys of tasks whose successful end was acknowledged. */
 	readonly #acknowledgedDone = new Set<string>();
+	readonly #lastStartAtMs = new Map<string, number>();
 	readonly #failures = new Map<string, number>();
 	/** When a task was last lost with a worker that a task crashed. */
 	readonly #lostAtMs = new Map<string, number>();
@@ -369,6 +373,7 @@
 			this.#recordViolation(`capacity: ${taskKey} on ${worker.entry.workerId}`);
 		}
 
+		this.#lastStartAtMs.set(taskKey, this.clock.nowMs());
 		if (this.runsOf(taskKey) > 0) {
 			this.#recordViolation(`single run: ${taskKey} is already running`);
 		}
@@ -435,9 +440,13 @@
 		this.#recordViolation(`response time: ${taskKey} misses its target because of filling tasks on its worker`);
 	}
 
-	recordAcknowledged({taskKey, end}: FinishedEntry): void {
+	/** An end that is acknowledged counts for the starts between the two as well, unless the worker's lease was over meanwhile. */
+	recordAcknowledged({taskKey, end}: FinishedEntry, endedAtMs: number, hasLapsed: boolean): void {
 		if (end === 'done') {
 			this.#acknowledgedDone.add(taskKey);
+			if (!hasLapsed && (this.#lastStartAtMs.get(taskKey) ?? 0) > endedAtMs) {
+				this.#recordViolation(`single run: ${taskKey} was started again before its end was acknowledged`);
+			}
 		}
 	}
 
