--- a/packages/scheduler/tests/ended-workers.test.ts
+++ b/packages/scheduler/tests/ended-workers.test.ts
@@ -10,7 +10,7 @@
 } from '../src/index.js';
 import {WorkerPoller} from '../src/shell/worker-poller.js';
 import {type EventBody} from './support/event-body.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {configurationWithoutStandby, pool} from './support/scheduler-simulation.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
@@ -112,7 +112,7 @@
 /** Another process holds the lease for a while. It has the task run on w1, and stores nothing. */
 const loseLeaseForAWhile = (): void => {
 	dispatch({type: 'leaseLost', fencingToken: 5});
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]});
 	ends.set('w1', [{
 		sequence: 1, taskKey, attempt: 7001, end: 'done', checkpoint: '',
 	}]);
--- a/packages/scheduler/tests/slow-saves.test.ts
+++ b/packages/scheduler/tests/slow-saves.test.ts
@@ -6,7 +6,7 @@
 	type FinishedEntry, reduceScheduler, type SchedulerEffect, SchedulerState,
 } from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
-import {jobOf, stepOf} from './support/jobs.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {configurationWithoutStandby, pool} from './support/scheduler-simulation.js';
 
 const fencingToken = 5;
@@ -48,7 +48,7 @@
 		}],
 	});
 	dispatch({type: 'leaseWon', fencingToken});
-	dispatch({type: 'jobsChanged', changes: [{type: 'accepted', job, rowKey: job.jobId}]});
+	dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]});
 });
 
 test('an end is acknowledged with the save that stores it, although others end on its worker while each save is under way', () => {
