--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -13,7 +13,7 @@
 	addResources, fitsInto, multiplyResources, noResources, staysWithin,
 } from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
-import {canStartJob, logEarlyStart} from './takeover.js';
+import {canStartJob, logEarlyStarts} from './takeover.js';
 import {
 	canPlanTrials, canStartTrial, endFinishedTrials, findTrial, freeTrialWorkers, planTrial, planTrials, skipAttempt, type TrialPlan, type WaitingSuspect,
 } from './trials.js';
@@ -312,6 +312,7 @@
 	const queuedSteps = state.order.sort(state, nowMs);
 	planPoolTrials(state, queuedSteps, usable, nowMs);
 	startReadyTrials(state, nowMs);
+	const started: StepInstance[] = [];
 	for (const queued of queuedSteps) {
 		if (!canStartJob(state, queued.step.job)) {
 			continue;
@@ -324,9 +325,7 @@
 			: startIndividualTasks(state, queued, pool, nowMs);
 		if (state.startCount > startsBefore) {
 			state.order.recordStarts(queued, state.startCount - startsBefore);
-			if (!state.isSettled) {
-				logEarlyStart(state, queued.step, state.startCount - startsBefore);
-			}
+			started.push(queued.step);
 		}
 
 		if (unplaced > 0) {
@@ -339,5 +338,6 @@
 		}
 	}
 
+	logEarlyStarts(state, started);
 	return shortages;
 };
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -59,14 +59,15 @@
 	}
 };
 
-/** Logs why tasks of a job start although a worker of an earlier holder may not have reported yet. */
-export const logEarlyStart = (state: SchedulerState, {job, occurrence, stepIndex}: StepInstance, startCount: number): void => {
-	const {spec: {jobId}, storedVersion} = job;
-	state.emit({
-		type: 'log', fields: {
-			event: 'started_before_settled', stepKey: `${jobId}.${occurrence}.${stepIndex}`, count: startCount, reason: 'job is new', storedVersion, newJobsAfterRevision: state.newJobsAfterRevision,
-		},
-	});
+/** Logs the steps of which a round has started tasks although a worker of an earlier holder may not have reported yet, with the versions that say why their jobs are new. */
+export const logEarlyStarts = (state: SchedulerState, steps: readonly StepInstance[]): void => {
+	if (steps.length > 0 && !state.isSettled) {
+		state.emit({
+			type: 'log', fields: {
+				event: 'started_before_settled', steps: steps.slice(0, maxLoggedRuns).map(({job, occurrence, stepIndex}) => `${job.spec.jobId}.${occurrence}.${stepIndex}@${job.storedVersion}`).join(','), count: steps.length, newJobsAfterRevision: state.newJobsAfterRevision,
+			},
+		});
+	}
 };
 
 /** Logs that a task had ended done in an earlier attempt when it was started again. */
