A term does not begin on reads from before a suspension of the machine

Callers would see little: workers that have heard the next holder refuse the orders. A machine could be ordered by two holders (ONE), and the copies are those of the time before.

A process that had won the lease, and whose machine was suspended before its copies were up to date, began its term when the answers came, although another process had long taken over: a suspension was only looked for within a term, and its monotonic clock still called the lease trusted. The same happened if the answer to the acquisition itself was on its way.

Now a process whose two clocks have diverged since it sent the call that confirmed its lease, or while its copies were refreshed, reads the fence before it begins, and refreshes the copies again. That is one more call, after a suspension or a step of the clock only.

--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -88,6 +88,8 @@
 	#withoutTermSinceMs: number | undefined;
 	/** Difference between the wall clock and the monotonic clock at the last check. */
 	#wallOffsetMs: number | undefined;
+	/** When a suspension of the machine, or a step of its clock, was last noticed. */
+	#clockJumpedAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: TermKeeperOptions) {
 		const {processId, table, isSuccessor, outage, failureDetection, clock, log, metrics} = options;
@@ -298,12 +300,13 @@
 	#suspendIfLeaseUncertain({nowMs, wallMs}: Moment): void {
 		const gapMs = wallMs - nowMs - (this.#wallOffsetMs ?? (wallMs - nowMs));
 		this.#wallOffsetMs = wallMs - nowMs;
+		const hasClockJumped = Math.abs(gapMs) > suspensionThresholdMs;
+		this.#clockJumpedAtMs = hasClockJumped ? nowMs : this.#clockJumpedAtMs;
 		const {term, isSuspended} = this.#state;
 		if (term === undefined) {
 			return;
 		}
 
-		const hasClockJumped = Math.abs(gapMs) > suspensionThresholdMs;
 		if (hasClockJumped) {
 			this.#continuation.invalidate();
 		}
@@ -403,17 +406,38 @@
 		void this.#beginTerm(lease);
 	}
 
+	/** Returns true if the machine was suspended after the last call that confirmed the lease was sent. */
+	#isFromBeforeSuspension(): boolean {
+		const now = this.#now();
+		const confirmedAtMs = this.#leases.unconfirmedLease(schedulerLease)?.confirmedAtMs ?? now.nowMs;
+		const isUnnoticed = Math.abs(wallOffsetOf(now) - (this.#wallOffsetMs ?? wallOffsetOf(now))) > suspensionThresholdMs;
+		return isUnnoticed || this.#clockJumpedAtMs >= confirmedAtMs;
+	}
+
 	/** Begins the term once the replicas hold everything that the earlier lease holder stored, since orders rely on it, and all operators' rows, since an evacuation may have been ordered of which only the earlier holder knew. */
 	async #beginTerm(lease: HeldLease): Promise<void> {
 		const {fence} = lease;
 		this.#beginningToken = fence.version;
+		let wasSuspended = this.#isFromBeforeSuspension();
 		while (this.#fence?.version === fence.version) {
+			const sentOffsetMs = wallOffsetOf(this.#now());
 			try {
+				const [row] = wasSuspended ? await this.#options.table.readRows([fenceKey(schedulerLease)]) : [];
+				if (wasSuspended && row?.version !== fence.version) {
+					break;
+				}
+
 				await this.#options.refreshCopies();
 				if (this.#fence?.version !== fence.version) {
 					break;
 				}
 
+				// If the machine was suspended meanwhile, the lease may have passed on, and the copies be from before.
+				wasSuspended = Math.abs(wallOffsetOf(this.#now()) - sentOffsetMs) > suspensionThresholdMs;
+				if (wasSuspended) {
+					continue;
+				}
+
 				this.#continuation.confirm();
 				this.#options.dispatch({
 					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
--- a/packages/scheduler/tests/repeated-pauses.test.ts
+++ b/packages/scheduler/tests/repeated-pauses.test.ts
@@ -1,5 +1,5 @@
 /**
-A holder that stands still again while it confirms its lease after a first pause. Guards against orders of a holder that was replaced long ago (ONE, TWICE), on the strength of a read from before the second pause.
+A process that stands still while it confirms its lease after a first pause, or while it begins its term. Guards against orders of a holder that was replaced long ago (ONE, TWICE), on the strength of reads from before the pause.
 */
 import {
 	afterEach, beforeEach, expect, test,
@@ -44,3 +44,33 @@
 		expect(term?.fencingToken === fencingToken && !isSuspended, `${elapsedMs} ms`).toBe(false);
 	}
 });
+
+test.each([100, 500, 1000])('a process whose machine is suspended %i ms after it has won the lease, before its term begins, begins none under a lease that has passed on', async afterMs => {
+	simulation.kill(simulation.holder!);
+	const [, next] = simulation.processes;
+	next!.table.latencyMs = latencyMs;
+	const readToken = async (): Promise<number | undefined> => (await simulation.table.readRows([fenceKey('scheduler')]))[0]?.version;
+	const formerToken = await readToken();
+	for (const {table} of simulation.processes.slice(2)) {
+		table.isDown = true;
+	}
+
+	while (await readToken() === formerToken) {
+		await simulation.run(5);
+	}
+
+	const fencingToken = (await readToken())!;
+	await simulation.run(afterMs);
+	expect(next!.scheduler.state.term).toBeUndefined();
+	for (const {table} of simulation.processes.slice(2)) {
+		table.isDown = false;
+	}
+
+	next!.clock.freeze(20_000);
+	await simulation.run(19_990);
+	expect(await readToken()).toBeGreaterThan(fencingToken);
+	for (let elapsedMs = 0; elapsedMs < 5000; elapsedMs += 5) {
+		await simulation.run(5);
+		expect(next!.scheduler.state.term?.fencingToken, `${elapsedMs} ms`).not.toBe(fencingToken);
+	}
+});
--- a/packages/state/tests/replicas/overlapping-reads.test.ts
+++ b/packages/state/tests/replicas/overlapping-reads.test.ts
@@ -2,9 +2,7 @@
 Reads of a replica that overlap, over a table that answers its calls in any order, fails some of them, cuts its answers and drops its history. Guards against a row that is lost for good, one that comes back, and a copy that counts as whole without being so (TWICE).
 */
 import {expect, test} from 'vitest';
-import {
-	type Clock, SeededRandom, VirtualClock,
-} from '@poplarnotch/common';
+import {type Clock, SeededRandom, VirtualClock} from '@poplarnotch/common';
 import {
 	type ChangePage, HistoryLostError, type Row, type RowChange, type RowListing, UnavailableError, type WatchableTable,
 } from '@poplarnotch/platform';
