A suspended holder whose machine is suspended confirms its lease as well

A holder that is no longer sure of its lease goes on as soon as a renewal confirms it. If the machine was suspended while the answer to the renewal was on its way, the holder went on with it, although it had been replaced: the suspension of the machine led to a read of the fence only in a term that was not suspended already.

Now a suspension of the machine always leads to a read of the fence.

--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -309,6 +309,10 @@
 
 		if (hasClockJumped) {
 			this.#continuation.invalidate();
+			if (isSuspended && !this.#isConfirming(term.fencingToken)) {
+				// A renewal that was sent before would make the lease seem trusted.
+				void this.#confirmFence(term.fencingToken);
+			}
 		}
 
 		const lease = this.#leases.heldLease(schedulerLease) ?? this.#continueLease(term.fencingToken);
--- a/packages/scheduler/tests/repeated-pauses.test.ts
+++ b/packages/scheduler/tests/repeated-pauses.test.ts
@@ -74,3 +74,25 @@
 		expect(next!.scheduler.state.term?.fencingToken, `${elapsedMs} ms`).not.toBe(fencingToken);
 	}
 });
+
+test.each([150, 200, 250, 300, 350, 400, 450, 500])('a holder that is not sure of its lease, and whose machine is suspended %i ms after its store answers again, goes on only after another read', async afterMs => {
+	const former = simulation.holder!;
+	const {fencingToken} = former.scheduler.state.term!;
+	former.table.isDown = true;
+	while (!former.scheduler.state.isSuspended) {
+		await simulation.run(5);
+	}
+
+	former.table.isDown = false;
+	former.table.latencyMs = latencyMs / 2;
+	await simulation.run(afterMs);
+	former.clock.freeze(20_000);
+	await simulation.run(19_990);
+	const [lease] = await simulation.table.readRows([fenceKey('scheduler')]);
+	expect(lease!.version).toBeGreaterThan(fencingToken);
+	for (let elapsedMs = 0; elapsedMs < 5000; elapsedMs += 5) {
+		await simulation.run(5);
+		const {term, isSuspended} = former.scheduler.state;
+		expect(term?.fencingToken === fencingToken && !isSuspended, `${elapsedMs} ms`).toBe(false);
+	}
+});
