--- a/packages/state/tests/replicas/overlapping-reads.test.ts
+++ b/packages/state/tests/replicas/overlapping-reads.test.ts
@@ -2,9 +2,7 @@
 Reads of a replica that overlap, over a table that answers its calls in any order, fails some of them, cuts its answers and drops its history. Guards against a row that is lost for good, one that comes back, and a copy that counts as whole without being so (TWICE).
 */
 import {expect, test} from 'vitest';
-import {
-	type Clock, SeededRandom, VirtualClock,
-} from '@poplarnotch/common';
+import {type Clock, SeededRandom, VirtualClock} from '@poplarnotch/common';
 import {
 	type ChangePage, HistoryLostError, type Row, type RowChange, type RowListing, UnavailableError, type WatchableTable,
 } from '@poplarnotch/platform';
@@ -19,6 +17,9 @@
 type Snapshot = {readonly atMs: number; readonly version: number; readonly versions: ReadonlyMap<string, number>};
 
 class BusyTable {
+	readonly snapshots: Snapshot[] = [];
+	readonly deletedVersions = new Map<string, number>();
+	isFailing = true;
 	readonly #clock: Clock;
 	readonly #random: SeededRandom;
 	readonly #rows = new Map<string, Row>();
@@ -26,9 +27,6 @@
 	#version = 0;
 	#keptFrom = 0;
 	readonly #maxChanges: number;
-	readonly snapshots: Snapshot[] = [];
-	readonly deletedVersions = new Map<string, number>();
-	isFailing = true;
 
 	constructor(clock: Clock, random: SeededRandom, maxChanges: number) {
 		this.#clock = clock;
@@ -219,7 +217,7 @@
 	await Promise.all(readers);
 	await Promise.all([refresh(), advanceVirtualTime(clock, 4000, stepMs)]);
 	replica.stop();
-	expect([...copy].toSorted(), `seed ${seed}`).toEqual([...table.snapshots.at(-1)!.versions].toSorted());
+	expect(Object.fromEntries(copy), `seed ${seed}`).toEqual(Object.fromEntries(table.snapshots.at(-1)!.versions));
 	expect(refreshes).toBeGreaterThan(10);
 	expect(failures).toBeGreaterThan(0);
 };
