Order a machine away only once all that has ended on it is stored

What callers saw: a task that had ended done was run again by the next holder, on another worker (TWICE).

Cause: a machine counted as idle once the ends of its last runs were read. An order for it ends its worker, whose list was the only other record of these ends; until the next save, 40 ms later or more, the holder's memory is the last one. A holder of which nothing is stored for longer loses every end of each machine that it moves or has maintained.

A machine now counts as idle only if its worker has no end whose progress is not stored, and no further ones that a full report left out.

--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -363,7 +363,10 @@
 	return dataCentre !== undefined && state.evacuations.has(dataCentre);
 };
 
-/** Returns true if nothing runs on the machine and no start order can be in flight to it. */
+/** Returns true if the worker lists ends, or may list further ones, whose progress is not stored. An order for its machine would end the worker, and the next lease holder would start their tasks again. */
+const hasUnstoredEnds = ({processedSequence, acknowledgedSequence, mayLackEnds}: WorkerRecord): boolean => mayLackEnds || acknowledgedSequence < processedSequence;
+
+/** Returns true if nothing runs on the machine, no start order can be in flight to it, and all that has ended on it is stored. */
 export const isIdle = (state: SchedulerState, machine: MachineRecord, nowMs: number): boolean => {
 	if (isStandby(state, machine)) {
 		return true;
@@ -375,7 +378,7 @@
 	}
 
 	const isCertain = worker.isFenced && (worker.silentSinceMs === undefined || nowMs >= worker.leaseExpiresAtMs);
-	return isCertain && worker.runs.size === 0 && worker.expectedRuns.size === 0 && worker.trial === undefined;
+	return isCertain && !hasUnstoredEnds(worker) && worker.runs.size === 0 && worker.expectedRuns.size === 0 && worker.trial === undefined;
 };
 
 /** Returns true if the machine could serve in a pool: it is switched off, or its worker answers polls. */
