Soak: short processor time, lapsed registrations, a holder lost as a job ends

- Before a start is recorded, runs elsewhere whose lease or time is over are ended.
The timer that ended them is late where processor time is short, and TWICE would have shown two runs where the first one's lease had lapsed.
- Each trouble draws from a sequence of its own, so that what it draws doesn't shift the kinds of those that follow.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -7,6 +7,7 @@
 import {join} from 'node:path';
 import process from 'node:process';
 import {type LifecycleManager, listenOn, type RandomSource} from '@poplarnotch/common';
+import {BusyProcesses} from './busy-processes.js';
 import {Daemon, SoakError} from './daemons.js';
 import {Ledger} from './ledger.js';
 import {Machines} from './machines.js';
@@ -31,6 +32,7 @@
 	readonly record = new Record();
 	readonly ledger = new Ledger();
 	readonly store: Store;
+	readonly busyProcesses: BusyProcesses;
 	readonly daemons: Daemon[] = [];
 	readonly #options: DeploymentOptions;
 	readonly #lifecycle: LifecycleManager;
@@ -40,6 +42,7 @@
 		this.#options = options;
 		this.#lifecycle = lifecycle;
 		this.store = new Store(random, options.feedCut);
+		this.busyProcesses = new BusyProcesses(lifecycle);
 		lifecycle.own('store', () => {
 			this.store.close();
 		});
@@ -49,14 +52,9 @@
 		return this.#machines!;
 	}
 
-	/** The highest fencing token that a worker has seen. */
-	get fence(): number {
-		return Math.max(...this.machines.workers.map(({fence}) => fence));
-	}
-
 	/** The daemon that gives the orders: the one whose lease has the highest fencing token. */
 	get holder(): Daemon | undefined {
-		return this.daemonOfFence(this.fence);
+		return this.daemonOfFence(this.machines.fence);
 	}
 
 	daemonOfFence(fence: number): Daemon | undefined {
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -1,6 +1,7 @@
 /**
 What the soak's own clients and workers have seen: jobs with their answers, and the runs of tasks. The checks judge by nothing else.
 */
+import {WakeUp} from './wake-up.js';
 
 /** A step of a job, as it is sent. Fields are named by the users' page. */
 export type Step = {
@@ -96,6 +97,8 @@
 
 export class Ledger {
 	readonly jobs = new Map<string, Job>();
+	/** Woken when the last task of an accepted job has ended done. */
+	readonly jobEnds = new WakeUp();
 	readonly runsByTask = new Map<string, Run[]>();
 	readonly looks: Look[] = [];
 	/** Answers that no client of a valid queue with a valid key may get. */
@@ -133,6 +136,14 @@
 		return this.runsOf(task).some(({how, endedAtMs}) => how === 'done' && endedAtMs! <= atMs);
 	}
 
+	/** A run of the task has ended done. */
+	noteDone(task: string, atMs: number): void {
+		const job = this.jobs.get(parseTask(task).id);
+		if (job?.acceptedAtMs !== undefined && this.tasksOf(job).every(each => this.isDoneBy(each, atMs))) {
+			this.jobEnds.notify();
+		}
+	}
+
 	failedRuns(task: string): number {
 		return this.runsOf(task).filter(({how}) => how === 'failed').length;
 	}
--- a/soak/machines.ts
+++ b/soak/machines.ts
@@ -15,10 +15,13 @@
 	readonly #timers: NodeJS.Timeout[] = [];
 	#server: JsonServer | undefined;
 
-	constructor(count: number, options: Omit<WorkerOptions, 'id' | 'zone' | 'rack'>) {
+	constructor(count: number, options: Omit<WorkerOptions, 'id' | 'zone' | 'rack' | 'beforeStart'>) {
 		this.#ip = options.ip;
 		this.workers = Array.from({length: count}, (_value, index) => new Worker({
-			...options, id: `w-m${100 + index}`, zone: zones[index % zones.length]!, rack: `r${index % racks}`,
+			...options, id: `w-m${100 + index}`, zone: zones[index % zones.length]!, rack: `r${index % racks}`, beforeStart: () => {
+				// Where processor time is short, the timer may not have ended a run elsewhere whose lease has lapsed.
+				this.#advance();
+			},
 		}));
 	}
 
@@ -26,6 +29,11 @@
 		return this.#server!.address;
 	}
 
+	/** The highest fencing token that a worker has seen. */
+	get fence(): number {
+		return Math.max(...this.workers.map(({fence}) => fence));
+	}
+
 	async start(): Promise<void> {
 		this.#server = await JsonServer.listen(this.#ip, 0, ({method, path}) =>
 			`${method} ${path}` === 'GET /machines' ? {status: 200, body: {machines: this.workers.map(worker => this.#describe(worker))}} : {status: 400, body: {}});
@@ -34,9 +42,7 @@
 		}
 
 		this.#timers.push(setInterval(() => {
-			for (const worker of this.workers.filter(({isUp}) => isUp)) {
-				worker.advance();
-			}
+			this.#advance();
 		}, tickMs), setInterval(() => {
 			for (const worker of this.workers) {
 				worker.register();
@@ -55,6 +61,12 @@
 		}
 	}
 
+	#advance(): void {
+		for (const worker of this.workers.filter(({isUp}) => isUp)) {
+			worker.advance();
+		}
+	}
+
 	#describe({id, zone, labels, isUp}: Worker): Readonly<Record<string, unknown>> {
 		return {
 			machine: id.slice('w-'.length), pool: queue.name, state: isUp ? 'up' : 'down', zone, labels, capacity: workerCapacity, ...(isUp ? {id} : {}),
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -2,7 +2,7 @@
 Troubles: each kind disturbs daemons, the store or workers for a while. They are drawn from a seed and overlap.
 */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type RandomSource} from '@poplarnotch/common';
+import {type RandomSource, SeededRandom} from '@poplarnotch/common';
 import {type Daemon} from './daemons.js';
 import {type Deployment} from './deployment.js';
 import {bounds, zones} from './settings.js';
@@ -16,13 +16,13 @@
 	/** When all that it disturbed was back, or infinity. */
 	toMs: number;
 	readonly daemons: ReadonlySet<string> | 'all';
-	readonly workers: ReadonlySet<string>;
+	readonly workers: ReadonlySet<string> | 'all';
 };
 
 /** What begins is undone by `end`. */
 type Begun = {
 	readonly daemons?: readonly Daemon[] | 'all';
-	readonly workers?: readonly Worker[];
+	readonly workers?: readonly Worker[] | 'all';
 	readonly end: () => void | Promise<void>;
 };
 
@@ -32,13 +32,18 @@
 	readonly random: RandomSource;
 };
 
-type Begin = (field: Field) => Begun;
+/** Returns `undefined` if there is no holder to disturb any more. */
+type Begin = (field: Field) => Begun | undefined | Promise<Begun | undefined>;
 
+const maxSeed = 2 ** 31;
 const minPauseMs = 500;
 const maxPauseMs = 4000;
 const minDurationMs = 800;
 const maxDurationMs = 5000;
 
+/** Longest durations of the kinds that have one of their own. */
+const maxDurationsMs: Readonly<Record<string, number>> = {lapse: 12_000};
+
 /** Processes that are stopped together with the holder: those that would follow it. */
 const successors = 3;
 const disturbedWorkersShare = 0.15;
@@ -46,6 +51,13 @@
 const lateStoreShare = 0.35;
 const limitedRatesFactor = 0.05;
 const maxLateStartMs = 1500;
+const lapsedWorkersShare = 0.3;
+const minBusyProcesses = 8;
+const maxBusyProcesses = 24;
+
+/** Time for which the end of a job is waited for, and time after it within which the holder is lost. */
+const maxJobWaitMs = 2000;
+const maxAfterJobMs = 60;
 
 /** Applies a change at once and takes it back at the end. */
 const change = (apply: (isOn: boolean) => void, scope: Omit<Begun, 'end'>): Begun => {
@@ -57,6 +69,13 @@
 	};
 };
 
+/** What has begun ends by itself. */
+const waitFor = (work: Promise<unknown>, scope: Omit<Begun, 'end'>): Begun => ({
+	...scope, async end() {
+		await work;
+	},
+});
+
 const pause = (daemons: readonly Daemon[]): Begun => change(isOn => {
 	for (const daemon of daemons) {
 		daemon.isDisturbed = isOn;
@@ -77,6 +96,11 @@
 	};
 };
 
+const kill = (daemon: Daemon): Begun => {
+	daemon.signal('SIGKILL');
+	return restart(daemon, Promise.resolve());
+};
+
 const refuse = ({store: {refusals}}: Deployment, refusal: Refusal, disturbed: readonly Daemon[], daemons: Begun['daemons'] = disturbed): Begun => change(isOn => {
 	for (const {name} of disturbed) {
 		if (isOn) {
@@ -87,7 +111,7 @@
 	}
 }, {daemons});
 
-const pickWorkers = ({deployment, random}: Field): readonly Worker[] => deployment.machines.workers.filter(() => random.next() < disturbedWorkersShare);
+const pickWorkers = ({deployment, random}: Field, share = disturbedWorkersShare): readonly Worker[] => deployment.machines.workers.filter(() => random.next() < share);
 
 const changeWorkers = (workers: readonly Worker[], apply: (worker: Worker, isOn: boolean) => void, daemons: readonly Daemon[] = []): Begun => change(isOn => {
 	for (const worker of workers) {
@@ -95,6 +119,16 @@
 	}
 }, {workers, daemons});
 
+/** The ways in which the holder is lost at the end of a job: killed, stopped, cut off from the store, or from the answers of all workers. */
+const losses: ReadonlyArray<(deployment: Deployment, holder: Daemon) => Begun> = [
+	(_deployment, holder) => kill(holder),
+	(_deployment, holder) => pause([holder]),
+	(deployment, holder) => refuse(deployment, 'silent', [holder]),
+	({machines: {fence, workers}}, holder) => changeWorkers(workers, (worker, isOn) => {
+		worker.muteUpToFence = isOn ? fence : 0;
+	}, [holder]),
+];
+
 export const troubleKinds: Readonly<Record<string, Begin>> = {
 	/** The holder and those that would follow it are stopped together. */
 	race({deployment, holder}) {
@@ -102,10 +136,7 @@
 		return pause([holder, ...next.slice(0, successors)]);
 	},
 	stop: ({holder}) => pause([holder]),
-	kill({holder}) {
-		holder.signal('SIGKILL');
-		return restart(holder, Promise.resolve());
-	},
+	kill: ({holder}) => kill(holder),
 	term: ({holder}) => restart(holder, holder.terminate()),
 	storecut: ({deployment, holder}) => refuse(deployment, 'silent', [holder]),
 	storelost: ({deployment, holder}) => refuse(deployment, 'lost', [holder]),
@@ -135,7 +166,8 @@
 		});
 	},
 	/** The holder is cut off from the workers of one zone, in one direction or both; a later holder is not. */
-	workercut({deployment: {fence, machines}, holder, random}) {
+	workercut({deployment: {machines}, holder, random}) {
+		const {fence} = machines;
 		const zone = zones[Math.floor(random.next() * zones.length)];
 		const direction = random.next() < 0.5 ? 'muteUpToFence' : 'deafUpToFence';
 		return changeWorkers(machines.workers.filter(worker => worker.zone === zone), (worker, isOn) => {
@@ -145,14 +177,48 @@
 	/** Workers crash and start again under their ids and addresses. */
 	restart(field) {
 		const workers = pickWorkers(field).filter(({isUp}) => isUp);
-		const back = workers.map(async worker => worker.restart(field.random.next() * bounds.contact_ms));
+		return waitFor(Promise.all(workers.map(async worker => worker.restart(field.random.next() * bounds.contact_ms))), {workers});
+	},
+	/** Registrations of workers that run on and answer are removed; half of the time the holder is lost as well. */
+	lapse(field) {
+		const {holder, random} = field;
+		const hasLoss = random.next() < 0.5;
+		const lose = random.next() < 0.5 ? kill : (daemon: Daemon) => pause([daemon]);
+		const workers = pickWorkers(field, lapsedWorkersShare);
+		const lapsed = changeWorkers(workers, (worker, isOn) => {
+			worker.isUnregistered = isOn;
+			if (isOn) {
+				worker.unregister();
+			} else {
+				worker.register();
+			}
+		});
+		const loss = hasLoss ? lose(holder) : undefined;
 		return {
-			workers,
+			daemons: loss?.daemons ?? [], workers,
 			async end() {
-				await Promise.all(back);
+				await Promise.all([lapsed.end(), loss?.end()]);
 			},
 		};
 	},
+	/** Processor time is short on all hosts together. */
+	starve({deployment: {busyProcesses}, random}) {
+		const busy = busyProcesses.start(minBusyProcesses + Math.floor(random.next() * (maxBusyProcesses - minBusyProcesses + 1)));
+		return {
+			daemons: 'all', workers: 'all',
+			end() {
+				busyProcesses.end(busy);
+			},
+		};
+	},
+	/** The holder is lost just after the last task of a job has ended. */
+	async jobend({deployment, random}) {
+		const lose = losses[Math.floor(random.next() * losses.length)]!;
+		await deployment.ledger.jobEnds.wait(maxJobWaitMs);
+		await sleep(random.next() * maxAfterJobMs);
+		const {holder} = deployment;
+		return holder === undefined || holder.isDisturbed ? undefined : lose(deployment, holder);
+	},
 };
 
 export class Troubles {
@@ -180,7 +246,7 @@
 
 	/** Whether nothing disturbed the worker in the span and for `contact_ms` before it. */
 	isSoundWorker(worker: string, fromMs: number, toMs: number): boolean {
-		return !this.#near(fromMs, toMs).some(({workers}) => workers.has(worker));
+		return !this.#near(fromMs, toMs).some(({workers}) => workers === 'all' || workers.has(worker));
 	}
 
 	/** Whether there was no trouble at all in the span and for `contact_ms` before it. */
@@ -196,26 +262,35 @@
 		for (;;) {
 			await sleep(minPauseMs + (this.#random.next() * (maxPauseMs - minPauseMs)));
 			const kind = kinds[Math.floor(this.#random.next() * kinds.length)];
-			const durationMs = minDurationMs + (this.#random.next() * (maxDurationMs - minDurationMs));
+			const durationMs = minDurationMs + (this.#random.next() * ((maxDurationsMs[kind ?? ''] ?? maxDurationMs) - minDurationMs));
+			// How much a trouble draws depends on the workers that are there, so it has a sequence of its own.
+			const random = new SeededRandom(Math.floor(this.#random.next() * maxSeed));
 			if (performance.now() >= untilMs || kind === undefined) {
 				return;
 			}
 
 			const {holder} = this.#deployment;
 			if (holder !== undefined && !holder.isDisturbed) {
-				this.#pending.push(this.#playOne(kind, holder, durationMs));
+				this.#pending.push(this.#playOne(kind, {deployment: this.#deployment, holder, random}, durationMs));
 			}
 		}
 	}
 
-	async #playOne(kind: string, holder: Daemon, durationMs: number): Promise<void> {
+	async #playOne(kind: string, field: Field, durationMs: number): Promise<void> {
 		const {record} = this.#deployment;
-		const {daemons = [], workers = [], end} = troubleKinds[kind]!({deployment: this.#deployment, holder, random: this.#random});
+		const begun = await troubleKinds[kind]!(field);
+		if (begun === undefined) {
+			record.add(`TROUBLE ${kind} is not played: the holder is disturbed`);
+			return;
+		}
+
+		const {daemons = [], workers = [], end} = begun;
 		const trouble: Trouble = {
-			kind, fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY, daemons: daemons === 'all' ? daemons : new Set(daemons.map(({name}) => name)), workers: new Set(workers.map(({id}) => id)),
+			kind, fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY,
+			daemons: daemons === 'all' ? daemons : new Set(daemons.map(({name}) => name)), workers: workers === 'all' ? workers : new Set(workers.map(({id}) => id)),
 		};
 		this.played.push(trouble);
-		record.add(`TROUBLE ${kind} begins, holder ${holder.name}, for ${Math.round(durationMs)} ms`);
+		record.add(`TROUBLE ${kind} begins, holder ${this.#deployment.holder?.name}, for ${Math.round(durationMs)} ms`);
 		await sleep(durationMs);
 		await end();
 		trouble.toMs = performance.now();
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -67,9 +67,13 @@
 	readonly rows: RowStore;
 	readonly ledger: Ledger;
 	readonly record: Record;
+	/** Called before a start is carried out. */
+	readonly beforeStart: () => void;
 };
 
 export class Worker {
+	/** While set, the worker does not register itself. */
+	isUnregistered = false;
 	/** While set, no call reaches the worker, and it runs on. */
 	isSilent = false;
 	/** Orders with this fencing token or a lower one are carried out, and their answers are lost. */
@@ -143,7 +147,7 @@
 	}
 
 	register(): void {
-		if (this.#isUp) {
+		if (this.#isUp && !this.isUnregistered) {
 			this.#incarnation.registrations++;
 			this.#options.rows.put('servers', this.id, {
 				service: queue.name, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, state: 'ready', cold_left_ms: 0,
@@ -152,6 +156,10 @@
 		}
 	}
 
+	unregister(): void {
+		this.#options.rows.apply([], [{table: 'servers', key: this.id}]);
+	}
+
 	/** Ends the runs whose time has come. */
 	advance(): void {
 		const nowMs = this.#clockMs;
@@ -186,6 +194,9 @@
 		this.#incarnation.unacknowledged.push(run);
 		this.#options.record.add(`${this.id} ${run.task}#${run.attempt} ends ${how}, number ${run.sequence}`);
 		this.#ended.notify();
+		if (how === 'done') {
+			this.#options.ledger.noteDone(run.task, run.endedAtMs);
+		}
 	}
 
 	#close(task: string, attempt: number): void {
@@ -268,7 +279,7 @@
 	}
 
 	#begin(order: Order): Answer {
-		this.advance();
+		this.#options.beforeStart();
 		const {task, attempt, deadline_ms: deadlineMs = 0} = order;
 		const nowMs = this.#clockMs;
 		if (deadlineMs <= nowMs) {
