Soak: machines that move and have upkeeps, three customers, two queues

The workers of the soak stood still: no pool grew or shrank, no wave came, and all jobs were one customer's. The machines' stand-in now carries out moves and upkeeps as the users' page says: a fencing token for each machine, 409 fence, busy and wave, 200 also if the order is done, the end of the worker at once and a new one with a new id after move_s or upkeep_s. A third pool is the spare one and has no workers. Jobs are drawn among three customers with keys and weights, and two queues.

Two checks are new: ROUTE (a start on a worker of another service) and WAVE (an upkeep beyond what the wave allows at once, a wave completed too early).

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -5,7 +5,7 @@
 import {
 	isLasting, isNoted, type Job, type Look, occurrencesOf, parseTask, type Run,
 } from './ledger.js';
-import {bounds, queue, workerCapacity} from './settings.js';
+import {bounds, maxAttempts, workerCapacity} from './settings.js';
 import {type Troubles} from './troubles.js';
 
 /** All that a run has shown. */
@@ -90,7 +90,7 @@
 		judged += failed.length;
 		for (const run of runs) {
 			const before = failed.filter(({endedAtMs}) => endedAtMs! < run.startedAtMs);
-			if (before.length >= queue.maxAttempts) {
+			if (before.length >= maxAttempts) {
 				broken.push(`${before.length} runs had failed: ${describeRun(evidence, run)}`);
 			}
 		}
@@ -110,6 +110,16 @@
 	return {judged: ledger.runs.length, what: 'starts', broken: broken.map(run => `not as a client sent it: ${describeRun(evidence, run)}`)};
 };
 
+/** A start on a worker of another service than the queue's. */
+const checkRoute: Check = evidence => {
+	const {runs} = evidence.deployment.ledger;
+	const broken = runs.filter(run => run.service !== jobOf(evidence, run)?.queue.name);
+	return {judged: runs.length, what: 'starts', broken: broken.map(run => `on a worker of ${run.service}: ${describeRun(evidence, run)}`)};
+};
+
+/** An upkeep beyond what its wave allows at once, or a wave that is said to be completed before each upkeep has begun. */
+const checkWave: Check = ({deployment: {machines}}) => ({judged: machines.orders.upkeeps, what: 'upkeeps', broken: machines.waveFaults});
+
 /** Tasks of a cancelled job: a start by a daemon in touch later than `cancel_ms` after the acknowledgement, or one at work `stop_ms` after that. */
 const checkCancelled: Check = evidence => {
 	const {deployment, troubles} = evidence;
@@ -167,7 +177,7 @@
 	return {judged: ledger.looks.length, what: 'answers', broken: wrong.map(look => describeLook(evidence, look))};
 };
 
-const expectedState = (job: Job): string => isLasting(job) ? 'running' : (job.failures < queue.maxAttempts ? 'completed' : 'failed');
+const expectedState = (job: Job): string => isLasting(job) ? 'running' : (job.failures < maxAttempts ? 'completed' : 'failed');
 
 /** At the end: an accepted job that was not cancelled is not known, has no answer, or is not done though it could be. */
 const checkLost: Check = evidence => {
@@ -194,12 +204,14 @@
 });
 
 /** The run shows something: troubles were played, and at least half of the jobs were accepted. */
-const checkPlayed: Check = ({deployment: {ledger, store}, troubles}) => {
+const checkPlayed: Check = ({deployment: {ledger, store, machines}, troubles}) => {
 	const jobs = [...ledger.jobs.values()];
 	const accepted = jobs.filter(({acceptedAtMs}) => acceptedAtMs !== undefined).length;
 	const kinds = new Set(troubles.played.map(({kind}) => kind));
 	return {
-		judged: jobs.length, what: `jobs, ${accepted} accepted, ${troubles.played.length} troubles of ${kinds.size} kinds, ${store.cutAnswers} answers cut`, broken: [
+		judged: jobs.length,
+		what: `jobs, ${accepted} accepted, ${troubles.played.length} troubles of ${kinds.size} kinds, ${store.cutAnswers} answers cut, ${machines.orders.moves} machines moved`,
+		broken: [
 			...(accepted * 2 < jobs.length ? [`only ${accepted} of ${jobs.length} jobs were accepted`] : []),
 			...(troubles.played.length === 0 ? ['no trouble was played'] : []),
 		],
@@ -211,6 +223,8 @@
 	ORDER: checkOrder,
 	BUDGET: checkBudget,
 	UNASKED: checkUnasked,
+	ROUTE: checkRoute,
+	WAVE: checkWave,
 	CANCELLED: checkCancelled,
 	REFUSED: checkRefused,
 	LIMIT: checkLimit,
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -11,8 +11,9 @@
 import {Daemon, SoakError} from './daemons.js';
 import {Ledger} from './ledger.js';
 import {Machines} from './machines.js';
+import {Operator} from './operator.js';
 import {Record} from './record.js';
-import {configuration, readyPort, zones} from './settings.js';
+import {readyPort, zones} from './settings.js';
 import {Store} from './store.js';
 
 const networks = 200;
@@ -37,6 +38,7 @@
 	readonly #options: DeploymentOptions;
 	readonly #lifecycle: LifecycleManager;
 	#machines: Machines | undefined;
+	#operator: Operator | undefined;
 
 	constructor(options: DeploymentOptions, random: RandomSource, lifecycle: LifecycleManager) {
 		this.#options = options;
@@ -52,6 +54,10 @@
 		return this.#machines!;
 	}
 
+	get operator(): Operator {
+		return this.#operator!;
+	}
+
 	/** The daemon that gives the orders: the one whose lease has the highest fencing token. */
 	get holder(): Daemon | undefined {
 		return this.daemonOfFence(this.machines.fence);
@@ -74,7 +80,8 @@
 			machines.close();
 		});
 		await machines.start();
-		this.store.rows.put('op', 'config', configuration);
+		this.#operator = new Operator(this.store.rows, machines, this.record);
+		this.operator.configure();
 		this.#ownDaemons();
 		for (let index = 0; index < this.#options.daemons; index++) {
 			const zone = zones[index % zones.length]!;
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -1,6 +1,7 @@
 /**
 What the soak's own clients and workers have seen: jobs with their answers, and the runs of tasks. The checks judge by nothing else.
 */
+import {type customers, type queues} from './settings.js';
 import {WakeUp} from './wake-up.js';
 
 /** A step of a job, as it is sent. Fields are named by the users' page. */
@@ -27,6 +28,8 @@
 export type Job = {
 	readonly id: string;
 	readonly body: JobBody;
+	readonly queue: typeof queues[number];
+	readonly customer: typeof customers[number];
 	readonly workMs: number;
 	/** How often the runs of the first task of each occurrence fail before one ends done. */
 	readonly failures: number;
@@ -47,6 +50,8 @@
 	readonly spec: string;
 	readonly fence: number;
 	readonly worker: string;
+	/** The worker's service. */
+	readonly service: string;
 	readonly startedAtMs: number;
 	/** Millicores and megabytes in use on the worker with this run, for the check of its capacity. */
 	readonly usedCpu: number;
--- a/soak/machines.ts
+++ b/soak/machines.ts
@@ -1,27 +1,63 @@
 /**
-Stand-in of the users' machines: lists them and owns the workers on them.
+Stand-in of the users' machines: lists them, owns the workers on them, and carries out moves to other pools and upkeeps.
+
+A worker is one life of its machine: an order ends it, and a worker with a new id follows. The machines of the standby pool are off and have none.
 */
-import {JsonServer} from './http.js';
-import {queue, workerCapacity, zones} from './settings.js';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {SystemClock, z} from '@poplarnotch/common';
+import {TokenBucket} from '@poplarnotch/standin';
+import {type Answer, type Call, JsonServer} from './http.js';
+import {
+	bounds, machineRates, pools, standbyPool, workerCapacity, zones,
+} from './settings.js';
 import {Worker, type WorkerOptions} from './worker.js';
 
 const tickMs = 10;
 const heartbeatMs = 1500;
 const racks = 9;
 
+/** Time after which the registration of a worker that has ended is removed. */
+const registrationMs = 3 * heartbeatMs;
+
+const orderSchema = z.object({machine: z.string(), pool: z.string().optional(), wave: z.number().optional()});
+type Order = z.infer<typeof orderSchema>;
+
+type Machine = {
+	readonly id: string;
+	readonly zone: string;
+	readonly rack: string;
+	pool: string;
+	state: 'up' | 'moving' | 'upkeep';
+	worker: Worker | undefined;
+	/** Number of workers that it has had. */
+	lives: number;
+	/** The highest fencing token of its orders. */
+	fence: number;
+	/** Waves for which its upkeep has begun; the last one is under way while the machine is in upkeep. */
+	readonly waves: number[];
+};
+
+type SharedOptions = Omit<WorkerOptions, 'id' | 'service' | 'zone' | 'rack' | 'beforeStart'>;
+
 export class Machines {
-	readonly workers: readonly Worker[];
-	readonly #ip: string;
+	/** Upkeeps beyond what their wave allows at once, and waves that were called completed too early. */
+	readonly waveFaults: string[] = [];
+	/** Orders that were carried out. */
+	readonly orders = {moves: 0, upkeeps: 0};
+	readonly #options: SharedOptions;
+	readonly #machines: readonly Machine[];
 	readonly #timers: NodeJS.Timeout[] = [];
+	readonly #calls = new TokenBucket(machineRates.ordersPerSecond, new SystemClock());
+	readonly #readings = new TokenBucket(machineRates.readingsPerSecond, new SystemClock());
 	#server: JsonServer | undefined;
+	#isClosed = false;
+	#endedFence = 0;
 
-	constructor(count: number, options: Omit<WorkerOptions, 'id' | 'zone' | 'rack' | 'beforeStart'>) {
-		this.#ip = options.ip;
-		this.workers = Array.from({length: count}, (_value, index) => new Worker({
-			...options, id: `w-m${100 + index}`, zone: zones[index % zones.length]!, rack: `r${index % racks}`, beforeStart: () => {
-				// Where processor time is short, the timer may not have ended a run elsewhere whose lease has lapsed.
-				this.#advance();
-			},
+	constructor(count: number, options: SharedOptions) {
+		this.#options = options;
+		this.#machines = Array.from({length: count}, (_value, index) => ({
+			id: `m${100 + index}`, zone: zones[index % zones.length]!, rack: `r${index % racks}`, pool: pools[index % pools.length]!,
+			state: 'up', worker: undefined, lives: 0, fence: 0, waves: [],
 		}));
 	}
 
@@ -29,16 +65,24 @@
 		return this.#server!.address;
 	}
 
+	get ids(): readonly string[] {
+		return this.#machines.map(({id}) => id);
+	}
+
+	/** The workers that are there, also those that have crashed and are to start again. */
+	get workers(): readonly Worker[] {
+		return this.#machines.flatMap(({worker}) => worker ?? []);
+	}
+
 	/** The highest fencing token that a worker has seen. */
 	get fence(): number {
-		return Math.max(...this.workers.map(({fence}) => fence));
+		return Math.max(this.#endedFence, ...this.workers.map(({fence}) => fence));
 	}
 
 	async start(): Promise<void> {
-		this.#server = await JsonServer.listen(this.#ip, 0, ({method, path}) =>
-			`${method} ${path}` === 'GET /machines' ? {status: 200, body: {machines: this.workers.map(worker => this.#describe(worker))}} : {status: 400, body: {}});
-		for (const worker of this.workers) {
-			await worker.start();
+		this.#server = await JsonServer.listen(this.#options.ip, 0, call => this.#answer(call));
+		for (const machine of this.#machines) {
+			await this.#join(machine);
 		}
 
 		this.#timers.push(setInterval(() => {
@@ -51,6 +95,7 @@
 	}
 
 	close(): void {
+		this.#isClosed = true;
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -61,15 +106,127 @@
 		}
 	}
 
+	/** The wave is said to be completed. */
+	noteCompleted(wave: number, ids: readonly string[]): void {
+		this.#options.record.add(`wave ${wave} is said to be completed`);
+		const missing = this.#machines.filter(({id, waves}) => ids.includes(id) && !waves.includes(wave));
+		this.waveFaults.push(...missing.map(({id}) => `wave ${wave} was called completed before the upkeep of ${id}`));
+	}
+
 	#advance(): void {
 		for (const worker of this.workers.filter(({isUp}) => isUp)) {
 			worker.advance();
 		}
 	}
 
-	#describe({id, zone, labels, isUp}: Worker): Readonly<Record<string, unknown>> {
+	async #join(machine: Machine): Promise<void> {
+		const {id, pool, zone, rack} = machine;
+		if (pool !== standbyPool && !this.#isClosed) {
+			machine.lives++;
+			const worker = new Worker({
+				...this.#options, id: `w-${id}-${machine.lives}`, service: pool, zone, rack, beforeStart: () => {
+					// Where processor time is short, the timer may not have ended a run elsewhere whose lease has lapsed.
+					this.#advance();
+				},
+			});
+			await worker.start();
+			machine.worker = worker;
+			if (this.#isClosed) {
+				worker.end();
+			}
+		}
+
+		machine.state = 'up';
+	}
+
+	#answer({method, path, headers, body}: Call): Answer {
+		if (`${method} ${path}` === 'GET /machines') {
+			return this.#readings.tryTake() ? {status: 200, body: {machines: this.#machines.map(machine => this.#describe(machine))}} : {status: 429};
+		}
+
+		if (!this.#calls.tryTake()) {
+			return {status: 429};
+		}
+
+		const {data: order} = orderSchema.safeParse(body);
+		const machine = this.#machines.find(({id}) => id === order?.machine);
+		if (order === undefined || machine === undefined) {
+			return {status: 400};
+		}
+
+		const {'fencing-token': fence, 'lease-holder': holder} = headers;
+		const answer = this.#carryOut(path, machine, order, Number(fence));
+		this.#options.record.add(`${path} ${JSON.stringify(order)} by ${String(holder)}, fencing token ${String(fence)}: ${JSON.stringify(answer)}`);
+		return answer;
+	}
+
+	#carryOut(path: string, machine: Machine, {pool, wave}: Order, fence: number): Answer {
+		const isMove = path === '/machine-move';
+		if (isMove ? pool === undefined || !pools.includes(pool) : path !== '/machine-upkeep' || wave === undefined) {
+			return {status: 400};
+		}
+
+		if (fence < machine.fence) {
+			return {status: 409, body: {reason: 'fence'}};
+		}
+
+		machine.fence = fence;
+		const order = this.#options.rows.read('op', `wave/${wave}`) as {readonly machines: readonly string[]; readonly cap: number} | undefined;
+		if (!isMove && order?.machines.includes(machine.id) !== true) {
+			return {status: 409, body: {reason: 'wave'}};
+		}
+
+		if (isMove ? machine.pool === pool : machine.waves.includes(wave!)) {
+			return {status: 200, body: {}};
+		}
+
+		if (this.#stateOf(machine) !== 'up') {
+			return {status: 409, body: {reason: 'busy'}};
+		}
+
+		if (isMove) {
+			this.orders.moves++;
+			machine.pool = pool!;
+			void this.#leave(machine, 'moving', bounds.move_s);
+		} else {
+			const away = this.#machines.filter(({state, waves}) => state === 'upkeep' && waves.at(-1) === wave);
+			if (away.length >= order!.cap) {
+				this.waveFaults.push(`wave ${wave} allows ${order!.cap} at once, and the upkeep of ${machine.id} began beside ${away.map(({id}) => id).join(', ')}`);
+			}
+
+			this.orders.upkeeps++;
+			machine.waves.push(wave!);
+			void this.#leave(machine, 'upkeep', bounds.upkeep_s);
+		}
+
+		return {status: 200, body: {}};
+	}
+
+	/** Ends the machine's worker at once; a new one joins later. */
+	async #leave(machine: Machine, state: Machine['state'], awayS: number): Promise<void> {
+		const {worker} = machine;
+		machine.state = state;
+		machine.worker = undefined;
+		if (worker !== undefined) {
+			worker.end();
+			this.#endedFence = Math.max(this.#endedFence, worker.fence);
+			setTimeout(() => {
+				worker.unregister();
+			}, registrationMs).unref();
+		}
+
+		await sleep(awayS * 1000);
+		await this.#join(machine);
+	}
+
+	#stateOf({state, worker}: Machine): string {
+		return worker?.isUp === false ? 'down' : state;
+	}
+
+	#describe(machine: Machine): Readonly<Record<string, unknown>> {
+		const {id, pool, zone, rack, worker} = machine;
 		return {
-			machine: id.slice('w-'.length), pool: queue.name, state: isUp ? 'up' : 'down', zone, labels, capacity: workerCapacity, ...(isUp ? {id} : {}),
+			machine: id, pool, state: this.#stateOf(machine), zone, labels: ['a', rack], capacity: workerCapacity, ...(worker?.isUp ? {id: worker.id} : {}),
 		};
 	}
 }
--- a/soak/row-store.ts
+++ b/soak/row-store.ts
@@ -43,6 +43,12 @@
 		return row === undefined || row.removed ? undefined : row;
 	}
 
+	/** The value of a row of the operator or of a worker, or one that a daemon has written for the operator. */
+	read(table: string, key: string): unknown {
+		const row = this.live({table, key});
+		return row === undefined ? undefined : JSON.parse(Buffer.from(row.value, 'base64').toString());
+	}
+
 	/** Writes a row of the operator or of a worker. */
 	put(table: string, key: string, value: unknown): void {
 		this.apply([{table, key, value: Buffer.from(JSON.stringify(value)).toString('base64')}], []);
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -22,27 +22,49 @@
 export const frontPort = 8340;
 export const readyPort = 8343;
 
-export const queue = {
-	name: 'draws', host: 'draws.example', prefix: '/draws/', key: 'key-of-tenant-one', maxAttempts: 2,
-} as const;
+/** Limits of the calls to the machines' interface, for all daemons together. */
+export const machineRates = {ordersPerSecond: 64, readingsPerSecond: 64} as const;
+
+/** Each queue has a service of its own, with the same name. */
+export const queues = [
+	{name: 'draws', host: 'draws.example', prefix: '/draws/'},
+	{name: 'lists', host: 'lists.example', prefix: '/lists/'},
+] as const;
+
+/** The service whose machines are off. */
+export const standbyPool = 'spare';
+
+/** The pools of the machines, which they fill in turn at the start. */
+export const pools: readonly string[] = ['draws', 'lists', 'draws', 'lists', standbyPool];
+
+export const maxAttempts = 2;
+
+export const customers = [
+	{name: 'one', key: 'key-of-tenant-one', weight: 4},
+	{name: 'two', key: 'key-of-tenant-two', weight: 2},
+	{name: 'three', key: 'key-of-tenant-three', weight: 1},
+] as const;
 
 /** Capacity of each worker. */
 export const workerCapacity = {cpu: 16_000, mem_mb: 32_768, gpu: 0} as const;
 
-/** The configuration, which the operator writes before the daemons start. */
-export const configuration = {
-	version: 1,
-	routes: [{
-		name: queue.name, host: queue.host, prefix: queue.prefix, service: queue.name, priority: 0, max_attempts: queue.maxAttempts, slo_factor: 2, slo_ms: 600, timeout_ms: 3000,
-	}],
-	services: [{name: queue.name, admission_check: false}],
-	tenants: [{
-		name: 'one', api_keys: [queue.key], weight: 1, cap: {cpu: 10_000_000, mem_mb: 0, gpu: 0},
-	}],
-	limits: {
-		header_bytes: 16_384, body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-	},
-} as const;
+/** The configuration. The operator writes the first one before the daemons start. */
+export const configurationOf = (version: number) => {
+	const routes = queues.map(({name, host, prefix}) => ({
+		name, host, prefix, service: name, priority: 0, max_attempts: maxAttempts, slo_factor: 2, slo_ms: 600, timeout_ms: 3000,
+	}));
+	return {
+		version,
+		routes,
+		services: [...queues.map(({name}) => ({name, admission_check: false})), {name: standbyPool, admission_check: false, standby: true}],
+		tenants: customers.map(({name, key, weight}) => ({
+			name, api_keys: [key], weight, cap: {cpu: 10_000_000, mem_mb: 0, gpu: 0},
+		})),
+		limits: {
+			header_bytes: 16_384, body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+		},
+	};
+};
 
 /** What distinguishes the settings of one daemon. */
 export type DaemonPlace = {
--- a/soak/tests/checks.test.ts
+++ b/soak/tests/checks.test.ts
@@ -7,6 +7,7 @@
 	type Job, Ledger, type Look, type Run,
 } from '../ledger.js';
 import {Record} from '../record.js';
+import {customers, queues} from '../settings.js';
 import {type Trouble, Troubles} from '../troubles.js';
 
 const spec = 'work=300';
@@ -15,12 +16,12 @@
 };
 
 const jobWith = (fields: Partial<Job> = {}): Job => ({
-	id: 'a', body: {spec, phases: [step, {...step, after: [0]}]}, workMs: 300, failures: 0, cancelAfterMs: undefined,
+	id: 'a', body: {spec, phases: [step, {...step, after: [0]}]}, queue: queues[0], customer: customers[0], workMs: 300, failures: 0, cancelAfterMs: undefined,
 	refusals: 0, otherAnswers: 1, acceptedAtMs: 0, cancelSentAtMs: undefined, cancelledAtMs: undefined, ...fields,
 });
 
 const runWith = (fields: Partial<Run> = {}): Run => ({
-	task: 'a.0.0.0', attempt: 1, spec, fence: 1, worker: 'w', startedAtMs: 100, usedCpu: 1500, usedMemoryMb: 500,
+	task: 'a.0.0.0', attempt: 1, spec, fence: 1, worker: 'w', service: queues[0].name, startedAtMs: 100, usedCpu: 1500, usedMemoryMb: 500,
 	endedAtMs: 400, how: 'done', sequence: 1, notedAtMs: 450, hasLapsed: false, ...fields,
 });
 
@@ -36,9 +37,10 @@
 	readonly troubles?: readonly Trouble[];
 	readonly faults?: readonly string[];
 	readonly running?: readonly string[];
+	readonly waveFaults?: readonly string[];
 };
 
-const evidenceWith = ({job = jobWith(), runs = [], looks = [], lastLooks = [], troubles = [], faults = [], running = []}: Seen): Evidence => {
+const evidenceWith = ({job = jobWith(), runs = [], looks = [], lastLooks = [], troubles = [], faults = [], running = [], waveFaults = []}: Seen): Evidence => {
 	const ledger = new Ledger();
 	ledger.jobs.set(job.id, job);
 	ledger.looks.push(...looks);
@@ -46,9 +48,12 @@
 		ledger.addRun(run);
 	}
 
+	const machines = {
+		workers: [{isRunning: (task: string) => running.includes(task)}], orders: {moves: 0, upkeeps: 1}, waveFaults,
+	};
 	const deployment = {
 		ledger, record: new Record(), store: {cutAnswers: 0}, daemons: [{faults}],
-		machines: {workers: [{isRunning: (task: string) => running.includes(task)}]}, daemonOfFence: () => ({name: 'd'}),
+		machines, daemonOfFence: () => ({name: 'd'}),
 	} as unknown as Evidence['deployment'];
 	const played = new Troubles(deployment, {next: () => 0});
 	played.played.push(...troubles);
@@ -92,6 +97,9 @@
 		['CANCELLED', 'a start over 3 s after the cancelling', {job: jobWith({cancelledAtMs: 100}), runs: [runWith({startedAtMs: 3101})]}, 1],
 		['CANCELLED', 'such a start beside a trouble', {job: jobWith({cancelledAtMs: 100}), runs: [runWith({startedAtMs: 3101})], troubles: [trouble]}, 0],
 		['CANCELLED', 'a run that goes on', {job: jobWith({cancelledAtMs: 150}), runs: [runWith({endedAtMs: 3351})]}, 1],
+		['ROUTE', 'a worker of another service', {runs: [runWith({service: queues[1].name})]}, 1],
+		['ROUTE', 'a worker of the service', {runs: [runWith()]}, 0],
+		['WAVE', 'an upkeep too many', {waveFaults: ['wave 1']}, 1],
 		['REFUSED', 'a start of a refused job', {job: jobWith({refusals: 4, otherAnswers: 0}), runs: [runWith()]}, 1],
 		['REFUSED', 'a start of a job whose submission got no answer', {job: jobWith({refusals: 3}), runs: [runWith()]}, 0],
 		['LIMIT', 'too much processor time', {runs: [runWith({usedCpu: 16_001})]}, 1],
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -9,7 +9,7 @@
 	isLasting, type Job, type JobBody, type Look, type Step,
 } from './ledger.js';
 import {type Deployment} from './deployment.js';
-import {queue} from './settings.js';
+import {customers, maxAttempts, queues} from './settings.js';
 
 const maxSubmissions = 4;
 const maxCancels = 10;
@@ -98,7 +98,8 @@
 		const phases = lasts ? [this.#drawLastingStep()] : Array.from({length: this.#between(1, 3)}, (_value, index) => this.#drawStep(index, workMs));
 		const body: JobBody = {spec: `work=${workMs},number=${this.#jobs.length}`, phases, ...(isRepeated ? this.#drawTimes(endsAtWallMs) : {})};
 		const job: Job = {
-			id: (firstId + this.#jobs.length).toString(16).padStart(16, '0'), body, workMs, failures: lasts ? 0 : failures, cancelAfterMs: isCancelled ? this.#between(0, 4000) : undefined,
+			id: (firstId + this.#jobs.length).toString(16).padStart(16, '0'), queue: this.#pick(queues), customer: this.#pick(customers),
+			body, workMs, failures: lasts ? 0 : failures, cancelAfterMs: isCancelled ? this.#between(0, 4000) : undefined,
 			refusals: 0, otherAnswers: 0, acceptedAtMs: undefined, cancelSentAtMs: undefined, cancelledAtMs: undefined,
 		};
 		this.#jobs.push(job);
@@ -108,20 +109,20 @@
 
 	#drawLastingStep(): Step {
 		return {
-			count: this.#between(1, 3), cpu: 500, mem_mb: 200, estimate_ms: 300, image: this.#drawImage(), persistent: true, target_ms: 400,
+			count: this.#between(1, 3), cpu: 500, mem_mb: 200, estimate_ms: 300, image: this.#pick(images), persistent: true, target_ms: 400,
 		};
 	}
 
 	#drawStep(index: number, workMs: number): Step {
 		const step = {
-			count: this.#between(1, 10), cpu: 1500, mem_mb: 500, estimate_ms: workMs, image: this.#drawImage(),
+			count: this.#between(1, 10), cpu: 1500, mem_mb: 500, estimate_ms: workMs, image: this.#pick(images),
 		};
 		const isFree = this.#jobRandom.next() < 0.3;
 		return index === 0 || isFree ? step : {...step, after: [this.#between(0, index - 1)]};
 	}
 
-	#drawImage(): string {
-		return images[this.#between(0, images.length - 1)]!;
+	#pick<Value>(choices: readonly Value[]): Value {
+		return choices[this.#between(0, choices.length - 1)]!;
 	}
 
 	/** Times of a job that repeats: all are due before the traffic ends. */
@@ -199,7 +200,7 @@
 		const tasks = ledger.tasksOf(job);
 		return {
 			job, daemon: daemon.name, atMs, status, state,
-			isDone: tasks.every(task => ledger.isDoneBy(task, atMs)), hasFailed: !isLasting(job) && tasks.some(task => ledger.failedRuns(task) >= queue.maxAttempts),
+			isDone: tasks.every(task => ledger.isDoneBy(task, atMs)), hasFailed: !isLasting(job) && tasks.some(task => ledger.failedRuns(task) >= maxAttempts),
 		};
 	}
 
@@ -212,9 +213,9 @@
 
 	async #send(method: Sent['method'], job: Job, daemon: Daemon): Promise<Received> {
 		const {ledger, record} = this.#deployment;
-		const headers = {host: queue.host, key: queue.key, 'deadline-ms': String(deadlineMs)};
+		const headers = {host: job.queue.host, key: job.customer.key, 'deadline-ms': String(deadlineMs)};
 		const received = await daemon.clients.call({
-			method, path: `${queue.prefix}${job.id}`, headers, body: method === 'POST' ? job.body : undefined,
+			method, path: `${job.queue.prefix}${job.id}`, headers, body: method === 'POST' ? job.body : undefined,
 		});
 		const {state = ''} = (received.body ?? {}) as {readonly state?: string};
 		const text = `${method} ${job.id} at ${daemon.name}: ${received.status === 0 ? 'no answer' : received.status} ${state}`;
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -219,6 +219,8 @@
 		const {holder} = deployment;
 		return holder === undefined || holder.isDisturbed ? undefined : lose(deployment, holder);
 	},
+	/** Some machines are due for upkeep. */
+	wave: ({deployment: {operator}, random}) => waitFor(operator.orderWave(random), {}),
 };
 
 export class Troubles {
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -10,7 +10,7 @@
 } from './ledger.js';
 import {type Record} from './record.js';
 import {type RowStore} from './row-store.js';
-import {bounds, queue, workerCapacity} from './settings.js';
+import {bounds, workerCapacity} from './settings.js';
 import {WakeUp} from './wake-up.js';
 
 const maxEnds = 500;
@@ -61,6 +61,7 @@
 
 export type WorkerOptions = {
 	readonly id: string;
+	readonly service: string;
 	readonly ip: string;
 	readonly zone: string;
 	readonly rack: string;
@@ -150,7 +151,7 @@
 		if (this.#isUp && !this.isUnregistered) {
 			this.#incarnation.registrations++;
 			this.#options.rows.put('servers', this.id, {
-				service: queue.name, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, state: 'ready', cold_left_ms: 0,
+				service: this.#options.service, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, state: 'ready', cold_left_ms: 0,
 				capacity: workerCapacity, labels: this.labels, seq: this.#incarnation.registrations, born: this.#incarnation.bornWallMs,
 			});
 		}
@@ -309,7 +310,7 @@
 		const memoryMb = step?.mem_mb ?? 0;
 		const others = [...this.#incarnation.active.values()];
 		const run: Run = {
-			task, attempt, spec, fence, worker: this.id, startedAtMs: performance.now(),
+			task, attempt, spec, fence, worker: this.id, service: this.#options.service, startedAtMs: performance.now(),
 			usedCpu: others.reduce((sum, other) => sum + other.cpu, cpu), usedMemoryMb: others.reduce((sum, other) => sum + other.memoryMb, memoryMb),
 			endedAtMs: undefined, how: undefined, sequence: undefined, notedAtMs: undefined, hasLapsed: false,
 		};
