Soak: the configuration changes in quick succession

The trouble configure writes two to five versions with other weights and time-outs and, in some, a route that carries no traffic; the last version is without it. No rule takes a change of the configuration for a disruption, so it doesn't excuse a run that goes on after its job's cancelling: isCalm leaves such troubles out, and a case of the tests shows it.

--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -1,11 +1,17 @@
 /**
 Stand-in of the users' operator: writes the configuration and the waves of upkeeps to the store.
 */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type RandomSource} from '@poplarnotch/common';
 import {type Machines} from './machines.js';
 import {type Record} from './record.js';
 import {type RowStore} from './row-store.js';
-import {bounds, configurationOf} from './settings.js';
+import {bounds, configurationOf, type Variant} from './settings.js';
+
+const maxVersionStep = 5;
+const minVersions = 2;
+const maxVersions = 5;
+const maxPauseMs = 400;
 
 const minWaveMachines = 2;
 const maxWaveMachines = 6;
@@ -21,6 +27,7 @@
 	readonly #rows: RowStore;
 	readonly #machines: Machines;
 	readonly #record: Record;
+	#version = 0;
 	#waves = 0;
 
 	constructor(rows: RowStore, machines: Machines, record: Record) {
@@ -29,9 +36,21 @@
 		this.#record = record;
 	}
 
-	/** Writes the configuration. */
-	configure(): void {
-		this.#rows.put('op', 'config', configurationOf(1));
+	/** Writes the next version of the configuration. */
+	configure(variant: Variant = {}, step = 1): void {
+		this.#version += step;
+		this.#rows.put('op', 'config', configurationOf(this.#version, variant));
+		this.#record.add(`operator: configuration ${this.#version} ${JSON.stringify(variant)}`);
+	}
+
+	/** Writes several versions in quick succession, some of them with a route that is new. */
+	async configureOften(random: RandomSource): Promise<void> {
+		for (let left = drawBetween(random, minVersions, maxVersions); left > 0; left--) {
+			this.configure({
+				weightFactor: drawBetween(random, 1, 4), timeoutMs: drawBetween(random, 2500, 5000), idleTimeoutMs: drawBetween(random, 8000, 20_000), hasAddedRoute: random.next() < 0.5,
+			}, drawBetween(random, 1, maxVersionStep));
+			await sleep(random.next() * maxPauseMs);
+		}
 	}
 
 	/** Asks for an upkeep of some machines, and resolves once it is said to be completed or its time is over. */
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -48,20 +48,33 @@
 /** Capacity of each worker. */
 export const workerCapacity = {cpu: 16_000, mem_mb: 32_768, gpu: 0} as const;
 
+/** What the operator changes from one version of the configuration to the next. */
+export type Variant = {
+	/** Factor of the weight of the first customer. */
+	readonly weightFactor?: number;
+	readonly timeoutMs?: number;
+	readonly idleTimeoutMs?: number;
+	/** Whether there is one more route, which carries no traffic. */
+	readonly hasAddedRoute?: boolean;
+};
+
 /** The configuration. The operator writes the first one before the daemons start. */
-export const configurationOf = (version: number) => {
+export const configurationOf = (version: number, {weightFactor = 1, timeoutMs = 3000, idleTimeoutMs = 15_000, hasAddedRoute = false}: Variant) => {
 	const routes = queues.map(({name, host, prefix}) => ({
-		name, host, prefix, service: name, priority: 0, max_attempts: maxAttempts, slo_factor: 2, slo_ms: 600, timeout_ms: 3000,
+		name, host, prefix, service: name, priority: 0, max_attempts: maxAttempts, slo_factor: 2, slo_ms: 600, timeout_ms: timeoutMs,
 	}));
+	const added = {
+		...routes[0], name: 'added', host: 'added.example', prefix: '/added/',
+	};
 	return {
 		version,
-		routes,
+		routes: hasAddedRoute ? [...routes, added] : routes,
 		services: [...queues.map(({name}) => ({name, admission_check: false})), {name: standbyPool, admission_check: false, standby: true}],
-		tenants: customers.map(({name, key, weight}) => ({
-			name, api_keys: [key], weight, cap: {cpu: 10_000_000, mem_mb: 0, gpu: 0},
+		tenants: customers.map(({name, key, weight}, index) => ({
+			name, api_keys: [key], weight: index === 0 ? weight * weightFactor : weight, cap: {cpu: 10_000_000, mem_mb: 0, gpu: 0},
 		})),
 		limits: {
-			header_bytes: 16_384, body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+			header_bytes: 16_384, body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: idleTimeoutMs,
 		},
 	};
 };
--- a/soak/tests/checks.test.ts
+++ b/soak/tests/checks.test.ts
@@ -65,8 +65,9 @@
 const brokenOf = (rule: string, fields: Seen): number => checks[rule]!(evidenceWith(fields)).broken.length;
 
 const trouble: Trouble = {
-	kind: 'storeall', fromMs: 0, toMs: 60_000, daemons: 'all', workers: new Set(),
+	kind: 'storeall', fromMs: 0, toMs: 60_000, daemons: 'all', workers: new Set(), isRoutine: false,
 };
+const change: Trouble = {...trouble, daemons: new Set(), isRoutine: true};
 const lastingJob = jobWith({body: {spec, phases: [{...step, persistent: true}]}});
 const timedJob = jobWith({
 	body: {
@@ -97,6 +98,7 @@
 		['CANCELLED', 'a start over 3 s after the cancelling', {job: jobWith({cancelledAtMs: 100}), runs: [runWith({startedAtMs: 3101})]}, 1],
 		['CANCELLED', 'such a start beside a trouble', {job: jobWith({cancelledAtMs: 100}), runs: [runWith({startedAtMs: 3101})], troubles: [trouble]}, 0],
 		['CANCELLED', 'a run that goes on', {job: jobWith({cancelledAtMs: 150}), runs: [runWith({endedAtMs: 3351})]}, 1],
+		['CANCELLED', 'the same beside a change of the configuration', {job: jobWith({cancelledAtMs: 150}), runs: [runWith({endedAtMs: 3351})], troubles: [change]}, 1],
 		['ROUTE', 'a worker of another service', {runs: [runWith({service: queues[1].name})]}, 1],
 		['ROUTE', 'a worker of the service', {runs: [runWith()]}, 0],
 		['WAVE', 'an upkeep too many', {waveFaults: ['wave 1']}, 1],
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -17,12 +17,15 @@
 	toMs: number;
 	readonly daemons: ReadonlySet<string> | 'all';
 	readonly workers: ReadonlySet<string> | 'all';
+	/** Whether no rule takes it for a disruption. */
+	readonly isRoutine: boolean;
 };
 
 /** What begins is undone by `end`. */
 type Begun = {
 	readonly daemons?: readonly Daemon[] | 'all';
 	readonly workers?: readonly Worker[] | 'all';
+	readonly isRoutine?: boolean;
 	readonly end: () => void | Promise<void>;
 };
 
@@ -219,6 +222,17 @@
 		const {holder} = deployment;
 		return holder === undefined || holder.isDisturbed ? undefined : lose(deployment, holder);
 	},
+	/** New versions of the configuration come in quick succession. */
+	configure({deployment: {operator}, random}) {
+		const written = operator.configureOften(random);
+		return {
+			isRoutine: true,
+			async end() {
+				await written;
+				operator.configure();
+			},
+		};
+	},
 	/** Some machines are due for upkeep. */
 	wave: ({deployment: {operator}, random}) => waitFor(operator.orderWave(random), {}),
 };
@@ -251,9 +265,9 @@
 		return !this.#near(fromMs, toMs).some(({workers}) => workers === 'all' || workers.has(worker));
 	}
 
-	/** Whether there was no trouble at all in the span and for `contact_ms` before it. */
+	/** Whether there was no trouble but routine ones in the span and for `contact_ms` before it. */
 	isCalm(fromMs: number, toMs: number): boolean {
-		return this.#near(fromMs, toMs).length === 0;
+		return this.#near(fromMs, toMs).every(({isRoutine}) => isRoutine);
 	}
 
 	#near(fromMs: number, toMs: number): readonly Trouble[] {
@@ -286,9 +300,9 @@
 			return;
 		}
 
-		const {daemons = [], workers = [], end} = begun;
+		const {daemons = [], workers = [], isRoutine = false, end} = begun;
 		const trouble: Trouble = {
-			kind, fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY,
+			kind, isRoutine, fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY,
 			daemons: daemons === 'all' ? daemons : new Set(daemons.map(({name}) => name)), workers: workers === 'all' ? workers : new Set(workers.map(({id}) => id)),
 		};
 		this.played.push(trouble);
