--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -7,11 +7,13 @@
 import {join} from 'node:path';
 import process from 'node:process';
 import {type LifecycleManager, listenOn, type RandomSource} from '@poplarnotch/common';
+import {BusyProcesses} from './busy-processes.js';
 import {Daemon, SoakError} from './daemons.js';
 import {Ledger} from './ledger.js';
 import {Machines} from './machines.js';
+import {Operator} from './operator.js';
 import {Record} from './record.js';
-import {configuration, readyPort, zones} from './settings.js';
+import {readyPort, zones} from './settings.js';
 import {Store} from './store.js';
 
 const networks = 200;
@@ -31,15 +33,18 @@
 	readonly record = new Record();
 	readonly ledger = new Ledger();
 	readonly store: Store;
+	readonly busyProcesses: BusyProcesses;
 	readonly daemons: Daemon[] = [];
 	readonly #options: DeploymentOptions;
 	readonly #lifecycle: LifecycleManager;
 	#machines: Machines | undefined;
+	#operator: Operator | undefined;
 
 	constructor(options: DeploymentOptions, random: RandomSource, lifecycle: LifecycleManager) {
 		this.#options = options;
 		this.#lifecycle = lifecycle;
 		this.store = new Store(random, options.feedCut);
+		this.busyProcesses = new BusyProcesses(lifecycle);
 		lifecycle.own('store', () => {
 			this.store.close();
 		});
@@ -49,14 +54,13 @@
 		return this.#machines!;
 	}
 
-	/** The highest fencing token that a worker has seen. */
-	get fence(): number {
-		return Math.max(...this.machines.workers.map(({fence}) => fence));
+	get operator(): Operator {
+		return this.#operator!;
 	}
 
 	/** The daemon that gives the orders: the one whose lease has the highest fencing token. */
 	get holder(): Daemon | undefined {
-		return this.daemonOfFence(this.fence);
+		return this.daemonOfFence(this.machines.fence);
 	}
 
 	daemonOfFence(fence: number): Daemon | undefined {
@@ -76,7 +80,8 @@
 			machines.close();
 		});
 		await machines.start();
-		this.store.rows.put('op', 'config', configuration);
+		this.#operator = new Operator(this.store.rows, machines, this.record);
+		this.operator.configure();
 		this.#ownDaemons();
 		for (let index = 0; index < this.#options.daemons; index++) {
 			const zone = zones[index % zones.length]!;
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -10,7 +10,7 @@
 } from './ledger.js';
 import {type Record} from './record.js';
 import {type RowStore} from './row-store.js';
-import {bounds, queue, workerCapacity} from './settings.js';
+import {bounds, workerCapacity} from './settings.js';
 import {WakeUp} from './wake-up.js';
 
 const maxEnds = 500;
@@ -61,15 +61,20 @@
 
 export type WorkerOptions = {
 	readonly id: string;
+	readonly service: string;
 	readonly ip: string;
 	readonly zone: string;
 	readonly rack: string;
 	readonly rows: RowStore;
 	readonly ledger: Ledger;
 	readonly record: Record;
+	/** Called before a start is carried out. */
+	readonly beforeStart: () => void;
 };
 
 export class Worker {
+	/** While set, the worker does not register itself. */
+	isUnregistered = false;
 	/** While set, no call reaches the worker, and it runs on. */
 	isSilent = false;
 	/** Orders with this fencing token or a lower one are carried out, and their answers are lost. */
@@ -143,15 +148,19 @@
 	}
 
 	register(): void {
-		if (this.#isUp) {
+		if (this.#isUp && !this.isUnregistered) {
 			this.#incarnation.registrations++;
 			this.#options.rows.put('servers', this.id, {
-				service: queue.name, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, state: 'ready', cold_left_ms: 0,
+				service: this.#options.service, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, state: 'ready', cold_left_ms: 0,
 				capacity: workerCapacity, labels: this.labels, seq: this.#incarnation.registrations, born: this.#incarnation.bornWallMs,
 			});
 		}
 	}
 
+	unregister(): void {
+		this.#options.rows.apply([], [{table: 'servers', key: this.id}]);
+	}
+
 	/** Ends the runs whose time has come. */
 	advance(): void {
 		const nowMs = this.#clockMs;
@@ -186,6 +195,9 @@
 		this.#incarnation.unacknowledged.push(run);
 		this.#options.record.add(`${this.id} ${run.task}#${run.attempt} ends ${how}, number ${run.sequence}`);
 		this.#ended.notify();
+		if (how === 'done') {
+			this.#options.ledger.noteDone(run.task, run.endedAtMs);
+		}
 	}
 
 	#close(task: string, attempt: number): void {
@@ -268,7 +280,7 @@
 	}
 
 	#begin(order: Order): Answer {
-		this.advance();
+		this.#options.beforeStart();
 		const {task, attempt, deadline_ms: deadlineMs = 0} = order;
 		const nowMs = this.#clockMs;
 		if (deadlineMs <= nowMs) {
@@ -298,7 +310,7 @@
 		const memoryMb = step?.mem_mb ?? 0;
 		const others = [...this.#incarnation.active.values()];
 		const run: Run = {
-			task, attempt, spec, fence, worker: this.id, startedAtMs: performance.now(),
+			task, attempt, spec, fence, worker: this.id, service: this.#options.service, startedAtMs: performance.now(),
 			usedCpu: others.reduce((sum, other) => sum + other.cpu, cpu), usedMemoryMb: others.reduce((sum, other) => sum + other.memoryMb, memoryMb),
 			endedAtMs: undefined, how: undefined, sequence: undefined, notedAtMs: undefined, hasLapsed: false,
 		};
