--- a/packages/scheduler/tests/review-standstill.test.ts
+++ b/packages/scheduler/tests/review-standstill.test.ts
@@ -56,3 +56,20 @@
 	expect(await readToken()).toBeGreaterThan(fencingToken);
 	expect(await measureOrderingMs(former, fencingToken)).toBeLessThanOrEqual(roundMs);
 });
+
+test.each([1000, 1200, 1500].flatMap(pauseMs => [300, 400, 600, 700, 800, 900].map(afterMs => ({pauseMs, afterMs}))))('a holder that is not sure of its lease, and that stands still for $pauseMs ms, $afterMs ms after its store answers again, goes on only after another read', async ({pauseMs, afterMs}) => {
+	const former = simulation.holder!;
+	const {fencingToken} = former.scheduler.state.term!;
+	former.table.isDown = true;
+	while (!former.scheduler.state.isSuspended) {
+		await simulation.run(5);
+	}
+
+	former.table.isDown = false;
+	former.table.latencyMs = latencyMs / 2;
+	await simulation.run(afterMs);
+	former.clock.freeze(pauseMs, 'process');
+	await simulation.run(pauseMs - 5);
+	expect(await readToken()).toBeGreaterThan(fencingToken);
+	expect(await measureOrderingMs(former, fencingToken)).toBeLessThanOrEqual(roundMs);
+});
