Never give an attempt number twice

A run with a lower attempt that is adopted lowered the task's last attempt, so the next start in the term got a number that had been given before. Two failures with one number count as one (BUDGET), and a worker takes the second run for one that it has had. Found by the review; attempt-numbers.test.ts failed before (5002 given twice).

--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -232,7 +232,7 @@
 		if (run.task !== undefined) {
 			run.task.phase = 'placed';
 			run.task.run = run;
-			run.task.lastAttempt = run.attempt;
+			run.task.lastAttempt = Math.max(run.task.lastAttempt, run.attempt);
 		}
 	}
 
