A read from before another standstill does not confirm a lease

Operators could see two holders order one machine (ONE). A holder that had stood still, or had heard of a later holder, while it confirmed its lease took the answer from before: both clocks agree after a standstill, unlike after a suspension of the machine. And a term that was regained went on although such a read was still under way.

Each pause and each message of a later holder is counted now, and a read that was sent before one is sent again.

--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -79,6 +79,8 @@
 	#leftToOthersToken: number | undefined;
 	/** Token of the term for which a read is in flight that confirms whether its fence is still valid. */
 	#confirmingToken: number | undefined;
+	/** Number of pauses of this process, and of messages that name a later holder: what was read before one says nothing of the time after it. */
+	#doubtCount = 0;
 	/** Token of the lease whose term begins once the copies are up to date. */
 	#beginningToken: number | undefined;
 	/** Until when a holder may trust its lease that was replaced before the earlier one. */
@@ -351,6 +353,7 @@
 
 	/** Gives no orders until a read from the store has confirmed that no other process holds the lease. */
 	#suspendTerm(fields: LogFields): void {
+		this.#doubtCount++;
 		const {term, isSuspended} = this.#state;
 		if (term === undefined || this.#isConfirming(term.fencingToken)) {
 			return;
@@ -368,12 +371,13 @@
 		this.#confirmingToken = fencingToken;
 		let isKnown = false;
 		while (!isKnown && this.#state.term?.fencingToken === fencingToken) {
+			const doubtCount = this.#doubtCount;
 			const sentOffsetMs = wallOffsetOf(this.#now());
 			try {
 				// The age of the operators' rows does not show the time for which the machine was suspended.
 				const [[row]] = await Promise.all([this.#options.table.readRows([fenceKey(schedulerLease)]), this.#options.refreshOrders()]);
-				// An answer from before another suspension of the machine says nothing of the time since.
-				const isPresent = Math.abs(wallOffsetOf(this.#now()) - sentOffsetMs) <= suspensionThresholdMs;
+				// An answer from before another suspension of the machine, or another standstill, says nothing of the time since.
+				const isPresent = doubtCount === this.#doubtCount && Math.abs(wallOffsetOf(this.#now()) - sentOffsetMs) <= suspensionThresholdMs;
 				if (isPresent || row?.version !== fencingToken) {
 					this.#options.dispatch({type: row?.version === fencingToken ? 'leaseConfirmed' : 'leaseLost', fencingToken, ...this.#now()});
 					isKnown = true;
@@ -460,6 +464,11 @@
 					continue;
 				}
 
+				if (this.#isConfirming(fence.version)) {
+					// The term has begun before, and a later read decides whether it goes on.
+					break;
+				}
+
 				this.#continuation.confirm();
 				this.#options.dispatch({
 					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
