A standby machine with a worker that lists unstored ends is not idle

By reading, from the review: a configuration may turn a pool with workers into a standby pool, whose machines always counted as idle, so that they could be ordered away with the only record of what had ended on them. The rule that holds for other machines now holds for these too.

--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -368,11 +368,11 @@
 
 /** Returns true if nothing runs on the machine, no start order can be in flight to it, and all that has ended on it is stored. */
 export const isIdle = (state: SchedulerState, machine: MachineRecord, nowMs: number): boolean => {
+	const worker = workerOn(state, machine);
 	if (isStandby(state, machine)) {
-		return true;
+		return worker === undefined || !hasUnstoredEnds(worker);
 	}
 
-	const worker = workerOn(state, machine);
 	if (worker === undefined) {
 		return state.isSettled;
 	}
