A job has begun once a worker lists one of its runs

Callers saw a job as queued for 23 s while its tasks were at work, and it counted as pending: the answers to all its starts were lost, and only an answered start, or an adopted run, marked the job as begun.

--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -169,6 +169,7 @@
 	run.phase = isUnwanted ? 'stopping' : 'running';
 	run.startedAtMs ??= nowMs;
 	run.percentChangedAtMs = nowMs;
+	markJobBegun(state, run);
 	if (isUnwanted) {
 		orderStop(state, run, nowMs, 'not-wanted');
 	}
