A term does not begin anew after a save was refused by its fence

By reading, from the review: a refused save ends the term, but a beginning of the same term that was still reading its copies went on, and began the lost term once more. The keeper is told now, as it is when a worker names a later holder.

Besides, a revision that cannot be read is logged once a term and not with each attempt, and save_pending_ms counts only within a term.

--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -213,6 +213,7 @@
 			} catch (error) {
 				if (error instanceof ConflictError) {
 					this.#options.log.warn({event: 'save_fenced', saveNumber: save.saveNumber, fencingToken});
+					this.#options.abandonTerm(fencingToken);
 					this.#options.dispatch({type: 'leaseLost', fencingToken, ...this.#now()});
 					return;
 				}
@@ -231,6 +232,7 @@
 	}
 
 	async #readRevision(fencingToken: number): Promise<void> {
+		let hasFailed = false;
 		while (this.#state.term?.fencingToken === fencingToken && !this.#state.isSettled && !this.#options.isClosed()) {
 			try {
 				const revision = await this.#options.readRevision();
@@ -239,7 +241,12 @@
 				});
 				return;
 			} catch (error) {
-				this.#options.log.warn({event: 'revision_not_read', fencingToken, reason: failureReason(this.#options.log, 'read revision', error)});
+				const reason = failureReason(this.#options.log, 'read revision', error);
+				if (!hasFailed) {
+					hasFailed = true;
+					this.#options.log.warn({event: 'revision_not_read', fencingToken, reason});
+				}
+
 				await this.#pause(storeRetryDelayMs);
 			}
 		}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -197,7 +197,7 @@
 		});
 		this.#saveAge = new SaveAgeMonitor({
 			unsaved: () => ({
-				saveNumber: this.state.pendingSaveNumber, orderedAtMs: this.state.lastSaveAtMs, jobs: this.state.dirtyJobs.size + this.state.pendingSaveJobs.length, fencingToken: this.state.term?.fencingToken,
+				saveNumber: this.state.term === undefined ? undefined : this.state.pendingSaveNumber, orderedAtMs: this.state.lastSaveAtMs, jobs: this.state.dirtyJobs.size + this.state.pendingSaveJobs.length, fencingToken: this.state.term?.fencingToken,
 			}),
 			clock, log, metrics: options.metrics,
 		});
