Hear a worker with a full report to its end, whatever befalls it meanwhile

A takeover waits for a worker that has more ends than a report lists. Four cases of it were wrong, each found by the review with a test (full-reports.test.ts) that failed before:

- One unanswered poll counted as silence past the lease, as the lease of a worker without runs is over anyway: tasks of its further ends were started again (TWICE).
The silence itself is counted now.
- A worker that answered without being registered was forgotten after 10 s, and the takeover settled without it (TWICE).
It is kept for as long as it answers.
- A worker that had restarted within the term got no acknowledgement until a whole report, which could not come without one: the takeover never ended (LOST).
It is acknowledged once its present incarnation has reported.

started_after_end is one line a report.

--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -163,8 +163,8 @@
 	entry: WorkerEntry;
 	/** Number of the incarnation, as counted by this process; no two incarnations, of whatever worker, have the same. */
 	incarnation: number;
-	/** The worker has started again and has not reported since, so it is not known which runs were ordered from its present incarnation. */
-	restart: {readonly wasLeaving: boolean} | undefined;
+	/** The worker has started again, and no whole report has shown since which runs were ordered from its present incarnation. `hasReported`: a part of a report has. */
+	restart: {readonly wasLeaving: boolean; hasReported: boolean} | undefined;
 	/** The last registration that was found to be of an earlier incarnation. */
 	outdatedEntry: WorkerEntry | undefined;
 	/** When this process first saw this incarnation of the worker. */
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -2,6 +2,7 @@
 The takeover of the fleet by a new lease holder. Until it is settled, tasks of an earlier holder may be at work, or have ended, on workers that have not reported to this process, so only jobs that no earlier holder can have started are started.
 */
 import {maxLoggedRuns} from '../constants.js';
+import {type FinishedEntry} from '../types.js';
 import {resolveLostTrials} from './crash-attribution.js';
 import {
 	type JobRecord, type StepInstance, type Task, type WorkerRecord,
@@ -21,9 +22,9 @@
 	}
 };
 
-/** Returns true if the worker has ends that it has not listed yet. Its lease may go on for as long as it answers, so the time limit of the takeover says nothing about them. */
-const hasUnlistedEnds = ({mayLackEnds, silentSinceMs, leaseExpiresAtMs}: WorkerRecord, nowMs: number): boolean =>
-	mayLackEnds && (silentSinceMs === undefined || nowMs < leaseExpiresAtMs);
+/** Returns true if the worker has ends that it has not listed yet. The time limit of the takeover says nothing about them while the worker answers, or until it has been silent for a whole lease. */
+const hasUnlistedEnds = ({mayLackEnds, silentSinceMs, lastAnswerAtMs}: WorkerRecord, nowMs: number): boolean =>
+	mayLackEnds && (silentSinceMs === undefined || nowMs < leaseExpiryAfter(lastAnswerAtMs));
 
 /** Why the takeover is settled although the worker has not reported all that it has. */
 const describeUnheard = ({entry: {workerId}, isEnded, isListed, silentSinceMs}: WorkerRecord, nowMs: number): string => {
@@ -70,11 +71,17 @@
 	}
 };
 
-/** Logs that a task had ended done in an earlier attempt when it was started again. */
-export const logStartedAfterEnd = (state: SchedulerState, {key, lastAttempt}: Task, {attempt, workerId}: {readonly attempt: number; readonly workerId: string}): void => {
-	state.emit({
-		type: 'log', level: 'warn', fields: {
-			event: 'started_after_end', taskKey: key, endedAttempt: attempt, workerId, startedAttempt: lastAttempt, isOfEarlierTerm: attempt <= (state.term?.attemptBase ?? 0), isSettled: state.isSettled,
-		},
-	});
+/** Returns true if the task had ended done in an earlier attempt when it was started again. */
+export const isStartedAfterEnd = (task: Task | undefined, {end, attempt}: FinishedEntry): task is Task =>
+	end === 'done' && task?.step.spec.isLasting === false && attempt < task.lastAttempt;
+
+/** Logs tasks that had ended done, as the worker lists, when they were started again. */
+export const logStartedAfterEnd = (state: SchedulerState, workerId: string, ended: ReadonlyArray<{readonly task: Task; readonly attempt: number}>): void => {
+	if (ended.length > 0) {
+		state.emit({
+			type: 'log', level: 'warn', fields: {
+				event: 'started_after_end', workerId, count: ended.length, tasks: ended.slice(0, maxLoggedRuns).map(({task, attempt}) => `${task.key}#${attempt}>${task.lastAttempt}`).join(','), isSettled: state.isSettled,
+			},
+		});
+	}
 };
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -19,7 +19,7 @@
 } from './records.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
-import {logStartedAfterEnd} from './takeover.js';
+import {isStartedAfterEnd, logStartedAfterEnd} from './takeover.js';
 import {stepDown} from './terms.js';
 import {
 	beginIncarnation, loseEarlierRuns, loseRuns, recordLeaseSent, settleRestart,
@@ -89,6 +89,10 @@
 		recordLeaseSent(worker, Math.min(event.nowMs, state.earlierOrdersOverAtMs));
 	}
 
+	if (worker.restart !== undefined) {
+		worker.restart.hasReported = true;
+	}
+
 	worker.mayLackEnds = report.finished.length >= maxEndsPerReport;
 	worker.isFenced ||= !worker.mayLackEnds;
 	worker.silentSinceMs = undefined;
@@ -103,8 +107,14 @@
 	}
 
 	const ended: FinishedEntry[] = [];
+	const startedAfterEnd: Array<{readonly task: Task; readonly attempt: number}> = [];
 	for (const entry of report.finished.toSorted((a, b) => a.sequence - b.sequence)) {
 		if (entry.sequence > worker.processedSequence) {
+			const task = findTask(state, entry.taskKey);
+			if (isStartedAfterEnd(task, entry)) {
+				startedAfterEnd.push({task, attempt: entry.attempt});
+			}
+
 			worker.processedSequence = entry.sequence;
 			applyReportedEnd(state, worker, {entry, reportedAtMs: event.nowMs}, event);
 			ended.push(entry);
@@ -112,6 +122,7 @@
 	}
 
 	logEnds(state, event.workerId, ended);
+	logStartedAfterEnd(state, event.workerId, startedAfterEnd);
 
 	const listed = new Set<string>();
 	for (const entry of report.running) {
@@ -278,10 +289,6 @@
 	}
 
 	settleTrial(state, task, entry.attempt);
-	if (entry.end === 'done' && task?.step.spec.isLasting === false && entry.attempt < task.lastAttempt) {
-		logStartedAfterEnd(state, task, {attempt: entry.attempt, workerId: worker.entry.workerId});
-	}
-
 	if (task !== undefined) {
 		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job});
 	}
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -110,7 +110,7 @@
 
 /** Resets the record of a restarted worker, which has seen no fencing token. Its registration may be learned of after tasks were started on the new incarnation, so what has ended with the earlier one is left to the first report. */
 export const beginIncarnation = (state: SchedulerState, worker: WorkerRecord, bornWallMs: number | undefined, nowMs: number): void => {
-	worker.restart ??= {wasLeaving: isLeaving(state, worker, nowMs)};
+	worker.restart = {wasLeaving: worker.restart?.wasLeaving ?? isLeaving(state, worker, nowMs), hasReported: false};
 	for (const run of worker.runs.values()) {
 		if (run.phase === 'unconfirmed') {
 			// An earlier incarnation accepted the stop; the present one may still carry out the start.
@@ -157,6 +157,7 @@
 	if (!worker.isEnded) {
 		worker.isEnded = true;
 		worker.isFenced = true;
+		worker.mayLackEnds = false;
 		worker.leaseExpiresAtMs = nowMs;
 		loseRuns(state, worker, nowMs, {reason});
 	}
@@ -302,7 +303,9 @@
 			loseRuns(state, worker, nowMs, {reason: worker.isListed ? 'silent-past-lease' : 'unlisted-past-lease'});
 		}
 
-		if (!worker.isListed && worker.runs.size === 0 && (isLeaseExpired || state.term === undefined) && nowMs - (worker.unlistedAtMs ?? nowMs) > taskLeaseMs * 2) {
+		// A worker may answer without being registered, and list what has ended on it.
+		const goneSinceMs = Math.max(worker.unlistedAtMs ?? nowMs, worker.lastAnswerAtMs);
+		if (!worker.isListed && worker.runs.size === 0 && (isLeaseExpired || state.term === undefined) && nowMs - goneSinceMs > taskLeaseMs * 2) {
 			state.workers.delete(workerId);
 		}
 	}
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -37,7 +37,7 @@
 
 /** Returns the acknowledgement to send, 0 for none. A worker that has not answered may have started again: its ends are numbered anew then, and it would forget ends that nobody has seen. */
 const dueAcknowledgement = ({silentSinceMs, restart, acknowledgedSequence, sentAcknowledgement}: WorkerRecord): number =>
-	silentSinceMs === undefined && restart === undefined && acknowledgedSequence > sentAcknowledgement ? acknowledgedSequence : 0;
+	silentSinceMs === undefined && restart?.hasReported !== false && acknowledgedSequence > sentAcknowledgement ? acknowledgedSequence : 0;
 
 const needsPoll = (worker: WorkerRecord): boolean =>
 	!worker.isFenced || worker.runs.size > 0 || worker.acknowledgedSequence > worker.sentAcknowledgement || worker.silentSinceMs !== undefined;
--- a/packages/scheduler/tests/review-settling.test.ts
+++ b/packages/scheduler/tests/full-reports.test.ts
@@ -1,5 +1,5 @@
 /**
-Takeovers that a full report keeps open. Guards against jobs of before a takeover that wait for ever, or far beyond the last leases of the earlier holder, for ends that this holder can never be told (LOST).
+Takeovers beside a worker that lists 500 ends and has more. Guards against tasks of its further ends that are started again (TWICE), and against jobs of before a takeover that wait for ever (LOST).
 */
 import {beforeEach, expect, test} from 'vitest';
 import {VirtualClock} from '@poplarnotch/common';
--- a/packages/scheduler/tests/jobs-read-late.test.ts
+++ b/packages/scheduler/tests/jobs-read-late.test.ts
@@ -58,8 +58,8 @@
 		return starts;
 	}
 
-	read(version: number, nowMs: number): void {
-		this.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1), {version})]}, nowMs);
+	read(version: number, nowMs: number, rowKey = 'row'): void {
+		this.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1), {version, rowKey})]}, nowMs);
 	}
 
 	hearThatEarlierHolderIsGone(): void {
@@ -95,3 +95,11 @@
 	holder.read(revision + 1, ordersOverAtMs + 50);
 	expect(holder.run(ordersOverAtMs + 60, ordersOverAtMs + 100)).toBeGreaterThan(0);
 });
+
+test('a job of which an earlier row is stored as well is not new', () => {
+	const holder = new Holder();
+	holder.run(20, ordersOverAtMs + 40);
+	holder.read(revision, ordersOverAtMs + 50);
+	holder.read(revision + 1, ordersOverAtMs + 50, 'later row');
+	expect(holder.run(ordersOverAtMs + 60, ordersOverAtMs + 1000)).toBe(0);
+});
--- a/packages/scheduler/tests/support/overload-model.ts
+++ b/packages/scheduler/tests/support/overload-model.ts
@@ -241,28 +241,44 @@
 	}
 
 	#perform(effect: SchedulerEffect): void {
-		if (effect.type === 'start') {
-			const {workerId, taskKey, attempt} = effect;
-			const [jobId, , step, index] = taskKey.split('.');
-			const job = this.#planned.get(jobId!)!;
-			const durationMs = job.durationsMs[Number(step)]![Number(index)]!;
-			this.starts.push({atMs: this.#nowMs, ageFactor: (this.#nowMs - job.atMs) / job.objectiveMs});
-			this.#ends.get(workerId)!.set(taskKey, {attempt, atMs: this.#nowMs + durationMs});
-			this.#dispatch({
-				type: 'startAnswered', fencingToken: 1, workerId, taskKey, attempt, answer: 'started',
-			});
-		} else if (effect.type === 'save') {
-			for (const {jobId, progress} of effect.save.jobs) {
-				if (progress.outcome !== undefined) {
-					this.#planned.get(jobId)!.endedAtMs = this.#nowMs;
+		switch (effect.type) {
+			case 'start': {
+				this.#start(effect);
+				break;
+			}
+
+			case 'save': {
+				for (const {jobId, progress} of effect.save.jobs) {
+					if (progress.outcome !== undefined) {
+						this.#planned.get(jobId)!.endedAtMs = this.#nowMs;
+					}
 				}
+
+				this.#dispatch({type: 'saved', fencingToken: 1, saveNumber: effect.save.saveNumber});
+				break;
+			}
+
+			case 'readRevision': {
+				this.#dispatch({type: 'revisionRead', fencingToken: 1, revision: 0});
+				break;
 			}
 
-			this.#dispatch({type: 'saved', fencingToken: 1, saveNumber: effect.save.saveNumber});
-		} else if (effect.type === 'readRevision') {
-			this.#dispatch({type: 'revisionRead', fencingToken: 1, revision: 0});
+			default: {
+				break;
+			}
 		}
 	}
+
+	#start({workerId, taskKey, attempt}: Extract<SchedulerEffect, {readonly type: 'start'}>): void {
+		const [jobId, , step, index] = taskKey.split('.');
+		const job = this.#planned.get(jobId!)!;
+		const durationMs = job.durationsMs[Number(step)]![Number(index)]!;
+		this.starts.push({atMs: this.#nowMs, ageFactor: (this.#nowMs - job.atMs) / job.objectiveMs});
+		this.#ends.get(workerId)!.set(taskKey, {attempt, atMs: this.#nowMs + durationMs});
+		this.#dispatch({
+			type: 'startAnswered', fencingToken: 1, workerId, taskKey, attempt, answer: 'started',
+		});
+	}
 }
 
 const takenFactor = ({endedAtMs, atMs, objectiveMs}: PlannedJob): number => ((endedAtMs ?? Number.POSITIVE_INFINITY) - atMs) / objectiveMs;
