--- a/soak/main.ts
+++ b/soak/main.ts
@@ -34,7 +34,7 @@
 const options: SoakOptions = {...parsed, out: parsed.out, troubles: parsed.troubles.split(',')};
 const lifecycle = new LifecycleManager(new SystemClock());
 for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-	process.once(signal, () => {
+	process.on(signal, () => {
 		// The exit handlers end the processes that still run.
 		process.exit(notPlayableExitCode);
 	});
