--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -110,14 +110,12 @@
 	const startedAfterEnd: Array<{readonly task: Task; readonly attempt: number}> = [];
 	for (const entry of report.finished.toSorted((a, b) => a.sequence - b.sequence)) {
 		if (entry.sequence > worker.processedSequence) {
-			const task = findTask(state, entry.taskKey);
+			worker.processedSequence = entry.sequence;
+			const task = applyReportedEnd(state, worker, {entry, reportedAtMs: event.nowMs}, event);
+			ended.push(entry);
 			if (isStartedAfterEnd(task, entry)) {
 				startedAfterEnd.push({task, attempt: entry.attempt});
 			}
-
-			worker.processedSequence = entry.sequence;
-			applyReportedEnd(state, worker, {entry, reportedAtMs: event.nowMs}, event);
-			ended.push(entry);
 		}
 	}
 
@@ -262,8 +260,8 @@
 	}
 };
 
-/** Applies an end, or keeps it until its task can be known. It is not acknowledged before that: the worker would forget it, and the task would be started again once its job is read. */
-const applyReportedEnd = (state: SchedulerState, worker: WorkerRecord, end: ReportedEnd, now: CurrentTime): void => {
+/** Applies an end and returns its task, or keeps it until its task can be known. It is not acknowledged before that: the worker would forget it, and the task would be started again once its job is read. */
+const applyReportedEnd = (state: SchedulerState, worker: WorkerRecord, end: ReportedEnd, now: CurrentTime): Task | undefined => {
 	const {entry: {taskKey, attempt}, reportedAtMs} = end;
 	const task = findTask(state, taskKey);
 	if (task === undefined && isUnresolved(state, {taskKey, reportedAtMs})) {
@@ -275,6 +273,8 @@
 	} else {
 		applyFinishedEntry(state, worker, {entry: end.entry, task}, now);
 	}
+
+	return task;
 };
 
 const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, {entry, task}: {readonly entry: FinishedEntry; readonly task: Task | undefined}, now: CurrentTime): void => {
