Compare two moments of the clocks in one function

It keeps moments now, and one function says whether the clocks have jumped between two of them. Behaviour is unchanged; repeated-pauses, late-renewal and lost-holder tests pass.

--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -55,6 +55,7 @@
 	isSettled = false;
 	/** Jobs that were stored after this revision cannot have been read while an earlier holder gave orders; `undefined` until the store has named a revision after that. */
 	newJobsAfterRevision: number | undefined;
+	/** The store was asked for that revision in this term. */
 	isRevisionRequested = false;
 	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
 	earlierHolder: EarlierHolder | undefined;
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -41,8 +41,11 @@
 /** One moment on both clocks. */
 type Moment = {readonly nowMs: number; readonly wallMs: number};
 
-/** Differs between two moments if the machine was suspended, or its time of day set, between them. */
-const wallOffsetOf = ({nowMs, wallMs}: Moment): number => wallMs - nowMs;
+/** Returns by how much more the wall clock has advanced between two moments than the monotonic clock. */
+const clockGapMs = (from: Moment, to: Moment): number => (to.wallMs - from.wallMs) - (to.nowMs - from.nowMs);
+
+/** Returns true if the machine was suspended, or its time of day set, between two moments. */
+const hasClockJumpedBetween = (from: Moment, to: Moment): boolean => Math.abs(clockGapMs(from, to)) > suspensionThresholdMs;
 
 export type TermKeeperOptions = {
 	readonly processId: string;
@@ -87,8 +90,7 @@
 	#earlierTrustedUntilMs = Number.NEGATIVE_INFINITY;
 	/** Since when this process has held the lease without a term. */
 	#withoutTermSinceMs: number | undefined;
-	/** Difference between the wall clock and the monotonic clock at the last check. */
-	#wallOffsetMs: number | undefined;
+	#lastCheck: Moment | undefined;
 	/** When a suspension of the machine, or a step of its clock, was last noticed. */
 	#clockJumpedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -304,11 +306,11 @@
 	/**
 	A suspended machine's monotonic clock stops, so after a suspension the lease still seems to be valid; only the wall clock shows the gap. Nothing is ordered until a read from the store has confirmed the fence.
 	*/
-	#suspendIfLeaseUncertain({nowMs, wallMs}: Moment): void {
-		const gapMs = wallMs - nowMs - (this.#wallOffsetMs ?? (wallMs - nowMs));
-		this.#wallOffsetMs = wallMs - nowMs;
-		const hasClockJumped = Math.abs(gapMs) > suspensionThresholdMs;
-		this.#clockJumpedAtMs = hasClockJumped ? nowMs : this.#clockJumpedAtMs;
+	#suspendIfLeaseUncertain(now: Moment): void {
+		const lastCheck = this.#lastCheck ?? now;
+		this.#lastCheck = now;
+		const hasClockJumped = hasClockJumpedBetween(lastCheck, now);
+		this.#clockJumpedAtMs = hasClockJumped ? now.nowMs : this.#clockJumpedAtMs;
 		const {term} = this.#state;
 		if (term === undefined) {
 			return;
@@ -320,7 +322,7 @@
 
 		const lease = this.#leases.heldLease(schedulerLease) ?? this.#continueLease(term.fencingToken);
 		if (hasClockJumped || lease === undefined) {
-			this.#suspendUncertainTerm(term.fencingToken, {gapMs, hasClockJumped});
+			this.#suspendUncertainTerm(term.fencingToken, {gapMs: clockGapMs(lastCheck, now), hasClockJumped});
 		} else if (lease.fence.version === term.fencingToken && !this.#isConfirming(term.fencingToken)) {
 			this.#resumeCertainTerm(term.fencingToken);
 		}
@@ -372,12 +374,12 @@
 		let isKnown = false;
 		while (!isKnown && this.#state.term?.fencingToken === fencingToken) {
 			const doubtCount = this.#doubtCount;
-			const sentOffsetMs = wallOffsetOf(this.#now());
+			const sentAt = this.#now();
 			try {
 				// The age of the operators' rows does not show the time for which the machine was suspended.
 				const [[row]] = await Promise.all([this.#options.table.readRows([fenceKey(schedulerLease)]), this.#options.refreshOrders()]);
 				// An answer from before another suspension of the machine, or another standstill, says nothing of the time since.
-				const isPresent = doubtCount === this.#doubtCount && Math.abs(wallOffsetOf(this.#now()) - sentOffsetMs) <= suspensionThresholdMs;
+				const isPresent = doubtCount === this.#doubtCount && !hasClockJumpedBetween(sentAt, this.#now());
 				if (isPresent || row?.version !== fencingToken) {
 					this.#options.dispatch({type: row?.version === fencingToken ? 'leaseConfirmed' : 'leaseLost', fencingToken, ...this.#now()});
 					isKnown = true;
@@ -437,7 +439,7 @@
 	#isFromBeforeSuspension(): boolean {
 		const now = this.#now();
 		const confirmedAtMs = this.#leases.unconfirmedLease(schedulerLease)?.confirmedAtMs ?? now.nowMs;
-		const isUnnoticed = Math.abs(wallOffsetOf(now) - (this.#wallOffsetMs ?? wallOffsetOf(now))) > suspensionThresholdMs;
+		const isUnnoticed = hasClockJumpedBetween(this.#lastCheck ?? now, now);
 		return isUnnoticed || this.#clockJumpedAtMs >= confirmedAtMs;
 	}
 
@@ -446,7 +448,7 @@
 		const {fence} = lease;
 		let wasSuspended = this.#isFromBeforeSuspension();
 		while (this.#beginningToken === fence.version) {
-			const sentOffsetMs = wallOffsetOf(this.#now());
+			const sentAt = this.#now();
 			try {
 				const [row] = wasSuspended ? await this.#options.table.readRows([fenceKey(schedulerLease)]) : [];
 				if (wasSuspended && row?.version !== fence.version) {
@@ -459,7 +461,7 @@
 				}
 
 				// If the machine was suspended meanwhile, the lease may have passed on, and the copies be from before.
-				wasSuspended = Math.abs(wallOffsetOf(this.#now()) - sentOffsetMs) > suspensionThresholdMs;
+				wasSuspended = hasClockJumpedBetween(sentAt, this.#now());
 				if (wasSuspended) {
 					continue;
 				}
