Repeat calls to the store in one place

The read of the revision had copied the loop of the reports on waves. Both, and nothing else, now use one function that repeats a call until it succeeds or is no longer wanted. Behaviour is unchanged. The save keeps its own loop: a conflict ends it in another way.

--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -233,37 +233,40 @@
 
 	async #readRevision(fencingToken: number): Promise<void> {
 		let hasFailed = false;
-		while (this.#state.term?.fencingToken === fencingToken && !this.#state.isSettled && !this.#options.isClosed()) {
-			try {
-				const revision = await this.#options.readRevision();
-				this.#options.dispatch({
-					type: 'revisionRead', fencingToken, revision, ...this.#now(),
-				});
-				return;
-			} catch (error) {
-				const reason = failureReason(this.#options.log, 'read revision', error);
-				if (!hasFailed) {
-					hasFailed = true;
-					this.#options.log.warn({event: 'revision_not_read', fencingToken, reason});
-				}
-
-				await this.#pause(storeRetryDelayMs);
+		await this.#repeat(() => this.#state.term?.fencingToken === fencingToken && !this.#state.isSettled, async () => {
+			const revision = await this.#options.readRevision();
+			this.#options.dispatch({
+				type: 'revisionRead', fencingToken, revision, ...this.#now(),
+			});
+		}, error => {
+			const reason = failureReason(this.#options.log, 'read revision', error);
+			if (!hasFailed) {
+				hasFailed = true;
+				this.#options.log.warn({event: 'revision_not_read', fencingToken, reason});
 			}
-		}
+		});
 	}
 
 	/** Repeats a report until it is written, unless the wave has reached another state or another term has begun meanwhile: the later report may be written already. */
 	async #reportWave({fencingToken, waveId, state}: Extract<SchedulerEffect, {readonly type: 'reportWave'}>): Promise<void> {
-		const isCurrent = (): boolean => this.#state.term?.fencingToken === fencingToken && this.#state.waves.get(waveId)?.state === state && !this.#options.isClosed();
-		while (isCurrent()) {
+		await this.#repeat(() => this.#state.term?.fencingToken === fencingToken && this.#state.waves.get(waveId)?.state === state, async () => {
+			await this.#options.waveReporter.report(waveId, state);
+			this.#options.log.info({event: 'wave_reported', waveId, state});
+		}, error => {
+			this.#options.log.warn({
+				event: 'wave_report_failed', waveId, state, reason: failureReason(this.#options.log, 'report wave', error),
+			});
+		});
+	}
+
+	/** Repeats a call to the store after each failure, until it succeeds or is no longer wanted. */
+	async #repeat(isWanted: () => boolean, call: () => Promise<void>, onFailure: (error: unknown) => void): Promise<void> {
+		while (isWanted() && !this.#options.isClosed()) {
 			try {
-				await this.#options.waveReporter.report(waveId, state);
-				this.#options.log.info({event: 'wave_reported', waveId, state});
+				await call();
 				return;
 			} catch (error) {
-				this.#options.log.warn({
-					event: 'wave_report_failed', waveId, state, reason: failureReason(this.#options.log, 'report wave', error),
-				});
+				onFailure(error);
 				await this.#pause(storeRetryDelayMs);
 			}
 		}
