--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -3,6 +3,7 @@
 */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type RandomSource} from '@poplarnotch/common';
+import {drawBetween} from './draws.js';
 import {type Machines} from './machines.js';
 import {type Record} from './record.js';
 import {type RowStore} from './row-store.js';
@@ -21,8 +22,6 @@
 /** Time that a wave has for each batch of machines that may be away at once. */
 const batchS = bounds.upkeep_s + 4;
 
-const drawBetween = (random: RandomSource, min: number, max: number): number => min + Math.floor(random.next() * (max - min + 1));
-
 export class Operator {
 	readonly #rows: RowStore;
 	readonly #machines: Machines;
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -4,6 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type RandomSource} from '@poplarnotch/common';
 import {type Daemon} from './daemons.js';
+import {drawBetween} from './draws.js';
 import {type Received, type Sent} from './http.js';
 import {
 	isLasting, type Job, type JobBody, type Look, type Step,
@@ -84,7 +85,7 @@
 	}
 
 	#between(min: number, max: number): number {
-		return min + Math.floor(this.#jobRandom.next() * (max - min + 1));
+		return drawBetween(this.#jobRandom, min, max);
 	}
 
 	#drawJob(endsAtWallMs: number): Job {
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -5,6 +5,7 @@
 import {type RandomSource, SeededRandom} from '@poplarnotch/common';
 import {type Daemon} from './daemons.js';
 import {type Deployment} from './deployment.js';
+import {drawBetween} from './draws.js';
 import {bounds, zones} from './settings.js';
 import {type Refusal} from './store.js';
 import {type Worker} from './worker.js';
@@ -206,7 +207,7 @@
 	},
 	/** Processor time is short on all hosts together. */
 	starve({deployment: {busyProcesses}, random}) {
-		const busy = busyProcesses.start(minBusyProcesses + Math.floor(random.next() * (maxBusyProcesses - minBusyProcesses + 1)));
+		const busy = busyProcesses.start(drawBetween(random, minBusyProcesses, maxBusyProcesses));
 		return {
 			daemons: 'all', workers: 'all',
 			end() {
