Lasting tasks of one step do not wait for each other's recovery for ever

The first start of each task and the stop that followed had got no answer, 4 of 84 orders.

Cause: a stop that had no effect was repeated only while fewer other tasks of the step were unavailable than it may miss. A task whose start and stop were lost is unavailable, so two of them each waited for the other. The limit, which protects tasks at work, was applied whatever the run that would be ended was doing.

Two ways were weighed, and both are in. A start carries a deadline by the worker's clock, and each report carries that clock: once a whole report of after the deadline does not list the run, the start can never take effect and the task waits again, whatever orders were lost (start_expired). And the limit guards runs that serve or may begin to: the stop of a start that is not listed is repeated with each report that still lacks it, that of a listed run once it has made no progress for 1.5 s in a report of after the last stop. The first needs no order to get through but takes 5 s; the second is quick but may lose every order. A lost stop whose run serves, and that may not be repeated, is withdrawn: two such runs kept a wave from draining their machines.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -76,6 +76,9 @@
 /** How long a worker with a trial may wait for a run to end before it answers a poll: a trial ends with the first report after `provenAfterMs`. */
 export const trialPollWaitMs = 100;
 
+/** A stop that has had no effect is ordered again after this time. */
+export const stopRetryMs = 600;
+
 /** A task whose progress has not changed for this long counts as stalled. A healthy task gains a percent in 20 to 50 ms, one on a slow worker in about 300 ms. */
 export const taskStallTimeoutMs = 1500;
 
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -40,6 +40,7 @@
 	const {fencingToken, wonAtMs} = state.term!;
 	const attempt = nextAttempt(state, task);
 	const {job, spec} = task.step;
+	const startDeadlineClockMs = deadlineClockMs(worker, nowMs)!;
 	const run: TaskRun = {
 		taskKey: task.key,
 		attempt,
@@ -50,6 +51,7 @@
 		task,
 		phase: 'starting',
 		orderedAtMs: nowMs,
+		startDeadlineClockMs,
 		startedAtMs: undefined,
 		listedIncarnation: undefined,
 		isConfirmed: false,
@@ -70,7 +72,7 @@
 	state.startCount++;
 	recordLeaseSent(worker, nowMs);
 	state.emit({
-		type: 'start', workerId: worker.entry.workerId, taskKey: task.key, attempt, ticket: ticketFor(state, task.step, worker, nowMs) ?? '', payload: job.spec.payload, checkpoint: task.checkpoint, deadlineClockMs: deadlineClockMs(worker, nowMs)!, fencingToken, waitedMs: Math.round(nowMs - task.waitingSinceMs), progressVersion: nowMs - wonAtMs < detailedStartsMs ? job.progressVersion : undefined,
+		type: 'start', workerId: worker.entry.workerId, taskKey: task.key, attempt, ticket: ticketFor(state, task.step, worker, nowMs) ?? '', payload: job.spec.payload, checkpoint: task.checkpoint, deadlineClockMs: startDeadlineClockMs, fencingToken, waitedMs: Math.round(nowMs - task.waitingSinceMs), progressVersion: nowMs - wonAtMs < detailedStartsMs ? job.progressVersion : undefined,
 	});
 };
 
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -29,6 +29,8 @@
 	/** `unconfirmed`: the start order got no answer, and the worker may still carry it out. */
 	phase: 'starting' | 'unconfirmed' | 'running' | 'stopping';
 	readonly orderedAtMs: number;
+	/** The worker refuses the start after this time on its clock; `undefined` for a run that an earlier lease holder started. */
+	readonly startDeadlineClockMs: number | undefined;
 	/** When the worker confirmed the start. */
 	startedAtMs: number | undefined;
 	/** The incarnation of the worker that listed the run; `undefined` if none has. A start is confirmed without naming the incarnation. */
--- a/packages/scheduler/src/core/relocation.ts
+++ b/packages/scheduler/src/core/relocation.ts
@@ -5,7 +5,7 @@
 
 An evacuation displaces a large part of the fleet's lasting tasks at the same time, so one free place would be found for many of them. Each task that leaves an evacuated data centre therefore has its own capacity elsewhere, which is kept free until its run has ended.
 */
-import {taskStallTimeoutMs} from '../constants.js';
+import {stopRetryMs, taskStallTimeoutMs} from '../constants.js';
 import {orderStop} from './jobs.js';
 import {orderPaces} from './throttling.js';
 import {chooseWorker} from './placement.js';
@@ -25,8 +25,8 @@
 /** Within this time a new lease holder has polled every worker and renewed its lease. Before that, a run listed as running may be about to lapse. */
 const initialPollsMs = 1000;
 
-/** A stop that has had no effect is ordered again after this time. */
-const stopRetryMs = 600;
+/** A run that its worker still lists this long after the last stop was ordered goes on: a worker ends a run within a second of a stop. */
+const stopEffectMs = 2000;
 
 const isServing = (run: TaskRun | undefined): boolean =>
 	run?.phase === 'running' && run.percent >= servingPercent && run.worker.silentSinceMs === undefined && run.worker.isListed;
@@ -136,15 +136,44 @@
 	}
 };
 
-/** Returns true if a stop that had no effect may be ordered again. It may not while other tasks of a lasting step are unavailable; those must recover first. */
+/** Returns true if the worker has answered since the stop was ordered, and the run makes no progress towards serving. */
+const isStalledInStop = ({worker, stopOrderedAtMs, phase, percent, percentChangedAtMs}: TaskRun): boolean => phase === 'stopping'
+	&& worker.silentSinceMs === undefined
+	&& worker.lastReportSentAtMs > stopOrderedAtMs!
+	&& percent < servingPercent
+	&& worker.lastAnswerAtMs - percentChangedAtMs >= taskStallTimeoutMs;
+
+/** Returns true if a stop that had no effect may be ordered again. The limit on a step's unavailable tasks protects those that serve, or may begin to at any moment. It does not apply to a run that can recover only by being stopped. */
 const mayRepeatStop = (run: TaskRun): boolean => {
 	const step = run.task?.step;
-	return step === undefined || !step.spec.isLasting || step.job.outcome !== undefined || run.worker.entry.isDraining || canInterrupt(run, step);
+	return step === undefined || !step.spec.isLasting || step.job.outcome !== undefined || run.worker.entry.isDraining || canInterrupt(run, step) || isStalledInStop(run);
+};
+
+/** Returns true if a task that is still wanted serves although it was ordered to stop: the worker did not carry out the order. */
+const isStopLost = ({task, phase, percent, stopOrderedAtMs, lastListedAtMs}: TaskRun): boolean =>
+	task?.step.job.outcome === undefined && task?.step.spec.isLasting === true && phase === 'stopping' && percent >= servingPercent && lastListedAtMs - stopOrderedAtMs! >= stopEffectMs;
+
+/** Counts a run as running again. If there is still a reason to stop it, the stop is ordered anew as soon as the step's limit permits. */
+const withdrawStop = (state: SchedulerState, run: TaskRun, nowMs: number): void => {
+	state.emit({
+		type: 'log', fields: {
+			event: 'stop_withdrawn', taskKey: run.taskKey, attempt: run.attempt, workerId: run.worker.entry.workerId, orderedAgoMs: Math.round(nowMs - run.stopOrderedAtMs!),
+		},
+	});
+	run.phase = 'running';
+	run.stopOrderedAtMs = undefined;
 };
 
+/** Repeats stops that had no effect, as soon as they may be repeated. One that could not be repeated for so long that it was lost is withdrawn if its run serves: two runs of a step that are being stopped count as unavailable, and each would keep the other from being stopped for good. */
 const repeatStops = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
 	for (const run of worker.runs.values()) {
-		if (run.stopOrderedAtMs !== undefined && nowMs - run.stopOrderedAtMs >= stopRetryMs && mayRepeatStop(run)) {
+		if (run.stopOrderedAtMs === undefined || nowMs - run.stopOrderedAtMs < stopRetryMs) {
+			continue;
+		}
+
+		if (isStopLost(run)) {
+			withdrawStop(state, run, nowMs);
+		} else if (mayRepeatStop(run)) {
 			orderStop(state, run, nowMs, 'repeated');
 		}
 	}
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -3,7 +3,7 @@
 */
 import {assertNever} from '@poplarnotch/common';
 import {
-	failureWindowMs, maxEndsPerReport, maxLoggedRuns, quarantineFailures, quarantineMs,
+	failureWindowMs, leaseMarginMs, maxEndsPerReport, maxLoggedRuns, quarantineFailures, quarantineMs, stopRetryMs,
 } from '../constants.js';
 import {type OrderAnswer, type StartAnswer} from '../ports.js';
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
@@ -131,18 +131,38 @@
 	if (!worker.mayLackEnds) {
 		settleRestart(state, worker, listed, event);
 		removeVanishedRuns(state, worker, listed, event);
+		removeExpiredStarts(state, worker, listed, event);
 		preventLateStarts(state, worker, listed, event);
 	}
 
 	worker.expiredRuns = [];
 };
 
-/** Orders a stop for unanswered starts that the worker does not list. The start order could still arrive late; once the worker has accepted the stop, it refuses such a start. */
+/** Removes unanswered starts that cannot take effect any more: the worker, which refuses a start after its deadline, has made the report after that by the same clock and does not list the run. No order has to be answered for that. A worker that has started again counts its clock anew, so the deadline is not reached and the stop decides. */
+const removeExpiredStarts = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, event: PolledEvent): void => {
+	const clockMs = worker.clock!.clockMs - leaseMarginMs;
+	for (const run of worker.runs.values()) {
+		if (run.phase === 'unconfirmed' && !listed.has(run.taskKey) && run.startDeadlineClockMs !== undefined && clockMs >= run.startDeadlineClockMs) {
+			state.emit({
+				type: 'log', fields: {
+					event: 'start_expired', taskKey: run.taskKey, attempt: run.attempt, workerId: event.workerId, ageMs: Math.round(event.nowMs - run.orderedAtMs),
+				},
+			});
+			settleTrial(state, run.task, run.attempt);
+			state.removeRun(run, event.nowMs);
+		}
+	}
+};
+
+/** Orders a stop for unanswered starts that the worker does not list, and again while that is not answered. The start order could still arrive late; once the worker has accepted the stop, it refuses such a start. The limit on a step's unavailable tasks does not apply, since by this report the task is not there. */
 const preventLateStarts = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, event: PolledEvent): void => {
 	for (const run of worker.runs.values()) {
-		const isUnconfirmed = run.phase === 'unconfirmed' && run.stopOrderedAtMs === undefined && run.unansweredAtMs! <= event.sentAtMs;
-		if (isUnconfirmed && !listed.has(run.taskKey)) {
+		const {phase, unansweredAtMs, stopOrderedAtMs} = run;
+		const isUnconfirmed = phase === 'unconfirmed' && unansweredAtMs! <= event.sentAtMs && !listed.has(run.taskKey);
+		if (isUnconfirmed && stopOrderedAtMs === undefined) {
 			orderStop(state, run, event.nowMs, 'start-unanswered');
+		} else if (isUnconfirmed && stopOrderedAtMs! <= event.sentAtMs && event.nowMs - stopOrderedAtMs! >= stopRetryMs) {
+			orderStop(state, run, event.nowMs, 'repeated');
 		}
 	}
 };
@@ -205,6 +225,7 @@
 		task: isWanted ? task : undefined,
 		phase: 'running',
 		orderedAtMs: reportedAtMs,
+		startDeadlineClockMs: undefined,
 		startedAtMs: reportedAtMs,
 		listedIncarnation: worker.incarnation,
 		isConfirmed: true,
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -50,6 +50,8 @@
 	lostOrderRate: number;
 	/** Maximum of that delay. */
 	lateOrderMs: number;
+	/** Starts and stops all get no answer; half of them are carried out after a random delay. */
+	areOrdersUnanswered?: boolean;
 	/** Share of machine orders whose answer is lost; half of them are carried out. */
 	lostMachineAnswerRate: number;
 };
@@ -804,7 +806,7 @@
 	}
 
 	/** Delivers an order, possibly late and possibly without returning its answer. */
-	async #deliver<Answer>({name, clock}: Pick<SimulatedProcess, 'name' | 'clock'>, {workerId}: WorkerAddress, execute: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
+	async #deliver<Answer>({name, clock, lostRate = this.faults.lostOrderRate}: Pick<SimulatedProcess, 'name' | 'clock'> & {readonly lostRate?: number | undefined}, {workerId}: WorkerAddress, execute: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
 		// A sent order reaches its worker even if the sender dies or freezes.
 		await new Promise<void>(resolve => {
 			this.clock.schedule(orderLatencyMs, resolve);
@@ -816,7 +818,7 @@
 			return lost;
 		}
 
-		if (this.random.next() < this.faults.lostOrderRate) {
+		if (this.random.next() < lostRate) {
 			if (this.random.next() < 0.5) {
 				this.clock.schedule(this.random.next() * this.faults.lateOrderMs, () => {
 					const present = this.fleet.workers.get(workerId);
@@ -839,9 +841,10 @@
 
 	#controlFor(name: string, clock: HostClock): WorkerControl {
 		const sender = {name, clock};
+		const ordering = () => ({...sender, lostRate: this.faults.areOrdersUnanswered === true ? 1 : undefined});
 		return {
-			start: async (worker, order) => this.#deliver<StartAnswer>(sender, worker, target => target.start(order), 'unknown'),
-			stop: async (worker, order) => this.#deliver<OrderAnswer>(sender, worker, target => target.stop(order), 'unknown'),
+			start: async (worker, order) => this.#deliver<StartAnswer>(ordering(), worker, target => target.start(order), 'unknown'),
+			stop: async (worker, order) => this.#deliver<OrderAnswer>(ordering(), worker, target => target.stop(order), 'unknown'),
 			pace: async (worker, order) => this.#deliver<OrderAnswer>(sender, worker, target => target.pace(order), 'unknown'),
 			poll: async (worker, order) => {
 				await clock.wait(Math.min(order.waitMs, 50));
