Soak: lasting steps whose orders stay unanswered are served in the calm after it

Twice in a run, four jobs with steps of two and three lasting tasks are handed in while all starts and stops of such jobs get no answer and are carried out late. The check UNSERVED fails if one of these tasks has no run for 3 s after a calm of 4 s.

Seven cases of the check are in soak/tests.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -2,6 +2,7 @@
 The checks: each judges one of the users' rules by what clients and workers have seen. A check that had nothing to judge counts neither as passed nor as failed.
 */
 import {type Deployment} from './deployment.js';
+import {type LastingSteps, type Span} from './lasting-steps.js';
 import {
 	isLasting, isNoted, type Job, type Look, occurrencesOf, parseTask, type Run,
 } from './ledger.js';
@@ -12,8 +13,11 @@
 export type Evidence = {
 	readonly deployment: Deployment;
 	readonly troubles: Troubles;
+	readonly lastingSteps: LastingSteps;
 	/** The answers for all jobs that were accepted and not cancelled, asked for `finish_s` after the traffic and the troubles. */
 	readonly lastLooks: readonly Look[];
+	/** When the run was over, by the steady clock. */
+	readonly endedAtMs: number;
 	/** Difference between the Unix time and the steady clock. */
 	readonly wallOffsetMs: number;
 };
@@ -193,6 +197,45 @@
 	return {judged: lastLooks.length, what: 'jobs at the end', broken};
 };
 
+/** Time for which nothing is disturbed before a task counts as unserved, and for which it may be unserved then. */
+const calmBeforeMs = 4000;
+const maxUnservedMs = 3000;
+
+/** The spans within which the task had no run, from the acceptance of its job to the end. */
+const unservedSpans = (runs: readonly Run[], acceptedAtMs: number, untilMs: number): readonly Span[] => {
+	const spans: Span[] = [];
+	let fromMs = acceptedAtMs;
+	for (const {startedAtMs, endedAtMs = untilMs} of runs.toSorted((a, b) => a.startedAtMs - b.startedAtMs)) {
+		spans.push({fromMs, toMs: startedAtMs});
+		fromMs = Math.max(fromMs, endedAtMs);
+	}
+
+	return [...spans, {fromMs, toMs: untilMs}];
+};
+
+/** Returns when the first calm began within the span that leaves the task unserved for too long, or `undefined`. */
+const findUnserved = ({fromMs, toMs}: Span, disturbances: readonly Span[]): number | undefined => {
+	let sinceMs = fromMs;
+	for (const disturbance of disturbances.toSorted((a, b) => a.fromMs - b.fromMs)) {
+		if (disturbance.fromMs < sinceMs + maxUnservedMs) {
+			sinceMs = Math.max(sinceMs, disturbance.toMs + calmBeforeMs);
+		}
+	}
+
+	return sinceMs + maxUnservedMs <= toMs ? sinceMs : undefined;
+};
+
+/** A lasting task whose orders got no answer for a while has no run for 3 s in a calm. */
+const checkUnserved: Check = ({deployment: {ledger, record}, troubles, lastingSteps, endedAtMs}) => {
+	const disturbances = [...troubles.played.filter(({isRoutine}) => !isRoutine), ...lastingSteps.disturbed];
+	const accepted = lastingSteps.jobs.filter(({acceptedAtMs}) => acceptedAtMs !== undefined);
+	const broken = accepted.flatMap(job => ledger.tasksOf(job).flatMap(task => {
+		const sinceMs = unservedSpans(ledger.runsOf(task), job.acceptedAtMs!, endedAtMs).map(span => findUnserved(span, disturbances)).find(since => since !== undefined);
+		return sinceMs === undefined ? [] : [`${task} has no run from ${record.secondsAt(sinceMs)} on, for ${maxUnservedMs} ms or more`];
+	}));
+	return {judged: accepted.flatMap(job => ledger.tasksOf(job)).length, what: 'lasting tasks with unanswered orders', broken};
+};
+
 /** A call that is refused though queue and key are there. */
 const checkConfiguration: Check = ({deployment: {ledger}}) => ({
 	judged: ledger.jobs.size, what: 'jobs sent', broken: ledger.oddAnswers,
@@ -231,6 +274,7 @@
 	MIXED: checkMixed,
 	SHOWN: checkShown,
 	LOST: checkLost,
+	UNSERVED: checkUnserved,
 	CONFIG: checkConfiguration,
 	FAULT: checkFault,
 	PLAYED: checkPlayed,
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -9,6 +9,7 @@
 import {type LifecycleManager, listenOn, type RandomSource} from '@poplarnotch/common';
 import {BusyProcesses} from './busy-processes.js';
 import {Daemon, SoakError} from './daemons.js';
+import {type LastingSteps} from './lasting-steps.js';
 import {Ledger} from './ledger.js';
 import {Machines} from './machines.js';
 import {Operator} from './operator.js';
@@ -35,6 +36,7 @@
 	readonly store: Store;
 	readonly busyProcesses: BusyProcesses;
 	readonly daemons: Daemon[] = [];
+	lastingSteps: LastingSteps | undefined;
 	readonly #options: DeploymentOptions;
 	readonly #lifecycle: LifecycleManager;
 	#machines: Machines | undefined;
@@ -73,7 +75,7 @@
 		const folder = this.#openFolder();
 		const network = await this.#claimNetwork();
 		const machines = new Machines(this.#options.workers, {
-			ip: `${network}.200`, rows: this.store.rows, ledger: this.ledger, record: this.record,
+			ip: `${network}.200`, rows: this.store.rows, ledger: this.ledger, record: this.record, lateMsOf: task => this.lastingSteps?.lateMsOf(task),
 		});
 		this.#machines = machines;
 		this.#lifecycle.own('machines', () => {
--- /dev/null
+++ b/soak/lasting-steps.ts
@@ -0,0 +1,80 @@
+/**
+Jobs with lasting steps of two and three tasks, whose starts and stops are left unanswered for a while, one after the other, and are carried out late. They are played beside the traffic and the troubles, and have a sequence of draws of their own. In the calm after that, no task may stay unserved.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type RandomSource} from '@poplarnotch/common';
+import {drawBetween} from './draws.js';
+import {type Job, parseTask} from './ledger.js';
+
+const jobsPerRound = 4;
+const firstId = 0xB0_00_00_00;
+
+/** Moments, as shares of the traffic's duration, at which a round begins. */
+const roundsAt = [0.1, 0.6] as const;
+
+const minUnansweredMs = 800;
+const maxUnansweredMs = 4000;
+const minLateMs = 200;
+const maxLateMs = 9000;
+
+/** A span of time, by the steady clock. */
+export type Span = {
+	readonly fromMs: number;
+	toMs: number;
+};
+
+export type LastingStepsOptions = {
+	readonly random: RandomSource;
+	/** Hands a job in until it is accepted or the submissions are used up. */
+	readonly submit: (id: string, taskCount: number) => Promise<Job>;
+	readonly record: {add: (line: string) => void};
+};
+
+export class LastingSteps {
+	readonly jobs: Job[] = [];
+	/** When orders were unanswered, or were still to be carried out. */
+	readonly disturbed: Span[] = [];
+	readonly #options: LastingStepsOptions;
+	readonly #ids = new Set<string>();
+	#lateMs: number | undefined;
+	#count = 0;
+
+	constructor(options: LastingStepsOptions) {
+		this.#options = options;
+	}
+
+	/** How late the order for the task is carried out, without an answer; `undefined` if it is answered. */
+	lateMsOf(task: string): number | undefined {
+		return this.#ids.has(parseTask(task).id) ? this.#lateMs : undefined;
+	}
+
+	/** Plays all rounds and resolves once the last late order is carried out. */
+	async play(durationMs: number): Promise<void> {
+		const beganAtMs = performance.now();
+		for (const share of roundsAt) {
+			await sleep(Math.max(0, beganAtMs + (share * durationMs) - performance.now()));
+			await this.#playRound();
+		}
+	}
+
+	/** New jobs are started, and those of earlier rounds are started again, under the same silence. */
+	async #playRound(): Promise<void> {
+		const {random, record, submit} = this.#options;
+		const lateMs = drawBetween(random, minLateMs, maxLateMs);
+		const unansweredMs = drawBetween(random, minUnansweredMs, maxUnansweredMs);
+		const span: Span = {fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY};
+		this.disturbed.push(span);
+		this.#lateMs = lateMs;
+		record.add(`orders for lasting steps get no answer for ${unansweredMs} ms, and are carried out ${lateMs} ms late`);
+		const submitted = Promise.all(Array.from({length: jobsPerRound}, async (_value, index) => {
+			const id = (firstId + this.#count++).toString(16).padStart(16, '0');
+			this.#ids.add(id);
+			this.jobs.push(await submit(id, 2 + (index % 2)));
+		}));
+		await sleep(unansweredMs);
+		this.#lateMs = undefined;
+		await Promise.all([submitted, sleep(lateMs)]);
+		span.toMs = performance.now();
+		record.add('orders for lasting steps are answered, and the late ones are carried out');
+	}
+}
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -5,6 +5,7 @@
 import {type LifecycleManager, SeededRandom, withTimeLimit} from '@poplarnotch/common';
 import {checks, type Evidence} from './checks.js';
 import {Deployment, type DeploymentOptions} from './deployment.js';
+import {LastingSteps} from './lasting-steps.js';
 import {type Job, type Look} from './ledger.js';
 import {bounds} from './settings.js';
 import {Traffic} from './traffic.js';
@@ -36,7 +37,7 @@
 
 /** Separates the sequences that are drawn from one seed. */
 const streams = {
-	jobs: 1, calls: 2, troubles: 3, cuts: 4,
+	jobs: 1, calls: 2, troubles: 3, cuts: 4, lastingSteps: 5,
 } as const;
 const randomOf = (seed: number, stream: keyof typeof streams): SeededRandom => new SeededRandom((seed * 16) + streams[stream]);
 
@@ -73,16 +74,20 @@
 		traffic.stop();
 	});
 	traffic.start(jobsPerSecond, Date.now() + durationMs);
-	const troublesOver = troubles.play(options.troubles, series, durationMs);
+	const lastingSteps = new LastingSteps({
+		random: randomOf(seed, 'lastingSteps'), record: deployment.record, submit: async (id, taskCount) => traffic.submitLasting(id, taskCount),
+	});
+	deployment.lastingSteps = lastingSteps;
+	const disturbed = Promise.all([troubles.play(options.troubles, series, durationMs), lastingSteps.play(durationMs)]);
 	await sleep(durationMs);
 	traffic.stop();
-	await Promise.all([troublesOver, traffic.finish()]);
+	await Promise.all([disturbed, traffic.finish()]);
 	deployment.record.add('traffic and troubles are over');
 	await sleep(bounds.finish_s * 1000);
 	const owed = [...deployment.ledger.jobs.values()].filter(({acceptedAtMs, cancelSentAtMs}) => acceptedAtMs !== undefined && cancelSentAtMs === undefined);
 	const lastLooks = await lookAtAll(traffic, owed);
 	const report = judge({
-		deployment, troubles, lastLooks, wallOffsetMs: Date.now() - performance.now(),
+		deployment, troubles, lastingSteps, lastLooks, endedAtMs: performance.now(), wallOffsetMs: Date.now() - performance.now(),
 	});
 	for (const line of report.lines) {
 		deployment.record.add(line);
--- a/soak/tests/checks.test.ts
+++ b/soak/tests/checks.test.ts
@@ -3,6 +3,7 @@
 */
 import {describe, expect, it} from 'vitest';
 import {checks, type Evidence} from '../checks.js';
+import {type Span} from '../lasting-steps.js';
 import {
 	type Job, Ledger, type Look, type Run,
 } from '../ledger.js';
@@ -38,9 +39,13 @@
 	readonly faults?: readonly string[];
 	readonly running?: readonly string[];
 	readonly waveFaults?: readonly string[];
+	/** When orders for lasting tasks were unanswered. */
+	readonly unanswered?: readonly Span[];
 };
 
-const evidenceWith = ({job = jobWith(), runs = [], looks = [], lastLooks = [], troubles = [], faults = [], running = [], waveFaults = []}: Seen): Evidence => {
+const endedAtMs = 20_000;
+
+const evidenceWith = ({job = jobWith(), runs = [], looks = [], lastLooks = [], troubles = [], faults = [], running = [], waveFaults = [], unanswered = []}: Seen): Evidence => {
 	const ledger = new Ledger();
 	ledger.jobs.set(job.id, job);
 	ledger.looks.push(...looks);
@@ -58,7 +63,7 @@
 	const played = new Troubles(deployment, {next: () => 0});
 	played.played.push(...troubles);
 	return {
-		deployment, troubles: played, lastLooks, wallOffsetMs: 0,
+		deployment, troubles: played, lastingSteps: {jobs: [job], disturbed: unanswered} as unknown as Evidence['lastingSteps'], lastLooks, endedAtMs, wallOffsetMs: 0,
 	};
 };
 
@@ -115,6 +120,13 @@
 		['LOST', 'not completed at the end', {lastLooks: [lookWith({state: 'running'})]}, 1],
 		['LOST', 'a lasting task that is not at work', {job: lastingJob, lastLooks: [lookWith({job: lastingJob, state: 'running'})]}, 1],
 		['LOST', 'a lasting task at work', {job: lastingJob, lastLooks: [lookWith({job: lastingJob, state: 'running'})], running: ['a.0.0.0']}, 0],
+		['UNSERVED', 'a lasting task that is never started', {job: lastingJob}, 1],
+		['UNSERVED', 'one that is started within 3 s', {job: lastingJob, runs: [runWith({startedAtMs: 2999, endedAtMs: undefined, how: undefined})]}, 0],
+		['UNSERVED', 'one that is not started again', {job: lastingJob, runs: [runWith({endedAtMs: endedAtMs - 3000, how: 'stopped'})]}, 1],
+		['UNSERVED', 'one that is not started after its orders were unanswered', {job: lastingJob, unanswered: [{fromMs: 0, toMs: endedAtMs - 7000}]}, 1],
+		['UNSERVED', 'one whose orders were unanswered less than 7 s ago', {job: lastingJob, unanswered: [{fromMs: 0, toMs: endedAtMs - 6999}]}, 0],
+		['UNSERVED', 'one that waits in a trouble', {job: lastingJob, troubles: [trouble]}, 0],
+		['UNSERVED', 'one that waits beside a change of the configuration', {job: lastingJob, troubles: [change]}, 1],
 		['FAULT', 'a process that ended by itself', {faults: ['d ended by itself']}, 1],
 		['PLAYED', 'no trouble', {}, 1],
 		['PLAYED', 'no job accepted', {job: jobWith({acceptedAtMs: undefined}), troubles: [trouble]}, 1],
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -32,6 +32,11 @@
 const images = ['left', 'right'] as const;
 const firstId = 0xA0_00_00_00;
 
+/** What is known of a job that was not sent yet. */
+const notSent = {
+	refusals: 0, otherAnswers: 0, acceptedAtMs: undefined, cancelSentAtMs: undefined, cancelledAtMs: undefined,
+} as const;
+
 const deadlineMs = 3000;
 const refusals = new Set([429, 503]);
 const validAnswers = new Set([0, 200, 429, 502, 503, 504]);
@@ -69,6 +74,21 @@
 		}
 	}
 
+	/** Hands in a job with one lasting step, which is not drawn, and resolves to it. */
+	async submitLasting(id: string, taskCount: number): Promise<Job> {
+		const job: Job = {
+			...notSent, id, queue: queues[0], customer: customers[0], workMs: 0, failures: 0, cancelAfterMs: undefined,
+			body: {
+				spec: `lasting,tasks=${taskCount}`, phases: [{
+					count: taskCount, cpu: 500, mem_mb: 200, estimate_ms: 300, persistent: true,
+				}],
+			},
+		};
+		this.#deployment.ledger.jobs.set(id, job);
+		await this.#submit(job);
+		return job;
+	}
+
 	/** Resolves once all clients have their answers. */
 	async finish(): Promise<void> {
 		await Promise.all(this.#pending);
@@ -99,9 +119,8 @@
 		const phases = lasts ? [this.#drawLastingStep()] : Array.from({length: this.#between(1, 3)}, (_value, index) => this.#drawStep(index, workMs));
 		const body: JobBody = {spec: `work=${workMs},number=${this.#jobs.length}`, phases, ...(isRepeated ? this.#drawTimes(endsAtWallMs) : {})};
 		const job: Job = {
-			id: (firstId + this.#jobs.length).toString(16).padStart(16, '0'), queue: this.#pick(queues), customer: this.#pick(customers),
+			...notSent, id: (firstId + this.#jobs.length).toString(16).padStart(16, '0'), queue: this.#pick(queues), customer: this.#pick(customers),
 			body, workMs, failures: lasts ? 0 : failures, cancelAfterMs: isCancelled ? this.#between(0, 4000) : undefined,
-			refusals: 0, otherAnswers: 0, acceptedAtMs: undefined, cancelSentAtMs: undefined, cancelledAtMs: undefined,
 		};
 		this.#jobs.push(job);
 		this.#deployment.ledger.jobs.set(job.id, job);
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -70,6 +70,8 @@
 	readonly record: Record;
 	/** Called before a start is carried out. */
 	readonly beforeStart: () => void;
+	/** How late a start or stop for the task is carried out, without an answer; `undefined` if it is answered. */
+	readonly lateMsOf: (task: string) => number | undefined;
 };
 
 export class Worker {
@@ -224,13 +226,14 @@
 			return 'silence';
 		}
 
-		if (path === '/run-start' && this.lateMs > 0) {
+		const lateMs = this.#lateMsOf(path, order);
+		if (lateMs > 0) {
 			const incarnation = this.#incarnation;
 			setTimeout(() => {
 				if (incarnation === this.#incarnation) {
 					void this.#carryOut(path, order);
 				}
-			}, this.lateMs);
+			}, lateMs);
 			return 'silence';
 		}
 
@@ -238,6 +241,11 @@
 		return this.isSilent || order.fencing_token <= this.muteUpToFence ? 'silence' : answer;
 	}
 
+	#lateMsOf(path: string, {task}: Order): number {
+		const isStart = path === '/run-start';
+		return Math.max(isStart ? this.lateMs : 0, isStart || path === '/run-stop' ? this.#options.lateMsOf(task) ?? 0 : 0);
+	}
+
 	async #carryOut(path: string, order: Order): Promise<Answer> {
 		if (!this.#isUp) {
 			return 'silence';
