Soak: the silence around lasting steps outlasts a start and its stop

Now the silence lasts 2.5 to 4.5 s, and in the first round the orders come after the deadline of the starts.

--- a/soak/lasting-steps.ts
+++ b/soak/lasting-steps.ts
@@ -9,14 +9,14 @@
 const jobsPerRound = 4;
 const firstId = 0xB0_00_00_00;
 
-/** Moments, as shares of the traffic's duration, at which a round begins. */
-const roundsAt = [0.1, 0.6] as const;
-
-const minUnansweredMs = 800;
-const maxUnansweredMs = 4000;
-const minLateMs = 200;
+/** When each round begins, as a share of the traffic's duration, and how late its orders are carried out at least. Those of the first round come after the deadline of the starts, so no start takes effect. */
+const rounds = [{at: 0.1, minLateMs: 5500}, {at: 0.6, minLateMs: 200}] as const;
 const maxLateMs = 9000;
 
+/** Long enough for a start to time out and for the stop that follows it to be sent. */
+const minUnansweredMs = 2500;
+const maxUnansweredMs = 4500;
+
 /** A span of time, by the steady clock. */
 export type Span = {
 	readonly fromMs: number;
@@ -51,14 +51,14 @@
 	/** Plays all rounds and resolves once the last late order is carried out. */
 	async play(durationMs: number): Promise<void> {
 		const beganAtMs = performance.now();
-		for (const share of roundsAt) {
-			await sleep(Math.max(0, beganAtMs + (share * durationMs) - performance.now()));
-			await this.#playRound();
+		for (const {at, minLateMs} of rounds) {
+			await sleep(Math.max(0, beganAtMs + (at * durationMs) - performance.now()));
+			await this.#playRound(minLateMs);
 		}
 	}
 
 	/** New jobs are started, and those of earlier rounds are started again, under the same silence. */
-	async #playRound(): Promise<void> {
+	async #playRound(minLateMs: number): Promise<void> {
 		const {random, record, submit} = this.#options;
 		const lateMs = drawBetween(random, minLateMs, maxLateMs);
 		const unansweredMs = drawBetween(random, minUnansweredMs, maxUnansweredMs);
