What a holder published is as old as it is, whoever reads it and whenever

Cause: the age of a publication counted from the moment at which this process read it.

The store's answers carry its steady clock, which was not read until now. TableClock bounds the present time of that clock from the sending and the arrival of each answer. The holder publishes the least that the clock can have shown when its numbers held, a reader compares it with the most that it can show now: the difference is never below the true age. The counts are as old as the holder's copy of the job rows, the loads as their computation. An unknown age is too old. Without a recent publication the rows of all jobs are listed, so calls share one listing for 2 s, the age that callers accept.

--- a/packages/platform/src/table-service.ts
+++ b/packages/platform/src/table-service.ts
@@ -60,6 +60,8 @@
 	readonly revision: number;
 	/** False only if the table service has said that there was no further change when it answered. */
 	readonly hasMore: boolean;
+	/** The table service's steady clock when it answered, in ms; left out by services that do not tell. */
+	readonly tableClockMs?: number | undefined;
 };
 
 /** Where a page starts and how many rows it holds at most. */
--- a/packages/platform/src/watchable-table.ts
+++ b/packages/platform/src/watchable-table.ts
@@ -15,6 +15,8 @@
 	readonly rows: readonly Row[];
 	/** The listing contains every change up to this revision and may contain later ones. */
 	readonly revision: number;
+	/** The table service's steady clock at some moment of the listing, in ms; left out by services that do not tell. */
+	readonly tableClockMs?: number | undefined;
 };
 
 /** Reads fail with `UnavailableError`; `waitForChanges` also with `HistoryLostError`. */
--- a/packages/scheduler/src/shell/published-queues.ts
+++ b/packages/scheduler/src/shell/published-queues.ts
@@ -26,9 +26,21 @@
 /** `pending`: queue and number of jobs. `load`: pool, priority and drain times. `overShare`: pool, priority and a customer beyond its share. */
 type Entry = z.infer<typeof entrySchema>;
 
+/** Times of the table service's clock. They tell the age of what was published, whoever reads it and whenever. */
+const publicationTimesSchema = z.object({
+	/** The holder computed the loads no earlier than at this time. */
+	loadsAtMs: z.number(),
+	/** The counts include all jobs that were stored before this time. */
+	jobsAtMs: z.number(),
+});
+
+export type PublicationTimes = z.infer<typeof publicationTimesSchema>;
+
 const rowSchema = z.object({
 	publication: z.string(),
 	rows: z.number().int().positive().max(maxRows),
+	/** Left out by holders of earlier versions, whose publications are of unknown age. */
+	times: publicationTimesSchema.optional(),
 	entries: z.array(entrySchema),
 });
 
@@ -36,9 +48,11 @@
 export type PublishedQueues = {
 	readonly jobsByQueue: ReadonlyMap<string, number>;
 	readonly loads: readonly PoolLoad[];
+	/** `undefined` if the age is not known. */
+	readonly times: PublicationTimes | undefined;
 };
 
-const entriesOf = ({jobsByQueue, loads}: PublishedQueues): readonly Entry[] => [
+const entriesOf = ({jobsByQueue, loads}: Pick<PublishedQueues, 'jobsByQueue' | 'loads'>): readonly Entry[] => [
 	...[...jobsByQueue].map(([queue, jobs]): Entry => ['pending', queue, jobs]),
 	...loads.flatMap(({pool, priority, drainMs, overShare}): readonly Entry[] => [
 		['load', pool, priority, [...drainMs]],
@@ -73,9 +87,12 @@
 	readonly maxRowBytes: number;
 	readonly formerRows: number;
 }): ReadonlyArray<readonly RowWrite[]> => {
+	const {times} = published;
 	const groups = splitEntries(entriesOf(published), maxRowBytes - rowOverheadBytes);
 	const writes: RowWrite[] = groups.map((entries, index) => ({
-		type: 'put', key: `${publishedPrefix}${index}`, value: {publication, rows: groups.length, entries},
+		type: 'put', key: `${publishedPrefix}${index}`, value: {
+			publication, rows: groups.length, ...(times === undefined ? {} : {times}), entries,
+		},
 	}));
 	for (let index = groups.length; index < formerRows; index++) {
 		writes.push({type: 'delete', key: `${publishedPrefix}${index}`});
@@ -110,11 +127,11 @@
 		const {publication, rows} = parsed.right;
 		const read = Array.from({length: Math.min(rows, this.rowCount)}, (_value, number) => this.#rows.get(number));
 		const isComplete = read.length === rows && read.every(row => row?.publication === publication);
-		return isComplete ? publishedFrom(read.flatMap(row => row?.entries ?? [])) : undefined;
+		return isComplete ? publishedFrom(read.flatMap(row => row?.entries ?? []), read[0]?.times) : undefined;
 	}
 }
 
-const publishedFrom = (entries: readonly Entry[]): PublishedQueues => {
+const publishedFrom = (entries: readonly Entry[], times: PublicationTimes | undefined): PublishedQueues => {
 	const jobsByQueue = new Map<string, number>();
 	const loads: Array<PoolLoad & {readonly overShare: string[]}> = [];
 	for (const entry of entries) {
@@ -138,5 +155,5 @@
 		}
 	}
 
-	return {jobsByQueue, loads};
+	return {jobsByQueue, loads, times};
 };
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -8,7 +8,7 @@
 	failureReason, type RowChange, type TableService, type WatchableTable,
 } from '@poplarnotch/platform';
 import {
-	type FailureDetection, type OutageKnowledge, TableReplica,
+	type FailureDetection, type OutageKnowledge, TableClock, TableReplica,
 } from '@poplarnotch/state';
 import {admitAll, type AdmissionControl} from '../admission/admission-control.js';
 import {endedJobRetentionMs} from '../constants.js';
@@ -24,6 +24,7 @@
 	countPendingRows, type JobView, ReplicaJobView, StoredJobView,
 } from '../jobs/job-view.js';
 import {jobChangeFrom, jobsPrefix, progressKey} from '../jobs/rows.js';
+import {SharedRead} from '../jobs/shared-read.js';
 import {
 	type RefreshableSource, type WorkerSource, type MachineControl, type OperatorOrders, type PlacementAdvisor, type WaveReporter, type WorkerControl,
 } from '../ports.js';
@@ -61,6 +62,9 @@
 const sweepIntervalMs = 5000;
 const maxJobsPerSweep = 20;
 
+/** Callers accept counts of pending jobs of this age, so one listing of all job rows answers all calls within it. */
+const maxCountAgeMs = 2000;
+
 /** The platform takes 64 KB for a row, as base64. */
 const defaultMaxRowBytes = 48_000;
 
@@ -183,9 +187,10 @@
 				this.#onTermBegun();
 			},
 		});
+		const tableClock = new TableClock(clock);
 		this.#oddJobRows = new OddEntryLog(log, 'row_unreadable');
 		this.#jobReplica = new TableReplica({
-			table, prefix: jobsPrefix, waitMs: watchWaitMs, maxConfirmationAgeMs: watchWaitMs, clock, log,
+			table, prefix: jobsPrefix, waitMs: watchWaitMs, maxConfirmationAgeMs: watchWaitMs, tableClock, clock, log,
 			pauseMs: () => this.#runtime.state.term === undefined ? successorPollPauseMs : holderPollPauseMs,
 			isActive: () => this.#isFollowing,
 			onChanges: changes => {
@@ -202,10 +207,10 @@
 			clock, log, metrics: options.metrics,
 		});
 		this.#publisher = new QueuePublisher({
-			table, state: () => this.state, maxRowBytes: options.maxRowBytes ?? defaultMaxRowBytes, clock, log, metrics: options.metrics,
+			table, state: () => this.state, tableClock, jobRowsConfirmedAtMs: () => this.#jobReplica.confirmedAtMs, maxRowBytes: options.maxRowBytes ?? defaultMaxRowBytes, clock, log, metrics: options.metrics,
 		});
 		this.#controlReplica = new TableReplica({
-			table, prefix: controlPrefix, waitMs: watchWaitMs, clock, log, pauseMs: () => controlPollPauseMs,
+			table, prefix: controlPrefix, waitMs: watchWaitMs, tableClock, clock, log, pauseMs: () => controlPollPauseMs,
 			onChanges: changes => {
 				options.onControlRows(changes);
 				this.#applyWaveRows(changes);
@@ -229,13 +234,17 @@
 			ageMs: () => clock.nowMs() - (this.#jobReplica.confirmedAtMs ?? Number.NEGATIVE_INFINITY),
 			copy: () => this.#jobReplica,
 		});
-		this.#storedView = new StoredJobView({
-			readJob: async jobId => this.#store.read(jobId),
-			publishedPending: () => this.#publisher.pendingByQueue,
-			async readPending() {
+		const pendingRows = new SharedRead({
+			async read() {
 				const {rows} = await table.listRows(jobsPrefix);
 				return countPendingRows(rows.flatMap(row => jobChangeFrom(row) ?? []));
 			},
+			maxAgeMs: maxCountAgeMs, clock,
+		});
+		this.#storedView = new StoredJobView({
+			readJob: async jobId => this.#store.read(jobId),
+			publishedPending: () => this.#publisher.pendingByQueue,
+			readPending: async () => pendingRows.get(),
 		});
 		this.jobService = new JobService({
 			state: () => this.#runtime.state, store: this.#store, admission: options.admission ?? admitAll,
--- a/packages/scheduler/tests/admission.test.ts
+++ b/packages/scheduler/tests/admission.test.ts
@@ -109,6 +109,7 @@
 	const publishedWith = (queues: number): PublishedQueues => ({
 		jobsByQueue: new Map(Array.from({length: queues}, (_value, index) => [`queue-${index}`, index])),
 		loads: [loadOf(10, Array.from({length: queues}, (_value, index) => `customer-${index}`))],
+		times: {loadsAtMs: 100_000, jobsAtMs: 99_000},
 	});
 
 	const changesOf = (published: PublishedQueues, publication: string, formerRows = 0) => publicationWrites(published, {publication, maxRowBytes, formerRows}).flat()
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -113,7 +113,7 @@
 		await this.#simulateTransit();
 		await this.#failIfSilent();
 		const {rows, revision} = await this.#table.readPrefix(prefix, {limit: 100_000});
-		return this.#return({rows, revision});
+		return this.#return({rows, revision, tableClockMs: this.#platformClock.nowMs()});
 	}
 
 	async readRevision(): Promise<number> {
@@ -146,7 +146,7 @@
 	/** Like the platform's store, the table does not say whether it has cut an answer. */
 	async #readChanges(prefix: string, revision: number): Promise<ChangePage> {
 		const page = await this.#table.changesSince(prefix, revision, this.#faults.maxChangesPerAnswer);
-		return {...page, hasMore: page.changes.length > 0};
+		return {...page, hasMore: page.changes.length > 0, tableClockMs: this.#platformClock.nowMs()};
 	}
 
 	/** Returns what was read after the time that the answer takes; meanwhile the table may change. */
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -34,6 +34,7 @@
 export type {MemberIdentity} from './membership/rows.js';
 export {LeaseContender, type LeaseContenderOptions} from './leases/lease-contender.js';
 export {AllotmentManager, type AllotmentManagerOptions} from './allotments/allotment-manager.js';
+export {TableClock, type TableClockReading} from './replicas/table-clock.js';
 export {type RefreshRecord, TableReplica, type TableReplicaOptions} from './replicas/table-replica.js';
 export {probeKey, RelayedTable, type RelayedTableOptions} from './relay/relayed-table.js';
 export {ReachabilityMeter, type ReachabilityReport} from './reachability/reachability-meter.js';
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -11,6 +11,7 @@
 import {
 	type ChangePage, failureReason, HistoryLostError, type RowChange, UnavailableError, type WatchableTable,
 } from '@poplarnotch/platform';
+import {type TableClock} from './table-clock.js';
 
 /** Pause after a failed call: it allows several attempts within the second in which the end of an outage should be detected. */
 const retryPauseMs = 150;
@@ -28,6 +29,8 @@
 	readonly isActive?: () => boolean;
 	/** Called with each batch of changes, in order; `undefined` values are deletions. */
 	readonly onChanges: (changes: readonly RowChange[]) => void;
+	/** Records the readings of the table service's clock that answers carry. */
+	readonly tableClock?: TableClock;
 	readonly clock?: Clock;
 	readonly log?: Logger;
 };
@@ -220,6 +223,7 @@
 		const afterRevision = this.#revision!;
 		try {
 			const page = await this.#options.table.waitForChanges(this.#options.prefix, afterRevision, waitMs);
+			this.#options.tableClock?.record({tableClockMs: page.tableClockMs, sentAtMs});
 			if (page.hasMore && page.revision <= afterRevision) {
 				throw new UnavailableError(`the changes after revision ${afterRevision} end at revision ${page.revision}`);
 			}
@@ -254,7 +258,9 @@
 	*/
 	async #listAll(): Promise<void> {
 		this.#removedVersions.clear();
-		const {rows, revision} = await this.#options.table.listRows(this.#options.prefix);
+		const sentAtMs = this.#clock.nowMs();
+		const {rows, revision, tableClockMs} = await this.#options.table.listRows(this.#options.prefix);
+		this.#options.tableClock?.record({tableClockMs, sentAtMs});
 		const listed = new Set(rows.map(row => row.key));
 		const gone = [...this.#versions]
 			.filter(([key, version]) => !listed.has(key) && version <= revision)
