Reading the published counts is a method, since it counts its uses

The getter of QueuePublisher increments metrics, which a reader of a property does not expect. No change of behaviour.

--- a/packages/scheduler/src/shell/queue-publisher.ts
+++ b/packages/scheduler/src/shell/queue-publisher.ts
@@ -51,14 +51,14 @@
 		this.#options = options;
 	}
 
-	/** The pending jobs by queue; `undefined` if the counts are too old. */
-	get pendingByQueue(): ReadonlyMap<string, number> | undefined {
+	/** Returns the pending jobs by queue; `undefined` if the counts are too old. */
+	pendingByQueue(): ReadonlyMap<string, number> | undefined {
 		const isRecent = isWithin(this.#ageOf('jobsAtMs'), maxPendingAgeMs);
 		this.#options.metrics.increment(isRecent ? 'published_counts_used_total' : 'published_counts_outdated_total');
 		return isRecent ? this.#latest?.jobsByQueue : undefined;
 	}
 
-	/** The load of the queue's pool; `undefined` if nothing waits there, or if the loads are too old. */
+	/** Returns the load of the queue's pool; `undefined` if nothing waits there, or if the loads are too old. */
 	loadOf(queue: Queue): PoolLoad | undefined {
 		const ageMs = this.#ageOf('loadsAtMs');
 		const areKnown = isWithin(ageMs, maxLoadAgeMs);
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -243,7 +243,7 @@
 		});
 		this.#storedView = new StoredJobView({
 			readJob: async jobId => this.#store.read(jobId),
-			publishedPending: () => this.#publisher.pendingByQueue,
+			publishedPending: () => this.#publisher.pendingByQueue(),
 			readPending: async () => pendingRows.get(),
 		});
 		this.jobService = new JobService({
--- a/packages/scheduler/tests/publication-age.test.ts
+++ b/packages/scheduler/tests/publication-age.test.ts
@@ -150,6 +150,6 @@
 	const writes = publicationWrites({jobsByQueue: new Map([['draws', 7]]), loads: [load], times}, {publication: '1.1', maxRowBytes: 4000, formerRows: 0}).flat();
 	publisher.apply(writes.map(write => ({key: write.key, value: write.type === 'put' ? write.value : undefined, version: 1})));
 	clock.advance(sinceMs);
-	expect(publisher.pendingByQueue?.get('draws')).toBe(counts ? 7 : undefined);
+	expect(publisher.pendingByQueue()?.get('draws')).toBe(counts ? 7 : undefined);
 	expect(publisher.loadOf(queueOf())).toEqual(loads ? load : undefined);
 });
