Decide once on starts that a worker does not list, and name what limits a stop

Two loops over the runs of each report, one for starts that are too late and one for those that still may arrive, took the same runs by different conditions: one function decides on each such run now.

--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -2,6 +2,7 @@
 Job lifecycle: a job is accepted, becomes due, makes progress and ends. Progress is stored as sets that only grow, so that what two lease holders have stored can be merged in any order.
 */
 import {assertNever} from '@poplarnotch/common';
+import {stopRetryMs} from '../constants.js';
 import {
 	type CrashRecord, type JobOutcome, type JobProgress, type JobSpec,
 } from '../types.js';
@@ -165,6 +166,9 @@
 	});
 };
 
+/** Returns true if the run was ordered to stop, and so long ago that the order may be repeated. */
+export const isStopOverdue = ({stopOrderedAtMs}: TaskRun, nowMs: number): boolean => stopOrderedAtMs !== undefined && nowMs - stopOrderedAtMs >= stopRetryMs;
+
 /** Ends a job: none of its tasks starts any more, and its runs are stopped. */
 export const endJob = (state: SchedulerState, job: JobRecord, outcome: JobOutcome, {nowMs, wallMs}: CurrentTime): void => {
 	if (job.outcome !== undefined) {
--- a/packages/scheduler/src/core/relocation.ts
+++ b/packages/scheduler/src/core/relocation.ts
@@ -5,8 +5,8 @@
 
 An evacuation displaces a large part of the fleet's lasting tasks at the same time, so one free place would be found for many of them. Each task that leaves an evacuated data centre therefore has its own capacity elsewhere, which is kept free until its run has ended.
 */
-import {stopRetryMs, taskStallTimeoutMs} from '../constants.js';
-import {orderStop} from './jobs.js';
+import {taskStallTimeoutMs} from '../constants.js';
+import {isStopOverdue, orderStop} from './jobs.js';
 import {orderPaces} from './throttling.js';
 import {chooseWorker} from './placement.js';
 import {requestAdvice} from './placement-advice.js';
@@ -136,6 +136,12 @@
 	}
 };
 
+/** Returns the step whose limit on unavailable tasks applies to the run; `undefined` if its task does not last or is not wanted any more. */
+const limitingStepOf = ({task}: TaskRun): StepInstance | undefined => {
+	const step = task?.step;
+	return step?.spec.isLasting === true && step.job.outcome === undefined ? step : undefined;
+};
+
 /** Returns true if the worker has answered since the stop was ordered, and the run makes no progress towards serving. */
 const isStalledInStop = ({worker, stopOrderedAtMs, phase, percent, percentChangedAtMs}: TaskRun): boolean => phase === 'stopping'
 	&& worker.silentSinceMs === undefined
@@ -145,13 +151,15 @@
 
 /** Returns true if a stop that had no effect may be ordered again. The limit on a step's unavailable tasks protects those that serve, or may begin to at any moment. It does not apply to a run that can recover only by being stopped. */
 const mayRepeatStop = (run: TaskRun): boolean => {
-	const step = run.task?.step;
-	return step === undefined || !step.spec.isLasting || step.job.outcome !== undefined || run.worker.entry.isDraining || canInterrupt(run, step) || isStalledInStop(run);
+	const step = limitingStepOf(run);
+	return step === undefined || run.worker.entry.isDraining || canInterrupt(run, step) || isStalledInStop(run);
 };
 
 /** Returns true if a task that is still wanted serves although it was ordered to stop: the worker did not carry out the order. */
-const isStopLost = ({task, phase, percent, stopOrderedAtMs, lastListedAtMs}: TaskRun): boolean =>
-	task?.step.job.outcome === undefined && task?.step.spec.isLasting === true && phase === 'stopping' && percent >= servingPercent && lastListedAtMs - stopOrderedAtMs! >= stopEffectMs;
+const isStopLost = (run: TaskRun): boolean => limitingStepOf(run) !== undefined
+	&& run.phase === 'stopping'
+	&& run.percent >= servingPercent
+	&& run.lastListedAtMs - run.stopOrderedAtMs! >= stopEffectMs;
 
 /** Counts a run as running again. If there is still a reason to stop it, the stop is ordered anew as soon as the step's limit permits. */
 const withdrawStop = (state: SchedulerState, run: TaskRun, nowMs: number): void => {
@@ -167,7 +175,7 @@
 /** Repeats stops that had no effect, as soon as they may be repeated. One that could not be repeated for so long that it was lost is withdrawn if its run serves: two runs of a step that are being stopped count as unavailable, and each would keep the other from being stopped for good. */
 const repeatStops = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
 	for (const run of worker.runs.values()) {
-		if (run.stopOrderedAtMs === undefined || nowMs - run.stopOrderedAtMs < stopRetryMs) {
+		if (!isStopOverdue(run, nowMs)) {
 			continue;
 		}
 
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -3,7 +3,7 @@
 */
 import {assertNever} from '@poplarnotch/common';
 import {
-	failureWindowMs, leaseMarginMs, maxEndsPerReport, maxLoggedRuns, quarantineFailures, quarantineMs, stopRetryMs,
+	failureWindowMs, leaseMarginMs, maxEndsPerReport, maxLoggedRuns, quarantineFailures, quarantineMs,
 } from '../constants.js';
 import {type OrderAnswer, type StartAnswer} from '../ports.js';
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
@@ -12,7 +12,7 @@
 import {findTask, isUnresolved} from './unresolved-tasks.js';
 import {type SchedulerEvent} from './events.js';
 import {
-	failTask, finishTask, type CurrentTime, orderStop,
+	failTask, finishTask, type CurrentTime, isStopOverdue, orderStop,
 } from './jobs.js';
 import {
 	type ReportedEnd, type StepInstance, type TaskRun, type Task, type WorkerRecord,
@@ -131,39 +131,47 @@
 	if (!worker.mayLackEnds) {
 		settleRestart(state, worker, listed, event);
 		removeVanishedRuns(state, worker, listed, event);
-		removeExpiredStarts(state, worker, listed, event);
-		preventLateStarts(state, worker, listed, event);
+		resolveUnlistedStarts(state, worker, listed, event);
 	}
 
 	worker.expiredRuns = [];
 };
 
-/** Removes unanswered starts that cannot take effect any more: the worker, which refuses a start after its deadline, has made the report after that by the same clock and does not list the run. No order has to be answered for that. A worker that has started again counts its clock anew, so the deadline is not reached and the stop decides. */
-const removeExpiredStarts = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, event: PolledEvent): void => {
-	const clockMs = worker.clock!.clockMs - leaseMarginMs;
+/** Decides on unanswered starts that the worker does not list. They may still arrive, unless they are too late by now. */
+const resolveUnlistedStarts = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, event: PolledEvent): void => {
 	for (const run of worker.runs.values()) {
-		if (run.phase === 'unconfirmed' && !listed.has(run.taskKey) && run.startDeadlineClockMs !== undefined && clockMs >= run.startDeadlineClockMs) {
-			state.emit({
-				type: 'log', fields: {
-					event: 'start_expired', taskKey: run.taskKey, attempt: run.attempt, workerId: event.workerId, ageMs: Math.round(event.nowMs - run.orderedAtMs),
-				},
-			});
-			settleTrial(state, run.task, run.attempt);
-			state.removeRun(run, event.nowMs);
+		if (run.phase !== 'unconfirmed' || listed.has(run.taskKey)) {
+			continue;
+		}
+
+		if (isStartTooLate(run)) {
+			removeLateStart(state, run, event.nowMs);
+		} else if (run.unansweredAtMs! <= event.sentAtMs) {
+			preventLateStart(state, run, event);
 		}
 	}
 };
 
-/** Orders a stop for unanswered starts that the worker does not list, and again while that is not answered. The start order could still arrive late; once the worker has accepted the stop, it refuses such a start. The limit on a step's unavailable tasks does not apply, since by this report the task is not there. */
-const preventLateStarts = (state: SchedulerState, worker: WorkerRecord, listed: ReadonlySet<string>, event: PolledEvent): void => {
-	for (const run of worker.runs.values()) {
-		const {phase, unansweredAtMs, stopOrderedAtMs} = run;
-		const isUnconfirmed = phase === 'unconfirmed' && unansweredAtMs! <= event.sentAtMs && !listed.has(run.taskKey);
-		if (isUnconfirmed && stopOrderedAtMs === undefined) {
-			orderStop(state, run, event.nowMs, 'start-unanswered');
-		} else if (isUnconfirmed && stopOrderedAtMs! <= event.sentAtMs && event.nowMs - stopOrderedAtMs! >= stopRetryMs) {
-			orderStop(state, run, event.nowMs, 'repeated');
-		}
+/** Returns true if the start cannot take effect any more: the worker, which refuses a start after its deadline, has made its last report after that by the same clock. No order has to be answered for that. A worker that has started again counts its clock anew, so the deadline is not reached and the stop decides. */
+const isStartTooLate = ({worker, startDeadlineClockMs}: TaskRun): boolean =>
+	startDeadlineClockMs !== undefined && worker.clock!.clockMs - leaseMarginMs >= startDeadlineClockMs;
+
+const removeLateStart = (state: SchedulerState, run: TaskRun, nowMs: number): void => {
+	state.emit({
+		type: 'log', fields: {
+			event: 'start_expired', taskKey: run.taskKey, attempt: run.attempt, workerId: run.worker.entry.workerId, ageMs: Math.round(nowMs - run.orderedAtMs),
+		},
+	});
+	settleTrial(state, run.task, run.attempt);
+	state.removeRun(run, nowMs);
+};
+
+/** Orders a stop, and again while that is not answered: once the worker has accepted it, it refuses the start if that arrives later. The limit on a step's unavailable tasks does not apply, since by this report the task is not there. */
+const preventLateStart = (state: SchedulerState, run: TaskRun, {sentAtMs, nowMs}: PolledEvent): void => {
+	if (run.stopOrderedAtMs === undefined) {
+		orderStop(state, run, nowMs, 'start-unanswered');
+	} else if (run.stopOrderedAtMs <= sentAtMs && isStopOverdue(run, nowMs)) {
+		orderStop(state, run, nowMs, 'repeated');
 	}
 };
 
--- a/packages/scheduler/src/shell/published-queues.ts
+++ b/packages/scheduler/src/shell/published-queues.ts
@@ -52,7 +52,7 @@
 	readonly times: PublicationTimes | undefined;
 };
 
-const entriesOf = ({jobsByQueue, loads}: Pick<PublishedQueues, 'jobsByQueue' | 'loads'>): readonly Entry[] => [
+const entriesOf = ({jobsByQueue, loads}: PublishedQueues): readonly Entry[] => [
 	...[...jobsByQueue].map(([queue, jobs]): Entry => ['pending', queue, jobs]),
 	...loads.flatMap(({pool, priority, drainMs, overShare}): readonly Entry[] => [
 		['load', pool, priority, [...drainMs]],
