Soak: the check UNSERVED sorts its disturbances once

The disturbances were sorted for each span of each task, and the tasks of a job were listed twice. LastingSteps counted its jobs beside the set of their ids, had a type of its own for the record, and told "answered" by undefined where the worker beside it uses 0.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -213,10 +213,10 @@
 	return [...spans, {fromMs, toMs: untilMs}];
 };
 
-/** Returns when the first calm began within the span that leaves the task unserved for too long, or `undefined`. */
+/** Returns when the first calm began within the span that leaves the task unserved for too long, or `undefined`. `disturbances` are in the order in which they began. */
 const findUnserved = ({fromMs, toMs}: Span, disturbances: readonly Span[]): number | undefined => {
 	let sinceMs = fromMs;
-	for (const disturbance of disturbances.toSorted((a, b) => a.fromMs - b.fromMs)) {
+	for (const disturbance of disturbances) {
 		if (disturbance.fromMs < sinceMs + maxUnservedMs) {
 			sinceMs = Math.max(sinceMs, disturbance.toMs + calmBeforeMs);
 		}
@@ -227,13 +227,14 @@
 
 /** A lasting task whose orders got no answer for a while has no run for 3 s in a calm. */
 const checkUnserved: Check = ({deployment: {ledger, record}, troubles, lastingSteps, endedAtMs}) => {
-	const disturbances = [...troubles.played.filter(({isRoutine}) => !isRoutine), ...lastingSteps.disturbed];
+	const disturbances = [...troubles.played.filter(({isRoutine}) => !isRoutine), ...lastingSteps.disturbed].toSorted((a, b) => a.fromMs - b.fromMs);
 	const accepted = lastingSteps.jobs.filter(({acceptedAtMs}) => acceptedAtMs !== undefined);
-	const broken = accepted.flatMap(job => ledger.tasksOf(job).flatMap(task => {
-		const sinceMs = unservedSpans(ledger.runsOf(task), job.acceptedAtMs!, endedAtMs).map(span => findUnserved(span, disturbances)).find(since => since !== undefined);
+	const tasks = accepted.flatMap(job => ledger.tasksOf(job).map(task => ({task, acceptedAtMs: job.acceptedAtMs!})));
+	const broken = tasks.flatMap(({task, acceptedAtMs}) => {
+		const sinceMs = unservedSpans(ledger.runsOf(task), acceptedAtMs, endedAtMs).map(span => findUnserved(span, disturbances)).find(since => since !== undefined);
 		return sinceMs === undefined ? [] : [`${task} has no run from ${record.secondsAt(sinceMs)} on, for ${maxUnservedMs} ms or more`];
-	}));
-	return {judged: accepted.flatMap(job => ledger.tasksOf(job)).length, what: 'lasting tasks with unanswered orders', broken};
+	});
+	return {judged: tasks.length, what: 'lasting tasks with unanswered orders', broken};
 };
 
 /** A call that is refused though queue and key are there. */
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -75,7 +75,7 @@
 		const folder = this.#openFolder();
 		const network = await this.#claimNetwork();
 		const machines = new Machines(this.#options.workers, {
-			ip: `${network}.200`, rows: this.store.rows, ledger: this.ledger, record: this.record, lateMsOf: task => this.lastingSteps?.lateMsOf(task),
+			ip: `${network}.200`, rows: this.store.rows, ledger: this.ledger, record: this.record, lateMsOf: task => this.lastingSteps?.lateMsOf(task) ?? 0,
 		});
 		this.#machines = machines;
 		this.#lifecycle.own('machines', () => {
--- a/soak/lasting-steps.ts
+++ b/soak/lasting-steps.ts
@@ -5,6 +5,7 @@
 import {type RandomSource} from '@poplarnotch/common';
 import {drawBetween} from './draws.js';
 import {type Job, parseTask} from './ledger.js';
+import {type Record} from './record.js';
 
 const jobsPerRound = 4;
 const firstId = 0xB0_00_00_00;
@@ -27,7 +28,7 @@
 	readonly random: RandomSource;
 	/** Hands a job in until it is accepted or the submissions are used up. */
 	readonly submit: (id: string, taskCount: number) => Promise<Job>;
-	readonly record: {add: (line: string) => void};
+	readonly record: Record;
 };
 
 export class LastingSteps {
@@ -36,16 +37,15 @@
 	readonly disturbed: Span[] = [];
 	readonly #options: LastingStepsOptions;
 	readonly #ids = new Set<string>();
-	#lateMs: number | undefined;
-	#count = 0;
+	#lateMs = 0;
 
 	constructor(options: LastingStepsOptions) {
 		this.#options = options;
 	}
 
-	/** How late the order for the task is carried out, without an answer; `undefined` if it is answered. */
-	lateMsOf(task: string): number | undefined {
-		return this.#ids.has(parseTask(task).id) ? this.#lateMs : undefined;
+	/** How late an order for the task is carried out, without an answer; 0 if it is answered. */
+	lateMsOf(task: string): number {
+		return this.#ids.has(parseTask(task).id) ? this.#lateMs : 0;
 	}
 
 	/** Plays all rounds and resolves once the last late order is carried out. */
@@ -67,12 +67,12 @@
 		this.#lateMs = lateMs;
 		record.add(`orders for lasting steps get no answer for ${unansweredMs} ms, and are carried out ${lateMs} ms late`);
 		const submitted = Promise.all(Array.from({length: jobsPerRound}, async (_value, index) => {
-			const id = (firstId + this.#count++).toString(16).padStart(16, '0');
+			const id = (firstId + this.#ids.size).toString(16).padStart(16, '0');
 			this.#ids.add(id);
 			this.jobs.push(await submit(id, 2 + (index % 2)));
 		}));
 		await sleep(unansweredMs);
-		this.#lateMs = undefined;
+		this.#lateMs = 0;
 		await Promise.all([submitted, sleep(lateMs)]);
 		span.toMs = performance.now();
 		record.add('orders for lasting steps are answered, and the late ones are carried out');
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -70,8 +70,8 @@
 	readonly record: Record;
 	/** Called before a start is carried out. */
 	readonly beforeStart: () => void;
-	/** How late a start or stop for the task is carried out, without an answer; `undefined` if it is answered. */
-	readonly lateMsOf: (task: string) => number | undefined;
+	/** How late a start or stop for the task is carried out, without an answer; 0 if it is answered. */
+	readonly lateMsOf: (task: string) => number;
 };
 
 export class Worker {
@@ -242,8 +242,19 @@
 	}
 
 	#lateMsOf(path: string, {task}: Order): number {
-		const isStart = path === '/run-start';
-		return Math.max(isStart ? this.lateMs : 0, isStart || path === '/run-stop' ? this.#options.lateMsOf(task) ?? 0 : 0);
+		switch (path) {
+			case '/run-start': {
+				return Math.max(this.lateMs, this.#options.lateMsOf(task));
+			}
+
+			case '/run-stop': {
+				return this.#options.lateMsOf(task);
+			}
+
+			default: {
+				return 0;
+			}
+		}
 	}
 
 	async #carryOut(path: string, order: Order): Promise<Answer> {
