Log what a term leaves unstored, and how long ends wait for their save

New: term_ended at the end of each term, with its reason, the number and age of ends that were read and not stored, and their workers; ends_stored every 5 s, with the mean and the longest time from report to stored save, and how many took over 100 ms (also the histogram end_stored_ms); worker_unlisted names the ends of the worker that are not stored; machine_order names how long the order took. No decision changes. stored-ends-monitor.test.ts covers the monitor; type check, linter on the changed files and the tests of slow saves and outdated events pass.

--- a/bench/pool-forecast.bench.ts
+++ b/bench/pool-forecast.bench.ts
@@ -202,6 +202,7 @@
 			}
 
 			case 'count':
+			case 'endsStored':
 			case 'log':
 			case 'pace':
 			case 'requestAdvice':
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -17,6 +17,9 @@
 /** Time of an event on the process's monotonic clock and on the wall clock. */
 type EventTime = {readonly nowMs: number; readonly wallMs: number};
 
+/** Why a term ends; `superseded` if another process holds the lease. */
+export type LeaseLossReason = 'stopping' | 'yielded' | 'superseded';
+
 /** The term in which an order was sent, or which an event ends or resumes. `dropOutdatedEvent` drops the event if that term is not the present one. */
 type OfTerm = {readonly fencingToken: number};
 
@@ -56,8 +59,8 @@
 	| (OfTerm & {readonly type: 'revisionRead'; readonly revision: number})
 	/** A read from the store has confirmed that no other process holds the lease, so a suspended term goes on. */
 	| (OfTerm & {readonly type: 'leaseConfirmed'})
-	/** Another process holds the lease of the term, or this one has released it. */
-	| (OfTerm & {readonly type: 'leaseLost'})
+	/** Another process holds the lease of the term, or this one gives it up. */
+	| (OfTerm & {readonly type: 'leaseLost'; readonly reason?: LeaseLossReason | undefined})
 	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number; readonly sentDeadlineClockMs?: number | undefined})
 	| (OfTerm & Partial<OfIncarnation> & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
@@ -102,6 +105,8 @@
 	| {readonly type: 'readRevision'; readonly fencingToken: number}
 	/** The term with this token has ended because a higher token was seen. */
 	| {readonly type: 'stepDown'; readonly fencingToken: number; readonly reason: string}
+	/** The progress that rests on these ends is stored. `agesMs`: for each, the time since the report that listed it. */
+	| {readonly type: 'endsStored'; readonly agesMs: readonly number[]}
 	/** Increments a counter of the process's metrics. */
 	| {readonly type: 'count'; readonly name: string}
 	| {readonly type: 'log'; readonly level?: 'warn'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -7,6 +7,7 @@
 import {
 	type ListTimes, type MachineOrder, type MachineRecord, type WorkerRecord,
 } from './records.js';
+import {unstoredEnds} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {stepDown} from './terms.js';
 import {
@@ -384,7 +385,7 @@
 };
 
 /** Returns true if the worker lists ends, or may list further ones, whose progress is not stored. An order for its machine would end the worker, and the next lease holder would start their tasks again. */
-const hasUnstoredEnds = ({processedSequence, acknowledgedSequence, mayLackEnds}: WorkerRecord): boolean => mayLackEnds || acknowledgedSequence < processedSequence;
+const hasUnstoredEnds = (worker: WorkerRecord): boolean => worker.mayLackEnds || unstoredEnds(worker) > 0;
 
 /** Returns true if nothing runs on the machine, no start order can be in flight to it, and all that has ended on it is stored. */
 export const isIdle = (state: SchedulerState, machine: MachineRecord, nowMs: number): boolean => {
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -2,7 +2,7 @@
 Decides when progress is stored and which run ends workers may discard. A run end is acknowledged only after all progress processed up to it is stored, so that no lease holder ever restarts a finished task. Progress that the store refuses is saved again from time to time; until it is stored, the ends of its job, and later ones on the same workers, are not acknowledged.
 */
 import {maxLoggedRuns, refusedSaveRetryMs} from '../constants.js';
-import {type SchedulerEvent} from './events.js';
+import {type LeaseLossReason, type SchedulerEvent} from './events.js';
 import {progressOf} from './jobs.js';
 import {type JobRecord, type WaveRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -65,6 +65,28 @@
 	worker.unacknowledgedEnds = worker.unacknowledgedEnds.filter(end => end.sequence > sequence);
 };
 
+/** Returns the time since the report that listed it for each end of a known job up to the sequence number. */
+const agesOfEnds = ({unacknowledgedEnds}: WorkerRecord, sequence: number, nowMs: number): readonly number[] =>
+	unacknowledgedEnds.filter(end => end.sequence <= sequence).map(({reportedAtMs}) => nowMs - reportedAtMs);
+
+/** Number of ends that the worker has listed and whose progress is not stored. */
+export const unstoredEnds = ({processedSequence, acknowledgedSequence}: WorkerRecord): number => processedSequence - acknowledgedSequence;
+
+/** Logs what this term has read and not stored as it ends: the next holder knows of it only as long as the workers list it. */
+export const logUnstoredEnds = (state: SchedulerState, nowMs: number, reason: LeaseLossReason): void => {
+	if (state.term === undefined) {
+		return;
+	}
+
+	const workers = [...state.workers.values()].filter(worker => unstoredEnds(worker) > 0);
+	const reportedAtMs = workers.flatMap(worker => [...worker.unacknowledgedEnds, ...worker.unresolvedEnds].map(end => end.reportedAtMs));
+	state.emit({
+		type: 'log', fields: {
+			event: 'term_ended', reason, fencingToken: state.term.fencingToken, termMs: Math.round(nowMs - state.term.wonAtMs), isSettled: state.isSettled, unstoredEnds: workers.reduce((sum, worker) => sum + unstoredEnds(worker), 0), oldestMs: reportedAtMs.length === 0 ? undefined : Math.round(nowMs - Math.min(...reportedAtMs)), pendingSave: state.pendingSaveNumber, workers: workers.slice(0, maxLoggedRuns).map(worker => `${worker.entry.workerId}:${worker.acknowledgedSequence}-${worker.processedSequence}`).join(','),
+		},
+	});
+};
+
 /** Names the workers and the ends up to which they may discard them, and the last save that was stored before. */
 const logAcknowledged = (state: SchedulerState, workers: readonly WorkerRecord[], saveNumber: number): void => {
 	if (workers.length > 0) {
@@ -155,12 +177,14 @@
 	state.pendingSaveWaves = [];
 	state.storedSaveNumber = saveNumber;
 	const acknowledged: WorkerRecord[] = [];
+	const agesMs: number[] = [];
 	for (const worker of state.workers.values()) {
 		const {pendingAcknowledgement} = worker;
 		if (pendingAcknowledgement !== undefined && pendingAcknowledgement.saveNumber <= saveNumber) {
 			const sequence = Math.min(pendingAcknowledgement.sequence, storedSequence(state, worker));
 			worker.pendingAcknowledgement = undefined;
 			if (sequence > worker.acknowledgedSequence) {
+				agesMs.push(...agesOfEnds(worker, sequence, event.nowMs));
 				acknowledge(worker, sequence);
 				acknowledged.push(worker);
 			}
@@ -168,4 +192,7 @@
 	}
 
 	logAcknowledged(state, acknowledged, saveNumber);
+	if (agesMs.length > 0) {
+		state.emit({type: 'endsStored', agesMs});
+	}
 };
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -212,7 +212,7 @@
 	/** Processed ends of tasks whose jobs have not been read yet, by rising sequence number. */
 	unresolvedEnds: ReportedEnd[];
 	/** Processed ends of known jobs that are not acknowledged yet. */
-	unacknowledgedEnds: Array<{readonly sequence: number; readonly job: JobRecord}>;
+	unacknowledgedEnds: Array<{readonly sequence: number; readonly job: JobRecord; readonly reportedAtMs: number}>;
 	/** Run ends up to this sequence number may be discarded by the worker. */
 	acknowledgedSequence: number;
 	/** Run ends up to this sequence number may be discarded once the given save is stored. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -163,7 +163,7 @@
 		}
 
 		case 'leaseLost': {
-			endTerm(state, event.nowMs);
+			endTerm(state, event.nowMs, event.reason);
 			break;
 		}
 
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -340,13 +340,13 @@
 			state.removeRun(run, now.nowMs);
 		}
 	} else {
-		applyFinishedEntry(state, worker, {entry: end.entry, task}, now);
+		applyFinishedEntry(state, worker, {...end, task}, now);
 	}
 
 	return task;
 };
 
-const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, {entry, task}: {readonly entry: FinishedEntry; readonly task: Task | undefined}, now: CurrentTime): void => {
+const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, {entry, reportedAtMs, task}: ReportedEnd & {readonly task: Task | undefined}, now: CurrentTime): void => {
 	const run = worker.runs.get(entry.taskKey);
 	if (run?.attempt === entry.attempt) {
 		run.checkpoint = entry.checkpoint;
@@ -359,7 +359,7 @@
 
 	settleTrial(state, task, entry.attempt);
 	if (task !== undefined) {
-		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job});
+		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job, reportedAtMs});
 	}
 
 	if (task !== undefined && task.step.job.outcome === undefined) {
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -9,6 +9,7 @@
 import {areTokensUsedUp, isSupersededStart} from './order-tokens.js';
 import {recordEarlierLeases} from './earlier-leases.js';
 import {dropOutdatedEntry} from './outdated-events.js';
+import {unstoredEnds} from './progress-persistence.js';
 import {type TaskRun, type WorkerIncarnation, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
@@ -106,7 +107,7 @@
 
 			state.emit({
 				type: 'log', fields: {
-					event: 'worker_unlisted', workerId, pool: worker.entry.pool, runs: worker.runs.size,
+					event: 'worker_unlisted', workerId, pool: worker.entry.pool, runs: worker.runs.size, unstoredEnds: unstoredEnds(worker),
 				},
 			});
 		}
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -13,6 +13,7 @@
 	type MachineControl, type PlacementAdvisor, type WaveReporter, type WorkerAddress, type WorkerControl,
 } from '../ports.js';
 import {StartLog} from './start-log.js';
+import {StoredEndsMonitor} from './stored-ends-monitor.js';
 
 export type EffectPerformerOptions = {
 	readonly processId: string;
@@ -38,10 +39,12 @@
 export class EffectPerformer {
 	readonly #options: EffectPerformerOptions;
 	readonly #startLog: StartLog;
+	readonly #storedEnds: StoredEndsMonitor;
 
 	constructor(options: EffectPerformerOptions) {
 		this.#options = options;
 		this.#startLog = new StartLog(options.clock, options.log);
+		this.#storedEnds = new StoredEndsMonitor(options);
 	}
 
 	/** Writes the log lines that wait for others. */
@@ -102,6 +105,11 @@
 				break;
 			}
 
+			case 'endsStored': {
+				this.#storedEnds.record(effect.agesMs);
+				break;
+			}
+
 			case 'count': {
 				this.#options.metrics.increment(effect.name);
 				break;
@@ -185,12 +193,13 @@
 	}
 
 	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
+		const sentAtMs = this.#options.clock.nowMs();
 		const holder = {holder: this.#options.processId, fencingToken: effect.fencingToken};
 		const answer = effect.type === 'move'
 			? await this.#options.machineControl.move(effect.machineId, effect.pool, holder)
 			: await this.#options.machineControl.maintain(effect.machineId, effect.waveId, holder);
 		this.#options.log.info({
-			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, fencingToken: effect.fencingToken,
+			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs), fencingToken: effect.fencingToken,
 			...(effect.type === 'move' ? {pool: effect.pool, reason: effect.reason} : {waveId: effect.waveId}),
 		});
 		this.#options.dispatch({
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -9,7 +9,7 @@
 	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, maxAnswerAgeMs, type OutageKnowledge,
 } from '@poplarnotch/state';
 import {storeRetryDelayMs} from '../constants.js';
-import {type EarlierHolder, type SchedulerEvent} from '../core/events.js';
+import {type EarlierHolder, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {LeaseContinuation} from './lease-continuation.js';
 
@@ -153,7 +153,7 @@
 	/** Releases the lease permanently, so that another process takes over at once. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
-		await this.#releaseLease();
+		await this.#releaseLease('stopping');
 		// A process that leaves is no successor, and others need not wait for it.
 		this.#liveness?.close();
 	}
@@ -251,12 +251,14 @@
 	}
 
 	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
-	async #releaseLease(): Promise<void> {
+	async #releaseLease(reason: LeaseLossReason): Promise<void> {
 		const {term} = this.#state;
 		const token = this.#leases.unconfirmedLease(schedulerLease)?.fence.version ?? term?.fencingToken;
 		this.#beginningToken = undefined;
 		if (term !== undefined) {
-			this.#options.dispatch({type: 'leaseLost', fencingToken: term.fencingToken, ...this.#now()});
+			this.#options.dispatch({
+				type: 'leaseLost', fencingToken: term.fencingToken, reason, ...this.#now(),
+			});
 		}
 
 		if (token !== undefined) {
@@ -280,7 +282,7 @@
 
 	async #yieldLease(reason: string): Promise<void> {
 		this.#options.log.info({event: 'lease_yielded', reason});
-		await this.#releaseLease();
+		await this.#releaseLease('yielded');
 		if (!this.#isLeaving) {
 			this.#contend();
 		}
