--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -4,18 +4,19 @@
 import {
 	type LogFields, type Logger, MetricsRegistry, SeededRandom, silentLogger, VirtualClock,
 } from '@poplarnotch/common';
-import {RetryingTableService, UnavailableError} from '@poplarnotch/platform';
+import {RetryingTableService} from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
 import {
 	PeerUnreachableError, performRelayed, probeKey, type ReachabilityMeter, RelayedTable, type Successor,
 } from '@poplarnotch/state';
 import {
-	type FleetConfiguration, type StateSource, type JobSpec, type RefreshableSource, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type PollOrder, type Queue, SchedulerProcess, type StartAnswer, type StartOrder, type StopOrder, type WaveOrder, type WorkerControl, type WorkerEntry,
+	type FleetConfiguration, type JobSpec, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type PollOrder, type Queue, SchedulerProcess, type StartAnswer, type StartOrder, type StopOrder, type WaveOrder, type WorkerControl, type WorkerEntry,
 } from '../../src/index.js';
 import {DatagramNetwork} from './datagram-network.js';
 import {normalLatencyMs, FakeTable, type TableFaults} from './fake-table.js';
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
 import {FakePeers, measured} from './fake-peers.js';
+import {FollowedOrders, PublishedValue} from './followed-orders.js';
 import {HostClock} from './host-clock.js';
 
 const stepMs = 5;
@@ -151,135 +152,12 @@
 const loseNoOrder: (processName: string, workerId: string) => boolean = () => false;
 const delayNoCall: (call: SentCall) => number | undefined = () => undefined;
 
-/** Passes its current value and each newer one to its listeners. */
-class PublishedValue<Value> {
-	readonly #listeners = new Set<(value: Value) => void>();
-	#value: Value;
-
-	constructor(value: Value) {
-		this.#value = value;
-	}
-
-	get value(): Value {
-		return this.#value;
-	}
-
-	publish(value: Value): void {
-		this.#value = value;
-		for (const listener of this.#listeners) {
-			listener(value);
-		}
-	}
-
-	follow(clock: HostClock): StateSource<Value> {
-		let isStopped = false;
-		return {
-			confirmedAtMs: 0,
-			start: listener => {
-				const deliver = (value: Value): void => {
-					clock.schedule(1, () => {
-						if (!isStopped) {
-							listener(value);
-						}
-					});
-				};
-
-				this.#listeners.add(deliver);
-				deliver(this.#value);
-			},
-			stop() {
-				isStopped = true;
-			},
-			readNow: () => undefined,
-		};
-	}
-}
-
 /** How often a process's copy of the operators' rows is confirmed while the store answers. */
 const defaultOrdersConfirmMs = 500;
 
 /** Age of the operators' rows at which a holder starts nothing any more. */
 export const maxOrdersAgeMs = 4500;
 
-/** A process's copy of the operators' rows. Evacuations reach it only while the process reaches the store, after the latency of its calls; configurations and waves always do. */
-class FollowedOrders implements RefreshableSource<OperatorOrders> {
-	confirmedAtMs: number | undefined;
-	readonly #published: PublishedValue<OperatorOrders>;
-	readonly #clock: HostClock;
-	readonly #table: TableFaults;
-	#known: OperatorOrders;
-	#listener: ((orders: OperatorOrders) => void) | undefined;
-
-	readonly #isReached: () => boolean;
-	readonly #confirmIntervalMs: () => number;
-
-	constructor(published: PublishedValue<OperatorOrders>, {clock, table, isReached, confirmIntervalMs}: {
-		readonly clock: HostClock;
-		readonly table: TableFaults;
-		/** Whether the process reaches the store, itself or through others. */
-		readonly isReached: () => boolean;
-		readonly confirmIntervalMs: () => number;
-	}) {
-		this.#published = published;
-		this.#confirmIntervalMs = confirmIntervalMs;
-		this.#isReached = isReached;
-		this.#clock = clock;
-		this.#table = table;
-		this.#known = {...published.value, evacuatedDataCentres: []};
-	}
-
-	start(listener: (orders: OperatorOrders) => void): void {
-		this.#listener = listener;
-		this.#published.follow(this.#clock).start(orders => {
-			this.#deliver({...orders, evacuatedDataCentres: this.#known.evacuatedDataCentres});
-			this.#clock.schedule(this.#table.latencyMs / 2, () => {
-				this.#confirm();
-			});
-		});
-		this.#confirmRegularly();
-	}
-
-	stop(): void {
-		this.#listener = undefined;
-	}
-
-	async refresh(): Promise<undefined> {
-		await this.#clock.wait(this.#table.latencyMs / 2);
-		if (!this.#confirm()) {
-			throw new UnavailableError('the store is down');
-		}
-	}
-
-	readNow(): void {
-		this.#confirm();
-	}
-
-	#confirmRegularly(): void {
-		this.#confirm();
-		this.#clock.schedule(this.#confirmIntervalMs(), () => {
-			this.#confirmRegularly();
-		});
-	}
-
-	#confirm(): boolean {
-		if (!this.#isReached()) {
-			return false;
-		}
-
-		this.confirmedAtMs = this.#clock.nowMs();
-		if (this.#known.evacuatedDataCentres !== this.#published.value.evacuatedDataCentres) {
-			this.#deliver(this.#published.value);
-		}
-
-		return true;
-	}
-
-	#deliver(orders: OperatorOrders): void {
-		this.#known = orders;
-		this.#listener?.(orders);
-	}
-}
-
 export class SchedulerSimulation {
 	readonly clock = new VirtualClock();
 	readonly table = new MemoryTableService();
