Ends that a holder has read are lost with its term: failing tests

The simulation lets workers leave on notice or be replaced on their machines, stops processes as the platform does, and refuses reads of the store.

ends-of-a-term.test.ts fails on the present code where a holder is told to stop, yields, or is suspended, since what it has read since its last save goes with its term.

--- /dev/null
+++ b/packages/scheduler/tests/ends-of-a-term.test.ts
@@ -0,0 +1,129 @@
+/**
+Workers that leave with ends that a holder has read, at the end of its term. Guards against tasks that the next holder starts again because their ends were known to the former one and to workers that have left, and to no store (TWICE).
+*/
+import {afterEach, expect, test} from 'vitest';
+import {jobOf, stepOf} from './support/jobs.js';
+import {configurationWithoutStandby, SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
+
+const workerCount = 16;
+const tasksPerWorker = 8;
+const taskCount = workerCount * tasksPerWorker;
+
+/** Workers that leave; the others have room for what is started again. */
+const leaverIds = Array.from({length: 12}, (_value, index) => `w-${index}`);
+
+/** A task ends about every 10 ms, on one worker after the other. */
+const shortestRunMs = 2000;
+const endIntervalMs = 10;
+
+/** Time for an answer that a worker has given to be read, at the simulation's resolution. */
+const readMs = 10;
+
+/** Time that the platform gives a process to stop. */
+const graceMs = 2500;
+
+let simulation: SchedulerSimulation;
+
+afterEach(() => {
+	simulation.close();
+	expect(simulation.fleet.brokenPromises).toEqual([]);
+});
+
+type Start = {readonly latencyMs?: number; readonly phaseMs?: number};
+
+/** Starts tasks on all workers, of which most drain from then on, and returns the holder once the first tasks have ended. */
+const startDraining = async ({latencyMs = 4, phaseMs = 0}: Start = {}) => {
+	simulation = new SchedulerSimulation({
+		seed: 58, processes: 5, workersPerPool: workerCount, standbyMachines: 0, successors: 4,
+	});
+	simulation.configure(configurationWithoutStandby(2));
+	simulation.fleet.behaviour.runMs = taskKey => shortestRunMs + (endIntervalMs * Number(taskKey.split('.').at(-1)));
+	await simulation.run(takeoverMs + phaseMs);
+	void simulation.submit(jobOf(1, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount})]}), simulation.holder);
+	await simulation.run(300);
+	expect(simulation.fleet.starts).toHaveLength(taskCount);
+	for (const workerId of leaverIds) {
+		simulation.announceDrain(workerId);
+	}
+
+	for (const {table} of simulation.processes) {
+		table.latencyMs = latencyMs;
+	}
+
+	await simulation.run(2100);
+	return simulation.holder!;
+};
+
+/** Ends the leavers, and returns the tasks whose ends they have listed and that were read. */
+const letWorkersLeave = (): readonly string[] => leaverIds.flatMap(workerId => {
+	const {listedEnds} = simulation.fleet.workers.get(workerId)!;
+	simulation.removeWorker(workerId);
+	return listedEnds.filter(({end, listedAtMs}) => end === 'done' && listedAtMs! <= simulation.clock.nowMs() - readMs).map(({taskKey}) => taskKey);
+});
+
+/** The tasks that were started more than once. */
+const startedAgain = (): readonly string[] => {
+	const keys = simulation.fleet.starts.map(({taskKey}) => taskKey);
+	return keys.filter((key, index) => keys.indexOf(key) !== index);
+};
+
+/** The next holder starts again what ran on the leavers, and none of the tasks whose ends were read. */
+const expectNotStartedAgain = async (readEnds: readonly string[], former: string): Promise<void> => {
+	await simulation.run(9000);
+	expect(simulation.holder?.name).not.toBe(former);
+	expect(startedAgain().length).toBeGreaterThan(0);
+	expect(readEnds.length).toBeGreaterThan(0);
+	expect(startedAgain().filter(taskKey => readEnds.includes(taskKey))).toEqual([]);
+};
+
+/** With the duration of a call to the store, and when the stop or the job comes in relation to the holder's rounds. */
+const stops = [...[0, 5, 10, 15, 20].map(phaseMs => ({latencyMs: 4, phaseMs})), ...[40, 120, 240].map(latencyMs => ({latencyMs, phaseMs: 0}))];
+const yields = [4, 40, 120, 240].flatMap(latencyMs => [0, 25, 60, 90].map(phaseMs => ({latencyMs, phaseMs})));
+
+test.each(stops)('ends that a holder has read are stored before it stops: calls of $latencyMs ms, after $phaseMs ms', async ({latencyMs, phaseMs}) => {
+	const former = await startDraining({latencyMs});
+	await simulation.run(phaseMs);
+	simulation.stop(former, graceMs);
+	await expectNotStartedAgain(letWorkersLeave(), former.name);
+});
+
+test.each(stops)('ends that a worker lists to a holder that is about to stop are stored: calls of $latencyMs ms, after $phaseMs ms', async ({latencyMs, phaseMs}) => {
+	const former = await startDraining({latencyMs});
+	await simulation.run(phaseMs);
+	simulation.stop(former, graceMs);
+	// Polls that were under way are answered after the signal.
+	await simulation.run(60);
+	const listedBefore = leaverIds.flatMap(workerId => simulation.fleet.workers.get(workerId)!.listedEnds).filter(({end}) => end === 'done').map(({taskKey}) => taskKey);
+	await simulation.run(110);
+	letWorkersLeave();
+	await simulation.run(9000);
+	expect(listedBefore.length).toBeGreaterThan(0);
+	expect(startedAgain().filter(taskKey => listedBefore.includes(taskKey))).toEqual([]);
+});
+
+test.each(yields)('ends that a holder has read are stored before it yields to a larger process: calls of $latencyMs ms, $phaseMs ms', async start => {
+	const former = await startDraining(start);
+	for (const {name} of simulation.processes.filter(process => process !== former)) {
+		simulation.cpuMillicores.set(name, 1350);
+	}
+
+	while (simulation.holder === former) {
+		await simulation.run(5);
+	}
+
+	await expectNotStartedAgain(letWorkersLeave(), former.name);
+});
+
+test('a suspended holder stores the ends that it reads while its fence is valid', async () => {
+	const former = await startDraining();
+	former.clock.freeze(450, 'process');
+	former.table.areReadsRefused = true;
+	await simulation.run(450 + 600);
+	expect(simulation.holder).toBeUndefined();
+	const readEnds = leaverIds.flatMap(workerId => simulation.fleet.workers.get(workerId)!.listedEnds)
+		.filter(({end, listedAtMs}) => end === 'done' && listedAtMs! <= simulation.clock.nowMs() - 200).map(({taskKey}) => taskKey);
+	expect(former.scheduler.state.term).toBeDefined();
+	simulation.kill(former);
+	letWorkersLeave();
+	await expectNotStartedAgain(readEnds, former.name);
+});
--- a/packages/scheduler/tests/support/disturbed-answers.ts
+++ b/packages/scheduler/tests/support/disturbed-answers.ts
@@ -27,6 +27,7 @@
 export const disturbAnswers = (simulation: SchedulerSimulation, {repeatRate, lateRate, maxDelayMs}: Disturbance): (() => void) => {
 	const {random, clock} = simulation;
 	activeCount++;
+	simulation.areAnswersDisturbed = true;
 	const deliverLate = (runtime: ReducerRuntime<unknown, unknown, unknown>, event: SchedulerEvent): void => {
 		const delayMs = maxDelayMs * random.next();
 		clock.schedule(delayMs, () => {
@@ -50,6 +51,7 @@
 	});
 	return () => {
 		activeCount--;
+		simulation.areAnswersDisturbed = false;
 		if (activeCount === 0) {
 			spy.mockRestore();
 		}
--- a/packages/scheduler/tests/support/fake-table.ts
+++ b/packages/scheduler/tests/support/fake-table.ts
@@ -34,6 +34,8 @@
 	isDown: boolean;
 	/** The table answers no call, and connections stay open. */
 	isSilent?: boolean;
+	/** The table refuses to be read and takes writes, as one whose callers read more often than permitted. */
+	areReadsRefused?: boolean;
 	/** Share of writes whose answer is lost; they are applied at once or later. */
 	lostAnswerRate: number;
 	/** Duration of a call. */
@@ -131,6 +133,10 @@
 				throw new UnavailableError('no answer');
 			}
 
+			if (this.#faults.areReadsRefused === true) {
+				throw new UnavailableError('the store refuses reads');
+			}
+
 			const page = await this.#readChanges(prefix, revision);
 			if (page.changes.length > 0 || this.#clock.nowMs() >= untilMs) {
 				return this.#return(page);
@@ -180,6 +186,10 @@
 	}
 
 	async #failIfSilent(): Promise<void> {
+		if (this.#faults.areReadsRefused === true) {
+			throw new UnavailableError('the store refuses reads');
+		}
+
 		if (this.#faults.isSilent === true) {
 			await this.#clock.wait(callTimeoutMs);
 			throw new UnavailableError('no answer');
--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -6,6 +6,7 @@
 	type AdviceAnswer, type FinishedEntry, type JobSpec, type PollAnswer,
 	type PollOrder, type OrderAnswer, type Resources, type RunEnd, type StartAnswer, type StartOrder, type StepSpec, type StopOrder, type WorkerEntry,
 } from '../../src/index.js';
+import {NotedEnds} from './noted-ends.js';
 
 /** Behaviour of tasks and of the policy service. */
 export type TaskBehaviour = {
@@ -34,6 +35,15 @@
 	targetMissedSinceMs: number | undefined;
 };
 
+/** An end that a worker remembers until it is acknowledged. */
+type RememberedEnd = FinishedEntry & {
+	readonly endedAtMs: number;
+	/** When the worker listed the end, for the first time since the last disruption. */
+	listedAtMs: number | undefined;
+	/** The end counts as taken note of because it was listed. */
+	isNoted: boolean;
+};
+
 /** A start order that a worker carried out. */
 export type ExecutedStart = {
 	readonly taskKey: string;
@@ -87,7 +97,7 @@
 	/** Speed of the worker's clock. */
 	clockRate = 1;
 	readonly runs = new Map<string, WorkerRun>();
-	#finished: Array<FinishedEntry & {readonly endedAtMs: number}> = [];
+	#finished: RememberedEnd[] = [];
 	/** When the worker's lease was last over. */
 	#lapsedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #highestAttempt = new Map<string, number>();
@@ -130,6 +140,8 @@
 				this.#end(run, this.#fleet.behaviour.fails(run.taskKey, run.attempt) ? 'failed' : 'done');
 			}
 		}
+
+		this.#noteListedEnds(nowMs);
 	}
 
 	start(order: StartOrder): StartAnswer {
@@ -218,10 +230,16 @@
 		}
 
 		for (const entry of this.#finished.filter(({sequence}) => sequence <= order.acknowledgedSequence)) {
-			this.#fleet.recordAcknowledged(entry, entry.endedAtMs, this.#lapsedAtMs > entry.endedAtMs);
+			this.#note(entry, 'acknowledged');
 		}
 
 		this.#finished = this.#finished.filter(({sequence}) => sequence > order.acknowledgedSequence);
+		const listed = this.#finished.slice(0, maxListedEnds);
+		// Nobody is told what a call lists that is carried out late.
+		if (!this.#fleet.isOrderLate) {
+			this.#recordListed(listed);
+		}
+
 		return {
 			type: 'report', report: {
 				clockMs: this.#clockMs,
@@ -229,7 +247,11 @@
 				running: [...this.runs.values()].map(run => ({
 					taskKey: run.taskKey, attempt: run.attempt, checkpoint: '', percent: this.#percentOf(run), figure: this.responseMs(run),
 				})),
-				finished: this.#finished.slice(0, maxListedEnds).map(({endedAtMs: _endedAtMs, ...entry}) => entry),
+				finished: listed.map(({
+					sequence, taskKey, attempt, end, checkpoint,
+				}) => ({
+					sequence, taskKey, attempt, end, checkpoint,
+				})),
 			},
 		};
 	}
@@ -238,6 +260,11 @@
 		return this.#finished.length > 0;
 	}
 
+	/** Ends that the worker has listed and was not told to forget. */
+	get listedEnds(): readonly RememberedEnd[] {
+		return this.#finished.filter(({listedAtMs}) => listedAtMs !== undefined);
+	}
+
 	/** Ends all runs at once, without reporting them. */
 	crash(): void {
 		const lost = [...this.runs.values()];
@@ -276,6 +303,31 @@
 		}
 	}
 
+	#recordListed(listed: readonly RememberedEnd[]): void {
+		const nowMs = this.#fleet.clock.nowMs();
+		for (const entry of listed) {
+			const isFirst = entry.listedAtMs === undefined || !this.#fleet.notedEnds.isCalmSince(entry.listedAtMs);
+			entry.listedAtMs = isFirst ? nowMs : entry.listedAtMs;
+		}
+	}
+
+	#noteListedEnds(nowMs: number): void {
+		for (const entry of this.#finished) {
+			if (!entry.isNoted && !this.isCut && entry.listedAtMs !== undefined && this.#fleet.notedEnds.isNotedByListing(entry.listedAtMs, nowMs)) {
+				entry.isNoted = true;
+				this.#note(entry, 'listed');
+			}
+		}
+	}
+
+	#note({taskKey, end, endedAtMs}: RememberedEnd, by: 'acknowledged' | 'listed'): void {
+		if (end === 'done') {
+			this.#fleet.notedEnds.record({
+				taskKey, endedAtMs, by, hasLapsed: this.#lapsedAtMs > endedAtMs,
+			});
+		}
+	}
+
 	#percentOf(run: WorkerRun): number {
 		const nowMs = this.#fleet.clock.nowMs();
 		const lengthMs = run.step.isLasting ? startupMs : run.endsAtMs - run.startedAtMs;
@@ -292,7 +344,7 @@
 		this.#highestAttempt.set(run.taskKey, Math.max(run.attempt, this.#highestAttempt.get(run.taskKey) ?? 0));
 		this.#sequence++;
 		this.#finished.push({
-			sequence: this.#sequence, taskKey: run.taskKey, attempt: run.attempt, end, checkpoint, endedAtMs: this.#fleet.clock.nowMs(),
+			sequence: this.#sequence, taskKey: run.taskKey, attempt: run.attempt, end, checkpoint, endedAtMs: this.#fleet.clock.nowMs(), listedAtMs: undefined, isNoted: false,
 		});
 		this.#fleet.recordEnd(run, end);
 	}
@@ -321,10 +373,11 @@
 	maxAttempts = 3;
 	/** The order being carried out was delayed on its way, so its effect on availability is not the sender's fault. */
 	isOrderLate = false;
+	readonly notedEnds = new NotedEnds(violation => {
+		this.#recordViolation(violation);
+	});
+
 	readonly #done = new Set<string>();
-	/** Keys of tasks whose successful end was acknowledged. */
-	readonly #acknowledgedDone = new Set<string>();
-	readonly #lastStartAtMs = new Map<string, number>();
 	readonly #failures = new Map<string, number>();
 	/** When a task was last lost with a crashed worker that stayed registered. */
 	readonly #lostAtMs = new Map<string, number>();
@@ -375,14 +428,11 @@
 			this.#recordViolation(`capacity: ${taskKey} on ${worker.entry.workerId}`);
 		}
 
-		this.#lastStartAtMs.set(taskKey, this.clock.nowMs());
 		if (this.runsOf(taskKey) > 0) {
 			this.#recordViolation(`single run: ${taskKey} is already running`);
 		}
 
-		if (this.#acknowledgedDone.has(taskKey)) {
-			this.#recordViolation(`single run: ${taskKey} has already finished`);
-		}
+		this.notedEnds.recordStart(taskKey, this.clock.nowMs());
 
 		for (const earlier of step.after) {
 			for (let index = 0; index < job.steps[earlier]!.taskCount; index++) {
@@ -442,16 +492,6 @@
 		this.#recordViolation(`response time: ${taskKey} misses its target because of filling tasks on its worker`);
 	}
 
-	/** An end that is acknowledged counts for the starts between the two as well, unless the worker's lease was over meanwhile. */
-	recordAcknowledged({taskKey, end}: FinishedEntry, endedAtMs: number, hasLapsed: boolean): void {
-		if (end === 'done') {
-			this.#acknowledgedDone.add(taskKey);
-			if (!hasLapsed && (this.#lastStartAtMs.get(taskKey) ?? 0) > endedAtMs) {
-				this.#recordViolation(`single run: ${taskKey} was started again before its end was acknowledged`);
-			}
-		}
-	}
-
 	/** Interrupts the other members of the task's gang, which cannot work without it. */
 	breakGang(taskKey: string): void {
 		const stepPrefix = taskKey.slice(0, taskKey.lastIndexOf('.') + 1);
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -16,6 +16,7 @@
 import {normalLatencyMs, FakeTable, type TableFaults} from './fake-table.js';
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
 import {FakePeers, measured} from './fake-peers.js';
+import {isDisrupted} from './disruptions.js';
 import {FollowedOrders, PublishedValue} from './followed-orders.js';
 import {HostClock} from './host-clock.js';
 
@@ -94,6 +95,8 @@
 	/** The process's own path to the table. */
 	readonly direct: FakeTable;
 	readonly scheduler: SchedulerProcess;
+	/** The process was told to stop, so its end is no disruption. */
+	isStopping: boolean;
 };
 
 type SimulatedMachine = {
@@ -181,6 +184,8 @@
 	/** Fields of the lines that processes logged about evacuations and withheld starts. */
 	readonly logged: LogFields[] = [];
 	ordersConfirmMs = defaultOrdersConfirmMs;
+	/** Answers are delivered late or twice, which is a disruption. */
+	areAnswersDisturbed = false;
 	readonly peers = new FakePeers();
 	readonly datagrams = new DatagramNetwork(this.clock);
 	/** Returns true if the process's orders do not reach the worker. */
@@ -279,6 +284,7 @@
 			clock,
 			table: tableFaults,
 			direct,
+			isStopping: false,
 			scheduler: new SchedulerProcess({
 				processId: name,
 				table,
@@ -382,6 +388,18 @@
 
 	kill(process: SimulatedProcess): void {
 		process.clock.isDead = true;
+		if (!process.isStopping) {
+			this.fleet.notedEnds.recordDisruption(this.clock.nowMs());
+		}
+	}
+
+	/** Tells the process to stop, as the platform does: it has some time until it is ended. */
+	stop(process: SimulatedProcess, graceMs: number): void {
+		process.isStopping = true;
+		void process.scheduler.leave();
+		this.clock.schedule(graceMs, () => {
+			this.kill(process);
+		});
 	}
 
 	crashWorker(workerId: string): void {
@@ -440,16 +458,36 @@
 		this.#loseWorkers(worker => worker.runs.has(taskKey));
 	}
 
-	drainWorker(workerId: string): void {
+	drainWorker(workerId: string, noticeMs = drainMs): void {
 		const worker = this.fleet.workers.get(workerId);
 		if (worker !== undefined) {
 			this.announceDrain(workerId);
-			this.clock.schedule(drainMs, () => {
+			this.clock.schedule(noticeMs, () => {
 				this.#removeWorker(worker);
 			});
 		}
 	}
 
+	/** Ends the worker, which must have drained, and removes its machine permanently. */
+	removeWorker(workerId: string): void {
+		this.#removeWorker(this.fleet.workers.get(workerId)!);
+	}
+
+	/** Drains the worker and replaces it by another one on the same machine, which is listed as down meanwhile. */
+	replaceWorker(workerId: string, noticeMs: number): void {
+		this.announceDrain(workerId);
+		this.clock.schedule(noticeMs, () => {
+			const machine = this.#machineOf(workerId);
+			if (machine?.entry.state === 'up') {
+				this.fleet.workers.get(workerId)!.crash();
+				machine.entry = {...machine.entry, state: 'down', workerId: undefined};
+				machine.nextPool = machine.entry.pool;
+				machine.returnsAtMs = this.clock.nowMs() + restartMs;
+				this.#publishWorkers();
+			}
+		});
+	}
+
 	/** Makes the worker report that it drains. */
 	announceDrain(workerId: string): void {
 		this.fleet.workers.get(workerId)!.isDraining = true;
@@ -503,6 +541,10 @@
 		const untilMs = this.clock.nowMs() + forMs;
 		while (this.clock.nowMs() < untilMs) {
 			this.clock.advance(stepMs);
+			if (this.areAnswersDisturbed || this.processes.some(process => isDisrupted(process))) {
+				this.fleet.notedEnds.recordDisruption(this.clock.nowMs());
+			}
+
 			for (const worker of this.fleet.workers.values()) {
 				if (worker.isUp) {
 					worker.advance(stepMs);
