--- a/packages/scheduler/tests/ends-of-a-term.test.ts
+++ b/packages/scheduler/tests/ends-of-a-term.test.ts
@@ -37,6 +37,7 @@
 		seed: 58, processes: 5, workersPerPool: workerCount, standbyMachines: 0, successors: 4,
 	});
 	simulation.configure(configurationWithoutStandby(2));
+	simulation.arePollsAnsweredAtEnds = true;
 	simulation.fleet.behaviour.runMs = taskKey => shortestRunMs + (endIntervalMs * Number(taskKey.split('.').at(-1)));
 	await simulation.run(takeoverMs + phaseMs);
 	void simulation.submit(jobOf(1, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount})]}), simulation.holder);
--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -260,6 +260,10 @@
 		return this.#finished.length > 0;
 	}
 
+	get hasUnlistedEnds(): boolean {
+		return this.#finished.some(({listedAtMs}) => listedAtMs === undefined);
+	}
+
 	/** Ends that the worker has listed and was not told to forget. */
 	get listedEnds(): readonly RememberedEnd[] {
 		return this.#finished.filter(({listedAtMs}) => listedAtMs !== undefined);
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -184,6 +184,8 @@
 	/** Fields of the lines that processes logged about evacuations and withheld starts. */
 	readonly logged: LogFields[] = [];
 	ordersConfirmMs = defaultOrdersConfirmMs;
+	/** Workers answer a poll as soon as a run has ended, as the platform's do, and not after a fixed time. */
+	arePollsAnsweredAtEnds = false;
 	/** Answers are delivered late or twice, which is a disruption. */
 	areAnswersDisturbed = false;
 	readonly peers = new FakePeers();
@@ -756,6 +758,18 @@
 		this.#orders.publish({configuration: this.#configuration, waves: this.#waves, evacuatedDataCentres: this.#evacuated});
 	}
 
+	/** Resolves when the worker has an end to list, or after the time for which the poll waits; never if the poll's sender is dead. */
+	async #waitForEnd(clock: HostClock, workerId: string, waitMs: number): Promise<void> {
+		const untilMs = this.clock.nowMs() + waitMs;
+		while (this.clock.nowMs() < untilMs && this.fleet.workers.get(workerId)?.hasUnlistedEnds !== true) {
+			await new Promise<void>(resolve => {
+				this.clock.schedule(stepMs, resolve);
+			});
+		}
+
+		await clock.wait(0);
+	}
+
 	/** Delivers a call, possibly late and possibly without returning its answer. */
 	async #deliver<Answer>({name, clock, lostRate = this.faults.lostOrderRate}: Pick<SimulatedProcess, 'name' | 'clock'> & {readonly lostRate?: number | undefined}, call: SentCall, execute: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
 		const {workerId} = call;
@@ -811,7 +825,7 @@
 			stop: async ({workerId}, order) => this.#deliver<OrderAnswer>(ordering(), {type: 'stop', workerId, order}, target => target.stop(order), 'unknown'),
 			pace: async ({workerId}, order) => this.#deliver<OrderAnswer>(sender, {type: 'pace', workerId, order}, target => target.pace(order), 'unknown'),
 			poll: async ({workerId}, order) => {
-				await clock.wait(Math.min(order.waitMs, 50));
+				await (this.arePollsAnsweredAtEnds ? this.#waitForEnd(clock, workerId, order.waitMs) : clock.wait(Math.min(order.waitMs, 50)));
 				return this.#deliver<PollAnswer>(sender, {type: 'poll', workerId, order}, target => target.poll(order), {type: 'unreachable'});
 			},
 		};
