--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -4,18 +4,20 @@
 import {
 	type LogFields, type Logger, MetricsRegistry, SeededRandom, silentLogger, VirtualClock,
 } from '@poplarnotch/common';
-import {RetryingTableService, UnavailableError} from '@poplarnotch/platform';
+import {RetryingTableService} from '@poplarnotch/platform';
 import {MemoryTableService} from '@poplarnotch/standin';
 import {
 	PeerUnreachableError, performRelayed, probeKey, type ReachabilityMeter, RelayedTable, type Successor,
 } from '@poplarnotch/state';
 import {
-	type FleetConfiguration, type StateSource, type JobSpec, type RefreshableSource, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type PollOrder, type Queue, SchedulerProcess, type StartAnswer, type StartOrder, type StopOrder, type WaveOrder, type WorkerControl, type WorkerEntry,
+	type FleetConfiguration, type JobSpec, type PollAnswer, type MachineAnswer, type Resources, type MachineEntry, type OperatorOrders, type OrderAnswer, type PollOrder, type Queue, SchedulerProcess, type StartAnswer, type StartOrder, type StopOrder, type WaveOrder, type WorkerControl, type WorkerEntry,
 } from '../../src/index.js';
 import {DatagramNetwork} from './datagram-network.js';
 import {normalLatencyMs, FakeTable, type TableFaults} from './fake-table.js';
 import {FakeWorker, FakeWorkers} from './fake-workers.js';
 import {FakePeers, measured} from './fake-peers.js';
+import {isDisrupted} from './disruptions.js';
+import {FollowedOrders, PublishedValue} from './followed-orders.js';
 import {HostClock} from './host-clock.js';
 
 const stepMs = 5;
@@ -93,6 +95,8 @@
 	/** The process's own path to the table. */
 	readonly direct: FakeTable;
 	readonly scheduler: SchedulerProcess;
+	/** The process was told to stop, so its end is no disruption. */
+	isStopping: boolean;
 };
 
 type SimulatedMachine = {
@@ -151,135 +155,12 @@
 const loseNoOrder: (processName: string, workerId: string) => boolean = () => false;
 const delayNoCall: (call: SentCall) => number | undefined = () => undefined;
 
-/** Passes its current value and each newer one to its listeners. */
-class PublishedValue<Value> {
-	readonly #listeners = new Set<(value: Value) => void>();
-	#value: Value;
-
-	constructor(value: Value) {
-		this.#value = value;
-	}
-
-	get value(): Value {
-		return this.#value;
-	}
-
-	publish(value: Value): void {
-		this.#value = value;
-		for (const listener of this.#listeners) {
-			listener(value);
-		}
-	}
-
-	follow(clock: HostClock): StateSource<Value> {
-		let isStopped = false;
-		return {
-			confirmedAtMs: 0,
-			start: listener => {
-				const deliver = (value: Value): void => {
-					clock.schedule(1, () => {
-						if (!isStopped) {
-							listener(value);
-						}
-					});
-				};
-
-				this.#listeners.add(deliver);
-				deliver(this.#value);
-			},
-			stop() {
-				isStopped = true;
-			},
-			readNow: () => undefined,
-		};
-	}
-}
-
 /** How often a process's copy of the operators' rows is confirmed while the store answers. */
 const defaultOrdersConfirmMs = 500;
 
 /** Age of the operators' rows at which a holder starts nothing any more. */
 export const maxOrdersAgeMs = 4500;
 
-/** A process's copy of the operators' rows. Evacuations reach it only while the process reaches the store, after the latency of its calls; configurations and waves always do. */
-class FollowedOrders implements RefreshableSource<OperatorOrders> {
-	confirmedAtMs: number | undefined;
-	readonly #published: PublishedValue<OperatorOrders>;
-	readonly #clock: HostClock;
-	readonly #table: TableFaults;
-	#known: OperatorOrders;
-	#listener: ((orders: OperatorOrders) => void) | undefined;
-
-	readonly #isReached: () => boolean;
-	readonly #confirmIntervalMs: () => number;
-
-	constructor(published: PublishedValue<OperatorOrders>, {clock, table, isReached, confirmIntervalMs}: {
-		readonly clock: HostClock;
-		readonly table: TableFaults;
-		/** Whether the process reaches the store, itself or through others. */
-		readonly isReached: () => boolean;
-		readonly confirmIntervalMs: () => number;
-	}) {
-		this.#published = published;
-		this.#confirmIntervalMs = confirmIntervalMs;
-		this.#isReached = isReached;
-		this.#clock = clock;
-		this.#table = table;
-		this.#known = {...published.value, evacuatedDataCentres: []};
-	}
-
-	start(listener: (orders: OperatorOrders) => void): void {
-		this.#listener = listener;
-		this.#published.follow(this.#clock).start(orders => {
-			this.#deliver({...orders, evacuatedDataCentres: this.#known.evacuatedDataCentres});
-			this.#clock.schedule(this.#table.latencyMs / 2, () => {
-				this.#confirm();
-			});
-		});
-		this.#confirmRegularly();
-	}
-
-	stop(): void {
-		this.#listener = undefined;
-	}
-
-	async refresh(): Promise<undefined> {
-		await this.#clock.wait(this.#table.latencyMs / 2);
-		if (!this.#confirm()) {
-			throw new UnavailableError('the store is down');
-		}
-	}
-
-	readNow(): void {
-		this.#confirm();
-	}
-
-	#confirmRegularly(): void {
-		this.#confirm();
-		this.#clock.schedule(this.#confirmIntervalMs(), () => {
-			this.#confirmRegularly();
-		});
-	}
-
-	#confirm(): boolean {
-		if (!this.#isReached()) {
-			return false;
-		}
-
-		this.confirmedAtMs = this.#clock.nowMs();
-		if (this.#known.evacuatedDataCentres !== this.#published.value.evacuatedDataCentres) {
-			this.#deliver(this.#published.value);
-		}
-
-		return true;
-	}
-
-	#deliver(orders: OperatorOrders): void {
-		this.#known = orders;
-		this.#listener?.(orders);
-	}
-}
-
 export class SchedulerSimulation {
 	readonly clock = new VirtualClock();
 	readonly table = new MemoryTableService();
@@ -303,6 +184,10 @@
 	/** Fields of the lines that processes logged about evacuations and withheld starts. */
 	readonly logged: LogFields[] = [];
 	ordersConfirmMs = defaultOrdersConfirmMs;
+	/** Workers answer a poll as soon as a run has ended, as the platform's do, and not after a fixed time. */
+	arePollsAnsweredAtEnds = false;
+	/** Answers are delivered late or twice, which is a disruption. */
+	areAnswersDisturbed = false;
 	readonly peers = new FakePeers();
 	readonly datagrams = new DatagramNetwork(this.clock);
 	/** Returns true if the process's orders do not reach the worker. */
@@ -401,6 +286,7 @@
 			clock,
 			table: tableFaults,
 			direct,
+			isStopping: false,
 			scheduler: new SchedulerProcess({
 				processId: name,
 				table,
@@ -504,6 +390,18 @@
 
 	kill(process: SimulatedProcess): void {
 		process.clock.isDead = true;
+		if (!process.isStopping) {
+			this.fleet.notedEnds.recordDisruption(this.clock.nowMs());
+		}
+	}
+
+	/** Tells the process to stop, as the platform does: it has some time until it is ended. */
+	stop(process: SimulatedProcess, graceMs: number): void {
+		process.isStopping = true;
+		void process.scheduler.leave();
+		this.clock.schedule(graceMs, () => {
+			this.kill(process);
+		});
 	}
 
 	crashWorker(workerId: string): void {
@@ -562,16 +460,36 @@
 		this.#loseWorkers(worker => worker.runs.has(taskKey));
 	}
 
-	drainWorker(workerId: string): void {
+	drainWorker(workerId: string, noticeMs = drainMs): void {
 		const worker = this.fleet.workers.get(workerId);
 		if (worker !== undefined) {
 			this.announceDrain(workerId);
-			this.clock.schedule(drainMs, () => {
+			this.clock.schedule(noticeMs, () => {
 				this.#removeWorker(worker);
 			});
 		}
 	}
 
+	/** Ends the worker, which must have drained, and removes its machine permanently. */
+	removeWorker(workerId: string): void {
+		this.#removeWorker(this.fleet.workers.get(workerId)!);
+	}
+
+	/** Drains the worker and replaces it by another one on the same machine, which is listed as down meanwhile. */
+	replaceWorker(workerId: string, noticeMs: number): void {
+		this.announceDrain(workerId);
+		this.clock.schedule(noticeMs, () => {
+			const machine = this.#machineOf(workerId);
+			if (machine?.entry.state === 'up') {
+				this.fleet.workers.get(workerId)!.crash();
+				machine.entry = {...machine.entry, state: 'down', workerId: undefined};
+				machine.nextPool = machine.entry.pool;
+				machine.returnsAtMs = this.clock.nowMs() + restartMs;
+				this.#publishWorkers();
+			}
+		});
+	}
+
 	/** Makes the worker report that it drains. */
 	announceDrain(workerId: string): void {
 		this.fleet.workers.get(workerId)!.isDraining = true;
@@ -625,6 +543,10 @@
 		const untilMs = this.clock.nowMs() + forMs;
 		while (this.clock.nowMs() < untilMs) {
 			this.clock.advance(stepMs);
+			if (this.areAnswersDisturbed || this.processes.some(process => isDisrupted(process))) {
+				this.fleet.notedEnds.recordDisruption(this.clock.nowMs());
+			}
+
 			for (const worker of this.fleet.workers.values()) {
 				if (worker.isUp) {
 					worker.advance(stepMs);
@@ -836,6 +758,18 @@
 		this.#orders.publish({configuration: this.#configuration, waves: this.#waves, evacuatedDataCentres: this.#evacuated});
 	}
 
+	/** Resolves when the worker has an end to list, or after the time for which the poll waits; never if the poll's sender is dead. */
+	async #waitForEnd(clock: HostClock, workerId: string, waitMs: number): Promise<void> {
+		const untilMs = this.clock.nowMs() + waitMs;
+		while (this.clock.nowMs() < untilMs && this.fleet.workers.get(workerId)?.hasUnlistedEnds !== true) {
+			await new Promise<void>(resolve => {
+				this.clock.schedule(stepMs, resolve);
+			});
+		}
+
+		await clock.wait(0);
+	}
+
 	/** Delivers a call, possibly late and possibly without returning its answer. */
 	async #deliver<Answer>({name, clock, lostRate = this.faults.lostOrderRate}: Pick<SimulatedProcess, 'name' | 'clock'> & {readonly lostRate?: number | undefined}, call: SentCall, execute: (worker: FakeWorker) => Answer, lost: Answer): Promise<Answer> {
 		const {workerId} = call;
@@ -891,7 +825,7 @@
 			stop: async ({workerId}, order) => this.#deliver<OrderAnswer>(ordering(), {type: 'stop', workerId, order}, target => target.stop(order), 'unknown'),
 			pace: async ({workerId}, order) => this.#deliver<OrderAnswer>(sender, {type: 'pace', workerId, order}, target => target.pace(order), 'unknown'),
 			poll: async ({workerId}, order) => {
-				await clock.wait(Math.min(order.waitMs, 50));
+				await (this.arePollsAnsweredAtEnds ? this.#waitForEnd(clock, workerId, order.waitMs) : clock.wait(Math.min(order.waitMs, 50)));
 				return this.#deliver<PollAnswer>(sender, {type: 'poll', workerId, order}, target => target.poll(order), {type: 'unreachable'});
 			},
 		};
