An end is saved as its report comes, without waiting for a round

What callers would see: a task that has ended is run again, after its worker and the holder were lost shortly after the end. Cause: a save began with a round only, and rounds are 25 to 60 ms apart; one that found a save under way waited for yet another round after it. An end counts as acknowledged 100 ms after its worker has listed it, and until its save is stored the holder and the worker alone know of it.

Change: a report with ends, and the answer to a save, begin the next save as soon as none is under way and 40 ms have passed since the last one began; if they have not, a timer does. Saves become no more frequent than that interval allowed before.

--- a/bench/pool-forecast.bench.ts
+++ b/bench/pool-forecast.bench.ts
@@ -206,6 +206,7 @@
 			case 'log':
 			case 'pace':
 			case 'requestAdvice':
+			case 'scheduleSave':
 			case 'stepDown':
 			case 'stop': {
 				break;
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -66,6 +66,8 @@
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly orderedAtMs: number; readonly answer: OrderAnswer})
 	| {readonly type: 'adviceAnswered'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]; readonly answer: AdviceAnswer; readonly sentAtMs: number}
+	/** The interval since the last save is over. */
+	| (OfTerm & {readonly type: 'saveDue'})
 	/** The jobs and waves whose rows the store refused are not stored. */
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number; readonly refusedJobIds?: readonly string[]; readonly refusedWaveIds?: readonly number[]})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly isOfOneMoment?: boolean; readonly sentAtMs: number}
@@ -105,6 +107,8 @@
 	| {readonly type: 'readRevision'; readonly fencingToken: number}
 	/** The term with this token has ended because a higher token was seen. */
 	| {readonly type: 'stepDown'; readonly fencingToken: number; readonly reason: string}
+	/** Asks for the event `saveDue` after this time. */
+	| {readonly type: 'scheduleSave'; readonly fencingToken: number; readonly delayMs: number}
 	/** The progress that rests on these ends is stored. `agesMs`: for each, the time since the report that listed it. */
 	| {readonly type: 'endsStored'; readonly agesMs: readonly number[]}
 	/** Increments a counter of the process's metrics. */
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -14,10 +14,14 @@
 const isSaveDue = (state: SchedulerState, record: JobRecord | WaveRecord, nowMs: number): boolean =>
 	(state.refusedUntilMs.get(record) ?? Number.NEGATIVE_INFINITY) <= nowMs;
 
+/** Returns true if progress of a job is to be saved that the store has not refused too recently. */
+const hasUnsavedJobs = (state: SchedulerState, nowMs: number): boolean =>
+	state.refusedUntilMs.size === 0 ? state.dirtyJobs.size > 0 : [...state.dirtyJobs].some(job => isSaveDue(state, job, nowMs));
+
 /** Schedules the acknowledgement of processed run ends for when the next save is stored. */
 const prepareAcknowledgements = (state: SchedulerState, nowMs: number): void => {
 	forgetObsoleteRefusals(state);
-	const hasUnsaved = state.refusedUntilMs.size === 0 ? state.dirtyJobs.size > 0 : [...state.dirtyJobs].some(job => isSaveDue(state, job, nowMs));
+	const hasUnsaved = hasUnsavedJobs(state, nowMs);
 	const acknowledged: WorkerRecord[] = [];
 	for (const worker of state.workers.values()) {
 		const {acknowledgedSequence, pendingAcknowledgement} = worker;
@@ -101,15 +105,33 @@
 /** Returns the sequence number up to which all ends have been applied to their tasks. */
 const resolvedSequence = ({unresolvedEnds: [first], processedSequence}: WorkerRecord): number => first === undefined ? processedSequence : first.entry.sequence - 1;
 
+/** Returns true if a save can begin: none is under way, and the interval since the last one is over. */
+const maySave = (state: SchedulerState, nowMs: number): boolean =>
+	state.pendingSaveNumber === undefined && nowMs - state.lastSaveAtMs >= minSaveIntervalMs;
+
 /** Stores progress, and prepares the acknowledgement of the ends that it rests on. */
 export const storeProgress = (state: SchedulerState, nowMs: number): void => {
 	prepareAcknowledgements(state, nowMs);
 	saveProgress(state, nowMs);
 };
 
+/** Stores ends without waiting for the next round: at once, or when the interval since the last save is over. While nothing but this process and their worker knows of them, the loss of both has their tasks run again. */
+export const storeReportedEnds = (state: SchedulerState, nowMs: number): void => {
+	if (state.term === undefined || state.pendingSaveNumber !== undefined || !hasUnsavedJobs(state, nowMs)) {
+		return;
+	}
+
+	if (maySave(state, nowMs)) {
+		storeProgress(state, nowMs);
+	} else if (!state.isSaveScheduled) {
+		state.isSaveScheduled = true;
+		state.emit({type: 'scheduleSave', fencingToken: state.term.fencingToken, delayMs: minSaveIntervalMs - (nowMs - state.lastSaveAtMs)});
+	}
+};
+
 /** Emits a save if some progress is not stored yet. */
 const saveProgress = (state: SchedulerState, nowMs: number): void => {
-	if (state.pendingSaveNumber !== undefined || nowMs - state.lastSaveAtMs < minSaveIntervalMs) {
+	if (!maySave(state, nowMs)) {
 		return;
 	}
 
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -19,7 +19,7 @@
 import {
 	applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
 } from './worker-reports.js';
-import {applySaved, storeProgress} from './progress-persistence.js';
+import {applySaved, storeProgress, storeReportedEnds} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {checkTakeoverSettled, requestRevision} from './takeover.js';
 import {endTerm, resumeTerm} from './terms.js';
@@ -176,6 +176,7 @@
 		case 'polled': {
 			applyPollAnswer(state, event);
 			updatePaceAfterPoll(state, event);
+			storeReportedEnds(state, event.nowMs);
 			break;
 		}
 
@@ -199,8 +200,15 @@
 			break;
 		}
 
+		case 'saveDue': {
+			state.isSaveScheduled = false;
+			storeReportedEnds(state, event.nowMs);
+			break;
+		}
+
 		case 'saved': {
 			applySaved(state, event);
+			storeReportedEnds(state, event.nowMs);
 			break;
 		}
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -104,6 +104,8 @@
 	/** Jobs and waves whose last save the store refused, with the time from which they are saved again. They count as unsaved until a save with them is stored. */
 	readonly refusedUntilMs = new Map<JobRecord | WaveRecord, number>();
 	lastSaveAtMs = 0;
+	/** The next save begins once the interval since the last one is over. */
+	isSaveScheduled = false;
 	saveCount = 0;
 	/** Number of the last stored save. */
 	storedSaveNumber = 0;
@@ -154,6 +156,7 @@
 		this.newJobsAfterRevision = undefined;
 		this.isRevisionRequested = false;
 		this.isSuspended = false;
+		this.isSaveScheduled = false;
 		this.isLeaseUnconfirmed = false;
 		this.#repeatPendingSave();
 		this.demand.restart();
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -83,6 +83,14 @@
 				break;
 			}
 
+			case 'scheduleSave': {
+				const {fencingToken, delayMs} = effect;
+				this.#options.clock.schedule(delayMs, () => {
+					this.#options.dispatch({type: 'saveDue', fencingToken, ...this.#now()});
+				});
+				break;
+			}
+
 			case 'move':
 			case 'maintain': {
 				void this.#orderMachine(effect);
--- a/packages/scheduler/tests/slow-saves.test.ts
+++ b/packages/scheduler/tests/slow-saves.test.ts
@@ -3,7 +3,7 @@
 */
 import {beforeEach, expect, test} from 'vitest';
 import {
-	type FinishedEntry, reduceScheduler, type SchedulerEffect, SchedulerState,
+	type FinishedEntry, reduceScheduler, SchedulerState,
 } from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
@@ -19,14 +19,24 @@
 let state: SchedulerState;
 let nowMs: number;
 
-const dispatch = (event: EventBody): readonly SchedulerEffect[] =>
-	reduceScheduler(state, {...event, nowMs, wallMs: 1_000_000 + nowMs}).effects;
+let endCount: number;
+/** When the save under way is stored, and the ends that it stores. */
+let savedAtMs: number;
+let endsInSave: number;
+
+const dispatch = (event: EventBody): void => {
+	const {effects} = reduceScheduler(state, {...event, nowMs, wallMs: 1_000_000 + nowMs});
+	if (effects.some(({type}) => type === 'save')) {
+		savedAtMs = nowMs + saveMs;
+		endsInSave = endCount;
+	}
+};
 
 const worker = () => state.workers.get('w1')!;
 
 /** The worker lists all ends that it was not told to forget. */
-const report = (endCount: number): void => {
-	const finished = Array.from({length: endCount}, (_value, index): FinishedEntry => ({
+const report = (count: number): void => {
+	const finished = Array.from({length: count}, (_value, index): FinishedEntry => ({
 		sequence: index + 1, taskKey: `${job.jobId}.0.0.${index}`, attempt: 4001, end: 'done', checkpoint: '',
 	})).filter(({sequence}) => sequence > worker().acknowledgedSequence);
 	dispatch({
@@ -41,6 +51,9 @@
 beforeEach(() => {
 	state = new SchedulerState();
 	nowMs = 0;
+	endCount = 0;
+	endsInSave = 0;
+	savedAtMs = Number.POSITIVE_INFINITY;
 	dispatch({type: 'configured', configuration: configurationWithoutStandby(1)});
 	dispatch({
 		type: 'workersListed', workers: [{
@@ -52,10 +65,7 @@
 });
 
 test('an end is acknowledged with the save that stores it, although others end on its worker while each save is under way', () => {
-	let endCount = 0;
-	let endsInSave = 0;
 	let storedEnds = 0;
-	let savedAtMs = Number.POSITIVE_INFINITY;
 	while (endCount < taskCount) {
 		nowMs += roundMs;
 		if (nowMs >= savedAtMs) {
@@ -66,10 +76,7 @@
 
 		expect(worker().acknowledgedSequence).toBe(storedEnds);
 		report(++endCount);
-		if (dispatch({type: 'tick', jobRowsConfirmedAtMs: nowMs}).some(({type}) => type === 'save')) {
-			savedAtMs = nowMs + saveMs;
-			endsInSave = endCount;
-		}
+		dispatch({type: 'tick', jobRowsConfirmedAtMs: nowMs});
 	}
 
 	expect(storedEnds).toBeGreaterThan(taskCount / 2);
