A holder that stops or yields stores what it has read before it releases the lease

What callers see: a task that has ended is run again after a planned hand-over. Cause: a holder that is told to stop, or that yields to a larger process, released its lease at once, with the ends that it had read since its last save, and dropped the answers of polls that were still under way. The next holder hears such ends from the workers, but not from those that drained and left in between. A planned hand-over is no disruption, so these ends count as acknowledged 100 ms after their listing, whether anybody stored them or not.

Change: before the release, the term orders and polls nothing more, awaits the polls of draining workers (which answer within 100 ms now) and stores all that it has read, for 500 ms at most. A process that stops releases the lease then in any case; one that yields keeps it if its progress is not stored by then, and tries again at its next check.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -79,8 +79,8 @@
 /** While a save has been waiting for this long, no trial is planned, since its start depends on the next save. */
 export const storeAwayAfterMs = 1000;
 
-/** How long a worker with a trial may wait for a run to end before it answers a poll: a trial ends with the first report after `provenAfterMs`. */
-export const trialPollWaitMs = 100;
+/** How long a worker with a trial, or one that drains, may wait for a run to end before it answers a poll: a trial ends with the first report after `provenAfterMs`, and a holder that gives up its lease waits for the answers of draining workers. */
+export const urgentPollWaitMs = 100;
 
 /** A stop that has had no effect is ordered again after this time. */
 export const stopRetryMs = 600;
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -105,9 +105,9 @@
 /** Returns the sequence number up to which all ends have been applied to their tasks. */
 const resolvedSequence = ({unresolvedEnds: [first], processedSequence}: WorkerRecord): number => first === undefined ? processedSequence : first.entry.sequence - 1;
 
-/** Returns true if a save can begin: none is under way, and the interval since the last one is over. */
+/** Returns true if a save can begin: none is under way, and the interval since the last one is over or the lease is about to be released. */
 const maySave = (state: SchedulerState, nowMs: number): boolean =>
-	state.pendingSaveNumber === undefined && nowMs - state.lastSaveAtMs >= minSaveIntervalMs;
+	state.pendingSaveNumber === undefined && (state.isHandingOver || nowMs - state.lastSaveAtMs >= minSaveIntervalMs);
 
 /** Stores progress, and prepares the acknowledgement of the ends that it rests on. */
 export const storeProgress = (state: SchedulerState, nowMs: number): void => {
@@ -129,6 +129,10 @@
 	}
 };
 
+/** Returns true if everything that this process has read of its term is stored, or cannot be for now. */
+export const isProgressStored = (state: SchedulerState, nowMs: number): boolean =>
+	state.pendingSaveNumber === undefined && !hasUnsavedJobs(state, nowMs) && ![...state.waves.values()].some(wave => wave.isDirty && isSaveDue(state, wave, nowMs));
+
 /** Emits a save if some progress is not stored yet. */
 const saveProgress = (state: SchedulerState, nowMs: number): void => {
 	if (!maySave(state, nowMs)) {
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -173,6 +173,17 @@
 			break;
 		}
 
+		case 'handoverBegun': {
+			state.isHandingOver = true;
+			runStoringPass(state, event);
+			break;
+		}
+
+		case 'handoverCancelled': {
+			state.isHandingOver = false;
+			break;
+		}
+
 		case 'polled': {
 			applyPollAnswer(state, event);
 			updatePaceAfterPoll(state, event);
@@ -227,7 +238,7 @@
 			state.jobRowsConfirmedAtMs = event.jobRowsConfirmedAtMs;
 			if (state.term === undefined) {
 				expireWorkers(state, event.nowMs);
-			} else if (state.isSuspended) {
+			} else if (state.isSuspended || state.isHandingOver) {
 				runStoringPass(state, event);
 			} else {
 				runSchedulingPass(state, event);
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -188,6 +188,7 @@
 			onTermBegun: () => {
 				this.#onTermBegun();
 			},
+			awaitsLeavingWorkers: () => this.#workerPoller.awaitsLeavingWorkers,
 		});
 		const tableClock = new TableClock(clock);
 		this.#oddJobRows = new OddEntryLog(log, 'row_unreadable');
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -10,6 +10,7 @@
 } from '@poplarnotch/state';
 import {storeRetryDelayMs} from '../constants.js';
 import {type EarlierHolder, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
+import {isProgressStored} from '../core/progress-persistence.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {LeaseContinuation} from './lease-continuation.js';
 
@@ -35,6 +36,10 @@
 /** A process that has held the lease for this long without a term, and without beginning one, releases it. By then a renewal has shown whether another process holds it. */
 const maxTimeWithoutTermMs = leaseMs / 2;
 
+/** Time within which a process that gives up its lease stores what it has read; a slow store takes a quarter of a second for a save. */
+const maxHandoverMs = 500;
+const handoverCheckMs = 5;
+
 /** The wall clock and the monotonic clock diverge by more than this only if the machine was suspended or its time of day was set. */
 const suspensionThresholdMs = 200;
 
@@ -60,6 +65,8 @@
 	readonly onLeaseChanged: () => void;
 	/** Called when the process begins to schedule. */
 	readonly onTermBegun: () => void;
+	/** Returns true while a poll of a worker that is about to leave is under way. */
+	readonly awaitsLeavingWorkers: () => boolean;
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
 	readonly isSuccessor: () => boolean;
 	readonly relayedForMs?: (() => number | undefined) | undefined;
@@ -153,6 +160,7 @@
 	/** Releases the lease permanently, so that another process takes over at once. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
+		await this.#storeBeforeRelease();
 		await this.#releaseLease('stopping');
 		// A process that leaves is no successor, and others need not wait for it.
 		this.#liveness?.close();
@@ -250,6 +258,27 @@
 		});
 	}
 
+	/** Stores what the term reads before its lease is released: the next holder hears from the workers, and some of them may have left by then. Resolves to whether all of it is stored, or the term has ended; a store that does not answer delays the release for a short time only. */
+	async #storeBeforeRelease(): Promise<boolean> {
+		const {term} = this.#state;
+		if (term === undefined) {
+			return true;
+		}
+
+		const {fencingToken} = term;
+		const begunAtMs = this.#now().nowMs;
+		this.#options.dispatch({type: 'handoverBegun', fencingToken, ...this.#now()});
+		for (;;) {
+			const {nowMs} = this.#now();
+			const isStored = this.#state.term?.fencingToken !== fencingToken || isProgressStored(this.#state, nowMs);
+			if ((isStored && !this.#options.awaitsLeavingWorkers()) || nowMs - begunAtMs >= maxHandoverMs) {
+				return isStored;
+			}
+
+			await this.#pause(handoverCheckMs);
+		}
+	}
+
 	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
 	async #releaseLease(reason: LeaseLossReason): Promise<void> {
 		const {term} = this.#state;
@@ -275,12 +304,25 @@
 		}
 
 		this.#nextYieldCheckAtMs = nowMs + yieldCheckIntervalMs;
-		const {term, isSuspended, isLeaseUnconfirmed} = this.#state;
-		const mayYield = term !== undefined && !isSuspended && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
+		const {term, isSuspended, isHandingOver, isLeaseUnconfirmed} = this.#state;
+		const mayYield = term !== undefined && !isSuspended && !isHandingOver && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
 		return mayYield && this.#options.hasLargerPeer(term.wonAtMs);
 	}
 
+	/** Gives up the lease, unless the term's progress cannot be stored in time: a later check tries again. */
 	async #yieldLease(reason: string): Promise<void> {
+		const {term} = this.#state;
+		const isStored = await this.#storeBeforeRelease();
+		if (this.#isLeaving) {
+			return;
+		}
+
+		if (!isStored && term !== undefined) {
+			this.#options.log.info({event: 'lease_kept', reason: 'progress is not stored', fencingToken: term.fencingToken});
+			this.#options.dispatch({type: 'handoverCancelled', fencingToken: term.fencingToken, ...this.#now()});
+			return;
+		}
+
 		this.#options.log.info({event: 'lease_yielded', reason});
 		await this.#releaseLease('yielded');
 		if (!this.#isLeaving) {
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -3,7 +3,7 @@
 */
 import {type Clock} from '@poplarnotch/common';
 import {
-	busyPollWaitMs, idlePollIntervalMs, pollPauseMs, pollRepeatMs, pollRetryMs, trialPollWaitMs,
+	busyPollWaitMs, idlePollIntervalMs, pollPauseMs, pollRepeatMs, pollRetryMs, urgentPollWaitMs,
 } from '../constants.js';
 import {type SchedulerEvent} from '../core/events.js';
 import {orderTokenFor} from '../core/order-tokens.js';
@@ -60,10 +60,15 @@
 		return this.#pollCount;
 	}
 
+	/** Whether a poll of a draining worker is under way, which may be gone before another process polls it. */
+	get awaitsLeavingWorkers(): boolean {
+		return [...this.#options.state().workers.values()].some(({entry, silentSinceMs}) => entry.isDraining && silentSinceMs === undefined && this.#pollStates.get(entry.workerId)?.isPolling === true);
+	}
+
 	/** Starts the polls that are due. `checkedAtMs` is when the lease of this process was checked: leases on workers count from then, even if the process was paused since. */
 	pollDueWorkers(checkedAtMs: number): void {
 		const state = this.#options.state();
-		if (state.term === undefined) {
+		if (state.term === undefined || state.isHandingOver) {
 			return;
 		}
 
@@ -109,7 +114,7 @@
 		}
 
 		// Only a worker that has answered before waits for a run to end; the first poll and idle workers' acknowledgements are answered at once.
-		const busyWaitMs = worker.trial === undefined ? busyPollWaitMs : trialPollWaitMs;
+		const busyWaitMs = worker.trial !== undefined || worker.entry.isDraining ? urgentPollWaitMs : busyPollWaitMs;
 		const waitMs = worker.isFenced && worker.runs.size > 0 && worker.silentSinceMs === undefined ? busyWaitMs : 0;
 		const order = {
 			fencingToken: orderTokenFor(this.#options.state(), worker), acknowledgedSequence, deadlineClockMs: deadline, waitMs,
--- a/packages/scheduler/tests/late-renewal.test.ts
+++ b/packages/scheduler/tests/late-renewal.test.ts
@@ -71,7 +71,7 @@
 		refreshOrders: async () => undefined,
 		onLeaseChanged: () => undefined,
 		onTermBegun: () => undefined,
-		hasLargerPeer: () => false,
+		hasLargerPeer: () => false, awaitsLeavingWorkers: () => false,
 		isSuccessor: () => true,
 		outage: {peerCount: 1, hasOutageEvidence: () => true, evidenceAtMs: () => clock.nowMs()},
 		clock,
