A holder that hands the lease over says which starts are open, so that the next one does not wait for workers that are down

Cause: since a new holder waits for each worker that has ended and may come back under its id, since it might then carry out a start of the earlier holder. Whether there is such a start only the earlier holder knows, and it told nobody.

Change: as it releases the lease, the holder writes into the released lease row the workers on which a start may still be carried out: those of its own starts that were neither answered nor listed nor otherwise settled, and, while its takeover is not settled, those left to it on workers that have not answered under its token. Whoever acquires the released lease gets the note with the condition of its acquisition, so that no other holder can have been in between; an acquisition without an answer gets none, nor does one that replaces a holder. With a note, a takeover passes over workers that lists of the term show as ended and that the note does not name. Without one (the holder was lost, was replaced on suspicion and may still order, or did not know itself), it waits as before.

Why it is a proof: it is one about the starts, not about the worker. A worker may come back under its id at any time; nothing that an earlier holder ordered can reach it any more. A worker that has not ended is still heard or waited for.

Tests: takeover-with-leavers.test.ts.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -44,8 +44,8 @@
 	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
 	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
 	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
-	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. */
-	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined}
+	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. `openStarts`: the workers on which a start of earlier holders may still be carried out, if the last one has stated that. */
+	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined; readonly openStarts?: readonly string[] | undefined}
 	/** The lease could not be renewed in time, but no other process can have acquired it. */
 	| {readonly type: 'leaseUnconfirmed'}
 	/** The replaced holder was heard again, or is known to be gone. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -130,6 +130,8 @@
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs);
 				state.earlierHolder = event.earlierHolder;
+				// A replaced holder may still order starts.
+				state.inheritedStarts = event.earlierHolder === undefined && event.openStarts !== undefined ? new Set(event.openStarts) : undefined;
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -60,6 +60,8 @@
 	isRevisionRequested = false;
 	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
 	earlierHolder: EarlierHolder | undefined;
+	/** Workers on which a start of earlier holders may still be carried out, as the last one stated when it released the lease; `undefined` if it did not. */
+	inheritedStarts: ReadonlySet<string> | undefined;
 	readonly jobs = new Map<string, JobRecord>();
 	/** Stored rows of jobs whose specification is not known, by job id. */
 	readonly detachedRows = new Map<string, DetachedRows>();
@@ -151,6 +153,7 @@
 		};
 		this.isSettled = false;
 		this.earlierHolder = undefined;
+		this.inheritedStarts = undefined;
 		this.newJobsAfterRevision = undefined;
 		this.isRevisionRequested = false;
 		this.isSuspended = false;
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -1,8 +1,9 @@
 /**
 Keeps the scheduler's lease in one process: contends for it, detects the loss of its holder, takes over, suspends the term while it is uncertain who holds the lease, and hands it over to a process that should hold it instead.
 */
+import * as E from 'fp-ts/lib/Either.js';
 import {
-	type Clock, type LogFields, type Logger, type MetricsRegistry,
+	type Clock, type LogFields, type Logger, type MetricsRegistry, parseWith, z,
 } from '@poplarnotch/common';
 import {failureReason, type RowCondition, type TableService} from '@poplarnotch/platform';
 import {
@@ -10,6 +11,7 @@
 } from '@poplarnotch/state';
 import {storeRetryDelayMs} from '../constants.js';
 import {type EarlierHolder, type SchedulerEvent} from '../core/events.js';
+import {listOpenStarts} from '../core/handover.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {LeaseContinuation} from './lease-continuation.js';
 
@@ -47,6 +49,15 @@
 /** Returns true if the machine was suspended, or its time of day set, between two moments. */
 const hasClockJumpedBetween = (from: Moment, to: Moment): boolean => Math.abs(clockGapMs(from, to)) > suspensionThresholdMs;
 
+/** What a holder writes into the lease as it releases it. */
+const handoverSchema = z.object({openStarts: z.array(z.string())});
+
+/** Returns the workers on which a start of earlier holders may still be carried out, if the last one has stated that. */
+const openStartsFrom = ({name, handover}: HeldLease): readonly string[] | undefined => {
+	const parsed = parseWith(handoverSchema, handover, name);
+	return E.isRight(parsed) ? parsed.right.openStarts : undefined;
+};
+
 export type TermKeeperOptions = {
 	readonly processId: string;
 	readonly table: TableService;
@@ -253,8 +264,10 @@
 	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
 	async #releaseLease(): Promise<void> {
 		const {term} = this.#state;
-		const token = this.#leases.unconfirmedLease(schedulerLease)?.fence.version ?? term?.fencingToken;
+		const heldToken = this.#leases.unconfirmedLease(schedulerLease)?.fence.version;
+		const token = heldToken ?? term?.fencingToken;
 		this.#beginningToken = undefined;
+		const openStarts = term !== undefined && term.fencingToken === heldToken ? listOpenStarts(this.#state) : undefined;
 		if (term !== undefined) {
 			this.#options.dispatch({type: 'leaseLost', fencingToken: term.fencingToken, ...this.#now()});
 		}
@@ -263,7 +276,7 @@
 			this.#liveness?.announceRelease(token);
 		}
 
-		await this.#leases.withdrawAll();
+		await this.#leases.withdraw(schedulerLease, openStarts && {openStarts});
 	}
 
 	/** Returns true if a larger process should hold the lease. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. */
@@ -473,7 +486,7 @@
 
 				this.#continuation.confirm();
 				this.#options.dispatch({
-					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
+					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), openStarts: openStartsFrom(lease), ...this.#now(),
 				});
 				this.#options.onTermBegun();
 				break;
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -572,6 +572,17 @@
 		}
 	}
 
+	/** Takes the worker away on short notice: it drains and is gone after that, while its registration stays until it expires. Its machine is down and comes back with another worker. */
+	takeAwayWorker(workerId: string, noticeMs: number): void {
+		this.announceDrain(workerId);
+		this.clock.schedule(noticeMs, () => {
+			const worker = this.fleet.workers.get(workerId)!;
+			worker.crash();
+			this.#restartCrashed(worker);
+			this.#publishWorkers();
+		});
+	}
+
 	/** Makes the worker report that it drains. */
 	announceDrain(workerId: string): void {
 		this.fleet.workers.get(workerId)!.isDraining = true;
--- /dev/null
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -0,0 +1,239 @@
+/**
+Takeovers while workers are down. A new holder cannot tell a worker that is gone for good from one that will be back under its id and may then carry out a start of an earlier holder, unless the one that hands the lease over says which starts have no answer.
+*/
+import {describe, expect, test} from 'vitest';
+import {reduceScheduler, SchedulerState, type WorkerEntry} from '../src/index.js';
+import {listOpenStarts} from '../src/core/handover.js';
+import {type EventBody} from './support/event-body.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
+import {
+	configurationOf, configurationWithoutStandby, pool, SchedulerSimulation, type SentCall, takeoverMs,
+} from './support/scheduler-simulation.js';
+
+const noticeMs = 2000;
+
+/** A takeover that is settled by reports takes less than this, and one that waits for a registration to expire takes longer. */
+const promptMs = 1500;
+
+const simulate = async (seed = 58): Promise<SchedulerSimulation> => {
+	const simulation = new SchedulerSimulation({
+		seed, processes: 4, workersPerPool: 8, standbyMachines: 0, successors: 4,
+	});
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	return simulation;
+};
+
+/** Stops the holder, and waits until another process has begun its term. */
+const handOver = async (simulation: SchedulerSimulation): Promise<void> => {
+	const earlier = simulation.holder!;
+	void earlier.scheduler.leave();
+	while (simulation.holder === undefined || simulation.holder === earlier) {
+		await simulation.run(5);
+	}
+};
+
+/** Waits until the takeover is settled, and returns how long the term has lasted by then. */
+const settleMs = async (simulation: SchedulerSimulation): Promise<number> => {
+	const {state} = simulation.holder!.scheduler;
+	const {wonAtMs} = state.term!;
+	while (!state.isSettled) {
+		await simulation.run(5);
+	}
+
+	return simulation.clock.nowMs() - wonAtMs;
+};
+
+/** Submits a job whose first start is held back for the given time, and returns the worker that it was sent to. */
+const holdStart = async (simulation: SchedulerSimulation, lateMs: number): Promise<string> => {
+	simulation.fleet.behaviour.runMs = () => 30_000;
+	void simulation.submit(jobOf(1, {steps: [stepOf({taskCount: 1})]}));
+	const held: SentCall[] = [];
+	simulation.lateMsOf = call => {
+		if (held.length > 0 || call.type !== 'start') {
+			return undefined;
+		}
+
+		held.push(call);
+		return lateMs;
+	};
+
+	while (held.length === 0) {
+		await simulation.run(5);
+	}
+
+	return held[0]!.workerId;
+};
+
+describe('with simulated workers', () => {
+	test.each([1, 3])('after a planned hand-over, number %i in a row, the takeover does not wait for workers that were taken away', async handOvers => {
+		const simulation = await simulate();
+		for (const workerId of ['w-0', 'w-3', 'w-6']) {
+			simulation.takeAwayWorker(workerId, noticeMs);
+		}
+
+		await simulation.run(noticeMs + 50);
+		for (let count = 0; count < handOvers; count++) {
+			await handOver(simulation);
+		}
+
+		const durationMs = await settleMs(simulation);
+		simulation.close();
+		expect(durationMs).toBeLessThan(promptMs);
+	});
+
+	test('after a planned hand-over, the takeover does not wait for workers that leave after it', async () => {
+		const simulation = await simulate();
+		for (const workerId of ['w-0', 'w-3', 'w-6']) {
+			simulation.takeAwayWorker(workerId, noticeMs);
+		}
+
+		await simulation.run(noticeMs - 50);
+		await handOver(simulation);
+		const durationMs = await settleMs(simulation);
+		simulation.close();
+		expect(durationMs).toBeLessThan(promptMs);
+	});
+
+	// The start is sent by the first holder, and the worker is back under its id while the last one has begun.
+	test.each([1, 2, 3].flatMap(handOvers => [400, 800, 1200].map(returnMs => ({handOvers, returnMs}))))('a worker that is back $returnMs ms after the last of $handOvers planned hand-overs runs no task twice', async ({handOvers, returnMs}) => {
+		const latencyMs = 2;
+		const probe = await simulate();
+		await holdStart(probe, 60_000);
+		const leftAtMs = probe.clock.nowMs();
+		for (let count = 0; count < handOvers; count++) {
+			await handOver(probe);
+		}
+
+		const absenceMs = probe.clock.nowMs() - leftAtMs + returnMs;
+		probe.close();
+		const simulation = await simulate();
+		const workerId = await holdStart(simulation, absenceMs + (2 * latencyMs) + 3);
+		simulation.crashBriefly(workerId, absenceMs);
+		for (let count = 0; count < handOvers; count++) {
+			await handOver(simulation);
+		}
+
+		await simulation.run(returnMs + 3000);
+		simulation.close();
+		expect(simulation.fleet.brokenPromises).toEqual([]);
+	});
+});
+
+const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
+const wallOffsetMs = 1_000_000;
+
+/** A process that takes over, driven event by event. The worker `gone` is registered, and no list of machines names it, though one machine of its pool is down. */
+class NewHolder {
+	readonly state = new SchedulerState();
+
+	constructor(readonly workers = ['here', 'gone']) {
+		this.dispatch({type: 'configured', configuration: configurationOf(1)}, 0);
+		this.register(0);
+	}
+
+	dispatch(event: EventBody, nowMs: number): void {
+		reduceScheduler(this.state, {...event, nowMs, wallMs: wallOffsetMs + nowMs});
+	}
+
+	register(nowMs: number, workers = this.workers): void {
+		this.dispatch({
+			type: 'workersListed', workers: workers.map((workerId): WorkerEntry => ({
+				workerId, pool, address: `${workerId}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs: wallOffsetMs - 60_000, coldLeftMs: 0,
+			})),
+		}, nowMs);
+	}
+
+	list(sentAtMs: number, isOfOneMoment = true): void {
+		this.dispatch({
+			type: 'machinesListed', sentAtMs, isOfOneMoment, machines: [
+				...this.workers.filter(workerId => workerId !== 'gone').map(workerId => ({
+					machineId: `m-${workerId}`, pool, dataCentre: 'dc', state: 'up', capacity, workerId,
+				} as const)),
+				{
+					machineId: 'm-2', pool, dataCentre: 'dc', state: 'down', capacity, workerId: undefined,
+				},
+			],
+		}, sentAtMs + 10);
+	}
+
+	report(workerId: string, nowMs: number): void {
+		this.dispatch({
+			type: 'polled', fencingToken: this.state.term!.fencingToken, workerId, incarnation: this.state.workers.get(workerId)!.incarnation, sentAtMs: nowMs, sentAcknowledgement: 0, answer: {
+				type: 'report', report: {
+					clockMs: nowMs, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [],
+				},
+			},
+		}, nowMs);
+	}
+
+	/** Takes over, and hears all that there is to hear. */
+	takeOver(event: Omit<Extract<EventBody, {readonly type: 'leaseWon'}>, 'type' | 'fencingToken'>): boolean {
+		this.dispatch({type: 'leaseWon', fencingToken: 5, ...event}, 10);
+		this.report('here', 20);
+		this.list(30);
+		this.dispatch({type: 'tick'}, 50);
+		return this.state.isSettled;
+	}
+}
+
+describe('event by event', () => {
+	const earlierHolder = {mayOrderUntilMs: 2000, mayOrderMachinesUntilMs: 3000};
+	test.each([
+		{about: 'does not say which starts are open', event: {}, isSettled: false},
+		{about: 'has no open start', event: {openStarts: []}, isSettled: true},
+		{about: 'has an open start on another worker', event: {openStarts: ['other']}, isSettled: true},
+		{about: 'has an open start on the worker', event: {openStarts: ['gone']}, isSettled: false},
+		{about: 'may still order starts', event: {openStarts: [], earlierHolder}, isSettled: false},
+	])('a worker that is down and may return is waited for, if the last holder $about: settled $isSettled', ({event, isSettled}) => {
+		const holder = new NewHolder();
+		expect(holder.takeOver(event)).toBe(isSettled);
+	});
+
+	test('a worker that has not reported, and that no list of the term shows as ended, is waited for whatever the last holder says', () => {
+		const holder = new NewHolder();
+		holder.list(1);
+		expect(holder.state.workers.get('gone')!.isEnded).toBe(true);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, openStarts: []}, 20);
+		holder.report('here', 30);
+		holder.dispatch({type: 'tick'}, 40);
+		expect(holder.state.isSettled).toBe(false);
+		holder.list(50, false);
+		holder.dispatch({type: 'tick'}, 65);
+		expect(holder.state.isSettled).toBe(false);
+		holder.list(70, false);
+		holder.dispatch({type: 'tick'}, 85);
+		expect(holder.state.isSettled).toBe(true);
+	});
+
+	test('the holder leaves the workers on which its own starts and those left to it are open', () => {
+		const holder = new NewHolder(['here', 'gone', 'late']);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, openStarts: ['gone', 'late']}, 10);
+		expect(listOpenStarts(holder.state)).toEqual(['gone', 'late']);
+		holder.report('late', 20);
+		expect(listOpenStarts(holder.state)).toEqual(['gone']);
+		holder.report('here', 30);
+		holder.list(40);
+		holder.dispatch({type: 'tick'}, 60);
+		expect(holder.state.isSettled).toBe(false);
+		holder.register(70, ['here', 'late']);
+		holder.dispatch({type: 'tick'}, 80);
+		expect(holder.state.isSettled).toBe(true);
+		expect(listOpenStarts(holder.state)).toEqual([]);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {acceptedWallMs: wallOffsetMs + 80, steps: [stepOf({taskCount: 1})]}))]}, 90);
+		holder.dispatch({type: 'tick'}, 100);
+		const [run] = [...holder.state.workers.values()].flatMap(({runs}) => [...runs.values()]);
+		const {worker: {entry: {workerId}}, taskKey, attempt} = run!;
+		expect(listOpenStarts(holder.state)).toEqual([workerId]);
+		holder.dispatch({
+			type: 'startAnswered', fencingToken: 5, workerId, taskKey, attempt, answer: 'started',
+		}, 110);
+		expect(listOpenStarts(holder.state)).toEqual([]);
+	});
+
+	test('a holder that does not know the open starts of earlier ones leaves nothing before its takeover is settled', () => {
+		const holder = new NewHolder();
+		expect(holder.takeOver({})).toBe(false);
+		expect(listOpenStarts(holder.state)).toBeUndefined();
+	});
+});
--- a/packages/state/src/leases/lease-contender.ts
+++ b/packages/state/src/leases/lease-contender.ts
@@ -2,7 +2,7 @@
 Contends for leases on behalf of one process: runs a reducer for each lease and performs its calls.
 */
 import {
-	assertNever, type CancelTimer, type Clock, type Logger, ReducerRuntime, silentLogger, SystemClock,
+	assertNever, type CancelTimer, type Clock, type JsonValue, type Logger, ReducerRuntime, silentLogger, SystemClock,
 } from '@poplarnotch/common';
 import {ConflictError, failureReason, type TableService} from '@poplarnotch/platform';
 import {Deferred} from '../deferred.js';
@@ -75,10 +75,10 @@
 		this.#keepTicking();
 	}
 
-	async withdraw(name: string): Promise<void> {
+	async withdraw(name: string, handover?: JsonValue): Promise<void> {
 		const contention = this.#contentions.get(name);
 		if (contention !== undefined) {
-			this.#dispatch(name, {type: 'withdrawRequested', nowMs: this.#clock.nowMs()});
+			this.#dispatch(name, {type: 'withdrawRequested', nowMs: this.#clock.nowMs(), handover});
 			// Others wait for the lease, so it is released without waiting for the next tick.
 			this.#dispatch(name, {type: 'tick', nowMs: this.#clock.nowMs()});
 			await contention.withdrawn.promise;
--- a/packages/state/src/leases/lease-reducer.ts
+++ b/packages/state/src/leases/lease-reducer.ts
@@ -3,7 +3,7 @@
 
 The holder's clock only saves it useless work. A holder that was paused is kept from harmful writes by the fence: the version of the lease's row, which every write under the lease carries as a condition.
 */
-import {assertNever, type Step} from '@poplarnotch/common';
+import {assertNever, type JsonValue, type Step} from '@poplarnotch/common';
 import {type RowCondition, type Transaction} from '@poplarnotch/platform';
 import {type HeldLease, type ReplacedHolder, type UnconfirmedLease} from '../types.js';
 import {
@@ -51,6 +51,10 @@
 	readonly replaced: ReplacedHolder | undefined;
 	/** Until when a holder that was replaced on suspicion before that one may trust its lease. */
 	readonly earlierTrustedUntilMs: number | undefined;
+	/** What the last holder left as it released the lease. */
+	readonly received: JsonValue | undefined;
+	/** What this holder leaves to the next one when it releases the lease. */
+	readonly handover: JsonValue | undefined;
 };
 
 export type LeaseEvent
@@ -60,7 +64,7 @@
 		| {readonly type: 'committed'; readonly nowMs: number; readonly sentAtMs: number; readonly revision: number}
 		| {readonly type: 'conflicted'; readonly nowMs: number}
 		| {readonly type: 'failed'; readonly nowMs: number}
-		| {readonly type: 'withdrawRequested'; readonly nowMs: number}
+		| {readonly type: 'withdrawRequested'; readonly nowMs: number; readonly handover?: JsonValue | undefined}
 	/** The holder with the token is believed to be lost, or has released the lease. */
 		| {readonly type: 'holderSuspected'; readonly nowMs: number; readonly fencingToken: number}
 	/** The suspected holder was heard again. */
@@ -76,7 +80,7 @@
 
 /** A contender that has not read the lease yet. */
 export const newContender = (name: string, holder: string, leaseMs: number, previousRunPrefix = ''): LeaseState => ({
-	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false, suspectedToken: undefined, replaced: undefined, earlierTrustedUntilMs: undefined,
+	name, holder, leaseMs, previousRunPrefix, phase: 'contending', observed: undefined, fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, renewals: 0, nextCall: 'read', dueMs: 0, wantsToWithdraw: false, suspectedToken: undefined, replaced: undefined, earlierTrustedUntilMs: undefined, received: undefined, handover: undefined,
 });
 
 const unchanged = (state: LeaseState): LeaseStep => ({state, effects: []});
@@ -101,9 +105,9 @@
 		: undefined;
 
 const leaseOf = ({
-	name, fence, replaced, earlierTrustedUntilMs,
+	name, fence, replaced, earlierTrustedUntilMs, received,
 }: LeaseState): HeldLease => ({
-	name, fence: fence!, replaced, earlierTrustedUntilMs,
+	name, fence: fence!, replaced, earlierTrustedUntilMs, handover: received,
 });
 
 /** For how much longer earlier holders may trust their leases. */
@@ -124,7 +128,7 @@
 		}
 
 		case 'release': {
-			return {type: 'commit', transaction: releaseTransaction(state.name, state.fence!, overlapMs(state, nowMs))};
+			return {type: 'commit', transaction: releaseTransaction(state.name, state.fence!, {overlapMs: overlapMs(state, nowMs), handover: state.handover})};
 		}
 
 		default: {
@@ -157,7 +161,7 @@
 const loseLease = (state: LeaseState, nowMs: number): LeaseStep => {
 	const wasTrusted = state.trustedUntilMs !== undefined;
 	const contending = scheduleCall({
-		...state, phase: 'contending', fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, observed: undefined,
+		...state, phase: 'contending', fence: undefined, trustedUntilMs: undefined, confirmedAtMs: undefined, observed: undefined, received: undefined,
 	}, 'read', nowMs);
 	const effects: readonly LeaseEffect[] = wasTrusted ? [{type: 'notify', lease: undefined}] : [];
 	if (!state.wantsToWithdraw) {
@@ -172,9 +176,9 @@
 const remainingOverlapMs = (state: LeaseState, {overlapMs: writtenMs = 0, renewals = 0}: LeaseRows): number =>
 	Math.max(0, writtenMs - (Math.max(0, renewals - 1) * intervalMs(state)));
 
-/** Adopts a lease whose row names this contender: an acquisition of unknown outcome was applied. A renewal confirms it. */
+/** Adopts a lease whose row names this contender: an acquisition of unknown outcome was applied. A renewal confirms it. What the last holder had left is not in the row any more. */
 const adoptLease = (state: LeaseState, rows: LeaseRows, nowMs: number): LeaseState => scheduleCall({
-	...state, phase: 'held', fence: {key: fenceKey(state.name), version: rows.fenceVersion}, trustedUntilMs: undefined, confirmedAtMs: undefined, renewals: 0,
+	...state, phase: 'held', fence: {key: fenceKey(state.name), version: rows.fenceVersion}, trustedUntilMs: undefined, confirmedAtMs: undefined, renewals: 0, received: undefined,
 }, state.wantsToWithdraw ? 'release' : 'renew', nowMs);
 
 const areSameRows = (a: LeaseRows, b: LeaseRows): boolean =>
@@ -234,6 +238,8 @@
 		suspectedToken: undefined,
 		fence,
 		renewals: state.nextCall === 'acquire' ? 0 : state.renewals + 1,
+		// The rows that the acquisition was conditional on.
+		received: state.nextCall === 'acquire' ? state.observed?.rows.handover : state.received,
 		trustedUntilMs: sentAtMs + trustMs(state),
 		confirmedAtMs: sentAtMs,
 	};
@@ -265,9 +271,12 @@
 	return {state: scheduleCall(expired.state, state.nextCall, nowMs + Math.min(renewalRetryMs, intervalMs(state))), effects: expired.effects};
 };
 
-const handleWithdrawRequest = (state: LeaseState, nowMs: number): LeaseStep => {
+/** What the holder leaves is about the time in which it has held this lease, so it is dropped if the contender does not hold it. */
+const handleWithdrawRequest = (state: LeaseState, handover: JsonValue | undefined, nowMs: number): LeaseStep => {
 	const effects: readonly LeaseEffect[] = state.trustedUntilMs === undefined ? [] : [{type: 'notify', lease: undefined}];
-	const withdrawing: LeaseState = {...state, wantsToWithdraw: true, trustedUntilMs: undefined};
+	const withdrawing: LeaseState = {
+		...state, wantsToWithdraw: true, trustedUntilMs: undefined, handover: state.phase === 'held' ? handover ?? state.handover : undefined,
+	};
 	if (state.dueMs === undefined) {
 		return {state: withdrawing, effects};
 	}
@@ -323,7 +332,7 @@
 		}
 
 		case 'withdrawRequested': {
-			return handleWithdrawRequest(state, event.nowMs);
+			return handleWithdrawRequest(state, event.handover, event.nowMs);
 		}
 
 		case 'holderSuspected': {
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -1,7 +1,9 @@
 /**
 Types of what processes share through the table service: settings changes, members, leases.
 */
-import {type Finding, type SettingsEdit, type SettingsTree} from '@poplarnotch/common';
+import {
+	type Finding, type JsonValue, type SettingsEdit, type SettingsTree,
+} from '@poplarnotch/common';
 import {type RowCondition} from '@poplarnotch/platform';
 
 /** An accepted change to the settings tree. */
@@ -64,6 +66,8 @@
 	readonly replaced?: ReplacedHolder | undefined;
 	/** Until when a holder that was replaced on suspicion before that one may trust its lease, on this process's clock. */
 	readonly earlierTrustedUntilMs?: number | undefined;
+	/** What the last holder left to the next one as it released the lease; `undefined` if it left nothing, or did not release the lease. */
+	readonly handover?: JsonValue | undefined;
 };
 
 /** A holder that was replaced on suspicion, so that it may still act on its lease for a while. */
--- a/packages/state/tests/leases/takeover.test.ts
+++ b/packages/state/tests/leases/takeover.test.ts
@@ -139,3 +139,67 @@
 		expect(leaseRowsFrom(name, await released.readRows([fenceKey(name), renewalKey(name)]))).toMatchObject({holder: undefined, overlapMs});
 	}
 });
+
+const free = {fenceVersion: 0, holder: undefined, renewalVersion: 0};
+
+/** A contender that has asked for the lease, and the transaction that it waits for. */
+const acquire = (holder: string, rows: ReturnType<typeof leaseRowsFrom>) => {
+	const {state} = reduceLease(newContender(name, holder, leaseMs), {
+		type: 'rowsRead', sentAtMs: 0, nowMs: 10, rows,
+	});
+	const {state: acquiring, effects: [acquisition]} = reduceLease(state, {type: 'tick', nowMs: 10});
+	return {state: acquiring, transaction: acquisition?.type === 'commit' ? acquisition.transaction : undefined};
+};
+
+/** A table with the lease released by a holder that leaves `['w-1']`. */
+const releaseWithHandover = async () => {
+	const table = new MemoryTableService();
+	const read = async () => leaseRowsFrom(name, await table.readRows([fenceKey(name), renewalKey(name)]));
+	const first = acquire('gate-1@1', free);
+	const {revision} = table.commitNow(first.transaction!);
+	const held = reduceLease(first.state, {
+		type: 'committed', revision, sentAtMs: 10, nowMs: 20,
+	}).state;
+	const withdrawing = reduceLease(held, {type: 'withdrawRequested', nowMs: 400, handover: ['w-1']}).state;
+	const again = reduceLease(withdrawing, {type: 'withdrawRequested', nowMs: 400}).state;
+	const [release] = reduceLease(again, {type: 'tick', nowMs: 400}).effects;
+	table.commitNow(release?.type === 'commit' ? release.transaction : {conditions: [], writes: []});
+	return {table, read};
+};
+
+test('what a holder leaves as it releases the lease is received by the next holder, and by no later one', async () => {
+	const {table, read} = await releaseWithHandover();
+	expect(await read()).toMatchObject({holder: undefined, handover: ['w-1']});
+	const second = acquire('gate-2@1', await read());
+	const {revision} = table.commitNow(second.transaction!);
+	const {effects} = reduceLease(second.state, {
+		type: 'committed', revision, sentAtMs: 10, nowMs: 20,
+	});
+	expect(effects).toMatchObject([{type: 'notify', lease: {handover: ['w-1']}}]);
+	expect(await read()).toMatchObject({holder: 'gate-2@1', handover: undefined});
+});
+
+test('a holder whose acquisition had no answer does not receive what was left: another one may have held the lease in between', async () => {
+	const {table, read} = await releaseWithHandover();
+	const second = acquire('gate-2@1', await read());
+	table.commitNow(second.transaction!);
+	const failed = reduceLease(second.state, {type: 'failed', nowMs: 500}).state;
+	const adopted = reduceLease(failed, {
+		type: 'rowsRead', sentAtMs: 500, nowMs: 510, rows: await read(),
+	}).state;
+	const {effects} = reduceLease(adopted, {
+		type: 'committed', revision: 0, sentAtMs: 510, nowMs: 520,
+	});
+	expect(effects).toMatchObject([{type: 'notify', lease: {handover: undefined}}]);
+});
+
+test('a contender that does not hold the lease when it withdraws leaves nothing, since others may have held it meanwhile', () => {
+	const {state, transaction} = acquire('gate-1@1', free);
+	const withdrawing = reduceLease(state, {type: 'withdrawRequested', nowMs: 15, handover: ['w-1']}).state;
+	const table = new MemoryTableService();
+	const {revision} = table.commitNow(transaction!);
+	const [release] = reduceLease(withdrawing, {
+		type: 'committed', revision, sentAtMs: 10, nowMs: 20,
+	}).effects;
+	expect(release?.type === 'commit' ? release.transaction.writes : []).toContainEqual({type: 'delete', key: fenceKey(name)});
+});
