A line each second names the workers that a takeover waits for

Change: takeover_waits_for names, each second until the takeover is settled, the workers that block it, and says whether lists of machines or registrations are missing. takeover_settled names these first, counts them (awaited), and tells on how many workers the earlier holder had left open starts.

Test: the last but one of takeover-with-leavers.test.ts; there was no such line before.

--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -62,6 +62,8 @@
 	earlierHolder: EarlierHolder | undefined;
 	/** Workers on which a start of earlier holders may still be carried out, as the last one stated when it released the lease; `undefined` if it did not. */
 	inheritedStarts: ReadonlySet<string> | undefined;
+	/** When it was last logged what the takeover waits for, or when the term began. */
+	takeoverLoggedAtMs = 0;
 	readonly jobs = new Map<string, JobRecord>();
 	/** Stored rows of jobs whose specification is not known, by job id. */
 	readonly detachedRows = new Map<string, DetachedRows>();
@@ -154,6 +156,7 @@
 		this.isSettled = false;
 		this.earlierHolder = undefined;
 		this.inheritedStarts = undefined;
+		this.takeoverLoggedAtMs = nowMs;
 		this.newJobsAfterRevision = undefined;
 		this.isRevisionRequested = false;
 		this.isSuspended = false;
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -28,10 +28,34 @@
 const hasUnlistedEnds = ({mayLackEnds, silentSinceMs, lastAnswerAtMs}: WorkerRecord, nowMs: number): boolean =>
 	mayLackEnds && (silentSinceMs === undefined || nowMs < leaseExpiryAfter(lastAnswerAtMs));
 
-/** Why the takeover is settled although the worker has not reported all that it has. */
-const describeUnheard = ({entry: {workerId}, isEnded, isListed, silentSinceMs}: WorkerRecord, nowMs: number): string => {
-	const reach = silentSinceMs === undefined ? 'unanswered' : `silent-${Math.round(nowMs - silentSinceMs)}ms`;
-	return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}`;
+/** Tells what is known of workers that have not reported all that they have. */
+const describeUnheard = ({inheritedStarts}: SchedulerState, workers: readonly WorkerRecord[], nowMs: number): string => {
+	const described = workers.slice(0, maxLoggedRuns).map(({entry: {workerId}, isEnded, isListed, silentSinceMs}) => {
+		const reach = silentSinceMs === undefined ? 'unanswered' : `silent-${Math.round(nowMs - silentSinceMs)}ms`;
+		return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}${inheritedStarts?.has(workerId) === true ? ':open-start' : ''}`;
+	});
+	return described.join(',');
+};
+
+/** While a takeover is not settled, it is logged this often what it waits for. */
+const waitLogIntervalMs = 1000;
+
+type Waiting = {
+	readonly awaited: readonly WorkerRecord[];
+	readonly unregisteredCount: number;
+	readonly areUnreadableKnown: boolean;
+};
+
+/** Logs what the takeover waits for. */
+const logWaiting = (state: SchedulerState, {awaited, unregisteredCount, areUnreadableKnown}: Waiting, nowMs: number): void => {
+	if (nowMs - state.takeoverLoggedAtMs >= waitLogIntervalMs) {
+		state.takeoverLoggedAtMs = nowMs;
+		state.emit({
+			type: 'log', fields: {
+				event: 'takeover_waits_for', afterMs: Math.round(nowMs - state.term!.wonAtMs), awaited: awaited.length, openStarts: state.inheritedStarts?.size, unregistered: unregisteredCount, areMachinesKnown: state.areMachinesOfTerm, areUnreadableKnown, workers: describeUnheard(state, awaited, nowMs),
+			},
+		});
+	}
 };
 
 /** Marks the takeover as settled once no worker can still run a task of an earlier lease holder that this process has not seen. */
@@ -57,12 +81,15 @@
 		state.isSettled = true;
 		resolveLostTrials(state);
 		const unheard = workers.filter(worker => !worker.isFenced);
+		const passedOver = unheard.filter(worker => !awaited.includes(worker));
 		state.emit({
 			type: 'log', fields: {
-				event: 'takeover_settled', by: areAllKnown ? 'reports' : 'time', workers: workers.length, unanswered: unheard.length, unregistered: unregistered.length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs),
-				unheard: unheard.slice(0, maxLoggedRuns).map(worker => describeUnheard(worker, nowMs)).join(','),
+				event: 'takeover_settled', by: areAllKnown ? 'reports' : 'time', workers: workers.length, unanswered: unheard.length, unregistered: unregistered.length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs), awaited: awaited.length, openStarts: state.inheritedStarts?.size,
+				unheard: describeUnheard(state, [...awaited, ...passedOver], nowMs),
 			},
 		});
+	} else {
+		logWaiting(state, {awaited, unregisteredCount: unregistered.length, areUnreadableKnown}, nowMs);
 	}
 };
 
--- a/packages/scheduler/tests/takeover-with-leavers.test.ts
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -2,7 +2,9 @@
 Takeovers while workers are down. A new holder cannot tell a worker that is gone for good from one that will be back under its id and may then carry out a start of an earlier holder, unless the one that hands the lease over says which starts have no answer.
 */
 import {describe, expect, test} from 'vitest';
-import {reduceScheduler, SchedulerState, type WorkerEntry} from '../src/index.js';
+import {
+	reduceScheduler, type SchedulerEffect, SchedulerState, type WorkerEntry,
+} from '../src/index.js';
 import {listOpenStarts} from '../src/core/handover.js';
 import {type EventBody} from './support/event-body.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
@@ -132,8 +134,8 @@
 		this.register(0);
 	}
 
-	dispatch(event: EventBody, nowMs: number): void {
-		reduceScheduler(this.state, {...event, nowMs, wallMs: wallOffsetMs + nowMs});
+	dispatch(event: EventBody, nowMs: number): readonly SchedulerEffect[] {
+		return reduceScheduler(this.state, {...event, nowMs, wallMs: wallOffsetMs + nowMs}).effects;
 	}
 
 	register(nowMs: number, workers = this.workers): void {
@@ -144,10 +146,10 @@
 		}, nowMs);
 	}
 
-	list(sentAtMs: number, isOfOneMoment = true): void {
+	list(sentAtMs: number, isOfOneMoment = true, named = this.workers.filter(workerId => workerId !== 'gone')): void {
 		this.dispatch({
 			type: 'machinesListed', sentAtMs, isOfOneMoment, machines: [
-				...this.workers.filter(workerId => workerId !== 'gone').map(workerId => ({
+				...named.map(workerId => ({
 					machineId: `m-${workerId}`, pool, dataCentre: 'dc', state: 'up', capacity, workerId,
 				} as const)),
 				{
@@ -231,6 +233,27 @@
 		expect(listOpenStarts(holder.state)).toEqual([]);
 	});
 
+	test('the log names each second the workers that the takeover waits for, and first among those unheard as it is settled', () => {
+		const holder = new NewHolder(['left', 'here', 'gone']);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, openStarts: ['gone']}, 0);
+		holder.report('here', 20);
+		holder.list(30, true, ['here']);
+		holder.register(50, ['here', 'gone']);
+		const lines = [];
+		for (let nowMs = 100; nowMs < 6000; nowMs += 100) {
+			lines.push(...holder.dispatch({type: 'tick'}, nowMs).flatMap(effect => effect.type === 'log' && effect.fields.event.startsWith('takeover_') ? [{nowMs, ...effect.fields}] : []));
+		}
+
+		expect(lines).toMatchObject([
+			...[1000, 2000, 3000, 4000, 5000].map(nowMs => ({
+				nowMs, event: 'takeover_waits_for', awaited: 1, openStarts: 1, workers: 'gone:ended:open-start', areMachinesKnown: true,
+			})),
+			{
+				event: 'takeover_settled', by: 'time', awaited: 1, unheard: 'gone:ended:open-start,left:ended:unlisted',
+			},
+		]);
+	});
+
 	test('a holder that does not know the open starts of earlier ones leaves nothing before its takeover is settled', () => {
 		const holder = new NewHolder();
 		expect(holder.takeOver({})).toBe(false);
