A start that was taken for prevented counts as open at a hand-over for as long as it may arrive

What callers would see: two runs of a task, if a worker accepts a stop for a start that had no answer, or its clock passes the deadline of one, and then crashes, comes back under its id and carries the start out after a hand-over. Without the note the next holder waited for such a worker.

Change: the holder remembers for 15 s (maxCallDelayMs) on which workers it has removed a start without an answer, and names them in the note; an answer, a listing or a listed end says for good that the start cannot come. What was left to a holder is passed on for 15 s from the begin of its term too, though its takeover is settled.

--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -1,22 +1,32 @@
 /**
 What a lease holder leaves to the next one as it releases the lease: the workers on which a start that it ordered, or an earlier holder, may still be carried out. A start names its worker by an id, which a worker that is down may come back under. A new holder does not know which starts were answered, and would have to wait for each worker that is down and may return; the note tells which of them it need not wait for.
 */
+import {maxCallDelayMs} from '../constants.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 /** More workers with open starts are not listed; the next holder then waits as it does without a note. */
 const maxListedWorkers = 1000;
 
-/** Returns the ids of the workers on which a start of this term, or of an earlier one, may still be carried out; `undefined` if that is not known. Those of earlier terms are over once the takeover is settled, or their worker has answered under the present token. */
-export const listOpenStarts = ({term, isSettled, inheritedStarts, workers}: SchedulerState): readonly string[] | undefined => {
-	const inherited = isSettled ? [] : inheritedStarts;
-	if (term === undefined || inherited === undefined) {
+/** Returns the workers on which a start of earlier holders may still be carried out, as far as this holder knows; `undefined` if it does not. Once it has heard every worker, or the last leases are over, only the starts count of which it was told. */
+const earlierStarts = ({term, isSettled, inheritedStarts, workers}: SchedulerState, nowMs: number): readonly string[] | undefined => {
+	if (isSettled && (inheritedStarts === undefined || nowMs >= term!.wonAtMs + maxCallDelayMs)) {
+		return [];
+	}
+
+	return inheritedStarts && [...inheritedStarts].filter(workerId => workers.get(workerId)?.isFenced !== true);
+};
+
+/** Returns the ids of the workers on which a start of this term, or of an earlier one, may still be carried out; `undefined` if that is not known. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well: the next incarnation of the worker knows of neither. */
+export const listOpenStarts = (state: SchedulerState, nowMs: number): readonly string[] | undefined => {
+	const earlier = state.term && earlierStarts(state, nowMs);
+	if (earlier === undefined) {
 		return undefined;
 	}
 
 	const isOpen = ({runs}: WorkerRecord): boolean => [...runs.values()].some(({mayArrive}) => mayArrive);
-	const own = [...workers.values()].filter(worker => isOpen(worker)).map(({entry}) => entry.workerId);
-	const open = new Set([...own, ...[...inherited].filter(workerId => workers.get(workerId)?.isFenced !== true)]);
+	const own = [...state.workers.values()].filter(worker => isOpen(worker)).map(({entry}) => entry.workerId);
+	const open = new Set([...own, ...state.lateStarts(nowMs), ...earlier]);
 	return open.size > maxListedWorkers ? undefined : [...open];
 };
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -129,6 +129,8 @@
 	readonly #occupied = new Map<WorkerRecord, Resources>();
 	/** Workers that keep capacity free for the task of a run that is being stopped elsewhere. */
 	readonly #replacements = new Map<TaskRun, WorkerRecord>();
+	/** Until when a start that this process has removed without an answer may be carried out, by worker id. */
+	readonly #lateStartsUntilMs = new Map<string, number>();
 	/** Numbers of restarts, in this term, of workers whose records were deleted. */
 	readonly #deletedWorkers = new Map<string, {readonly restartCount: number; readonly deletedAtMs: number}>();
 	#effects: SchedulerEffect[] = [];
@@ -275,6 +277,10 @@
 			return;
 		}
 
+		if (run.mayArrive) {
+			this.#lateStartsUntilMs.set(worker.entry.workerId, Math.max(run.orderedAtMs + maxCallDelayMs, this.#lateStartsUntilMs.get(worker.entry.workerId) ?? 0));
+		}
+
 		worker.runs.delete(run.taskKey);
 		this.#occupied.set(worker, subtractResources(this.occupied(worker), run.occupiedResources));
 		this.#resourcesInUse.set(run.customer, subtractResources(this.resourcesInUse(run.customer), run.limitUsage));
@@ -292,6 +298,17 @@
 		}
 	}
 
+	/** Returns the ids of the workers on which a start of this term that was removed without an answer may still be carried out. */
+	lateStarts(nowMs: number): readonly string[] {
+		for (const [workerId, untilMs] of this.#lateStartsUntilMs) {
+			if (nowMs >= untilMs) {
+				this.#lateStartsUntilMs.delete(workerId);
+			}
+		}
+
+		return [...this.#lateStartsUntilMs.keys()];
+	}
+
 	/** Discards all runs and per-term worker state before a new term or after the end of one. */
 	clearRuns(nowMs: number): void {
 		this.trials.clear();
@@ -323,6 +340,8 @@
 			worker.silentSinceMs = undefined;
 			worker.unreachedAtMs = undefined;
 		}
+
+		this.#lateStartsUntilMs.clear();
 	}
 
 	/** The save of an earlier term may have been rejected. Its progress is known to this process only, so it must be stored before run ends are acknowledged again. */
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -337,6 +337,7 @@
 		worker.unresolvedEnds.push(end);
 		const run = worker.runs.get(taskKey);
 		if (run?.attempt === attempt) {
+			run.mayArrive = false;
 			state.removeRun(run, now.nowMs);
 		}
 	} else {
@@ -349,6 +350,7 @@
 const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, {entry, task}: {readonly entry: FinishedEntry; readonly task: Task | undefined}, now: CurrentTime): void => {
 	const run = worker.runs.get(entry.taskKey);
 	if (run?.attempt === entry.attempt) {
+		run.mayArrive = false;
 		run.checkpoint = entry.checkpoint;
 		if (entry.end === 'done') {
 			measureRun(run, now.nowMs);
@@ -518,6 +520,7 @@
 		case 'no-ticket':
 		case 'refused':
 		case 'wrong-worker': {
+			run.mayArrive = false;
 			settleTrial(state, run.task, run.attempt);
 			state.removeRun(run, event.nowMs);
 			if (event.answer === 'no-ticket' && run.task !== undefined) {
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -267,7 +267,7 @@
 		const heldToken = this.#leases.unconfirmedLease(schedulerLease)?.fence.version;
 		const token = heldToken ?? term?.fencingToken;
 		this.#beginningToken = undefined;
-		const openStarts = term !== undefined && term.fencingToken === heldToken ? listOpenStarts(this.#state) : undefined;
+		const openStarts = term !== undefined && term.fencingToken === heldToken ? listOpenStarts(this.#state, this.#now().nowMs) : undefined;
 		if (term !== undefined) {
 			this.#options.dispatch({type: 'leaseLost', fencingToken: term.fencingToken, ...this.#now()});
 		}
--- a/packages/scheduler/tests/takeover-with-leavers.test.ts
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -211,9 +211,9 @@
 	test('the holder leaves the workers on which its own starts and those left to it are open', () => {
 		const holder = new NewHolder(['here', 'gone', 'late']);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, openStarts: ['gone', 'late']}, 10);
-		expect(listOpenStarts(holder.state)).toEqual(['gone', 'late']);
+		expect(listOpenStarts(holder.state, 10)).toEqual(['gone', 'late']);
 		holder.report('late', 20);
-		expect(listOpenStarts(holder.state)).toEqual(['gone']);
+		expect(listOpenStarts(holder.state, 20)).toEqual(['gone']);
 		holder.report('here', 30);
 		holder.list(40);
 		holder.dispatch({type: 'tick'}, 60);
@@ -221,16 +221,34 @@
 		holder.register(70, ['here', 'late']);
 		holder.dispatch({type: 'tick'}, 80);
 		expect(holder.state.isSettled).toBe(true);
-		expect(listOpenStarts(holder.state)).toEqual([]);
+		// The start for the worker that is gone may come for some time, whoever holds the lease.
+		expect(listOpenStarts(holder.state, 80)).toEqual(['gone']);
+		expect(listOpenStarts(holder.state, 15_009)).toEqual(['gone']);
+		expect(listOpenStarts(holder.state, 15_010)).toEqual([]);
+	});
+
+	test.each([
+		{answer: 'started', isOpen: false, isOpenLater: false},
+		{answer: 'refused', isOpen: false, isOpenLater: false},
+		{answer: 'not-sent', isOpen: false, isOpenLater: false},
+		{answer: 'unknown', isOpen: true, isOpenLater: true},
+	] as const)('a start that was answered with $answer is open: $isOpen, also after its deadline: $isOpenLater', ({answer, isOpen, isOpenLater}) => {
+		const holder = new NewHolder(['here']);
+		expect(holder.takeOver({openStarts: []})).toBe(true);
+		const orderedAtMs = 100;
 		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {acceptedWallMs: wallOffsetMs + 80, steps: [stepOf({taskCount: 1})]}))]}, 90);
-		holder.dispatch({type: 'tick'}, 100);
-		const [run] = [...holder.state.workers.values()].flatMap(({runs}) => [...runs.values()]);
-		const {worker: {entry: {workerId}}, taskKey, attempt} = run!;
-		expect(listOpenStarts(holder.state)).toEqual([workerId]);
+		holder.dispatch({type: 'tick'}, orderedAtMs);
+		const [run] = holder.state.workers.get('here')!.runs.values();
+		expect(listOpenStarts(holder.state, 105)).toEqual(['here']);
 		holder.dispatch({
-			type: 'startAnswered', fencingToken: 5, workerId, taskKey, attempt, answer: 'started',
+			type: 'startAnswered', fencingToken: 5, workerId: 'here', taskKey: run!.taskKey, attempt: run!.attempt, answer,
 		}, 110);
-		expect(listOpenStarts(holder.state)).toEqual([]);
+		expect(listOpenStarts(holder.state, 115)).toEqual(isOpen ? ['here'] : []);
+		// The worker refuses the start by now; were it to start again, it would not.
+		holder.report('here', 10_000);
+		expect(holder.state.workers.get('here')!.runs.size).toBe(0);
+		expect(listOpenStarts(holder.state, 10_010)).toEqual(isOpenLater ? ['here'] : []);
+		expect(listOpenStarts(holder.state, orderedAtMs + 15_000)).toEqual([]);
 	});
 
 	test('the log names each second the workers that the takeover waits for, and first among those unheard as it is settled', () => {
@@ -257,6 +275,6 @@
 	test('a holder that does not know the open starts of earlier ones leaves nothing before its takeover is settled', () => {
 		const holder = new NewHolder();
 		expect(holder.takeOver({})).toBe(false);
-		expect(listOpenStarts(holder.state)).toBeUndefined();
+		expect(listOpenStarts(holder.state, 60)).toBeUndefined();
 	});
 });
