Review of the mends for unstored ends: failing tests

Callers would see no starts for 500 ms of each 2 s while a busy holder that should yield is on a slow store (it never yields, since ends of workers that stay keep it from having all stored); one machine more down than a wave permits, and tasks ended with their worker, if a machine order is under way at a hand-over; two runs of a task, if a start that was left to a holder, or to one without a note, is carried out after the next hand-over.

--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -56,6 +56,8 @@
 	areOrdersUnanswered?: boolean;
 	/** Share of machine orders whose answer is lost; half of them are carried out. */
 	lostMachineAnswerRate: number;
+	/** Time until the platform carries a machine order out. */
+	machineOrderDelayMs?: number;
 };
 
 /** A call to a worker, as a test may hold it back. */
@@ -699,7 +701,7 @@
 	}
 
 	async #orderMachine(clock: HostClock, order: MachineOrder): Promise<MachineAnswer> {
-		await clock.wait(orderLatencyMs);
+		await clock.wait(orderLatencyMs + (this.faults.machineOrderDelayMs ?? 0));
 		const {lostMachineAnswerRate} = this.faults;
 		const isLost = lostMachineAnswerRate > 0 && this.random.next() < lostMachineAnswerRate;
 		if (isLost && this.random.next() < 0.5) {
