Review: a stop while many jobs end, failing with calls of 240 ms

Callers would see a task run again after a planned stop: the holder releases its lease after 500 ms though the save with the last ends of workers that leave is under way, and the fence refuses it. One task on with calls of 240 ms; 4, 40 and 120 ms pass.

--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -53,6 +53,47 @@
 	}, 60_000);
 });
 
+describe('hand-over while many jobs end', () => {
+	const workers = 100;
+	const leavers = 40;
+	const endIntervalMs = 2.5;
+
+	/** More rows than one transaction takes are saved while a slow call lasts. */
+	test.each([4, 40, 120, 240])('ends that a holder has read are stored before it stops: calls of %i ms', async latencyMs => {
+		const simulation = new SchedulerSimulation({
+			seed: 58, processes: 5, workersPerPool: workers, standbyMachines: 0, successors: 4,
+		});
+		simulation.configure(configurationWithoutStandby(2));
+		simulation.arePollsAnsweredAtEnds = true;
+		simulation.fleet.behaviour.runMs = taskKey => 2000 + (endIntervalMs * Number.parseInt(taskKey.slice(0, 16), 16));
+		await simulation.run(takeoverMs);
+		for (let number = 1; number <= workers * 8; number++) {
+			void simulation.submit(jobOf(number, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount: 1})]}), simulation.holder);
+		}
+
+		await simulation.run(500);
+		expect(simulation.fleet.starts).toHaveLength(workers * 8);
+		for (let index = 0; index < leavers; index++) {
+			simulation.announceDrain(`w-${index}`);
+		}
+
+		for (const {table} of simulation.processes) {
+			table.latencyMs = latencyMs;
+		}
+
+		await simulation.run(2500);
+		simulation.stop(simulation.holder!, 2500);
+		await simulation.run(200);
+		for (let index = 0; index < leavers; index++) {
+			simulation.removeWorker(`w-${index}`);
+		}
+
+		await simulation.run(6000);
+		simulation.close();
+		expect(simulation.fleet.brokenPromises).toEqual([]);
+	}, 60_000);
+});
+
 describe('orders for machines that are under way at a hand-over', () => {
 	/** Hands over while an order of a wave is under way, to a holder that has tasks for the idle worker of that machine. */
 	test.each([0, 100, 200, 400])('a wave has no more machines down than it permits, and ends no task, though the platform takes %i ms to carry an order out', async delayMs => {
