A hand-over does not wait for a store that has not answered for half a second

A term that ends during the hand-over ends the wait as well, also while polls of draining workers are under way.

--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -278,16 +278,24 @@
 
 		const {fencingToken} = term;
 		const begunAtMs = this.#now().nowMs;
+		const {pendingSaveNumber, lastSaveAtMs} = this.#state;
+		if (pendingSaveNumber !== undefined && begunAtMs - lastSaveAtMs >= maxHandoverMs) {
+			// The store does not answer this process, and the next holder may reach it.
+			return false;
+		}
+
 		this.#options.dispatch({type: 'handoverBegun', fencingToken, ...this.#now()});
-		for (;;) {
+		while (this.#state.term?.fencingToken === fencingToken) {
 			const {nowMs} = this.#now();
-			const isStored = this.#state.term?.fencingToken !== fencingToken || isProgressStored(this.#state, nowMs);
+			const isStored = isProgressStored(this.#state, nowMs);
 			if ((isStored && !this.#options.awaitsLeavingWorkers()) || nowMs - begunAtMs >= maxHandoverMs) {
 				return isStored;
 			}
 
 			await this.#pause(handoverCheckMs);
 		}
+
+		return true;
 	}
 
 	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
