Random scenarios with hand-overs beside workers that leave or are replaced

Scenarios so far lost their holders by a kill, a freeze or a cut, and drained single workers on three seconds of notice, when nothing runs on them any more. New faults: the holder is told to stop, yields to a larger process, or is replaced while it stands still; a third of the workers leaves, or is replaced on its machines, on notice of 2 to 4 s; a store that takes 20 to 240 ms.

--- a/packages/scheduler/tests/scheduling.property.test.ts
+++ b/packages/scheduler/tests/scheduling.property.test.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {
-	type Scenario, answerFaults, faults, incarnationFaults, outageFaults, randomScenario, runScenario,
+	type Scenario, answerFaults, departureFaults, faults, incarnationFaults, outageFaults, randomScenario, runScenario,
 } from './support/random-scenario.js';
 
 const fixedSeed = 20_261_204;
@@ -138,6 +138,22 @@
 	);
 }, 600_000);
 
+test('with hand-overs beside workers that leave or are replaced, the same holds', async () => {
+	const scenario: fc.Arbitrary<Scenario> = fc.record({
+		seed: fc.integer({min: 1, max: 1_000_000}),
+		faults: fc.array(fc.constantFrom(...departureFaults), {minLength: 3, maxLength: 8}),
+		size: fc.record({processes: fc.integer({min: 3, max: 6}), workersPerPool: fc.integer({min: 6, max: 16}), standbyMachines: fc.integer({min: 0, max: 2})}),
+		runTimeFactor: fc.constant(2.4),
+	});
+	await fc.assert(
+		fc.asyncProperty(scenario, async generated => {
+			const {brokenPromises} = await runScenario(generated);
+			expect(brokenPromises).toEqual([]);
+		}),
+		{seed: fixedSeed, numRuns: Number(process.env.POPLARNOTCH_DAYS ?? 12), endOnFailure: true},
+	);
+}, 600_000);
+
 test('without process or store faults, every job meets its objective on the existing pool', async () => {
 	const {brokenPromises, servedShare} = await runScenario({seed: 7, faults: ['wave']});
 	expect(brokenPromises).toEqual([]);
--- a/packages/scheduler/tests/support/random-scenario.ts
+++ b/packages/scheduler/tests/support/random-scenario.ts
@@ -28,6 +28,8 @@
 	readonly size?: FleetSize;
 	/** Each job of ending tasks whose number is a multiple of this has a task that crashes the workers that start it; the other tasks do not fail. No job does if left out. */
 	readonly crashingEvery?: number;
+	/** Tasks run for this many times as long, up to the notice of leaving workers, and workers answer polls as runs end. */
+	readonly runTimeFactor?: number;
 };
 
 /** Result of a scenario. */
@@ -40,13 +42,16 @@
 const defaultSize: FleetSize = {processes: 3, workersPerPool: 6, standbyMachines: 2};
 
 /** Faults of the process that holds the lease. */
-type HolderFault = 'kill-holder' | 'freeze-holder' | 'cut-holder' | 'clock-step';
+type HolderFault = 'kill-holder' | 'freeze-holder' | 'cut-holder' | 'clock-step' | PlannedHandover;
+/** Hand-overs of a holder that lives on for some time: it is told to stop, a larger process appears, or it is taken for lost while it stands still. */
+type PlannedHandover = 'stop-holder' | 'yield-holder' | 'pause-holder';
 type WorkerFault = 'crash-worker' | 'drain-worker';
-type StoreFault = 'store-down' | 'store-slow' | 'lost-answers';
+type DepartureFault = 'workers-leave' | 'workers-replaced';
+type StoreFault = 'store-down' | 'store-slow' | 'store-delayed' | 'lost-answers';
 type OutageFault = 'store-out' | 'cut-half' | 'isolate-holder';
 type AnswerFault = 'restart-worker' | 'machine-answers-lost' | 'answers-repeated';
 type IncarnationFault = 'crash-briefly' | 'crash-unanswered' | 'crash-and-cut';
-export type Fault = AnswerFault | IncarnationFault | OutageFault | HolderFault | WorkerFault | StoreFault | 'late-orders' | 'wave' | 'kill-all' | 'burst';
+export type Fault = AnswerFault | DepartureFault | IncarnationFault | OutageFault | HolderFault | WorkerFault | StoreFault | 'late-orders' | 'wave' | 'kill-all' | 'burst';
 
 export const faults: readonly Fault[] = [
 	'kill-holder', 'freeze-holder', 'cut-holder', 'store-down', 'store-slow', 'lost-answers', 'late-orders', 'crash-worker', 'drain-worker', 'wave', 'kill-all', 'clock-step', 'burst',
@@ -67,6 +72,11 @@
 	'crash-briefly', 'crash-unanswered', 'crash-unanswered', 'crash-and-cut', 'crash-and-cut', 'late-orders', 'late-orders', 'kill-holder', 'freeze-holder', 'crash-worker', 'wave', 'burst',
 ];
 
+/** Hand-overs beside workers that leave or are replaced with the ends that they have listed, each together with what keeps these from being stored. */
+export const departureFaults: readonly Fault[] = [
+	'stop-holder', 'stop-holder', 'yield-holder', 'yield-holder', 'pause-holder', 'workers-leave', 'workers-replaced', 'workers-replaced', 'workers-replaced', 'store-delayed', 'store-delayed', 'store-slow', 'lost-answers', 'kill-holder', 'late-orders', 'wave', 'burst',
+];
+
 /** Number of jobs that one customer submits in a burst. */
 const jobsPerBurst = 12;
 
@@ -127,6 +137,22 @@
 	});
 };
 
+/** Time from the signal to the end of a process, and the time for which a holder stands still that is replaced meanwhile. */
+const graceMs = 2500;
+const pauseMs = 1200;
+
+const largeHostCpuMillicores = 1350;
+
+/** Makes another process the only large one. */
+const enlargeOther = (simulation: SchedulerSimulation, holderName: string): void => {
+	const others = simulation.processes.filter(({name, clock, isStopping}) => name !== holderName && !clock.isDead && !isStopping);
+	const larger = others[Math.floor(simulation.random.next() * others.length)];
+	simulation.cpuMillicores.clear();
+	if (larger !== undefined) {
+		simulation.cpuMillicores.set(larger.name, largeHostCpuMillicores);
+	}
+};
+
 const stepClock = (simulation: SchedulerSimulation, clock: HostClock): void => {
 	const stepMs = simulation.random.next() < 0.5 ? 2000 : -2000;
 	clock.stepWallClock(stepMs);
@@ -162,6 +188,27 @@
 			break;
 		}
 
+		case 'stop-holder': {
+			if (!holder.isStopping) {
+				simulation.stop(holder, graceMs);
+				simulation.clock.schedule(graceMs, () => {
+					simulation.addProcess();
+				});
+			}
+
+			break;
+		}
+
+		case 'yield-holder': {
+			enlargeOther(simulation, holder.name);
+			break;
+		}
+
+		case 'pause-holder': {
+			holder.clock.freeze(pauseMs, 'process');
+			break;
+		}
+
 		case 'clock-step': {
 			stepClock(simulation, holder.clock);
 			break;
@@ -190,6 +237,27 @@
 	}
 };
 
+/** Notice that workers give before they leave, and the share of them that does so at about the same time. */
+const noticeMs = 2000;
+const departingShare = 1 / 3;
+const maxDepartureDelayMs = 2000;
+
+/** Lets a share of the workers drain, and leave for good or be replaced on their machines. */
+const injectDepartures = (simulation: SchedulerSimulation, fault: DepartureFault): void => {
+	const present = [...simulation.fleet.workers.values()].filter(({isUp, isDraining}) => isUp && !isDraining).map(({entry}) => entry.workerId);
+	const departing = present.filter(() => simulation.random.next() < departingShare);
+	// Enough workers are left for all jobs.
+	const leaving = fault === 'workers-leave' ? departing.slice(0, Math.max(0, present.length - minWorkers)) : departing;
+	for (const workerId of leaving) {
+		const noticeLeftMs = noticeMs + (maxDepartureDelayMs * simulation.random.next());
+		if (fault === 'workers-leave') {
+			simulation.drainWorker(workerId, noticeLeftMs);
+		} else {
+			simulation.replaceWorker(workerId, noticeLeftMs);
+		}
+	}
+};
+
 /** Crashes a third of the workers for less than a second, while half of their calls are unanswered and carried out late, and cuts them off soon after their return if the fault says so. */
 const injectIncarnationFault = (simulation: SchedulerSimulation, fault: IncarnationFault): void => {
 	const {clock, random} = simulation;
@@ -222,6 +290,9 @@
 		case 'kill-holder':
 		case 'freeze-holder':
 		case 'cut-holder':
+		case 'stop-holder':
+		case 'yield-holder':
+		case 'pause-holder':
 		case 'clock-step': {
 			injectHolderFault(simulation, fault);
 			break;
@@ -238,6 +309,17 @@
 			break;
 		}
 
+		case 'workers-leave':
+		case 'workers-replaced': {
+			injectDepartures(simulation, fault);
+			break;
+		}
+
+		case 'store-delayed': {
+			injectStoreFault(simulation, {latencyMs: 20 + (220 * simulation.random.next())}, 6000);
+			break;
+		}
+
 		case 'store-slow': {
 			injectStoreFault(simulation, {latencyMs: 800}, 4000);
 			break;
@@ -420,13 +502,19 @@
 
 /** Runs a scenario: four jobs and then a fault, in turns, and time to finish at the end. */
 export const runScenario = async ({
-	seed, faults: scenarioFaults, size = defaultSize, crashingEvery,
+	seed, faults: scenarioFaults, size = defaultSize, crashingEvery, runTimeFactor,
 }: Scenario): Promise<ScenarioResult> => {
 	const simulation = new SchedulerSimulation({
 		seed, failureRate: crashingEvery === undefined ? 0.03 : 0, maxChangesPerAnswer: answerSizes[seed % answerSizes.length], ...size,
 	});
 	const isCrashing = (job: JobSpec): boolean => crashingEvery !== undefined && !isLasting(job) && Number.parseInt(job.jobId, 16) % crashingEvery === 0;
 	simulation.fleet.behaviour.crashesAfterMs = taskKey => taskKey.endsWith('.0.0.0') && isCrashing(simulation.fleet.findStep(taskKey).job) ? crashDelayMs : undefined;
+	if (runTimeFactor !== undefined) {
+		const {runMs} = simulation.fleet.behaviour;
+		simulation.fleet.behaviour.runMs = taskKey => runTimeFactor * runMs(taskKey);
+		simulation.arePollsAnsweredAtEnds = true;
+	}
+
 	simulation.fleet.upperLimits.set('altan', upperLimit);
 	simulation.configure(configurationOf(2, {customers: new Map([['altan', {name: 'altan', weight: 1, upperLimit}]])}));
 	await simulation.run(takeoverMs);
