--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -8,14 +8,9 @@
 /** More workers with open starts are not listed; the next holder then waits as it does without a note. */
 const maxListedWorkers = 1000;
 
-/** Returns the workers on which a start of earlier holders may still be carried out, as far as this holder knows; `undefined` if it does not. Once it has heard every worker, or the last leases are over, only the starts count of which it was told. */
-const earlierStarts = ({term, isSettled, inheritedStarts, workers}: SchedulerState, nowMs: number): readonly string[] | undefined => {
-	if (isSettled && (inheritedStarts === undefined || nowMs >= term!.wonAtMs + maxCallDelayMs)) {
-		return [];
-	}
-
-	return inheritedStarts && [...inheritedStarts].filter(workerId => workers.get(workerId)?.isFenced !== true);
-};
+/** Returns the workers on which a start of earlier holders may still be carried out, as far as this holder knows; `undefined` if it does not. That a worker has answered, or that the takeover is settled, says nothing about the worker's next incarnation; only time does. */
+const earlierStarts = ({term, inheritedStarts}: SchedulerState, nowMs: number): readonly string[] | undefined =>
+	nowMs >= term!.wonAtMs + maxCallDelayMs ? [] : inheritedStarts && [...inheritedStarts];
 
 /** Returns the ids of the workers on which a start of this term, or of an earlier one, may still be carried out; `undefined` if that is not known. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well: the next incarnation of the worker knows of neither. */
 export const listOpenStarts = (state: SchedulerState, nowMs: number): readonly string[] | undefined => {
--- a/packages/scheduler/tests/takeover-with-leavers.test.ts
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -17,12 +17,15 @@
 /** A takeover that is settled by reports takes less than this, and one that waits for a registration to expire takes longer. */
 const promptMs = 1500;
 
+/** A holder that was left no note knows all open starts once it has held the lease for this long. */
+const knowsStartsAfterMs = 15_000;
+
 const simulate = async (seed = 58): Promise<SchedulerSimulation> => {
 	const simulation = new SchedulerSimulation({
 		seed, processes: 4, workersPerPool: 8, standbyMachines: 0, successors: 4,
 	});
 	simulation.configure(configurationWithoutStandby(2));
-	await simulation.run(takeoverMs);
+	await simulation.run(takeoverMs + knowsStartsAfterMs);
 	return simulation;
 };
 
@@ -212,8 +215,9 @@
 		const holder = new NewHolder(['here', 'gone', 'late']);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, openStarts: ['gone', 'late']}, 10);
 		expect(listOpenStarts(holder.state, 10)).toEqual(['gone', 'late']);
+		// What a worker says holds for its present incarnation only.
 		holder.report('late', 20);
-		expect(listOpenStarts(holder.state, 20)).toEqual(['gone']);
+		expect(listOpenStarts(holder.state, 20)).toEqual(['gone', 'late']);
 		holder.report('here', 30);
 		holder.list(40);
 		holder.dispatch({type: 'tick'}, 60);
@@ -221,9 +225,9 @@
 		holder.register(70, ['here', 'late']);
 		holder.dispatch({type: 'tick'}, 80);
 		expect(holder.state.isSettled).toBe(true);
-		// The start for the worker that is gone may come for some time, whoever holds the lease.
-		expect(listOpenStarts(holder.state, 80)).toEqual(['gone']);
-		expect(listOpenStarts(holder.state, 15_009)).toEqual(['gone']);
+		// The starts may come for some time, whoever holds the lease.
+		expect(listOpenStarts(holder.state, 80)).toEqual(['gone', 'late']);
+		expect(listOpenStarts(holder.state, 15_009)).toEqual(['gone', 'late']);
 		expect(listOpenStarts(holder.state, 15_010)).toEqual([]);
 	});
 
