--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -9,7 +9,7 @@
 import {
 	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, maxAnswerAgeMs, type OutageKnowledge,
 } from '@poplarnotch/state';
-import {storeRetryDelayMs} from '../constants.js';
+import {storeAwayAfterMs, storeRetryDelayMs} from '../constants.js';
 import {type EarlierHolder, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
 import {listOpenStarts} from '../core/handover.js';
 import {isProgressStored} from '../core/progress-persistence.js';
@@ -38,8 +38,11 @@
 /** A process that has held the lease for this long without a term, and without beginning one, releases it. By then a renewal has shown whether another process holds it. */
 const maxTimeWithoutTermMs = leaseMs / 2;
 
-/** Time within which a process that gives up its lease stores what it has read; a slow store takes a quarter of a second for a save. */
-const maxHandoverMs = 500;
+/** Time within which a process that gives up its lease stores what it has read. A slow store takes a quarter of a second for a transaction, and a save of many jobs has several. */
+const maxHandoverMs = 1500;
+
+/** Time within which it awaits the polls of workers that are about to leave; a worker that answers does so within `urgentPollWaitMs`. */
+const maxListeningMs = 300;
 const handoverCheckMs = 5;
 
 /** The wall clock and the monotonic clock diverge by more than this only if the machine was suspended or its time of day was set. */
@@ -279,7 +282,7 @@
 		const {fencingToken} = term;
 		const begunAtMs = this.#now().nowMs;
 		const {pendingSaveNumber, lastSaveAtMs} = this.#state;
-		if (pendingSaveNumber !== undefined && begunAtMs - lastSaveAtMs >= maxHandoverMs) {
+		if (pendingSaveNumber !== undefined && begunAtMs - lastSaveAtMs >= storeAwayAfterMs) {
 			// The store does not answer this process, and the next holder may reach it.
 			return false;
 		}
@@ -287,8 +290,10 @@
 		this.#options.dispatch({type: 'handoverBegun', fencingToken, ...this.#now()});
 		while (this.#state.term?.fencingToken === fencingToken) {
 			const {nowMs} = this.#now();
+			const forMs = nowMs - begunAtMs;
 			const isStored = isProgressStored(this.#state, nowMs);
-			if ((isStored && !this.#options.awaitsLeavingWorkers()) || nowMs - begunAtMs >= maxHandoverMs) {
+			const isListening = forMs < maxListeningMs && this.#options.awaitsLeavingWorkers();
+			if ((isStored && !isListening) || forMs >= maxHandoverMs) {
 				return isStored;
 			}
 
