--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -348,6 +348,9 @@
 	return worker !== undefined && worker.incarnation !== endsIncarnation?.incarnation;
 };
 
+/** Returns true while an order to a machine is under way. */
+export const awaitsMachineAnswers = ({machines}: SchedulerState): boolean => [...machines.values()].some(({order}) => order?.phase === 'sent');
+
 /** Repeats orders whose outcome is unknown. A machine that runs another worker by now is drained first. A move into a pool is not repeated in a data centre that has been evacuated since; the list of machines shows whether it was carried out. */
 export const repeatMachineOrders = (state: SchedulerState, nowMs: number): void => {
 	for (const machine of state.machines.values()) {
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -12,6 +12,7 @@
 import {storeAwayAfterMs, storeRetryDelayMs} from '../constants.js';
 import {type EarlierHolder, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
 import {listOpenStarts} from '../core/handover.js';
+import {awaitsMachineAnswers} from '../core/machines.js';
 import {isProgressStored} from '../core/progress-persistence.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {LeaseContinuation} from './lease-continuation.js';
@@ -174,7 +175,7 @@
 	/** Releases the lease permanently, so that another process takes over at once. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
-		await this.#storeBeforeRelease();
+		await this.#prepareRelease();
 		await this.#releaseLease('stopping');
 		// A process that leaves is no successor, and others need not wait for it.
 		this.#liveness?.close();
@@ -272,8 +273,8 @@
 		});
 	}
 
-	/** Stores what the term reads before its lease is released: the next holder hears from the workers, and some of them may have left by then. Resolves to whether all of it is stored, or the term has ended; a store that does not answer delays the release for a short time only. */
-	async #storeBeforeRelease(): Promise<boolean> {
+	/** Stores what the term reads before its lease is released: the next holder hears from the workers, and some of them may have left by then. Awaits orders to machines as well, since the next holder would use a machine that is about to be taken away. Resolves to whether all of it is stored and answered, or the term has ended; a store that does not answer delays the release for a short time only. */
+	async #prepareRelease(): Promise<boolean> {
 		const {term} = this.#state;
 		if (term === undefined) {
 			return true;
@@ -291,10 +292,10 @@
 		while (this.#state.term?.fencingToken === fencingToken) {
 			const {nowMs} = this.#now();
 			const forMs = nowMs - begunAtMs;
-			const isStored = isProgressStored(this.#state, nowMs);
+			const isDone = isProgressStored(this.#state, nowMs) && !awaitsMachineAnswers(this.#state);
 			const isListening = forMs < maxListeningMs && this.#options.awaitsLeavingWorkers();
-			if ((isStored && !isListening) || forMs >= maxHandoverMs) {
-				return isStored;
+			if ((isDone && !isListening) || forMs >= maxHandoverMs) {
+				return isDone;
 			}
 
 			await this.#pause(handoverCheckMs);
@@ -338,13 +339,13 @@
 	/** Gives up the lease, unless the term's progress cannot be stored in time: a later check tries again. */
 	async #yieldLease(reason: string): Promise<void> {
 		const {term} = this.#state;
-		const isStored = await this.#storeBeforeRelease();
+		const isDone = await this.#prepareRelease();
 		if (this.#isLeaving) {
 			return;
 		}
 
-		if (!isStored && term !== undefined) {
-			this.#options.log.info({event: 'lease_kept', reason: 'progress is not stored', fencingToken: term.fencingToken});
+		if (!isDone && term !== undefined) {
+			this.#options.log.info({event: 'lease_kept', reason: 'progress is not stored, or a machine order not answered', fencingToken: term.fencingToken});
 			this.#options.dispatch({type: 'handoverCancelled', fencingToken: term.fencingToken, ...this.#now()});
 			return;
 		}
