Log lines are written in calls of at most 4 KiB

Change: each call writes at most 4,096 bytes, and the rest follows. 'no line is lost to a collector that keeps the first 8 KiB of each write' failed before and passes.

--- a/packages/common/src/bounded-output.ts
+++ b/packages/common/src/bounded-output.ts
@@ -19,15 +19,18 @@
 /** Pause before another write to a full pipe. It is long compared with one turn of the reader and short compared with the second for which the buffered bytes may last. */
 const fullPipeRetryMs = 20;
 
+/** Maximum size of one write call. Some collectors of process output keep only the first 8 KiB of a call. */
+const maxWriteBytes = 4096;
+
 /** One write call, which may write only part of the bytes. */
 type WriteOnce = (bytes: Uint8Array, done: (error: unknown, written: number) => void) => void;
 
 const isPipeFull = (error: unknown): boolean => error instanceof Error && 'code' in error && error.code === 'EAGAIN';
 
-/** Writes all bytes, with as many calls as that takes. Writes to a full pipe are retried after a pause. */
+/** Writes all bytes, in parts and with as many calls as that takes. Writes to a full pipe are retried after a pause. */
 export const writeFully = (writeOnce: WriteOnce): WriteBytes => {
 	const writeAll: WriteBytes = (bytes, done) => {
-		writeOnce(bytes, (error, written) => {
+		writeOnce(bytes.subarray(0, maxWriteBytes), (error, written) => {
 			if (isPipeFull(error)) {
 				setTimeout(writeAll, fullPipeRetryMs, bytes, done).unref();
 			} else if ((error ?? undefined) === undefined && written < bytes.length) {
--- a/packages/common/tests/bounded-output.test.ts
+++ b/packages/common/tests/bounded-output.test.ts
@@ -75,6 +75,22 @@
 	expect(output.dropped).toBe(0);
 });
 
+test('no line is lost to a collector that keeps the first 8 KiB of each write', () => {
+	let kept = '';
+	const clock = new VirtualClock();
+	const output = new BoundedOutput(writeFully((bytes, done) => {
+		kept += Buffer.from(bytes.subarray(0, 8192)).toString();
+		done(undefined, bytes.length);
+	}), clock, describeDropped, 5);
+	const lines = Array.from({length: 300}, (_value, index) => `${index} ${'x'.repeat(100)}\n`);
+	for (const line of lines) {
+		output.write(line);
+	}
+
+	clock.advance(5);
+	expect(kept).toBe(lines.join(''));
+});
+
 test('lines that follow each other closely share a write, and a process that ends writes its last lines', async () => {
 	const writes: string[] = [];
 	const pending: Array<() => void> = [];
