--- a/bench/pool-forecast.bench.ts
+++ b/bench/pool-forecast.bench.ts
@@ -204,6 +204,7 @@
 			case 'count':
 			case 'endsStored':
 			case 'log':
+			case 'logDone':
 			case 'pace':
 			case 'requestAdvice':
 			case 'scheduleSave':
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -113,6 +113,8 @@
 	| {readonly type: 'scheduleSave'; readonly fencingToken: number; readonly delayMs: number}
 	/** The progress that rests on these ends is stored. `agesMs`: for each, the time since the report that listed it. */
 	| {readonly type: 'endsStored'; readonly agesMs: readonly number[]}
+	/** Names the ends `done` that a report of the worker lists for the first time, for the log. */
+	| {readonly type: 'logDone'; readonly workerId: string; readonly done: ReadonlyArray<{readonly taskKey: string; readonly attempt: number}>}
 	/** Increments a counter of the process's metrics. */
 	| {readonly type: 'count'; readonly name: string}
 	| {readonly type: 'log'; readonly level?: 'warn'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -3,7 +3,7 @@
 */
 import {assertNever} from '@poplarnotch/common';
 import {
-	failureWindowMs, leaseMarginMs, maxEndsPerReport, maxLoggedRuns, quarantineFailures, quarantineMs,
+	failureWindowMs, leaseMarginMs, maxEndsPerReport, quarantineFailures, quarantineMs,
 } from '../constants.js';
 import {type OrderAnswer, type StartAnswer} from '../ports.js';
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
@@ -422,16 +422,11 @@
 	}
 };
 
-/** Logs all ends of a report that are done in one line, and each of the others in one of its own. */
+/** Logs the ends of a report: those that are done together, and each of the others in a line of its own. */
 const logEnds = (state: SchedulerState, workerId: string, ended: readonly FinishedEntry[]): void => {
 	const done = ended.filter(({end}) => end === 'done');
-	for (let from = 0; from < done.length; from += maxLoggedRuns) {
-		const part = done.slice(from, from + maxLoggedRuns);
-		state.emit({
-			type: 'log', fields: {
-				event: 'runs_done', workerId, count: part.length, tasks: part.map(({taskKey, attempt}) => `${taskKey}#${attempt}`).join(','),
-			},
-		});
+	if (done.length > 0) {
+		state.emit({type: 'logDone', workerId, done});
 	}
 
 	for (const {taskKey, attempt, end} of ended) {
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -12,6 +12,7 @@
 import {
 	type MachineControl, type PlacementAdvisor, type WaveReporter, type WorkerAddress, type WorkerControl,
 } from '../ports.js';
+import {DoneLog} from './done-log.js';
 import {StartLog} from './start-log.js';
 import {StoredEndsMonitor} from './stored-ends-monitor.js';
 
@@ -39,17 +40,20 @@
 export class EffectPerformer {
 	readonly #options: EffectPerformerOptions;
 	readonly #startLog: StartLog;
+	readonly #doneLog: DoneLog;
 	readonly #storedEnds: StoredEndsMonitor;
 
 	constructor(options: EffectPerformerOptions) {
 		this.#options = options;
 		this.#startLog = new StartLog(options.clock, options.log);
+		this.#doneLog = new DoneLog(options.clock, options.log);
 		this.#storedEnds = new StoredEndsMonitor(options);
 	}
 
 	/** Writes the log lines that wait for others. */
 	flushLog(): void {
 		this.#startLog.flush();
+		this.#doneLog.flush();
 	}
 
 	get #state(): SchedulerState {
@@ -113,6 +117,11 @@
 				break;
 			}
 
+			case 'logDone': {
+				this.#doneLog.record(effect.workerId, effect.done);
+				break;
+			}
+
 			case 'endsStored': {
 				this.#storedEnds.record(effect.agesMs);
 				break;
