--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -59,7 +59,7 @@
 	const endIntervalMs = 2.5;
 
 	/** More rows than one transaction takes are saved while a slow call lasts. */
-	test.each([4, 40, 120, 240])('ends that a holder has read are stored before it stops: calls of %i ms', async latencyMs => {
+	test.each([4, 40, 120, 240].flatMap(latencyMs => [0, 150, 300, 450].map(phaseMs => ({latencyMs, phaseMs}))))('ends that a holder has read are stored before it stops: calls of $latencyMs ms, after $phaseMs ms', async ({latencyMs, phaseMs}) => {
 		const simulation = new SchedulerSimulation({
 			seed: 58, processes: 5, workersPerPool: workers, standbyMachines: 0, successors: 4,
 		});
@@ -81,7 +81,7 @@
 			table.latencyMs = latencyMs;
 		}
 
-		await simulation.run(2500);
+		await simulation.run(2500 + phaseMs);
 		simulation.stop(simulation.holder!, 2500);
 		await simulation.run(200);
 		for (let index = 0; index < leavers; index++) {
