--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -5,7 +5,7 @@
 	afterEach, describe, expect, test,
 } from 'vitest';
 import {
-	type FinishedEntry, reduceScheduler, type RunningEntry, type SchedulerEffect, SchedulerState, type WorkerEntry,
+	type FinishedEntry, reduceScheduler, type RunningEntry, type SchedulerEffect, SchedulerState, type WorkerEntry, type WorkerReport,
 } from '../src/index.js';
 import {listOpenStarts} from '../src/core/handover.js';
 import {isProgressStored} from '../src/core/progress-persistence.js';
@@ -60,7 +60,8 @@
 	const endIntervalMs = 2.5;
 
 	/** More rows than one transaction takes are saved while a slow call lasts. */
-	test.each([4, 40, 120, 240].flatMap(latencyMs => [0, 150, 300, 450].map(phaseMs => ({latencyMs, phaseMs}))))('ends that a holder has read are stored before it stops: calls of $latencyMs ms, after $phaseMs ms', async ({latencyMs, phaseMs}) => {
+	const stops = [4, 40, 120, 240].flatMap(latencyMs => [0, 150, 300, 450].map(phaseMs => ({latencyMs, phaseMs})));
+	test.each(stops)('ends that a holder has read are stored before it stops: calls of $latencyMs ms, after $phaseMs ms', async ({latencyMs, phaseMs}) => {
 		const simulation = new SchedulerSimulation({
 			seed: 58, processes: 5, workersPerPool: workers, standbyMachines: 0, successors: 4,
 		});
@@ -162,7 +163,7 @@
 		}, sentAtMs + 10);
 	}
 
-	report(workerId: string, nowMs: number, {finished = [], running = [], bornWallMs = wallOffsetMs - 60_000}: {readonly finished?: readonly FinishedEntry[]; readonly running?: readonly RunningEntry[]; readonly bornWallMs?: number} = {}): void {
+	report(workerId: string, nowMs: number, {finished = [], running = [], bornWallMs = wallOffsetMs - 60_000}: Partial<WorkerReport> = {}): void {
 		this.dispatch({
 			type: 'polled', fencingToken: this.state.term!.fencingToken, workerId, incarnation: this.state.workers.get(workerId)!.incarnation, sentAtMs: nowMs, sentAcknowledgement: 0, answer: {
 				type: 'report', report: {
