Review: notes that are missing for good after one that is missing

Callers would see waits of seconds after each of many planned hand-overs, long after one holder was lost: each holder without a note counts 15 s anew before it states its open starts.

--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -175,6 +175,52 @@
 }
 
 describe('the note of a hand-over', () => {
+	/** No start of a lost holder is carried out later than this after its loss. */
+	const maxStartDelayMs = 15_000;
+	const promptMs = 1500;
+	const noticeMs = 2000;
+
+	test.each([1000, 3000, 20_000])('is there again once the starts of a lost holder are over, though the lease is handed over every %i ms', async intervalMs => {
+		const simulation = new SchedulerSimulation({
+			seed: 58, processes: 5, workersPerPool: 8, standbyMachines: 0, successors: 4,
+		});
+		simulation.configure(configurationWithoutStandby(2));
+		await simulation.run(takeoverMs);
+		simulation.kill(simulation.holder!);
+		const lostAtMs = simulation.clock.nowMs();
+		/** Hands the lease over and returns the time until the takeover is settled. */
+		const handOver = async (): Promise<number> => {
+			const earlier = simulation.holder;
+			void earlier?.scheduler.leave();
+			simulation.addProcess();
+			while (simulation.holder === undefined || simulation.holder === earlier) {
+				await simulation.run(5);
+			}
+
+			const {state} = simulation.holder.scheduler;
+			const {wonAtMs} = state.term!;
+			while (!state.isSettled) {
+				await simulation.run(5);
+			}
+
+			return simulation.clock.nowMs() - wonAtMs;
+		};
+
+		while (simulation.holder === undefined || simulation.clock.nowMs() < lostAtMs + maxStartDelayMs + 2000) {
+			await simulation.run(intervalMs);
+			await handOver();
+		}
+
+		for (const workerId of ['w-0', 'w-3', 'w-6']) {
+			simulation.takeAwayWorker(workerId, noticeMs);
+		}
+
+		await simulation.run(noticeMs + 50);
+		const settledAfterMs = await handOver();
+		simulation.close();
+		expect(settledAfterMs).toBeLessThan(promptMs);
+	}, 60_000);
+
 	test('a start that was left to a holder stays open though its worker was heard: the next incarnation carries it out', () => {
 		const holder = new NewHolder(['here', 'there']);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, openStarts: ['here']}, 10);
