--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -135,6 +135,39 @@
 	});
 });
 
+describe('a larger process and a platform that does not answer orders for machines in time', () => {
+	/** A yield may cost a holder a quarter of its time at most, and it is not repeated without end. */
+	const observedMs = 10_000;
+	const maxShare = 0.25;
+
+	test.each([0, 400, 2000])('a holder goes on starting tasks while its orders are under way: %i ms', async delayMs => {
+		const simulation = new SchedulerSimulation({
+			seed: 58, processes: 4, workersPerPool: 20, standbyMachines: 0, successors: 4,
+		});
+		simulation.configure(configurationWithoutStandby(2));
+		await simulation.run(takeoverMs);
+		simulation.faults.machineOrderDelayMs = delayMs;
+		simulation.orderWave({
+			waveId: 1, machineIds: [...simulation.machines.keys()], withinMs: 30_000, concurrency: 2,
+		});
+		await simulation.run(200);
+		const former = simulation.holder!;
+		for (const {name} of simulation.processes.filter(process => process !== former)) {
+			simulation.cpuMillicores.set(name, 1350);
+		}
+
+		let withoutOrdersMs = 0;
+		for (let passedMs = 0; passedMs < observedMs; passedMs += 5) {
+			await simulation.run(5);
+			withoutOrdersMs += former.scheduler.state.term !== undefined && former.scheduler.state.isHandingOver ? 5 : 0;
+		}
+
+		simulation.close();
+		expect(withoutOrdersMs).toBeLessThanOrEqual(maxShare * observedMs);
+		expect(former.scheduler.state.term).toBeUndefined();
+	});
+});
+
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
 const wallOffsetMs = 1_000_000;
 
