--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -114,6 +114,47 @@
 	});
 });
 
+describe('hand-over while nothing is unsaved', () => {
+	/** The polls under way at the signal are the last ones that list ends to the former holder. */
+	test.each([40, 120, 240].flatMap(latencyMs => [10, 40, 70].map(endsAfterMs => ({latencyMs, endsAfterMs}))))('an end that a draining worker lists $endsAfterMs ms after the signal is stored: calls of $latencyMs ms', async ({latencyMs, endsAfterMs}) => {
+		const simulation = new SchedulerSimulation({
+			seed: 58, processes: 5, workersPerPool: 8, standbyMachines: 0, successors: 4,
+		});
+		simulation.configure(configurationWithoutStandby(2));
+		simulation.arePollsAnsweredAtEnds = true;
+		simulation.fleet.behaviour.runMs = () => 60_000;
+		await simulation.run(takeoverMs);
+		void simulation.submit(jobOf(1, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount: 8})]}), simulation.holder);
+		await simulation.run(300);
+		const draining = [...simulation.fleet.workers.values()].filter(({runs}) => runs.size > 0).slice(0, 4);
+		const tasks = draining.flatMap(({runs}) => [...runs.keys()]);
+		for (const {entry} of draining) {
+			simulation.announceDrain(entry.workerId);
+		}
+
+		for (const {table} of simulation.processes) {
+			table.latencyMs = latencyMs;
+		}
+
+		await simulation.run(2100);
+		const endsAtMs = simulation.clock.nowMs() + endsAfterMs;
+		for (const run of draining.flatMap(({runs}) => [...runs.values()])) {
+			run.endsAtMs = endsAtMs;
+		}
+
+		simulation.stop(simulation.holder!, 2500);
+		await simulation.run(endsAfterMs + 130);
+		for (const {entry} of draining) {
+			simulation.removeWorker(entry.workerId);
+		}
+
+		await simulation.run(6000);
+		simulation.close();
+		expect(tasks.length).toBeGreaterThan(0);
+		expect(simulation.fleet.brokenPromises).toEqual([]);
+	});
+});
+
 describe('hand-over while many jobs end', () => {
 	const workers = 100;
 	const leavers = 40;
