--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -62,8 +62,8 @@
 	| (OfTerm & {readonly type: 'leaseConfirmed'})
 	/** Another process holds the lease of the term, or this one gives it up. */
 	| (OfTerm & {readonly type: 'leaseLost'; readonly reason?: LeaseLossReason | undefined})
-	/** The process is about to release the lease of the term, or goes on because its progress could not be stored in time. */
-	| (OfTerm & {readonly type: 'handoverBegun' | 'handoverCancelled'})
+	/** The process will release the lease of the term, is about to do so, or goes on because its progress could not be stored in time. */
+	| (OfTerm & {readonly type: 'releasePlanned' | 'handoverBegun' | 'handoverCancelled'})
 	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number; readonly sentDeadlineClockMs?: number | undefined})
 	| (OfTerm & Partial<OfIncarnation> & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -53,8 +53,8 @@
 	resolveReports(state, now);
 	const displaced = reconcileRuns(state, nowMs);
 	logEvacuations(state, nowMs);
-	// Without a confirmed lease, no machine is ordered; with outdated operators' orders, nothing is started or moved.
-	const mayOrderMachines = !state.isLeaseUnconfirmed;
+	// Without a confirmed lease, or before a release, no machine is ordered; with outdated operators' orders, nothing is started or moved.
+	const mayOrderMachines = !state.isLeaseUnconfirmed && !state.isReleasePlanned;
 	const mayStart = !state.areOrdersOutdated;
 	if (mayStart && mayOrderMachines) {
 		repeatMachineOrders(state, nowMs);
@@ -179,6 +179,11 @@
 			break;
 		}
 
+		case 'releasePlanned': {
+			state.isReleasePlanned = true;
+			break;
+		}
+
 		case 'handoverBegun': {
 			state.isHandingOver = true;
 			runStoringPass(state, event);
@@ -186,6 +191,7 @@
 		}
 
 		case 'handoverCancelled': {
+			state.isReleasePlanned = false;
 			state.isHandingOver = false;
 			break;
 		}
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -90,6 +90,8 @@
 	readonly storedWaves = new Map<number, StoredWave>();
 	/** The lease may have passed to another process, so no task is started, no lease on a worker extended, and no machine moved or sent to maintenance. Polling goes on. */
 	isSuspended = false;
+	/** The process will give up its lease once its orders to machines are answered, and sends no further ones. */
+	isReleasePlanned = false;
 	/** The process is about to give up its lease: it stores what it has read, and orders and polls nothing. */
 	isHandingOver = false;
 	/** The lease could not be renewed in time. Tasks are started, since no other process can have acquired the lease, but no machine is moved or sent to maintenance: the next holder may order the same machine at once. */
@@ -167,6 +169,7 @@
 		this.newJobsAfterRevision = undefined;
 		this.isRevisionRequested = false;
 		this.isSuspended = false;
+		this.isReleasePlanned = false;
 		this.isHandingOver = false;
 		this.isSaveScheduled = false;
 		this.isLeaseUnconfirmed = false;
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -40,11 +40,14 @@
 /** A process that has held the lease for this long without a term, and without beginning one, releases it. By then a renewal has shown whether another process holds it. */
 const maxTimeWithoutTermMs = leaseMs / 2;
 
-/** Time within which a process that gives up its lease stores what it has read. A slow store takes a quarter of a second for a transaction, and a save of many jobs has several. */
-const maxHandoverMs = 1500;
+/** Time for which a process that gives up its lease awaits the answers to its orders to machines, and goes on scheduling. */
+const maxMachineAnswersMs = 1500;
+
+/** Time within which it then awaits the polls of workers that are about to leave: `urgentPollWaitMs` and an answer. */
+const maxListeningMs = 150;
 
-/** Time within which it awaits the polls of workers that are about to leave; a worker that answers does so within `urgentPollWaitMs`. */
-const maxListeningMs = 300;
+/** Time within which it stores what it has read. A slow store takes a quarter of a second for a transaction. */
+const maxHandoverMs = 1500;
 const handoverCheckMs = 5;
 
 /** Time after which successors are told of a release that the store has not confirmed. */
@@ -274,29 +277,33 @@
 		});
 	}
 
-	/** Stores what the term reads before its lease is released: the next holder hears from the workers, and some of them may have left by then. Awaits orders to machines as well, since the next holder would use a machine that is about to be taken away. Resolves to whether all of it is stored and answered, or the term has ended; a store that does not answer delays the release for a short time only. */
+	/** Awaits the orders to machines, since the next holder would use a machine that is about to be taken away, and then stores what the term reads: the next holder hears from the workers, and some of them may have left by then. Resolves to whether all is answered and stored, or the term has ended; a store that does not answer delays the release for a short time only. */
 	async #prepareRelease(): Promise<boolean> {
-		const {term} = this.#state;
+		const {term, pendingSaveNumber, lastSaveAtMs} = this.#state;
 		if (term === undefined) {
 			return true;
 		}
 
 		const {fencingToken} = term;
-		const begunAtMs = this.#now().nowMs;
-		const {pendingSaveNumber, lastSaveAtMs} = this.#state;
-		if (pendingSaveNumber !== undefined && begunAtMs - lastSaveAtMs >= storeAwayAfterMs) {
+		if (pendingSaveNumber !== undefined && this.#now().nowMs - lastSaveAtMs >= storeAwayAfterMs) {
 			// The store does not answer this process, and the next holder may reach it.
 			return false;
 		}
 
+		this.#options.dispatch({type: 'releasePlanned', fencingToken, ...this.#now()});
+		const areMachinesDone = await this.#waitWithin(fencingToken, maxMachineAnswersMs, () => !awaitsMachineAnswers(this.#state));
 		this.#options.dispatch({type: 'handoverBegun', fencingToken, ...this.#now()});
-		while (this.#state.term?.fencingToken === fencingToken) {
-			const {nowMs} = this.#now();
-			const forMs = nowMs - begunAtMs;
-			const isDone = isProgressStored(this.#state, nowMs) && !awaitsMachineAnswers(this.#state);
-			const isListening = forMs < maxListeningMs && this.#options.awaitsLeavingWorkers();
-			if ((isDone && !isListening) || forMs >= maxHandoverMs) {
-				return isDone;
+		await this.#waitWithin(fencingToken, maxListeningMs, () => !this.#options.awaitsLeavingWorkers());
+		const isStored = await this.#waitWithin(fencingToken, maxHandoverMs, () => isProgressStored(this.#state, this.#now().nowMs));
+		return areMachinesDone && isStored;
+	}
+
+	/** Resolves once the condition holds or the term has ended, to true, or to false after the given time. */
+	async #waitWithin(fencingToken: number, maxMs: number, holds: () => boolean): Promise<boolean> {
+		const untilMs = this.#now().nowMs + maxMs;
+		while (this.#state.term?.fencingToken === fencingToken && !holds()) {
+			if (this.#now().nowMs >= untilMs) {
+				return false;
 			}
 
 			await this.#pause(handoverCheckMs);
@@ -334,8 +341,8 @@
 		}
 
 		this.#nextYieldCheckAtMs = nowMs + yieldCheckIntervalMs;
-		const {term, isSuspended, isHandingOver, isLeaseUnconfirmed} = this.#state;
-		const mayYield = term !== undefined && !isSuspended && !isHandingOver && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
+		const {term, isSuspended, isReleasePlanned, isLeaseUnconfirmed} = this.#state;
+		const mayYield = term !== undefined && !isSuspended && !isReleasePlanned && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
 		return mayYield && this.#options.hasLargerPeer(term.wonAtMs);
 	}
 
