--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -138,12 +138,14 @@
 	}
 
 	async #saveInParts(writes: readonly RowWrite[], fence: RowCondition): Promise<readonly string[]> {
-		const refusedKeys: string[] = [];
+		const parts: Array<Promise<readonly string[]>> = [];
 		for (let from = 0; from < writes.length; from += maxProgressRowsPerCommit) {
-			refusedKeys.push(...await this.#saveWrites(writes.slice(from, from + maxProgressRowsPerCommit), fence));
+			parts.push(this.#saveWrites(writes.slice(from, from + maxProgressRowsPerCommit), fence));
 		}
 
-		return refusedKeys;
+		// A part of unknown outcome may still be applied, so none is left behind when another one fails.
+		await Promise.allSettled(parts);
+		return (await Promise.all(parts)).flat();
 	}
 
 	/** Commits the writes together. If the store rejects them for their size or form, each half is committed on its own: one row must not keep the progress of all jobs from being stored. Resolves to the keys of the rows that are rejected by themselves. */
