--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -506,6 +506,13 @@
 	}
 };
 
+/** Creates the tasks that are due, so that what workers report on them can be applied. */
+export const createDueTasks = (state: SchedulerState, now: CurrentTime): void => {
+	for (const job of state.openJobs) {
+		createDueOccurrences(job, now);
+	}
+};
+
 /** Ends cancelled jobs, creates occurrences that became due, and ends jobs whose last task was stored as done by an earlier lease holder. */
 export const updateOpenJobs = (state: SchedulerState, now: CurrentTime): void => {
 	for (const job of state.openJobs) {
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -129,9 +129,13 @@
 	}
 };
 
-/** Returns true if everything that this process has read of its term is stored, or cannot be for now. */
+/** Returns true if everything that this process has read of its term is stored, or cannot be for now. Ends of jobs that are not read yet are not stored. */
 export const isProgressStored = (state: SchedulerState, nowMs: number): boolean =>
-	state.pendingSaveNumber === undefined && !hasUnsavedJobs(state, nowMs) && ![...state.waves.values()].some(wave => wave.isDirty && isSaveDue(state, wave, nowMs));
+	state.pendingSaveNumber === undefined
+	&& !hasUnsavedJobs(state, nowMs)
+	&& ![...state.waves.values()].some(wave => wave.isDirty && isSaveDue(state, wave, nowMs))
+	&& state.endsOfEarlierIncarnations.length === 0
+	&& ![...state.workers.values()].some(({unresolvedEnds}) => unresolvedEnds.length > 0);
 
 /** Emits a save if some progress is not stored yet. */
 const saveProgress = (state: SchedulerState, nowMs: number): void => {
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -8,7 +8,9 @@
 import {receiveNote} from './handover.js';
 import {applyEvacuationOrders, logEvacuations} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
-import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
+import {
+	applyJobChanges, createDueTasks, type CurrentTime, updateOpenJobs,
+} from './jobs.js';
 import {
 	applyMachineAnswer, applyMachineList, limitMachineOrders, repeatMachineOrders,
 } from './machines.js';
@@ -78,6 +80,7 @@
 /** Stores what the workers have reported, without an order to anyone: what only this process knows is lost with its term. The store refuses the save if another process holds the lease. */
 const runStoringPass = (state: SchedulerState, now: CurrentTime): void => {
 	expireWorkers(state, now.nowMs);
+	createDueTasks(state, now);
 	resolveReports(state, now);
 	storeProgress(state, now.nowMs);
 };
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -7,7 +7,7 @@
 	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
 import {
-	type DetachedRows, type Evacuation, type JobRecord, type ListTimes, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
+	type DetachedRows, type Evacuation, type JobRecord, type ListTimes, type MachineRecord, type ReportedEnd, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DurationModel} from './model/duration-model.js';
 import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
@@ -123,6 +123,8 @@
 	jobRowsConfirmedAtMs: number | undefined;
 	/** Runs of tasks whose jobs have not been read yet. */
 	readonly unresolvedRuns = new Set<TaskRun>();
+	/** Ends of jobs that have not been read yet, which earlier incarnations of workers had listed. No worker lists them any more. */
+	endsOfEarlierIncarnations: ReadonlyArray<ReportedEnd & {readonly worker: WorkerRecord}> = [];
 	/** Trials of this term that have not ended. */
 	readonly trials = new Set<Trial>();
 	/** Number of orders for machines that were sent, repeated ones included. */
@@ -318,6 +320,7 @@
 		this.trials.clear();
 		this.#deletedWorkers.clear();
 		this.unresolvedRuns.clear();
+		this.endsOfEarlierIncarnations = [];
 		for (const run of this.#replacements.keys()) {
 			this.releaseCapacity(run);
 		}
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -316,6 +316,7 @@
 		}
 	}
 
+	resolveEndsOfEarlierIncarnations(state, now);
 	for (const worker of state.workers.values()) {
 		const reported = worker.unresolvedEnds;
 		if (reported.length === 0) {
@@ -329,6 +330,18 @@
 	}
 };
 
+/** Applies ends that no worker lists any more, so they are not acknowledged to any. */
+const resolveEndsOfEarlierIncarnations = (state: SchedulerState, now: CurrentTime): void => {
+	const reported = state.endsOfEarlierIncarnations;
+	state.endsOfEarlierIncarnations = reported.filter(({entry: {taskKey}, reportedAtMs}) => findTask(state, taskKey) === undefined && isUnresolved(state, {taskKey, reportedAtMs}));
+	for (const {worker, entry} of reported) {
+		const task = findTask(state, entry.taskKey);
+		if (task !== undefined && task.step.job.outcome === undefined) {
+			applyTaskEnd(state, task, worker, entry, now);
+		}
+	}
+};
+
 /** Applies an end and returns its task, or keeps it until its task can be known. It is not acknowledged before that: the worker would forget it, and the task would be started again once its job is read. */
 const applyReportedEnd = (state: SchedulerState, worker: WorkerRecord, end: ReportedEnd, now: CurrentTime): Task | undefined => {
 	const {entry: {taskKey, attempt}, reportedAtMs} = end;
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -153,6 +153,7 @@
 	worker.mayLackEnds = false;
 	worker.clock = undefined;
 	worker.processedSequence = 0;
+	state.endsOfEarlierIncarnations = [...state.endsOfEarlierIncarnations, ...worker.unresolvedEnds.map(end => ({...end, worker}))];
 	worker.unresolvedEnds = [];
 	worker.unacknowledgedEnds = [];
 	worker.acknowledgedSequence = 0;
