--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -116,7 +116,7 @@
 
 describe('hand-over while nothing is unsaved', () => {
 	/** The polls under way at the signal are the last ones that list ends to the former holder. */
-	test.each([40, 120, 240].flatMap(latencyMs => [10, 40, 70].map(endsAfterMs => ({latencyMs, endsAfterMs}))))('an end that a draining worker lists $endsAfterMs ms after the signal is stored: calls of $latencyMs ms', async ({latencyMs, endsAfterMs}) => {
+	test.each([40, 120, 240].flatMap(latencyMs => [10, 40, 70, 320].map(endsAfterMs => ({latencyMs, endsAfterMs}))))('an end that a draining worker lists $endsAfterMs ms after the signal is stored: calls of $latencyMs ms', async ({latencyMs, endsAfterMs}) => {
 		const simulation = new SchedulerSimulation({
 			seed: 58, processes: 5, workersPerPool: 8, standbyMachines: 0, successors: 4,
 		});
@@ -156,13 +156,17 @@
 });
 
 describe('hand-over while many jobs end', () => {
-	const workers = 100;
-	const leavers = 40;
-	const endIntervalMs = 2.5;
-
-	/** More rows than one transaction takes are saved while a slow call lasts. */
-	const stops = [4, 40, 120, 240].flatMap(latencyMs => [0, 150, 300, 450].map(phaseMs => ({latencyMs, phaseMs})));
-	test.each(stops)('ends that a holder has read are stored before it stops: calls of $latencyMs ms, after $phaseMs ms', async ({latencyMs, phaseMs}) => {
+	/** With several times as many rows to be saved while a slow call lasts as one transaction takes. */
+	const stops = [
+		...[4, 40, 120, 240].flatMap(latencyMs => [0, 150, 300, 450].map(phaseMs => ({
+			latencyMs, phaseMs, workers: 100, endIntervalMs: 2.5,
+		}))),
+		{
+			latencyMs: 240, phaseMs: 150, workers: 250, endIntervalMs: 1,
+		},
+	];
+	test.each(stops)('ends that a holder has read are stored before it stops: calls of $latencyMs ms, after $phaseMs ms, $workers workers', async ({latencyMs, phaseMs, workers, endIntervalMs}) => {
+		const leavers = 0.4 * workers;
 		const simulation = new SchedulerSimulation({
 			seed: 58, processes: 5, workersPerPool: workers, standbyMachines: 0, successors: 4,
 		});
