Review: notes of large fleets, and a list from within the time that a note names

Callers would see slow takeovers on large fleets, and two runs of a task while the platform lists no machines. The note of 1000 workers has 70,728 bytes encoded and the store takes 65,536; with 1400 workers that have just started a task it names none; a worker that is named for 0.7 s is passed over by a list from before the end of that time.

--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -7,6 +7,7 @@
 import {
 	type FinishedEntry, reduceScheduler, type RunningEntry, type SchedulerEffect, SchedulerState, type WorkerEntry, type WorkerReport,
 } from '../src/index.js';
+import {noteForNextHolder} from '../src/core/handover.js';
 import {isProgressStored} from '../src/core/progress-persistence.js';
 import {type EventBody} from './support/event-body.js';
 import {listOpenStarts, noteNaming} from './support/handover-notes.js';
@@ -532,3 +533,61 @@
 		expect(effects.filter(({type}) => type === 'start')).toEqual([]);
 	});
 });
+
+describe('the note of a large fleet', () => {
+	/** The store's limit on the encoded value of a row. */
+	const maxRowBytes = 65_536;
+	const fleetSize = 1400;
+	const idOf = (index: number): string => `i-${(0x10_00_00_00 + (index * 7919)).toString(16)}`;
+
+	test.each([900, 1000, fleetSize])('fits into a row with %i workers that have open starts', count => {
+		const ids = Array.from({length: count}, (_value, index) => idOf(index));
+		const holder = new NewHolder(['here']);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming(...ids)}, 10);
+		const note = noteForNextHolder(holder.state, 10 + (1000 / 3));
+		expect(4 * Math.ceil(JSON.stringify({handover: note}).length / 3)).toBeLessThanOrEqual(maxRowBytes);
+	});
+
+	test('is complete although all workers have just started a task', () => {
+		const ids = Array.from({length: fleetSize}, (_value, index) => idOf(index));
+		const holder = new NewHolder(ids);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+		for (const workerId of ids) {
+			holder.report(workerId, 20);
+		}
+
+		holder.list(30);
+		holder.dispatch({
+			type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {acceptedWallMs: wallOffsetMs, steps: [stepOf({taskCount: fleetSize, maxPerWorker: 1})]}))],
+		}, 40);
+		for (const effect of holder.dispatch({type: 'tick'}, 50)) {
+			if (effect.type === 'start') {
+				const {workerId, taskKey, attempt} = effect;
+				holder.dispatch({
+					type: 'startAnswered', fencingToken: 5, workerId, taskKey, attempt, answer: 'started',
+				}, 60);
+			}
+		}
+
+		expect(ids.filter(workerId => holder.state.workers.get(workerId)!.runs.size > 0).length).toBe(fleetSize);
+		expect(noteForNextHolder(holder.state, 70).unknownForMs).toBe(0);
+	});
+});
+
+describe('a worker that the note names for a short time', () => {
+	const job = jobOf(1, {steps: [stepOf({taskCount: 1})]});
+
+	test('is not passed over by a list from within that time', () => {
+		const holder = new NewHolder(['here', 'back']);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]}, 5);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: {openStarts: [{workerId: 'back', forMs: 700}], unknownForMs: 0}}, 10);
+		holder.report('here', 15);
+		holder.list(30, ['back']);
+		// The platform lists no machines meanwhile.
+		const early = [50, 400, 800, 1200].flatMap(nowMs => holder.dispatch({type: 'tick'}, nowMs));
+		expect(early.filter(({type}) => type === 'start')).toEqual([]);
+		holder.list(1300, ['back']);
+		const later = holder.dispatch({type: 'tick'}, 1350);
+		expect(later.filter(({type}) => type === 'start')).toHaveLength(1);
+	});
+});
