Review: what a hand-over does until it is released or cancelled

Three cases that pass on and were covered by no test: a hand-over starts nothing, it is not complete before a wave's progress is stored, and a holder that yields goes on if it cannot store in time.

--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -591,3 +591,73 @@
 		expect(later.filter(({type}) => type === 'start')).toHaveLength(1);
 	});
 });
+
+describe('a hand-over that has begun', () => {
+	const begin = (): NewHolder => {
+		const holder = new NewHolder(['here', 'there']);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+		holder.report('here', 15);
+		holder.report('there', 15);
+		holder.list(20);
+		holder.dispatch({type: 'tick'}, 50);
+		expect(holder.state.isSettled).toBe(true);
+		return holder;
+	};
+
+	test('starts nothing until it is cancelled', () => {
+		const holder = begin();
+		holder.dispatch({type: 'handoverBegun', fencingToken: 5}, 60);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {steps: [stepOf({taskCount: 1})]}))]}, 65);
+		const startsOf = (effects: readonly SchedulerEffect[]): readonly SchedulerEffect[] => effects.filter(({type}) => type === 'start');
+		expect([75, 100, 125].flatMap(nowMs => startsOf(holder.dispatch({type: 'tick'}, nowMs)))).toEqual([]);
+		holder.dispatch({type: 'handoverCancelled', fencingToken: 5}, 130);
+		expect(startsOf(holder.dispatch({type: 'tick'}, 150))).toHaveLength(1);
+	});
+
+	test('is not complete before the progress of a wave is stored', () => {
+		const holder = begin();
+		holder.dispatch({
+			type: 'wavesOrdered', waves: [{
+				waveId: 1, machineIds: ['m-here', 'm-there'], withinMs: 60_000, concurrency: 1,
+			}],
+		}, 55);
+		const order = holder.dispatch({type: 'tick'}, 75).find(effect => effect.type === 'maintain');
+		expect(order).toBeDefined();
+		holder.dispatch({type: 'handoverBegun', fencingToken: 5}, 80);
+		if (order?.type === 'maintain') {
+			holder.dispatch({
+				type: 'machineAnswered', fencingToken: 5, machineId: order.machineId, orderNumber: order.orderNumber, answer: 'accepted',
+			}, 90);
+		}
+
+		expect(isProgressStored(holder.state, 90)).toBe(false);
+		holder.dispatch({type: 'tick'}, 100);
+		expect(isProgressStored(holder.state, 100)).toBe(false);
+		holder.dispatch({type: 'saved', fencingToken: 5, saveNumber: holder.state.pendingSaveNumber!}, 105);
+		expect(isProgressStored(holder.state, 105)).toBe(true);
+	});
+
+	test('is cancelled by a holder that yields if its progress is not stored in time', async () => {
+		const simulation = new SchedulerSimulation({
+			seed: 58, processes: 4, workersPerPool: 8, standbyMachines: 0, successors: 4,
+		});
+		simulation.configure(configurationWithoutStandby(2));
+		simulation.arePollsAnsweredAtEnds = true;
+		simulation.fleet.behaviour.runMs = taskKey => 1000 + (10 * Number(taskKey.split('.').at(-1)));
+		await simulation.run(takeoverMs);
+		void simulation.submit(jobOf(1, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount: 600})]}), simulation.holder);
+		await simulation.run(1500);
+		const former = simulation.holder!;
+		const {state} = former.scheduler;
+		former.table.latencyMs = 1600;
+		for (const {name} of simulation.processes.filter(process => process !== former)) {
+			simulation.cpuMillicores.set(name, 1350);
+		}
+
+		await simulation.run(3600);
+		const token = state.term?.fencingToken;
+		simulation.close();
+		expect(token).toBeDefined();
+		expect(state.isHandingOver).toBe(false);
+	});
+});
