--- a/packages/scheduler/src/core/handover-note.ts
+++ b/packages/scheduler/src/core/handover-note.ts
@@ -1,13 +1,15 @@
 /**
-The note that a lease holder writes into the lease as it releases it.
+The note that a lease holder writes into the lease as it releases it. All times in it are durations, since no two processes share a clock.
 */
 import {z} from '@poplarnotch/common';
 
 export const handoverNoteSchema = z.object({
-	/** Workers on which a start may still be carried out, and for how much longer. */
-	openStarts: z.array(z.object({workerId: z.string(), forMs: z.number()})),
-	/** For how much longer a start may be carried out that the list does not name; 0 if it names all. */
+	/** For how much longer a start may be carried out on a worker, by worker id. */
+	openStarts: z.record(z.string(), z.number()),
+	/** For how much longer a start may be carried out that is not named; 0 if all are. */
 	unknownForMs: z.number(),
+	/** For how much longer lists of machines may lack a worker that is not named and has started again just before. */
+	unlistedForMs: z.number().default(0),
 });
 
 export type HandoverNote = z.infer<typeof handoverNoteSchema>;
--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -6,51 +6,73 @@
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
-/** More workers with open starts are not listed; the next holder then waits as it does without a note. */
-const maxListedWorkers = 1000;
+/** More workers with open starts are not listed, so that the note fits into a row; the next holder then waits as it does without a note. */
+const maxOpenStarts = 1000;
+
+/** More workers that may have started again are not listed; the next holder then relies on no list of machines of the first moments. */
+const maxUncertainWorkers = 200;
 
 /** Applies what the last holder left. Without a note, or beside a replaced holder that may still order starts, any start may be under way. */
 export const receiveNote = (state: SchedulerState, note: HandoverNote | undefined, nowMs: number): void => {
 	const isUsed = note !== undefined && state.earlierHolder === undefined;
 	state.unknownStartsUntilMs = isUsed ? nowMs + note.unknownForMs : state.earlierOrdersOverAtMs + maxCallDelayMs;
-	state.inheritedStarts = new Map(note?.openStarts.map(({workerId, forMs}) => [workerId, nowMs + forMs]));
+	state.unlistedUntilMs = nowMs + (note?.unlistedForMs ?? 0);
+	state.inheritedStarts = new Map(Object.entries(note?.openStarts ?? {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
 };
 
-/** Returns until when the next holder cannot tell the worker from one that is gone: a start may be carried out on it, or it may have started again so recently that lists of machines do not name it yet. */
-const uncertainUntilMs = ({runs, restartedAtMs}: WorkerRecord): number => Math.max(
-	restartedAtMs === undefined ? 0 : restartedAtMs + maxListingDelayMs,
-	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs}) => {
-		if (mayArrive) {
-			return orderedAtMs + maxCallDelayMs;
-		}
+/** Until when a start on the worker may be carried out that has no answer. */
+const openUntilMs = ({runs}: WorkerRecord): number =>
+	Math.max(0, ...[...runs.values()].map(({mayArrive, orderedAtMs}) => mayArrive ? orderedAtMs + maxCallDelayMs : 0));
 
-		// The worker has answered the start, and no report says since when it has been there.
-		return listedIncarnation === undefined ? orderedAtMs + maxListingDelayMs : 0;
-	}),
+/** Until when lists of machines may lack the worker though it is there: it was seen to start again, or has answered a start and no report tells since when it has been there. */
+const unlistedUntilMs = ({runs, restartedAtMs}: WorkerRecord): number => maxListingDelayMs + Math.max(
+	restartedAtMs ?? Number.NEGATIVE_INFINITY,
+	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs}) => !mayArrive && listedIncarnation === undefined ? orderedAtMs : Number.NEGATIVE_INFINITY),
 );
 
-/** Names the workers on which a start of this term, or of an earlier one, may still be carried out. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well, and so does one that was left to this holder: the next incarnation of the worker knows of none of that. Only time ends them. */
+/** Names the workers on which a start of this term, or of an earlier one, may still be carried out, and those that may have just started again. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well, and so does one that was left to this holder: the next incarnation of the worker knows of none of that. Only time ends them. */
 export const noteForNextHolder = (state: SchedulerState, nowMs: number): HandoverNote => {
-	const own = [...state.workers.values()].map(worker => [worker.entry.workerId, uncertainUntilMs(worker)] as const);
-	const untilMs = new Map<string, number>();
-	for (const [workerId, atMs] of [...own, ...state.lateStarts(), ...state.inheritedStarts]) {
-		if (atMs > nowMs) {
-			untilMs.set(workerId, Math.max(atMs, untilMs.get(workerId) ?? 0));
+	const workers = [...state.workers.values()];
+	const forMs = new Map<string, number>();
+	const name = (workerId: string, untilMs: number): void => {
+		if (untilMs > nowMs) {
+			forMs.set(workerId, Math.max(Math.ceil(untilMs - nowMs), forMs.get(workerId) ?? 0));
 		}
+	};
+
+	for (const [workerId, untilMs] of [...workers.map(worker => [worker.entry.workerId, openUntilMs(worker)] as const), ...state.lateStarts(), ...state.inheritedStarts]) {
+		name(workerId, untilMs);
+	}
+
+	if (forMs.size > maxOpenStarts) {
+		return {openStarts: {}, unknownForMs: maxCallDelayMs, unlistedForMs: 0};
+	}
+
+	const uncertain = workers.filter(worker => unlistedUntilMs(worker) > nowMs);
+	const areNamed = uncertain.length <= maxUncertainWorkers;
+	for (const worker of areNamed ? uncertain : []) {
+		name(worker.entry.workerId, unlistedUntilMs(worker));
 	}
 
-	return untilMs.size > maxListedWorkers
-		? {openStarts: [], unknownForMs: maxCallDelayMs}
-		: {openStarts: [...untilMs].map(([workerId, atMs]) => ({workerId, forMs: atMs - nowMs})), unknownForMs: Math.max(0, state.unknownStartsUntilMs - nowMs)};
+	return {
+		openStarts: Object.fromEntries(forMs),
+		unknownForMs: Math.max(0, state.unknownStartsUntilMs - nowMs),
+		unlistedForMs: areNamed ? Math.max(0, state.unlistedUntilMs - nowMs) : maxListingDelayMs,
+	};
 };
 
 /** Returns true if the starts of earlier holders that may still be carried out are known. */
 export const areEarlierStartsKnown = ({unknownStartsUntilMs}: SchedulerState, nowMs: number): boolean => nowMs >= unknownStartsUntilMs;
 
-/** Returns true if a start of an earlier holder on the worker may still be carried out, as that one stated. */
-export const hasInheritedStart = ({inheritedStarts}: SchedulerState, {entry}: WorkerRecord, nowMs: number): boolean =>
-	(inheritedStarts.get(entry.workerId) ?? Number.NEGATIVE_INFINITY) > nowMs;
+/** Returns true if the earlier holder stated a start on the worker that may be carried out after this time. */
+export const hasInheritedStart = ({inheritedStarts}: SchedulerState, {entry}: WorkerRecord, afterMs: number): boolean =>
+	(inheritedStarts.get(entry.workerId) ?? Number.NEGATIVE_INFINITY) > afterMs;
 
-/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. */
-export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean =>
-	state.areMachinesOfTerm && worker.isEnded && worker.missingSince !== undefined && worker.missingSince.sentAtMs >= state.term!.wonAtMs && areEarlierStartsKnown(state, nowMs) && !hasInheritedStart(state, worker, nowMs);
+/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. A list shows that only if it was asked for after the time for which the note names the worker. */
+export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean => {
+	const {isEnded, missingSince} = worker;
+	return state.areMachinesOfTerm && isEnded && missingSince !== undefined
+		&& missingSince.sentAtMs >= Math.max(state.term!.wonAtMs, state.unlistedUntilMs)
+		&& areEarlierStartsKnown(state, nowMs)
+		&& !hasInheritedStart(state, worker, missingSince.sentAtMs);
+};
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -64,6 +64,8 @@
 	inheritedStarts: ReadonlyMap<string, number> = new Map();
 	/** Until when a start of earlier holders may be carried out that nobody has stated. */
 	unknownStartsUntilMs = 0;
+	/** Until when lists of machines may lack workers that started again before this term. */
+	unlistedUntilMs = 0;
 	/** When it was last logged what the takeover waits for, or when the term began. */
 	takeoverLoggedAtMs = 0;
 	readonly jobs = new Map<string, JobRecord>();
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -145,7 +145,8 @@
 
 		// A part of unknown outcome may still be applied, so none is left behind when another one fails.
 		await Promise.allSettled(parts);
-		return (await Promise.all(parts)).flat();
+		const refusedKeys = await Promise.all(parts);
+		return refusedKeys.flat();
 	}
 
 	/** Commits the writes together. If the store rejects them for their size or form, each half is committed on its own: one row must not keep the progress of all jobs from being stored. Resolves to the keys of the rows that are rejected by themselves. */
--- a/packages/scheduler/tests/support/handover-notes.ts
+++ b/packages/scheduler/tests/support/handover-notes.ts
@@ -10,11 +10,11 @@
 
 /** A note that names all workers on which a start may still be carried out. */
 export const noteNaming = (...workerIds: readonly string[]): HandoverNote => ({
-	openStarts: workerIds.map(workerId => ({workerId, forMs: maxCallDelayMs})), unknownForMs: 0,
+	openStarts: Object.fromEntries(workerIds.map(workerId => [workerId, maxCallDelayMs])), unknownForMs: 0, unlistedForMs: 0,
 });
 
 /** Returns the workers that the holder would name now; `undefined` if it does not know all. */
 export const listOpenStarts = (state: SchedulerState, nowMs: number): readonly string[] | undefined => {
 	const {openStarts, unknownForMs} = noteForNextHolder(state, nowMs);
-	return unknownForMs > 0 ? undefined : openStarts.map(({workerId}) => workerId);
+	return unknownForMs > 0 ? undefined : Object.keys(openStarts);
 };
