--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -12,15 +12,22 @@
 const earlierStarts = ({term, inheritedStarts}: SchedulerState, nowMs: number): readonly string[] | undefined =>
 	nowMs >= term!.wonAtMs + maxCallDelayMs ? [] : inheritedStarts && [...inheritedStarts];
 
-/** Returns the ids of the workers on which a start of this term, or of an earlier one, may still be carried out; `undefined` if that is not known. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well: the next incarnation of the worker knows of neither. */
+/** For this long after a worker has started again under its id, the next holder may take it for its earlier incarnation, since lists of machines may lack the present one. It covers the delay of a list and that of this process's learning of the restart. */
+const restartKnownAfterMs = 6000;
+
+/** Returns true if the worker has a start that may still be carried out, or if an incarnation that lists of machines may lack runs a task of this term: one that the worker has begun without having listed it may be that of a restart that nobody has noticed yet. */
+const mayRunUnseen = ({runs, restartedAtMs}: WorkerRecord, nowMs: number): boolean =>
+	(restartedAtMs !== undefined && nowMs - restartedAtMs < restartKnownAfterMs)
+	|| [...runs.values()].some(({mayArrive, listedIncarnation}) => mayArrive || listedIncarnation === undefined);
+
+/** Returns the ids of the workers on which a start of this term, or of an earlier one, may still be carried out, or has been by an incarnation that lists of machines may lack; `undefined` if that is not known. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well: the next incarnation of the worker knows of neither. */
 export const listOpenStarts = (state: SchedulerState, nowMs: number): readonly string[] | undefined => {
 	const earlier = state.term && earlierStarts(state, nowMs);
 	if (earlier === undefined) {
 		return undefined;
 	}
 
-	const isOpen = ({runs}: WorkerRecord): boolean => [...runs.values()].some(({mayArrive}) => mayArrive);
-	const own = [...state.workers.values()].filter(worker => isOpen(worker)).map(({entry}) => entry.workerId);
+	const own = [...state.workers.values()].filter(worker => mayRunUnseen(worker, nowMs)).map(({entry}) => entry.workerId);
 	const open = new Set([...own, ...state.lateStarts(nowMs), ...earlier]);
 	return open.size > maxListedWorkers ? undefined : [...open];
 };
--- a/packages/scheduler/tests/takeover-with-leavers.test.ts
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -3,9 +3,10 @@
 */
 import {describe, expect, test} from 'vitest';
 import {
-	reduceScheduler, type SchedulerEffect, SchedulerState, type WorkerEntry,
+	reduceScheduler, type RunningEntry, type SchedulerEffect, SchedulerState, type WorkerEntry,
 } from '../src/index.js';
 import {listOpenStarts} from '../src/core/handover.js';
+import {type TaskRun} from '../src/core/records.js';
 import {type EventBody} from './support/event-body.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {
@@ -162,11 +163,11 @@
 		}, sentAtMs + 10);
 	}
 
-	report(workerId: string, nowMs: number): void {
+	report(workerId: string, nowMs: number, {bornWallMs = wallOffsetMs - 60_000, running = []}: {readonly bornWallMs?: number; readonly running?: readonly RunningEntry[]} = {}): void {
 		this.dispatch({
 			type: 'polled', fencingToken: this.state.term!.fencingToken, workerId, incarnation: this.state.workers.get(workerId)!.incarnation, sentAtMs: nowMs, sentAcknowledgement: 0, answer: {
 				type: 'report', report: {
-					clockMs: nowMs, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [],
+					clockMs: nowMs, bornWallMs, running, finished: [],
 				},
 			},
 		}, nowMs);
@@ -232,7 +233,8 @@
 	});
 
 	test.each([
-		{answer: 'started', isOpen: false, isOpenLater: false},
+		// The worker may have started again without being listed with its machine again.
+		{answer: 'started', isOpen: true, isOpenLater: false},
 		{answer: 'refused', isOpen: false, isOpenLater: false},
 		{answer: 'not-sent', isOpen: false, isOpenLater: false},
 		{answer: 'unknown', isOpen: true, isOpenLater: true},
@@ -255,6 +257,27 @@
 		expect(listOpenStarts(holder.state, orderedAtMs + 15_000)).toEqual([]);
 	});
 
+	test('a start that was answered is open until the worker has listed it, and a worker that has started again is named for as long as lists of machines may lack it', () => {
+		const holder = new NewHolder(['here']);
+		expect(holder.takeOver({openStarts: []})).toBe(true);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {acceptedWallMs: wallOffsetMs + 80, steps: [stepOf({taskCount: 1})]}))]}, 90);
+		holder.dispatch({type: 'tick'}, 100);
+		const [{taskKey, attempt}] = [...holder.state.workers.get('here')!.runs.values()] as [TaskRun];
+		const running = [{
+			taskKey, attempt, checkpoint: '', percent: 1, figure: 0,
+		}];
+		holder.dispatch({
+			type: 'startAnswered', fencingToken: 5, workerId: 'here', taskKey, attempt, answer: 'started',
+		}, 110);
+		expect(listOpenStarts(holder.state, 115)).toEqual(['here']);
+		holder.report('here', 120, {running});
+		expect(listOpenStarts(holder.state, 125)).toEqual([]);
+		holder.report('here', 200, {running, bornWallMs: wallOffsetMs + 150});
+		holder.report('here', 210, {running, bornWallMs: wallOffsetMs + 150});
+		expect(listOpenStarts(holder.state, 6000)).toEqual(['here']);
+		expect(listOpenStarts(holder.state, 6200)).toEqual([]);
+	});
+
 	test('the log names each second the workers that the takeover waits for, and first among those unheard as it is settled', () => {
 		const holder = new NewHolder(['left', 'here', 'gone']);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, openStarts: ['gone']}, 0);
