The note of a hand-over says for how long each start may be carried out

What operators saw: on handovers-with-leavers each holder passed on all the workers that were left to it, for 15 s of its own term.

Change: the note gives a time with each worker: 15 s from the order for a start that may still come, 2 s (twice the delay of a list of machines) where only an incarnation that lists may lack is in question, and what remains of the time that was left to the holder. A holder that was left no note, since the one before was lost, says for how long there may be starts that it does not know of, on any worker: 15 s from the begin of its term, less what has passed, so that hand-overs within that time do not begin it anew.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -14,6 +14,14 @@
 	readonly mayOrderMachinesUntilMs: number;
 };
 
+/** What a holder leaves to the next one as it releases the lease. Times count from the release, and again from the begin of the next term, since no two clocks are compared. */
+export type Handover = {
+	/** For how long a start may still be carried out, by worker id. */
+	readonly openStarts: Readonly<Record<string, number>>;
+	/** For how long there may be others, on any worker: an earlier holder was lost, or left no note. */
+	readonly unknownStartsForMs: number;
+};
+
 /** Time of an event on the process's monotonic clock and on the wall clock. */
 type EventTime = {readonly nowMs: number; readonly wallMs: number};
 
@@ -47,8 +55,8 @@
 	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
 	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
 	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
-	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. `openStarts`: the workers on which a start of earlier holders may still be carried out, if the last one has stated that. */
-	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined; readonly openStarts?: readonly string[] | undefined}
+	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. `handover`: what the last holder left as it released the lease. */
+	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined; readonly handover?: Handover | undefined}
 	/** The lease could not be renewed in time, but no other process can have acquired it. */
 	| {readonly type: 'leaseUnconfirmed'}
 	/** The replaced holder was heard again, or is known to be gone. */
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -101,7 +101,7 @@
 };
 
 /** A worker that registers itself is named in the list of machines within this time. */
-const maxListingDelayMs = 1000;
+export const maxListingDelayMs = 1000;
 
 /** A worker that was born longer ago than this cannot be newer than a list of machines, even if the wall clocks of its host and of this one differ by some seconds. A new lease holder sees all workers for the first time and tells the old ones by this. */
 const minUnlistedAgeMs = 6000;
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -7,6 +7,7 @@
 import {dispatchTasks} from './dispatch.js';
 import {applyEvacuationOrders, logEvacuations} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
+import {receiveHandover} from './handover.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
 import {
 	applyMachineAnswer, applyMachineList, limitMachineOrders, repeatMachineOrders,
@@ -140,8 +141,7 @@
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs);
 				state.earlierHolder = event.earlierHolder;
-				// A replaced holder may still order starts.
-				state.inheritedStarts = event.earlierHolder === undefined && event.openStarts !== undefined ? new Set(event.openStarts) : undefined;
+				receiveHandover(state, event.handover, event.nowMs);
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -60,8 +60,12 @@
 	isRevisionRequested = false;
 	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
 	earlierHolder: EarlierHolder | undefined;
-	/** Workers on which a start of earlier holders may still be carried out, as the last one stated when it released the lease; `undefined` if it did not. */
-	inheritedStarts: ReadonlySet<string> | undefined;
+	/** Until when a start of earlier holders may be carried out, by worker id, as the last one stated when it released the lease. */
+	inheritedStartsUntilMs: ReadonlyMap<string, number> = new Map();
+	/** Until when there may be others; `undefined` if the last holder left no note. */
+	receivedUnknownStartsUntilMs: number | undefined;
+	/** Until when a start that this process has removed in this term without an answer may be carried out, by worker id. */
+	readonly lateStartsUntilMs = new Map<string, number>();
 	/** When it was last logged what the takeover waits for, or when the term began. */
 	takeoverLoggedAtMs = 0;
 	readonly jobs = new Map<string, JobRecord>();
@@ -133,8 +137,6 @@
 	readonly #occupied = new Map<WorkerRecord, Resources>();
 	/** Workers that keep capacity free for the task of a run that is being stopped elsewhere. */
 	readonly #replacements = new Map<TaskRun, WorkerRecord>();
-	/** Until when a start that this process has removed without an answer may be carried out, by worker id. */
-	readonly #lateStartsUntilMs = new Map<string, number>();
 	/** Numbers of restarts, in this term, of workers whose records were deleted. */
 	readonly #deletedWorkers = new Map<string, {readonly restartCount: number; readonly deletedAtMs: number}>();
 	#effects: SchedulerEffect[] = [];
@@ -161,7 +163,6 @@
 		};
 		this.isSettled = false;
 		this.earlierHolder = undefined;
-		this.inheritedStarts = undefined;
 		this.takeoverLoggedAtMs = nowMs;
 		this.newJobsAfterRevision = undefined;
 		this.isRevisionRequested = false;
@@ -284,7 +285,13 @@
 		}
 
 		if (run.mayArrive) {
-			this.#lateStartsUntilMs.set(worker.entry.workerId, Math.max(run.orderedAtMs + maxCallDelayMs, this.#lateStartsUntilMs.get(worker.entry.workerId) ?? 0));
+			for (const [workerId, untilMs] of this.lateStartsUntilMs) {
+				if (nowMs >= untilMs) {
+					this.lateStartsUntilMs.delete(workerId);
+				}
+			}
+
+			this.lateStartsUntilMs.set(worker.entry.workerId, Math.max(run.orderedAtMs + maxCallDelayMs, this.lateStartsUntilMs.get(worker.entry.workerId) ?? 0));
 		}
 
 		worker.runs.delete(run.taskKey);
@@ -304,17 +311,6 @@
 		}
 	}
 
-	/** Returns the ids of the workers on which a start of this term that was removed without an answer may still be carried out. */
-	lateStarts(nowMs: number): readonly string[] {
-		for (const [workerId, untilMs] of this.#lateStartsUntilMs) {
-			if (nowMs >= untilMs) {
-				this.#lateStartsUntilMs.delete(workerId);
-			}
-		}
-
-		return [...this.#lateStartsUntilMs.keys()];
-	}
-
 	/** Discards all runs and per-term worker state before a new term or after the end of one. */
 	clearRuns(nowMs: number): void {
 		this.trials.clear();
@@ -347,7 +343,7 @@
 			worker.unreachedAtMs = undefined;
 		}
 
-		this.#lateStartsUntilMs.clear();
+		this.lateStartsUntilMs.clear();
 	}
 
 	/** The save of an earlier term may have been rejected. Its progress is known to this process only, so it must be stored before run ends are acknowledged again. */
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -29,10 +29,10 @@
 	mayLackEnds && (silentSinceMs === undefined || nowMs < leaseExpiryAfter(lastAnswerAtMs));
 
 /** Tells what is known of workers that have not reported all that they have. */
-const describeUnheard = ({inheritedStarts}: SchedulerState, workers: readonly WorkerRecord[], nowMs: number): string => {
+const describeUnheard = ({inheritedStartsUntilMs}: SchedulerState, workers: readonly WorkerRecord[], nowMs: number): string => {
 	const described = workers.slice(0, maxLoggedRuns).map(({entry: {workerId}, isEnded, isListed, silentSinceMs}) => {
 		const reach = silentSinceMs === undefined ? 'unanswered' : `silent-${Math.round(nowMs - silentSinceMs)}ms`;
-		return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}${inheritedStarts?.has(workerId) === true ? ':open-start' : ''}`;
+		return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}${inheritedStartsUntilMs.has(workerId) ? ':open-start' : ''}`;
 	});
 	return described.join(',');
 };
@@ -52,7 +52,7 @@
 		state.takeoverLoggedAtMs = nowMs;
 		state.emit({
 			type: 'log', fields: {
-				event: 'takeover_waits_for', afterMs: Math.round(nowMs - state.term!.wonAtMs), awaited: awaited.length, openStarts: state.inheritedStarts?.size, unregistered: unregisteredCount, areMachinesKnown: state.areMachinesOfTerm, areUnreadableKnown, workers: describeUnheard(state, awaited, nowMs),
+				event: 'takeover_waits_for', afterMs: Math.round(nowMs - state.term!.wonAtMs), awaited: awaited.length, openStarts: state.receivedUnknownStartsUntilMs === undefined ? undefined : state.inheritedStartsUntilMs.size, unregistered: unregisteredCount, areMachinesKnown: state.areMachinesOfTerm, areUnreadableKnown, workers: describeUnheard(state, awaited, nowMs),
 			},
 		});
 	}
@@ -84,7 +84,7 @@
 		const passedOver = unheard.filter(worker => !awaited.includes(worker));
 		state.emit({
 			type: 'log', fields: {
-				event: 'takeover_settled', by: areAllKnown ? 'reports' : 'time', workers: workers.length, unanswered: unheard.length, unregistered: unregistered.length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs), awaited: awaited.length, openStarts: state.inheritedStarts?.size,
+				event: 'takeover_settled', by: areAllKnown ? 'reports' : 'time', workers: workers.length, unanswered: unheard.length, unregistered: unregistered.length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs), awaited: awaited.length, openStarts: state.receivedUnknownStartsUntilMs === undefined ? undefined : state.inheritedStartsUntilMs.size,
 				unheard: describeUnheard(state, [...awaited, ...passedOver], nowMs),
 			},
 		});
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -10,8 +10,8 @@
 	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, maxAnswerAgeMs, type OutageKnowledge,
 } from '@poplarnotch/state';
 import {storeAwayAfterMs, storeRetryDelayMs} from '../constants.js';
-import {type EarlierHolder, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
-import {listOpenStarts} from '../core/handover.js';
+import {type EarlierHolder, type Handover, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
+import {handoverOf} from '../core/handover.js';
 import {awaitsMachineAnswers} from '../core/machines.js';
 import {isProgressStored} from '../core/progress-persistence.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
@@ -59,12 +59,11 @@
 const hasClockJumpedBetween = (from: Moment, to: Moment): boolean => Math.abs(clockGapMs(from, to)) > suspensionThresholdMs;
 
 /** What a holder writes into the lease as it releases it. */
-const handoverSchema = z.object({openStarts: z.array(z.string())});
+const handoverSchema = z.object({openStarts: z.record(z.string(), z.number()), unknownStartsForMs: z.number()});
 
-/** Returns the workers on which a start of earlier holders may still be carried out, if the last one has stated that. */
-const openStartsFrom = ({name, handover}: HeldLease): readonly string[] | undefined => {
+const handoverFrom = ({name, handover}: HeldLease): Handover | undefined => {
 	const parsed = parseWith(handoverSchema, handover, name);
-	return E.isRight(parsed) ? parsed.right.openStarts : undefined;
+	return E.isRight(parsed) ? parsed.right : undefined;
 };
 
 export type TermKeeperOptions = {
@@ -310,7 +309,7 @@
 		const heldToken = this.#leases.unconfirmedLease(schedulerLease)?.fence.version;
 		const token = heldToken ?? term?.fencingToken;
 		this.#beginningToken = undefined;
-		const openStarts = term !== undefined && term.fencingToken === heldToken ? listOpenStarts(this.#state, this.#now().nowMs) : undefined;
+		const handover = term !== undefined && term.fencingToken === heldToken ? handoverOf(this.#state, this.#now().nowMs) : undefined;
 		if (term !== undefined) {
 			this.#options.dispatch({
 				type: 'leaseLost', fencingToken: term.fencingToken, reason, ...this.#now(),
@@ -321,7 +320,7 @@
 			this.#liveness?.announceRelease(token);
 		}
 
-		await this.#leases.withdraw(schedulerLease, openStarts && {openStarts});
+		await this.#leases.withdraw(schedulerLease, handover);
 	}
 
 	/** Returns true if a larger process should hold the lease. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. */
@@ -544,7 +543,7 @@
 
 				this.#continuation.confirm();
 				this.#options.dispatch({
-					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), openStarts: openStartsFrom(lease), ...this.#now(),
+					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), handover: handoverFrom(lease), ...this.#now(),
 				});
 				this.#options.onTermBegun();
 				break;
