--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -46,10 +46,12 @@
 		}
 	}
 
-	return untilMs.size > maxListedWorkers ? undefined : {
-		openStarts: Object.fromEntries([...untilMs].map(([workerId, openMs]) => [workerId, Math.ceil(openMs - nowMs)])),
-		unknownStartsForMs: Math.ceil(Math.max(0, unknownStartsUntilMs(state) - nowMs)),
-	};
+	return untilMs.size > maxListedWorkers
+		? undefined
+		: {
+			openStarts: Object.fromEntries([...untilMs].map(([workerId, openMs]) => [workerId, Math.ceil(openMs - nowMs)])),
+			unknownStartsForMs: Math.ceil(Math.max(0, unknownStartsUntilMs(state) - nowMs)),
+		};
 };
 
 /** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and none of them had an open start on it as the last list was asked for, so that one that begins under its id later gets none. */
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -10,7 +10,9 @@
 	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, maxAnswerAgeMs, type OutageKnowledge,
 } from '@poplarnotch/state';
 import {storeAwayAfterMs, storeRetryDelayMs} from '../constants.js';
-import {type EarlierHolder, type Handover, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
+import {
+	type EarlierHolder, type Handover, type LeaseLossReason, type SchedulerEvent,
+} from '../core/events.js';
 import {handoverOf} from '../core/handover.js';
 import {awaitsMachineAnswers} from '../core/machines.js';
 import {isProgressStored} from '../core/progress-persistence.js';
