--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -1,60 +1,56 @@
 /**
-What a lease holder leaves to the next one as it releases the lease: the workers on which a start that it ordered, or an earlier holder, may still be carried out, and for how long. A start names its worker by an id, which a worker that is down may come back under. A new holder does not know which starts were answered, and would have to wait for each worker that is down and may return; the note tells which of them it need not wait for.
+What a lease holder leaves to the next one as it releases the lease: the workers on which a start that it ordered, or an earlier holder, may still be carried out. A start names its worker by an id, which a worker that is down may come back under. A new holder does not know which starts were answered, and would have to wait for each worker that is down and may return; the note tells which of them it need not wait for. All times in it are durations, since no two processes share a clock.
 */
-import {maxCallDelayMs} from '../constants.js';
-import {type Handover} from './events.js';
-import {maxListingDelayMs} from './machines.js';
+import {maxCallDelayMs, maxListingDelayMs} from '../constants.js';
+import {type HandoverNote} from './handover-note.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 /** More workers with open starts are not listed; the next holder then waits as it does without a note. */
 const maxListedWorkers = 1000;
 
-/** An incarnation of a worker is registered and named in lists of machines within this time. */
-const maxUnlistedMs = 2 * maxListingDelayMs;
-
-/** Takes what the last holder left. It is not used while a replaced holder may go on ordering. */
-export const receiveHandover = (state: SchedulerState, handover: Handover | undefined, nowMs: number): void => {
-	const received = state.earlierHolder === undefined ? handover : undefined;
-	state.inheritedStartsUntilMs = new Map(Object.entries(received?.openStarts ?? {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
-	state.receivedUnknownStartsUntilMs = received && nowMs + received.unknownStartsForMs;
+/** Applies what the last holder left. Without a note, or beside a replaced holder that may still order starts, any start may be under way. */
+export const receiveNote = (state: SchedulerState, note: HandoverNote | undefined, nowMs: number): void => {
+	const isUsed = note !== undefined && state.earlierHolder === undefined;
+	state.unknownStartsUntilMs = isUsed ? nowMs + note.unknownForMs : state.earlierOrdersOverAtMs + maxCallDelayMs;
+	state.inheritedStarts = new Map(note?.openStarts.map(({workerId, forMs}) => [workerId, nowMs + forMs]));
 };
 
-/** Returns until when a start of an earlier holder may be carried out on any worker. Without a note, that is so for as long as a call may be under way. */
-const unknownStartsUntilMs = ({receivedUnknownStartsUntilMs, earlierOrdersOverAtMs}: SchedulerState): number =>
-	receivedUnknownStartsUntilMs ?? earlierOrdersOverAtMs + maxCallDelayMs;
-
-/** Returns until when a start of this term may be carried out on the worker, or may have been by an incarnation that lists of machines lack. A run that was begun and is not listed may be that of an incarnation that nobody has noticed yet. */
-const openUntilMs = ({runs, restartedAtMs}: WorkerRecord): number => Math.max(
-	restartedAtMs === undefined ? 0 : restartedAtMs + maxUnlistedMs,
-	...[...runs.values()].map(({mayArrive, orderedAtMs, startedAtMs = orderedAtMs, listedIncarnation}) => {
+/** Returns until when the next holder cannot tell the worker from one that is gone: a start may be carried out on it, or it may have started again so recently that lists of machines do not name it yet. */
+const uncertainUntilMs = ({runs, restartedAtMs}: WorkerRecord): number => Math.max(
+	restartedAtMs === undefined ? 0 : restartedAtMs + maxListingDelayMs,
+	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs}) => {
 		if (mayArrive) {
 			return orderedAtMs + maxCallDelayMs;
 		}
 
-		return listedIncarnation === undefined ? startedAtMs + maxUnlistedMs : 0;
+		// The worker has answered the start, and no report says since when it has been there.
+		return listedIncarnation === undefined ? orderedAtMs + maxListingDelayMs : 0;
 	}),
 );
 
-/** Returns what the holder leaves to the next one; `undefined` if that is too much. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as open, and so does one that was left to this holder though its worker has answered since: the next incarnation of the worker knows of neither. */
-export const handoverOf = (state: SchedulerState, nowMs: number): Handover | undefined => {
-	const own = [...state.workers.values()].map(worker => [worker.entry.workerId, openUntilMs(worker)] as const);
+/** Names the workers on which a start of this term, or of an earlier one, may still be carried out. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well, and so does one that was left to this holder: the next incarnation of the worker knows of none of that. Only time ends them. */
+export const noteForNextHolder = (state: SchedulerState, nowMs: number): HandoverNote => {
+	const own = [...state.workers.values()].map(worker => [worker.entry.workerId, uncertainUntilMs(worker)] as const);
 	const untilMs = new Map<string, number>();
-	for (const [workerId, openMs] of [...own, ...state.lateStartsUntilMs, ...state.inheritedStartsUntilMs]) {
-		if (openMs > nowMs) {
-			untilMs.set(workerId, Math.max(openMs, untilMs.get(workerId) ?? 0));
+	for (const [workerId, atMs] of [...own, ...state.lateStarts(), ...state.inheritedStarts]) {
+		if (atMs > nowMs) {
+			untilMs.set(workerId, Math.max(atMs, untilMs.get(workerId) ?? 0));
 		}
 	}
 
 	return untilMs.size > maxListedWorkers
-		? undefined
-		: {
-			openStarts: Object.fromEntries([...untilMs].map(([workerId, openMs]) => [workerId, Math.ceil(openMs - nowMs)])),
-			unknownStartsForMs: Math.ceil(Math.max(0, unknownStartsUntilMs(state) - nowMs)),
-		};
+		? {openStarts: [], unknownForMs: maxCallDelayMs}
+		: {openStarts: [...untilMs].map(([workerId, atMs]) => ({workerId, forMs: atMs - nowMs})), unknownForMs: Math.max(0, state.unknownStartsUntilMs - nowMs)};
 };
 
-/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and none of them had an open start on it as the last list was asked for, so that one that begins under its id later gets none. */
-export const hasNoEarlierStarts = (state: SchedulerState, {entry, isEnded, missingSince}: WorkerRecord): boolean =>
-	state.areMachinesOfTerm && isEnded && missingSince !== undefined
-	&& missingSince.sentAtMs >= Math.max(state.term!.wonAtMs, unknownStartsUntilMs(state), state.inheritedStartsUntilMs.get(entry.workerId) ?? 0);
+/** Returns true if the starts of earlier holders that may still be carried out are known. */
+export const areEarlierStartsKnown = ({unknownStartsUntilMs}: SchedulerState, nowMs: number): boolean => nowMs >= unknownStartsUntilMs;
+
+/** Returns true if a start of an earlier holder on the worker may still be carried out, as that one stated. */
+export const hasInheritedStart = ({inheritedStarts}: SchedulerState, {entry}: WorkerRecord, nowMs: number): boolean =>
+	(inheritedStarts.get(entry.workerId) ?? Number.NEGATIVE_INFINITY) > nowMs;
+
+/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. */
+export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean =>
+	state.areMachinesOfTerm && worker.isEnded && worker.missingSince !== undefined && worker.missingSince.sentAtMs >= state.term!.wonAtMs && areEarlierStartsKnown(state, nowMs) && !hasInheritedStart(state, worker, nowMs);
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -5,9 +5,9 @@
 import {type WaveOrder} from '../types.js';
 import {applyAdvice} from './placement-advice.js';
 import {dispatchTasks} from './dispatch.js';
+import {receiveNote} from './handover.js';
 import {applyEvacuationOrders, logEvacuations} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
-import {receiveHandover} from './handover.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
 import {
 	applyMachineAnswer, applyMachineList, limitMachineOrders, repeatMachineOrders,
@@ -53,8 +53,8 @@
 	resolveReports(state, now);
 	const displaced = reconcileRuns(state, nowMs);
 	logEvacuations(state, nowMs);
-	// Without a confirmed lease, no machine is ordered; with outdated operators' orders, nothing is started or moved.
-	const mayOrderMachines = !state.isLeaseUnconfirmed;
+	// Without a confirmed lease, or before a release, no machine is ordered; with outdated operators' orders, nothing is started or moved.
+	const mayOrderMachines = !state.isLeaseUnconfirmed && !state.isReleasePlanned;
 	const mayStart = !state.areOrdersOutdated;
 	if (mayStart && mayOrderMachines) {
 		repeatMachineOrders(state, nowMs);
@@ -141,7 +141,7 @@
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs);
 				state.earlierHolder = event.earlierHolder;
-				receiveHandover(state, event.handover, event.nowMs);
+				receiveNote(state, event.note, event.nowMs);
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
@@ -179,6 +179,11 @@
 			break;
 		}
 
+		case 'releasePlanned': {
+			state.isReleasePlanned = true;
+			break;
+		}
+
 		case 'handoverBegun': {
 			state.isHandingOver = true;
 			runStoringPass(state, event);
@@ -186,6 +191,7 @@
 		}
 
 		case 'handoverCancelled': {
+			state.isReleasePlanned = false;
 			state.isHandingOver = false;
 			break;
 		}
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -3,17 +3,16 @@
 */
 import * as E from 'fp-ts/lib/Either.js';
 import {
-	type Clock, type LogFields, type Logger, type MetricsRegistry, parseWith, z,
+	type Clock, type LogFields, type Logger, type MetricsRegistry, parseWith,
 } from '@poplarnotch/common';
 import {failureReason, type RowCondition, type TableService} from '@poplarnotch/platform';
 import {
 	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, maxAnswerAgeMs, type OutageKnowledge,
 } from '@poplarnotch/state';
 import {storeAwayAfterMs, storeRetryDelayMs} from '../constants.js';
-import {
-	type EarlierHolder, type Handover, type LeaseLossReason, type SchedulerEvent,
-} from '../core/events.js';
-import {handoverOf} from '../core/handover.js';
+import {type EarlierHolder, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
+import {noteForNextHolder} from '../core/handover.js';
+import {handoverNoteSchema, type HandoverNote} from '../core/handover-note.js';
 import {awaitsMachineAnswers} from '../core/machines.js';
 import {isProgressStored} from '../core/progress-persistence.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
@@ -41,11 +40,14 @@
 /** A process that has held the lease for this long without a term, and without beginning one, releases it. By then a renewal has shown whether another process holds it. */
 const maxTimeWithoutTermMs = leaseMs / 2;
 
-/** Time within which a process that gives up its lease stores what it has read. A slow store takes a quarter of a second for a transaction, and a save of many jobs has several. */
-const maxHandoverMs = 1500;
+/** Time for which a process that gives up its lease awaits the answers to its orders to machines, and goes on scheduling. */
+const maxMachineAnswersMs = 1500;
 
-/** Time within which it awaits the polls of workers that are about to leave; a worker that answers does so within `urgentPollWaitMs`. */
-const maxListeningMs = 300;
+/** Time within which it then awaits the polls of workers that are about to leave: `urgentPollWaitMs` and an answer. */
+const maxListeningMs = 150;
+
+/** Time within which it stores what it has read. A slow store takes a quarter of a second for a transaction. */
+const maxHandoverMs = 1500;
 const handoverCheckMs = 5;
 
 /** Time after which successors are told of a release that the store has not confirmed. */
@@ -63,11 +65,9 @@
 /** Returns true if the machine was suspended, or its time of day set, between two moments. */
 const hasClockJumpedBetween = (from: Moment, to: Moment): boolean => Math.abs(clockGapMs(from, to)) > suspensionThresholdMs;
 
-/** What a holder writes into the lease as it releases it. */
-const handoverSchema = z.object({openStarts: z.record(z.string(), z.number()), unknownStartsForMs: z.number()});
-
-const handoverFrom = ({name, handover}: HeldLease): Handover | undefined => {
-	const parsed = parseWith(handoverSchema, handover, name);
+/** Reads what the last holder left as it released the lease; `undefined` if that is nothing, or cannot be read. */
+const noteFrom = ({name, handover}: HeldLease): HandoverNote | undefined => {
+	const parsed = parseWith(handoverNoteSchema, handover, name);
 	return E.isRight(parsed) ? parsed.right : undefined;
 };
 
@@ -277,29 +277,33 @@
 		});
 	}
 
-	/** Stores what the term reads before its lease is released: the next holder hears from the workers, and some of them may have left by then. Awaits orders to machines as well, since the next holder would use a machine that is about to be taken away. Resolves to whether all of it is stored and answered, or the term has ended; a store that does not answer delays the release for a short time only. */
+	/** Awaits the orders to machines, since the next holder would use a machine that is about to be taken away, and then stores what the term reads: the next holder hears from the workers, and some of them may have left by then. Resolves to whether all is answered and stored, or the term has ended; a store that does not answer delays the release for a short time only. */
 	async #prepareRelease(): Promise<boolean> {
-		const {term} = this.#state;
+		const {term, pendingSaveNumber, lastSaveAtMs} = this.#state;
 		if (term === undefined) {
 			return true;
 		}
 
 		const {fencingToken} = term;
-		const begunAtMs = this.#now().nowMs;
-		const {pendingSaveNumber, lastSaveAtMs} = this.#state;
-		if (pendingSaveNumber !== undefined && begunAtMs - lastSaveAtMs >= storeAwayAfterMs) {
+		if (pendingSaveNumber !== undefined && this.#now().nowMs - lastSaveAtMs >= storeAwayAfterMs) {
 			// The store does not answer this process, and the next holder may reach it.
 			return false;
 		}
 
+		this.#options.dispatch({type: 'releasePlanned', fencingToken, ...this.#now()});
+		const areMachinesDone = await this.#waitWithin(fencingToken, maxMachineAnswersMs, () => !awaitsMachineAnswers(this.#state));
 		this.#options.dispatch({type: 'handoverBegun', fencingToken, ...this.#now()});
-		while (this.#state.term?.fencingToken === fencingToken) {
-			const {nowMs} = this.#now();
-			const forMs = nowMs - begunAtMs;
-			const isDone = isProgressStored(this.#state, nowMs) && !awaitsMachineAnswers(this.#state);
-			const isListening = forMs < maxListeningMs && this.#options.awaitsLeavingWorkers();
-			if ((isDone && !isListening) || forMs >= maxHandoverMs) {
-				return isDone;
+		await this.#waitWithin(fencingToken, maxListeningMs, () => !this.#options.awaitsLeavingWorkers());
+		const isStored = await this.#waitWithin(fencingToken, maxHandoverMs, () => isProgressStored(this.#state, this.#now().nowMs));
+		return areMachinesDone && isStored;
+	}
+
+	/** Resolves once the condition holds or the term has ended, to true, or to false after the given time. */
+	async #waitWithin(fencingToken: number, maxMs: number, holds: () => boolean): Promise<boolean> {
+		const untilMs = this.#now().nowMs + maxMs;
+		while (this.#state.term?.fencingToken === fencingToken && !holds()) {
+			if (this.#now().nowMs >= untilMs) {
+				return false;
 			}
 
 			await this.#pause(handoverCheckMs);
@@ -314,14 +318,14 @@
 		const heldToken = this.#leases.unconfirmedLease(schedulerLease)?.fence.version;
 		const token = heldToken ?? term?.fencingToken;
 		this.#beginningToken = undefined;
-		const handover = term !== undefined && term.fencingToken === heldToken ? handoverOf(this.#state, this.#now().nowMs) : undefined;
+		const note = term !== undefined && term.fencingToken === heldToken ? noteForNextHolder(this.#state, this.#now().nowMs) : undefined;
 		if (term !== undefined) {
 			this.#options.dispatch({
 				type: 'leaseLost', fencingToken: term.fencingToken, reason, ...this.#now(),
 			});
 		}
 
-		const released = this.#leases.withdraw(schedulerLease, handover);
+		const released = this.#leases.withdraw(schedulerLease, note);
 		if (token !== undefined) {
 			await Promise.race([released, this.#pause(maxUnannouncedMs)]);
 			this.#liveness?.announceRelease(token);
@@ -337,8 +341,8 @@
 		}
 
 		this.#nextYieldCheckAtMs = nowMs + yieldCheckIntervalMs;
-		const {term, isSuspended, isHandingOver, isLeaseUnconfirmed} = this.#state;
-		const mayYield = term !== undefined && !isSuspended && !isHandingOver && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
+		const {term, isSuspended, isReleasePlanned, isLeaseUnconfirmed} = this.#state;
+		const mayYield = term !== undefined && !isSuspended && !isReleasePlanned && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
 		return mayYield && this.#options.hasLargerPeer(term.wonAtMs);
 	}
 
@@ -550,7 +554,7 @@
 
 				this.#continuation.confirm();
 				this.#options.dispatch({
-					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), handover: handoverFrom(lease), ...this.#now(),
+					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), note: noteFrom(lease), ...this.#now(),
 				});
 				this.#options.onTermBegun();
 				break;
