A worker that may just have come back is passed over only by a list of machines that was asked for after that

What callers would see: two runs of a task, if a worker crashes, is back under its id and begins a task just before a hand-over. And it counted from the order of the start, though the worker may have come back just before its answer, which may take a second.

Change: the list that shows the worker as ended must have been asked for after the time that the note gives; a run that is begun and not listed counts from the answer.

--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -19,13 +19,13 @@
 /** Returns until when the next holder cannot tell the worker from one that is gone: a start may be carried out on it, or it may have started again so recently that lists of machines do not name it yet. */
 const uncertainUntilMs = ({runs, restartedAtMs}: WorkerRecord): number => Math.max(
 	restartedAtMs === undefined ? 0 : restartedAtMs + maxListingDelayMs,
-	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs}) => {
+	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs, startedAtMs = orderedAtMs}) => {
 		if (mayArrive) {
 			return orderedAtMs + maxCallDelayMs;
 		}
 
 		// The worker has answered the start, and no report says since when it has been there.
-		return listedIncarnation === undefined ? orderedAtMs + maxListingDelayMs : 0;
+		return listedIncarnation === undefined ? startedAtMs + maxListingDelayMs : 0;
 	}),
 );
 
@@ -51,6 +51,8 @@
 export const hasInheritedStart = ({inheritedStarts}: SchedulerState, {entry}: WorkerRecord, nowMs: number): boolean =>
 	(inheritedStarts.get(entry.workerId) ?? Number.NEGATIVE_INFINITY) > nowMs;
 
-/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. */
-export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean =>
-	state.areMachinesOfTerm && worker.isEnded && worker.missingSince !== undefined && worker.missingSince.sentAtMs >= state.term!.wonAtMs && areEarlierStartsKnown(state, nowMs) && !hasInheritedStart(state, worker, nowMs);
+/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. The last list must have been asked for after all that, since an earlier one may lack an incarnation that has carried such a start out. */
+export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord): boolean => {
+	const listedAtMs = worker.missingSince?.sentAtMs;
+	return state.areMachinesOfTerm && worker.isEnded && listedAtMs !== undefined && listedAtMs >= state.term!.wonAtMs && areEarlierStartsKnown(state, listedAtMs) && !hasInheritedStart(state, worker, listedAtMs);
+};
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -75,7 +75,7 @@
 	const machineWorkers = new Set([...state.machines.values()].map(({entry}) => entry.workerId));
 	// Workers that ended in an earlier term of this process are not polled any more.
 	const isGone = ({entry: {workerId}, isEnded, isListed}: WorkerRecord): boolean => isEnded && !isListed && !machineWorkers.has(workerId);
-	const awaited = workers.filter(worker => !worker.isFenced && !isGone(worker) && !hasNoEarlierStarts(state, worker, nowMs));
+	const awaited = workers.filter(worker => !worker.isFenced && !isGone(worker) && !hasNoEarlierStarts(state, worker));
 	const areAllKnown = awaited.length === 0 && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
 	const mayHoldLongLease = (worker: WorkerRecord): boolean => !worker.isFenced
 		&& (lastEarlierCallAtMs(worker) ?? Number.NEGATIVE_INFINITY) >= earlierOrdersOverAtMs
--- a/packages/scheduler/tests/takeover-with-leavers.test.ts
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -6,6 +6,7 @@
 	reduceScheduler, type SchedulerEffect, SchedulerState, type WorkerEntry,
 } from '../src/index.js';
 import {areEarlierStartsKnown} from '../src/core/handover.js';
+import {type TaskRun} from '../src/core/records.js';
 import {type EventBody} from './support/event-body.js';
 import {listOpenStarts, noteNaming} from './support/handover-notes.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
@@ -272,6 +273,31 @@
 		expect(listOpenStarts(holder.state, orderedAtMs + 15_000)).toEqual([]);
 	});
 
+	test('a worker that may just have come back is passed over only by a list of machines that was asked for when lists name it', () => {
+		const holder = new NewHolder();
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: {openStarts: [{workerId: 'gone', forMs: 500}], unknownForMs: 0}}, 10);
+		holder.report('here', 20);
+		holder.list(400);
+		holder.dispatch({type: 'tick'}, 520);
+		expect(holder.state.isSettled).toBe(false);
+		holder.list(525);
+		holder.dispatch({type: 'tick'}, 545);
+		expect(holder.state.isSettled).toBe(true);
+	});
+
+	test('a worker whose start was answered late may have come back just before the answer', () => {
+		const holder = new NewHolder(['here']);
+		expect(holder.takeOver({note: noteNaming()})).toBe(true);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {acceptedWallMs: wallOffsetMs + 80, steps: [stepOf({taskCount: 1})]}))]}, 90);
+		holder.dispatch({type: 'tick'}, 100);
+		const [{taskKey, attempt}] = [...holder.state.workers.get('here')!.runs.values()] as [TaskRun];
+		holder.dispatch({
+			type: 'startAnswered', fencingToken: 5, workerId: 'here', taskKey, attempt, answer: 'started',
+		}, 900);
+		expect(listOpenStarts(holder.state, 1899)).toEqual(['here']);
+		expect(listOpenStarts(holder.state, 1900)).toEqual([]);
+	});
+
 	test('the log names each second the workers that the takeover waits for, and first among those unheard as it is settled', () => {
 		const holder = new NewHolder(['left', 'here', 'gone']);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming('gone')}, 0);
