Late starts are forgotten once they cannot come any more

What an operator would see: the memory of a holder grows slowly in a long term. Cause: since lateStarts() no longer deletes what is over, each worker from which a start was removed without an answer stayed in the list until the term ended; a machine that moves gets a worker with a new id. Change: entries that are over are deleted as one is added. Test: the last but two of takeover-with-leavers.test.ts, which failed before.

--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -288,6 +288,12 @@
 		}
 
 		if (run.mayArrive) {
+			for (const [workerId, untilMs] of this.#lateStartsUntilMs) {
+				if (nowMs >= untilMs) {
+					this.#lateStartsUntilMs.delete(workerId);
+				}
+			}
+
 			this.#lateStartsUntilMs.set(worker.entry.workerId, Math.max(run.orderedAtMs + maxCallDelayMs, this.#lateStartsUntilMs.get(worker.entry.workerId) ?? 0));
 		}
 
--- a/packages/scheduler/tests/takeover-with-leavers.test.ts
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -298,6 +298,30 @@
 		expect(listOpenStarts(holder.state, 1900)).toEqual([]);
 	});
 
+	test('late starts that cannot come any more are not kept', () => {
+		const holder = new NewHolder(['here']);
+		expect(holder.takeOver({note: noteNaming()})).toBe(true);
+		const removeUnanswered = (number: number, nowMs: number): void => {
+			holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(number, {acceptedWallMs: wallOffsetMs + nowMs, steps: [stepOf({taskCount: 1})]}))]}, nowMs);
+			holder.dispatch({type: 'tick'}, nowMs + 10);
+			const worker = [...holder.state.workers.values()].find(({runs}) => runs.size > 0)!;
+			const [{taskKey, attempt}] = [...worker.runs.values()] as [TaskRun];
+			holder.dispatch({
+				type: 'startAnswered', fencingToken: 5, workerId: worker.entry.workerId, taskKey, attempt, answer: 'unknown',
+			}, nowMs + 1000);
+			holder.report(worker.entry.workerId, nowMs + 10_000);
+			holder.dispatch({type: 'jobsChanged', changes: [{type: 'cancelled', jobId: jobOf(number).jobId, rowKey: `cancel-${number}`}]}, nowMs + 10_005);
+		};
+
+		removeUnanswered(1, 100);
+		expect([...holder.state.lateStarts()]).toEqual([['here', 15_110]]);
+		holder.register(20_000, ['here', 'there']);
+		holder.report('there', 20_010);
+		holder.dispatch({type: 'workersListed', workers: [...holder.state.workers.values()].map(({entry}) => ({...entry, isDraining: entry.workerId === 'here'}))}, 20_020);
+		removeUnanswered(2, 20_100);
+		expect([...holder.state.lateStarts()]).toEqual([['there', 35_110]]);
+	});
+
 	test('the log names each second the workers that the takeover waits for, and first among those unheard as it is settled', () => {
 		const holder = new NewHolder(['left', 'here', 'gone']);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming('gone')}, 0);
