Soak: workers that leave, larger daemons that return, ends that count once listed

The soak played no workers that leave by themselves, no yield to a larger daemon, and no rolling restart beside a wave. Its check TWICE judged acknowledged ends, and ends lost by an order for a machine.

An end lost by an order for its machine counts beside disruptions too, as before.
Starts after other ends are counted by reason, in lines that judge nothing.
- Troubles `leave`, `replace`, `bigreturn` and `rolling`, drawn only where they are named; `configure` has keys that come and go, and jobs on the route that does.
- Each daemon is asked for counts of queues that never existed; the record says which answers its log shows.
- The record has the ends that are listed and not acknowledged at each write of a lease.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -4,7 +4,7 @@
 import {type Deployment} from './deployment.js';
 import {type LastingSteps, type Span} from './lasting-steps.js';
 import {
-	isLasting, isNoted, isOrderedAwayUnstored, type Job, type Look, occurrencesOf, parseTask, type Run,
+	isLasting, isListedLongAndLost, isNoted, type Job, type Look, occurrencesOf, parseTask, type Run,
 } from './ledger.js';
 import {bounds, maxAttempts, workerCapacity} from './settings.js';
 import {type Troubles} from './troubles.js';
@@ -34,12 +34,13 @@
 /** Time after which an answer about an ended job is no longer owed. */
 const statusMs = bounds.status_s * 1000;
 
-const describeAcknowledgement = ({deployment: {record}}: Evidence, {notedAtMs, orderedAwayAtMs}: Run): string => {
+const describeAcknowledgement = ({deployment: {record}}: Evidence, {notedAtMs, listedAtMs, lostAtMs, lostBy}: Run): string => {
 	if (notedAtMs !== undefined) {
 		return `acknowledged at ${record.secondsAt(notedAtMs)}`;
 	}
 
-	return orderedAwayAtMs === undefined ? 'not acknowledged' : `machine ordered away at ${record.secondsAt(orderedAwayAtMs)}`;
+	const listing = listedAtMs === undefined ? 'not listed' : `listed at ${record.secondsAt(listedAtMs)} and not acknowledged`;
+	return lostAtMs === undefined ? listing : `${listing}, worker ${lostBy} at ${record.secondsAt(lostAtMs)}`;
 };
 
 const describeRun = (evidence: Evidence, run: Run): string => {
@@ -54,14 +55,20 @@
 
 const jobOf = ({deployment: {ledger}}: Evidence, run: Run): Job | undefined => ledger.jobs.get(parseTask(run.task).id);
 
-/** Two runs of one task at once, or a start after an end `done` that is acknowledged then or later, or was lost with a machine that was ordered away. */
+/** Whether an end that was listed for 100 ms counts though its worker went with it: if the daemons ordered the machine away, or if the worker left by itself with nothing but planned work near. A crash is a disruption. */
+const countsThoughLost = ({troubles}: Evidence, run: Run): boolean => isListedLongAndLost(run)
+	&& (run.lostBy === 'ordered away' || (run.lostBy === 'left' && troubles.hasOnlyPlannedWork(run.listedAtMs!, run.lostAtMs!)));
+
+const isTakenNoteOf = (evidence: Evidence, run: Run): boolean => isNoted(run) || countsThoughLost(evidence, run);
+
+/** Two runs of one task at once, or a start after an end `done` that is taken note of then or later. */
 const checkTwice: Check = evidence => {
 	const {ledger} = evidence.deployment;
 	const broken: string[] = [];
 	for (const runs of ledger.runsByTask.values()) {
 		for (const run of runs) {
 			const earlier = runs.find(other => other !== run && other.startedAtMs <= run.startedAtMs && (other.endedAtMs ?? Number.POSITIVE_INFINITY) > run.startedAtMs);
-			const done = runs.find(other => other.how === 'done' && (isNoted(other) || isOrderedAwayUnstored(other)) && other.endedAtMs! < run.startedAtMs);
+			const done = runs.find(other => other.how === 'done' && isTakenNoteOf(evidence, other) && other.endedAtMs! < run.startedAtMs);
 			if (earlier !== undefined) {
 				broken.push(`two at once: ${describeRun(evidence, earlier)}; ${describeRun(evidence, run)}`);
 			} else if (done !== undefined) {
@@ -274,6 +281,32 @@
 	};
 };
 
+/** Why nobody had to take note of an end. */
+const reasonNotTaken = (run: Run): string => {
+	if (run.hasLapsed) {
+		return 'with a lease that lapsed';
+	}
+
+	const loss = `on a worker that ${run.lostBy === undefined ? 'is there' : (run.lostBy === 'ordered away' ? 'was ordered away' : run.lostBy)}`;
+	return isListedLongAndLost(run) ? `listed for 100 ms, ${loss}` : `not listed for 100 ms, ${loss}`;
+};
+
+/** Starts after an end `done` that the check TWICE passes over, counted by the reason. No rule is judged by them. */
+export const startsAfterOtherEnds = (evidence: Evidence): ReadonlyMap<string, number> => {
+	const counts = new Map<string, number>();
+	for (const runs of evidence.deployment.ledger.runsByTask.values()) {
+		for (const run of runs) {
+			const ends = runs.filter(({how, endedAtMs}) => how === 'done' && endedAtMs! < run.startedAtMs);
+			if (ends.length > 0 && !ends.some(end => isTakenNoteOf(evidence, end))) {
+				const reason = reasonNotTaken(ends[0]!);
+				counts.set(reason, (counts.get(reason) ?? 0) + 1);
+			}
+		}
+	}
+
+	return counts;
+};
+
 export const checks: Readonly<Record<string, Check>> = {
 	TWICE: checkTwice,
 	ORDER: checkOrder,
--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -10,6 +10,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PoplarnotchError} from '@poplarnotch/common';
+import {Counts} from './counts.js';
 import {KeepAliveClients} from './http.js';
 import {type Record} from './record.js';
 import {
@@ -42,7 +43,9 @@
 
 export class Daemon {
 	readonly name: string;
+	readonly cpuShare: number;
 	readonly clients: KeepAliveClients;
+	readonly counts: Counts;
 	/** Set while a trouble stops, ends or restarts the process. */
 	isDisturbed = false;
 	/** Ends of the process that the soak did not cause, and starts after which it did not become ready. */
@@ -59,10 +62,12 @@
 
 	constructor(place: DaemonPlace, folder: string, record: Record) {
 		this.name = place.name;
+		this.cpuShare = place.cpuShare;
 		this.clients = new KeepAliveClients(place.ip, frontPort);
 		this.#probes = new KeepAliveClients(place.ip, readyPort);
 		this.#settingsFile = join(folder, `${place.name}.conf`);
 		this.#logFile = join(folder, `${place.name}.log`);
+		this.counts = new Counts(place.ip, this.#logFile);
 		this.#record = record;
 		writeFileSync(this.#settingsFile, settingsTextOf(place));
 	}
@@ -148,6 +153,7 @@
 		this.#isEndExpected = true;
 		clearInterval(this.#probeTimer);
 		void this.clients.close();
+		void this.counts.close();
 		void this.#probes.close();
 		this.#child?.kill('SIGKILL');
 	}
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -16,6 +16,7 @@
 import {Record} from './record.js';
 import {readyPort, zones} from './settings.js';
 import {Store} from './store.js';
+import {type Traffic} from './traffic.js';
 
 const networks = 200;
 
@@ -40,6 +41,7 @@
 	readonly busyProcesses: BusyProcesses;
 	readonly daemons: Daemon[] = [];
 	lastingSteps: LastingSteps | undefined;
+	traffic: Traffic | undefined;
 	readonly #options: DeploymentOptions;
 	readonly #lifecycle: LifecycleManager;
 	#machines: Machines | undefined;
@@ -112,6 +114,10 @@
 			throw new SoakError(`${ready.filter(isReady => !isReady).length} daemons are not ready`);
 		}
 
+		this.store.onLeaseWritten = (daemon, ver) => {
+			this.record.add(`lease written by ${daemon}, version ${ver}: ${machines.describeListedEnds()}`);
+		};
+
 		this.record.add('all daemons are ready');
 	}
 
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -1,7 +1,7 @@
 /**
 What the soak's own clients and workers have seen: jobs with their answers, and the runs of tasks. The checks judge by nothing else.
 */
-import {type customers, type queues} from './settings.js';
+import {type customers, type Queue} from './settings.js';
 import {WakeUp} from './wake-up.js';
 
 /** A step of a job, as it is sent. Fields are named by the users' page. */
@@ -28,7 +28,7 @@
 export type Job = {
 	readonly id: string;
 	readonly body: JobBody;
-	readonly queue: typeof queues[number];
+	readonly queue: Queue;
 	readonly customer: typeof customers[number];
 	readonly workMs: number;
 	/** How often the runs of the first task of each occurrence fail before one ends done. */
@@ -43,6 +43,9 @@
 	cancelledAtMs: number | undefined;
 };
 
+/** How a worker goes: by an order for its machine, by itself after it has drained, or by a crash. */
+export type Loss = 'ordered away' | 'left' | 'crashed';
+
 /** A start that a worker has carried out. */
 export type Run = {
 	readonly task: string;
@@ -66,8 +69,9 @@
 	hasLapsed: boolean;
 	/** When an answer of the worker first listed the end. */
 	listedAtMs: number | undefined;
-	/** When an order for the machine ended its worker, which kept the end. */
-	orderedAwayAtMs: number | undefined;
+	/** When and how its worker went, which kept the end until then. */
+	lostAtMs: number | undefined;
+	lostBy: Loss | undefined;
 };
 
 /** An answer to a GET for a job. */
@@ -107,14 +111,16 @@
 /** By the users' rules an end counts as acknowledged this long after its worker has listed it. */
 const notedAfterListingMs = 100;
 
-/** An end that a holder had time to store, and whose worker was ordered away before it was acknowledged. */
-export const isOrderedAwayUnstored = ({notedAtMs, hasLapsed, listedAtMs = Number.POSITIVE_INFINITY, orderedAwayAtMs = Number.NEGATIVE_INFINITY}: Run): boolean =>
-	notedAtMs === undefined && !hasLapsed && listedAtMs + notedAfterListingMs <= orderedAwayAtMs;
+/** An end that was listed for so long, and went with its worker before it was acknowledged. */
+export const isListedLongAndLost = ({notedAtMs, hasLapsed, listedAtMs = Number.POSITIVE_INFINITY, lostAtMs = Number.NEGATIVE_INFINITY}: Run): boolean =>
+	notedAtMs === undefined && !hasLapsed && listedAtMs + notedAfterListingMs <= lostAtMs;
 
 export class Ledger {
 	readonly jobs = new Map<string, Job>();
 	/** Woken when the last task of an accepted job has ended done. */
 	readonly jobEnds = new WakeUp();
+	/** Woken when a worker has answered a holder with its lists. */
+	readonly listings = new WakeUp();
 	readonly runsByTask = new Map<string, Run[]>();
 	readonly looks: Look[] = [];
 	/** Answers that no client of a valid queue with a valid key may get. */
--- a/soak/machines.ts
+++ b/soak/machines.ts
@@ -7,6 +7,7 @@
 import {SystemClock, z} from '@poplarnotch/common';
 import {TokenBucket} from '@poplarnotch/standin';
 import {type Answer, type Call, JsonServer} from './http.js';
+import {type Loss} from './ledger.js';
 import {
 	bounds, machineRates, pools, standbyPool, workerCapacity, zones,
 } from './settings.js';
@@ -27,7 +28,7 @@
 	readonly zone: string;
 	readonly rack: string;
 	pool: string;
-	state: 'up' | 'moving' | 'upkeep';
+	state: 'up' | 'moving' | 'upkeep' | 'down';
 	worker: Worker | undefined;
 	/** Number of workers that it has had. */
 	lives: number;
@@ -37,6 +38,17 @@
 	readonly waves: number[];
 };
 
+/** How a worker leaves by itself, and another one follows on its machine. */
+export type Departure = {
+	readonly noticeMs: number;
+	/** Time after which what it runs ends. */
+	readonly endsInMs: number;
+	/** Time until the next worker joins. */
+	readonly awayMs: number;
+	/** Whether the next worker has its address. */
+	readonly keepsAddress: boolean;
+};
+
 type SharedOptions = Omit<WorkerOptions, 'id' | 'service' | 'zone' | 'rack' | 'beforeStart'>;
 
 export class Machines {
@@ -94,6 +106,12 @@
 		}, heartbeatMs));
 	}
 
+	/** The ends that workers have listed and no holder has acknowledged. */
+	describeListedEnds(): string {
+		const ages = this.workers.flatMap(({listedEnds}) => listedEnds).map(({listedAtMs}) => performance.now() - listedAtMs!);
+		return `${ages.length} ends are listed and not acknowledged, the oldest for ${Math.round(Math.max(0, ...ages))} ms`;
+	}
+
 	close(): void {
 		this.#isClosed = true;
 		for (const timer of this.#timers) {
@@ -106,6 +124,18 @@
 		}
 	}
 
+	/** The worker drains and leaves; another one joins its machine. Resolves then. */
+	async replace(worker: Worker, {noticeMs, endsInMs, awayMs, keepsAddress}: Departure): Promise<void> {
+		const machine = this.#machines.find(each => each.worker === worker);
+		if (machine !== undefined && !this.#isClosed) {
+			worker.drain(noticeMs, endsInMs);
+			await sleep(noticeMs);
+			await this.#leave(machine, {
+				state: 'down', loss: 'left', awayMs, port: keepsAddress ? worker.port : 0,
+			});
+		}
+	}
+
 	/** The wave is said to be completed. */
 	noteCompleted(wave: number, ids: readonly string[]): void {
 		this.#options.record.add(`wave ${wave} is said to be completed`);
@@ -119,7 +149,7 @@
 		}
 	}
 
-	async #join(machine: Machine): Promise<void> {
+	async #join(machine: Machine, port = 0): Promise<void> {
 		const {id, pool, zone, rack} = machine;
 		if (pool !== standbyPool && !this.#isClosed) {
 			machine.lives++;
@@ -129,7 +159,7 @@
 					this.#advance();
 				},
 			});
-			await worker.start();
+			await worker.start(port);
 			machine.worker = worker;
 			if (this.#isClosed) {
 				worker.end();
@@ -180,14 +210,14 @@
 			return {status: 200, body: {}};
 		}
 
-		if (this.#stateOf(machine) !== 'up') {
+		if (this.#stateOf(machine) !== 'up' || machine.worker?.isDraining) {
 			return {status: 409, body: {reason: 'busy'}};
 		}
 
 		if (isMove) {
 			this.orders.moves++;
 			machine.pool = pool!;
-			void this.#leave(machine, 'moving', bounds.move_s);
+			void this.#leave(machine, {state: 'moving', loss: 'ordered away', awayMs: bounds.move_s * 1000});
 		} else {
 			const away = this.#machines.filter(({state, waves}) => state === 'upkeep' && waves.at(-1) === wave);
 			if (away.length >= order!.cap) {
@@ -196,27 +226,27 @@
 
 			this.orders.upkeeps++;
 			machine.waves.push(wave!);
-			void this.#leave(machine, 'upkeep', bounds.upkeep_s);
+			void this.#leave(machine, {state: 'upkeep', loss: 'ordered away', awayMs: bounds.upkeep_s * 1000});
 		}
 
 		return {status: 200, body: {}};
 	}
 
 	/** Ends the machine's worker at once; a new one joins later. */
-	async #leave(machine: Machine, state: Machine['state'], awayS: number): Promise<void> {
+	async #leave(machine: Machine, {state, loss, awayMs, port}: {readonly state: Machine['state']; readonly loss: Loss; readonly awayMs: number; readonly port?: number}): Promise<void> {
 		const {worker} = machine;
 		machine.state = state;
 		machine.worker = undefined;
 		if (worker !== undefined) {
-			worker.endByOrder();
+			worker.endFor(loss);
 			this.#endedFence = Math.max(this.#endedFence, worker.fence);
 			setTimeout(() => {
 				worker.unregister();
-			}, registrationMs).unref();
+			}, loss === 'left' ? 0 : registrationMs).unref();
 		}
 
-		await sleep(awayS * 1000);
-		await this.#join(machine);
+		await sleep(awayMs);
+		await this.#join(machine, port);
 	}
 
 	#stateOf({state, worker}: Machine): string {
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -42,13 +42,20 @@
 		this.#record.add(`operator: configuration ${this.#version} ${JSON.stringify(variant)}`);
 	}
 
-	/** Writes several versions in quick succession, some of them with a route that is new. */
-	async configureOften(random: RandomSource): Promise<void> {
+	/** Writes several versions in quick succession, with a route and keys that come and go. `useRoute` is called each time that the route is there. */
+	async configureOften(random: RandomSource, useRoute: () => void): Promise<void> {
 		for (let left = drawBetween(random, minVersions, maxVersions); left > 0; left--) {
-			this.configure({
+			const variant: Variant = {
 				weightFactor: drawBetween(random, 1, 4), timeoutMs: drawBetween(random, 2500, 5000), idleTimeoutMs: drawBetween(random, 8000, 20_000), hasAddedRoute: random.next() < 0.5,
-			}, drawBetween(random, 1, maxVersionStep));
-			await sleep(random.next() * maxPauseMs);
+			};
+			const step = drawBetween(random, 1, maxVersionStep);
+			const pauseMs = random.next() * maxPauseMs;
+			this.configure({...variant, hasAddedKeys: random.next() < 0.5}, step);
+			if (variant.hasAddedRoute) {
+				useRoute();
+			}
+
+			await sleep(pauseMs);
 		}
 	}
 
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -25,12 +25,21 @@
 /** Limits of the calls to the machines' interface, for all daemons together. */
 export const machineRates = {ordersPerSecond: 64, readingsPerSecond: 64} as const;
 
+export type Queue = {
+	readonly name: string;
+	readonly host: string;
+	readonly prefix: string;
+};
+
 /** Each queue has a service of its own, with the same name. */
 export const queues = [
 	{name: 'draws', host: 'draws.example', prefix: '/draws/'},
 	{name: 'lists', host: 'lists.example', prefix: '/lists/'},
 ] as const;
 
+/** A route that comes and goes, to the workers of the first queue. */
+export const addedQueue: Queue = {name: queues[0].name, host: 'added.example', prefix: '/added/'};
+
 /** The service whose machines are off. */
 export const standbyPool = 'spare';
 
@@ -54,24 +63,26 @@
 	readonly weightFactor?: number;
 	readonly timeoutMs?: number;
 	readonly idleTimeoutMs?: number;
-	/** Whether there is one more route, which carries no traffic. */
+	/** Whether there is one more route. */
 	readonly hasAddedRoute?: boolean;
+	/** Whether each customer has one more key. */
+	readonly hasAddedKeys?: boolean;
 };
 
 /** The configuration. The operator writes the first one before the daemons start. */
-export const configurationOf = (version: number, {weightFactor = 1, timeoutMs = 3000, idleTimeoutMs = 15_000, hasAddedRoute = false}: Variant) => {
+export const configurationOf = (version: number, {weightFactor = 1, timeoutMs = 3000, idleTimeoutMs = 15_000, hasAddedRoute = false, hasAddedKeys = false}: Variant) => {
 	const routes = queues.map(({name, host, prefix}) => ({
 		name, host, prefix, service: name, priority: 0, max_attempts: maxAttempts, slo_factor: 2, slo_ms: 600, timeout_ms: timeoutMs,
 	}));
 	const added = {
-		...routes[0], name: 'added', host: 'added.example', prefix: '/added/',
+		...routes[0], name: 'added', host: addedQueue.host, prefix: addedQueue.prefix,
 	};
 	return {
 		version,
 		routes: hasAddedRoute ? [...routes, added] : routes,
 		services: [...queues.map(({name}) => ({name, admission_check: false})), {name: standbyPool, admission_check: false, standby: true}],
 		tenants: customers.map(({name, key, weight}, index) => ({
-			name, api_keys: [key], weight: index === 0 ? weight * weightFactor : weight, cap: {cpu: 10_000_000, mem_mb: 0, gpu: 0},
+			name, api_keys: hasAddedKeys ? [key, `added-${key}`] : [key], weight: index === 0 ? weight * weightFactor : weight, cap: {cpu: 10_000_000, mem_mb: 0, gpu: 0},
 		})),
 		limits: {
 			header_bytes: 16_384, body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: idleTimeoutMs,
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -3,7 +3,8 @@
 */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type LifecycleManager, SeededRandom, withTimeLimit} from '@poplarnotch/common';
-import {checks, type Evidence} from './checks.js';
+import {checks, type Evidence, startsAfterOtherEnds} from './checks.js';
+import {askForCounts, describeCounts} from './counts.js';
 import {Deployment, type DeploymentOptions} from './deployment.js';
 import {LastingSteps} from './lasting-steps.js';
 import {type Job, type Look} from './ledger.js';
@@ -60,6 +61,8 @@
 		return [`  ${result} ${rule} (${judged} ${what}, ${broken.length} broken)`, ...shown];
 	});
 	const failed = results.filter(({broken}) => broken.length > 0).length;
+	const others = [...startsAfterOtherEnds(evidence)].map(([reason, count]) => `  seen   ${count} starts after an end as done that nobody had to take note of, ${reason}`);
+	lines.push(...others, ...describeCounts(evidence.deployment.daemons).map(text => `  seen   ${text}`));
 	return {passed: results.filter(({judged, broken}) => judged > 0 && broken.length === 0).length, failed, lines};
 };
 
@@ -78,6 +81,8 @@
 		random: randomOf(seed, 'lastingSteps'), record: deployment.record, submit: async (id, taskCount) => traffic.submitLasting(id, taskCount),
 	});
 	deployment.lastingSteps = lastingSteps;
+	deployment.traffic = traffic;
+	lifecycle.own('counts', askForCounts(deployment));
 	const disturbed = Promise.all([troubles.play(options.troubles, series, durationMs), lastingSteps.play(durationMs)]);
 	await sleep(durationMs);
 	traffic.stop();
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -10,7 +10,9 @@
 	isLasting, type Job, type JobBody, type Look, type Step,
 } from './ledger.js';
 import {type Deployment} from './deployment.js';
-import {customers, maxAttempts, queues} from './settings.js';
+import {
+	addedQueue, customers, maxAttempts, queues,
+} from './settings.js';
 
 const maxSubmissions = 4;
 const maxCancels = 10;
@@ -32,6 +34,14 @@
 const images = ['left', 'right'] as const;
 const firstId = 0xA0_00_00_00;
 
+/** Jobs that are handed in at once on the route that comes and goes, and their work. */
+const addedJobs = 4;
+const firstAddedId = 0xC0_00_00_00;
+const addedWorkMs = 400;
+const addedStep: Step = {
+	count: 4, cpu: 1500, mem_mb: 500, estimate_ms: addedWorkMs,
+};
+
 /** What is known of a job that was not sent yet. */
 const notSent = {
 	refusals: 0, otherAnswers: 0, acceptedAtMs: undefined, cancelSentAtMs: undefined, cancelledAtMs: undefined,
@@ -50,6 +60,7 @@
 	readonly #timers: NodeJS.Timeout[] = [];
 	readonly #pending: Array<Promise<void>> = [];
 	readonly #jobs: Job[] = [];
+	#addedJobs = 0;
 
 	constructor(deployment: Deployment, jobRandom: RandomSource, callRandom: RandomSource) {
 		this.#deployment = deployment;
@@ -89,6 +100,19 @@
 		return job;
 	}
 
+	/** Hands jobs in on the route that comes and goes. None is owed: with its route, the daemons may forget a job. */
+	submitAdded(): void {
+		for (let left = addedJobs; left > 0; left--) {
+			const id = (firstAddedId + this.#addedJobs++).toString(16).padStart(16, '0');
+			const job: Job = {
+				...notSent, id, queue: addedQueue, customer: customers[0], workMs: addedWorkMs, failures: 0, cancelAfterMs: undefined, cancelSentAtMs: performance.now(),
+				body: {spec: `added,number=${this.#addedJobs}`, phases: [addedStep, {...addedStep, after: [0]}]},
+			};
+			this.#deployment.ledger.jobs.set(id, job);
+			this.#follow(this.#submit(job).then(() => undefined));
+		}
+	}
+
 	/** Resolves once all clients have their answers. */
 	async finish(): Promise<void> {
 		await Promise.all(this.#pending);
@@ -240,7 +264,8 @@
 		const {state = ''} = (received.body ?? {}) as {readonly state?: string};
 		const text = `${method} ${job.id} at ${daemon.name}: ${received.status === 0 ? 'no answer' : received.status} ${state}`;
 		record.add(`client: ${text}`);
-		if (!validAnswers.has(received.status) && !(received.status === 410 && method !== 'POST')) {
+		const isOfMissingRoute = job.queue === addedQueue && received.status === 404;
+		if (!validAnswers.has(received.status) && !isOfMissingRoute && !(received.status === 410 && method !== 'POST')) {
 			ledger.oddAnswers.push(text);
 		}
 
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -6,6 +6,7 @@
 import {type Daemon} from './daemons.js';
 import {type Deployment} from './deployment.js';
 import {drawBetween} from './draws.js';
+import {type Departure} from './machines.js';
 import {bounds, zones} from './settings.js';
 import {type Refusal} from './store.js';
 import {type Worker} from './worker.js';
@@ -77,6 +78,22 @@
 const maxTermMs = 1500;
 const holderPollMs = 10;
 
+/** Notice of a worker that leaves soon, and of others; time before it leaves at which what it runs ends. */
+const shortNoticeMs = 2000;
+const minNoticeMs = 2500;
+const maxNoticeMs = 5000;
+const minEndLeadMs = 110;
+const maxEndLeadMs = 400;
+const maxEndSpreadMs = 40;
+const maxAfterListingMs = 60;
+const minAwayMs = bounds.addr_reuse_s * 1000;
+const maxAwayMs = minAwayMs + 1500;
+
+/** Time from one daemon's SIGTERM to that of the next, and the longest time from the return of one large daemon to that of another. */
+const minTurnMs = 800;
+const maxTurnMs = 2000;
+const maxReturnSpreadMs = 1500;
+
 /** Applies a change at once and takes it back at the end. */
 const change = (apply: (isOn: boolean) => void, scope: Omit<Begun, 'end'>): Begun => {
 	apply(true);
@@ -147,7 +164,7 @@
 	}, [holder]),
 ];
 
-const mayCrash = ({isUp, isUnderLateCalls, hasLateCalls}: Worker): boolean => isUp && !isUnderLateCalls && !hasLateCalls;
+const mayCrash = ({isUp, isDraining, isUnderLateCalls, hasLateCalls}: Worker): boolean => isUp && !isDraining && !isUnderLateCalls && !hasLateCalls;
 
 /** Leaves starts, and perhaps stops and polls, unanswered until the worker crashes; half of the time, cuts the worker off soon after its return. Resolves once all calls are carried out. */
 const crashUnderCalls = async (worker: Worker, random: RandomSource): Promise<void> => {
@@ -225,6 +242,73 @@
 	await Promise.all(restarts);
 };
 
+/** Ends the holder just after one of the workers has told it of ends that are not acknowledged. Resolves once it is back. */
+const endHolderAfterListing = async ({deployment, random}: Field, workers: readonly Worker[], untilMs: number): Promise<void> => {
+	const afterListingMs = random.next() * maxAfterListingMs;
+	while (performance.now() < untilMs && workers.every(({listedEnds}) => listedEnds.length === 0)) {
+		await deployment.ledger.listings.wait(untilMs - performance.now());
+	}
+
+	await sleep(afterListingMs);
+	const {holder} = deployment;
+	if (holder !== undefined && !holder.isDisturbed) {
+		await terminateAndRestart(holder);
+	}
+};
+
+/** Some workers drain and leave with ends that were listed just before, and others follow; half of the time the holder is ended between the two. */
+const replaceWorkers = (field: Field, keepsAddress: boolean): Begun => {
+	const {deployment, random} = field;
+	const noticeMs = random.next() < 0.5 ? shortNoticeMs : drawBetween(random, minNoticeMs, maxNoticeMs);
+	const endLeadMs = drawBetween(random, minEndLeadMs, maxEndLeadMs);
+	const hasHandover = random.next() < 0.5;
+	const workers = pickWorkers(field).filter(worker => mayCrash(worker));
+	const leave = async (worker: Worker): Promise<void> => {
+		const departure: Departure = {
+			noticeMs, endsInMs: noticeMs - endLeadMs - drawBetween(random, 0, maxEndSpreadMs), awayMs: drawBetween(random, minAwayMs, maxAwayMs), keepsAddress,
+		};
+		return deployment.machines.replace(worker, departure);
+	};
+
+	const work: Array<Promise<void>> = workers.map(async worker => leave(worker));
+	if (hasHandover) {
+		const endMs = noticeMs - endLeadMs - maxEndSpreadMs;
+		work.push(sleep(endMs).then(async () => endHolderAfterListing(field, workers, performance.now() + endLeadMs)));
+	}
+
+	return waitFor(Promise.all(work), {workers, daemons: hasHandover ? 'all' : []});
+};
+
+/** Ends all daemons in turn; each is started again. */
+const endInTurn = async ({deployment, random}: Field): Promise<void> => {
+	const restarts: Array<Promise<void>> = [];
+	for (const daemon of deployment.daemons) {
+		const turnMs = drawBetween(random, minTurnMs, maxTurnMs);
+		if (!daemon.isDisturbed) {
+			restarts.push(terminateAndRestart(daemon));
+		}
+
+		await sleep(turnMs);
+	}
+
+	await Promise.all(restarts);
+};
+
+/** Ends all daemons with the larger share of the processor, so that one with a smaller share holds the lease until they are back. */
+const endLargeDaemons = ({deployment: {daemons}, random}: Field): Begun => {
+	const largestShare = Math.max(...daemons.map(({cpuShare}) => cpuShare));
+	const large = daemons.filter(({cpuShare, isDisturbed}) => cpuShare === largestShare && !isDisturbed);
+	const restarts = large.map(daemon => restart(daemon, daemon.terminate()));
+	return {
+		daemons: 'all', async end() {
+			await Promise.all(restarts.map(async ({end}) => {
+				await sleep(random.next() * maxReturnSpreadMs);
+				await end();
+			}));
+		},
+	};
+};
+
 export const troubleKinds: Readonly<Record<string, Begin>> = {
 	/** The holder and those that would follow it are stopped together. */
 	race({deployment, holder}) {
@@ -283,7 +367,7 @@
 	},
 	/** The same, also to workers to which calls of before an earlier crash are still under way. */
 	crashagain(field) {
-		const workers = pickWorkers(field).filter(({isUp}) => isUp);
+		const workers = pickWorkers(field).filter(({isUp, isDraining}) => isUp && !isDraining);
 		return waitFor(Promise.all(workers.map(async worker => crashUnderCalls(worker, field.random))), {workers});
 	},
 	/** Registrations of workers that run on and answer are removed; half of the time the holder is lost as well. */
@@ -327,8 +411,10 @@
 		return holder === undefined || holder.isDisturbed ? undefined : lose(deployment, holder);
 	},
 	/** New versions of the configuration come in quick succession. */
-	configure({deployment: {operator}, random}) {
-		const written = operator.configureOften(random);
+	configure({deployment: {operator, traffic}, random}) {
+		const written = operator.configureOften(random, () => {
+			traffic?.submitAdded();
+		});
 		return {
 			isRoutine: true,
 			async end() {
@@ -339,10 +425,21 @@
 	},
 	/** Some machines are due for upkeep. */
 	wave: ({deployment: {operator}, random}) => waitFor(operator.orderWave(random), {}),
+	/** Some workers drain and leave; others come to their machines at other addresses. */
+	leave: field => replaceWorkers(field, false),
+	/** The same, with others that come to their addresses. */
+	replace: field => replaceWorkers(field, true),
+	/** A daemon with a smaller share of the processor holds the lease, and yields it as the larger ones are back. */
+	bigreturn: field => endLargeDaemons(field),
+	/** All daemons are ended in turn, beside a wave. */
+	rolling: field => waitFor(Promise.all([field.deployment.operator.orderWave(field.random), endInTurn(field)]), {daemons: 'all'}),
 };
 
-/** Kinds that are drawn only where they are named: they show a fault that is known and not mended. */
-const namedKinds: ReadonlySet<string> = new Set(['crashagain']);
+/** Kinds that are drawn only where they are named: `crashagain` shows a fault that is known and not mended, and the others would change what each seed draws. */
+const namedKinds: ReadonlySet<string> = new Set(['crashagain', 'leave', 'replace', 'bigreturn', 'rolling']);
+
+/** Kinds of work that an operator plans. All others are disruptions. */
+const plannedKinds: ReadonlySet<string> = new Set(['term', 'handovers', 'configure', 'wave', 'leave', 'replace', 'bigreturn', 'rolling']);
 
 export const defaultKinds: readonly string[] = Object.keys(troubleKinds).filter(kind => !namedKinds.has(kind));
 
@@ -379,6 +476,11 @@
 		return this.#near(fromMs, toMs).every(({isRoutine}) => isRoutine);
 	}
 
+	/** Whether there was nothing but planned work in the span and for `contact_ms` before it. */
+	hasOnlyPlannedWork(fromMs: number, toMs: number): boolean {
+		return this.#near(fromMs, toMs).every(({kind}) => plannedKinds.has(kind));
+	}
+
 	#near(fromMs: number, toMs: number): readonly Trouble[] {
 		return this.played.filter(trouble => trouble.fromMs <= toMs && trouble.toMs >= fromMs - bounds.contact_ms);
 	}
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -6,7 +6,7 @@
 import {z} from '@poplarnotch/common';
 import {type Answer, type Call, JsonServer} from './http.js';
 import {
-	type Ledger, parseTask, type Run,
+	type Ledger, type Loss, parseTask, type Run,
 } from './ledger.js';
 import {type Record} from './record.js';
 import {type RowStore} from './row-store.js';
@@ -36,7 +36,7 @@
 type ActiveRun = {
 	readonly run: Run;
 	readonly beganMs: number;
-	readonly endsMs: number;
+	endsMs: number;
 	readonly isFailing: boolean;
 	readonly cpu: number;
 	readonly memoryMb: number;
@@ -90,6 +90,8 @@
 	readonly #options: WorkerOptions;
 	#server: JsonServer | undefined;
 	#isUp = false;
+	/** When the worker may leave, by the steady clock; set while it drains. */
+	#leavesAtMs: number | undefined;
 	#lateCalls = 0;
 	#incarnation = newIncarnation();
 	readonly #ended = new WakeUp();
@@ -114,6 +116,19 @@
 		return this.#isUp;
 	}
 
+	get isDraining(): boolean {
+		return this.#leavesAtMs !== undefined;
+	}
+
+	get port(): number {
+		return this.#server!.port;
+	}
+
+	/** Ends `done` that a holder was told of and has not acknowledged. */
+	get listedEnds(): readonly Run[] {
+		return this.#incarnation.unacknowledged.filter(({how, listedAtMs}) => how === 'done' && listedAtMs !== undefined);
+	}
+
 	/** Calls are still to be carried out late. */
 	get hasLateCalls(): boolean {
 		return this.#lateCalls > 0;
@@ -129,8 +144,8 @@
 	}
 
 	/** Starts an incarnation that knows nothing of earlier ones. */
-	async start(): Promise<void> {
-		this.#server = await JsonServer.listen(this.#options.ip, this.#server?.port ?? 0, async call => this.#answer(call));
+	async start(port = this.#server?.port ?? 0): Promise<void> {
+		this.#server = await JsonServer.listen(this.#options.ip, port, async call => this.#answer(call));
 		this.#incarnation = newIncarnation();
 		this.#isUp = true;
 		this.register();
@@ -139,7 +154,7 @@
 	/** Crashes, and starts again after a while under the same id and address. */
 	async restart(downMs: number): Promise<void> {
 		this.#options.record.add(`${this.id} crashes`);
-		this.end();
+		this.endFor('crashed');
 		await sleep(downMs);
 		await this.start();
 		this.#options.record.add(`${this.id} starts again`);
@@ -157,20 +172,33 @@
 		this.#incarnation.active.clear();
 	}
 
-	/** Ends because of an order for its machine. */
-	endByOrder(): void {
+	/** Ends, and takes the ends along that are not acknowledged. */
+	endFor(loss: Loss): void {
 		for (const run of this.#incarnation.unacknowledged) {
-			run.orderedAwayAtMs = performance.now();
+			run.lostAtMs = performance.now();
+			run.lostBy = loss;
 		}
 
+		this.#options.record.add(`${this.id} is gone, ${loss}, with ${this.#incarnation.unacknowledged.length} ends that are not acknowledged`);
 		this.end();
 	}
 
+	/** Reports that it drains, and serves on. What is at work, and does not last, ends after `endsInMs`. */
+	drain(noticeMs: number, endsInMs: number): void {
+		this.#leavesAtMs = performance.now() + noticeMs;
+		this.#options.record.add(`${this.id} drains, and leaves in ${noticeMs} ms`);
+		for (const active of this.#incarnation.active.values()) {
+			active.endsMs = active.endsMs === Number.POSITIVE_INFINITY ? active.endsMs : this.#clockMs + endsInMs;
+		}
+
+		this.register();
+	}
+
 	register(): void {
 		if (this.#isUp && !this.isUnregistered) {
 			this.#incarnation.registrations++;
 			this.#options.rows.put('servers', this.id, {
-				service: this.#options.service, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, state: 'ready', cold_left_ms: 0,
+				service: this.#options.service, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, ...this.#stateFields, cold_left_ms: 0,
 				capacity: workerCapacity, labels: this.labels, seq: this.#incarnation.registrations, born: this.#incarnation.bornWallMs,
 			});
 		}
@@ -201,6 +229,10 @@
 		}
 	}
 
+	get #stateFields(): {readonly state: string; readonly remaining_ms?: number} {
+		return this.#leavesAtMs === undefined ? {state: 'ready'} : {state: 'draining', remaining_ms: Math.max(0, Math.floor(this.#leavesAtMs - performance.now()))};
+	}
+
 	get #clockMs(): number {
 		return Math.floor(performance.now() - this.#incarnation.bornAtMs);
 	}
@@ -344,7 +376,7 @@
 		const run: Run = {
 			task, attempt, spec, fence, worker: this.id, service: this.#options.service, startedAtMs: performance.now(),
 			usedCpu: others.reduce((sum, other) => sum + other.cpu, cpu), usedMemoryMb: others.reduce((sum, other) => sum + other.memoryMb, memoryMb),
-			endedAtMs: undefined, how: undefined, sequence: undefined, notedAtMs: undefined, hasLapsed: false, listedAtMs: undefined, orderedAwayAtMs: undefined,
+			endedAtMs: undefined, how: undefined, sequence: undefined, notedAtMs: undefined, hasLapsed: false, listedAtMs: undefined, lostAtMs: undefined, lostBy: undefined,
 		};
 		this.#incarnation.active.set(task, {
 			run, beganMs: nowMs, endsMs: step?.persistent ? Number.POSITIVE_INFINITY : nowMs + (job?.workMs ?? 0),
@@ -397,6 +429,8 @@
 		for (const run of this.#incarnation.unacknowledged.slice(0, maxEnds)) {
 			run.listedAtMs ??= performance.now();
 		}
+
+		this.#options.ledger.listings.notify();
 	}
 
 	#acknowledge(acknowledged: number): void {
