Soak: the hook of a written lease is a field

XO takes a field that holds a function for a method and asks for another order of the members. A field that may be unset needs no such function.

--- a/soak/store.ts
+++ b/soak/store.ts
@@ -53,7 +53,7 @@
 	/** Share of the transactions that are carried out late and without an answer. */
 	lateShare = 0;
 	/** Called when a daemon has written a row of a lease. */
-	onLeaseWritten: (daemon: string, ver: number) => void = () => undefined;
+	onLeaseWritten: ((daemon: string, ver: number) => void) | undefined;
 	readonly #random: RandomSource;
 	readonly #feedCut: number;
 	readonly #servers: JsonServer[] = [];
@@ -189,7 +189,7 @@
 		this.rows.apply(upserts, remove);
 		if (upserts.some(({table}) => table === leaseTable)) {
 			this.#holders.set(this.rows.ver, daemon);
-			this.onLeaseWritten(daemon, this.rows.ver);
+			this.onLeaseWritten?.(daemon, this.rows.ver);
 		}
 
 		return {status: 200, body: this.#clock};
