Soak: a run tells for how long its own process stood still

Runs beside other work on the machine (load average 30 on 8 cores) showed TWICE while the soak's process, in which store and workers live, had no processor time for up to 3 s on end. Nothing in the record said so.

--- a/soak/machines.ts
+++ b/soak/machines.ts
@@ -16,6 +16,7 @@
 const tickMs = 10;
 const heartbeatMs = 1500;
 const racks = 9;
+const minStandstillMs = 100;
 
 /** Time after which the registration of a worker that has ended is removed. */
 const registrationMs = 3 * heartbeatMs;
@@ -54,6 +55,8 @@
 export class Machines {
 	/** Upkeeps beyond what their wave allows at once, and waves that were called completed too early. */
 	readonly waveFaults: string[] = [];
+	/** Spans in which the soak's own process had no processor time, so that workers and store stood still. */
+	readonly standstillsMs: number[] = [];
 	/** Orders that were carried out. */
 	readonly orders = {moves: 0, upkeeps: 0};
 	readonly #options: SharedOptions;
@@ -64,6 +67,7 @@
 	#server: JsonServer | undefined;
 	#isClosed = false;
 	#endedFence = 0;
+	#advancedAtMs = performance.now();
 
 	constructor(count: number, options: SharedOptions) {
 		this.#options = options;
@@ -97,7 +101,9 @@
 			await this.#join(machine);
 		}
 
+		this.#advancedAtMs = performance.now();
 		this.#timers.push(setInterval(() => {
+			this.#noteStandstill();
 			this.#advance();
 		}, tickMs), setInterval(() => {
 			for (const worker of this.workers) {
@@ -143,6 +149,15 @@
 		this.waveFaults.push(...missing.map(({id}) => `wave ${wave} was called completed before the upkeep of ${id}`));
 	}
 
+	#noteStandstill(): void {
+		const pauseMs = performance.now() - this.#advancedAtMs;
+		this.#advancedAtMs += pauseMs;
+		if (pauseMs >= minStandstillMs) {
+			this.standstillsMs.push(pauseMs);
+			this.#options.record.add(`the soak stood still for ${Math.round(pauseMs)} ms`);
+		}
+	}
+
 	#advance(): void {
 		for (const worker of this.workers.filter(({isUp}) => isUp)) {
 			worker.advance();
