--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -21,15 +21,24 @@
 	const taskKey = 'job.0.0.0';
 	const judge = (): {readonly noted: NotedEnds; readonly violations: string[]} => {
 		const violations: string[] = [];
-		return {noted: new NotedEnds(violation => violations.push(violation)), violations};
+		const noted = new NotedEnds(violation => {
+			violations.push(violation);
+		});
+		return {noted, violations};
 	};
 
 	test.each([
 		{about: 'too early', nowMs: 5099, isNoted: false},
 		{about: 'in time', nowMs: 5100, isNoted: true},
-		{about: 'just after a disruption', nowMs: 5100, disruptedAtMs: 4000, isNoted: false},
-		{about: 'long enough after a disruption', nowMs: 5100, disruptedAtMs: 3999, isNoted: true},
-		{about: 'just before a disruption', nowMs: 5100, disruptedAtMs: 5050, isNoted: false},
+		{
+			about: 'just after a disruption', nowMs: 5100, disruptedAtMs: 4000, isNoted: false,
+		},
+		{
+			about: 'long enough after a disruption', nowMs: 5100, disruptedAtMs: 3999, isNoted: true,
+		},
+		{
+			about: 'just before a disruption', nowMs: 5100, disruptedAtMs: 5050, isNoted: false,
+		},
 	])('an end that was listed counts after 100 ms with no disruption near: $about', ({nowMs, disruptedAtMs, isNoted}) => {
 		const {noted} = judge();
 		if (disruptedAtMs !== undefined) {
