Tests of the end of a term: suspended holders that stop, and stores and workers that do not answer

Beside it, tests for what storing before a release must not do: the term of a holder that is told to stop ends within a second although the store is away or silent or the draining workers are cut off, and a holder whose saves take 0.9 s yields in the end.

--- a/packages/scheduler/tests/ends-of-a-term.test.ts
+++ b/packages/scheduler/tests/ends-of-a-term.test.ts
@@ -149,3 +149,54 @@
 	// What was listed in the last 0.2 s need not be stored yet.
 	await expectNotStartedAgain(letWorkersLeave(200), former.name);
 });
+
+test('a suspended holder that is told to stop stores the ends that it has read', async () => {
+	const former = await startDraining();
+	former.clock.freeze(450, 'process');
+	former.table.areReadsRefused = true;
+	await simulation.run(450 + 100);
+	expect(simulation.holder).toBeUndefined();
+	expect(former.scheduler.state.term).toBeDefined();
+	simulation.stop(former, graceMs);
+	await expectNotStartedAgain(letWorkersLeave(), former.name);
+});
+
+/** Longest time for which a stop may wait for the store and the workers: a good part of the time that a process has is left for its callers. */
+const maxLeaveMs = 1000;
+
+test.each([
+	['a store that is away', (holder: SchedulerSimulation['processes'][number]) => {
+		holder.table.isDown = true;
+	}],
+	['a store that does not answer', (holder: SchedulerSimulation['processes'][number]) => {
+		holder.table.isSilent = true;
+	}],
+	['workers that do not answer', () => {
+		for (const workerId of leaverIds) {
+			simulation.fleet.workers.get(workerId)!.isCut = true;
+		}
+	}],
+])('the term of a holder that is told to stop ends soon in spite of %s', async (_name, disturb) => {
+	const former = await startDraining();
+	disturb(former);
+	simulation.stop(former, graceMs);
+	await simulation.run(maxLeaveMs);
+	expect(former.scheduler.state.term).toBeUndefined();
+	await simulation.run(3000);
+	expect(simulation.holder).toBeDefined();
+});
+
+test('a holder whose saves take long yields in the end, and no task is started twice', async () => {
+	const former = await startDraining();
+	for (const {name} of simulation.processes.filter(process => process !== former)) {
+		simulation.cpuMillicores.set(name, 1350);
+	}
+
+	former.table.latencyMs = 900;
+	await simulation.run(2500);
+	former.table.latencyMs = 4;
+	await simulation.run(6000);
+	expect(simulation.holder).toBeDefined();
+	expect(simulation.holder!.name).not.toBe(former.name);
+	expect(startedAgain()).toEqual([]);
+});
