An end of a job that is not read yet is lost with its worker's incarnation: failing test

Callers would see a task run twice: a holder that has replaced another on suspicion reads an end of a job whose row it has not read yet, the worker starts again under its id, and beginIncarnation empties unresolvedEnds. When the row comes, the task is started.

The same with a worker that leaves is kept, and a test shows so.

--- a/packages/scheduler/tests/unread-jobs.test.ts
+++ b/packages/scheduler/tests/unread-jobs.test.ts
@@ -59,6 +59,12 @@
 
 const acknowledged = (): number => state.workers.get('w1')!.acknowledgedSequence;
 
+/** Runs rounds and returns in how many of them a task was started. */
+const roundsWithStarts = (rounds: number): number => Array.from({length: rounds}).filter(() => {
+	round(nowMs);
+	return effectTypes().includes('start');
+}).length;
+
 /** Stores the pending save. */
 const store = (): void => {
 	dispatch({type: 'saved', fencingToken, saveNumber: state.pendingSaveNumber!});
@@ -95,6 +101,44 @@
 	expect(acknowledged()).toBe(1);
 });
 
+const workerEntry = {
+	workerId: 'w1', pool, address: 'w1:1', dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs: 900_000, coldLeftMs: 0,
+};
+
+// Guards against an end that only this process knows of once its worker has forgotten it.
+test('the end of a task whose job is read later counts although its worker has started again meanwhile', () => {
+	const confirmedAtMs = nowMs;
+	report({finished: [done]});
+	round(confirmedAtMs);
+	dispatch({type: 'workersListed', workers: [{...workerEntry, bornWallMs: 900_500}]});
+	dispatch({
+		type: 'polled', fencingToken, workerId: 'w1', incarnation: state.workers.get('w1')!.incarnation, sentAtMs: nowMs, sentAcknowledgement: 0, answer: {
+			type: 'report', report: {
+				clockMs: nowMs, bornWallMs: 900_500, running: [], finished: [],
+			},
+		},
+	});
+	accept(job);
+	expect(roundsWithStarts(10)).toBe(0);
+	expect(state.jobs.get(job.jobId)!.outcome).toBe('completed');
+});
+
+test('the end of a task whose job is read later counts although its worker has left meanwhile', () => {
+	const confirmedAtMs = nowMs;
+	report({finished: [done]});
+	round(confirmedAtMs);
+	const others = ['w2', 'w3'].map(workerId => ({...workerEntry, workerId, address: `${workerId}:1`}));
+	dispatch({type: 'workersListed', workers: others});
+	dispatch({
+		type: 'machinesListed', sentAtMs: nowMs, machines: others.map(({workerId}) => ({
+			machineId: `m-${workerId}`, pool, dataCentre: 'dc', state: 'up', capacity, workerId,
+		})),
+	});
+	accept(job);
+	expect(roundsWithStarts(10)).toBe(0);
+	expect(state.jobs.get(job.jobId)!.outcome).toBe('completed');
+});
+
 test('the end of a task whose job has been removed is acknowledged once all job rows have been read since', () => {
 	report({finished: [done]});
 	round(nowMs + 1);
