--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -88,6 +88,10 @@
 	}
 };
 
+/** Returns true during a hand-over if the report is of a worker that stays: it lists the same to the next holder, and its ends would keep this one from ever having stored all that it has read. */
+const isLeftToNextHolder = ({isHandingOver, workers}: SchedulerState, {workerId, answer}: Extract<SchedulerEvent, {readonly type: 'polled'}>): boolean =>
+	isHandingOver && answer.type === 'report' && workers.get(workerId)?.entry.isDraining === false;
+
 const apply = (state: SchedulerState, event: SchedulerEvent): void => {
 	switch (event.type) {
 		case 'configured': {
@@ -136,6 +140,8 @@
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs);
 				state.earlierHolder = event.earlierHolder;
+				// A replaced holder may still order starts.
+				state.inheritedStarts = event.earlierHolder === undefined && event.openStarts !== undefined ? new Set(event.openStarts) : undefined;
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
@@ -185,6 +191,10 @@
 		}
 
 		case 'polled': {
+			if (isLeftToNextHolder(state, event)) {
+				break;
+			}
+
 			applyPollAnswer(state, event);
 			updatePaceAfterPoll(state, event);
 			storeReportedEnds(state, event.nowMs);
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -56,6 +56,8 @@
 	areOrdersUnanswered?: boolean;
 	/** Share of machine orders whose answer is lost; half of them are carried out. */
 	lostMachineAnswerRate: number;
+	/** Time until the platform carries a machine order out. */
+	machineOrderDelayMs?: number;
 };
 
 /** A call to a worker, as a test may hold it back. */
@@ -490,6 +492,17 @@
 		});
 	}
 
+	/** Takes the worker away on short notice: it drains and is gone after that, while its registration stays until it expires. Its machine is down and comes back with another worker. */
+	takeAwayWorker(workerId: string, noticeMs: number): void {
+		this.announceDrain(workerId);
+		this.clock.schedule(noticeMs, () => {
+			const worker = this.fleet.workers.get(workerId)!;
+			worker.crash();
+			this.#restartCrashed(worker);
+			this.#publishWorkers();
+		});
+	}
+
 	/** Makes the worker report that it drains. */
 	announceDrain(workerId: string): void {
 		this.fleet.workers.get(workerId)!.isDraining = true;
@@ -688,7 +701,7 @@
 	}
 
 	async #orderMachine(clock: HostClock, order: MachineOrder): Promise<MachineAnswer> {
-		await clock.wait(orderLatencyMs);
+		await clock.wait(orderLatencyMs + (this.faults.machineOrderDelayMs ?? 0));
 		const {lostMachineAnswerRate} = this.faults;
 		const isLost = lostMachineAnswerRate > 0 && this.random.next() < lostMachineAnswerRate;
 		if (isLost && this.random.next() < 0.5) {
