--- a/packages/scheduler/tests/ends-of-a-term.test.ts
+++ b/packages/scheduler/tests/ends-of-a-term.test.ts
@@ -67,13 +67,14 @@
 const letWorkersLeave = (recentMs = readMs): Departed => {
 	const departed = leaverIds.map(workerId => simulation.fleet.workers.get(workerId)!);
 	const lost = departed.flatMap(({runs, unlistedEnds}) => [...runs.keys(), ...unlistedEnds.map(({taskKey}) => taskKey)]);
-	const recent = departed.flatMap(({listedEnds}) => listedEnds).filter(({listedAtMs}) => listedAtMs! > simulation.clock.nowMs() - recentMs).map(({taskKey}) => taskKey);
+	const listed = departed.flatMap(({listedEnds}) => listedEnds);
+	const recent = new Set(listed.filter(({listedAtMs}) => listedAtMs! > simulation.clock.nowMs() - recentMs).map(({taskKey}) => taskKey));
 	const started = simulation.fleet.starts.filter(({workerId}) => leaverIds.includes(workerId)).map(({taskKey}) => taskKey);
 	for (const workerId of leaverIds) {
 		simulation.removeWorker(workerId);
 	}
 
-	return {read: started.filter(taskKey => !lost.includes(taskKey) && !recent.includes(taskKey)), lost};
+	return {read: started.filter(taskKey => !lost.includes(taskKey) && !recent.has(taskKey)), lost};
 };
 
 /** The ends that the leavers list at present. */
@@ -88,7 +89,7 @@
 /** The next holder goes on: it starts again what was lost with the leavers, and none of the tasks whose ends were read, and it starts what is new. */
 const expectNotStartedAgain = async ({read, lost}: Departed, former: string): Promise<void> => {
 	const newJob = jobOf(2, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf()]});
-	void simulation.submit(newJob, simulation.processes.find(process => process.name !== former)!);
+	void simulation.submit(newJob, simulation.processes.find(process => process.name !== former));
 	await simulation.run(9000);
 	expect(simulation.holder).toBeDefined();
 	expect(simulation.holder!.name).not.toBe(former);
--- a/packages/scheduler/tests/handover-series.test.ts
+++ b/packages/scheduler/tests/handover-series.test.ts
@@ -52,9 +52,8 @@
 		if (holder !== undefined && !stopping.has(holder.name) && simulation.clock.nowMs() >= nextSignalAtMs) {
 			handovers++;
 			stopping.add(holder.name);
-			void holder.scheduler.leave();
+			simulation.stop(holder, stopMs);
 			simulation.clock.schedule(stopMs, () => {
-				simulation.kill(holder);
 				simulation.addProcess();
 			});
 			nextSignalAtMs = simulation.clock.nowMs() + (1500 * random.next());
--- a/packages/scheduler/tests/leavers-series.test.ts
+++ b/packages/scheduler/tests/leavers-series.test.ts
@@ -71,7 +71,7 @@
 
 /** Lets a share of the workers drain, to leave or be replaced about when the hand-over comes. */
 const planDepartures = (simulation: SchedulerSimulation, random: SeededRandom): void => {
-	for (const {isUp, isDraining, entry: {workerId}} of [...simulation.fleet.workers.values()]) {
+	for (const {isUp, isDraining, entry: {workerId}} of simulation.fleet.workers.values()) {
 		if (isUp && !isDraining && random.next() < departingShare) {
 			simulation.replaceWorker(workerId, noticeMs + (maxDepartureDelayMs * random.next()));
 		}
--- a/packages/scheduler/tests/support/disruptions.ts
+++ b/packages/scheduler/tests/support/disruptions.ts
@@ -7,5 +7,8 @@
 /** Longest duration of a call to a store that counts as undisturbed. */
 const maxCalmLatencyMs = 250;
 
-export const isDisrupted = ({clock, table}: {readonly clock: HostClock; readonly table: TableFaults}): boolean => !clock.isDead
-	&& (clock.isFrozen || table.isDown || table.isSilent === true || table.areReadsRefused === true || table.lostAnswerRate > 0 || table.latencyMs > maxCalmLatencyMs || table.isRejected !== undefined);
+const isStoreDisrupted = ({isDown, isSilent, areReadsRefused, lostAnswerRate, latencyMs, isRejected}: TableFaults): boolean =>
+	isDown || isSilent === true || areReadsRefused === true || lostAnswerRate > 0 || latencyMs > maxCalmLatencyMs || isRejected !== undefined;
+
+export const isDisrupted = ({clock, table}: {readonly clock: HostClock; readonly table: TableFaults}): boolean =>
+	!clock.isDead && (clock.isFrozen || isStoreDisrupted(table));
