--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -7,6 +7,7 @@
 import {
 	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type WaveOrder, type WorkerEntry,
 } from '../types.js';
+import {type HandoverNote} from './handover-note.js';
 
 /** Until when a holder that was replaced on suspicion may still start tasks and extend leases on workers, and until when its orders to machines count as recent. */
 export type EarlierHolder = {
@@ -47,8 +48,8 @@
 	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
 	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
 	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
-	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. `openStarts`: the workers on which a start of earlier holders may still be carried out, if the last one has stated that. */
-	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined; readonly openStarts?: readonly string[] | undefined}
+	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. `note`: what the last holder left as it released the lease. */
+	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined; readonly note?: HandoverNote | undefined}
 	/** The lease could not be renewed in time, but no other process can have acquired it. */
 	| {readonly type: 'leaseUnconfirmed'}
 	/** The replaced holder was heard again, or is known to be gone. */
@@ -61,8 +62,8 @@
 	| (OfTerm & {readonly type: 'leaseConfirmed'})
 	/** Another process holds the lease of the term, or this one gives it up. */
 	| (OfTerm & {readonly type: 'leaseLost'; readonly reason?: LeaseLossReason | undefined})
-	/** The process is about to release the lease of the term, or goes on because its progress could not be stored in time. */
-	| (OfTerm & {readonly type: 'handoverBegun' | 'handoverCancelled'})
+	/** The process will release the lease of the term, is about to do so, or goes on because its progress could not be stored in time. */
+	| (OfTerm & {readonly type: 'releasePlanned' | 'handoverBegun' | 'handoverCancelled'})
 	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number; readonly sentDeadlineClockMs?: number | undefined})
 	| (OfTerm & Partial<OfIncarnation> & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
@@ -113,6 +114,8 @@
 	| {readonly type: 'scheduleSave'; readonly fencingToken: number; readonly delayMs: number}
 	/** The progress that rests on these ends is stored. `agesMs`: for each, the time since the report that listed it. */
 	| {readonly type: 'endsStored'; readonly agesMs: readonly number[]}
+	/** Names the ends `done` that a report of the worker lists for the first time, for the log. */
+	| {readonly type: 'logDone'; readonly workerId: string; readonly done: ReadonlyArray<{readonly taskKey: string; readonly attempt: number}>}
 	/** Increments a counter of the process's metrics. */
 	| {readonly type: 'count'; readonly name: string}
 	| {readonly type: 'log'; readonly level?: 'warn'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -7,7 +7,7 @@
 	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
 import {
-	type DetachedRows, type Evacuation, type JobRecord, type ListTimes, type MachineRecord, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
+	type DetachedRows, type Evacuation, type JobRecord, type ListTimes, type MachineRecord, type ReportedEnd, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DurationModel} from './model/duration-model.js';
 import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
@@ -60,8 +60,10 @@
 	isRevisionRequested = false;
 	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
 	earlierHolder: EarlierHolder | undefined;
-	/** Workers on which a start of earlier holders may still be carried out, as the last one stated when it released the lease; `undefined` if it did not. */
-	inheritedStarts: ReadonlySet<string> | undefined;
+	/** Until when a start of earlier holders may still be carried out, by worker id, as the last one stated when it released the lease. */
+	inheritedStarts: ReadonlyMap<string, number> = new Map();
+	/** Until when a start of earlier holders may be carried out that nobody has stated. */
+	unknownStartsUntilMs = 0;
 	/** When it was last logged what the takeover waits for, or when the term began. */
 	takeoverLoggedAtMs = 0;
 	readonly jobs = new Map<string, JobRecord>();
@@ -88,6 +90,8 @@
 	readonly storedWaves = new Map<number, StoredWave>();
 	/** The lease may have passed to another process, so no task is started, no lease on a worker extended, and no machine moved or sent to maintenance. Polling goes on. */
 	isSuspended = false;
+	/** The process will give up its lease once its orders to machines are answered, and sends no further ones. */
+	isReleasePlanned = false;
 	/** The process is about to give up its lease: it stores what it has read, and orders and polls nothing. */
 	isHandingOver = false;
 	/** The lease could not be renewed in time. Tasks are started, since no other process can have acquired the lease, but no machine is moved or sent to maintenance: the next holder may order the same machine at once. */
@@ -119,6 +123,8 @@
 	jobRowsConfirmedAtMs: number | undefined;
 	/** Runs of tasks whose jobs have not been read yet. */
 	readonly unresolvedRuns = new Set<TaskRun>();
+	/** Ends of jobs that have not been read yet, which earlier incarnations of workers had listed. No worker lists them any more. */
+	endsOfEarlierIncarnations: ReadonlyArray<ReportedEnd & {readonly worker: WorkerRecord}> = [];
 	/** Trials of this term that have not ended. */
 	readonly trials = new Set<Trial>();
 	/** Number of orders for machines that were sent, repeated ones included. */
@@ -161,11 +167,11 @@
 		};
 		this.isSettled = false;
 		this.earlierHolder = undefined;
-		this.inheritedStarts = undefined;
 		this.takeoverLoggedAtMs = nowMs;
 		this.newJobsAfterRevision = undefined;
 		this.isRevisionRequested = false;
 		this.isSuspended = false;
+		this.isReleasePlanned = false;
 		this.isHandingOver = false;
 		this.isSaveScheduled = false;
 		this.isLeaseUnconfirmed = false;
@@ -304,15 +310,9 @@
 		}
 	}
 
-	/** Returns the ids of the workers on which a start of this term that was removed without an answer may still be carried out. */
-	lateStarts(nowMs: number): readonly string[] {
-		for (const [workerId, untilMs] of this.#lateStartsUntilMs) {
-			if (nowMs >= untilMs) {
-				this.#lateStartsUntilMs.delete(workerId);
-			}
-		}
-
-		return [...this.#lateStartsUntilMs.keys()];
+	/** Until when starts of this term that were removed without an answer may still be carried out, by worker id. */
+	lateStarts(): Iterable<readonly [workerId: string, untilMs: number]> {
+		return this.#lateStartsUntilMs;
 	}
 
 	/** Discards all runs and per-term worker state before a new term or after the end of one. */
@@ -320,6 +320,7 @@
 		this.trials.clear();
 		this.#deletedWorkers.clear();
 		this.unresolvedRuns.clear();
+		this.endsOfEarlierIncarnations = [];
 		for (const run of this.#replacements.keys()) {
 			this.releaseCapacity(run);
 		}
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -3,7 +3,7 @@
 */
 import {assertNever} from '@poplarnotch/common';
 import {
-	failureWindowMs, leaseMarginMs, maxEndsPerReport, maxLoggedRuns, quarantineFailures, quarantineMs,
+	failureWindowMs, leaseMarginMs, maxEndsPerReport, quarantineFailures, quarantineMs,
 } from '../constants.js';
 import {type OrderAnswer, type StartAnswer} from '../ports.js';
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
@@ -316,6 +316,7 @@
 		}
 	}
 
+	resolveEndsOfEarlierIncarnations(state, now);
 	for (const worker of state.workers.values()) {
 		const reported = worker.unresolvedEnds;
 		if (reported.length === 0) {
@@ -329,6 +330,18 @@
 	}
 };
 
+/** Applies ends that no worker lists any more, so they are not acknowledged to any. */
+const resolveEndsOfEarlierIncarnations = (state: SchedulerState, now: CurrentTime): void => {
+	const reported = state.endsOfEarlierIncarnations;
+	state.endsOfEarlierIncarnations = reported.filter(({entry: {taskKey}, reportedAtMs}) => findTask(state, taskKey) === undefined && isUnresolved(state, {taskKey, reportedAtMs}));
+	for (const {worker, entry} of reported) {
+		const task = findTask(state, entry.taskKey);
+		if (task !== undefined && task.step.job.outcome === undefined) {
+			applyTaskEnd(state, task, worker, entry, now);
+		}
+	}
+};
+
 /** Applies an end and returns its task, or keeps it until its task can be known. It is not acknowledged before that: the worker would forget it, and the task would be started again once its job is read. */
 const applyReportedEnd = (state: SchedulerState, worker: WorkerRecord, end: ReportedEnd, now: CurrentTime): Task | undefined => {
 	const {entry: {taskKey, attempt}, reportedAtMs} = end;
@@ -422,16 +435,11 @@
 	}
 };
 
-/** Logs all ends of a report that are done in one line, and each of the others in one of its own. */
+/** Logs the ends of a report: those that are done together, and each of the others in a line of its own. */
 const logEnds = (state: SchedulerState, workerId: string, ended: readonly FinishedEntry[]): void => {
 	const done = ended.filter(({end}) => end === 'done');
-	for (let from = 0; from < done.length; from += maxLoggedRuns) {
-		const part = done.slice(from, from + maxLoggedRuns);
-		state.emit({
-			type: 'log', fields: {
-				event: 'runs_done', workerId, count: part.length, tasks: part.map(({taskKey, attempt}) => `${taskKey}#${attempt}`).join(','),
-			},
-		});
+	if (done.length > 0) {
+		state.emit({type: 'logDone', workerId, done});
 	}
 
 	for (const {taskKey, attempt, end} of ended) {
