A hand-over stores for 0.8 s at most

What callers would see: a stop that keeps the lease for 1.7 s where the store does not answer this process, though the next holder may reach it. With the parts of a save side by side, the save under way and one more take half a second with calls of 240 ms, so 0.8 s are enough.

--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -46,8 +46,8 @@
 /** Time within which it then awaits the polls of workers that are about to leave: `urgentPollWaitMs` and an answer. */
 const maxListeningMs = 150;
 
-/** Time within which it stores what it has read. A slow store takes a quarter of a second for a transaction. */
-const maxHandoverMs = 1500;
+/** Time within which it stores what it has read: the save under way and one more, of a quarter of a second each where the store is slow. */
+const maxHandoverMs = 800;
 const handoverCheckMs = 5;
 
 /** Time after which successors are told of a release that the store has not confirmed. */
