What a holder leaves to the next one stands in the place of the renewals

What callers would see: nothing. review/1 could not run: it takes a row under leases/scheduler for one with a holder, and a released lease left such a row with the note alone. So the note is still that of the direct predecessor, and a process of earlier code that acquires the lease removes it as well, which it did before too.

--- a/packages/state/src/leases/rows.ts
+++ b/packages/state/src/leases/rows.ts
@@ -1,5 +1,5 @@
 /**
-Rows of leases. `leases/{name}` names the holder and is written only when the holder changes: its version is the fence and serves as the number of the lease term. Until a holder that was replaced on suspicion no longer trusts its lease, the row says how long that takes, also after a release. A holder that releases the lease may leave a note there for the next one, which is gone once anybody acquires the lease. `lease-renewals/{name}` is written by each renewal.
+Rows of leases. `leases/{name}` names the holder and is written only when the holder changes: its version is the fence and serves as the number of the lease term. Until a holder that was replaced on suspicion no longer trusts its lease, the row says how long that takes, also after a release. `lease-renewals/{name}` is written by each renewal. A holder that releases the lease may leave a note for the next one in its place, which is gone once anybody acquires the lease.
 */
 import * as E from 'fp-ts/lib/Either.js';
 import {type JsonValue, parseWith, z} from '@poplarnotch/common';
@@ -7,8 +7,8 @@
 	absentVersion, type Row, type RowCondition, type Transaction,
 } from '@poplarnotch/platform';
 
-const holderSchema = z.object({holder: z.string().optional(), overlapMs: z.number().optional(), handover: z.json().optional()});
-const renewalSchema = z.object({renewals: z.number()});
+const holderSchema = z.object({holder: z.string().optional(), overlapMs: z.number().optional()});
+const renewalSchema = z.object({renewals: z.number().optional(), handover: z.json().optional()});
 
 /** Key of the fence row. */
 export const fenceKey = (name: string): string => `leases/${name}`;
@@ -40,7 +40,7 @@
 		holder: E.isRight(parsed) ? parsed.right.holder : undefined,
 		renewalVersion: renewal?.version ?? absentVersion,
 		overlapMs: E.isRight(parsed) ? parsed.right.overlapMs : undefined,
-		handover: E.isRight(parsed) ? parsed.right.handover : undefined,
+		handover: E.isRight(parsedRenewal) ? parsedRenewal.right.handover : undefined,
 		renewals: E.isRight(parsedRenewal) ? parsedRenewal.right.renewals : undefined,
 	};
 };
@@ -60,10 +60,10 @@
 });
 
 /** Releases the lease if it is still held. */
-export const releaseTransaction = (name: string, fence: RowCondition, {overlapMs = 0, handover}: {readonly overlapMs?: number; readonly handover?: JsonValue | undefined} = {}): Transaction => {
-	const left = {...(overlapMs > 0 && {overlapMs}), ...(handover !== undefined && {handover})};
-	return {
-		conditions: [fence],
-		writes: [Object.keys(left).length > 0 ? put(fenceKey(name), left) : {type: 'delete', key: fenceKey(name)}, {type: 'delete', key: renewalKey(name)}],
-	};
-};
+export const releaseTransaction = (name: string, fence: RowCondition, {overlapMs = 0, handover}: {readonly overlapMs?: number; readonly handover?: JsonValue | undefined} = {}): Transaction => ({
+	conditions: [fence],
+	writes: [
+		overlapMs > 0 ? put(fenceKey(name), {overlapMs}) : {type: 'delete', key: fenceKey(name)},
+		handover === undefined ? {type: 'delete', key: renewalKey(name)} : put(renewalKey(name), {handover}),
+	],
+});
