What precedes a planned release of the lease is a class of its own

ReleasePreparation awaits the orders to machines and the polls of leaving workers and stores what was read; TermKeeper asks it before it releases the lease.

--- /dev/null
+++ b/packages/scheduler/src/shell/release-preparation.ts
@@ -0,0 +1,88 @@
+/**
+Prepares a planned release of the lease, by a process that stops or yields. What it has ordered and read must not be known to it alone: the next holder would use a machine that is about to be taken away, and hears of ends from workers, some of which may have left by then.
+*/
+import {type Clock} from '@poplarnotch/common';
+import {storeAwayAfterMs} from '../constants.js';
+import {type SchedulerEvent} from '../core/events.js';
+import {awaitsMachineAnswers} from '../core/machines.js';
+import {isProgressStored} from '../core/progress-persistence.js';
+import {type SchedulerState} from '../core/scheduler-state.js';
+
+/** Time for which the answers to orders to machines are awaited, while tasks are started. */
+const maxMachineAnswersMs = 1500;
+
+/** Time for which polls of workers that are about to leave are awaited: `urgentPollWaitMs` and an answer. */
+const maxListeningMs = 150;
+
+/** Time within which progress is stored: the save under way and one more, of a quarter of a second each where the store is slow. */
+const maxStoringMs = 800;
+const checkIntervalMs = 5;
+
+export type ReleasePreparationOptions = {
+	readonly state: () => SchedulerState;
+	readonly dispatch: (event: SchedulerEvent) => void;
+	/** Returns true while a poll of a worker that is about to leave is under way. */
+	readonly awaitsLeavingWorkers: () => boolean;
+	readonly clock: Clock;
+};
+
+export class ReleasePreparation {
+	readonly #options: ReleasePreparationOptions;
+
+	constructor(options: ReleasePreparationOptions) {
+		this.#options = options;
+	}
+
+	/** Sends no more orders to machines and awaits the answers, then orders and polls nothing and stores what was read. Resolves to whether all is answered and stored, or the term has ended; a store that does not answer delays the release for a short time only. */
+	async prepare(): Promise<boolean> {
+		const {term, pendingSaveNumber, lastSaveAtMs} = this.#state;
+		if (term === undefined) {
+			return true;
+		}
+
+		if (pendingSaveNumber !== undefined && this.#nowMs() - lastSaveAtMs >= storeAwayAfterMs) {
+			// The store does not answer this process, and the next holder may reach it.
+			return false;
+		}
+
+		const {fencingToken} = term;
+		this.#dispatch('releasePlanned', fencingToken);
+		const areMachinesDone = await this.#waitWithin(fencingToken, maxMachineAnswersMs, () => !awaitsMachineAnswers(this.#state));
+		this.#dispatch('handoverBegun', fencingToken);
+		await this.#waitWithin(fencingToken, maxListeningMs, () => !this.#options.awaitsLeavingWorkers());
+		const isStored = await this.#waitWithin(fencingToken, maxStoringMs, () => isProgressStored(this.#state, this.#nowMs()));
+		return areMachinesDone && isStored;
+	}
+
+	/** Resolves to true once the condition holds or the term has ended, or to false after the given time. */
+	async #waitWithin(fencingToken: number, maxMs: number, holds: () => boolean): Promise<boolean> {
+		const {clock} = this.#options;
+		const untilMs = this.#nowMs() + maxMs;
+		while (this.#state.term?.fencingToken === fencingToken && !holds()) {
+			if (this.#nowMs() >= untilMs) {
+				return false;
+			}
+
+			await new Promise<void>(resolve => {
+				clock.schedule(checkIntervalMs, resolve);
+			});
+		}
+
+		return true;
+	}
+
+	get #state(): SchedulerState {
+		return this.#options.state();
+	}
+
+	#nowMs(): number {
+		return this.#options.clock.nowMs();
+	}
+
+	#dispatch(type: 'releasePlanned' | 'handoverBegun', fencingToken: number): void {
+		const {clock, dispatch} = this.#options;
+		dispatch({
+			type, fencingToken, nowMs: clock.nowMs(), wallMs: clock.wallTimeMs(),
+		});
+	}
+}
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -9,14 +9,13 @@
 import {
 	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, maxAnswerAgeMs, type OutageKnowledge,
 } from '@poplarnotch/state';
-import {storeAwayAfterMs, storeRetryDelayMs} from '../constants.js';
+import {storeRetryDelayMs} from '../constants.js';
 import {type EarlierHolder, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
 import {noteForNextHolder} from '../core/handover.js';
 import {handoverNoteSchema, type HandoverNote} from '../core/handover-note.js';
-import {awaitsMachineAnswers} from '../core/machines.js';
-import {isProgressStored} from '../core/progress-persistence.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {LeaseContinuation} from './lease-continuation.js';
+import {ReleasePreparation} from './release-preparation.js';
 
 /** Name of the lease whose holder schedules the fleet. */
 const schedulerLease = 'scheduler';
@@ -40,16 +39,6 @@
 /** A process that has held the lease for this long without a term, and without beginning one, releases it. By then a renewal has shown whether another process holds it. */
 const maxTimeWithoutTermMs = leaseMs / 2;
 
-/** Time for which a process that gives up its lease awaits the answers to its orders to machines, and goes on scheduling. */
-const maxMachineAnswersMs = 1500;
-
-/** Time within which it then awaits the polls of workers that are about to leave: `urgentPollWaitMs` and an answer. */
-const maxListeningMs = 150;
-
-/** Time within which it stores what it has read: the save under way and one more, of a quarter of a second each where the store is slow. */
-const maxHandoverMs = 800;
-const handoverCheckMs = 5;
-
 /** Time after which successors are told of a release that the store has not confirmed. */
 const maxUnannouncedMs = 150;
 
@@ -100,6 +89,7 @@
 	readonly #options: TermKeeperOptions;
 	readonly #leases: LeaseContender;
 	readonly #continuation: LeaseContinuation;
+	readonly #preparation: ReleasePreparation;
 	readonly #liveness: LivenessMonitor | undefined;
 	#nextYieldCheckAtMs = 0;
 	/** The process is stopping and must not acquire the lease again. */
@@ -130,6 +120,7 @@
 		this.#continuation = new LeaseContinuation({
 			outage, leaseMs, clock, log, metrics,
 		});
+		this.#preparation = new ReleasePreparation(options);
 		this.#liveness = failureDetection === undefined ? undefined : this.#createLivenessMonitor(failureDetection, incarnation);
 	}
 
@@ -179,7 +170,7 @@
 	/** Releases the lease permanently, so that another process takes over at once. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
-		await this.#prepareRelease();
+		await this.#preparation.prepare();
 		await this.#releaseLease('stopping');
 		// A process that leaves is no successor, and others need not wait for it.
 		this.#liveness?.close();
@@ -277,41 +268,6 @@
 		});
 	}
 
-	/** Awaits the orders to machines, since the next holder would use a machine that is about to be taken away, and then stores what the term reads: the next holder hears from the workers, and some of them may have left by then. Resolves to whether all is answered and stored, or the term has ended; a store that does not answer delays the release for a short time only. */
-	async #prepareRelease(): Promise<boolean> {
-		const {term, pendingSaveNumber, lastSaveAtMs} = this.#state;
-		if (term === undefined) {
-			return true;
-		}
-
-		const {fencingToken} = term;
-		if (pendingSaveNumber !== undefined && this.#now().nowMs - lastSaveAtMs >= storeAwayAfterMs) {
-			// The store does not answer this process, and the next holder may reach it.
-			return false;
-		}
-
-		this.#options.dispatch({type: 'releasePlanned', fencingToken, ...this.#now()});
-		const areMachinesDone = await this.#waitWithin(fencingToken, maxMachineAnswersMs, () => !awaitsMachineAnswers(this.#state));
-		this.#options.dispatch({type: 'handoverBegun', fencingToken, ...this.#now()});
-		await this.#waitWithin(fencingToken, maxListeningMs, () => !this.#options.awaitsLeavingWorkers());
-		const isStored = await this.#waitWithin(fencingToken, maxHandoverMs, () => isProgressStored(this.#state, this.#now().nowMs));
-		return areMachinesDone && isStored;
-	}
-
-	/** Resolves once the condition holds or the term has ended, to true, or to false after the given time. */
-	async #waitWithin(fencingToken: number, maxMs: number, holds: () => boolean): Promise<boolean> {
-		const untilMs = this.#now().nowMs + maxMs;
-		while (this.#state.term?.fencingToken === fencingToken && !holds()) {
-			if (this.#now().nowMs >= untilMs) {
-				return false;
-			}
-
-			await this.#pause(handoverCheckMs);
-		}
-
-		return true;
-	}
-
 	/** Successors are told once the release is stored, since one that acquires the lease before that does not receive what is left to it. If the store is slow to answer this process, they are told before: the fence of the next holder rejects whatever is still under way. */
 	async #releaseLease(reason: LeaseLossReason): Promise<void> {
 		const {term} = this.#state;
@@ -349,7 +305,7 @@
 	/** Gives up the lease, unless the term's progress cannot be stored in time: a later check tries again. */
 	async #yieldLease(reason: string): Promise<void> {
 		const {term} = this.#state;
-		const isDone = await this.#prepareRelease();
+		const isDone = await this.#preparation.prepare();
 		if (this.#isLeaving) {
 			return;
 		}
