--- a/bench/pool-forecast.bench.ts
+++ b/bench/pool-forecast.bench.ts
@@ -202,9 +202,12 @@
 			}
 
 			case 'count':
+			case 'endsStored':
 			case 'log':
+			case 'logDone':
 			case 'pace':
 			case 'requestAdvice':
+			case 'scheduleSave':
 			case 'stepDown':
 			case 'stop': {
 				break;
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -79,8 +79,8 @@
 /** While a save has been waiting for this long, no trial is planned, since its start depends on the next save. */
 export const storeAwayAfterMs = 1000;
 
-/** How long a worker with a trial may wait for a run to end before it answers a poll: a trial ends with the first report after `provenAfterMs`. */
-export const trialPollWaitMs = 100;
+/** How long a worker with a trial, or one that drains, may wait for a run to end before it answers a poll: a trial ends with the first report after `provenAfterMs`, and a holder that gives up its lease waits for the answers of draining workers. */
+export const urgentPollWaitMs = 100;
 
 /** A stop that has had no effect is ordered again after this time. */
 export const stopRetryMs = 600;
@@ -97,6 +97,9 @@
 /** After a machine has accepted an order to move or to be maintained, lists that show it as up are ignored for this long, since they lag behind. */
 export const minMachineAbsenceMs = 1000;
 
+/** A worker that registers itself is named in the list of machines within this time. */
+export const maxListingDelayMs = 1000;
+
 /** Maximum number of a job's tasks over all its occurrences. The scheduler creates a record for each. */
 export const maxTasksPerJob = 8000;
 
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -7,6 +7,7 @@
 import {
 	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type WaveOrder, type WorkerEntry,
 } from '../types.js';
+import {type HandoverNote} from './handover-note.js';
 
 /** Until when a holder that was replaced on suspicion may still start tasks and extend leases on workers, and until when its orders to machines count as recent. */
 export type EarlierHolder = {
@@ -17,6 +18,9 @@
 /** Time of an event on the process's monotonic clock and on the wall clock. */
 type EventTime = {readonly nowMs: number; readonly wallMs: number};
 
+/** Why a term ends; `superseded` if another process holds the lease. */
+export type LeaseLossReason = 'stopping' | 'yielded' | 'superseded';
+
 /** The term in which an order was sent, or which an event ends or resumes. `dropOutdatedEvent` drops the event if that term is not the present one. */
 type OfTerm = {readonly fencingToken: number};
 
@@ -44,8 +48,8 @@
 	| {readonly type: 'workersListed'; readonly workers: readonly WorkerEntry[]}
 	| {readonly type: 'jobsChanged'; readonly changes: readonly JobChange[]}
 	| {readonly type: 'waveProgressed'; readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean}
-	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. */
-	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined}
+	/** `earlierHolder` is defined if the earlier holder was replaced on suspicion and may still be alive; any other gives no more orders. `note`: what the last holder left as it released the lease. */
+	| {readonly type: 'leaseWon'; readonly fencingToken: number; readonly earlierHolder?: EarlierHolder | undefined; readonly note?: HandoverNote | undefined}
 	/** The lease could not be renewed in time, but no other process can have acquired it. */
 	| {readonly type: 'leaseUnconfirmed'}
 	/** The replaced holder was heard again, or is known to be gone. */
@@ -56,13 +60,17 @@
 	| (OfTerm & {readonly type: 'revisionRead'; readonly revision: number})
 	/** A read from the store has confirmed that no other process holds the lease, so a suspended term goes on. */
 	| (OfTerm & {readonly type: 'leaseConfirmed'})
-	/** Another process holds the lease of the term, or this one has released it. */
-	| (OfTerm & {readonly type: 'leaseLost'})
+	/** Another process holds the lease of the term, or this one gives it up. */
+	| (OfTerm & {readonly type: 'leaseLost'; readonly reason?: LeaseLossReason | undefined})
+	/** The process is about to release the lease of the term, or goes on because its progress could not be stored in time. */
+	| (OfTerm & {readonly type: 'handoverBegun' | 'handoverCancelled'})
 	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number; readonly sentDeadlineClockMs?: number | undefined})
 	| (OfTerm & Partial<OfIncarnation> & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly orderedAtMs: number; readonly answer: OrderAnswer})
 	| {readonly type: 'adviceAnswered'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]; readonly answer: AdviceAnswer; readonly sentAtMs: number}
+	/** The interval since the last save is over. */
+	| (OfTerm & {readonly type: 'saveDue'})
 	/** The jobs and waves whose rows the store refused are not stored. */
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number; readonly refusedJobIds?: readonly string[]; readonly refusedWaveIds?: readonly number[]})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly isOfOneMoment?: boolean; readonly sentAtMs: number}
@@ -102,6 +110,12 @@
 	| {readonly type: 'readRevision'; readonly fencingToken: number}
 	/** The term with this token has ended because a higher token was seen. */
 	| {readonly type: 'stepDown'; readonly fencingToken: number; readonly reason: string}
+	/** Asks for the event `saveDue` after this time. */
+	| {readonly type: 'scheduleSave'; readonly fencingToken: number; readonly delayMs: number}
+	/** The progress that rests on these ends is stored. `agesMs`: for each, the time since the report that listed it. */
+	| {readonly type: 'endsStored'; readonly agesMs: readonly number[]}
+	/** Names the ends `done` that a report of the worker lists for the first time, for the log. */
+	| {readonly type: 'logDone'; readonly workerId: string; readonly done: ReadonlyArray<{readonly taskKey: string; readonly attempt: number}>}
 	/** Increments a counter of the process's metrics. */
 	| {readonly type: 'count'; readonly name: string}
 	| {readonly type: 'log'; readonly level?: 'warn'; readonly fields: {readonly event: string} & Readonly<Record<string, string | number | boolean | undefined>>};
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -1,12 +1,13 @@
 /**
 Tracks the state of machines and the orders sent for them. Orders carry the term's fencing token and may be repeated: the platform gives the same answer if the operation is already done.
 */
-import {minMachineAbsenceMs, machineOrderRetryMs} from '../constants.js';
+import {maxListingDelayMs, minMachineAbsenceMs, machineOrderRetryMs} from '../constants.js';
 import {type MachineAnswer, type UnreadableMachine} from '../ports.js';
 import {type MachineEntry} from '../types.js';
 import {
 	type ListTimes, type MachineOrder, type MachineRecord, type WorkerRecord,
 } from './records.js';
+import {unstoredEnds} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {stepDown} from './terms.js';
 import {
@@ -99,9 +100,6 @@
 	}
 };
 
-/** A worker that registers itself is named in the list of machines within this time. */
-const maxListingDelayMs = 1000;
-
 /** A worker that was born longer ago than this cannot be newer than a list of machines, even if the wall clocks of its host and of this one differ by some seconds. A new lease holder sees all workers for the first time and tells the old ones by this. */
 const minUnlistedAgeMs = 6000;
 
@@ -347,6 +345,9 @@
 	return worker !== undefined && worker.incarnation !== endsIncarnation?.incarnation;
 };
 
+/** Returns true while an order to a machine is under way. */
+export const awaitsMachineAnswers = ({machines}: SchedulerState): boolean => [...machines.values()].some(({order}) => order?.phase === 'sent');
+
 /** Repeats orders whose outcome is unknown. A machine that runs another worker by now is drained first. A move into a pool is not repeated in a data centre that has been evacuated since; the list of machines shows whether it was carried out. */
 export const repeatMachineOrders = (state: SchedulerState, nowMs: number): void => {
 	for (const machine of state.machines.values()) {
@@ -384,7 +385,7 @@
 };
 
 /** Returns true if the worker lists ends, or may list further ones, whose progress is not stored. An order for its machine would end the worker, and the next lease holder would start their tasks again. */
-const hasUnstoredEnds = ({processedSequence, acknowledgedSequence, mayLackEnds}: WorkerRecord): boolean => mayLackEnds || acknowledgedSequence < processedSequence;
+const hasUnstoredEnds = (worker: WorkerRecord): boolean => worker.mayLackEnds || unstoredEnds(worker) > 0;
 
 /** Returns true if nothing runs on the machine, no start order can be in flight to it, and all that has ended on it is stored. */
 export const isIdle = (state: SchedulerState, machine: MachineRecord, nowMs: number): boolean => {
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -5,6 +5,7 @@
 import {type WaveOrder} from '../types.js';
 import {applyAdvice} from './placement-advice.js';
 import {dispatchTasks} from './dispatch.js';
+import {receiveNote} from './handover.js';
 import {applyEvacuationOrders, logEvacuations} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {applyJobChanges, type CurrentTime, updateOpenJobs} from './jobs.js';
@@ -19,7 +20,7 @@
 import {
 	applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
 } from './worker-reports.js';
-import {applySaved, prepareAcknowledgements, saveProgress} from './progress-persistence.js';
+import {applySaved, storeProgress, storeReportedEnds} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {checkTakeoverSettled, requestRevision} from './takeover.js';
 import {endTerm, resumeTerm} from './terms.js';
@@ -71,8 +72,14 @@
 		resizePools(state, shortages, nowMs);
 	}
 
-	prepareAcknowledgements(state, nowMs);
-	saveProgress(state, nowMs);
+	storeProgress(state, nowMs);
+};
+
+/** Stores what the workers have reported, without an order to anyone: what only this process knows is lost with its term. The store refuses the save if another process holds the lease. */
+const runStoringPass = (state: SchedulerState, now: CurrentTime): void => {
+	expireWorkers(state, now.nowMs);
+	resolveReports(state, now);
+	storeProgress(state, now.nowMs);
 };
 
 const updatePaceAfterPoll = (state: SchedulerState, {workerId, answer, nowMs}: Extract<SchedulerEvent, {readonly type: 'polled'}>): void => {
@@ -82,6 +89,10 @@
 	}
 };
 
+/** Returns true during a hand-over if the report is of a worker that stays: it lists the same to the next holder, and its ends would keep this one from ever having stored all that it has read. */
+const isLeftToNextHolder = ({isHandingOver, workers}: SchedulerState, {workerId, answer}: Extract<SchedulerEvent, {readonly type: 'polled'}>): boolean =>
+	isHandingOver && answer.type === 'report' && workers.get(workerId)?.entry.isDraining === false;
+
 const apply = (state: SchedulerState, event: SchedulerEvent): void => {
 	switch (event.type) {
 		case 'configured': {
@@ -130,6 +141,7 @@
 				endTerm(state, event.nowMs);
 				state.beginTerm(event.fencingToken, event.nowMs);
 				state.earlierHolder = event.earlierHolder;
+				receiveNote(state, event.note, event.nowMs);
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
@@ -163,13 +175,29 @@
 		}
 
 		case 'leaseLost': {
-			endTerm(state, event.nowMs);
+			endTerm(state, event.nowMs, event.reason);
+			break;
+		}
+
+		case 'handoverBegun': {
+			state.isHandingOver = true;
+			runStoringPass(state, event);
+			break;
+		}
+
+		case 'handoverCancelled': {
+			state.isHandingOver = false;
 			break;
 		}
 
 		case 'polled': {
+			if (isLeftToNextHolder(state, event)) {
+				break;
+			}
+
 			applyPollAnswer(state, event);
 			updatePaceAfterPoll(state, event);
+			storeReportedEnds(state, event.nowMs);
 			break;
 		}
 
@@ -193,8 +221,15 @@
 			break;
 		}
 
+		case 'saveDue': {
+			state.isSaveScheduled = false;
+			storeReportedEnds(state, event.nowMs);
+			break;
+		}
+
 		case 'saved': {
 			applySaved(state, event);
+			storeReportedEnds(state, event.nowMs);
 			break;
 		}
 
@@ -211,8 +246,10 @@
 		case 'tick': {
 			state.areOrdersOutdated = event.areOrdersOutdated === true;
 			state.jobRowsConfirmedAtMs = event.jobRowsConfirmedAtMs;
-			if (state.term === undefined || state.isSuspended) {
+			if (state.term === undefined) {
 				expireWorkers(state, event.nowMs);
+			} else if (state.isSuspended || state.isHandingOver) {
+				runStoringPass(state, event);
 			} else {
 				runSchedulingPass(state, event);
 			}
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -60,6 +60,12 @@
 	isRevisionRequested = false;
 	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
 	earlierHolder: EarlierHolder | undefined;
+	/** Until when a start of earlier holders may still be carried out, by worker id, as the last one stated when it released the lease. */
+	inheritedStarts: ReadonlyMap<string, number> = new Map();
+	/** Until when a start of earlier holders may be carried out that nobody has stated. */
+	unknownStartsUntilMs = 0;
+	/** When it was last logged what the takeover waits for, or when the term began. */
+	takeoverLoggedAtMs = 0;
 	readonly jobs = new Map<string, JobRecord>();
 	/** Stored rows of jobs whose specification is not known, by job id. */
 	readonly detachedRows = new Map<string, DetachedRows>();
@@ -84,6 +90,8 @@
 	readonly storedWaves = new Map<number, StoredWave>();
 	/** The lease may have passed to another process, so no task is started, no lease on a worker extended, and no machine moved or sent to maintenance. Polling goes on. */
 	isSuspended = false;
+	/** The process is about to give up its lease: it stores what it has read, and orders and polls nothing. */
+	isHandingOver = false;
 	/** The lease could not be renewed in time. Tasks are started, since no other process can have acquired the lease, but no machine is moved or sent to maintenance: the next holder may order the same machine at once. */
 	isLeaseUnconfirmed = false;
 	readonly demand: DemandForecast;
@@ -104,6 +112,8 @@
 	/** Jobs and waves whose last save the store refused, with the time from which they are saved again. They count as unsaved until a save with them is stored. */
 	readonly refusedUntilMs = new Map<JobRecord | WaveRecord, number>();
 	lastSaveAtMs = 0;
+	/** The next save begins once the interval since the last one is over. */
+	isSaveScheduled = false;
 	saveCount = 0;
 	/** Number of the last stored save. */
 	storedSaveNumber = 0;
@@ -125,6 +135,8 @@
 	readonly #occupied = new Map<WorkerRecord, Resources>();
 	/** Workers that keep capacity free for the task of a run that is being stopped elsewhere. */
 	readonly #replacements = new Map<TaskRun, WorkerRecord>();
+	/** Until when a start that this process has removed without an answer may be carried out, by worker id. */
+	readonly #lateStartsUntilMs = new Map<string, number>();
 	/** Numbers of restarts, in this term, of workers whose records were deleted. */
 	readonly #deletedWorkers = new Map<string, {readonly restartCount: number; readonly deletedAtMs: number}>();
 	#effects: SchedulerEffect[] = [];
@@ -151,9 +163,12 @@
 		};
 		this.isSettled = false;
 		this.earlierHolder = undefined;
+		this.takeoverLoggedAtMs = nowMs;
 		this.newJobsAfterRevision = undefined;
 		this.isRevisionRequested = false;
 		this.isSuspended = false;
+		this.isHandingOver = false;
+		this.isSaveScheduled = false;
 		this.isLeaseUnconfirmed = false;
 		this.#repeatPendingSave();
 		this.demand.restart();
@@ -269,6 +284,10 @@
 			return;
 		}
 
+		if (run.mayArrive) {
+			this.#lateStartsUntilMs.set(worker.entry.workerId, Math.max(run.orderedAtMs + maxCallDelayMs, this.#lateStartsUntilMs.get(worker.entry.workerId) ?? 0));
+		}
+
 		worker.runs.delete(run.taskKey);
 		this.#occupied.set(worker, subtractResources(this.occupied(worker), run.occupiedResources));
 		this.#resourcesInUse.set(run.customer, subtractResources(this.resourcesInUse(run.customer), run.limitUsage));
@@ -286,6 +305,11 @@
 		}
 	}
 
+	/** Until when starts of this term that were removed without an answer may still be carried out, by worker id. */
+	lateStarts(): Iterable<readonly [workerId: string, untilMs: number]> {
+		return this.#lateStartsUntilMs;
+	}
+
 	/** Discards all runs and per-term worker state before a new term or after the end of one. */
 	clearRuns(nowMs: number): void {
 		this.trials.clear();
@@ -317,6 +341,8 @@
 			worker.silentSinceMs = undefined;
 			worker.unreachedAtMs = undefined;
 		}
+
+		this.#lateStartsUntilMs.clear();
 	}
 
 	/** The save of an earlier term may have been rejected. Its progress is known to this process only, so it must be stored before run ends are acknowledged again. */
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -3,7 +3,7 @@
 */
 import {assertNever} from '@poplarnotch/common';
 import {
-	failureWindowMs, leaseMarginMs, maxEndsPerReport, maxLoggedRuns, quarantineFailures, quarantineMs,
+	failureWindowMs, leaseMarginMs, maxEndsPerReport, quarantineFailures, quarantineMs,
 } from '../constants.js';
 import {type OrderAnswer, type StartAnswer} from '../ports.js';
 import {type FinishedEntry, type RunningEntry, type WorkerReport} from '../types.js';
@@ -337,18 +337,20 @@
 		worker.unresolvedEnds.push(end);
 		const run = worker.runs.get(taskKey);
 		if (run?.attempt === attempt) {
+			run.mayArrive = false;
 			state.removeRun(run, now.nowMs);
 		}
 	} else {
-		applyFinishedEntry(state, worker, {entry: end.entry, task}, now);
+		applyFinishedEntry(state, worker, {...end, task}, now);
 	}
 
 	return task;
 };
 
-const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, {entry, task}: {readonly entry: FinishedEntry; readonly task: Task | undefined}, now: CurrentTime): void => {
+const applyFinishedEntry = (state: SchedulerState, worker: WorkerRecord, {entry, reportedAtMs, task}: ReportedEnd & {readonly task: Task | undefined}, now: CurrentTime): void => {
 	const run = worker.runs.get(entry.taskKey);
 	if (run?.attempt === entry.attempt) {
+		run.mayArrive = false;
 		run.checkpoint = entry.checkpoint;
 		if (entry.end === 'done') {
 			measureRun(run, now.nowMs);
@@ -359,7 +361,7 @@
 
 	settleTrial(state, task, entry.attempt);
 	if (task !== undefined) {
-		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job});
+		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job, reportedAtMs});
 	}
 
 	if (task !== undefined && task.step.job.outcome === undefined) {
@@ -420,16 +422,11 @@
 	}
 };
 
-/** Logs all ends of a report that are done in one line, and each of the others in one of its own. */
+/** Logs the ends of a report: those that are done together, and each of the others in a line of its own. */
 const logEnds = (state: SchedulerState, workerId: string, ended: readonly FinishedEntry[]): void => {
 	const done = ended.filter(({end}) => end === 'done');
-	for (let from = 0; from < done.length; from += maxLoggedRuns) {
-		const part = done.slice(from, from + maxLoggedRuns);
-		state.emit({
-			type: 'log', fields: {
-				event: 'runs_done', workerId, count: part.length, tasks: part.map(({taskKey, attempt}) => `${taskKey}#${attempt}`).join(','),
-			},
-		});
+	if (done.length > 0) {
+		state.emit({type: 'logDone', workerId, done});
 	}
 
 	for (const {taskKey, attempt, end} of ended) {
@@ -518,6 +515,7 @@
 		case 'no-ticket':
 		case 'refused':
 		case 'wrong-worker': {
+			run.mayArrive = false;
 			settleTrial(state, run.task, run.attempt);
 			state.removeRun(run, event.nowMs);
 			if (event.answer === 'no-ticket' && run.task !== undefined) {
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -12,7 +12,9 @@
 import {
 	type MachineControl, type PlacementAdvisor, type WaveReporter, type WorkerAddress, type WorkerControl,
 } from '../ports.js';
+import {DoneLog} from './done-log.js';
 import {StartLog} from './start-log.js';
+import {StoredEndsMonitor} from './stored-ends-monitor.js';
 
 export type EffectPerformerOptions = {
 	readonly processId: string;
@@ -38,15 +40,20 @@
 export class EffectPerformer {
 	readonly #options: EffectPerformerOptions;
 	readonly #startLog: StartLog;
+	readonly #doneLog: DoneLog;
+	readonly #storedEnds: StoredEndsMonitor;
 
 	constructor(options: EffectPerformerOptions) {
 		this.#options = options;
 		this.#startLog = new StartLog(options.clock, options.log);
+		this.#doneLog = new DoneLog(options.clock, options.log);
+		this.#storedEnds = new StoredEndsMonitor(options);
 	}
 
 	/** Writes the log lines that wait for others. */
 	flushLog(): void {
 		this.#startLog.flush();
+		this.#doneLog.flush();
 	}
 
 	get #state(): SchedulerState {
@@ -80,6 +87,14 @@
 				break;
 			}
 
+			case 'scheduleSave': {
+				const {fencingToken, delayMs} = effect;
+				this.#options.clock.schedule(delayMs, () => {
+					this.#options.dispatch({type: 'saveDue', fencingToken, ...this.#now()});
+				});
+				break;
+			}
+
 			case 'move':
 			case 'maintain': {
 				void this.#orderMachine(effect);
@@ -102,6 +117,16 @@
 				break;
 			}
 
+			case 'logDone': {
+				this.#doneLog.record(effect.workerId, effect.done);
+				break;
+			}
+
+			case 'endsStored': {
+				this.#storedEnds.record(effect.agesMs);
+				break;
+			}
+
 			case 'count': {
 				this.#options.metrics.increment(effect.name);
 				break;
@@ -185,12 +210,13 @@
 	}
 
 	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
+		const sentAtMs = this.#options.clock.nowMs();
 		const holder = {holder: this.#options.processId, fencingToken: effect.fencingToken};
 		const answer = effect.type === 'move'
 			? await this.#options.machineControl.move(effect.machineId, effect.pool, holder)
 			: await this.#options.machineControl.maintain(effect.machineId, effect.waveId, holder);
 		this.#options.log.info({
-			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, fencingToken: effect.fencingToken,
+			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs), fencingToken: effect.fencingToken,
 			...(effect.type === 'move' ? {pool: effect.pool, reason: effect.reason} : {waveId: effect.waveId}),
 		});
 		this.#options.dispatch({
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -1,15 +1,20 @@
 /**
 Keeps the scheduler's lease in one process: contends for it, detects the loss of its holder, takes over, suspends the term while it is uncertain who holds the lease, and hands it over to a process that should hold it instead.
 */
+import * as E from 'fp-ts/lib/Either.js';
 import {
-	type Clock, type LogFields, type Logger, type MetricsRegistry,
+	type Clock, type LogFields, type Logger, type MetricsRegistry, parseWith,
 } from '@poplarnotch/common';
 import {failureReason, type RowCondition, type TableService} from '@poplarnotch/platform';
 import {
 	type FailureDetection, fenceKey, type HeldLease, LeaseContender, LivenessMonitor, maxAnswerAgeMs, type OutageKnowledge,
 } from '@poplarnotch/state';
-import {storeRetryDelayMs} from '../constants.js';
-import {type EarlierHolder, type SchedulerEvent} from '../core/events.js';
+import {storeAwayAfterMs, storeRetryDelayMs} from '../constants.js';
+import {type EarlierHolder, type LeaseLossReason, type SchedulerEvent} from '../core/events.js';
+import {noteForNextHolder} from '../core/handover.js';
+import {handoverNoteSchema, type HandoverNote} from '../core/handover-note.js';
+import {awaitsMachineAnswers} from '../core/machines.js';
+import {isProgressStored} from '../core/progress-persistence.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {LeaseContinuation} from './lease-continuation.js';
 
@@ -35,6 +40,16 @@
 /** A process that has held the lease for this long without a term, and without beginning one, releases it. By then a renewal has shown whether another process holds it. */
 const maxTimeWithoutTermMs = leaseMs / 2;
 
+/** Time within which a process that gives up its lease stores what it has read. A slow store takes a quarter of a second for a transaction, and a save of many jobs has several. */
+const maxHandoverMs = 1500;
+
+/** Time within which it awaits the polls of workers that are about to leave; a worker that answers does so within `urgentPollWaitMs`. */
+const maxListeningMs = 300;
+const handoverCheckMs = 5;
+
+/** Time after which successors are told of a release that the store has not confirmed. */
+const maxUnannouncedMs = 150;
+
 /** The wall clock and the monotonic clock diverge by more than this only if the machine was suspended or its time of day was set. */
 const suspensionThresholdMs = 200;
 
@@ -47,6 +62,12 @@
 /** Returns true if the machine was suspended, or its time of day set, between two moments. */
 const hasClockJumpedBetween = (from: Moment, to: Moment): boolean => Math.abs(clockGapMs(from, to)) > suspensionThresholdMs;
 
+/** Reads what the last holder left as it released the lease; `undefined` if that is nothing, or cannot be read. */
+const noteFrom = ({name, handover}: HeldLease): HandoverNote | undefined => {
+	const parsed = parseWith(handoverNoteSchema, handover, name);
+	return E.isRight(parsed) ? parsed.right : undefined;
+};
+
 export type TermKeeperOptions = {
 	readonly processId: string;
 	readonly table: TableService;
@@ -60,6 +81,8 @@
 	readonly onLeaseChanged: () => void;
 	/** Called when the process begins to schedule. */
 	readonly onTermBegun: () => void;
+	/** Returns true while a poll of a worker that is about to leave is under way. */
+	readonly awaitsLeavingWorkers: () => boolean;
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
 	readonly isSuccessor: () => boolean;
 	readonly relayedForMs?: (() => number | undefined) | undefined;
@@ -153,7 +176,8 @@
 	/** Releases the lease permanently, so that another process takes over at once. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
-		await this.#releaseLease();
+		await this.#prepareRelease();
+		await this.#releaseLease('stopping');
 		// A process that leaves is no successor, and others need not wait for it.
 		this.#liveness?.close();
 	}
@@ -250,20 +274,57 @@
 		});
 	}
 
-	/** Successors are told first: the store may be slow to answer this process, and the fence of the next holder rejects whatever is still under way. */
-	async #releaseLease(): Promise<void> {
+	/** Stores what the term reads before its lease is released: the next holder hears from the workers, and some of them may have left by then. Awaits orders to machines as well, since the next holder would use a machine that is about to be taken away. Resolves to whether all of it is stored and answered, or the term has ended; a store that does not answer delays the release for a short time only. */
+	async #prepareRelease(): Promise<boolean> {
 		const {term} = this.#state;
-		const token = this.#leases.unconfirmedLease(schedulerLease)?.fence.version ?? term?.fencingToken;
+		if (term === undefined) {
+			return true;
+		}
+
+		const {fencingToken} = term;
+		const begunAtMs = this.#now().nowMs;
+		const {pendingSaveNumber, lastSaveAtMs} = this.#state;
+		if (pendingSaveNumber !== undefined && begunAtMs - lastSaveAtMs >= storeAwayAfterMs) {
+			// The store does not answer this process, and the next holder may reach it.
+			return false;
+		}
+
+		this.#options.dispatch({type: 'handoverBegun', fencingToken, ...this.#now()});
+		while (this.#state.term?.fencingToken === fencingToken) {
+			const {nowMs} = this.#now();
+			const forMs = nowMs - begunAtMs;
+			const isDone = isProgressStored(this.#state, nowMs) && !awaitsMachineAnswers(this.#state);
+			const isListening = forMs < maxListeningMs && this.#options.awaitsLeavingWorkers();
+			if ((isDone && !isListening) || forMs >= maxHandoverMs) {
+				return isDone;
+			}
+
+			await this.#pause(handoverCheckMs);
+		}
+
+		return true;
+	}
+
+	/** Successors are told once the release is stored, since one that acquires the lease before that does not receive what is left to it. If the store is slow to answer this process, they are told before: the fence of the next holder rejects whatever is still under way. */
+	async #releaseLease(reason: LeaseLossReason): Promise<void> {
+		const {term} = this.#state;
+		const heldToken = this.#leases.unconfirmedLease(schedulerLease)?.fence.version;
+		const token = heldToken ?? term?.fencingToken;
 		this.#beginningToken = undefined;
+		const note = term !== undefined && term.fencingToken === heldToken ? noteForNextHolder(this.#state, this.#now().nowMs) : undefined;
 		if (term !== undefined) {
-			this.#options.dispatch({type: 'leaseLost', fencingToken: term.fencingToken, ...this.#now()});
+			this.#options.dispatch({
+				type: 'leaseLost', fencingToken: term.fencingToken, reason, ...this.#now(),
+			});
 		}
 
+		const released = this.#leases.withdraw(schedulerLease, note);
 		if (token !== undefined) {
+			await Promise.race([released, this.#pause(maxUnannouncedMs)]);
 			this.#liveness?.announceRelease(token);
 		}
 
-		await this.#leases.withdrawAll();
+		await released;
 	}
 
 	/** Returns true if a larger process should hold the lease. A small host may hold it because it started first or replaced a larger one, but scheduling a large fleet takes more CPU than it has. */
@@ -273,14 +334,27 @@
 		}
 
 		this.#nextYieldCheckAtMs = nowMs + yieldCheckIntervalMs;
-		const {term, isSuspended, isLeaseUnconfirmed} = this.#state;
-		const mayYield = term !== undefined && !isSuspended && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
+		const {term, isSuspended, isHandingOver, isLeaseUnconfirmed} = this.#state;
+		const mayYield = term !== undefined && !isSuspended && !isHandingOver && !isLeaseUnconfirmed && nowMs - term.wonAtMs >= yieldCheckIntervalMs;
 		return mayYield && this.#options.hasLargerPeer(term.wonAtMs);
 	}
 
+	/** Gives up the lease, unless the term's progress cannot be stored in time: a later check tries again. */
 	async #yieldLease(reason: string): Promise<void> {
+		const {term} = this.#state;
+		const isDone = await this.#prepareRelease();
+		if (this.#isLeaving) {
+			return;
+		}
+
+		if (!isDone && term !== undefined) {
+			this.#options.log.info({event: 'lease_kept', reason: 'progress is not stored, or a machine order not answered', fencingToken: term.fencingToken});
+			this.#options.dispatch({type: 'handoverCancelled', fencingToken: term.fencingToken, ...this.#now()});
+			return;
+		}
+
 		this.#options.log.info({event: 'lease_yielded', reason});
-		await this.#releaseLease();
+		await this.#releaseLease('yielded');
 		if (!this.#isLeaving) {
 			this.#contend();
 		}
@@ -473,7 +547,7 @@
 
 				this.#continuation.confirm();
 				this.#options.dispatch({
-					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), ...this.#now(),
+					type: 'leaseWon', fencingToken: fence.version, earlierHolder: this.#earlierHolderOf(lease), note: noteFrom(lease), ...this.#now(),
 				});
 				this.#options.onTermBegun();
 				break;
