--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -27,7 +27,7 @@
 /** Until when lists of machines may lack the worker though it is there: it was seen to start again, or has answered a start and no report tells since when it has been there. */
 const unlistedUntilMs = ({runs, restartedAtMs}: WorkerRecord): number => maxListingDelayMs + Math.max(
 	restartedAtMs ?? Number.NEGATIVE_INFINITY,
-	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs}) => !mayArrive && listedIncarnation === undefined ? orderedAtMs : Number.NEGATIVE_INFINITY),
+	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs, startedAtMs = orderedAtMs}) => !mayArrive && listedIncarnation === undefined ? startedAtMs : Number.NEGATIVE_INFINITY),
 );
 
 /** Names the workers on which a start of this term, or of an earlier one, may still be carried out, and those that may have just started again. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well, and so does one that was left to this holder: the next incarnation of the worker knows of none of that. Only time ends them. */
@@ -68,11 +68,11 @@
 export const hasInheritedStart = ({inheritedStarts}: SchedulerState, {entry}: WorkerRecord, afterMs: number): boolean =>
 	(inheritedStarts.get(entry.workerId) ?? Number.NEGATIVE_INFINITY) > afterMs;
 
-/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. A list shows that only if it was asked for after the time for which the note names the worker. */
-export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean => {
+/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. The list must have been asked for after all such starts, since an earlier one may lack an incarnation that has carried one out. */
+export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord): boolean => {
 	const {isEnded, missingSince} = worker;
 	return state.areMachinesOfTerm && isEnded && missingSince !== undefined
 		&& missingSince.sentAtMs >= Math.max(state.term!.wonAtMs, state.unlistedUntilMs)
-		&& areEarlierStartsKnown(state, nowMs)
+		&& areEarlierStartsKnown(state, missingSince.sentAtMs)
 		&& !hasInheritedStart(state, worker, missingSince.sentAtMs);
 };
