Tests of takeovers and series share their held start and the finish of their jobs

holdStart stood in two test files, and the loop that lets accepted jobs finish in two series; each is a module of tests/support now. done-log.ts and start-log.ts share the time for which they gather.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -57,6 +57,9 @@
 /** A draining worker serves for at least this long; one that is gone earlier has crashed. */
 export const minDrainMs = 1500;
 
+/** How long starts and ends are gathered that share a log line. */
+export const logGatherMs = 50;
+
 /** A log line names at most this many runs. */
 export const maxLoggedRuns = 40;
 
--- a/packages/scheduler/src/shell/done-log.ts
+++ b/packages/scheduler/src/shell/done-log.ts
@@ -2,10 +2,7 @@
 Logs the ends `done` that workers report, gathered over all workers for a short span of time. A busy lease holder reads more than a thousand reports a second; a line for each would take more than half of the lines that it may write.
 */
 import {type CancelTimer, type Clock, type Logger} from '@poplarnotch/common';
-import {maxLoggedRuns} from '../constants.js';
-
-/** How long ends are gathered. */
-const gatherMs = 50;
+import {logGatherMs, maxLoggedRuns} from '../constants.js';
 
 export class DoneLog {
 	readonly #clock: Clock;
@@ -20,7 +17,7 @@
 
 	record(workerId: string, done: ReadonlyArray<{readonly taskKey: string; readonly attempt: number}>): void {
 		this.#gathered.push(...done.map(({taskKey, attempt}) => `${taskKey}#${attempt}:${workerId}`));
-		this.#cancelTimer ??= this.#clock.schedule(gatherMs, () => {
+		this.#cancelTimer ??= this.#clock.schedule(logGatherMs, () => {
 			this.flush();
 		});
 	}
--- a/packages/scheduler/src/shell/start-log.ts
+++ b/packages/scheduler/src/shell/start-log.ts
@@ -2,10 +2,7 @@
 Logs the starts that workers have accepted, one line for each step and short span of time. A busy lease holder starts a thousand tasks a second; a line for each would exceed the bound on lines, and formatting them would take processor time that starts need.
 */
 import {type CancelTimer, type Clock, type Logger} from '@poplarnotch/common';
-import {maxLoggedRuns} from '../constants.js';
-
-/** How long the starts of a step are gathered. */
-const gatherMs = 50;
+import {logGatherMs, maxLoggedRuns} from '../constants.js';
 
 /** A start that its worker has accepted. */
 export type AcceptedStart = {
@@ -40,7 +37,7 @@
 			starts.push(start);
 		}
 
-		this.#cancelTimer ??= this.#clock.schedule(gatherMs, () => {
+		this.#cancelTimer ??= this.#clock.schedule(logGatherMs, () => {
 			this.flush();
 		});
 	}
--- a/packages/scheduler/tests/handover-series.test.ts
+++ b/packages/scheduler/tests/handover-series.test.ts
@@ -7,6 +7,7 @@
 import {disturbAnswers} from './support/disturbed-answers.js';
 import {jobOf, stepOf} from './support/jobs.js';
 import {SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
+import {finishJobs} from './support/unfinished-jobs.js';
 
 /** Time from the signal to the end of a process. */
 const stopMs = 2500;
@@ -15,10 +16,6 @@
 const seriesMs = 12_000;
 const minHandovers = 8;
 
-/** Time for the jobs to finish. A store that cuts its answers after each row is caught up with slowly. */
-const maxQuiescenceMs = 120_000;
-const quiescenceStepMs = 4000;
-
 const storeFaults = [{}, {latencyMs: 240}, {lostAnswerRate: 0.35}, {latencyMs: 120, lostAnswerRate: 0.2}];
 const answerSizes = [1000, 1, 7, 40];
 
@@ -71,12 +68,7 @@
 
 	restoreAnswers();
 	simulation.faults.lostOrderRate = 0;
-	const unfinished = (): readonly string[] => accepted.filter(jobId => simulation.holder?.scheduler.state.jobs.get(jobId)?.outcome !== 'completed');
-	for (let passedMs = 0; passedMs < maxQuiescenceMs && (passedMs === 0 || unfinished().length > 0); passedMs += quiescenceStepMs) {
-		await simulation.run(quiescenceStepMs);
-	}
-
-	const unfinishedAtEnd = unfinished();
+	const unfinishedAtEnd = await finishJobs(simulation, accepted);
 	simulation.close();
 	expect(simulation.fleet.brokenPromises).toEqual([]);
 	expect(unfinishedAtEnd).toEqual([]);
--- a/packages/scheduler/tests/leavers-series.test.ts
+++ b/packages/scheduler/tests/leavers-series.test.ts
@@ -6,6 +6,7 @@
 import {expect, test} from 'vitest';
 import {jobOf, stepOf} from './support/jobs.js';
 import {configurationWithoutStandby, SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
+import {finishJobs} from './support/unfinished-jobs.js';
 
 /** Time from the signal to the end of a process. */
 const graceMs = 2500;
@@ -26,9 +27,6 @@
 /** Longer than a holder is silent before it is replaced. */
 const pauseMs = 1200;
 
-const maxQuiescenceMs = 120_000;
-const quiescenceStepMs = 4000;
-
 const storeLatenciesMs = [4, 4, 40, 120, 240];
 const largeHost = {cpuMillicores: 1350};
 
@@ -125,12 +123,7 @@
 	}
 
 	simulation.faults.lostOrderRate = 0;
-	const unfinished = (): readonly string[] => accepted.filter(jobId => simulation.holder?.scheduler.state.jobs.get(jobId)?.outcome !== 'completed');
-	for (let passedMs = 0; passedMs < maxQuiescenceMs && (passedMs === 0 || unfinished().length > 0); passedMs += quiescenceStepMs) {
-		await simulation.run(quiescenceStepMs);
-	}
-
-	const unfinishedAtEnd = unfinished();
+	const unfinishedAtEnd = await finishJobs(simulation, accepted);
 	simulation.close();
 	expect(simulation.fleet.brokenPromises).toEqual([]);
 	expect(unfinishedAtEnd).toEqual([]);
--- a/packages/scheduler/tests/review-of-earlier-incarnations.test.ts
+++ b/packages/scheduler/tests/review-of-earlier-incarnations.test.ts
@@ -9,9 +9,10 @@
 } from '../src/index.js';
 import {noCrashRecord} from '../src/core/crash-record.js';
 import {type EventBody} from './support/event-body.js';
+import {holdStart} from './support/held-starts.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {
-	configurationOf, configurationWithoutStandby, pool, type SentCall, SchedulerSimulation, takeoverMs,
+	configurationOf, configurationWithoutStandby, pool, SchedulerSimulation, takeoverMs,
 } from './support/scheduler-simulation.js';
 
 const startLatencyMs = 2;
@@ -32,32 +33,11 @@
 	return simulation;
 };
 
-/** Submits a task that runs for the given time, holds its first start back, and returns the worker that it was sent to. */
-const holdStart = async (simulation: SchedulerSimulation, lateMs: number, runMs: number): Promise<string> => {
-	simulation.fleet.behaviour.runMs = () => runMs;
-	void simulation.submit(jobOf(1, {steps: [stepOf({taskCount: 1})]}));
-	const held: SentCall[] = [];
-	simulation.lateMsOf = call => {
-		if (held.length > 0 || call.type !== 'start') {
-			return undefined;
-		}
-
-		held.push(call);
-		return lateMs;
-	};
-
-	while (held.length === 0) {
-		await simulation.run(5);
-	}
-
-	return held[0]!.workerId;
-};
-
 describe('with simulated workers', () => {
 	// The new holder takes the worker for ended, and so for heard.
 	test.each([400, 800, 1200])('a takeover is not settled by the loss of a worker that may return and carry out a start of the earlier holder (back %i ms after the takeover)', async returnMs => {
 		const probe = await simulate();
-		await holdStart(probe, 60_000, 30_000);
+		await holdStart(probe, {lateMs: 60_000, runMs: 30_000});
 		const killedAtMs = probe.clock.nowMs();
 		probe.kill(probe.holder!);
 		while (probe.holder === undefined) {
@@ -69,7 +49,7 @@
 
 		const simulation = await simulate();
 		const absenceMs = takenOverMs + returnMs;
-		const workerId = await holdStart(simulation, absenceMs + (2 * startLatencyMs) + 3, 30_000);
+		const workerId = await holdStart(simulation, {lateMs: absenceMs + (2 * startLatencyMs) + 3, runMs: 30_000});
 		simulation.crashBriefly(workerId, absenceMs);
 		simulation.kill(simulation.holder!);
 		await simulation.run(absenceMs + 3000);
@@ -80,7 +60,7 @@
 	// The record is deleted 10 s after the registration is gone, and a new one has the same order token if the worker had never restarted.
 	test('a worker whose record was deleted refuses, once it has answered, what was sent before', async () => {
 		const simulation = await simulate();
-		const workerId = await holdStart(simulation, lateMs, 60_000);
+		const workerId = await holdStart(simulation, {lateMs, runMs: 60_000});
 		simulation.crashBriefly(workerId, downMs);
 		await simulation.run(registrationMs + 5);
 		// Publishes the registrations, without that of the worker.
--- a/packages/scheduler/tests/takeover-with-leavers.test.ts
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -9,9 +9,10 @@
 import {type TaskRun} from '../src/core/records.js';
 import {type EventBody} from './support/event-body.js';
 import {listOpenStarts, noteNaming} from './support/handover-notes.js';
+import {holdStart} from './support/held-starts.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {
-	configurationOf, configurationWithoutStandby, pool, SchedulerSimulation, type SentCall, takeoverMs,
+	configurationOf, configurationWithoutStandby, pool, SchedulerSimulation, takeoverMs,
 } from './support/scheduler-simulation.js';
 
 const noticeMs = 2000;
@@ -51,26 +52,7 @@
 	return simulation.clock.nowMs() - wonAtMs;
 };
 
-/** Submits a job whose first start is held back for the given time, and returns the worker that it was sent to. */
-const holdStart = async (simulation: SchedulerSimulation, lateMs: number): Promise<string> => {
-	simulation.fleet.behaviour.runMs = () => 30_000;
-	void simulation.submit(jobOf(1, {steps: [stepOf({taskCount: 1})]}));
-	const held: SentCall[] = [];
-	simulation.lateMsOf = call => {
-		if (held.length > 0 || call.type !== 'start') {
-			return undefined;
-		}
-
-		held.push(call);
-		return lateMs;
-	};
-
-	while (held.length === 0) {
-		await simulation.run(5);
-	}
-
-	return held[0]!.workerId;
-};
+const heldRunMs = 30_000;
 
 describe('with simulated workers', () => {
 	test.each([1, 3])('after a planned hand-over, number %i in a row, the takeover does not wait for workers that were taken away', async handOvers => {
@@ -121,7 +103,7 @@
 	test.each([1, 2, 3].flatMap(handOvers => [400, 800, 1200].map(returnMs => ({handOvers, returnMs}))))('a worker that is back $returnMs ms after the last of $handOvers planned hand-overs runs no task twice', async ({handOvers, returnMs}) => {
 		const latencyMs = 2;
 		const probe = await simulate();
-		await holdStart(probe, 60_000);
+		await holdStart(probe, {lateMs: 60_000, runMs: heldRunMs});
 		const leftAtMs = probe.clock.nowMs();
 		for (let count = 0; count < handOvers; count++) {
 			await handOver(probe);
@@ -130,7 +112,7 @@
 		const absenceMs = probe.clock.nowMs() - leftAtMs + returnMs;
 		probe.close();
 		const simulation = await simulate();
-		const workerId = await holdStart(simulation, absenceMs + (2 * latencyMs) + 3);
+		const workerId = await holdStart(simulation, {lateMs: absenceMs + (2 * latencyMs) + 3, runMs: heldRunMs});
 		simulation.crashBriefly(workerId, absenceMs);
 		for (let count = 0; count < handOvers; count++) {
 			await handOver(simulation);
