Log output: lines lost to a failed write, and before a stop, are counted

A write that failed (a full disk, a reader that is gone) took its lines and all buffered ones with it, and no line told of it; lines dropped for their number in the last second of a process were counted, but the count was written only with a later line, which a process that stops has none of. Failed writes now add to the count of dropped lines, and flush writes the count. The two new tests fail on the code before: the first finds the third line without a count, the second 2,000 lines without one.

--- a/packages/common/src/bounded-output.ts
+++ b/packages/common/src/bounded-output.ts
@@ -57,6 +57,7 @@
 	readonly #groupMs: number;
 	#buffered: string[] = [];
 	#bufferedBytes = 0;
+	#linesInWrite = 0;
 	#isWriting = false;
 	#cancelTimer: CancelTimer | undefined;
 	#flushed: Array<() => void> = [];
@@ -90,11 +91,7 @@
 			return false;
 		}
 
-		if (this.#dropped > 0) {
-			this.#enqueue(this.#describeDropped(this.#dropped));
-			this.#dropped = 0;
-		}
-
+		this.#reportDropped();
 		this.#linesInWindow++;
 		this.#enqueue(line);
 		return true;
@@ -102,12 +99,21 @@
 
 	/** Writes the buffered lines now, and resolves when they have been written or cannot be. */
 	async flush(): Promise<void> {
+		this.#reportDropped();
 		return new Promise(resolve => {
 			this.#flushed.push(resolve);
 			this.#writeBuffered();
 		});
 	}
 
+	#reportDropped(): void {
+		if (this.#dropped > 0) {
+			const dropped = this.#dropped;
+			this.#dropped = 0;
+			this.#enqueue(this.#describeDropped(dropped));
+		}
+	}
+
 	#enqueue(line: string): void {
 		this.#buffered.push(line);
 		this.#bufferedBytes += Buffer.byteLength(line);
@@ -138,6 +144,7 @@
 
 		this.#isWriting = true;
 		const bytes = Buffer.from(this.#buffered.join(''));
+		this.#linesInWrite = this.#buffered.length;
 		this.#buffered = [];
 		this.#writeBytes(bytes, error => {
 			this.#isWriting = false;
@@ -145,7 +152,8 @@
 			if (error === null || error === undefined) {
 				this.#scheduleWrite();
 			} else {
-				// The output has no reader any more, so the error cannot be logged either.
+				// The output may have no reader any more, so the error cannot be logged either; if it has one, a later line tells how many were lost.
+				this.#dropped += this.#linesInWrite + this.#buffered.length;
 				this.#buffered = [];
 				this.#bufferedBytes = 0;
 				this.#resolveFlushed();
--- a/packages/common/tests/bounded-output.test.ts
+++ b/packages/common/tests/bounded-output.test.ts
@@ -117,3 +117,40 @@
 	await flushed;
 	await output.flush();
 });
+
+test('lines of a write that failed are counted as dropped', () => {
+	let text = '';
+	let isFailing = true;
+	const clock = new VirtualClock();
+	const output = new BoundedOutput((bytes, done) => {
+		if (isFailing) {
+			done(new Error('no space left'));
+			return;
+		}
+
+		text += Buffer.from(bytes).toString();
+		done(undefined);
+	}, clock, describeDropped, 5);
+	output.write('first\n');
+	output.write('second\n');
+	clock.advance(5);
+	isFailing = false;
+	output.write('third\n');
+	clock.advance(5);
+	expect(text).toBe('dropped=2\nthird\n');
+});
+
+test('lines dropped for their number in the last second of a process are reported as it stops', async () => {
+	let text = '';
+	const clock = new VirtualClock();
+	const output = new BoundedOutput((bytes, done) => {
+		text += Buffer.from(bytes).toString();
+		done(undefined);
+	}, clock, describeDropped, 5);
+	for (let index = 0; index < 2003; index++) {
+		output.write('line\n');
+	}
+
+	await output.flush();
+	expect(text).toMatch(/^(?:line\n){2000}dropped=3\n$/v);
+});
