Log how the release of a lease was prepared

A preparation waits for machines' answers, for draining workers and for storing, each for a limited time, and a process that stops releases its lease whatever came of it. No decision changes.

--- a/packages/scheduler/src/shell/release-preparation.ts
+++ b/packages/scheduler/src/shell/release-preparation.ts
@@ -1,7 +1,7 @@
 /**
 Prepares a planned release of the lease, by a process that stops or yields. What it has ordered and read must not be known to it alone: the next holder would use a machine that is about to be taken away, and hears of ends from workers, some of which may have left by then.
 */
-import {type Clock} from '@poplarnotch/common';
+import {type Clock, type Logger} from '@poplarnotch/common';
 import {storeAwayAfterMs} from '../constants.js';
 import {type SchedulerEvent} from '../core/events.js';
 import {awaitsMachineAnswers} from '../core/machines.js';
@@ -24,6 +24,18 @@
 	/** Returns true while a poll of a worker that is about to leave is under way. */
 	readonly awaitsLeavingWorkers: () => boolean;
 	readonly clock: Clock;
+	readonly log: Logger;
+};
+
+/** How a preparation went, part by part. */
+type PreparationRecord = {
+	readonly fencingToken: number;
+	readonly areMachinesDone: boolean;
+	readonly areLeaversHeard: boolean;
+	readonly isStored: boolean;
+	readonly machinesMs: number;
+	readonly leaversMs: number;
+	readonly storingMs: number;
 };
 
 export class ReleasePreparation {
@@ -42,18 +54,39 @@
 
 		if (pendingSaveNumber !== undefined && this.#nowMs() - lastSaveAtMs >= storeAwayAfterMs) {
 			// The store does not answer this process, and the next holder may reach it.
+			this.#options.log.warn({
+				event: 'release_not_prepared', fencingToken: term.fencingToken, pendingSave: pendingSaveNumber, saveAgeMs: Math.round(this.#nowMs() - lastSaveAtMs),
+			});
 			return false;
 		}
 
 		const {fencingToken} = term;
+		const plannedAtMs = this.#nowMs();
 		this.#dispatch('releasePlanned', fencingToken);
 		const areMachinesDone = await this.#waitWithin(fencingToken, maxMachineAnswersMs, () => !awaitsMachineAnswers(this.#state));
+		const handoverAtMs = this.#nowMs();
 		this.#dispatch('handoverBegun', fencingToken);
-		await this.#waitWithin(fencingToken, maxListeningMs, () => !this.#options.awaitsLeavingWorkers());
+		const areLeaversHeard = await this.#waitWithin(fencingToken, maxListeningMs, () => !this.#options.awaitsLeavingWorkers());
+		const heardAtMs = this.#nowMs();
 		const isStored = await this.#waitWithin(fencingToken, maxStoringMs, () => isProgressStored(this.#state, this.#nowMs()));
+		this.#logPrepared({
+			fencingToken,
+			areMachinesDone,
+			areLeaversHeard,
+			isStored,
+			machinesMs: Math.round(handoverAtMs - plannedAtMs),
+			leaversMs: Math.round(heardAtMs - handoverAtMs),
+			storingMs: Math.round(this.#nowMs() - heardAtMs),
+		});
 		return areMachinesDone && isStored;
 	}
 
+	/** Logs how long each part took, and which of them reached its time limit. */
+	#logPrepared(fields: PreparationRecord): void {
+		const isComplete = fields.areMachinesDone && fields.areLeaversHeard && fields.isStored;
+		this.#options.log[isComplete ? 'info' : 'warn']({event: 'release_prepared', hasTermEnded: this.#state.term?.fencingToken !== fields.fencingToken, ...fields});
+	}
+
 	/** Resolves to true once the condition holds or the term has ended, or to false after the given time. */
 	async #waitWithin(fencingToken: number, maxMs: number, holds: () => boolean): Promise<boolean> {
 		const {clock} = this.#options;
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -185,6 +185,8 @@
 	readonly moves: Array<{readonly machineId: string; readonly target: string; readonly atMs: number}> = [];
 	/** Fields of the lines that processes logged about evacuations and withheld starts. */
 	readonly logged: LogFields[] = [];
+	/** Fields of the lines that tell how terms began and ended. */
+	readonly termLines: LogFields[] = [];
 	ordersConfirmMs = defaultOrdersConfirmMs;
 	/** Workers answer a poll as soon as a run has ended, as the platform's do, and not after a fixed time. */
 	arePollsAnsweredAtEnds = false;
@@ -221,6 +223,8 @@
 		const record = (fields: LogFields): void => {
 			if (/^(?:evacuation|starts)_/v.test(fields.event)) {
 				this.logged.push(fields);
+			} else if (/^(?:release|term|takeover|ends_left|end_of_unknown|event_outdated)/v.test(fields.event)) {
+				this.termLines.push(fields);
 			}
 		};
 
