Log ends that a process reads and applies to no task

A holder that hands over drops reports of workers that it does not know to be draining, and each process drops reports of terms that have ended; the lines on these, where there were any, did not say whether ends were in them. An end without a task, which is acknowledged with the next ones, is named by end_of_unknown_task (hypothesis 7), unless its job has ended. No decision changes; lines are one for each report, and none for a report without such ends.

--- a/packages/scheduler/src/core/outdated-events.ts
+++ b/packages/scheduler/src/core/outdated-events.ts
@@ -4,6 +4,7 @@
 import {type WorkerEntry} from '../types.js';
 import {type SchedulerEvent} from './events.js';
 import {type WorkerRecord} from './records.js';
+import {doneFields} from './report-logs.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 type OutdatedEvent = {
@@ -91,6 +92,7 @@
 			workerId: 'workerId' in event ? event.workerId : undefined,
 			taskKey: 'taskKey' in event ? event.taskKey : undefined,
 			machineId: 'machineId' in event ? event.machineId : undefined,
+			...(event.type === 'polled' ? doneFields(event, 0) : {}),
 		});
 	}
 
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -19,6 +19,7 @@
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {dropOutdatedEvent} from './outdated-events.js';
 import {reconcileRuns} from './relocation.js';
+import {logLeftEnds} from './report-logs.js';
 import {
 	applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
 } from './worker-reports.js';
@@ -201,6 +202,7 @@
 
 		case 'polled': {
 			if (isLeftToNextHolder(state, event)) {
+				logLeftEnds(state, event);
 				break;
 			}
 
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -19,6 +19,7 @@
 import {
 	type ReportedEnd, type StepInstance, type TaskRun, type Task, type WorkerRecord,
 } from './records.js';
+import {logUnknownEnd} from './report-logs.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
 import {isStartedAfterEnd, logStartedAfterEnd} from './takeover.js';
@@ -373,7 +374,9 @@
 	}
 
 	settleTrial(state, task, entry.attempt);
-	if (task !== undefined) {
+	if (task === undefined) {
+		logUnknownEnd(state, worker, entry);
+	} else {
 		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job, reportedAtMs});
 	}
 
