--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -36,6 +36,7 @@
 import {QueuePublisher} from './queue-publisher.js';
 import {SaveAgeMonitor} from './save-age-monitor.js';
 import {TermKeeper} from './term-keeper.js';
+import {type ObservedTerm, TermMonitor} from './term-monitor.js';
 import {WorkerPoller} from './worker-poller.js';
 import {controlPrefix, waveChangeFrom} from './wave-rows.js';
 
@@ -132,6 +133,7 @@
 	readonly #workerPoller: WorkerPoller;
 	readonly #pacing = new HolderPacing();
 	readonly #load: LoadMonitor;
+	readonly #termMonitor: TermMonitor;
 	/** When the next tick is planned. */
 	#tickDueAtMs = Number.POSITIVE_INFINITY;
 	#lastTickAtMs: number | undefined;
@@ -231,6 +233,7 @@
 			}),
 			clock, log, metrics: options.metrics,
 		});
+		this.#termMonitor = new TermMonitor({term: () => this.#observedTerm, clock, log});
 		this.#replicaView = new ReplicaJobView({
 			state: () => this.#runtime.state,
 			refresh: async () => this.#jobReplica.refresh(),
@@ -392,6 +395,13 @@
 		}
 	}
 
+	get #observedTerm(): ObservedTerm | undefined {
+		const {term, inheritedStarts, unknownStartsUntilMs, openJobs} = this.state;
+		return term && {
+			...term, openStarts: inheritedStarts.size, unknownStartsUntilMs, openJobs: openJobs.size,
+		};
+	}
+
 	#scheduleTick(): void {
 		const delayMs = this.state.term === undefined ? idleTickIntervalMs : this.#pacing.roundIntervalMs;
 		this.#tickDueAtMs = this.#options.clock.nowMs() + delayMs;
@@ -422,6 +432,7 @@
 		this.#runtime.dispatch({
 			type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), jobRowsConfirmedAtMs: this.#jobReplica.confirmedAtMs, ...now,
 		});
+		this.#termMonitor.recordRound(latenessMs);
 		this.#workerPoller.pollDueWorkers(now.nowMs);
 		if (this.state.term === undefined) {
 			this.#load.reset();
