Log which ends a takeover finds that no store holds

A new holder applies the ends that workers list, whether their progress was stored or not, so no line told how many had been known to their workers alone: those that a leaving worker would have taken with it. takeover_settled now counts both and names the jobs of the latter. No decision changes.

--- a/packages/scheduler/src/core/report-logs.ts
+++ b/packages/scheduler/src/core/report-logs.ts
@@ -6,6 +6,7 @@
 import {type SchedulerEvent} from './events.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {findTask} from './unresolved-tasks.js';
 
 type PolledEvent = Extract<SchedulerEvent, {readonly type: 'polled'}>;
 
@@ -38,3 +39,22 @@
 		});
 	}
 };
+
+/** Counts an end `done` that is reported to this process first before the takeover is settled, by whether the copy holds it: one that it does not hold is known only to its worker and this process. */
+export const countFoundEnd = (state: SchedulerState, {taskKey, end}: FinishedEntry): void => {
+	if (state.isSettled || end !== 'done') {
+		return;
+	}
+
+	if (findTask(state, taskKey)?.phase === 'done') {
+		state.foundEnds.stored++;
+	} else {
+		state.foundEnds.unstored++;
+		state.foundEnds.unstoredJobIds.add(taskKey.split('.')[0]!);
+	}
+};
+
+/** Returns the ends that were found during the takeover as log fields. */
+export const foundEndsFields = ({foundEnds: {stored, unstored, unstoredJobIds}}: SchedulerState) => ({
+	storedEnds: stored, unstoredEnds: unstored, unstoredJobs: unstored === 0 ? undefined : [...unstoredJobIds].slice(0, maxLoggedRuns).join(','),
+});
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -66,6 +66,8 @@
 	unknownStartsUntilMs = 0;
 	/** Until when lists of machines may lack workers that started again before this term. */
 	unlistedUntilMs = 0;
+	/** Ends `done` that workers have listed since the term began, until its takeover was settled. */
+	foundEnds = {stored: 0, unstored: 0, unstoredJobIds: new Set<string>()};
 	/** When it was last logged what the takeover waits for, or when the term began. */
 	takeoverLoggedAtMs = 0;
 	readonly jobs = new Map<string, JobRecord>();
@@ -170,6 +172,7 @@
 		this.isSettled = false;
 		this.earlierHolder = undefined;
 		this.takeoverLoggedAtMs = nowMs;
+		this.foundEnds = {stored: 0, unstored: 0, unstoredJobIds: new Set()};
 		this.newJobsAfterRevision = undefined;
 		this.isRevisionRequested = false;
 		this.isSuspended = false;
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -8,6 +8,7 @@
 	type JobRecord, type StepInstance, type Task, type WorkerRecord,
 } from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {foundEndsFields} from './report-logs.js';
 import {areEarlierStartsKnown, hasInheritedStart, hasNoEarlierStarts} from './handover.js';
 import {lastEarlierCallAtMs, longestLeaseExpiryAfter} from './earlier-leases.js';
 import {leaseExpiryAfter} from './workers.js';
@@ -89,7 +90,7 @@
 		state.emit({
 			type: 'log', fields: {
 				event: 'takeover_settled', by: areAllKnown ? 'reports' : 'time', workers: workers.length, unanswered: unheard.length, unregistered: unregistered.length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs), awaited: awaited.length, openStarts: statedStarts(state, nowMs),
-				unheard: describeUnheard(state, [...awaited, ...passedOver], nowMs),
+				unheard: describeUnheard(state, [...awaited, ...passedOver], nowMs), ...foundEndsFields(state),
 			},
 		});
 	} else {
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -19,7 +19,7 @@
 import {
 	type ReportedEnd, type StepInstance, type TaskRun, type Task, type WorkerRecord,
 } from './records.js';
-import {logUnknownEnd} from './report-logs.js';
+import {countFoundEnd, logUnknownEnd} from './report-logs.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
 import {isStartedAfterEnd, logStartedAfterEnd} from './takeover.js';
@@ -134,6 +134,7 @@
 	for (const entry of report.finished.toSorted((a, b) => a.sequence - b.sequence)) {
 		if (entry.sequence > worker.processedSequence) {
 			worker.processedSequence = entry.sequence;
+			countFoundEnd(state, entry);
 			const task = applyReportedEnd(state, worker, {entry, reportedAtMs: event.nowMs}, event);
 			ended.push(entry);
 			if (isStartedAfterEnd(task, entry)) {
--- a/packages/scheduler/tests/report-logs.test.ts
+++ b/packages/scheduler/tests/report-logs.test.ts
@@ -76,3 +76,25 @@
 	report(endOf(1, `${job.jobId}.0.0.0`), endOf(2, `${job.jobId}.0.0.1`));
 	expect(logged('ends_left_to_next_holder')).toMatchObject([{workerId: 'w1', done: 1, tasks: `${job.jobId}.0.0.1#4001`}]);
 });
+
+test('a takeover tells which of the ends that workers list are stored', () => {
+	dispatch({
+		type: 'jobsChanged', changes: [{
+			type: 'progressed', jobId: job.jobId, rowKey: 'progress', version: 8, progress: {
+				outcome: undefined, endedWallMs: undefined, hasBegun: true, doneTasks: {'0.0': [0]}, failures: {}, crashRecords: {},
+			},
+		}],
+	});
+	dispatch({type: 'leaseWon', fencingToken: fencingToken + 4});
+	nowMs += 5;
+	dispatch({
+		type: 'polled', fencingToken: fencingToken + 4, workerId: 'w1', incarnation: 1, sentAtMs: nowMs, sentAcknowledgement: 0, answer: {
+			type: 'report', report: {
+				clockMs: nowMs, bornWallMs: 900_000, running: [], finished: [endOf(1, `${job.jobId}.0.0.0`), endOf(2, `${job.jobId}.0.0.1`)],
+			},
+		},
+	});
+	nowMs += 6000;
+	dispatch({type: 'tick', jobRowsConfirmedAtMs: nowMs});
+	expect(logged('takeover_settled')).toMatchObject([{storedEnds: 1, unstoredEnds: 1, unstoredJobs: job.jobId}]);
+});
