Ends that a process reads without its term, or cannot store in it, reach the next holder

An end of a run was known to its worker and to the process that had read it. If the worker left, and that process could not store the end under its fence any more, the next holder started the task again.

Three ways led there. An answer to a poll that is not of the present term was dropped with the ends that it lists (event_outdated, other-term). A term ended with progress that was not stored: superseded, or stopped while the store was slow. Of a poll that is repeated only the first report was used, and the other one may name ends that the first lacks.

Knowledge of ends only grows, so it needs no fence. A process that reads ends without a term, or whose term ends with unstored ones, records them in rows of their own (jobs/ends/JOB/RECORD), which are only ever created; a write that is carried out late harms nothing. All processes merge them into the job. A planned release leaves the unstored ends to the next holder in the note beside the lease, in the same transaction. The rows are removed with the job.

--- a/bench/pool-forecast.bench.ts
+++ b/bench/pool-forecast.bench.ts
@@ -206,6 +206,7 @@
 			case 'log':
 			case 'logDone':
 			case 'pace':
+			case 'recordEnds':
 			case 'requestAdvice':
 			case 'scheduleSave':
 			case 'stepDown':
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -5,7 +5,7 @@
 	type AdviceAnswer, type PollAnswer, type MachineAnswer, type OrderAnswer, type StartAnswer, type UnreadableMachine,
 } from '../ports.js';
 import {
-	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type WaveOrder, type WorkerEntry,
+	type FleetConfiguration, type JobProgress, type JobSpec, type MachineEntry, type TaskEnds, type WaveOrder, type WorkerEntry, type WorkerReport,
 } from '../types.js';
 import {type HandoverNote} from './handover-note.js';
 
@@ -31,13 +31,15 @@
 export type AdvisedWorker = {readonly workerId: string; readonly incarnation: number};
 
 /** What a row of a job holds. */
-export type JobRowKind = 'specification' | 'progress' | 'cancellation';
+export type JobRowKind = 'specification' | 'progress' | 'cancellation' | 'ends';
 
 /** A change to the stored rows of one job. */
 export type JobChange
 	= | {readonly type: 'accepted'; readonly job: JobSpec; readonly rowKey: string; readonly version: number}
 		| {readonly type: 'progressed'; readonly jobId: string; readonly progress: JobProgress; readonly rowKey: string; readonly version: number}
 		| {readonly type: 'cancelled'; readonly jobId: string; readonly rowKey: string}
+		/** Ends that a process has recorded outside of its term. */
+		| {readonly type: 'endsRecorded'; readonly jobId: string; readonly ends: TaskEnds; readonly rowKey: string}
 		| {readonly type: 'removed'; readonly jobId: string; readonly row: JobRowKind; readonly rowKey: string};
 
 export type SchedulerEvent = EventTime & (
@@ -65,6 +67,8 @@
 	/** The process will release the lease of the term, is about to do so, or goes on because its progress could not be stored in time. */
 	| (OfTerm & {readonly type: 'releasePlanned' | 'handoverBegun' | 'handoverCancelled'})
 	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number; readonly sentDeadlineClockMs?: number | undefined})
+	/** A report that came after another one had answered the same poll. Only its ends are used: it may tell less of what runs than the first one. */
+	| (OfTerm & OfIncarnation & {readonly type: 'reportedLate'; readonly workerId: string; readonly report: WorkerReport})
 	| (OfTerm & Partial<OfIncarnation> & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly orderedAtMs: number; readonly answer: OrderAnswer})
@@ -86,6 +90,9 @@
 	readonly waves: ReadonlyArray<{readonly waveId: number; readonly maintained: readonly string[]; readonly isCompleted: boolean; readonly isRetry?: boolean}>;
 };
 
+/** Ends of tasks of one job. */
+export type JobEnds = {readonly jobId: string; readonly ends: TaskEnds};
+
 export type SchedulerEffect
 	= | {
 		readonly type: 'start'; readonly workerId: string; readonly taskKey: string; readonly attempt: number;
@@ -103,6 +110,8 @@
 	| {readonly type: 'requestAdvice'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]}
 	/** `fencingToken`: the term whose fence is the condition of the save. */
 	| {readonly type: 'save'; readonly save: ProgressSave; readonly fencingToken: number}
+	/** Stores ends without the fence, in rows of their own. The shell retries until they are stored, for a while. */
+	| {readonly type: 'recordEnds'; readonly jobs: readonly JobEnds[]}
 	| {readonly type: 'move'; readonly machineId: string; readonly orderNumber: number; readonly pool: string; readonly fencingToken: number; readonly reason: string}
 	| {readonly type: 'maintain'; readonly machineId: string; readonly orderNumber: number; readonly waveId: number; readonly fencingToken: number}
 	| {readonly type: 'reportWave'; readonly fencingToken: number; readonly waveId: number; readonly state: 'running' | 'completed'}
--- a/packages/scheduler/src/core/handover-note.ts
+++ b/packages/scheduler/src/core/handover-note.ts
@@ -3,6 +3,8 @@
 */
 import {z} from '@poplarnotch/common';
 
+const taskNumbersSchema = z.record(z.string(), z.array(z.number().int().nonnegative()));
+
 export const handoverNoteSchema = z.object({
 	/** For how much longer a start may be carried out on a worker, by worker id. */
 	openStarts: z.record(z.string(), z.number()),
@@ -10,6 +12,8 @@
 	unknownForMs: z.number(),
 	/** For how much longer lists of machines may lack a worker that is not named and has started again just before. */
 	unlistedForMs: z.number().default(0),
+	/** Ends that the holder has read and could not store, by job id. */
+	ends: z.record(z.string(), z.object({doneTasks: taskNumbersSchema, failures: taskNumbersSchema})).optional(),
 });
 
 export type HandoverNote = z.infer<typeof handoverNoteSchema>;
--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -3,6 +3,7 @@
 */
 import {maxCallDelayMs, maxListingDelayMs} from '../constants.js';
 import {type HandoverNote} from './handover-note.js';
+import {unstoredTaskEnds} from './recorded-ends.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
@@ -12,6 +13,28 @@
 /** More workers that may have started again are not listed; the next holder then relies on no list of machines of the first moments. */
 const maxUncertainWorkers = 200;
 
+/** Size of the JSON text of the ends in a note, beside the starts in the same row. Further ends are recorded as the term ends. */
+const maxEndsTextLength = 16_000;
+
+/** Returns the unstored ends that fit into the note. */
+const endsForNote = (state: SchedulerState): NonNullable<HandoverNote['ends']> => {
+	const noted: NonNullable<HandoverNote['ends']> = {};
+	let textLength = 0;
+	for (const {jobId, ends: {doneTasks, failures}} of unstoredTaskEnds(state)) {
+		textLength += JSON.stringify({[jobId]: {doneTasks, failures}}).length;
+		if (textLength > maxEndsTextLength) {
+			break;
+		}
+
+		noted[jobId] = {
+			doneTasks: Object.fromEntries(Object.entries(doneTasks).map(([key, indexes]) => [key, [...indexes]])),
+			failures: Object.fromEntries(Object.entries(failures).map(([key, attempts]) => [key, [...attempts]])),
+		};
+	}
+
+	return noted;
+};
+
 /** Applies what the last holder left. Without a note, or beside a replaced holder that may still order starts, any start may be under way. */
 export const receiveNote = (state: SchedulerState, note: HandoverNote | undefined, nowMs: number): void => {
 	const isUsed = note !== undefined && state.earlierHolder === undefined;
@@ -44,8 +67,11 @@
 		name(workerId, untilMs);
 	}
 
+	const ends = endsForNote(state);
 	if (forMs.size > maxOpenStarts) {
-		return {openStarts: {}, unknownForMs: maxCallDelayMs, unlistedForMs: 0};
+		return {
+			openStarts: {}, unknownForMs: maxCallDelayMs, unlistedForMs: 0, ends,
+		};
 	}
 
 	const uncertain = workers.filter(worker => unlistedUntilMs(worker) > nowMs);
@@ -58,6 +84,7 @@
 		openStarts: Object.fromEntries(forMs),
 		unknownForMs: Math.max(0, state.unknownStartsUntilMs - nowMs),
 		unlistedForMs: areNamed ? Math.max(0, state.unlistedUntilMs - nowMs) : maxListingDelayMs,
+		ends,
 	};
 };
 
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -2,9 +2,9 @@
 Job lifecycle: a job is accepted, becomes due, makes progress and ends. Progress is stored as sets that only grow, so that what two lease holders have stored can be merged in any order.
 */
 import {assertNever} from '@poplarnotch/common';
-import {stopRetryMs} from '../constants.js';
+import {maxLoggedRuns, stopRetryMs} from '../constants.js';
 import {
-	type CrashRecord, type JobOutcome, type JobProgress, type JobSpec,
+	type CrashRecord, type JobOutcome, type JobProgress, type JobSpec, type TaskEnds,
 } from '../types.js';
 import {mergeCrashRecords, noCrashRecord} from './crash-record.js';
 import {type JobChange} from './events.js';
@@ -19,10 +19,10 @@
 export type CurrentTime = {readonly nowMs: number; readonly wallMs: number};
 
 /** Key of a step in stored progress. */
-const storedStepKey = (occurrence: number, stepIndex: number): string => `${occurrence}.${stepIndex}`;
+export const storedStepKey = (occurrence: number, stepIndex: number): string => `${occurrence}.${stepIndex}`;
 
 /** Key of a task in stored progress. */
-const storedTaskKey = (occurrence: number, stepIndex: number, index: number): string => `${storedStepKey(occurrence, stepIndex)}.${index}`;
+export const storedTaskKey = (occurrence: number, stepIndex: number, index: number): string => `${storedStepKey(occurrence, stepIndex)}.${index}`;
 
 /** Returns the duration of the longest chain of steps. A step refers to earlier ones by their indexes. */
 export const longestChainMs = (steps: ReadonlyArray<{readonly after: readonly number[]; readonly durationMs: number}>): number => {
@@ -54,6 +54,7 @@
 	spec,
 	rowKeys: new Set(),
 	cancelKeys: new Set(),
+	endsKeys: new Set(),
 	firstSeenAtMs: nowMs,
 	storedVersion: Number.POSITIVE_INFINITY,
 	submittedAtMs,
@@ -266,8 +267,8 @@
 
 const storedTaskRecords = ({storedDoneTasks, storedFailures, storedCrashRecords}: JobRecord): TaskRecords => ({doneTasks: storedDoneTasks, failures: storedFailures, crashRecords: storedCrashRecords});
 
-const applyProgress = (state: SchedulerState, job: JobRecord, progress: JobProgress, now: CurrentTime): void => {
-	job.hasBegun ||= progress.hasBegun;
+/** Applies what is stored of the job's tasks. */
+const applyTaskRecords = (job: JobRecord, progress: TaskRecords): void => {
 	const stored = mergeTaskRecords(storedTaskRecords(job), progress);
 	job.storedDoneTasks = stored.doneTasks;
 	job.storedFailures = stored.failures;
@@ -292,7 +293,11 @@
 			applyCrashRecord(task, progress.crashRecords[storedKey]);
 		}
 	}
+};
 
+const applyProgress = (state: SchedulerState, job: JobRecord, progress: JobProgress, now: CurrentTime): void => {
+	job.hasBegun ||= progress.hasBegun;
+	applyTaskRecords(job, progress);
 	if (progress.outcome !== undefined) {
 		endJob(state, job, progress.outcome, now);
 		job.endedWallMs = progress.endedWallMs ?? job.endedWallMs;
@@ -348,6 +353,12 @@
 			break;
 		}
 
+		case 'endsRecorded': {
+			job.endsKeys.add(change.rowKey);
+			applyRecordedEnds(state, job, change.ends);
+			break;
+		}
+
 		case 'removed': {
 			applyRemoval(state, job, change);
 			break;
@@ -359,6 +370,23 @@
 	}
 };
 
+const noTaskRecords: TaskRecords = {doneTasks: {}, failures: {}, crashRecords: {}};
+
+/** Applies ends that another process, or an earlier term, has read. A task that was started again meanwhile ran twice. */
+const applyRecordedEnds = (state: SchedulerState, job: JobRecord, ends: TaskEnds): void => {
+	const startedAgain = stepsOf(job).flatMap(({occurrence, stepIndex, tasks}) => (ends.doneTasks[storedStepKey(occurrence, stepIndex)] ?? [])
+		.flatMap(index => tasks[index]?.phase === 'placed' ? [tasks[index].key] : []));
+	job.hasBegun = true;
+	applyTaskRecords(job, {...noTaskRecords, ...ends});
+	if (startedAgain.length > 0) {
+		state.emit({
+			type: 'log', level: 'warn', fields: {
+				event: 'started_after_recorded_end', jobId: job.spec.jobId, count: startedAgain.length, tasks: startedAgain.slice(0, maxLoggedRuns).join(','), fencingToken: state.term?.fencingToken,
+			},
+		});
+	}
+};
+
 type RemovedRow = Extract<JobChange, {readonly type: 'removed'}>;
 
 /** Forgets that a row of a known job is stored. What was read from it stays in force while the job is known. */
@@ -386,6 +414,11 @@
 			break;
 		}
 
+		case 'ends': {
+			job.endsKeys.delete(rowKey);
+			break;
+		}
+
 		default: {
 			assertNever(row);
 		}
@@ -394,15 +427,17 @@
 
 /** Keeps what is still stored of a job whose specification was removed. */
 const detachRows = (state: SchedulerState, job: JobRecord): void => {
-	const {progressVersion, cancelKeys} = job;
-	if (progressVersion === 0 && cancelKeys.size === 0) {
+	const {progressVersion, cancelKeys, endsKeys} = job;
+	if (progressVersion === 0 && cancelKeys.size === 0 && endsKeys.size === 0) {
 		return;
 	}
 
 	const progress: JobProgress = {
 		outcome: job.isOutcomeStored ? job.outcome : undefined, endedWallMs: job.endedWallMs, hasBegun: job.hasBegun, ...storedTaskRecords(job),
 	};
-	state.detachedRows.set(job.spec.jobId, {progress: progressVersion === 0 ? undefined : progress, progressVersion, cancelKeys});
+	state.detachedRows.set(job.spec.jobId, {
+		progress: progressVersion === 0 && endsKeys.size === 0 ? undefined : progress, progressVersion, cancelKeys, endsKeys,
+	});
 };
 
 /** Applies the rows of the job that were read before its specification. */
@@ -418,6 +453,10 @@
 		job.isCancelRequested = true;
 	}
 
+	for (const key of rows.endsKeys) {
+		job.endsKeys.add(key);
+	}
+
 	job.progressVersion = rows.progressVersion;
 	if (rows.progress !== undefined) {
 		applyProgress(state, job, rows.progress, now);
@@ -426,7 +465,9 @@
 
 /** Applies a change to a row of a job whose specification is not known. */
 const applyDetachedChange = (state: SchedulerState, change: Exclude<JobChange, {readonly type: 'accepted'}>): void => {
-	const rows = state.detachedRows.get(change.jobId) ?? {progress: undefined, progressVersion: 0, cancelKeys: new Set()};
+	const rows = state.detachedRows.get(change.jobId) ?? {
+		progress: undefined, progressVersion: 0, cancelKeys: new Set(), endsKeys: new Set(),
+	};
 	switch (change.type) {
 		case 'progressed': {
 			rows.progress = rows.progress === undefined ? change.progress : mergeProgress(rows.progress, change.progress);
@@ -439,13 +480,23 @@
 			break;
 		}
 
+		case 'endsRecorded': {
+			const recorded: JobProgress = {
+				outcome: undefined, endedWallMs: undefined, hasBegun: true, ...noTaskRecords, ...change.ends,
+			};
+			rows.progress = rows.progress === undefined ? recorded : mergeProgress(rows.progress, recorded);
+			rows.endsKeys.add(change.rowKey);
+			break;
+		}
+
 		case 'removed': {
-			if (change.row === 'progress') {
+			rows.progressVersion = change.row === 'progress' ? 0 : rows.progressVersion;
+			rows.cancelKeys.delete(change.rowKey);
+			rows.endsKeys.delete(change.rowKey);
+			if (rows.progressVersion === 0 && rows.endsKeys.size === 0) {
 				rows.progress = undefined;
-				rows.progressVersion = 0;
 			}
 
-			rows.cancelKeys.delete(change.rowKey);
 			break;
 		}
 
@@ -454,7 +505,7 @@
 		}
 	}
 
-	if (rows.progress === undefined && rows.cancelKeys.size === 0) {
+	if (rows.progress === undefined && rows.cancelKeys.size === 0 && rows.endsKeys.size === 0) {
 		state.detachedRows.delete(change.jobId);
 	} else {
 		state.detachedRows.set(change.jobId, rows);
@@ -501,7 +552,7 @@
 		applyChange(state, change, now);
 	}
 
-	for (const change of changes.filter(({type}) => type === 'progressed' || type === 'cancelled')) {
+	for (const change of changes.filter(({type}) => type === 'progressed' || type === 'cancelled' || type === 'endsRecorded')) {
 		applyChange(state, change, now);
 	}
 };
--- a/packages/scheduler/src/core/outdated-events.ts
+++ b/packages/scheduler/src/core/outdated-events.ts
@@ -1,7 +1,7 @@
 /**
 Drops events that do not belong to the present: the answer to a call may arrive after the term in which it was sent has ended and another one of the same process has begun, after the worker that it was sent to has started again, or after another order for the same machine. What such an answer says was true of what it belongs to only. See `docs/design/event-identity.md` for the identity of each event.
 */
-import {type WorkerEntry} from '../types.js';
+import {type WorkerEntry, type WorkerReport} from '../types.js';
 import {type SchedulerEvent} from './events.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -14,15 +14,24 @@
 
 type IncarnationEvent = Extract<SchedulerEvent, {readonly incarnation?: number}>;
 
+/** Returns the report that the event carries, if any. */
+const reportOf = (event: IncarnationEvent): WorkerReport | undefined => {
+	if (event.type === 'reportedLate') {
+		return event.report;
+	}
+
+	return event.type === 'polled' && event.answer.type === 'report' ? event.answer.report : undefined;
+};
+
 /** Compares the incarnation that a call was sent to, or that a report names, with the worker's present one. A call to an earlier incarnation may be refused for the token of the present one. */
 const findOutdatedCall = (state: SchedulerState, event: IncarnationEvent): OutdatedEvent | undefined => {
 	const worker = state.workers.get(event.workerId);
-	const answer = event.type === 'polled' ? event.answer : undefined;
+	const report = reportOf(event);
 	if (worker === undefined) {
 		return undefined;
 	}
 
-	const reportedBornWallMs = answer?.type === 'report' ? answer.report.bornWallMs : undefined;
+	const reportedBornWallMs = report?.bornWallMs;
 	if (reportedBornWallMs !== undefined && worker.bornWallMs !== undefined) {
 		if (reportedBornWallMs < worker.bornWallMs) {
 			return {reason: 'earlier-incarnation', fields: {bornWallMs: reportedBornWallMs, presentBornWallMs: worker.bornWallMs}};
--- /dev/null
+++ b/packages/scheduler/src/core/recorded-ends.ts
@@ -0,0 +1,169 @@
+/**
+Ends of tasks that this process has read and that no store holds yet, when it can no longer store them under its fence: its term is over, or a report arrives after it. If the worker has left by then, nobody else will hear of them, and the next holder would start the tasks again.
+
+What is known of ends only grows, so they need no fence. The last holder leaves them to the next one beside the released lease, in the same transaction, and every process records what it reads later in rows of its own, which are only ever created.
+*/
+import {type FinishedEntry, type TaskEnds, type WorkerReport} from '../types.js';
+import {mergeByKey, unionOf} from './merging.js';
+import {type JobEnds, type SchedulerEvent} from './events.js';
+import {
+	type CurrentTime, failTask, finishTask, stepsOf, storedStepKey, storedTaskKey,
+} from './jobs.js';
+import {type JobRecord, type StepInstance} from './records.js';
+import {type SchedulerState} from './scheduler-state.js';
+import {
+	findTask, isUnresolved, parseTaskKey, type TaskPlace,
+} from './unresolved-tasks.js';
+
+const mergeEnds = (a: TaskEnds, b: TaskEnds): TaskEnds => ({
+	doneTasks: mergeByKey(a.doneTasks, b.doneTasks, unionOf),
+	failures: mergeByKey(a.failures, b.failures, unionOf),
+});
+
+const hasEnds = ({doneTasks, failures}: TaskEnds): boolean => Object.keys(doneTasks).length > 0 || Object.keys(failures).length > 0;
+
+/** Returns the ends of the job's tasks that are known to this process and were not read from the store. */
+const endsBeyondStored = (job: JobRecord): TaskEnds => {
+	const doneTasks: Record<string, readonly number[]> = {};
+	const failures: Record<string, readonly number[]> = {};
+	for (const {occurrence, stepIndex, tasks} of stepsOf(job)) {
+		const stepKey = storedStepKey(occurrence, stepIndex);
+		const storedDone = new Set(job.storedDoneTasks[stepKey]);
+		const done = tasks.filter(({phase, index}) => phase === 'done' && !storedDone.has(index)).map(({index}) => index);
+		if (done.length > 0) {
+			doneTasks[stepKey] = done;
+		}
+
+		for (const {index, failedAttempts} of tasks) {
+			const taskKey = storedTaskKey(occurrence, stepIndex, index);
+			const storedFailed = new Set(job.storedFailures[taskKey]);
+			const failed = [...failedAttempts].filter(attempt => !storedFailed.has(attempt));
+			if (failed.length > 0) {
+				failures[taskKey] = failed;
+			}
+		}
+	}
+
+	return {doneTasks, failures};
+};
+
+/** Returns true if none of the job's tasks will start any more, whatever is known of their ends. */
+const isOver = ({isOutcomeStored, isCancelRequested}: JobRecord): boolean => isOutcomeStored || isCancelRequested;
+
+/** When one member of a gang ends, all its members are done. */
+const doneIndexes = (step: StepInstance | undefined, index: number): readonly number[] => step?.spec.isGang === true ? step.tasks.map(task => task.index) : [index];
+
+const endOf = (state: SchedulerState, {taskKey, attempt, end}: FinishedEntry, {occurrence, stepIndex, index}: TaskPlace): TaskEnds => {
+	const step = findTask(state, taskKey)?.step;
+	return end === 'done'
+		? {doneTasks: {[storedStepKey(occurrence, stepIndex)]: doneIndexes(step, index)}, failures: {}}
+		: {doneTasks: {}, failures: {[storedTaskKey(occurrence, stepIndex, index)]: [attempt]}};
+};
+
+/** Gathers reported ends by their jobs. */
+const endsByJob = (state: SchedulerState, entries: readonly FinishedEntry[], known: Iterable<JobEnds> = []): readonly JobEnds[] => {
+	const gathered = new Map([...known].map(({jobId, ends}) => [jobId, ends]));
+	for (const entry of entries) {
+		const place = parseTaskKey(entry.taskKey);
+		if (place !== undefined) {
+			const ends = endOf(state, entry, place);
+			const earlier = gathered.get(place.jobId);
+			gathered.set(place.jobId, earlier === undefined ? ends : mergeEnds(earlier, ends));
+		}
+	}
+
+	return [...gathered].map(([jobId, ends]) => ({jobId, ends}));
+};
+
+const isLastingKnowledge = ({end}: FinishedEntry): boolean => end === 'done' || end === 'failed';
+
+/** Returns the ends that this process has read in its term and that are not known to be stored. */
+export const unstoredTaskEnds = (state: SchedulerState): readonly JobEnds[] => {
+	const jobs = new Set([...state.dirtyJobs, ...state.pendingSaveJobs]);
+	const ends = [...jobs].filter(job => !isOver(job)).map(job => ({jobId: job.spec.jobId, ends: endsBeyondStored(job)})).filter(each => hasEnds(each.ends));
+	const unresolved = [...[...state.workers.values()].flatMap(({unresolvedEnds}) => unresolvedEnds), ...state.endsOfEarlierIncarnations]
+		.map(({entry}) => entry)
+		.filter(entry => isLastingKnowledge(entry));
+	return endsByJob(state, unresolved, ends);
+};
+
+const emitRecord = (state: SchedulerState, jobs: readonly JobEnds[], reason: string): void => {
+	if (jobs.length > 0) {
+		state.emit({type: 'recordEnds', jobs});
+		state.emit({
+			type: 'log', fields: {
+				event: 'ends_recorded', reason, jobs: jobs.length, first: jobs[0]!.jobId,
+			},
+		});
+	}
+};
+
+/** Records what the term leaves unstored as it ends. */
+export const recordUnstoredEnds = (state: SchedulerState): void => {
+	emitRecord(state, unstoredTaskEnds(state), 'the term has ended');
+};
+
+/** Returns true if the end may matter and is not known to this process. */
+const isNews = (state: SchedulerState, {taskKey, attempt, end}: FinishedEntry, reportedAtMs: number): boolean => {
+	const task = findTask(state, taskKey);
+	if (task === undefined) {
+		return isUnresolved(state, {taskKey, reportedAtMs});
+	}
+
+	const {spec, job} = task.step;
+	return !spec.isLasting && !isOver(job) && task.phase !== 'done' && !(end === 'failed' && task.failedAttempts.has(attempt));
+};
+
+/** Keeps the ends of a report that is not of the present term, or not of the present incarnation of its worker, which may not list them again. In a term they are stored with its progress, otherwise they are recorded. */
+const keepReportedEnds = (state: SchedulerState, {workerId, report, nowMs}: {readonly workerId: string; readonly report: WorkerReport; readonly nowMs: number}): void => {
+	const news = report.finished.filter(entry => isLastingKnowledge(entry) && isNews(state, entry, nowMs));
+	const worker = state.workers.get(workerId);
+	if (news.length === 0) {
+		return;
+	}
+
+	if (state.term !== undefined && worker !== undefined) {
+		state.endsOfEarlierIncarnations = [...state.endsOfEarlierIncarnations, ...news.map(entry => ({entry, reportedAtMs: nowMs, worker}))];
+	} else {
+		emitRecord(state, endsByJob(state, news), `a report of ${workerId} without a term`);
+	}
+};
+
+/** Keeps the ends of a report that is dropped otherwise. */
+export const keepEndsOfDropped = (state: SchedulerState, event: SchedulerEvent): void => {
+	if (event.type === 'polled' && event.answer.type === 'report') {
+		keepReportedEnds(state, {workerId: event.workerId, report: event.answer.report, nowMs: event.nowMs});
+	} else if (event.type === 'reportedLate') {
+		keepReportedEnds(state, event);
+	}
+};
+
+/** Applies the ends that the last holder has left. They are stored with the next save. */
+export const applyInheritedEnds = (state: SchedulerState, inherited: Readonly<Record<string, TaskEnds>>, now: CurrentTime): void => {
+	for (const [jobId, {doneTasks, failures}] of Object.entries(inherited)) {
+		const job = state.jobs.get(jobId);
+		for (const {occurrence, stepIndex, tasks} of job === undefined ? [] : stepsOf(job)) {
+			for (const index of doneTasks[storedStepKey(occurrence, stepIndex)] ?? []) {
+				const task = tasks[index];
+				if (task !== undefined && task.phase !== 'done' && job!.outcome === undefined) {
+					finishTask(state, task, now);
+				}
+			}
+
+			for (const task of tasks) {
+				for (const attempt of failures[storedTaskKey(occurrence, stepIndex, task.index)] ?? []) {
+					failTask(state, task, attempt, now);
+				}
+			}
+		}
+	}
+
+	const jobIds = Object.keys(inherited);
+	if (jobIds.length > 0) {
+		state.emit({
+			type: 'log', fields: {
+				event: 'ends_inherited', jobs: jobIds.length, unknownJobs: jobIds.filter(jobId => !state.jobs.has(jobId)).length, first: jobIds[0],
+			},
+		});
+	}
+};
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -126,6 +126,8 @@
 	readonly rowKeys: Set<string>;
 	/** Keys of the rows that hold a cancellation. */
 	readonly cancelKeys: Set<string>;
+	/** Keys of the rows with ends that were recorded outside of a term. */
+	readonly endsKeys: Set<string>;
 	/** When this process first saw the job. */
 	readonly firstSeenAtMs: number;
 	/** Lowest version of the rows that hold the specification: the job was stored with it. */
@@ -157,6 +159,7 @@
 	/** Version of the newest progress row that was read; 0 if none is stored. */
 	progressVersion: number;
 	readonly cancelKeys: Set<string>;
+	readonly endsKeys: Set<string>;
 };
 
 /** The last reading of a worker's clock. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -18,9 +18,10 @@
 import {poolsLackingRoom} from './pools/pool-capacity.js';
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {dropOutdatedEvent} from './outdated-events.js';
+import {applyInheritedEnds, keepEndsOfDropped} from './recorded-ends.js';
 import {reconcileRuns} from './relocation.js';
 import {
-	applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
+	applyLateReport, applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
 } from './worker-reports.js';
 import {applySaved, storeProgress, storeReportedEnds} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -145,6 +146,8 @@
 				state.beginTerm(event.fencingToken, event.nowMs);
 				state.earlierHolder = event.earlierHolder;
 				receiveNote(state, event.note, event.nowMs);
+				createDueTasks(state, event);
+				applyInheritedEnds(state, event.note?.ends ?? {}, event);
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
@@ -210,6 +213,12 @@
 			break;
 		}
 
+		case 'reportedLate': {
+			applyLateReport(state, event);
+			storeReportedEnds(state, event.nowMs);
+			break;
+		}
+
 		case 'startAnswered': {
 			applyStartAnswer(state, event);
 			break;
@@ -274,7 +283,9 @@
 
 /** Mutates the state, which only the reducer owns, and returns the effects to perform. */
 export const reduceScheduler = (state: SchedulerState, event: SchedulerEvent): Step<SchedulerState, SchedulerEffect> => {
-	if (!dropOutdatedEvent(state, event)) {
+	if (dropOutdatedEvent(state, event)) {
+		keepEndsOfDropped(state, event);
+	} else {
 		apply(state, event);
 	}
 
--- a/packages/scheduler/src/core/terms.ts
+++ b/packages/scheduler/src/core/terms.ts
@@ -4,11 +4,16 @@
 import {resetEvacuationLogs} from './evacuation.js';
 import {type LeaseLossReason} from './events.js';
 import {logUnstoredEnds} from './progress-persistence.js';
+import {recordUnstoredEnds} from './recorded-ends.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 /** Ends the term, if there is one, and discards what is known only within a term: runs, and orders to machines. */
 export const endTerm = (state: SchedulerState, nowMs: number, reason: LeaseLossReason = 'superseded'): void => {
 	logUnstoredEnds(state, nowMs, reason);
+	if (state.term !== undefined) {
+		recordUnstoredEnds(state);
+	}
+
 	state.term = undefined;
 	state.clearRuns(nowMs);
 	resetEvacuationLogs(state);
--- a/packages/scheduler/src/core/unresolved-tasks.ts
+++ b/packages/scheduler/src/core/unresolved-tasks.ts
@@ -9,25 +9,43 @@
 
 const taskKeyPattern = /^(?<jobId>[^.]+)\.(?<occurrence>\d+)\.(?<step>\d+)\.(?<index>\d+)$/v;
 
+/** What a task's key tells. */
+export type TaskPlace = {
+	readonly jobId: string;
+	readonly occurrence: number;
+	readonly stepIndex: number;
+	readonly index: number;
+};
+
+/** Returns `undefined` if it is not the key of a task. */
+export const parseTaskKey = (taskKey: string): TaskPlace | undefined => {
+	const groups = taskKeyPattern.exec(taskKey)?.groups;
+	return groups === undefined
+		? undefined
+		: {
+			jobId: groups.jobId!, occurrence: Number(groups.occurrence), stepIndex: Number(groups.step), index: Number(groups.index),
+		};
+};
+
 /** Finds the task with the given key. */
 export const findTask = (state: SchedulerState, taskKey: string): Task | undefined => {
-	const groups = taskKeyPattern.exec(taskKey)?.groups;
-	const job = groups === undefined ? undefined : state.jobs.get(groups.jobId!);
-	return job?.occurrences.get(Number(groups!.occurrence))?.[Number(groups!.step)]?.tasks[Number(groups!.index)];
+	const place = parseTaskKey(taskKey);
+	const job = place === undefined ? undefined : state.jobs.get(place.jobId);
+	return job?.occurrences.get(place!.occurrence)?.[place!.stepIndex]?.tasks[place!.index];
 };
 
 /** Returns true if the task that a worker reported on may be known later: its job may not have been read yet, or its occurrence is not due by this process's clock. */
 export const isUnresolved = (state: SchedulerState, {taskKey, reportedAtMs}: {readonly taskKey: string; readonly reportedAtMs: number}): boolean => {
-	const groups = taskKeyPattern.exec(taskKey)?.groups;
-	if (groups === undefined) {
+	const place = parseTaskKey(taskKey);
+	if (place === undefined) {
 		return false;
 	}
 
-	const job = state.jobs.get(groups.jobId!);
+	const job = state.jobs.get(place.jobId);
 	if (job === undefined) {
 		return (state.jobRowsConfirmedAtMs ?? Number.NEGATIVE_INFINITY) < reportedAtMs;
 	}
 
-	const occurrence = Number(groups.occurrence);
+	const {occurrence} = place;
 	return job.outcome === undefined && occurrence < occurrenceCount(job.spec) && !job.occurrences.has(occurrence);
 };
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -16,6 +16,7 @@
 import {
 	failTask, finishTask, type CurrentTime, isStopOverdue, orderStop,
 } from './jobs.js';
+import {keepEndsOfDropped} from './recorded-ends.js';
 import {
 	type ReportedEnd, type StepInstance, type TaskRun, type Task, type WorkerRecord,
 } from './records.js';
@@ -32,6 +33,7 @@
 export const applyPollAnswer = (state: SchedulerState, event: PolledEvent): void => {
 	const worker = state.workers.get(event.workerId);
 	if (worker === undefined || state.term === undefined) {
+		keepEndsOfDropped(state, event);
 		return;
 	}
 
@@ -128,12 +130,31 @@
 		});
 	}
 
+	applyListedEnds(state, worker, report.finished, event);
+	const listed = new Set<string>();
+	for (const entry of report.running) {
+		listed.add(entry.taskKey);
+		applyRunningEntry(state, worker, entry, event);
+	}
+
+	if (isFromPresent && !worker.mayLackEnds) {
+		settleRestart(state, worker, listed, event);
+		removeVanishedRuns(state, worker, listed, event);
+		resolveUnlistedStarts(state, worker, listed, event);
+	}
+
+	worker.expiredRuns = [];
+};
+
+/** Applies the ends that the worker lists for the first time. */
+const applyListedEnds = (state: SchedulerState, worker: WorkerRecord, finished: readonly FinishedEntry[], now: CurrentTime): void => {
+	const {entry: {workerId}} = worker;
 	const ended: FinishedEntry[] = [];
 	const startedAfterEnd: Array<{readonly task: Task; readonly attempt: number}> = [];
-	for (const entry of report.finished.toSorted((a, b) => a.sequence - b.sequence)) {
+	for (const entry of finished.toSorted((a, b) => a.sequence - b.sequence)) {
 		if (entry.sequence > worker.processedSequence) {
 			worker.processedSequence = entry.sequence;
-			const task = applyReportedEnd(state, worker, {entry, reportedAtMs: event.nowMs}, event);
+			const task = applyReportedEnd(state, worker, {entry, reportedAtMs: now.nowMs}, now);
 			ended.push(entry);
 			if (isStartedAfterEnd(task, entry)) {
 				startedAfterEnd.push({task, attempt: entry.attempt});
@@ -141,22 +162,20 @@
 		}
 	}
 
-	logEnds(state, event.workerId, ended);
-	logStartedAfterEnd(state, event.workerId, startedAfterEnd);
+	logEnds(state, workerId, ended);
+	logStartedAfterEnd(state, workerId, startedAfterEnd);
+};
 
-	const listed = new Set<string>();
-	for (const entry of report.running) {
-		listed.add(entry.taskKey);
-		applyRunningEntry(state, worker, entry, event);
-	}
+type LateReportEvent = Extract<SchedulerEvent, {readonly type: 'reportedLate'}>;
 
-	if (isFromPresent && !worker.mayLackEnds) {
-		settleRestart(state, worker, listed, event);
-		removeVanishedRuns(state, worker, listed, event);
-		resolveUnlistedStarts(state, worker, listed, event);
+/** Applies the ends of a report that came after another one had answered its poll. The worker may leave before it lists them again. */
+export const applyLateReport = (state: SchedulerState, event: LateReportEvent): void => {
+	const worker = state.workers.get(event.workerId);
+	if (worker?.incarnation === event.incarnation && worker.isFenced) {
+		applyListedEnds(state, worker, event.report.finished, event);
+	} else {
+		keepEndsOfDropped(state, event);
 	}
-
-	worker.expiredRuns = [];
 };
 
 /** Decides on unanswered starts that the worker does not list. They may still arrive, unless they are too late by now or the worker refuses them for their token. */
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -5,11 +5,11 @@
 import {
 	absentVersion, ConflictError, RejectedError, type RowCondition, type RowWrite, type TableService, UnavailableError, WriteOutcomeUnknownError,
 } from '@poplarnotch/platform';
-import {type JobChange, type ProgressSave} from '../core/events.js';
+import {type JobChange, type JobEnds, type ProgressSave} from '../core/events.js';
 import {waveKey} from '../shell/wave-rows.js';
 import {type JobSpec} from '../types.js';
 import {
-	cancelKey, earlierJobKey, jobChangeFrom, jobKey, jobToJson, partitionOf, progressKey, progressToJson,
+	cancelKey, earlierJobKey, endsKey, endsToJson, jobChangeFrom, jobKey, jobToJson, partitionOf, progressKey, progressToJson,
 } from './rows.js';
 
 /** Result of storing a submitted job. */
@@ -113,6 +113,16 @@
 		};
 	}
 
+	/** Records ends without a fence, each job's in a row that has not been written before. Throws the errors of a commit; may be repeated with the same `recordId`. */
+	async recordEnds(jobs: readonly JobEnds[], recordId: string): Promise<void> {
+		for (let from = 0; from < jobs.length; from += maxProgressRowsPerCommit) {
+			await this.#table.commit({
+				conditions: [],
+				writes: jobs.slice(from, from + maxProgressRowsPerCommit).map(({jobId, ends}) => ({type: 'put', key: endsKey(jobId, recordId), value: endsToJson(ends)})),
+			});
+		}
+	}
+
 	/** Removes a row of a job whose retention time has passed. */
 	async remove(key: string): Promise<void> {
 		await this.#table.commit({conditions: [], writes: [{type: 'delete', key}]});
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -1,12 +1,12 @@
 /**
-Job rows. `jobs/{partition}/{jobId}` holds a job's specification, written by the process that accepted it, and `…/cancel` beside it holds a cancellation. The partition follows from the job's id, so that any process can read a job's rows without knowing who wrote them, and writes are spread over several partitions. `jobs/shared/{jobId}/progress` is written by the holder of the scheduler's lease, in the partition that holds the lease's fence.
+Job rows. `jobs/{partition}/{jobId}` holds a job's specification, written by the process that accepted it, and `…/cancel` beside it holds a cancellation. The partition follows from the job's id, so that any process can read a job's rows without knowing who wrote them, and writes are spread over several partitions. `jobs/shared/{jobId}/progress` is written by the holder of the scheduler's lease, in the partition that holds the lease's fence. `jobs/ends/{jobId}/{record}` holds ends of tasks that a process has read without holding the lease any more; such a row is only ever created.
 */
 import * as E from 'fp-ts/lib/Either.js';
 import {type JsonObject, parseWith, z} from '@poplarnotch/common';
 import {type RowChange} from '@poplarnotch/platform';
 import {maxTasksPerJob} from '../constants.js';
 import {type JobChange, type JobRowKind} from '../core/events.js';
-import {type JobProgress, type JobSpec} from '../types.js';
+import {type JobProgress, type JobSpec, type TaskEnds} from '../types.js';
 import {decodeDone, doneRangesSchema, encodeDone} from './done-ranges.js';
 
 export const jobsPrefix = 'jobs/';
@@ -38,6 +38,12 @@
 
 export const progressKey = (jobId: string): string => `${jobsPrefix}${sharedPartition}/${jobId}/progress`;
 
+/** Partition of the ends that processes record outside of their terms. */
+const endsPartition = 'ends';
+
+/** `recordId` is used once. */
+export const endsKey = (jobId: string, recordId: string): string => `${jobsPrefix}${endsPartition}/${jobId}/${recordId}`;
+
 const cancelSuffix = '/cancel';
 
 export const cancelKey = (jobId: string): string => `${jobKey(jobId)}${cancelSuffix}`;
@@ -111,6 +117,21 @@
 	};
 });
 
+const endsSchema = z.object({
+	doneRanges: doneRangesSchema.default([]),
+	failures: taskRecordsSchema.default({}),
+}).transform(({doneRanges, failures}, context): TaskEnds => {
+	const doneTasks = decodeDone(doneRanges);
+	if (doneTasks === undefined) {
+		context.addIssue({code: 'custom', message: 'more tasks than a job has'});
+		return z.NEVER;
+	}
+
+	return {doneTasks, failures};
+});
+
+export const endsToJson = ({doneTasks, failures}: TaskEnds): JsonObject => ({doneRanges: encodeDone(doneTasks), failures});
+
 const isDefault = (value: unknown): boolean => value === 0 || value === false || value === '' || (Array.isArray(value) && value.length === 0);
 
 const withoutDefaults = (fields: JsonObject): JsonObject => Object.fromEntries(Object.entries(fields).filter(([, value]) => !isDefault(value)));
@@ -135,6 +156,8 @@
 	return entries.length === 0 ? {} : {crashRecords: Object.fromEntries(entries)};
 };
 
+const endsKeyPattern = /^jobs\/ends\/(?<jobId>[^\/]+)\/[^\/]+$/v;
+
 const keyPattern = /^jobs\/[^\/]+\/(?<jobId>[^\/]+)(?:\/(?<part>progress|cancel))?$/v;
 
 const removedRow = (jobId: string, row: JobRowKind, rowKey: string): JobChange => ({
@@ -156,8 +179,26 @@
 	};
 };
 
+const endsChangeFrom = (jobId: string, {key, value}: RowChange): JobChange | undefined => {
+	if (value === undefined) {
+		return removedRow(jobId, 'ends', key);
+	}
+
+	const parsed = parseWith(endsSchema, value, key);
+	return E.isLeft(parsed)
+		? undefined
+		: {
+			type: 'endsRecorded', jobId, ends: parsed.right, rowKey: key,
+		};
+};
+
 /** Decodes a changed row; returns `undefined` if it is not a job row, cannot be read, or is not under the key of its job. */
 export const jobChangeFrom = ({key, value, version}: RowChange): JobChange | undefined => {
+	const endsOfJob = endsKeyPattern.exec(key)?.groups?.jobId;
+	if (endsOfJob !== undefined) {
+		return endsChangeFrom(endsOfJob, {key, value, version});
+	}
+
 	const groups = keyPattern.exec(key)?.groups;
 	if (groups === undefined) {
 		return undefined;
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -6,7 +6,9 @@
 } from '@poplarnotch/common';
 import {ConflictError, failureReason, type RowCondition} from '@poplarnotch/platform';
 import {storeRetryDelayMs} from '../constants.js';
-import {type ProgressSave, type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
+import {
+	type JobEnds, type ProgressSave, type SchedulerEffect, type SchedulerEvent,
+} from '../core/events.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {type JobStore} from '../jobs/job-store.js';
 import {
@@ -16,6 +18,9 @@
 import {StartLog} from './start-log.js';
 import {StoredEndsMonitor} from './stored-ends-monitor.js';
 
+/** Time for which it is tried to record ends. Afterwards the leases of their workers are over. */
+const maxRecordingMs = 10_000;
+
 export type EffectPerformerOptions = {
 	readonly processId: string;
 	readonly workerControl: WorkerControl;
@@ -42,12 +47,16 @@
 	readonly #startLog: StartLog;
 	readonly #doneLog: DoneLog;
 	readonly #storedEnds: StoredEndsMonitor;
+	/** Distinguishes the rows with ends that this incarnation of the process records. */
+	readonly #recorder: string;
+	#recordCount = 0;
 
 	constructor(options: EffectPerformerOptions) {
 		this.#options = options;
 		this.#startLog = new StartLog(options.clock, options.log);
 		this.#doneLog = new DoneLog(options.clock, options.log);
 		this.#storedEnds = new StoredEndsMonitor(options);
+		this.#recorder = `${options.processId}@${options.clock.wallTimeMs()}`;
 	}
 
 	/** Writes the log lines that wait for others. */
@@ -95,6 +104,11 @@
 				break;
 			}
 
+			case 'recordEnds': {
+				void this.#recordEnds(effect.jobs);
+				break;
+			}
+
 			case 'move':
 			case 'maintain': {
 				void this.#orderMachine(effect);
@@ -253,6 +267,23 @@
 		}
 	}
 
+	/** Repeats the writes while they may still reach another holder in time. A row that is written twice is the same. */
+	async #recordEnds(jobs: readonly JobEnds[]): Promise<void> {
+		const {clock, log, store} = this.#options;
+		const recordId = `${this.#recorder}.${++this.#recordCount}`;
+		const startedAtMs = clock.nowMs();
+		await this.#repeat(() => clock.nowMs() - startedAtMs < maxRecordingMs, async () => {
+			await store.recordEnds(jobs, recordId);
+			log.info({
+				event: 'ends_record_stored', recordId, jobs: jobs.length, durationMs: Math.round(clock.nowMs() - startedAtMs),
+			});
+		}, error => {
+			log.warn({
+				event: 'ends_record_failed', recordId, jobs: jobs.length, reason: failureReason(log, 'record ends', error),
+			});
+		});
+	}
+
 	#isSavePending(save: ProgressSave, fencingToken: number): boolean {
 		return this.#state.term?.fencingToken === fencingToken && this.#state.pendingSaveNumber === save.saveNumber && !this.#options.isClosed();
 	}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -512,7 +512,7 @@
 		const ended = [...this.state.jobs.values()].filter(job => job.isOutcomeStored && job.endedWallMs !== undefined && wallMs - job.endedWallMs > endedJobRetentionMs);
 		try {
 			for (const job of ended.slice(0, maxJobsPerSweep)) {
-				for (const key of [...job.rowKeys, ...job.cancelKeys, progressKey(job.spec.jobId)]) {
+				for (const key of [...job.rowKeys, ...job.cancelKeys, ...job.endsKeys, progressKey(job.spec.jobId)]) {
 					await this.#store.remove(key);
 				}
 			}
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -13,6 +13,7 @@
 import {
 	type PollAnswer, type PollOrder, type WorkerAddress, type WorkerControl,
 } from '../ports.js';
+import {type WorkerReport} from '../types.js';
 
 export type WorkerPollerOptions = {
 	readonly control: WorkerControl;
@@ -36,6 +37,13 @@
 	readonly sentAcknowledgement: number;
 };
 
+type PollHandlers = {
+	/** Tells whether the worker's incarnation is still the one that is polled. */
+	readonly isPresent: () => boolean;
+	/** Called with a report with ends that comes after the first one. */
+	readonly onLateReport: (report: WorkerReport) => void;
+};
+
 /** Returns the acknowledgement to send, 0 for none. A worker that has not answered may have started again: its ends are numbered anew then, and it would forget ends that nobody has seen. */
 const dueAcknowledgement = ({silentSinceMs, restart, acknowledgedSequence, sentAcknowledgement}: WorkerRecord): number =>
 	silentSinceMs === undefined && restart?.hasReported !== false && acknowledgedSequence > sentAcknowledgement ? acknowledgedSequence : 0;
@@ -120,7 +128,13 @@
 			fencingToken: orderTokenFor(this.#options.state(), worker), acknowledgedSequence, deadlineClockMs: deadline, waitMs,
 		};
 		const isPresent = (): boolean => worker.incarnation === pollState.incarnation;
-		const {answer, sentAcknowledgement} = await this.#pollTwice({workerId, address}, order, isPresent);
+		const {answer, sentAcknowledgement} = await this.#pollTwice({workerId, address}, order, {
+			isPresent, onLateReport(report) {
+				dispatch({
+					type: 'reportedLate', fencingToken, workerId, incarnation: pollState.incarnation, report, nowMs: clock.nowMs(), wallMs: clock.wallTimeMs(),
+				});
+			},
+		});
 		const nowMs = clock.nowMs();
 		pollState.isPolling = false;
 		const pauseMs = isUrgent(worker) ? pollPauseMs : this.#options.pauseMs();
@@ -130,18 +144,24 @@
 		});
 	}
 
-	/** Sends the poll once more if its answer is late, and returns the first report, with the acknowledgement of the poll that it answers. A report that comes after it is left out, since the worker may have made it earlier; what it lists is listed again. The second poll acknowledges nothing, since the worker may have started again; if it is known to have, there is no second one. */
-	async #pollTwice(worker: WorkerAddress, order: PollOrder, isPresent: () => boolean): Promise<PolledWorker> {
+	/** Sends the poll once more if its answer is late, and returns the first report, with the acknowledgement of the poll that it answers. Of a report that comes after it, only the ends are used, since the worker may have made it earlier. The second poll acknowledges nothing, since the worker may have started again; if it is known to have, there is no second one. */
+	async #pollTwice(worker: WorkerAddress, order: PollOrder, {isPresent, onLateReport}: PollHandlers): Promise<PolledWorker> {
 		const {control, clock, pauseMs} = this.#options;
 		// While this process is short of processor time, it reads answers late.
 		const repeatMs = pollRepeatMs * pauseMs() / pollPauseMs;
 		return new Promise(resolve => {
 			let pendingCount = 0;
+			let isReported = false;
 			const send = async (changes: Partial<PollOrder> = {}): Promise<void> => {
 				pendingCount++;
 				const sent = {...order, ...changes};
 				const answer = await control.poll(worker, sent);
 				pendingCount--;
+				if (isReported && answer.type === 'report' && answer.report.finished.length > 0) {
+					onLateReport(answer.report);
+				}
+
+				isReported ||= answer.type === 'report';
 				if (answer.type !== 'unreachable' || pendingCount === 0) {
 					cancelRepeat();
 					resolve({answer, sentAcknowledgement: sent.acknowledgedSequence});
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -162,6 +162,9 @@
 	readonly crashRecords: Readonly<Record<string, CrashRecord>>;
 };
 
+/** How tasks of a job have ended, as far as it is lasting knowledge. */
+export type TaskEnds = Pick<JobProgress, 'doneTasks' | 'failures'>;
+
 /** A worker as it registers itself. */
 export type WorkerEntry = {
 	readonly workerId: string;
--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -5,16 +5,16 @@
 	afterEach, describe, expect, test,
 } from 'vitest';
 import {
-	type FinishedEntry, reduceScheduler, type RunningEntry, type SchedulerEffect, SchedulerState, type WorkerEntry, type WorkerReport,
+	type FinishedEntry, type RunningEntry, type SchedulerEffect,
 } from '../src/index.js';
 import {noteForNextHolder} from '../src/core/handover.js';
 import {isProgressStored} from '../src/core/progress-persistence.js';
-import {type EventBody} from './support/event-body.js';
 import {listOpenStarts, noteNaming} from './support/handover-notes.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
+import {NewHolder, wallOffsetMs} from './support/new-holder.js';
 import {NotedEnds} from './support/noted-ends.js';
 import {
-	configurationOf, configurationWithoutStandby, pool, SchedulerSimulation, takeoverMs,
+	configurationWithoutStandby, SchedulerSimulation, takeoverMs,
 } from './support/scheduler-simulation.js';
 
 describe('the judge of ends that were taken note of', () => {
@@ -360,45 +360,6 @@
 	});
 });
 
-const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
-const wallOffsetMs = 1_000_000;
-
-/** A process that takes over, driven event by event. */
-class NewHolder {
-	readonly state = new SchedulerState();
-
-	constructor(readonly workers: readonly string[]) {
-		this.dispatch({type: 'configured', configuration: configurationOf(1)}, 0);
-		this.dispatch({
-			type: 'workersListed', workers: workers.map((workerId): WorkerEntry => ({
-				workerId, pool, address: `${workerId}:1`, dataCentre: 'dc', isDraining: false, capacity, labels: [], rack: 'r', bornWallMs: wallOffsetMs - 60_000, coldLeftMs: 0,
-			})),
-		}, 0);
-	}
-
-	dispatch(event: EventBody, nowMs: number): readonly SchedulerEffect[] {
-		return reduceScheduler(this.state, {...event, nowMs, wallMs: wallOffsetMs + nowMs}).effects;
-	}
-
-	list(sentAtMs: number, down: readonly string[] = []): void {
-		this.dispatch({
-			type: 'machinesListed', sentAtMs, isOfOneMoment: true, machines: this.workers.map(workerId => ({
-				machineId: `m-${workerId}`, pool, dataCentre: 'dc', state: down.includes(workerId) ? 'down' : 'up', capacity, workerId: down.includes(workerId) ? undefined : workerId,
-			} as const)),
-		}, sentAtMs + 10);
-	}
-
-	report(workerId: string, nowMs: number, {finished = [], running = [], bornWallMs = wallOffsetMs - 60_000}: Partial<WorkerReport> = {}): void {
-		this.dispatch({
-			type: 'polled', fencingToken: this.state.term!.fencingToken, workerId, incarnation: this.state.workers.get(workerId)!.incarnation, sentAtMs: nowMs, sentAcknowledgement: 0, answer: {
-				type: 'report', report: {
-					clockMs: nowMs, bornWallMs, running, finished,
-				},
-			},
-		}, nowMs);
-	}
-}
-
 describe('the note of a hand-over', () => {
 	/** No start of a lost holder is carried out later than this after its loss. */
 	const maxStartDelayMs = 15_000;
