A holder that releases its lease has heard every poll that it sent

A holder that was told to stop, or yielded, released its lease with polls in flight that let the workers wait for up to 500 ms, and from handoverBegun it dropped the reports of all workers that it did not know to be draining. Ends in these answers had been listed, and were known to nobody once their worker had left. A drain is known only when the registration has been read, up to a second later where the store is slow. Draining workers were waited for, but for 150 ms only, which a process with a processor quota can spend standing still.

Before a planned release the holder now lets workers wait for 100 ms at most, goes on starting tasks until the longer polls are over, then sends no more polls and awaits the answers that are under way (400 ms at most), and applies all of them. Only then it orders nothing, stores and releases. A process that stops stores for 350 ms at most instead of 800, so that the release comes no later than before: the rest goes with the note of the release.

--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -93,10 +93,6 @@
 	}
 };
 
-/** Returns true during a hand-over if the report is of a worker that stays: it lists the same to the next holder, and its ends would keep this one from ever having stored all that it has read. */
-const isLeftToNextHolder = ({isHandingOver, workers}: SchedulerState, {workerId, answer}: Extract<SchedulerEvent, {readonly type: 'polled'}>): boolean =>
-	isHandingOver && answer.type === 'report' && workers.get(workerId)?.entry.isDraining === false;
-
 const apply = (state: SchedulerState, event: SchedulerEvent): void => {
 	switch (event.type) {
 		case 'configured': {
@@ -190,6 +186,11 @@
 			break;
 		}
 
+		case 'pollingEnded': {
+			state.isPollingEnded = true;
+			break;
+		}
+
 		case 'handoverBegun': {
 			state.isHandingOver = true;
 			runStoringPass(state, event);
@@ -198,15 +199,12 @@
 
 		case 'handoverCancelled': {
 			state.isReleasePlanned = false;
+			state.isPollingEnded = false;
 			state.isHandingOver = false;
 			break;
 		}
 
 		case 'polled': {
-			if (isLeftToNextHolder(state, event)) {
-				break;
-			}
-
 			applyPollAnswer(state, event);
 			updatePaceAfterPoll(state, event);
 			storeReportedEnds(state, event.nowMs);
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -94,6 +94,8 @@
 	isSuspended = false;
 	/** The process will give up its lease once its orders to machines are answered, and sends no further ones. */
 	isReleasePlanned = false;
+	/** The process will give up its lease once the polls in flight are answered, and sends no further ones. */
+	isPollingEnded = false;
 	/** The process is about to give up its lease: it stores what it has read, and orders and polls nothing. */
 	isHandingOver = false;
 	/** The lease could not be renewed in time. Tasks are started, since no other process can have acquired the lease, but no machine is moved or sent to maintenance: the next holder may order the same machine at once. */
@@ -174,6 +176,7 @@
 		this.isRevisionRequested = false;
 		this.isSuspended = false;
 		this.isReleasePlanned = false;
+		this.isPollingEnded = false;
 		this.isHandingOver = false;
 		this.isSaveScheduled = false;
 		this.isLeaseUnconfirmed = false;
--- a/packages/scheduler/src/shell/release-preparation.ts
+++ b/packages/scheduler/src/shell/release-preparation.ts
@@ -11,18 +11,31 @@
 /** Time for which the answers to orders to machines are awaited, while tasks are started. */
 const maxMachineAnswersMs = 1500;
 
-/** Time for which polls of workers that are about to leave are awaited: `urgentPollWaitMs` and an answer. */
-const maxListeningMs = 150;
+/** Time within which the workers have answered polls that let them wait for long: `busyPollWaitMs` and an answer. */
+const maxLongPollsMs = 550;
+
+/** Time for which the last polls are awaited: `urgentPollWaitMs` and an answer, where the process has its processor for a part of the time only. */
+const maxListeningMs = 400;
 
 /** Time within which progress is stored: the save under way and one more, of a quarter of a second each where the store is slow. */
 const maxStoringMs = 800;
+
+/** The same for a process that stops: it releases the lease in any case, and leaves what is not stored to the next holder. */
+const maxStoringAtStopMs = 350;
 const checkIntervalMs = 5;
 
+/** The polls of the workers. */
+export type Polls = {
+	/** A worker that answers may take longer than an urgent poll does to answer the one in flight. */
+	readonly awaitsLongPolls: boolean;
+	/** A poll of a worker that answers is in flight. */
+	readonly awaitsReports: boolean;
+};
+
 export type ReleasePreparationOptions = {
 	readonly state: () => SchedulerState;
 	readonly dispatch: (event: SchedulerEvent) => void;
-	/** Returns true while a poll of a worker that is about to leave is under way. */
-	readonly awaitsLeavingWorkers: () => boolean;
+	readonly polls: () => Polls;
 	readonly clock: Clock;
 };
 
@@ -33,8 +46,9 @@
 		this.#options = options;
 	}
 
-	/** Sends no more orders to machines and awaits the answers, then orders and polls nothing and stores what was read. Resolves to whether all is answered and stored, or the term has ended; a store that does not answer delays the release for a short time only. */
-	async prepare(): Promise<boolean> {
+	/** Sends no more orders to machines and awaits the answers, then polls nothing and awaits the reports that are under way, and at last orders nothing and stores what was read. Resolves to whether all is answered and stored, or the term has ended; a store that does not answer delays the release for a short time only. */
+	async prepare({isStopping}: {readonly isStopping: boolean}): Promise<boolean> {
+		const polls = this.#options.polls();
 		const {term, pendingSaveNumber, lastSaveAtMs} = this.#state;
 		if (term === undefined) {
 			return true;
@@ -47,10 +61,12 @@
 
 		const {fencingToken} = term;
 		this.#dispatch('releasePlanned', fencingToken);
+		await this.#waitWithin(fencingToken, maxLongPollsMs, () => !polls.awaitsLongPolls);
 		const areMachinesDone = await this.#waitWithin(fencingToken, maxMachineAnswersMs, () => !awaitsMachineAnswers(this.#state));
+		this.#dispatch('pollingEnded', fencingToken);
+		await this.#waitWithin(fencingToken, maxListeningMs, () => !polls.awaitsReports);
 		this.#dispatch('handoverBegun', fencingToken);
-		await this.#waitWithin(fencingToken, maxListeningMs, () => !this.#options.awaitsLeavingWorkers());
-		const isStored = await this.#waitWithin(fencingToken, maxStoringMs, () => isProgressStored(this.#state, this.#nowMs()));
+		const isStored = await this.#waitWithin(fencingToken, isStopping ? maxStoringAtStopMs : maxStoringMs, () => isProgressStored(this.#state, this.#nowMs()));
 		return areMachinesDone && isStored;
 	}
 
@@ -79,7 +95,7 @@
 		return this.#options.clock.nowMs();
 	}
 
-	#dispatch(type: 'releasePlanned' | 'handoverBegun', fencingToken: number): void {
+	#dispatch(type: 'releasePlanned' | 'pollingEnded' | 'handoverBegun', fencingToken: number): void {
 		const {clock, dispatch} = this.#options;
 		dispatch({
 			type, fencingToken, nowMs: clock.nowMs(), wallMs: clock.wallTimeMs(),
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -188,7 +188,7 @@
 			onTermBegun: () => {
 				this.#onTermBegun();
 			},
-			awaitsLeavingWorkers: () => this.#workerPoller.awaitsLeavingWorkers,
+			polls: () => this.#workerPoller,
 		});
 		const tableClock = new TableClock(clock);
 		this.#oddJobRows = new OddEntryLog(log, 'row_unreadable');
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -15,7 +15,7 @@
 import {handoverNoteSchema, type HandoverNote} from '../core/handover-note.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {LeaseContinuation} from './lease-continuation.js';
-import {ReleasePreparation} from './release-preparation.js';
+import {type Polls, ReleasePreparation} from './release-preparation.js';
 
 /** Name of the lease whose holder schedules the fleet. */
 const schedulerLease = 'scheduler';
@@ -73,8 +73,7 @@
 	readonly onLeaseChanged: () => void;
 	/** Called when the process begins to schedule. */
 	readonly onTermBegun: () => void;
-	/** Returns true while a poll of a worker that is about to leave is under way. */
-	readonly awaitsLeavingWorkers: () => boolean;
+	readonly polls: () => Polls;
 	readonly hasLargerPeer: (sinceMs?: number) => boolean;
 	readonly isSuccessor: () => boolean;
 	readonly relayedForMs?: (() => number | undefined) | undefined;
@@ -170,7 +169,7 @@
 	/** Releases the lease permanently, so that another process takes over at once. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
-		await this.#preparation.prepare();
+		await this.#preparation.prepare({isStopping: true});
 		await this.#releaseLease('stopping');
 		// A process that leaves is no successor, and others need not wait for it.
 		this.#liveness?.close();
@@ -305,7 +304,7 @@
 	/** Gives up the lease, unless the term's progress cannot be stored in time: a later check tries again. */
 	async #yieldLease(reason: string): Promise<void> {
 		const {term} = this.#state;
-		const isDone = await this.#preparation.prepare();
+		const isDone = await this.#preparation.prepare({isStopping: false});
 		if (this.#isLeaving) {
 			return;
 		}
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -28,6 +28,8 @@
 	/** Incarnation of the worker. A poll of an earlier one may be in flight for long, and its answer may be outdated. */
 	readonly incarnation: number;
 	isPolling: boolean;
+	/** How long the worker may wait before it answers the poll in flight. */
+	waitMs: number;
 	nextPollAtMs: number;
 };
 
@@ -68,15 +70,20 @@
 		return this.#pollCount;
 	}
 
-	/** Whether a poll of a draining worker is under way, which may be gone before another process polls it. */
-	get awaitsLeavingWorkers(): boolean {
-		return [...this.#options.state().workers.values()].some(({entry, silentSinceMs}) => entry.isDraining && silentSinceMs === undefined && this.#pollStates.get(entry.workerId)?.isPolling === true);
+	/** Whether a worker that answers may take longer than an urgent poll does to answer the one in flight. */
+	get awaitsLongPolls(): boolean {
+		return this.#somePoll(({waitMs}) => waitMs > urgentPollWaitMs);
+	}
+
+	/** Whether a poll of a worker that answers is in flight. What it lists may be known to nobody else: the worker may leave before another process polls it. */
+	get awaitsReports(): boolean {
+		return this.#somePoll(() => true);
 	}
 
 	/** Starts the polls that are due. `checkedAtMs` is when the lease of this process was checked: leases on workers count from then, even if the process was paused since. */
 	pollDueWorkers(checkedAtMs: number): void {
 		const state = this.#options.state();
-		if (state.term === undefined || state.isHandingOver) {
+		if (state.term === undefined || state.isPollingEnded || state.isHandingOver) {
 			return;
 		}
 
@@ -97,10 +104,19 @@
 		}
 	}
 
+	#somePoll(holds: (pollState: PollState) => boolean): boolean {
+		return [...this.#options.state().workers.values()].some(({entry, silentSinceMs}) => {
+			const pollState = this.#pollStates.get(entry.workerId);
+			return silentSinceMs === undefined && pollState?.isPolling === true && holds(pollState);
+		});
+	}
+
 	#pollStateOf({entry: {workerId}, incarnation}: WorkerRecord): PollState {
 		let pollState = this.#pollStates.get(workerId);
 		if (pollState?.incarnation !== incarnation) {
-			pollState = {incarnation, isPolling: false, nextPollAtMs: 0};
+			pollState = {
+				incarnation, isPolling: false, waitMs: 0, nextPollAtMs: 0,
+			};
 			this.#pollStates.set(workerId, pollState);
 		}
 
@@ -122,8 +138,10 @@
 		}
 
 		// Only a worker that has answered before waits for a run to end; the first poll and idle workers' acknowledgements are answered at once.
-		const busyWaitMs = worker.trial !== undefined || worker.entry.isDraining ? urgentPollWaitMs : busyPollWaitMs;
+		const isAnswerUrgent = worker.trial !== undefined || worker.entry.isDraining || this.#options.state().isReleasePlanned;
+		const busyWaitMs = isAnswerUrgent ? urgentPollWaitMs : busyPollWaitMs;
 		const waitMs = worker.isFenced && worker.runs.size > 0 && worker.silentSinceMs === undefined ? busyWaitMs : 0;
+		pollState.waitMs = waitMs;
 		const order = {
 			fencingToken: orderTokenFor(this.#options.state(), worker), acknowledgedSequence, deadlineClockMs: deadline, waitMs,
 		};
--- a/packages/scheduler/tests/late-renewal.test.ts
+++ b/packages/scheduler/tests/late-renewal.test.ts
@@ -71,7 +71,7 @@
 		refreshOrders: async () => undefined,
 		onLeaseChanged: () => undefined,
 		onTermBegun: () => undefined,
-		hasLargerPeer: () => false, awaitsLeavingWorkers: () => false,
+		hasLargerPeer: () => false, polls: () => ({awaitsLongPolls: false, awaitsReports: false}),
 		isSuccessor: () => true,
 		outage: {peerCount: 1, hasOutageEvidence: () => true, evidenceAtMs: () => clock.nowMs()},
 		clock,
