Model of workers that leave, of processes under a quota, and of drains that are read late

The simulation could not play three things of that record: an end that was listed less than 100 ms before its worker left counted for nothing, a process that stands still for 30 to 80 ms of each 100 ms counted as a disruption, so that no end counted by its listing, and each process knew of a drain 1 ms after it was announced.

The judge is stricter: what a worker has listed counts 100 ms after that, although it has left by then as announced or as ordered; a worker that crashes takes its listings with it, as before. HostClock.freeze takes the kind 'quota', which is no disruption, SchedulerSimulation.throttle applies it to each period of 100 ms, and workers answer polls meanwhile. registrationDelayMs is the time until the processes have read a registration; it is 1 ms by default, as before.

--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -92,6 +92,38 @@
 		simulation.fleet.notedEnds.recordStart(simulation.fleet.starts[0]!.taskKey, simulation.clock.nowMs());
 		expect(simulation.fleet.brokenPromises).toHaveLength(1);
 	});
+
+	test.each([
+		{about: 'as announced', isAnnounced: true},
+		{about: 'by a crash', isAnnounced: false},
+	])('an end that was listed just before its worker left $about counts: $isAnnounced', async ({isAnnounced}) => {
+		const simulation = new SchedulerSimulation({
+			seed: 61, processes: 1, workersPerPool: 2, standbyMachines: 0,
+		});
+		simulation.configure(configurationWithoutStandby(2));
+		simulation.arePollsAnsweredAtEnds = true;
+		await simulation.run(takeoverMs);
+		const job = jobOf(1, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount: 1})]});
+		simulation.fleet.behaviour.runMs = () => 100;
+		simulation.processes[0]!.table.latencyMs = 240;
+		void simulation.submit(job, simulation.holder);
+		const listing = () => [...simulation.fleet.workers.values()].find(({listedEnds}) => listedEnds.length > 0);
+		while (listing() === undefined) {
+			await simulation.run(5);
+		}
+
+		const {workerId} = listing()!.entry;
+		if (isAnnounced) {
+			simulation.removeWorker(workerId);
+		} else {
+			simulation.crashWorker(workerId);
+		}
+
+		await simulation.run(150);
+		simulation.close();
+		simulation.fleet.notedEnds.recordStart(simulation.fleet.starts[0]!.taskKey, simulation.clock.nowMs());
+		expect(simulation.fleet.brokenPromises).toHaveLength(isAnnounced ? 1 : 0);
+	});
 });
 
 describe('hand-over of a busy fleet', () => {
--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -6,7 +6,7 @@
 	type AdviceAnswer, type FinishedEntry, type JobSpec, type PollAnswer,
 	type PollOrder, type OrderAnswer, type Resources, type RunEnd, type StartAnswer, type StartOrder, type StepSpec, type StopOrder, type WorkerEntry,
 } from '../../src/index.js';
-import {NotedEnds} from './noted-ends.js';
+import {notedAfterMs, NotedEnds} from './noted-ends.js';
 
 /** Behaviour of tasks and of the policy service. */
 export type TaskBehaviour = {
@@ -270,6 +270,21 @@
 		return this.#finished.filter(({listedAtMs}) => listedAtMs !== undefined);
 	}
 
+	/** Ends the worker as announced. What it has listed counts as taken note of in its time, although the worker is gone by then. */
+	leave(): void {
+		const {clock, notedEnds} = this.#fleet;
+		for (const entry of this.isCut ? [] : this.listedEnds.filter(({isNoted}) => !isNoted)) {
+			const listedAtMs = entry.listedAtMs!;
+			clock.schedule(listedAtMs + notedAfterMs - clock.nowMs(), () => {
+				if (notedEnds.isNotedByListing(listedAtMs, clock.nowMs())) {
+					this.#note(entry, 'listed');
+				}
+			});
+		}
+
+		this.crash();
+	}
+
 	/** Ends all runs at once, without reporting them. */
 	crash(): void {
 		const lost = [...this.runs.values()];
--- a/packages/scheduler/tests/support/followed-orders.ts
+++ b/packages/scheduler/tests/support/followed-orders.ts
@@ -26,13 +26,13 @@
 		}
 	}
 
-	follow(clock: HostClock): StateSource<Value> {
+	follow(clock: HostClock, delayMs: () => number = () => 1): StateSource<Value> {
 		let isStopped = false;
 		return {
 			confirmedAtMs: 0,
 			start: listener => {
 				const deliver = (value: Value): void => {
-					clock.schedule(1, () => {
+					clock.schedule(delayMs(), () => {
 						if (!isStopped) {
 							listener(value);
 						}
--- a/packages/scheduler/tests/support/host-clock.ts
+++ b/packages/scheduler/tests/support/host-clock.ts
@@ -1,14 +1,17 @@
 /**
-The clock of one simulated process. While the process is frozen, its timers and answers wait. Its monotonic clock stops if its machine is suspended, and goes on if only the process is; the wall clock goes on in any case. Once the process is dead, its timers and answers are dropped.
+The clock of one simulated process. While the process is frozen, its timers and answers wait. Its monotonic clock stops if its machine is suspended, and goes on if only the process is, for instance because it has used its share of processor time; the wall clock goes on in any case. Once the process is dead, its timers and answers are dropped.
 */
 import {type CancelTimer, type Clock, type VirtualClock} from '@poplarnotch/common';
 
+/** What stands still: the machine, the process, or the process until it is given processor time again. */
+export type Freeze = 'machine' | 'process' | 'quota';
+
 export class HostClock implements Clock {
 	isDead = false;
 	readonly #clock: VirtualClock;
 	#frozenUntilMs = 0;
 	#frozenMs = 0;
-	#isMachineFrozen = true;
+	#frozen: Freeze = 'machine';
 	#wallStepMs = 0;
 
 	constructor(clock: VirtualClock) {
@@ -19,8 +22,13 @@
 		return this.#clock.nowMs() < this.#frozenUntilMs;
 	}
 
+	/** Whether the process stands still for another reason than its quota of processor time. */
+	get isHarmed(): boolean {
+		return this.isFrozen && this.#frozen !== 'quota';
+	}
+
 	nowMs(): number {
-		const remainingMs = this.#isMachineFrozen ? Math.max(0, this.#frozenUntilMs - this.#clock.nowMs()) : 0;
+		const remainingMs = this.#frozen === 'machine' ? Math.max(0, this.#frozenUntilMs - this.#clock.nowMs()) : 0;
 		return Math.min(this.#clock.nowMs(), this.#clock.nowMs() - this.#frozenMs + remainingMs);
 	}
 
@@ -33,11 +41,11 @@
 		this.#wallStepMs += byMs;
 	}
 
-	freeze(forMs: number, frozen: 'machine' | 'process' = 'machine'): void {
-		if (!this.isFrozen) {
+	freeze(forMs: number, frozen: Freeze = 'machine'): void {
+		if (!this.isFrozen || (this.#frozen === 'quota' && frozen !== 'quota')) {
 			this.#frozenUntilMs = this.#clock.nowMs() + forMs;
-			this.#isMachineFrozen = frozen === 'machine';
-			this.#frozenMs += this.#isMachineFrozen ? forMs : 0;
+			this.#frozen = frozen;
+			this.#frozenMs += frozen === 'machine' ? forMs : 0;
 		}
 	}
 
--- a/packages/scheduler/tests/support/noted-ends.ts
+++ b/packages/scheduler/tests/support/noted-ends.ts
@@ -1,5 +1,5 @@
 /**
-Judges the starts of tasks that have ended `done`, as the platform's rules do: such a start violates a guarantee if the end is taken note of, before the start or later. An end is taken note of when it is acknowledged, or when a worker has listed it for some time with no disruption near. That a holder is stopped, or yields its lease, is no disruption.
+Judges the starts of tasks that have ended `done`, as the platform's rules do: such a start violates a guarantee if the end is taken note of, before the start or later. An end is taken note of when it is acknowledged, or when a worker has listed it for some time with no disruption near. That a holder is stopped, or yields its lease, is no disruption, and neither is that the worker leaves as announced, or as ordered: what it has listed counts all the same.
 */
 
 /** Time after its listing at which an end counts as taken note of. */
@@ -35,7 +35,7 @@
 		this.#disruptedAtMs = Math.max(this.#disruptedAtMs, nowMs);
 	}
 
-	/** Returns true if an end counts that was listed at the earlier time and has been on its worker since. */
+	/** Returns true if an end counts that was listed at the earlier time and that its worker has kept since, or has left with as announced. */
 	isNotedByListing(listedAtMs: number, nowMs: number): boolean {
 		return nowMs - listedAtMs >= notedAfterMs && this.isCalmSince(listedAtMs);
 	}
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -47,6 +47,9 @@
 /** Time without an answer after which a process refuses jobs at once. */
 const storeAwayAfterMs = 200;
 
+/** Period in which a process has its share of processor time. */
+const quotaPeriodMs = 100;
+
 export type SimulationFaults = {
 	/** Share of orders whose answer is lost; half of them are carried out after a random delay. */
 	lostOrderRate: number;
@@ -186,6 +189,8 @@
 	/** Fields of the lines that processes logged about evacuations and withheld starts. */
 	readonly logged: LogFields[] = [];
 	ordersConfirmMs = defaultOrdersConfirmMs;
+	/** Time until the processes have read what a worker registers. */
+	registrationDelayMs = 1;
 	/** Workers answer a poll as soon as a run has ended, as the platform's do, and not after a fixed time. */
 	arePollsAnsweredAtEnds = false;
 	/** Answers are delivered late or twice, which is a disruption. */
@@ -298,7 +303,12 @@
 				orders: new FollowedOrders(this.#orders, {
 					clock, table: tableFaults, isReached: () => relayed?.relayedForMs !== undefined || (!tableFaults.isDown && tableFaults.isSilent !== true), confirmIntervalMs: () => this.ordersConfirmMs,
 				}),
-				workers: {...this.#workers.follow(clock), setMode: () => undefined, refresh: async () => undefined},
+				workers: {
+					...this.#workers.follow(clock, () => this.registrationDelayMs), setMode: () => undefined, refresh: async () => {
+						await clock.wait(this.registrationDelayMs);
+						return undefined;
+					},
+				},
 				workerControl: this.#controlFor(name, clock),
 				machineControl: {
 					list: async () => {
@@ -406,6 +416,19 @@
 		});
 	}
 
+	/** Lets the process stand still for the given part of each period, as under a quota of processor time, until it is ended or the time is over. */
+	throttle({clock}: SimulatedProcess, forMs: number, stillMs: () => number): void {
+		const untilMs = this.clock.nowMs() + forMs;
+		const freeze = (): void => {
+			if (!clock.isDead && this.clock.nowMs() < untilMs) {
+				clock.freeze(stillMs(), 'quota');
+				this.clock.schedule(quotaPeriodMs, freeze);
+			}
+		};
+
+		freeze();
+	}
+
 	crashWorker(workerId: string): void {
 		this.fleet.workers.get(workerId)?.crash();
 		this.#publishWorkers();
@@ -483,7 +506,7 @@
 		this.clock.schedule(noticeMs, () => {
 			const machine = this.#machineOf(workerId);
 			if (machine?.entry.state === 'up') {
-				this.fleet.workers.get(workerId)!.crash();
+				this.fleet.workers.get(workerId)!.leave();
 				machine.entry = {...machine.entry, state: 'down', workerId: undefined};
 				machine.nextPool = machine.entry.pool;
 				machine.returnsAtMs = this.clock.nowMs() + restartMs;
@@ -497,7 +520,7 @@
 		this.announceDrain(workerId);
 		this.clock.schedule(noticeMs, () => {
 			const worker = this.fleet.workers.get(workerId)!;
-			worker.crash();
+			worker.leave();
 			this.#restartCrashed(worker);
 			this.#publishWorkers();
 		});
@@ -646,7 +669,7 @@
 
 	/** Removes the worker and its machine permanently. */
 	#removeWorker(worker: FakeWorker): void {
-		worker.crash();
+		worker.leave();
 		for (const [machineId, {entry}] of this.machines) {
 			if (entry.workerId === worker.entry.workerId) {
 				this.machines.delete(machineId);
@@ -735,7 +758,7 @@
 			this.fleet.checkStop(worker!, run);
 		}
 
-		worker?.crash();
+		worker?.leave();
 		this.machineOrders.push({machineId, fencingToken, atMs: this.clock.nowMs()});
 		machine.fencingToken = fencingToken;
 		machine.entry = {...machine.entry, state: target === undefined ? 'maintenance' : 'moving', workerId: undefined};
@@ -780,7 +803,9 @@
 			});
 		}
 
-		await clock.wait(0);
+		if (clock.isDead || clock.isHarmed) {
+			await clock.wait(0);
+		}
 	}
 
 	/** Delivers a call, possibly late and possibly without returning its answer. */
