--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -20,6 +20,7 @@
 import {
 	type ReportedEnd, type StepInstance, type TaskRun, type Task, type WorkerRecord,
 } from './records.js';
+import {countFoundEnd, logUnknownEnd} from './report-logs.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
 import {isStartedAfterEnd, logStartedAfterEnd} from './takeover.js';
@@ -154,6 +155,7 @@
 	for (const entry of finished.toSorted((a, b) => a.sequence - b.sequence)) {
 		if (entry.sequence > worker.processedSequence) {
 			worker.processedSequence = entry.sequence;
+			countFoundEnd(state, entry);
 			const task = applyReportedEnd(state, worker, {entry, reportedAtMs: now.nowMs}, now);
 			ended.push(entry);
 			if (isStartedAfterEnd(task, entry)) {
@@ -392,7 +394,9 @@
 	}
 
 	settleTrial(state, task, entry.attempt);
-	if (task !== undefined) {
+	if (task === undefined) {
+		logUnknownEnd(state, worker, entry);
+	} else {
 		worker.unacknowledgedEnds.push({sequence: entry.sequence, job: task.step.job, reportedAtMs});
 	}
 
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -188,6 +188,8 @@
 	readonly moves: Array<{readonly machineId: string; readonly target: string; readonly atMs: number}> = [];
 	/** Fields of the lines that processes logged about evacuations and withheld starts. */
 	readonly logged: LogFields[] = [];
+	/** Fields of the lines that tell how terms began and ended. */
+	readonly termLines: LogFields[] = [];
 	ordersConfirmMs = defaultOrdersConfirmMs;
 	/** Time until the processes have read what a worker registers. */
 	registrationDelayMs = 1;
@@ -226,6 +228,8 @@
 		const record = (fields: LogFields): void => {
 			if (/^(?:evacuation|starts)_/v.test(fields.event)) {
 				this.logged.push(fields);
+			} else if (/^(?:release|term|takeover|ends_left|end_of_unknown|event_outdated)/v.test(fields.event)) {
+				this.termLines.push(fields);
 			}
 		};
 
