--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -12,6 +12,7 @@
 import {PoplarnotchError} from '@poplarnotch/common';
 import {Counts} from './counts.js';
 import {KeepAliveClients} from './http.js';
+import {type ProcessorQuota, type ThrottledProcess} from './processor-quota.js';
 import {type Record} from './record.js';
 import {
 	bounds, type DaemonPlace, frontPort, readyPort, settingsTextOf,
@@ -54,13 +55,15 @@
 	readonly #settingsFile: string;
 	readonly #logFile: string;
 	readonly #record: Record;
+	readonly #quota: ProcessorQuota | undefined;
 	#child: ChildProcess | undefined;
+	#throttled: ThrottledProcess | undefined;
 	#isEndExpected = false;
 	#isClosed = false;
 	#misses = 0;
 	#probeTimer: NodeJS.Timeout | undefined;
 
-	constructor(place: DaemonPlace, folder: string, record: Record) {
+	constructor(place: DaemonPlace, folder: string, record: Record, quota?: ProcessorQuota) {
 		this.name = place.name;
 		this.cpuShare = place.cpuShare;
 		this.clients = new KeepAliveClients(place.ip, frontPort);
@@ -69,6 +72,7 @@
 		this.#logFile = join(folder, `${place.name}.log`);
 		this.counts = new Counts(place.ip, this.#logFile);
 		this.#record = record;
+		this.#quota = quota;
 		writeFileSync(this.#settingsFile, settingsTextOf(place));
 	}
 
@@ -90,6 +94,7 @@
 		});
 		closeSync(log);
 		this.#child = child;
+		this.#throttled = this.#quota?.apply(child);
 		child.once('exit', (code, signal) => {
 			this.#record.add(`${this.name} ends with ${signal ?? code}`);
 			if (!this.#isEndExpected) {
@@ -105,7 +110,14 @@
 	signal(name: NodeJS.Signals): void {
 		this.#record.add(`${this.name} gets ${name}`);
 		this.#isEndExpected ||= name === 'SIGKILL' || name === 'SIGTERM';
-		this.#child?.kill(name);
+		if (this.#throttled !== undefined && (name === 'SIGSTOP' || name === 'SIGCONT')) {
+			this.#throttled.isPaused = name === 'SIGSTOP';
+		}
+
+		// A process that has used its share is continued at its next period.
+		if (name !== 'SIGCONT' || this.#throttled?.isStopped !== true) {
+			this.#child?.kill(name);
+		}
 	}
 
 	/** Sends SIGTERM, and SIGKILL after `grace_s`. Resolves once the process has ended. */
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -13,6 +13,7 @@
 import {Ledger} from './ledger.js';
 import {Machines} from './machines.js';
 import {Operator} from './operator.js';
+import {ProcessorQuota} from './processor-quota.js';
 import {Record} from './record.js';
 import {readyPort, zones} from './settings.js';
 import {Store} from './store.js';
@@ -30,6 +31,8 @@
 	readonly daemons: number;
 	readonly workers: number;
 	readonly feedCut: number;
+	/** Share of a core that each daemon may use; 0 leaves them all that there is. */
+	readonly cpuQuota: number;
 	/** Folder that keeps logs and record; without it they are removed. */
 	readonly out: string | undefined;
 };
@@ -39,6 +42,7 @@
 	readonly ledger = new Ledger();
 	readonly store: Store;
 	readonly busyProcesses: BusyProcesses;
+	readonly quota: ProcessorQuota | undefined;
 	readonly daemons: Daemon[] = [];
 	lastingSteps: LastingSteps | undefined;
 	traffic: Traffic | undefined;
@@ -52,6 +56,10 @@
 		this.#lifecycle = lifecycle;
 		this.store = new Store(random, options.feedCut);
 		this.busyProcesses = new BusyProcesses(lifecycle);
+		this.quota = options.cpuQuota > 0 ? new ProcessorQuota(options.cpuQuota) : undefined;
+		lifecycle.own('processor quota', () => {
+			this.quota?.close();
+		});
 		lifecycle.own('store', () => {
 			this.store.close();
 		});
@@ -104,7 +112,7 @@
 			const storeAddress = await this.store.listen(`${network}.201`, name);
 			const daemon = new Daemon({
 				name, zone, ip: `${network}.${1 + index}`, cpuShare: cpuShares[Math.floor(index / zones.length) % cpuShares.length]!, storeAddress, machinesAddress: machines.address,
-			}, folder, this.record);
+			}, folder, this.record, this.quota);
 			this.daemons.push(daemon);
 			daemon.spawn();
 		}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -21,9 +21,11 @@
 	.option('workers', {type: 'number', default: 60})
 	.option('jobsPerSecond', {type: 'number', default: 15})
 	.option('feedCut', {type: 'number', default: 0, describe: 'Rows after which the store cuts an answer of changes; 0 draws them for each answer'})
+	.option('cpuQuota', {type: 'number', default: 0, describe: 'Share of a core that each daemon may use; 0 for no limit'})
 	.option('troubles', {type: 'string', default: defaultKinds.join(','), describe: 'Kinds of troubles, drawn in turn; a kind may stand more than once'})
 	.option('series', {type: 'number', default: 1, describe: 'Series of troubles side by side'})
 	.option('out', {type: 'string', describe: 'Folder that keeps the logs of the daemons and the record'})
+	.check(({cpuQuota}) => cpuQuota >= 0 || 'the processor quota is negative')
 	.check(({troubles}) => {
 		const unknown = troubles.split(',').filter(kind => !Object.hasOwn(troubleKinds, kind));
 		return unknown.length === 0 || `unknown troubles ${unknown.join(', ')}; known are ${Object.keys(troubleKinds).join(', ')}`;
@@ -54,9 +56,9 @@
 };
 
 const playMany = async (): Promise<void> => {
-	const {durationMs, daemons, workers, jobsPerSecond, feedCut, troubles, series} = parsed;
+	const {durationMs, daemons, workers, jobsPerSecond, feedCut, cpuQuota, troubles, series} = parsed;
 	const passedOn = Object.entries({
-		durationMs, daemons, workers, jobsPerSecond, feedCut, troubles, series,
+		durationMs, daemons, workers, jobsPerSecond, feedCut, cpuQuota, troubles, series,
 	}).flatMap(([name, value]) => [`--${name}`, String(value)]);
 	const failedSeeds = await playSeeds({
 		firstSeed: parsed.seed, count: parsed.seeds, parallel: parsed.parallel, options: passedOn, out: parsed.out,
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -62,9 +62,13 @@
 	});
 	const failed = results.filter(({broken}) => broken.length > 0).length;
 	const others = [...startsAfterOtherEnds(evidence)].map(([reason, count]) => `  seen   ${count} starts after an end as done that nobody had to take note of, ${reason}`);
-	lines.push(...others, ...describeCounts(evidence.deployment.daemons).map(text => `  seen   ${text}`));
-	const {standstillsMs} = evidence.deployment.machines;
-	lines.push(`  seen   ${standstillsMs.length} standstills of the soak's own process, the longest of ${Math.round(Math.max(0, ...standstillsMs))} ms`);
+	const {daemons, quota, machines: {standstillsMs}} = evidence.deployment;
+	const seen = [
+		...describeCounts(daemons),
+		...(quota === undefined ? [] : [quota.describe()]),
+		`${standstillsMs.length} standstills of the soak's own process, the longest of ${Math.round(Math.max(0, ...standstillsMs))} ms`,
+	];
+	lines.push(...others, ...seen.map(text => `  seen   ${text}`));
 	return {passed: results.filter(({judged, broken}) => judged > 0 && broken.length === 0).length, failed, lines};
 };
 
--- a/soak/tests/deployment.test.ts
+++ b/soak/tests/deployment.test.ts
@@ -10,7 +10,7 @@
 it('finds the daemon of a fencing token by the lease', async () => {
 	const lifecycle = new LifecycleManager(new SystemClock());
 	const deployment = new Deployment({
-		daemons: 0, workers: 0, feedCut: 0, out: undefined,
+		daemons: 0, workers: 0, feedCut: 0, cpuQuota: 0, out: undefined,
 	}, new SeededRandom(1), lifecycle);
 	deployment.daemons.push({name: 'd'} as Daemon);
 	const address = await deployment.store.listen('127.0.0.1', 'd');
