Soak: quick series of hand-overs, zones that are cut off or leave together

The soak's workers left and were cut off one by one, and its holders were ended with up to 1.5 s between them.

Change: troubles quickseries, zonecut and zoneleave, drawn only where they are named. quickseries and zoneleave are planned work for the check TWICE, zonecut is a disruption. leave and replace draw what they drew before.

--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -7,7 +7,7 @@
 import {type Deployment} from './deployment.js';
 import {drawBetween} from './draws.js';
 import {type Departure} from './machines.js';
-import {bounds, zones} from './settings.js';
+import {bounds, queues, zones} from './settings.js';
 import {type Refusal} from './store.js';
 import {type Worker} from './worker.js';
 
@@ -94,6 +94,25 @@
 const maxTurnMs = 2000;
 const maxReturnSpreadMs = 1500;
 
+/** Number of holders that are ended one shortly after the other, and the time within which that happens. */
+const minQuickTerms = 3;
+const maxQuickTerms = 5;
+const minQuickSeriesMs = 600;
+const maxQuickSeriesMs = 2100;
+
+/** Cuts of a zone, which are shorter than the leases of its workers, and the pauses between them. */
+const minZoneCuts = 2;
+const maxZoneCuts = 3;
+const minZoneCutMs = 500;
+const maxZoneCutMs = 1200;
+const minZonePauseMs = 300;
+const maxZonePauseMs = 1500;
+
+/** Notice of a zone's workers that leave together, and share of them that leave where some stay. */
+const minZoneNoticeMs = 1000;
+const maxZoneNoticeMs = 2500;
+const leavingZoneShare = 0.8;
+
 /** Applies a change at once and takes it back at the end. */
 const change = (apply: (isOn: boolean) => void, scope: Omit<Begun, 'end'>): Begun => {
 	apply(true);
@@ -256,29 +275,112 @@
 	}
 };
 
+/** How a group of workers leaves; each ends what it runs a little earlier than `endLeadMs` before that. */
+type GroupDeparture = Pick<Departure, 'noticeMs' | 'keepsAddress'> & {readonly endLeadMs: number};
+
+const departTogether = ({deployment, random}: Field, workers: readonly Worker[], {noticeMs, endLeadMs, keepsAddress}: GroupDeparture): ReadonlyArray<Promise<void>> => workers.map(async worker => {
+	const departure: Departure = {
+		noticeMs, endsInMs: noticeMs - endLeadMs - drawBetween(random, 0, maxEndSpreadMs), awayMs: drawBetween(random, minAwayMs, maxAwayMs), keepsAddress,
+	};
+	return deployment.machines.replace(worker, departure);
+});
+
+/** Ends the holder once the first of the leaving workers has listed its ends. */
+const endHolderAtDeparture = async (field: Field, workers: readonly Worker[], {noticeMs, endLeadMs}: GroupDeparture): Promise<void> => {
+	await sleep(noticeMs - endLeadMs - maxEndSpreadMs);
+	await endHolderAfterListing(field, workers, performance.now() + endLeadMs);
+};
+
 /** Some workers drain and leave with ends that were listed just before, and others follow; half of the time the holder is ended between the two. */
 const replaceWorkers = (field: Field, keepsAddress: boolean): Begun => {
-	const {deployment, random} = field;
+	const {random} = field;
 	const noticeMs = random.next() < 0.5 ? shortNoticeMs : drawBetween(random, minNoticeMs, maxNoticeMs);
-	const endLeadMs = drawBetween(random, minEndLeadMs, maxEndLeadMs);
+	const departure: GroupDeparture = {noticeMs, endLeadMs: drawBetween(random, minEndLeadMs, maxEndLeadMs), keepsAddress};
 	const hasHandover = random.next() < 0.5;
 	const workers = pickWorkers(field).filter(worker => mayCrash(worker));
-	const leave = async (worker: Worker): Promise<void> => {
-		const departure: Departure = {
-			noticeMs, endsInMs: noticeMs - endLeadMs - drawBetween(random, 0, maxEndSpreadMs), awayMs: drawBetween(random, minAwayMs, maxAwayMs), keepsAddress,
-		};
-		return deployment.machines.replace(worker, departure);
-	};
-
-	const work: Array<Promise<void>> = workers.map(async worker => leave(worker));
+	const work = [...departTogether(field, workers, departure)];
 	if (hasHandover) {
-		const endMs = noticeMs - endLeadMs - maxEndSpreadMs;
-		work.push(sleep(endMs).then(async () => endHolderAfterListing(field, workers, performance.now() + endLeadMs)));
+		work.push(endHolderAtDeparture(field, workers, departure));
 	}
 
 	return waitFor(Promise.all(work), {workers, daemons: hasHandover ? 'all' : []});
 };
 
+/** Ends half of the daemons that do not hold the lease. Resolves once they are back. */
+const refreshOthers = async ({deployment, random}: Field): Promise<void> => {
+	const others = deployment.daemons.filter(daemon => daemon !== deployment.holder && !daemon.isDisturbed && random.next() < 0.5);
+	await Promise.all(others.map(async daemon => terminateAndRestart(daemon)));
+};
+
+/** Ends holders one shortly after the other, each once it has reached a worker. Resolves once all of them are back. */
+const endHoldersQuickly = async ({deployment, random}: Field): Promise<void> => {
+	const terms = drawBetween(random, minQuickTerms, maxQuickTerms);
+	const termMs = drawBetween(random, minQuickSeriesMs, maxQuickSeriesMs) / terms;
+	const restarts: Array<Promise<void>> = [];
+	for (let left = terms; left > 0; left--) {
+		const holder = await waitForHolder(deployment);
+		if (holder !== undefined) {
+			restarts.push(terminateAndRestart(holder));
+		}
+
+		await sleep(termMs);
+	}
+
+	await Promise.all(restarts);
+};
+
+const drawZone = (random: RandomSource): string => zones[Math.floor(random.next() * zones.length)]!;
+
+/** Cuts the workers of a zone off from all daemons several times; half of the time a holder is ended within each cut. */
+const cutZone = async ({deployment, random}: Field, workers: readonly Worker[]): Promise<void> => {
+	const hasHandovers = random.next() < 0.5;
+	const restarts: Array<Promise<void>> = [];
+	for (let left = drawBetween(random, minZoneCuts, maxZoneCuts); left > 0; left--) {
+		const cutMs = drawBetween(random, minZoneCutMs, maxZoneCutMs);
+		const pauseMs = drawBetween(random, minZonePauseMs, maxZonePauseMs);
+		const untilTermMs = random.next() * cutMs;
+		for (const worker of workers) {
+			worker.isSilent = true;
+		}
+
+		await sleep(untilTermMs);
+		const {holder} = deployment;
+		if (hasHandovers && holder?.isDisturbed === false) {
+			restarts.push(terminateAndRestart(holder));
+		}
+
+		await sleep(cutMs - untilTermMs);
+		for (const worker of workers) {
+			worker.isSilent = false;
+		}
+
+		await sleep(pauseMs);
+	}
+
+	await Promise.all(restarts);
+};
+
+/** All or most workers of one zone and service leave together, while the holder is ended, or several in succession. */
+const emptyZone = (field: Field): Begun => {
+	const {deployment, random} = field;
+	const zone = drawZone(random);
+	const service = queues[Math.floor(random.next() * queues.length)]!.name;
+	const leavingShare = random.next() < 0.5 ? 1 : leavingZoneShare;
+	const hasSeries = random.next() < 0.5;
+	const departure: GroupDeparture = {
+		noticeMs: drawBetween(random, minZoneNoticeMs, maxZoneNoticeMs), endLeadMs: drawBetween(random, minEndLeadMs, maxEndLeadMs), keepsAddress: random.next() < 0.5,
+	};
+	const untilSeriesMs = random.next() * departure.noticeMs;
+	const workers = deployment.machines.workers.filter(worker => worker.zone === zone && worker.service === service && random.next() < leavingShare);
+	const leave = async (): Promise<void> => {
+		const leaving = workers.filter(worker => mayCrash(worker));
+		const handovers = hasSeries ? sleep(untilSeriesMs).then(async () => endHoldersQuickly(field)) : endHolderAtDeparture(field, leaving, departure);
+		await Promise.all([...departTogether(field, leaving, departure), handovers]);
+	};
+
+	return waitFor(hasSeries ? refreshOthers(field).then(async () => leave()) : leave(), {workers, daemons: 'all'});
+};
+
 /** Ends all daemons in turn; each is started again. */
 const endInTurn = async ({deployment, random}: Field): Promise<void> => {
 	const restarts: Array<Promise<void>> = [];
@@ -429,6 +531,16 @@
 	leave: field => replaceWorkers(field, false),
 	/** The same, with others that come to their addresses. */
 	replace: field => replaceWorkers(field, true),
+	/** Holders are ended one shortly after the other, some of them just after their start. */
+	quickseries: field => waitFor(refreshOthers(field).then(async () => endHoldersQuickly(field)), {daemons: 'all'}),
+	/** All workers of a zone are out of reach of all daemons for less than their lease, several times. */
+	zonecut(field) {
+		const zone = drawZone(field.random);
+		const workers = field.deployment.machines.workers.filter(worker => worker.zone === zone);
+		return waitFor(cutZone(field, workers), {workers, daemons: 'all'});
+	},
+	/** All or most workers of a zone and service leave together, beside hand-overs. */
+	zoneleave: field => emptyZone(field),
 	/** A daemon with a smaller share of the processor holds the lease, and yields it as the larger ones are back. */
 	bigreturn: field => endLargeDaemons(field),
 	/** All daemons are ended in turn, beside a wave. */
@@ -436,10 +548,10 @@
 };
 
 /** Kinds that are drawn only where they are named: `crashagain` shows a fault that is known and not mended, and the others would change what each seed draws. */
-const namedKinds: ReadonlySet<string> = new Set(['crashagain', 'leave', 'replace', 'bigreturn', 'rolling']);
+const namedKinds: ReadonlySet<string> = new Set(['crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave']);
 
 /** Kinds of work that an operator plans. All others are disruptions. */
-const plannedKinds: ReadonlySet<string> = new Set(['term', 'handovers', 'configure', 'wave', 'leave', 'replace', 'bigreturn', 'rolling']);
+const plannedKinds: ReadonlySet<string> = new Set(['term', 'handovers', 'configure', 'wave', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zoneleave']);
 
 export const defaultKinds: readonly string[] = Object.keys(troubleKinds).filter(kind => !namedKinds.has(kind));
 
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -108,6 +108,10 @@
 		return this.#options.zone;
 	}
 
+	get service(): string {
+		return this.#options.service;
+	}
+
 	get labels(): readonly string[] {
 		return ['a', this.#options.rack];
 	}
