--- a/packages/scheduler/tests/worker-poller.test.ts
+++ b/packages/scheduler/tests/worker-poller.test.ts
@@ -113,6 +113,50 @@
 	expect(await pollOnce([{afterMs: 300, type: 'report'}, {afterMs: 20, type: 'report'}])).toEqual([{atMs: 220, type: 'report'}]);
 });
 
+test('the ends of a report that comes after the repeated poll was answered are passed on', async () => {
+	const clock = new VirtualClock();
+	const state = new SchedulerState();
+	reduceScheduler(state, {
+		type: 'workersListed', workers: [entryOf('busy')], nowMs: 0, wallMs: 0,
+	});
+	reduceScheduler(state, {
+		type: 'leaseWon', fencingToken: 1, nowMs: 0, wallMs: 0,
+	});
+	const listed = [['late'], []];
+	const passedOn: string[] = [];
+	const poller = new WorkerPoller({
+		control: {
+			async poll() {
+				const finished = listed.shift()!;
+				await new Promise<void>(resolve => {
+					clock.schedule(finished.length === 0 ? 5 : 300, resolve);
+				});
+				return {
+					type: 'report', report: {
+						clockMs: 0, bornWallMs: 1, running: [], finished: finished.map(taskKey => ({
+							sequence: 1, taskKey, attempt: 1, end: 'done', checkpoint: '',
+						})),
+					},
+				} satisfies PollAnswer;
+			},
+		} as unknown as WorkerControl,
+		clock, state: () => state, pauseMs: () => pollPauseMs, dispatch(event) {
+			if (event.type === 'reportedLate') {
+				passedOn.push(...event.report.finished.map(({taskKey}) => taskKey));
+			}
+		},
+	});
+	poller.pollDueWorkers(clock.nowMs());
+	for (let elapsedMs = 0; elapsedMs < 500; elapsedMs += 10) {
+		clock.advance(10);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	expect(passedOn).toEqual(['late']);
+});
+
 test('a worker counts as unreachable once neither poll was answered', async () => {
 	expect(await pollOnce([{afterMs: 900, type: 'unreachable'}, {afterMs: 900, type: 'unreachable'}])).toEqual([{atMs: 1100, type: 'unreachable'}]);
 });
