Ends are recorded before a release whose save takes long

If a save is not stored 100 ms after polling has ended, the unstored ends are now also recorded in rows of their own, which need no such resolution, and stand in the note of the release as before.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -66,6 +66,8 @@
 	| (OfTerm & {readonly type: 'leaseLost'; readonly reason?: LeaseLossReason | undefined})
 	/** The process will release the lease of the term, polls no worker any more, is about to release the lease, or goes on because its progress could not be stored in time. */
 	| (OfTerm & {readonly type: 'releasePlanned' | 'pollingEnded' | 'handoverBegun' | 'handoverCancelled'})
+	/** The save before the release takes long. */
+	| (OfTerm & {readonly type: 'storingDelayed'})
 	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number; readonly sentDeadlineClockMs?: number | undefined})
 	/** A report that came after another one had answered the same poll. Only its ends are used: it may tell less of what runs than the first one. */
 	| (OfTerm & OfIncarnation & {readonly type: 'reportedLate'; readonly workerId: string; readonly report: WorkerReport})
--- a/packages/scheduler/src/core/recorded-ends.ts
+++ b/packages/scheduler/src/core/recorded-ends.ts
@@ -98,9 +98,9 @@
 	}
 };
 
-/** Records what the term leaves unstored as it ends. */
-export const recordUnstoredEnds = (state: SchedulerState): void => {
-	emitRecord(state, unstoredTaskEnds(state), 'the term has ended');
+/** Records what the term leaves unstored as it ends, or before it if its save takes long: the save awaits the outcome of each of its calls, and these writes do not. */
+export const recordUnstoredEnds = (state: SchedulerState, reason: string): void => {
+	emitRecord(state, unstoredTaskEnds(state), reason);
 };
 
 /** Returns true if the end may matter and is not known to this process. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -18,7 +18,7 @@
 import {poolsLackingRoom} from './pools/pool-capacity.js';
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {dropOutdatedEvent} from './outdated-events.js';
-import {applyInheritedEnds, keepEndsOfDropped} from './recorded-ends.js';
+import {applyInheritedEnds, keepEndsOfDropped, recordUnstoredEnds} from './recorded-ends.js';
 import {reconcileRuns} from './relocation.js';
 import {
 	applyLateReport, applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
@@ -197,6 +197,11 @@
 			break;
 		}
 
+		case 'storingDelayed': {
+			recordUnstoredEnds(state, 'the save takes long');
+			break;
+		}
+
 		case 'handoverCancelled': {
 			state.isReleasePlanned = false;
 			state.isPollingEnded = false;
--- a/packages/scheduler/src/core/terms.ts
+++ b/packages/scheduler/src/core/terms.ts
@@ -11,7 +11,7 @@
 export const endTerm = (state: SchedulerState, nowMs: number, reason: LeaseLossReason = 'superseded'): void => {
 	logUnstoredEnds(state, nowMs, reason);
 	if (state.term !== undefined) {
-		recordUnstoredEnds(state);
+		recordUnstoredEnds(state, 'the term has ended');
 	}
 
 	state.term = undefined;
--- a/packages/scheduler/src/shell/release-preparation.ts
+++ b/packages/scheduler/src/shell/release-preparation.ts
@@ -22,6 +22,9 @@
 
 /** The same for a process that stops: it releases the lease in any case, and leaves what is not stored to the next holder. */
 const maxStoringAtStopMs = 350;
+
+/** A save that takes longer may await the outcome of a call that has lost its answer. */
+const promptStoringMs = 100;
 const checkIntervalMs = 5;
 
 /** The polls of the workers. */
@@ -84,7 +87,7 @@
 		const areReportsHeard = await this.#waitWithin(fencingToken, maxListeningMs, () => !polls.awaitsReports);
 		const heardAtMs = this.#nowMs();
 		this.#dispatch('handoverBegun', fencingToken);
-		const isStored = await this.#waitWithin(fencingToken, isStopping ? maxStoringAtStopMs : maxStoringMs, () => isProgressStored(this.#state, this.#nowMs()));
+		const isStored = await this.#store(fencingToken, isStopping ? maxStoringAtStopMs : maxStoringMs);
 		this.#logPrepared({
 			fencingToken,
 			areMachinesDone,
@@ -97,6 +100,17 @@
 		return areMachinesDone && isStored;
 	}
 
+	/** Stores what was read. Resolves to whether that was done within the time. */
+	async #store(fencingToken: number, maxMs: number): Promise<boolean> {
+		const isStored = (): boolean => isProgressStored(this.#state, this.#nowMs());
+		if (await this.#waitWithin(fencingToken, promptStoringMs, isStored)) {
+			return true;
+		}
+
+		this.#dispatch('storingDelayed', fencingToken);
+		return this.#waitWithin(fencingToken, maxMs - promptStoringMs, isStored);
+	}
+
 	/** Logs how long each part took, and which of them reached its time limit. */
 	#logPrepared(fields: PreparationRecord): void {
 		const isComplete = fields.areMachinesDone && fields.areReportsHeard && fields.isStored;
@@ -128,7 +142,7 @@
 		return this.#options.clock.nowMs();
 	}
 
-	#dispatch(type: 'releasePlanned' | 'pollingEnded' | 'handoverBegun', fencingToken: number): void {
+	#dispatch(type: 'releasePlanned' | 'pollingEnded' | 'handoverBegun' | 'storingDelayed', fencingToken: number): void {
 		const {clock, dispatch} = this.#options;
 		dispatch({
 			type, fencingToken, nowMs: clock.nowMs(), wallMs: clock.wallTimeMs(),
--- a/packages/scheduler/tests/recorded-ends.test.ts
+++ b/packages/scheduler/tests/recorded-ends.test.ts
@@ -97,6 +97,14 @@
 		expect(recordsOf(effects)).toEqual([{jobId: job.jobId, ends: {doneTasks: {'0.0': [0]}, failures: {'0.0.1': [4001]}}}]);
 	});
 
+	test('are recorded before the release if the save takes long', () => {
+		const holder = holderWithUnstored();
+		holder.dispatch({type: 'handoverBegun', fencingToken: 5}, 25);
+		expect(recordsOf(holder.dispatch({type: 'storingDelayed', fencingToken: 5}, 130))).toHaveLength(1);
+		holder.dispatch({type: 'saved', fencingToken: 5, saveNumber: holder.state.pendingSaveNumber!}, 140);
+		expect(recordsOf(holder.dispatch({type: 'storingDelayed', fencingToken: 5}, 150))).toEqual([]);
+	});
+
 	test('are not recorded once they are read from the store', () => {
 		const holder = holderWithUnstored();
 		const progress = {
