--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -18,10 +18,10 @@
 import {poolsLackingRoom} from './pools/pool-capacity.js';
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {dropOutdatedEvent} from './outdated-events.js';
+import {applyInheritedEnds, keepEndsOfDropped, recordUnstoredEnds} from './recorded-ends.js';
 import {reconcileRuns} from './relocation.js';
-import {logLeftEnds} from './report-logs.js';
 import {
-	applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
+	applyLateReport, applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
 } from './worker-reports.js';
 import {applySaved, storeProgress, storeReportedEnds} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -93,10 +93,6 @@
 	}
 };
 
-/** Returns true during a hand-over if the report is of a worker that stays: it lists the same to the next holder, and its ends would keep this one from ever having stored all that it has read. */
-const isLeftToNextHolder = ({isHandingOver, workers}: SchedulerState, {workerId, answer}: Extract<SchedulerEvent, {readonly type: 'polled'}>): boolean =>
-	isHandingOver && answer.type === 'report' && workers.get(workerId)?.entry.isDraining === false;
-
 const apply = (state: SchedulerState, event: SchedulerEvent): void => {
 	switch (event.type) {
 		case 'configured': {
@@ -146,6 +142,8 @@
 				state.beginTerm(event.fencingToken, event.nowMs);
 				state.earlierHolder = event.earlierHolder;
 				receiveNote(state, event.note, event.nowMs);
+				createDueTasks(state, event);
+				applyInheritedEnds(state, event.note?.ends ?? {}, event);
 				// Status reports refer to tasks, which must be created before the first report arrives.
 				updateOpenJobs(state, event);
 			}
@@ -188,30 +186,42 @@
 			break;
 		}
 
+		case 'pollingEnded': {
+			state.isPollingEnded = true;
+			break;
+		}
+
 		case 'handoverBegun': {
 			state.isHandingOver = true;
 			runStoringPass(state, event);
 			break;
 		}
 
+		case 'storingDelayed': {
+			recordUnstoredEnds(state, 'the save takes long');
+			break;
+		}
+
 		case 'handoverCancelled': {
 			state.isReleasePlanned = false;
+			state.isPollingEnded = false;
 			state.isHandingOver = false;
 			break;
 		}
 
 		case 'polled': {
-			if (isLeftToNextHolder(state, event)) {
-				logLeftEnds(state, event);
-				break;
-			}
-
 			applyPollAnswer(state, event);
 			updatePaceAfterPoll(state, event);
 			storeReportedEnds(state, event.nowMs);
 			break;
 		}
 
+		case 'reportedLate': {
+			applyLateReport(state, event);
+			storeReportedEnds(state, event.nowMs);
+			break;
+		}
+
 		case 'startAnswered': {
 			applyStartAnswer(state, event);
 			break;
@@ -276,7 +286,9 @@
 
 /** Mutates the state, which only the reducer owns, and returns the effects to perform. */
 export const reduceScheduler = (state: SchedulerState, event: SchedulerEvent): Step<SchedulerState, SchedulerEffect> => {
-	if (!dropOutdatedEvent(state, event)) {
+	if (dropOutdatedEvent(state, event)) {
+		keepEndsOfDropped(state, event);
+	} else {
 		apply(state, event);
 	}
 
--- a/packages/scheduler/src/core/report-logs.ts
+++ b/packages/scheduler/src/core/report-logs.ts
@@ -16,18 +16,6 @@
 	return done.length === 0 ? {} : {done: done.length, tasks: done.slice(0, maxLoggedRuns).map(({taskKey, attempt}) => `${taskKey}#${attempt}`).join(',')};
 };
 
-/** Logs ends that are new to this process and that it leaves to the next holder. */
-export const logLeftEnds = (state: SchedulerState, event: PolledEvent): void => {
-	const fields = doneFields(event, state.workers.get(event.workerId)?.processedSequence ?? 0);
-	if (fields.done !== undefined) {
-		state.emit({
-			type: 'log', fields: {
-				event: 'ends_left_to_next_holder', workerId: event.workerId, fencingToken: event.fencingToken, ...fields,
-			},
-		});
-	}
-};
-
 /** Logs an end without a task, which is acknowledged with the next ones of its worker, unless its job has ended. */
 export const logUnknownEnd = (state: SchedulerState, worker: WorkerRecord, {taskKey, attempt, end, sequence}: FinishedEntry): void => {
 	const job = state.jobs.get(taskKey.split('.')[0]!);
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -13,6 +13,7 @@
 import {
 	type PollAnswer, type PollOrder, type WorkerAddress, type WorkerControl,
 } from '../ports.js';
+import {type WorkerReport} from '../types.js';
 
 export type WorkerPollerOptions = {
 	readonly control: WorkerControl;
@@ -27,6 +28,8 @@
 	/** Incarnation of the worker. A poll of an earlier one may be in flight for long, and its answer may be outdated. */
 	readonly incarnation: number;
 	isPolling: boolean;
+	/** How long the worker may wait before it answers the poll in flight. */
+	waitMs: number;
 	nextPollAtMs: number;
 };
 
@@ -36,6 +39,13 @@
 	readonly sentAcknowledgement: number;
 };
 
+type PollHandlers = {
+	/** Tells whether the worker's incarnation is still the one that is polled. */
+	readonly isPresent: () => boolean;
+	/** Called with a report with ends that comes after the first one. */
+	readonly onLateReport: (report: WorkerReport) => void;
+};
+
 /** Returns the acknowledgement to send, 0 for none. A worker that has not answered may have started again: its ends are numbered anew then, and it would forget ends that nobody has seen. */
 const dueAcknowledgement = ({silentSinceMs, restart, acknowledgedSequence, sentAcknowledgement}: WorkerRecord): number =>
 	silentSinceMs === undefined && restart?.hasReported !== false && acknowledgedSequence > sentAcknowledgement ? acknowledgedSequence : 0;
@@ -60,15 +70,20 @@
 		return this.#pollCount;
 	}
 
-	/** Whether a poll of a draining worker is under way, which may be gone before another process polls it. */
-	get awaitsLeavingWorkers(): boolean {
-		return [...this.#options.state().workers.values()].some(({entry, silentSinceMs}) => entry.isDraining && silentSinceMs === undefined && this.#pollStates.get(entry.workerId)?.isPolling === true);
+	/** Whether a worker that answers may take longer than an urgent poll does to answer the one in flight. */
+	get awaitsLongPolls(): boolean {
+		return this.#somePoll(({waitMs}) => waitMs > urgentPollWaitMs);
+	}
+
+	/** Whether a poll of a worker that answers is in flight. What it lists may be known to nobody else: the worker may leave before another process polls it. */
+	get awaitsReports(): boolean {
+		return this.#somePoll(() => true);
 	}
 
 	/** Starts the polls that are due. `checkedAtMs` is when the lease of this process was checked: leases on workers count from then, even if the process was paused since. */
 	pollDueWorkers(checkedAtMs: number): void {
 		const state = this.#options.state();
-		if (state.term === undefined || state.isHandingOver) {
+		if (state.term === undefined || state.isPollingEnded || state.isHandingOver) {
 			return;
 		}
 
@@ -89,10 +104,19 @@
 		}
 	}
 
+	#somePoll(holds: (pollState: PollState) => boolean): boolean {
+		return [...this.#options.state().workers.values()].some(({entry, silentSinceMs}) => {
+			const pollState = this.#pollStates.get(entry.workerId);
+			return silentSinceMs === undefined && pollState?.isPolling === true && holds(pollState);
+		});
+	}
+
 	#pollStateOf({entry: {workerId}, incarnation}: WorkerRecord): PollState {
 		let pollState = this.#pollStates.get(workerId);
 		if (pollState?.incarnation !== incarnation) {
-			pollState = {incarnation, isPolling: false, nextPollAtMs: 0};
+			pollState = {
+				incarnation, isPolling: false, waitMs: 0, nextPollAtMs: 0,
+			};
 			this.#pollStates.set(workerId, pollState);
 		}
 
@@ -114,13 +138,21 @@
 		}
 
 		// Only a worker that has answered before waits for a run to end; the first poll and idle workers' acknowledgements are answered at once.
-		const busyWaitMs = worker.trial !== undefined || worker.entry.isDraining ? urgentPollWaitMs : busyPollWaitMs;
+		const isAnswerUrgent = worker.trial !== undefined || worker.entry.isDraining || this.#options.state().isReleasePlanned;
+		const busyWaitMs = isAnswerUrgent ? urgentPollWaitMs : busyPollWaitMs;
 		const waitMs = worker.isFenced && worker.runs.size > 0 && worker.silentSinceMs === undefined ? busyWaitMs : 0;
+		pollState.waitMs = waitMs;
 		const order = {
 			fencingToken: orderTokenFor(this.#options.state(), worker), acknowledgedSequence, deadlineClockMs: deadline, waitMs,
 		};
 		const isPresent = (): boolean => worker.incarnation === pollState.incarnation;
-		const {answer, sentAcknowledgement} = await this.#pollTwice({workerId, address}, order, isPresent);
+		const {answer, sentAcknowledgement} = await this.#pollTwice({workerId, address}, order, {
+			isPresent, onLateReport(report) {
+				dispatch({
+					type: 'reportedLate', fencingToken, workerId, incarnation: pollState.incarnation, report, nowMs: clock.nowMs(), wallMs: clock.wallTimeMs(),
+				});
+			},
+		});
 		const nowMs = clock.nowMs();
 		pollState.isPolling = false;
 		const pauseMs = isUrgent(worker) ? pollPauseMs : this.#options.pauseMs();
@@ -130,18 +162,24 @@
 		});
 	}
 
-	/** Sends the poll once more if its answer is late, and returns the first report, with the acknowledgement of the poll that it answers. A report that comes after it is left out, since the worker may have made it earlier; what it lists is listed again. The second poll acknowledges nothing, since the worker may have started again; if it is known to have, there is no second one. */
-	async #pollTwice(worker: WorkerAddress, order: PollOrder, isPresent: () => boolean): Promise<PolledWorker> {
+	/** Sends the poll once more if its answer is late, and returns the first report, with the acknowledgement of the poll that it answers. Of a report that comes after it, only the ends are used, since the worker may have made it earlier. The second poll acknowledges nothing, since the worker may have started again; if it is known to have, there is no second one. */
+	async #pollTwice(worker: WorkerAddress, order: PollOrder, {isPresent, onLateReport}: PollHandlers): Promise<PolledWorker> {
 		const {control, clock, pauseMs} = this.#options;
 		// While this process is short of processor time, it reads answers late.
 		const repeatMs = pollRepeatMs * pauseMs() / pollPauseMs;
 		return new Promise(resolve => {
 			let pendingCount = 0;
+			let isReported = false;
 			const send = async (changes: Partial<PollOrder> = {}): Promise<void> => {
 				pendingCount++;
 				const sent = {...order, ...changes};
 				const answer = await control.poll(worker, sent);
 				pendingCount--;
+				if (isReported && answer.type === 'report' && answer.report.finished.length > 0) {
+					onLateReport(answer.report);
+				}
+
+				isReported ||= answer.type === 'report';
 				if (answer.type !== 'unreachable' || pendingCount === 0) {
 					cancelRepeat();
 					resolve({answer, sentAcknowledgement: sent.acknowledgedSequence});
