The judge of leaving workers notes an end at once whose 100 ms are over

A worker that left with an end that was listed more than 100 ms before, beside a disruption, was noted with a negative delay, with which the virtual clock went back; quick-series.test.ts did not end within 10 minutes.

--- a/packages/scheduler/tests/support/fake-workers.ts
+++ b/packages/scheduler/tests/support/fake-workers.ts
@@ -275,7 +275,7 @@
 		const {clock, notedEnds} = this.#fleet;
 		for (const entry of this.isCut ? [] : this.listedEnds.filter(({isNoted}) => !isNoted)) {
 			const listedAtMs = entry.listedAtMs!;
-			clock.schedule(listedAtMs + notedAfterMs - clock.nowMs(), () => {
+			clock.schedule(Math.max(0, listedAtMs + notedAfterMs - clock.nowMs()), () => {
 				if (notedEnds.isNotedByListing(listedAtMs, clock.nowMs())) {
 					this.#note(entry, 'listed');
 				}
