--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -21,11 +21,12 @@
 	const noted: NonNullable<HandoverNote['ends']> = {};
 	let textLength = 0;
 	for (const {jobId, ends: {doneTasks, failures}} of unstoredTaskEnds(state)) {
-		textLength += JSON.stringify({[jobId]: {doneTasks, failures}}).length;
-		if (textLength > maxEndsTextLength) {
-			break;
+		const lengthOfJob = JSON.stringify({[jobId]: {doneTasks, failures}}).length;
+		if (textLength + lengthOfJob > maxEndsTextLength) {
+			continue;
 		}
 
+		textLength += lengthOfJob;
 		noted[jobId] = {
 			doneTasks: Object.fromEntries(Object.entries(doneTasks).map(([key, indexes]) => [key, [...indexes]])),
 			failures: Object.fromEntries(Object.entries(failures).map(([key, attempts]) => [key, [...attempts]])),
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -336,7 +336,7 @@
 
 	const job = state.jobs.get(change.jobId);
 	if (job === undefined) {
-		applyDetachedChange(state, change);
+		applyDetachedChange(state, change, now.nowMs);
 		return;
 	}
 
@@ -360,7 +360,7 @@
 		}
 
 		case 'removed': {
-			applyRemoval(state, job, change);
+			applyRemoval(state, job, change, now.nowMs);
 			break;
 		}
 
@@ -372,8 +372,24 @@
 
 const noTaskRecords: TaskRecords = {doneTasks: {}, failures: {}, crashRecords: {}};
 
+/** Returns the ends as they count for the job, which the process that recorded them need not have known: when one member of a gang ends, all its members are done, and a lasting task is never done. */
+export const endsByJobOf = ({spec: {steps}}: JobRecord, {doneTasks, failures}: TaskEnds): TaskEnds => {
+	const stepOf = (key: string) => steps[Number(key.split('.')[1])];
+	const done = Object.entries(doneTasks).flatMap(([stepKey, indexes]) => {
+		const step = stepOf(stepKey);
+		if (step === undefined || step.isLasting) {
+			return [];
+		}
+
+		return [[stepKey, step.isGang ? Array.from({length: step.taskCount}, (_value, index) => index) : indexes] as const];
+	});
+	const failed = Object.entries(failures).filter(([taskKey]) => stepOf(taskKey)?.isLasting === false);
+	return {doneTasks: Object.fromEntries(done), failures: Object.fromEntries(failed)};
+};
+
 /** Applies ends that another process, or an earlier term, has read. A task that was started again meanwhile ran twice. */
-const applyRecordedEnds = (state: SchedulerState, job: JobRecord, ends: TaskEnds): void => {
+const applyRecordedEnds = (state: SchedulerState, job: JobRecord, recorded: TaskEnds): void => {
+	const ends = endsByJobOf(job, recorded);
 	const startedAgain = stepsOf(job).flatMap(({occurrence, stepIndex, tasks}) => (ends.doneTasks[storedStepKey(occurrence, stepIndex)] ?? [])
 		.flatMap(index => tasks[index]?.phase === 'placed' ? [tasks[index].key] : []));
 	job.hasBegun = true;
@@ -387,10 +403,15 @@
 	}
 };
 
+/** Keeps ends for tasks that are created later. */
+export const keepForDueTasks = (job: JobRecord, ends: TaskEnds): void => {
+	applyTaskRecords(job, {...noTaskRecords, ...endsByJobOf(job, ends)});
+};
+
 type RemovedRow = Extract<JobChange, {readonly type: 'removed'}>;
 
 /** Forgets that a row of a known job is stored. What was read from it stays in force while the job is known. */
-const applyRemoval = (state: SchedulerState, job: JobRecord, {jobId, row, rowKey}: RemovedRow): void => {
+const applyRemoval = (state: SchedulerState, job: JobRecord, {jobId, row, rowKey}: RemovedRow, nowMs: number): void => {
 	switch (row) {
 		case 'specification': {
 			job.rowKeys.delete(rowKey);
@@ -398,7 +419,7 @@
 				state.jobs.delete(jobId);
 				state.openJobs.delete(job);
 				state.dirtyJobs.delete(job);
-				detachRows(state, job);
+				detachRows(state, job, nowMs);
 			}
 
 			break;
@@ -426,7 +447,7 @@
 };
 
 /** Keeps what is still stored of a job whose specification was removed. */
-const detachRows = (state: SchedulerState, job: JobRecord): void => {
+const detachRows = (state: SchedulerState, job: JobRecord, nowMs: number): void => {
 	const {progressVersion, cancelKeys, endsKeys} = job;
 	if (progressVersion === 0 && cancelKeys.size === 0 && endsKeys.size === 0) {
 		return;
@@ -436,7 +457,7 @@
 		outcome: job.isOutcomeStored ? job.outcome : undefined, endedWallMs: job.endedWallMs, hasBegun: job.hasBegun, ...storedTaskRecords(job),
 	};
 	state.detachedRows.set(job.spec.jobId, {
-		progress: progressVersion === 0 && endsKeys.size === 0 ? undefined : progress, progressVersion, cancelKeys, endsKeys,
+		progress: progressVersion === 0 && endsKeys.size === 0 ? undefined : progress, progressVersion, cancelKeys, endsKeys, sinceMs: nowMs,
 	});
 };
 
@@ -459,14 +480,14 @@
 
 	job.progressVersion = rows.progressVersion;
 	if (rows.progress !== undefined) {
-		applyProgress(state, job, rows.progress, now);
+		applyProgress(state, job, {...rows.progress, ...endsByJobOf(job, rows.progress)}, now);
 	}
 };
 
 /** Applies a change to a row of a job whose specification is not known. */
-const applyDetachedChange = (state: SchedulerState, change: Exclude<JobChange, {readonly type: 'accepted'}>): void => {
+const applyDetachedChange = (state: SchedulerState, change: Exclude<JobChange, {readonly type: 'accepted'}>, nowMs: number): void => {
 	const rows = state.detachedRows.get(change.jobId) ?? {
-		progress: undefined, progressVersion: 0, cancelKeys: new Set(), endsKeys: new Set(),
+		progress: undefined, progressVersion: 0, cancelKeys: new Set(), endsKeys: new Set(), sinceMs: nowMs,
 	};
 	switch (change.type) {
 		case 'progressed': {
--- a/packages/scheduler/src/core/recorded-ends.ts
+++ b/packages/scheduler/src/core/recorded-ends.ts
@@ -7,9 +7,9 @@
 import {mergeByKey, unionOf} from './merging.js';
 import {type JobEnds, type SchedulerEvent} from './events.js';
 import {
-	type CurrentTime, failTask, finishTask, stepsOf, storedStepKey, storedTaskKey,
+	type CurrentTime, endsByJobOf, failTask, finishTask, keepForDueTasks, stepsOf, storedStepKey, storedTaskKey,
 } from './jobs.js';
-import {type JobRecord, type StepInstance} from './records.js';
+import {type JobRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {
 	findTask, isUnresolved, parseTaskKey, type TaskPlace,
@@ -50,23 +50,17 @@
 /** Returns true if none of the job's tasks will start any more, whatever is known of their ends. */
 const isOver = ({isOutcomeStored, isCancelRequested}: JobRecord): boolean => isOutcomeStored || isCancelRequested;
 
-/** When one member of a gang ends, all its members are done. */
-const doneIndexes = (step: StepInstance | undefined, index: number): readonly number[] => step?.spec.isGang === true ? step.tasks.map(task => task.index) : [index];
-
-const endOf = (state: SchedulerState, {taskKey, attempt, end}: FinishedEntry, {occurrence, stepIndex, index}: TaskPlace): TaskEnds => {
-	const step = findTask(state, taskKey)?.step;
-	return end === 'done'
-		? {doneTasks: {[storedStepKey(occurrence, stepIndex)]: doneIndexes(step, index)}, failures: {}}
-		: {doneTasks: {}, failures: {[storedTaskKey(occurrence, stepIndex, index)]: [attempt]}};
-};
+const endOf = ({attempt, end}: FinishedEntry, {occurrence, stepIndex, index}: TaskPlace): TaskEnds => end === 'done'
+	? {doneTasks: {[storedStepKey(occurrence, stepIndex)]: [index]}, failures: {}}
+	: {doneTasks: {}, failures: {[storedTaskKey(occurrence, stepIndex, index)]: [attempt]}};
 
 /** Gathers reported ends by their jobs. */
-const endsByJob = (state: SchedulerState, entries: readonly FinishedEntry[], known: Iterable<JobEnds> = []): readonly JobEnds[] => {
+const endsByJob = (entries: readonly FinishedEntry[], known: Iterable<JobEnds> = []): readonly JobEnds[] => {
 	const gathered = new Map([...known].map(({jobId, ends}) => [jobId, ends]));
 	for (const entry of entries) {
 		const place = parseTaskKey(entry.taskKey);
 		if (place !== undefined) {
-			const ends = endOf(state, entry, place);
+			const ends = endOf(entry, place);
 			const earlier = gathered.get(place.jobId);
 			gathered.set(place.jobId, earlier === undefined ? ends : mergeEnds(earlier, ends));
 		}
@@ -84,7 +78,7 @@
 	const unresolved = [...[...state.workers.values()].flatMap(({unresolvedEnds}) => unresolvedEnds), ...state.endsOfEarlierIncarnations]
 		.map(({entry}) => entry)
 		.filter(entry => isLastingKnowledge(entry));
-	return endsByJob(state, unresolved, ends);
+	return endsByJob(unresolved, ends);
 };
 
 const emitRecord = (state: SchedulerState, jobs: readonly JobEnds[], reason: string): void => {
@@ -123,9 +117,11 @@
 	}
 
 	if (state.term !== undefined && worker !== undefined) {
-		state.endsOfEarlierIncarnations = [...state.endsOfEarlierIncarnations, ...news.map(entry => ({entry, reportedAtMs: nowMs, worker}))];
+		state.endsOfEarlierIncarnations = [...state.endsOfEarlierIncarnations, ...news.map(entry => ({
+			entry, reportedAtMs: nowMs, worker, isListedAgain: true,
+		}))];
 	} else {
-		emitRecord(state, endsByJob(state, news), `a report of ${workerId} without a term`);
+		emitRecord(state, endsByJob(news), `a report of ${workerId} without a term`);
 	}
 };
 
@@ -138,31 +134,52 @@
 	}
 };
 
-/** Applies the ends that the last holder has left. They are stored with the next save. */
-export const applyInheritedEnds = (state: SchedulerState, inherited: Readonly<Record<string, TaskEnds>>, now: CurrentTime): void => {
-	for (const [jobId, {doneTasks, failures}] of Object.entries(inherited)) {
-		const job = state.jobs.get(jobId);
-		for (const {occurrence, stepIndex, tasks} of job === undefined ? [] : stepsOf(job)) {
-			for (const index of doneTasks[storedStepKey(occurrence, stepIndex)] ?? []) {
-				const task = tasks[index];
-				if (task !== undefined && task.phase !== 'done' && job!.outcome === undefined) {
-					finishTask(state, task, now);
-				}
+/** Applies an inherited end to each of the job's tasks that it names. */
+const applyToTasks = (state: SchedulerState, job: JobRecord, {doneTasks, failures}: TaskEnds, now: CurrentTime): void => {
+	for (const {occurrence, stepIndex, tasks} of stepsOf(job)) {
+		for (const index of doneTasks[storedStepKey(occurrence, stepIndex)] ?? []) {
+			const task = tasks[index];
+			if (task !== undefined && task.phase !== 'done' && job.outcome === undefined) {
+				finishTask(state, task, now);
 			}
+		}
 
-			for (const task of tasks) {
-				for (const attempt of failures[storedTaskKey(occurrence, stepIndex, task.index)] ?? []) {
-					failTask(state, task, attempt, now);
-				}
+		for (const task of tasks) {
+			for (const attempt of failures[storedTaskKey(occurrence, stepIndex, task.index)] ?? []) {
+				failTask(state, task, attempt, now);
 			}
 		}
 	}
+};
+
+/** Returns true if all tasks that the ends name are created. */
+const areTasksCreated = ({occurrences}: JobRecord, {doneTasks, failures}: TaskEnds): boolean =>
+	[...Object.keys(doneTasks), ...Object.keys(failures)].every(key => occurrences.has(Number(key.split('.')[0])));
+
+/** Applies the ends that the last holder has left. They are stored with the next save; those of tasks that this process does not know yet are recorded. */
+export const applyInheritedEnds = (state: SchedulerState, inherited: Readonly<Record<string, TaskEnds>>, now: CurrentTime): void => {
+	const unknown: JobEnds[] = [];
+	for (const [jobId, ends] of Object.entries(inherited)) {
+		const job = state.jobs.get(jobId);
+		if (job !== undefined) {
+			applyToTasks(state, job, endsByJobOf(job, ends), now);
+		}
+
+		if (job === undefined || !areTasksCreated(job, ends)) {
+			unknown.push({jobId, ends});
+		}
+
+		if (job !== undefined && !areTasksCreated(job, ends)) {
+			keepForDueTasks(job, ends);
+		}
+	}
 
+	emitRecord(state, unknown, 'inherited for tasks that are not known yet');
 	const jobIds = Object.keys(inherited);
 	if (jobIds.length > 0) {
 		state.emit({
 			type: 'log', fields: {
-				event: 'ends_inherited', jobs: jobIds.length, unknownJobs: jobIds.filter(jobId => !state.jobs.has(jobId)).length, first: jobIds[0],
+				event: 'ends_inherited', jobs: jobIds.length, unknownJobs: unknown.length, first: jobIds[0],
 			},
 		});
 	}
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -160,6 +160,8 @@
 	progressVersion: number;
 	readonly cancelKeys: Set<string>;
 	readonly endsKeys: Set<string>;
+	/** Since when the specification has been missing. */
+	readonly sinceMs: number;
 };
 
 /** The last reading of a worker's clock. */
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -130,7 +130,7 @@
 	/** Runs of tasks whose jobs have not been read yet. */
 	readonly unresolvedRuns = new Set<TaskRun>();
 	/** Ends of jobs that have not been read yet, which earlier incarnations of workers had listed. No worker lists them any more. */
-	endsOfEarlierIncarnations: ReadonlyArray<ReportedEnd & {readonly worker: WorkerRecord}> = [];
+	endsOfEarlierIncarnations: ReadonlyArray<ReportedEnd & {readonly worker: WorkerRecord; readonly isListedAgain?: boolean}> = [];
 	/** Trials of this term that have not ended. */
 	readonly trials = new Set<Trial>();
 	/** Number of orders for machines that were sent, repeated ones included. */
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -173,7 +173,7 @@
 /** Applies the ends of a report that came after another one had answered its poll. The worker may leave before it lists them again. */
 export const applyLateReport = (state: SchedulerState, event: LateReportEvent): void => {
 	const worker = state.workers.get(event.workerId);
-	if (worker?.incarnation === event.incarnation && worker.isFenced) {
+	if (worker?.incarnation === event.incarnation && worker.isFenced && worker.bornWallMs === event.report.bornWallMs) {
 		applyListedEnds(state, worker, event.report.finished, event);
 	} else {
 		keepEndsOfDropped(state, event);
@@ -355,10 +355,10 @@
 const resolveEndsOfEarlierIncarnations = (state: SchedulerState, now: CurrentTime): void => {
 	const reported = state.endsOfEarlierIncarnations;
 	state.endsOfEarlierIncarnations = reported.filter(({entry: {taskKey}, reportedAtMs}) => findTask(state, taskKey) === undefined && isUnresolved(state, {taskKey, reportedAtMs}));
-	for (const {worker, entry} of reported) {
+	for (const {worker, entry, isListedAgain} of reported) {
 		const task = findTask(state, entry.taskKey);
 		if (task !== undefined && task.step.job.outcome === undefined) {
-			applyTaskEnd(state, task, worker, entry, now);
+			applyTaskEnd(state, task, {worker, entry, countsAgainstWorker: isListedAgain !== true}, now);
 		}
 	}
 };
@@ -401,7 +401,7 @@
 	}
 
 	if (task !== undefined && task.step.job.outcome === undefined) {
-		applyTaskEnd(state, task, worker, entry, now);
+		applyTaskEnd(state, task, {worker, entry, countsAgainstWorker: true}, now);
 	}
 };
 
@@ -424,7 +424,14 @@
 	}
 };
 
-const applyTaskEnd = (state: SchedulerState, task: Task, worker: WorkerRecord, entry: FinishedEntry, now: CurrentTime): void => {
+type TaskEnd = {
+	readonly worker: WorkerRecord;
+	readonly entry: FinishedEntry;
+	/** False if the worker is expected to list the end again. */
+	readonly countsAgainstWorker: boolean;
+};
+
+const applyTaskEnd = (state: SchedulerState, task: Task, {worker, entry, countsAgainstWorker}: TaskEnd, now: CurrentTime): void => {
 	switch (entry.end) {
 		case 'done': {
 			if (!task.step.spec.isLasting) {
@@ -440,7 +447,10 @@
 
 		case 'failed': {
 			task.avoidedWorkerId = worker.entry.workerId;
-			recordWorkerFailure(state, worker, now.nowMs);
+			if (countsAgainstWorker) {
+				recordWorkerFailure(state, worker, now.nowMs);
+			}
+
 			failTask(state, task, entry.attempt, now);
 			break;
 		}
--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -115,11 +115,9 @@
 
 	/** Records ends without a fence, each job's in a row that has not been written before. Throws the errors of a commit; may be repeated with the same `recordId`. */
 	async recordEnds(jobs: readonly JobEnds[], recordId: string): Promise<void> {
-		for (let from = 0; from < jobs.length; from += maxProgressRowsPerCommit) {
-			await this.#table.commit({
-				conditions: [],
-				writes: jobs.slice(from, from + maxProgressRowsPerCommit).map(({jobId, ends}) => ({type: 'put', key: endsKey(jobId, recordId), value: endsToJson(ends)})),
-			});
+		const writes = jobs.map(({jobId, ends}): RowWrite => ({type: 'put', key: endsKey(jobId, recordId), value: endsToJson(ends)}));
+		for (let from = 0; from < writes.length; from += maxProgressRowsPerCommit) {
+			await this.#putRows(writes.slice(from, from + maxProgressRowsPerCommit));
 		}
 	}
 
@@ -181,6 +179,26 @@
 		}
 	}
 
+	/** Writes the rows together. Those that the store rejects by themselves are left out. */
+	async #putRows(writes: readonly RowWrite[]): Promise<void> {
+		try {
+			await this.#table.commit({conditions: [], writes});
+		} catch (error) {
+			if (!(error instanceof RejectedError)) {
+				throw error;
+			}
+
+			this.#log.error({
+				event: 'ends_rejected', rows: writes.length, key: writes[0]!.key, reason: error.message,
+			});
+			const middle = Math.ceil(writes.length / 2);
+			if (middle < writes.length) {
+				await this.#putRows(writes.slice(0, middle));
+				await this.#putRows(writes.slice(middle));
+			}
+		}
+	}
+
 	async #commitPartition(partition: string): Promise<void> {
 		const waiting = this.#waiting.get(partition)!;
 		while (waiting.length > 0) {
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -272,8 +272,10 @@
 		const {clock, log, store} = this.#options;
 		const recordId = `${this.#recorder}.${++this.#recordCount}`;
 		const startedAtMs = clock.nowMs();
+		let isStored = false;
 		await this.#repeat(() => clock.nowMs() - startedAtMs < maxRecordingMs, async () => {
 			await store.recordEnds(jobs, recordId);
+			isStored = true;
 			log.info({
 				event: 'ends_record_stored', recordId, jobs: jobs.length, durationMs: Math.round(clock.nowMs() - startedAtMs),
 			});
@@ -282,6 +284,9 @@
 				event: 'ends_record_failed', recordId, jobs: jobs.length, reason: failureReason(log, 'record ends', error),
 			});
 		});
+		if (!isStored) {
+			log.error({event: 'ends_record_abandoned', recordId, jobs: jobs.length});
+		}
 	}
 
 	#isSavePending(save: ProgressSave, fencingToken: number): boolean {
--- a/packages/scheduler/src/shell/release-preparation.ts
+++ b/packages/scheduler/src/shell/release-preparation.ts
@@ -81,7 +81,7 @@
 		const plannedAtMs = this.#nowMs();
 		this.#dispatch('releasePlanned', fencingToken);
 		await this.#waitWithin(fencingToken, maxLongPollsMs, () => !polls.awaitsLongPolls);
-		const areMachinesDone = await this.#waitWithin(fencingToken, maxMachineAnswersMs, () => !awaitsMachineAnswers(this.#state));
+		const areMachinesDone = await this.#waitWithin(fencingToken, plannedAtMs + maxMachineAnswersMs - this.#nowMs(), () => !awaitsMachineAnswers(this.#state));
 		const pollingEndedAtMs = this.#nowMs();
 		this.#dispatch('pollingEnded', fencingToken);
 		const areReportsHeard = await this.#waitWithin(fencingToken, maxListeningMs, () => !polls.awaitsReports);
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -520,8 +520,14 @@
 	}
 
 	async #sweepEndedJobs(wallMs: number): Promise<void> {
+		const detached = [...this.state.detachedRows.values()].filter(({endsKeys, sinceMs}) => endsKeys.size > 0 && this.#options.clock.nowMs() - sinceMs > endedJobRetentionMs);
 		const ended = [...this.state.jobs.values()].filter(job => job.isOutcomeStored && job.endedWallMs !== undefined && wallMs - job.endedWallMs > endedJobRetentionMs);
 		try {
+			// Ends may be recorded after the rows of their job were removed.
+			for (const key of detached.slice(0, maxJobsPerSweep).flatMap(({endsKeys}) => [...endsKeys])) {
+				await this.#store.remove(key);
+			}
+
 			for (const job of ended.slice(0, maxJobsPerSweep)) {
 				for (const key of [...job.rowKeys, ...job.cancelKeys, ...job.endsKeys, progressKey(job.spec.jobId)]) {
 					await this.#store.remove(key);
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -40,7 +40,7 @@
 };
 
 type PollHandlers = {
-	/** Tells whether the worker's incarnation is still the one that is polled. */
+	/** Tells whether the worker's incarnation is still the one that is polled, by a term that goes on polling. */
 	readonly isPresent: () => boolean;
 	/** Called with a report with ends that comes after the first one. */
 	readonly onLateReport: (report: WorkerReport) => void;
@@ -145,7 +145,11 @@
 		const order = {
 			fencingToken: orderTokenFor(this.#options.state(), worker), acknowledgedSequence, deadlineClockMs: deadline, waitMs,
 		};
-		const isPresent = (): boolean => worker.incarnation === pollState.incarnation;
+		const isPresent = (): boolean => {
+			const {term, isPollingEnded} = this.#options.state();
+			return worker.incarnation === pollState.incarnation && term?.fencingToken === fencingToken && !isPollingEnded;
+		};
+
 		const {answer, sentAcknowledgement} = await this.#pollTwice({workerId, address}, order, {
 			isPresent, onLateReport(report) {
 				dispatch({
--- a/packages/scheduler/tests/recorded-ends.test.ts
+++ b/packages/scheduler/tests/recorded-ends.test.ts
@@ -77,11 +77,16 @@
 		expect(effects.find(({type}) => type === 'save')).toMatchObject({save: {jobs: [{progress: {doneTasks: {'0.0': [0]}}}]}});
 	});
 
-	test('are recorded for all members of a gang', () => {
+	test('count for all members of a gang at the next holder', () => {
 		const holder = holderWith({isGang: true});
 		settle(holder, 20);
 		holder.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'stopping'}, 40);
-		expect(recordsOf(reportAfterTerm(holder, [endOf(1)], 60))).toMatchObject([{ends: {doneTasks: {'0.0': [0, 1]}}}]);
+		const [record] = recordsOf(reportAfterTerm(holder, [endOf(1)], 60));
+		const next = holderWith({isGang: true});
+		next.dispatch({type: 'jobsChanged', changes: [{type: 'endsRecorded', ...record!, rowKey: 'a'}]}, 15);
+		settle(next, 20);
+		expect(startedTasks([40, 60].flatMap(nowMs => next.dispatch({type: 'tick'}, nowMs)))).toEqual([]);
+		expect([...next.state.jobs.values()][0]!.outcome).toBe('completed');
 	});
 });
 
--- /dev/null
+++ b/packages/scheduler/tests/review-of-recorded-ends.test.ts
@@ -0,0 +1,149 @@
+/**
+Review of the ends that are recorded without the fence (issue 61): cases in which they say more, or less, than what has happened.
+*/
+import {describe, expect, test} from 'vitest';
+import {noteForNextHolder} from '../src/core/handover.js';
+import {
+	type FinishedEntry, type JobChange, type JobSpec, type SchedulerEffect, type StepSpec,
+} from '../src/index.js';
+import {endsKey, endsToJson} from '../src/jobs/rows.js';
+import {noteNaming} from './support/handover-notes.js';
+import {
+	acceptedChange, jobOf, lastingStepOf, stepOf,
+} from './support/jobs.js';
+import {NewHolder, wallOffsetMs} from './support/new-holder.js';
+import {configurationWithoutStandby, SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
+
+const jobWith = (step: StepSpec, overrides: Partial<JobSpec> = {}): JobSpec => jobOf(1, {acceptedWallMs: wallOffsetMs, steps: [step], ...overrides});
+const {jobId} = jobWith(stepOf());
+const endOf = (index: number, end: FinishedEntry['end'] = 'done', sequence = index + 1): FinishedEntry => ({
+	sequence, taskKey: `${jobId}.0.0.${index}`, attempt: 4001, end, checkpoint: '',
+});
+
+const startedTasks = (effects: readonly SchedulerEffect[]): readonly string[] => effects.flatMap(effect => effect.type === 'start' ? [effect.taskKey] : []);
+const recordsOf = (effects: readonly SchedulerEffect[]) => effects.flatMap(effect => effect.type === 'recordEnds' ? effect.jobs : []);
+
+/** A process that has held the lease and reads a report afterwards. */
+const reportAfterTerm = (holder: NewHolder, finished: readonly FinishedEntry[], nowMs: number, fencingToken = 5): readonly SchedulerEffect[] => holder.dispatch({
+	type: 'polled', fencingToken, workerId: 'here', incarnation: holder.state.workers.get('here')!.incarnation, sentAtMs: nowMs - 5, sentAcknowledgement: 0, answer: {
+		type: 'report', report: {
+			clockMs: nowMs, bornWallMs: wallOffsetMs - 60_000, running: [], finished,
+		},
+	},
+}, nowMs);
+
+const settle = (holder: NewHolder, nowMs: number): void => {
+	holder.report('here', nowMs);
+	holder.report('there', nowMs);
+	holder.list(nowMs);
+};
+
+const recordedChange = (jobs: ReturnType<typeof recordsOf>): readonly JobChange[] => jobs.map(({jobId, ends}) => ({
+	type: 'endsRecorded', jobId, ends, rowKey: endsKey(jobId, 'edge-1@1.1'),
+}));
+
+/** Records the ends at a process that does not know their job, and lets another one that knows it take over. */
+const startedByNextHolder = (job: JobSpec, finished: readonly FinishedEntry[]): {readonly started: readonly string[]; readonly next: NewHolder} => {
+	const former = new NewHolder(['here']);
+	former.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+	former.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'superseded'}, 40);
+	const records = recordsOf(reportAfterTerm(former, finished, 60));
+	const next = new NewHolder(['here', 'there']);
+	next.dispatch({type: 'jobsChanged', changes: [acceptedChange(job), ...recordedChange(records)]}, 5);
+	next.dispatch({type: 'leaseWon', fencingToken: 9, note: noteNaming()}, 10);
+	settle(next, 20);
+	return {started: startedTasks([40, 60, 120].flatMap(nowMs => next.dispatch({type: 'tick'}, nowMs))), next};
+};
+
+describe('ends of a job that the recording process does not know', () => {
+	test('of one member of a gang: no member is started again', () => {
+		const {started, next} = startedByNextHolder(jobWith(stepOf({taskCount: 2, isGang: true})), [endOf(1)]);
+		expect(started).toEqual([]);
+		expect(next.state.jobs.get(jobId)!.outcome).toBe('completed');
+	});
+
+	test('of a lasting task: it is started again', () => {
+		const {started} = startedByNextHolder(jobWith(lastingStepOf({taskCount: 2, mayMiss: 0})), [endOf(0)]);
+		expect(started).toContain(`${jobId}.0.0.0`);
+	});
+
+	test('of a lasting task, in the note of the last holder: it is started again', () => {
+		const former = new NewHolder(['here']);
+		former.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+		former.report('here', 20, {finished: [endOf(0)]});
+		const note = noteForNextHolder(former.state, 25);
+		const next = new NewHolder(['here', 'there']);
+		next.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(lastingStepOf({taskCount: 2, mayMiss: 0})))]}, 5);
+		next.dispatch({type: 'leaseWon', fencingToken: 9, note}, 30);
+		settle(next, 40);
+		expect(startedTasks([60, 80].flatMap(nowMs => next.dispatch({type: 'tick'}, nowMs)))).toContain(`${jobId}.0.0.0`);
+	});
+});
+
+test('an inherited end of an occurrence that is not due by the clock of the next holder keeps the task from being started', () => {
+	const scheduled = jobWith(stepOf({taskCount: 1}), {recurrence: {count: 1, firstDueWallMs: wallOffsetMs + 200, periodMs: 1000}});
+	const former = new NewHolder(['here']);
+	former.dispatch({type: 'jobsChanged', changes: [acceptedChange(scheduled)]}, 5);
+	former.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 210);
+	former.report('here', 220, {finished: [endOf(0)]});
+	const note = noteForNextHolder(former.state, 225);
+	expect(note.ends).toEqual({[jobId]: {doneTasks: {'0.0': [0]}, failures: {}}});
+	// The clock of the next holder is 190 ms behind.
+	const next = new NewHolder(['there']);
+	next.dispatch({type: 'jobsChanged', changes: [acceptedChange(scheduled)]}, 5);
+	next.dispatch({type: 'leaseWon', fencingToken: 9, note}, 35);
+	next.report('there', 60);
+	next.list(60);
+	expect(startedTasks([100, 210, 260].flatMap(nowMs => next.dispatch({type: 'tick'}, nowMs)))).toEqual([]);
+});
+
+test('a late report of a later incarnation does not hide ends of that incarnation', () => {
+	const holder = new NewHolder(['here', 'there']);
+	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 4})))]}, 5);
+	holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+	holder.report('here', 20, {finished: [endOf(0, 'done', 1), endOf(1, 'done', 2)]});
+	const worker = holder.state.workers.get('here')!;
+	const {incarnation} = worker;
+	const report = {
+		clockMs: 5, bornWallMs: wallOffsetMs - 1000, running: [], finished: [endOf(2, 'done', 1), endOf(3, 'done', 3)],
+	};
+	holder.dispatch({
+		type: 'reportedLate', fencingToken: 5, workerId: 'here', incarnation, report,
+	}, 30);
+	// Both, or neither and nothing that is acknowledged to the new incarnation.
+	const isKnown = holder.state.jobs.get(jobId)!.occurrences.get(0)![0]!.tasks[2]!.phase === 'done'
+		|| holder.state.endsOfEarlierIncarnations.some(({entry}) => entry.taskKey.endsWith('.2'));
+	expect({isKnown, isNumberOfNewIncarnation: worker.incarnation === incarnation && worker.processedSequence === 3}).not.toEqual({isKnown: false, isNumberOfNewIncarnation: true});
+});
+
+test('a failed attempt that two reports name counts once against its worker', () => {
+	const holder = new NewHolder(['here', 'there']);
+	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 2})))]}, 5);
+	holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+	settle(holder, 20);
+	holder.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'superseded'}, 30);
+	holder.dispatch({type: 'leaseWon', fencingToken: 9, note: noteNaming()}, 40);
+	reportAfterTerm(holder, [endOf(0, 'failed')], 50);
+	holder.report('here', 60, {finished: [endOf(0, 'failed')]});
+	holder.dispatch({type: 'tick'}, 80);
+	expect(holder.state.workers.get('here')!.recentFailuresMs).toHaveLength(1);
+});
+
+test('the row of an end that was recorded after its job was swept is removed', async () => {
+	const retentionMs = 150_000;
+	const sweepMs = 10_000;
+	const simulation = new SchedulerSimulation({
+		seed: 61, processes: 2, workersPerPool: 2, standbyMachines: 0,
+	});
+	simulation.configure(configurationWithoutStandby(2));
+	await simulation.run(takeoverMs);
+	const key = endsKey('swept', 'edge-1@1.1');
+	simulation.table.commitNow({conditions: [], writes: [{type: 'put', key, value: endsToJson({doneTasks: {'0.0': [0]}, failures: {}})}]});
+	await simulation.run(retentionMs / 2);
+	expect(simulation.table.valueOf(key)).toBeDefined();
+	await simulation.run((retentionMs / 2) + sweepMs);
+	expect(simulation.table.valueOf(key)).toBeUndefined();
+	const {detachedRows} = simulation.holder!.scheduler.state;
+	simulation.close();
+	expect(detachedRows.size).toBe(0);
+}, 60_000);
