--- a/packages/scheduler/src/core/recorded-ends.ts
+++ b/packages/scheduler/src/core/recorded-ends.ts
@@ -161,7 +161,7 @@
 	const unknown: JobEnds[] = [];
 	for (const [jobId, ends] of Object.entries(inherited)) {
 		const job = state.jobs.get(jobId);
-		if (job !== undefined) {
+		if (job !== undefined && job.outcome === undefined) {
 			applyToTasks(state, job, endsByJobOf(job, ends), now);
 		}
 
--- a/packages/scheduler/tests/review-of-recorded-ends.test.ts
+++ b/packages/scheduler/tests/review-of-recorded-ends.test.ts
@@ -2,11 +2,17 @@
 Review of the ends that are recorded without the fence (issue 61): cases in which they say more, or less, than what has happened.
 */
 import {describe, expect, test} from 'vitest';
+import {type Logger, VirtualClock} from '@poplarnotch/common';
+import {RejectedError, type TableService} from '@poplarnotch/platform';
+import {pollPauseMs} from '../src/constants.js';
 import {noteForNextHolder} from '../src/core/handover.js';
 import {
-	type FinishedEntry, type JobChange, type JobSpec, type SchedulerEffect, type StepSpec,
+	type FinishedEntry, type JobChange, type JobSpec, type SchedulerEffect, type StepSpec, type WorkerControl,
 } from '../src/index.js';
+import {JobStore} from '../src/jobs/job-store.js';
 import {endsKey, endsToJson} from '../src/jobs/rows.js';
+import {ReleasePreparation} from '../src/shell/release-preparation.js';
+import {WorkerPoller} from '../src/shell/worker-poller.js';
 import {noteNaming} from './support/handover-notes.js';
 import {
 	acceptedChange, jobOf, lastingStepOf, stepOf,
@@ -147,3 +153,96 @@
 	simulation.close();
 	expect(detachedRows.size).toBe(0);
 }, 60_000);
+
+test('one job whose ends do not fit keeps no other ends from the note', () => {
+	const holder = new NewHolder(['here']);
+	const large = jobOf(1, {acceptedWallMs: wallOffsetMs, steps: [stepOf({taskCount: 5000, isGang: true})]});
+	const small = jobOf(2, {acceptedWallMs: wallOffsetMs, steps: [stepOf({taskCount: 2})]});
+	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(large), acceptedChange(small)]}, 5);
+	holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+	holder.report('here', 20, {finished: [endOf(0), {...endOf(0, 'done', 2), taskKey: `${small.jobId}.0.0.0`}]});
+	expect(Object.keys(noteForNextHolder(holder.state, 25).ends ?? {})).toContain(small.jobId);
+});
+
+test('one record that the store refuses keeps no other one from being stored', async () => {
+	const stored: string[] = [];
+	const table = {
+		async commit({writes}: Parameters<TableService['commit']>[0]) {
+			if (writes.some(({key}) => key.includes('refused'))) {
+				throw new RejectedError('refused with status 400');
+			}
+
+			stored.push(...writes.map(({key}) => key));
+			return {revision: 1};
+		},
+	} as unknown as TableService;
+	const log = {
+		error() {
+			// Not looked at.
+		},
+	} as unknown as Logger;
+	const store = new JobStore({
+		table, resolvingTable: table, clock: new VirtualClock(), log,
+	});
+	const ends = {doneTasks: {'0.0': [0]}, failures: {}};
+	await Promise.allSettled([store.recordEnds([{jobId: 'refused', ends}, {jobId: 'other', ends}], 'edge-1@1.1')]);
+	expect(stored).toEqual([endsKey('other', 'edge-1@1.1')]);
+});
+
+test('the release of a process that stops is prepared within 2,450 ms, as before', async () => {
+	const holder = new NewHolder(['here']);
+	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 2})))]}, 5);
+	holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+	holder.list(15);
+	holder.report('here', 20, {finished: [endOf(0)]});
+	const machine = [...holder.state.machines.values()][0]!;
+	machine.order = {phase: 'sent'} as unknown as NonNullable<typeof machine.order>;
+	const clock = new VirtualClock();
+	clock.advance(20);
+	const logLine = (): void => {
+		// Not looked at.
+	};
+	const preparation = new ReleasePreparation({
+		state: () => holder.state, dispatch(event) {
+			holder.dispatch(event, clock.nowMs());
+		}, polls: () => ({awaitsLongPolls: true, awaitsReports: true}), clock, log: {info: logLine, warn: logLine} as unknown as Logger,
+	});
+	let doneAtMs: number | undefined;
+	const startedAtMs = clock.nowMs();
+	void preparation.prepare({isStopping: true}).then(() => {
+		doneAtMs = clock.nowMs();
+	});
+	while (doneAtMs === undefined) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		clock.advance(5);
+	}
+
+	expect(doneAtMs - startedAtMs).toBeLessThanOrEqual(2450 + 30);
+});
+
+test('a poll is not repeated after the term in which it was sent', async () => {
+	const holder = new NewHolder(['here']);
+	holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 0);
+	const clock = new VirtualClock();
+	let pollCount = 0;
+	const poller = new WorkerPoller({
+		control: {
+			async poll() {
+				pollCount++;
+				return new Promise(() => {
+					// The answer is lost.
+				});
+			},
+		} as unknown as WorkerControl,
+		clock, state: () => holder.state, pauseMs: () => pollPauseMs, dispatch(event) {
+			holder.dispatch(event, clock.nowMs());
+		},
+	});
+	poller.pollDueWorkers(0);
+	expect(pollCount).toBe(1);
+	holder.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'stopping'}, 50);
+	clock.advance(2000);
+	expect(pollCount).toBe(1);
+});
