--- a/packages/scheduler/tests/ends-around-a-release.test.ts
+++ b/packages/scheduler/tests/ends-around-a-release.test.ts
@@ -108,3 +108,24 @@
 	endRuns(endsAfterMs);
 	await expectLeaversDone();
 });
+
+test.each([4, 40, 120].flatMap(latencyMs => [20, 100].map(endsAfterMs => ({latencyMs, endsAfterMs}))))('an end is not lost that answers a poll of a holder that has released its lease, while all processes are replaced: calls of $latencyMs ms, $endsAfterMs ms after the release', async ({latencyMs, endsAfterMs}) => {
+	const former = await startTasks(latencyMs);
+	simulation.stop(former, graceMs);
+	while (former.scheduler.state.term !== undefined) {
+		await simulation.run(5);
+	}
+
+	drainLeavers(latencyMs);
+	endRuns(endsAfterMs);
+	for (const process of simulation.processes.filter(({isStopping}) => !isStopping)) {
+		simulation.stop(process, graceMs);
+	}
+
+	await simulation.run(noticeMs - 200);
+	for (let count = 0; count < 4; count++) {
+		simulation.addProcess();
+	}
+
+	await expectLeaversDone();
+});
