Soak: a daemon owes one share of its quota at most

A quota of the kernel throttles in time, so no daemon of the users stands still for so long by it.

Change: what is owed is limited to one share, so a stop lasts for two periods at most while the soak runs on time.

--- a/soak/processor-quota.ts
+++ b/soak/processor-quota.ts
@@ -1,5 +1,5 @@
 /**
-Processor quota of the daemons. A process that has used its share of a period is stopped until the next one. Time that is left over lapses; time used beyond the share is owed by the periods that follow.
+Processor quota of the daemons. A process that has used its share of a period is stopped until the next one. Time that is left over lapses; time used beyond the share is owed by the periods that follow, up to one share: more is used only while the soak itself stands still.
 
 The used time is read from the kernel's statistics of each thread, which needs no privileges. A process that a trouble has stopped as well is not continued.
 */
@@ -14,7 +14,7 @@
 const nanosecondsPerMs = 1_000_000;
 
 /** Returns the time that a process may use at the start of a period, after `periods` of them have passed. */
-export const refill = (remainingMs: number, quotaMs: number, periods: number): number => Math.min(quotaMs, remainingMs + (periods * quotaMs));
+export const refill = (remainingMs: number, quotaMs: number, periods: number): number => Math.min(quotaMs, Math.max(-quotaMs, remainingMs) + (periods * quotaMs));
 
 /** Returns the time that a thread has used by its line of `schedstat`: nanoseconds of running, of waiting, and number of time slices. */
 export const usedMsOf = (schedstat: string): number => Number(schedstat.split(' ', 1)[0]) / nanosecondsPerMs;
