--- a/packages/scheduler/tests/review-of-recorded-ends.test.ts
+++ b/packages/scheduler/tests/review-of-recorded-ends.test.ts
@@ -135,7 +135,7 @@
 	expect(holder.state.workers.get('here')!.recentFailuresMs).toHaveLength(1);
 });
 
-test('the row of an end that was recorded after its job was swept is removed', async () => {
+test('rows of recorded ends are removed with their job, and also those that are recorded after it was swept', async () => {
 	const retentionMs = 150_000;
 	const sweepMs = 10_000;
 	const simulation = new SchedulerSimulation({
@@ -143,12 +143,14 @@
 	});
 	simulation.configure(configurationWithoutStandby(2));
 	await simulation.run(takeoverMs);
-	const key = endsKey('swept', 'edge-1@1.1');
-	simulation.table.commitNow({conditions: [], writes: [{type: 'put', key, value: endsToJson({doneTasks: {'0.0': [0]}, failures: {}})}]});
+	const known = jobOf(1, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount: 1})]});
+	void simulation.submit(known, simulation.holder);
+	const keys = ['swept', known.jobId].map(id => endsKey(id, 'edge-1@1.1'));
+	simulation.table.commitNow({conditions: [], writes: keys.map(key => ({type: 'put', key, value: endsToJson({doneTasks: {'0.0': [0]}, failures: {}})}))});
 	await simulation.run(retentionMs / 2);
-	expect(simulation.table.valueOf(key)).toBeDefined();
+	expect(keys.map(key => simulation.table.valueOf(key) === undefined)).toEqual([false, false]);
 	await simulation.run((retentionMs / 2) + sweepMs);
-	expect(simulation.table.valueOf(key)).toBeUndefined();
+	expect(keys.map(key => simulation.table.valueOf(key) === undefined)).toEqual([true, true]);
 	const {detachedRows} = simulation.holder!.scheduler.state;
 	simulation.close();
 	expect(detachedRows.size).toBe(0);
@@ -202,6 +204,7 @@
 	const logLine = (): void => {
 		// Not looked at.
 	};
+
 	const preparation = new ReleasePreparation({
 		state: () => holder.state, dispatch(event) {
 			holder.dispatch(event, clock.nowMs());
@@ -246,3 +249,85 @@
 	clock.advance(2000);
 	expect(pollCount).toBe(1);
 });
+
+describe('lines of the mend that no other test notices', () => {
+	test('a holder that keeps its lease polls again', () => {
+		const holder = new NewHolder(['here']);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+		for (const [index, type] of (['releasePlanned', 'pollingEnded', 'handoverBegun', 'handoverCancelled'] as const).entries()) {
+			holder.dispatch({type, fencingToken: 5}, 20 + index);
+		}
+
+		const polled: string[] = [];
+		const poller = new WorkerPoller({
+			control: {
+				async poll({workerId}: {readonly workerId: string}) {
+					polled.push(workerId);
+					return {type: 'unreachable'};
+				},
+			} as unknown as WorkerControl,
+			clock: new VirtualClock(), state: () => holder.state, pauseMs: () => pollPauseMs, dispatch() {
+				// Not looked at.
+			},
+		});
+		poller.pollDueWorkers(0);
+		expect(polled).toEqual(['here']);
+	});
+
+	test('rows that are read before their job are known to its sweep', () => {
+		const holder = new NewHolder(['here']);
+		const rowKey = endsKey(jobId, 'edge-1@1.1');
+		holder.dispatch({
+			type: 'jobsChanged', changes: [{
+				type: 'endsRecorded', jobId, ends: {doneTasks: {'0.0': [0]}, failures: {}}, rowKey,
+			}],
+		}, 1);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf()))]}, 2);
+		expect([...holder.state.jobs.get(jobId)!.endsKeys]).toEqual([rowKey]);
+	});
+
+	test('ends of a late report of an earlier incarnation are stored', () => {
+		const holder = new NewHolder(['here', 'there']);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 2})))]}, 5);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+		const {incarnation} = holder.state.workers.get('here')!;
+		holder.report('here', 20, {bornWallMs: wallOffsetMs - 1000});
+		holder.report('there', 20);
+		holder.list(20);
+		holder.dispatch({
+			type: 'reportedLate', fencingToken: 5, workerId: 'here', incarnation, report: {
+				clockMs: 30, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [endOf(0)],
+			},
+		}, 30);
+		holder.dispatch({type: 'tick'}, 50);
+		expect(holder.state.jobs.get(jobId)!.occurrences.get(0)![0]!.tasks[0]!.phase).toBe('done');
+	});
+
+	test('ends of a late report of a worker that has not reported in the term are stored', () => {
+		const holder = new NewHolder(['here', 'there']);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 2})))]}, 5);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+		const {incarnation} = holder.state.workers.get('here')!;
+		holder.dispatch({
+			type: 'reportedLate', fencingToken: 5, workerId: 'here', incarnation, report: {
+				clockMs: 30, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [endOf(0)],
+			},
+		}, 30);
+		holder.dispatch({type: 'tick'}, 50);
+		expect(holder.state.jobs.get(jobId)!.occurrences.get(0)![0]!.tasks[0]!.phase).toBe('done');
+	});
+
+	test('ends of a worker that is not known any more are recorded', () => {
+		const holder = new NewHolder(['here']);
+		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 2})))]}, 5);
+		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+		const effects = holder.dispatch({
+			type: 'polled', fencingToken: 5, workerId: 'gone', incarnation: 1, sentAtMs: 15, sentAcknowledgement: 0, answer: {
+				type: 'report', report: {
+					clockMs: 20, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [endOf(0)],
+				},
+			},
+		}, 20);
+		expect(recordsOf(effects)).toEqual([{jobId, ends: {doneTasks: {'0.0': [0]}, failures: {}}}]);
+	});
+});
