--- a/packages/scheduler/tests/review-of-recorded-ends.test.ts
+++ b/packages/scheduler/tests/review-of-recorded-ends.test.ts
@@ -210,19 +210,19 @@
 			holder.dispatch(event, clock.nowMs());
 		}, polls: () => ({awaitsLongPolls: true, awaitsReports: true}), clock, log: {info: logLine, warn: logLine} as unknown as Logger,
 	});
-	let doneAtMs: number | undefined;
+	const done: number[] = [];
 	const startedAtMs = clock.nowMs();
 	void preparation.prepare({isStopping: true}).then(() => {
-		doneAtMs = clock.nowMs();
+		done.push(clock.nowMs());
 	});
-	while (doneAtMs === undefined) {
+	while (done.length === 0) {
 		await new Promise(resolve => {
 			setImmediate(resolve);
 		});
 		clock.advance(5);
 	}
 
-	expect(doneAtMs - startedAtMs).toBeLessThanOrEqual(2450 + 30);
+	expect(done[0]! - startedAtMs).toBeLessThanOrEqual(2450 + 30);
 });
 
 test('a poll is not repeated after the term in which it was sent', async () => {
