--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -373,7 +373,7 @@
 const noTaskRecords: TaskRecords = {doneTasks: {}, failures: {}, crashRecords: {}};
 
 /** Returns the ends as they count for the job, which the process that recorded them need not have known: when one member of a gang ends, all its members are done, and a lasting task is never done. */
-export const endsByJobOf = ({spec: {steps}}: JobRecord, {doneTasks, failures}: TaskEnds): TaskEnds => {
+export const effectiveEnds = ({spec: {steps}}: JobRecord, {doneTasks, failures}: TaskEnds): TaskEnds => {
 	const stepOf = (key: string) => steps[Number(key.split('.')[1])];
 	const done = Object.entries(doneTasks).flatMap(([stepKey, indexes]) => {
 		const step = stepOf(stepKey);
@@ -389,7 +389,7 @@
 
 /** Applies ends that another process, or an earlier term, has read. A task that was started again meanwhile ran twice. */
 const applyRecordedEnds = (state: SchedulerState, job: JobRecord, recorded: TaskEnds): void => {
-	const ends = endsByJobOf(job, recorded);
+	const ends = effectiveEnds(job, recorded);
 	const startedAgain = stepsOf(job).flatMap(({occurrence, stepIndex, tasks}) => (ends.doneTasks[storedStepKey(occurrence, stepIndex)] ?? [])
 		.flatMap(index => tasks[index]?.phase === 'placed' ? [tasks[index].key] : []));
 	job.hasBegun = true;
@@ -405,7 +405,7 @@
 
 /** Keeps ends for tasks that are created later. */
 export const keepForDueTasks = (job: JobRecord, ends: TaskEnds): void => {
-	applyTaskRecords(job, {...noTaskRecords, ...endsByJobOf(job, ends)});
+	applyTaskRecords(job, {...noTaskRecords, ...effectiveEnds(job, ends)});
 };
 
 type RemovedRow = Extract<JobChange, {readonly type: 'removed'}>;
@@ -480,7 +480,7 @@
 
 	job.progressVersion = rows.progressVersion;
 	if (rows.progress !== undefined) {
-		applyProgress(state, job, {...rows.progress, ...endsByJobOf(job, rows.progress)}, now);
+		applyProgress(state, job, {...rows.progress, ...effectiveEnds(job, rows.progress)}, now);
 	}
 };
 
--- a/packages/scheduler/src/core/recorded-ends.ts
+++ b/packages/scheduler/src/core/recorded-ends.ts
@@ -7,7 +7,7 @@
 import {mergeByKey, unionOf} from './merging.js';
 import {type JobEnds, type SchedulerEvent} from './events.js';
 import {
-	type CurrentTime, endsByJobOf, failTask, finishTask, keepForDueTasks, stepsOf, storedStepKey, storedTaskKey,
+	type CurrentTime, effectiveEnds, failTask, finishTask, keepForDueTasks, stepsOf, storedStepKey, storedTaskKey,
 } from './jobs.js';
 import {type JobRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -69,7 +69,7 @@
 	return [...gathered].map(([jobId, ends]) => ({jobId, ends}));
 };
 
-const isLastingKnowledge = ({end}: FinishedEntry): boolean => end === 'done' || end === 'failed';
+const isDoneOrFailed = ({end}: FinishedEntry): boolean => end === 'done' || end === 'failed';
 
 /** Returns the ends that this process has read in its term and that are not known to be stored. */
 export const unstoredTaskEnds = (state: SchedulerState): readonly JobEnds[] => {
@@ -77,7 +77,7 @@
 	const ends = [...jobs].filter(job => !isOver(job)).map(job => ({jobId: job.spec.jobId, ends: endsBeyondStored(job)})).filter(each => hasEnds(each.ends));
 	const unresolved = [...[...state.workers.values()].flatMap(({unresolvedEnds}) => unresolvedEnds), ...state.endsOfEarlierIncarnations]
 		.map(({entry}) => entry)
-		.filter(entry => isLastingKnowledge(entry));
+		.filter(entry => isDoneOrFailed(entry));
 	return endsByJob(unresolved, ends);
 };
 
@@ -110,7 +110,7 @@
 
 /** Keeps the ends of a report that is not of the present term, or not of the present incarnation of its worker, which may not list them again. In a term they are stored with its progress, otherwise they are recorded. */
 const keepReportedEnds = (state: SchedulerState, {workerId, report, nowMs}: {readonly workerId: string; readonly report: WorkerReport; readonly nowMs: number}): void => {
-	const news = report.finished.filter(entry => isLastingKnowledge(entry) && isNews(state, entry, nowMs));
+	const news = report.finished.filter(entry => isDoneOrFailed(entry) && isNews(state, entry, nowMs));
 	const worker = state.workers.get(workerId);
 	if (news.length === 0) {
 		return;
@@ -162,7 +162,7 @@
 	for (const [jobId, ends] of Object.entries(inherited)) {
 		const job = state.jobs.get(jobId);
 		if (job !== undefined && job.outcome === undefined) {
-			applyToTasks(state, job, endsByJobOf(job, ends), now);
+			applyToTasks(state, job, effectiveEnds(job, ends), now);
 		}
 
 		if (job === undefined || !areTasksCreated(job, ends)) {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -162,7 +162,7 @@
 	readonly crashRecords: Readonly<Record<string, CrashRecord>>;
 };
 
-/** How tasks of a job have ended, as far as it is lasting knowledge. */
+/** Which of a job's tasks are done, and which attempts have failed. */
 export type TaskEnds = Pick<JobProgress, 'doneTasks' | 'failures'>;
 
 /** A worker as it registers itself. */
