Rows that the store may refuse are committed by one function

recordEnds had a copy of the division of a refused transaction beside that of saves, and of the division into transactions. Both now go through commitDividing and partsOf; the table, the condition and the event of the log line are its parameters. No change of behaviour: the tests of refused saves and of refused records pass unchanged.

--- a/packages/scheduler/src/jobs/job-store.ts
+++ b/packages/scheduler/src/jobs/job-store.ts
@@ -35,6 +35,14 @@
 	readonly refusedWaveIds: readonly number[];
 };
 
+/** How rows are committed that the store may refuse one by one. */
+type CommitTarget = {
+	readonly table: TableService;
+	readonly conditions: readonly RowCondition[];
+	/** Event of the log line for a refusal. */
+	readonly refusedEvent: string;
+};
+
 /** Maximum number of jobs in one transaction; the store limits the number of its conditions and writes together. */
 const maxJobsPerCommit = 40;
 
@@ -116,8 +124,8 @@
 	/** Records ends without a fence, each job's in a row that has not been written before. Throws the errors of a commit; may be repeated with the same `recordId`. */
 	async recordEnds(jobs: readonly JobEnds[], recordId: string): Promise<void> {
 		const writes = jobs.map(({jobId, ends}): RowWrite => ({type: 'put', key: endsKey(jobId, recordId), value: endsToJson(ends)}));
-		for (let from = 0; from < writes.length; from += maxProgressRowsPerCommit) {
-			await this.#putRows(writes.slice(from, from + maxProgressRowsPerCommit));
+		for (const part of partsOf(writes)) {
+			await this.#commitDividing({table: this.#table, conditions: [], refusedEvent: 'ends_rejected'}, part);
 		}
 	}
 
@@ -146,21 +154,19 @@
 	}
 
 	async #saveInParts(writes: readonly RowWrite[], fence: RowCondition): Promise<readonly string[]> {
-		const parts: Array<Promise<readonly string[]>> = [];
-		for (let from = 0; from < writes.length; from += maxProgressRowsPerCommit) {
-			parts.push(this.#saveWrites(writes.slice(from, from + maxProgressRowsPerCommit), fence));
-		}
-
+		const target: CommitTarget = {table: this.#resolvingTable, conditions: [fence], refusedEvent: 'save_rejected'};
+		const parts = partsOf(writes).map(async part => this.#commitDividing(target, part));
 		// A part of unknown outcome may still be applied, so none is left behind when another one fails.
 		await Promise.allSettled(parts);
 		const refusedKeys = await Promise.all(parts);
 		return refusedKeys.flat();
 	}
 
-	/** Commits the writes together. If the store rejects them for their size or form, each half is committed on its own: one row must not keep the progress of all jobs from being stored. Resolves to the keys of the rows that are rejected by themselves. */
-	async #saveWrites(writes: readonly RowWrite[], fence: RowCondition): Promise<readonly string[]> {
+	/** Commits the writes together. If the store rejects them for their size or form, each half is committed on its own: one row must not keep the others from being stored. Resolves to the keys of the rows that are rejected by themselves. */
+	async #commitDividing(target: CommitTarget, writes: readonly RowWrite[]): Promise<readonly string[]> {
+		const {table, conditions, refusedEvent} = target;
 		try {
-			await this.#resolvingTable.commit({conditions: [fence], writes});
+			await table.commit({conditions, writes});
 			return [];
 		} catch (error) {
 			if (!(error instanceof RejectedError)) {
@@ -168,34 +174,14 @@
 			}
 
 			this.#log.error({
-				event: 'save_rejected', rows: writes.length, key: writes[0]!.key, reason: error.message,
+				event: refusedEvent, rows: writes.length, key: writes[0]!.key, reason: error.message,
 			});
 			if (writes.length === 1) {
 				return [writes[0]!.key];
 			}
 
 			const middle = Math.ceil(writes.length / 2);
-			return [...await this.#saveWrites(writes.slice(0, middle), fence), ...await this.#saveWrites(writes.slice(middle), fence)];
-		}
-	}
-
-	/** Writes the rows together. Those that the store rejects by themselves are left out. */
-	async #putRows(writes: readonly RowWrite[]): Promise<void> {
-		try {
-			await this.#table.commit({conditions: [], writes});
-		} catch (error) {
-			if (!(error instanceof RejectedError)) {
-				throw error;
-			}
-
-			this.#log.error({
-				event: 'ends_rejected', rows: writes.length, key: writes[0]!.key, reason: error.message,
-			});
-			const middle = Math.ceil(writes.length / 2);
-			if (middle < writes.length) {
-				await this.#putRows(writes.slice(0, middle));
-				await this.#putRows(writes.slice(middle));
-			}
+			return [...await this.#commitDividing(target, writes.slice(0, middle)), ...await this.#commitDividing(target, writes.slice(middle))];
 		}
 	}
 
@@ -293,6 +279,10 @@
 	}
 }
 
+/** Divides the writes into parts that fit into a transaction. */
+const partsOf = (writes: readonly RowWrite[]): ReadonlyArray<readonly RowWrite[]> =>
+	Array.from({length: Math.ceil(writes.length / maxProgressRowsPerCommit)}, (_value, index) => writes.slice(index * maxProgressRowsPerCommit, (index + 1) * maxProgressRowsPerCommit));
+
 const jobIdOf = (change: JobChange): string => change.type === 'accepted' ? change.job.jobId : change.jobId;
 
 const resolveAll = (jobs: readonly PendingJob[], result: AcceptResult): void => {
