Ranges of done tasks are decoded by one schema

The rows of progress and of recorded ends each decoded their ranges and reported too many tasks. The schema of the ranges does it for both.

--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -7,7 +7,9 @@
 import {maxTasksPerJob} from '../constants.js';
 import {type JobChange, type JobRowKind} from '../core/events.js';
 import {type JobProgress, type JobSpec, type TaskEnds} from '../types.js';
-import {decodeDone, doneRangesSchema, encodeDone} from './done-ranges.js';
+import {
+	decodeDone, doneRangesSchema, type DoneTasks, encodeDone,
+} from './done-ranges.js';
 
 export const jobsPrefix = 'jobs/';
 
@@ -87,6 +89,16 @@
 
 const taskRecordsSchema = z.record(z.string(), z.array(z.number().int().nonnegative()));
 
+const decodedRangesSchema = doneRangesSchema.default([]).transform((ranges, context): DoneTasks => {
+	const doneTasks = decodeDone(ranges);
+	if (doneTasks === undefined) {
+		context.addIssue({code: 'custom', message: 'more tasks than a job has'});
+		return z.NEVER;
+	}
+
+	return doneTasks;
+});
+
 const crashRecordSchema = z.object({
 	crashedAttempts: z.array(z.number().int()).default([]),
 	presumedAttempts: z.array(z.number().int()).default([]),
@@ -101,34 +113,19 @@
 	outcome: z.enum(['completed', 'failed', 'cancelled']).optional(),
 	endedWallMs: z.number().optional(),
 	hasBegun: z.boolean(),
-	doneRanges: doneRangesSchema.default([]),
+	doneRanges: decodedRangesSchema,
 	/** In rows of earlier versions, instead of the ranges. */
 	doneTasks: taskRecordsSchema.optional(),
 	failures: taskRecordsSchema.default({}),
 	crashRecords: z.record(z.string(), crashRecordSchema).default({}),
-}).transform(({outcome, endedWallMs, doneRanges, doneTasks = decodeDone(doneRanges), ...taskRecords}, context): JobProgress => {
-	if (doneTasks === undefined) {
-		context.addIssue({code: 'custom', message: 'more tasks than a job has'});
-		return z.NEVER;
-	}
-
-	return {
-		...taskRecords, doneTasks, outcome, endedWallMs,
-	};
-});
+}).transform(({outcome, endedWallMs, doneRanges, doneTasks = doneRanges, ...taskRecords}): JobProgress => ({
+	...taskRecords, doneTasks, outcome, endedWallMs,
+}));
 
 const endsSchema = z.object({
-	doneRanges: doneRangesSchema.default([]),
+	doneRanges: decodedRangesSchema,
 	failures: taskRecordsSchema.default({}),
-}).transform(({doneRanges, failures}, context): TaskEnds => {
-	const doneTasks = decodeDone(doneRanges);
-	if (doneTasks === undefined) {
-		context.addIssue({code: 'custom', message: 'more tasks than a job has'});
-		return z.NEVER;
-	}
-
-	return {doneTasks, failures};
-});
+}).transform(({doneRanges: doneTasks, failures}): TaskEnds => ({doneTasks, failures}));
 
 export const endsToJson = ({doneTasks, failures}: TaskEnds): JsonObject => ({doneRanges: encodeDone(doneTasks), failures});
 
