--- a/packages/scheduler/src/core/handover-note.ts
+++ b/packages/scheduler/src/core/handover-note.ts
@@ -3,7 +3,7 @@
 */
 import {z} from '@poplarnotch/common';
 
-const taskNumbersSchema = z.record(z.string(), z.array(z.number().int().nonnegative()));
+const taskNumbersSchema = z.record(z.string(), z.array(z.number().int().nonnegative()).readonly());
 
 export const handoverNoteSchema = z.object({
 	/** For how much longer a start may be carried out on a worker, by worker id. */
--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -20,17 +20,12 @@
 const endsForNote = (state: SchedulerState): NonNullable<HandoverNote['ends']> => {
 	const noted: NonNullable<HandoverNote['ends']> = {};
 	let textLength = 0;
-	for (const {jobId, ends: {doneTasks, failures}} of unstoredTaskEnds(state)) {
-		const lengthOfJob = JSON.stringify({[jobId]: {doneTasks, failures}}).length;
-		if (textLength + lengthOfJob > maxEndsTextLength) {
-			continue;
+	for (const {jobId, ends} of unstoredTaskEnds(state)) {
+		const lengthOfJob = JSON.stringify({[jobId]: ends}).length;
+		if (textLength + lengthOfJob <= maxEndsTextLength) {
+			textLength += lengthOfJob;
+			noted[jobId] = ends;
 		}
-
-		textLength += lengthOfJob;
-		noted[jobId] = {
-			doneTasks: Object.fromEntries(Object.entries(doneTasks).map(([key, indexes]) => [key, [...indexes]])),
-			failures: Object.fromEntries(Object.entries(failures).map(([key, attempts]) => [key, [...attempts]])),
-		};
 	}
 
 	return noted;
