Log fields of reports: no unused parameter, and keys are parsed where all others are

doneFields was given a sequence number, always 0 since reports are no longer left to the next holder. The job of a task's key was split off by hand beside parseTaskKey.

--- a/packages/scheduler/src/core/outdated-events.ts
+++ b/packages/scheduler/src/core/outdated-events.ts
@@ -101,7 +101,7 @@
 			workerId: 'workerId' in event ? event.workerId : undefined,
 			taskKey: 'taskKey' in event ? event.taskKey : undefined,
 			machineId: 'machineId' in event ? event.machineId : undefined,
-			...(event.type === 'polled' ? doneFields(event, 0) : {}),
+			...(event.type === 'polled' && event.answer.type === 'report' ? doneFields(event.answer.report) : {}),
 		});
 	}
 
--- a/packages/scheduler/src/core/report-logs.ts
+++ b/packages/scheduler/src/core/report-logs.ts
@@ -2,23 +2,23 @@
 Log lines on ends in workers' reports that this process applies to no task. If their workers leave before another process reads them, the tasks are started again.
 */
 import {maxLoggedRuns} from '../constants.js';
-import {type FinishedEntry} from '../types.js';
-import {type SchedulerEvent} from './events.js';
+import {type FinishedEntry, type WorkerReport} from '../types.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
-import {findTask} from './unresolved-tasks.js';
+import {findTask, parseTaskKey} from './unresolved-tasks.js';
 
-type PolledEvent = Extract<SchedulerEvent, {readonly type: 'polled'}>;
-
-/** Returns the ends `done` above the sequence number as log fields; empty if there are none. */
-export const doneFields = ({answer}: PolledEvent, aboveSequence: number): {readonly done?: number; readonly tasks?: string} => {
-	const done = answer.type === 'report' ? answer.report.finished.filter(({sequence, end}) => end === 'done' && sequence > aboveSequence) : [];
+/** Returns the ends `done` of a report as log fields; empty if there are none. */
+export const doneFields = ({finished}: WorkerReport): {readonly done?: number; readonly tasks?: string} => {
+	const done = finished.filter(({end}) => end === 'done');
 	return done.length === 0 ? {} : {done: done.length, tasks: done.slice(0, maxLoggedRuns).map(({taskKey, attempt}) => `${taskKey}#${attempt}`).join(',')};
 };
 
+/** Returns the key itself if it is not that of a task. */
+const jobIdOf = (taskKey: string): string => parseTaskKey(taskKey)?.jobId ?? taskKey;
+
 /** Logs an end without a task, which is acknowledged with the next ones of its worker, unless its job has ended. */
 export const logUnknownEnd = (state: SchedulerState, worker: WorkerRecord, {taskKey, attempt, end, sequence}: FinishedEntry): void => {
-	const job = state.jobs.get(taskKey.split('.')[0]!);
+	const job = state.jobs.get(jobIdOf(taskKey));
 	if (job?.outcome === undefined) {
 		state.emit({
 			type: 'log', fields: {
@@ -38,7 +38,7 @@
 		state.foundEnds.stored++;
 	} else {
 		state.foundEnds.unstored++;
-		state.foundEnds.unstoredJobIds.add(taskKey.split('.')[0]!);
+		state.foundEnds.unstoredJobIds.add(jobIdOf(taskKey));
 	}
 };
 
