--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -524,15 +524,11 @@
 		const ended = [...this.state.jobs.values()].filter(job => job.isOutcomeStored && job.endedWallMs !== undefined && wallMs - job.endedWallMs > endedJobRetentionMs);
 		try {
 			// Ends may be recorded after the rows of their job were removed.
-			for (const key of detached.slice(0, maxJobsPerSweep).flatMap(({endsKeys}) => [...endsKeys])) {
+			const detachedKeys = detached.slice(0, maxJobsPerSweep).flatMap(({endsKeys}) => [...endsKeys]);
+			const endedKeys = ended.slice(0, maxJobsPerSweep).flatMap(job => [...job.rowKeys, ...job.cancelKeys, ...job.endsKeys, progressKey(job.spec.jobId)]);
+			for (const key of [...detachedKeys, ...endedKeys]) {
 				await this.#store.remove(key);
 			}
-
-			for (const job of ended.slice(0, maxJobsPerSweep)) {
-				for (const key of [...job.rowKeys, ...job.cancelKeys, ...job.endsKeys, progressKey(job.spec.jobId)]) {
-					await this.#store.remove(key);
-				}
-			}
 		} catch (error) {
 			this.#options.log.warn({event: 'sweep_failed', jobs: ended.length, reason: failureReason(this.#options.log, 'sweep ended jobs', error)});
 		}
