What is stored of a job's tasks is a module of its own

The keys, the merging and the application of stored progress, which know nothing of a job's lifecycle, move to stored-progress.ts as they are; the merging of ends, which stood twice, is used for both. applyInheritedEnds asks once whether the job is known. No change of behaviour.

--- a/packages/scheduler/src/core/crash-attribution.ts
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -9,7 +9,7 @@
 import {
 	addCrash, countCrashes, hasCrash, isTrialUnresolved, isUnderSuspicion, noCrashRecord,
 } from './crash-record.js';
-import {stepsOf} from './jobs.js';
+import {stepsOf} from './stored-progress.js';
 import {type TaskRun, type Task, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
--- a/packages/scheduler/src/core/jobs.ts
+++ b/packages/scheduler/src/core/jobs.ts
@@ -4,26 +4,22 @@
 import {assertNever} from '@poplarnotch/common';
 import {maxLoggedRuns, stopRetryMs} from '../constants.js';
 import {
-	type CrashRecord, type JobOutcome, type JobProgress, type JobSpec, type TaskEnds,
+	type JobOutcome, type JobProgress, type JobSpec, type TaskEnds,
 } from '../types.js';
-import {mergeCrashRecords, noCrashRecord} from './crash-record.js';
+import {noCrashRecord} from './crash-record.js';
 import {type JobChange} from './events.js';
-import {mergeByKey, unionOf} from './merging.js';
 import {orderTokenFor} from './order-tokens.js';
 import {
 	type JobRecord, type TaskRun, type StepInstance, type Task,
 } from './records.js';
 import {isStepReady, type SchedulerState} from './scheduler-state.js';
+import {
+	applyTaskRecords, effectiveEnds, mergeProgress, noTaskRecords, stepsOf, storedStepKey, storedTaskKey, storedTaskRecords,
+} from './stored-progress.js';
 
 /** Monotonic time and wall-clock time of one moment. */
 export type CurrentTime = {readonly nowMs: number; readonly wallMs: number};
 
-/** Key of a step in stored progress. */
-export const storedStepKey = (occurrence: number, stepIndex: number): string => `${occurrence}.${stepIndex}`;
-
-/** Key of a task in stored progress. */
-export const storedTaskKey = (occurrence: number, stepIndex: number, index: number): string => `${storedStepKey(occurrence, stepIndex)}.${index}`;
-
 /** Returns the duration of the longest chain of steps. A step refers to earlier ones by their indexes. */
 export const longestChainMs = (steps: ReadonlyArray<{readonly after: readonly number[]; readonly durationMs: number}>): number => {
 	const finishMs: number[] = [];
@@ -120,37 +116,6 @@
 	}
 };
 
-/** Returns the steps of all occurrences created so far. */
-export const stepsOf = (job: JobRecord): readonly StepInstance[] => [...job.occurrences.values()].flat();
-
-/** Returns the job's progress in the form that is stored. */
-export const progressOf = (job: JobRecord): JobProgress => {
-	const doneTasks: Record<string, readonly number[]> = {...job.storedDoneTasks};
-	const failures: Record<string, readonly number[]> = {...job.storedFailures};
-	const crashRecords = {...job.storedCrashRecords};
-	for (const step of stepsOf(job)) {
-		const stepKey = storedStepKey(step.occurrence, step.stepIndex);
-		const done = step.tasks.filter(task => task.phase === 'done').map(task => task.index);
-		if (done.length > 0) {
-			doneTasks[stepKey] = done;
-		}
-
-		for (const task of step.tasks) {
-			if (task.failedAttempts.size > 0) {
-				failures[storedTaskKey(step.occurrence, step.stepIndex, task.index)] = [...task.failedAttempts];
-			}
-
-			if (task.crashRecord !== noCrashRecord) {
-				crashRecords[storedTaskKey(step.occurrence, step.stepIndex, task.index)] = task.crashRecord;
-			}
-		}
-	}
-
-	return {
-		outcome: job.outcome, endedWallMs: job.endedWallMs, hasBegun: job.hasBegun, doneTasks, failures, crashRecords,
-	};
-};
-
 /** Orders the worker to stop a run. */
 export const orderStop = (state: SchedulerState, run: TaskRun, nowMs: number, reason: string): void => {
 	const {term} = state;
@@ -239,62 +204,6 @@
 
 export const maxAttemptsOf = (state: SchedulerState, job: JobRecord): number => state.queueOf(job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
 
-const applyCrashRecord = (task: Task, stored: CrashRecord | undefined): void => {
-	if (stored === undefined) {
-		return;
-	}
-
-	task.crashRecord = mergeCrashRecords(task.crashRecord, stored);
-	if (task.crashRecord.isGivenUp && task.phase === 'waiting') {
-		task.phase = 'given-up';
-	}
-};
-
-type TaskRecords = Pick<JobProgress, 'doneTasks' | 'failures' | 'crashRecords'>;
-
-const mergeTaskRecords = (a: TaskRecords, b: TaskRecords): TaskRecords => ({
-	doneTasks: mergeByKey(a.doneTasks, b.doneTasks, unionOf),
-	failures: mergeByKey(a.failures, b.failures, unionOf),
-	crashRecords: mergeByKey(a.crashRecords, b.crashRecords, mergeCrashRecords),
-});
-
-const mergeProgress = (a: JobProgress, b: JobProgress): JobProgress => ({
-	outcome: a.outcome ?? b.outcome,
-	endedWallMs: b.endedWallMs ?? a.endedWallMs,
-	hasBegun: a.hasBegun || b.hasBegun,
-	...mergeTaskRecords(a, b),
-});
-
-const storedTaskRecords = ({storedDoneTasks, storedFailures, storedCrashRecords}: JobRecord): TaskRecords => ({doneTasks: storedDoneTasks, failures: storedFailures, crashRecords: storedCrashRecords});
-
-/** Applies what is stored of the job's tasks. */
-const applyTaskRecords = (job: JobRecord, progress: TaskRecords): void => {
-	const stored = mergeTaskRecords(storedTaskRecords(job), progress);
-	job.storedDoneTasks = stored.doneTasks;
-	job.storedFailures = stored.failures;
-	job.storedCrashRecords = stored.crashRecords;
-	const hasTaskRecords = Object.keys(progress.failures).length > 0 || Object.keys(progress.crashRecords).length > 0;
-	for (const step of stepsOf(job)) {
-		for (const index of progress.doneTasks[storedStepKey(step.occurrence, step.stepIndex)] ?? []) {
-			const task = step.tasks[index];
-			if (task !== undefined && task.phase !== 'done') {
-				task.phase = 'done';
-				step.doneCount++;
-			}
-		}
-
-		// Most rows are the lease holder's own saves, read back several hundred times a second, and few of them have such records.
-		for (const task of hasTaskRecords ? step.tasks : []) {
-			const storedKey = storedTaskKey(step.occurrence, step.stepIndex, task.index);
-			for (const attempt of progress.failures[storedKey] ?? []) {
-				task.failedAttempts.add(attempt);
-			}
-
-			applyCrashRecord(task, progress.crashRecords[storedKey]);
-		}
-	}
-};
-
 const applyProgress = (state: SchedulerState, job: JobRecord, progress: JobProgress, now: CurrentTime): void => {
 	job.hasBegun ||= progress.hasBegun;
 	applyTaskRecords(job, progress);
@@ -370,23 +279,6 @@
 	}
 };
 
-const noTaskRecords: TaskRecords = {doneTasks: {}, failures: {}, crashRecords: {}};
-
-/** Returns the ends as they count for the job, which the process that recorded them need not have known: when one member of a gang ends, all its members are done, and a lasting task is never done. */
-export const effectiveEnds = ({spec: {steps}}: JobRecord, {doneTasks, failures}: TaskEnds): TaskEnds => {
-	const stepOf = (key: string) => steps[Number(key.split('.')[1])];
-	const done = Object.entries(doneTasks).flatMap(([stepKey, indexes]) => {
-		const step = stepOf(stepKey);
-		if (step === undefined || step.isLasting) {
-			return [];
-		}
-
-		return [[stepKey, step.isGang ? Array.from({length: step.taskCount}, (_value, index) => index) : indexes] as const];
-	});
-	const failed = Object.entries(failures).filter(([taskKey]) => stepOf(taskKey)?.isLasting === false);
-	return {doneTasks: Object.fromEntries(done), failures: Object.fromEntries(failed)};
-};
-
 /** Applies ends that another process, or an earlier term, has read. A task that was started again meanwhile ran twice. */
 const applyRecordedEnds = (state: SchedulerState, job: JobRecord, recorded: TaskEnds): void => {
 	const ends = effectiveEnds(job, recorded);
@@ -403,11 +295,6 @@
 	}
 };
 
-/** Keeps ends for tasks that are created later. */
-export const keepForDueTasks = (job: JobRecord, ends: TaskEnds): void => {
-	applyTaskRecords(job, {...noTaskRecords, ...effectiveEnds(job, ends)});
-};
-
 type RemovedRow = Extract<JobChange, {readonly type: 'removed'}>;
 
 /** Forgets that a row of a known job is stored. What was read from it stays in force while the job is known. */
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -3,7 +3,7 @@
 */
 import {maxLoggedRuns, refusedSaveRetryMs} from '../constants.js';
 import {type LeaseLossReason, type SchedulerEvent} from './events.js';
-import {progressOf} from './jobs.js';
+import {progressOf} from './stored-progress.js';
 import {type JobRecord, type WaveRecord, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
--- a/packages/scheduler/src/core/recorded-ends.ts
+++ b/packages/scheduler/src/core/recorded-ends.ts
@@ -4,22 +4,17 @@
 What is known of ends only grows, so they need no fence. The last holder leaves them to the next one beside the released lease, in the same transaction, and every process records what it reads later in rows of its own, which are only ever created.
 */
 import {type FinishedEntry, type TaskEnds, type WorkerReport} from '../types.js';
-import {mergeByKey, unionOf} from './merging.js';
 import {type JobEnds, type SchedulerEvent} from './events.js';
-import {
-	type CurrentTime, effectiveEnds, failTask, finishTask, keepForDueTasks, stepsOf, storedStepKey, storedTaskKey,
-} from './jobs.js';
+import {type CurrentTime, failTask, finishTask} from './jobs.js';
 import {type JobRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {
+	effectiveEnds, keepForDueTasks, mergeEnds, stepsOf, storedStepKey, storedTaskKey,
+} from './stored-progress.js';
 import {
 	findTask, isUnresolved, parseTaskKey, type TaskPlace,
 } from './unresolved-tasks.js';
 
-const mergeEnds = (a: TaskEnds, b: TaskEnds): TaskEnds => ({
-	doneTasks: mergeByKey(a.doneTasks, b.doneTasks, unionOf),
-	failures: mergeByKey(a.failures, b.failures, unionOf),
-});
-
 const hasEnds = ({doneTasks, failures}: TaskEnds): boolean => Object.keys(doneTasks).length > 0 || Object.keys(failures).length > 0;
 
 /** Returns the ends of the job's tasks that are known to this process and were not read from the store. */
@@ -161,16 +156,18 @@
 	const unknown: JobEnds[] = [];
 	for (const [jobId, ends] of Object.entries(inherited)) {
 		const job = state.jobs.get(jobId);
-		if (job !== undefined && job.outcome === undefined) {
-			applyToTasks(state, job, effectiveEnds(job, ends), now);
+		if (job === undefined) {
+			unknown.push({jobId, ends});
+			continue;
 		}
 
-		if (job === undefined || !areTasksCreated(job, ends)) {
-			unknown.push({jobId, ends});
+		if (job.outcome === undefined) {
+			applyToTasks(state, job, effectiveEnds(job, ends), now);
 		}
 
-		if (job !== undefined && !areTasksCreated(job, ends)) {
+		if (!areTasksCreated(job, ends)) {
 			keepForDueTasks(job, ends);
+			unknown.push({jobId, ends});
 		}
 	}
 
