--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -5,7 +5,7 @@
 import {type RandomSource, SeededRandom} from '@poplarnotch/common';
 import {type Daemon} from './daemons.js';
 import {type Deployment} from './deployment.js';
-import {drawBetween} from './draws.js';
+import {drawBetween, drawOne} from './draws.js';
 import {type Departure} from './machines.js';
 import {bounds, queues, zones} from './settings.js';
 import {type Refusal} from './store.js';
@@ -329,8 +329,6 @@
 	await Promise.all(restarts);
 };
 
-const drawZone = (random: RandomSource): string => zones[Math.floor(random.next() * zones.length)]!;
-
 /** Cuts the workers of a zone off from all daemons several times; half of the time a holder is ended within each cut. */
 const cutZone = async ({deployment, random}: Field, workers: readonly Worker[]): Promise<void> => {
 	const hasHandovers = random.next() < 0.5;
@@ -363,8 +361,8 @@
 /** All or most workers of one zone and service leave together, while the holder is ended, or several in succession. */
 const emptyZone = (field: Field): Begun => {
 	const {deployment, random} = field;
-	const zone = drawZone(random);
-	const service = queues[Math.floor(random.next() * queues.length)]!.name;
+	const zone = drawOne(random, zones);
+	const service = drawOne(random, queues).name;
 	const leavingShare = random.next() < 0.5 ? 1 : leavingZoneShare;
 	const hasSeries = random.next() < 0.5;
 	const departure: GroupDeparture = {
@@ -451,7 +449,7 @@
 	},
 	/** The holder is cut off from the workers of one zone, in one direction or both; a later holder is not. */
 	workercut({deployment: {machines, lastFenceOfHolder: fence}, holder, random}) {
-		const zone = zones[Math.floor(random.next() * zones.length)];
+		const zone = drawOne(random, zones);
 		const direction = random.next() < 0.5 ? 'muteUpToFence' : 'deafUpToFence';
 		return changeWorkers(machines.workers.filter(worker => worker.zone === zone), (worker, isOn) => {
 			worker[direction] = isOn ? fence : 0;
@@ -506,7 +504,7 @@
 	},
 	/** The holder is lost just after the last task of a job has ended. */
 	async jobend({deployment, random}) {
-		const lose = losses[Math.floor(random.next() * losses.length)]!;
+		const lose = drawOne(random, losses);
 		await deployment.ledger.jobEnds.wait(maxJobWaitMs);
 		await sleep(random.next() * maxAfterJobMs);
 		const {holder} = deployment;
@@ -535,7 +533,7 @@
 	quickseries: field => waitFor(refreshOthers(field).then(async () => endHoldersQuickly(field)), {daemons: 'all'}),
 	/** All workers of a zone are out of reach of all daemons for less than their lease, several times. */
 	zonecut(field) {
-		const zone = drawZone(field.random);
+		const zone = drawOne(field.random, zones);
 		const workers = field.deployment.machines.workers.filter(worker => worker.zone === zone);
 		return waitFor(cutZone(field, workers), {workers, daemons: 'all'});
 	},
