--- a/packages/scheduler/tests/recorded-ends.test.ts
+++ b/packages/scheduler/tests/recorded-ends.test.ts
@@ -4,12 +4,14 @@
 import {describe, expect, test} from 'vitest';
 import {noteForNextHolder} from '../src/core/handover.js';
 import {
-	type FinishedEntry, type JobChange, type SchedulerEffect, type StepSpec,
+	type FinishedEntry, type JobChange, type StepSpec,
 } from '../src/index.js';
 import {endsKey, endsToJson, jobChangeFrom} from '../src/jobs/rows.js';
 import {noteNaming} from './support/handover-notes.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
-import {NewHolder, wallOffsetMs} from './support/new-holder.js';
+import {
+	NewHolder, recordsOf, startedTasks, wallOffsetMs,
+} from './support/new-holder.js';
 
 const jobWith = (step: Partial<StepSpec>) => jobOf(1, {acceptedWallMs: wallOffsetMs, steps: [stepOf({taskCount: 2, ...step})]});
 const job = jobWith({});
@@ -18,9 +20,6 @@
 	sequence: index + 1, taskKey: taskKeyOf(index), attempt: 4001, end, checkpoint: '',
 });
 
-const startedTasks = (effects: readonly SchedulerEffect[]): readonly string[] => effects.flatMap(effect => effect.type === 'start' ? [effect.taskKey] : []);
-const recordsOf = (effects: readonly SchedulerEffect[]) => effects.flatMap(effect => effect.type === 'recordEnds' ? effect.jobs : []);
-
 /** A process that has taken over a fleet of which it knows everything, with a job of two tasks. */
 const holderWith = (step: Partial<StepSpec> = {}): NewHolder => {
 	const holder = new NewHolder(['here', 'there']);
@@ -29,49 +28,35 @@
 	return holder;
 };
 
-const settle = (holder: NewHolder, nowMs: number): void => {
-	holder.report('here', nowMs);
-	holder.report('there', nowMs);
-	holder.list(nowMs);
-};
-
-const reportAfterTerm = (holder: NewHolder, finished: readonly FinishedEntry[], nowMs: number): readonly SchedulerEffect[] => holder.dispatch({
-	type: 'polled', fencingToken: 5, workerId: 'here', incarnation: holder.state.workers.get('here')!.incarnation, sentAtMs: nowMs - 5, sentAcknowledgement: 0, answer: {
-		type: 'report', report: {
-			clockMs: nowMs, bornWallMs: wallOffsetMs - 60_000, running: [], finished,
-		},
-	},
-}, nowMs);
-
 describe('ends that a report names after the term', () => {
 	test('are recorded, with failed attempts', () => {
 		const holder = holderWith();
-		settle(holder, 20);
+		holder.settle(20);
 		holder.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'stopping'}, 40);
-		const effects = reportAfterTerm(holder, [endOf(0), endOf(1, 'failed')], 60);
+		const effects = holder.report('here', 60, {finished: [endOf(0), endOf(1, 'failed')]}, {fencingToken: 5});
 		expect(recordsOf(effects)).toEqual([{jobId: job.jobId, ends: {doneTasks: {'0.0': [0]}, failures: {'0.0.1': [4001]}}}]);
 	});
 
 	test('are not recorded if they are stored, or if no task of the job starts any more', () => {
 		const holder = holderWith();
-		settle(holder, 20);
+		holder.settle(20);
 		holder.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'stopping'}, 40);
 		const change = {
 			type: 'endsRecorded', jobId: job.jobId, ends: {doneTasks: {'0.0': [0]}, failures: {}}, rowKey: 'a',
 		} satisfies JobChange;
 		holder.dispatch({type: 'jobsChanged', changes: [change]}, 50);
-		expect(recordsOf(reportAfterTerm(holder, [endOf(0)], 60))).toEqual([]);
+		expect(recordsOf(holder.report('here', 60, {finished: [endOf(0)]}, {fencingToken: 5}))).toEqual([]);
 		holder.dispatch({type: 'jobsChanged', changes: [{type: 'cancelled', jobId: job.jobId, rowKey: 'b'}]}, 70);
-		expect(recordsOf(reportAfterTerm(holder, [endOf(1)], 80))).toEqual([]);
+		expect(recordsOf(holder.report('here', 80, {finished: [endOf(1)]}, {fencingToken: 5}))).toEqual([]);
 	});
 
 	test('are stored by the process if it holds the lease again', () => {
 		const holder = holderWith();
-		settle(holder, 20);
+		holder.settle(20);
 		holder.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'superseded'}, 30);
 		holder.dispatch({type: 'leaseWon', fencingToken: 9, note: noteNaming()}, 40);
-		expect(recordsOf(reportAfterTerm(holder, [endOf(0)], 50))).toEqual([]);
-		settle(holder, 60);
+		expect(recordsOf(holder.report('here', 50, {finished: [endOf(0)]}, {fencingToken: 5}))).toEqual([]);
+		holder.settle(60);
 		const effects = [80, 100].flatMap(nowMs => holder.dispatch({type: 'tick'}, nowMs));
 		expect(startedTasks(effects)).toEqual([taskKeyOf(1)]);
 		expect(effects.find(({type}) => type === 'save')).toMatchObject({save: {jobs: [{progress: {doneTasks: {'0.0': [0]}}}]}});
@@ -79,12 +64,12 @@
 
 	test('count for all members of a gang at the next holder', () => {
 		const holder = holderWith({isGang: true});
-		settle(holder, 20);
+		holder.settle(20);
 		holder.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'stopping'}, 40);
-		const [record] = recordsOf(reportAfterTerm(holder, [endOf(1)], 60));
+		const [record] = recordsOf(holder.report('here', 60, {finished: [endOf(1)]}, {fencingToken: 5}));
 		const next = holderWith({isGang: true});
 		next.dispatch({type: 'jobsChanged', changes: [{type: 'endsRecorded', ...record!, rowKey: 'a'}]}, 15);
-		settle(next, 20);
+		next.settle(20);
 		expect(startedTasks([40, 60].flatMap(nowMs => next.dispatch({type: 'tick'}, nowMs)))).toEqual([]);
 		expect([...next.state.jobs.values()][0]!.outcome).toBe('completed');
 	});
@@ -182,7 +167,7 @@
 
 	test('of the last task complete the job', () => {
 		const holder = holderWith();
-		settle(holder, 20);
+		holder.settle(20);
 		holder.dispatch({
 			type: 'jobsChanged', changes: [{
 				type: 'endsRecorded', jobId: job.jobId, ends: {doneTasks: {'0.0': [0, 1]}, failures: {}}, rowKey: 'a',
@@ -215,11 +200,7 @@
 
 test('the ends of a report that comes after another one has answered its poll are not lost', () => {
 	const holder = holderWith();
-	settle(holder, 20);
-	holder.dispatch({
-		type: 'reportedLate', fencingToken: 5, workerId: 'here', incarnation: holder.state.workers.get('here')!.incarnation, report: {
-			clockMs: 30, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [endOf(0)],
-		},
-	}, 30);
+	holder.settle(20);
+	holder.reportLate('here', 30, {finished: [endOf(0)]});
 	expect(startedTasks([40, 60].flatMap(nowMs => holder.dispatch({type: 'tick'}, nowMs)))).toEqual([taskKeyOf(1)]);
 });
--- a/packages/scheduler/tests/review-of-recorded-ends.test.ts
+++ b/packages/scheduler/tests/review-of-recorded-ends.test.ts
@@ -7,7 +7,7 @@
 import {pollPauseMs} from '../src/constants.js';
 import {noteForNextHolder} from '../src/core/handover.js';
 import {
-	type FinishedEntry, type JobChange, type JobSpec, type SchedulerEffect, type StepSpec, type WorkerControl,
+	type FinishedEntry, type JobChange, type JobSpec, type StepSpec, type WorkerControl,
 } from '../src/index.js';
 import {JobStore} from '../src/jobs/job-store.js';
 import {endsKey, endsToJson} from '../src/jobs/rows.js';
@@ -17,7 +17,9 @@
 import {
 	acceptedChange, jobOf, lastingStepOf, stepOf,
 } from './support/jobs.js';
-import {NewHolder, wallOffsetMs} from './support/new-holder.js';
+import {
+	NewHolder, recordsOf, startedTasks, wallOffsetMs,
+} from './support/new-holder.js';
 import {configurationWithoutStandby, SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
 
 const jobWith = (step: StepSpec, overrides: Partial<JobSpec> = {}): JobSpec => jobOf(1, {acceptedWallMs: wallOffsetMs, steps: [step], ...overrides});
@@ -26,24 +28,6 @@
 	sequence, taskKey: `${jobId}.0.0.${index}`, attempt: 4001, end, checkpoint: '',
 });
 
-const startedTasks = (effects: readonly SchedulerEffect[]): readonly string[] => effects.flatMap(effect => effect.type === 'start' ? [effect.taskKey] : []);
-const recordsOf = (effects: readonly SchedulerEffect[]) => effects.flatMap(effect => effect.type === 'recordEnds' ? effect.jobs : []);
-
-/** A process that has held the lease and reads a report afterwards. */
-const reportAfterTerm = (holder: NewHolder, finished: readonly FinishedEntry[], nowMs: number, fencingToken = 5): readonly SchedulerEffect[] => holder.dispatch({
-	type: 'polled', fencingToken, workerId: 'here', incarnation: holder.state.workers.get('here')!.incarnation, sentAtMs: nowMs - 5, sentAcknowledgement: 0, answer: {
-		type: 'report', report: {
-			clockMs: nowMs, bornWallMs: wallOffsetMs - 60_000, running: [], finished,
-		},
-	},
-}, nowMs);
-
-const settle = (holder: NewHolder, nowMs: number): void => {
-	holder.report('here', nowMs);
-	holder.report('there', nowMs);
-	holder.list(nowMs);
-};
-
 const recordedChange = (jobs: ReturnType<typeof recordsOf>): readonly JobChange[] => jobs.map(({jobId, ends}) => ({
 	type: 'endsRecorded', jobId, ends, rowKey: endsKey(jobId, 'edge-1@1.1'),
 }));
@@ -53,11 +37,11 @@
 	const former = new NewHolder(['here']);
 	former.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
 	former.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'superseded'}, 40);
-	const records = recordsOf(reportAfterTerm(former, finished, 60));
+	const records = recordsOf(former.report('here', 60, {finished}, {fencingToken: 5}));
 	const next = new NewHolder(['here', 'there']);
 	next.dispatch({type: 'jobsChanged', changes: [acceptedChange(job), ...recordedChange(records)]}, 5);
 	next.dispatch({type: 'leaseWon', fencingToken: 9, note: noteNaming()}, 10);
-	settle(next, 20);
+	next.settle(20);
 	return {started: startedTasks([40, 60, 120].flatMap(nowMs => next.dispatch({type: 'tick'}, nowMs))), next};
 };
 
@@ -81,7 +65,7 @@
 		const next = new NewHolder(['here', 'there']);
 		next.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(lastingStepOf({taskCount: 2, mayMiss: 0})))]}, 5);
 		next.dispatch({type: 'leaseWon', fencingToken: 9, note}, 30);
-		settle(next, 40);
+		next.settle(40);
 		expect(startedTasks([60, 80].flatMap(nowMs => next.dispatch({type: 'tick'}, nowMs)))).toContain(`${jobId}.0.0.0`);
 	});
 });
@@ -113,9 +97,7 @@
 	const report = {
 		clockMs: 5, bornWallMs: wallOffsetMs - 1000, running: [], finished: [endOf(2, 'done', 1), endOf(3, 'done', 3)],
 	};
-	holder.dispatch({
-		type: 'reportedLate', fencingToken: 5, workerId: 'here', incarnation, report,
-	}, 30);
+	holder.reportLate('here', 30, report);
 	// Both, or neither and nothing that is acknowledged to the new incarnation.
 	const isKnown = holder.state.jobs.get(jobId)!.occurrences.get(0)![0]!.tasks[2]!.phase === 'done'
 		|| holder.state.endsOfEarlierIncarnations.some(({entry}) => entry.taskKey.endsWith('.2'));
@@ -126,10 +108,10 @@
 	const holder = new NewHolder(['here', 'there']);
 	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 2})))]}, 5);
 	holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
-	settle(holder, 20);
+	holder.settle(20);
 	holder.dispatch({type: 'leaseLost', fencingToken: 5, reason: 'superseded'}, 30);
 	holder.dispatch({type: 'leaseWon', fencingToken: 9, note: noteNaming()}, 40);
-	reportAfterTerm(holder, [endOf(0, 'failed')], 50);
+	holder.report('here', 50, {finished: [endOf(0, 'failed')]}, {fencingToken: 5});
 	holder.report('here', 60, {finished: [endOf(0, 'failed')]});
 	holder.dispatch({type: 'tick'}, 80);
 	expect(holder.state.workers.get('here')!.recentFailuresMs).toHaveLength(1);
@@ -294,11 +276,7 @@
 		holder.report('here', 20, {bornWallMs: wallOffsetMs - 1000});
 		holder.report('there', 20);
 		holder.list(20);
-		holder.dispatch({
-			type: 'reportedLate', fencingToken: 5, workerId: 'here', incarnation, report: {
-				clockMs: 30, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [endOf(0)],
-			},
-		}, 30);
+		holder.reportLate('here', 30, {finished: [endOf(0)]}, {incarnation});
 		holder.dispatch({type: 'tick'}, 50);
 		expect(holder.state.jobs.get(jobId)!.occurrences.get(0)![0]!.tasks[0]!.phase).toBe('done');
 	});
@@ -308,11 +286,7 @@
 		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 2})))]}, 5);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
 		const {incarnation} = holder.state.workers.get('here')!;
-		holder.dispatch({
-			type: 'reportedLate', fencingToken: 5, workerId: 'here', incarnation, report: {
-				clockMs: 30, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [endOf(0)],
-			},
-		}, 30);
+		holder.reportLate('here', 30, {finished: [endOf(0)]}, {incarnation});
 		holder.dispatch({type: 'tick'}, 50);
 		expect(holder.state.jobs.get(jobId)!.occurrences.get(0)![0]!.tasks[0]!.phase).toBe('done');
 	});
@@ -321,13 +295,7 @@
 		const holder = new NewHolder(['here']);
 		holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(stepOf({taskCount: 2})))]}, 5);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
-		const effects = holder.dispatch({
-			type: 'polled', fencingToken: 5, workerId: 'gone', incarnation: 1, sentAtMs: 15, sentAcknowledgement: 0, answer: {
-				type: 'report', report: {
-					clockMs: 20, bornWallMs: wallOffsetMs - 60_000, running: [], finished: [endOf(0)],
-				},
-			},
-		}, 20);
+		const effects = holder.report('gone', 20, {finished: [endOf(0)]}, {incarnation: 1});
 		expect(recordsOf(effects)).toEqual([{jobId, ends: {doneTasks: {'0.0': [0]}, failures: {}}}]);
 	});
 });
--- a/packages/scheduler/tests/worker-poller.test.ts
+++ b/packages/scheduler/tests/worker-poller.test.ts
@@ -57,8 +57,22 @@
 	}
 });
 
-/** Polls one worker until it has been reported on or given up, and returns what was dispatched, with the time. */
-const pollOnce = async (answers: ReadonlyArray<{readonly afterMs: number; readonly type: 'report' | 'unreachable'}>): Promise<ReadonlyArray<{readonly atMs: number; readonly type: string}>> => {
+type PlayedAnswer = {
+	readonly afterMs: number;
+	readonly type: 'report' | 'unreachable';
+	/** Keys of tasks that the report lists as done. */
+	readonly done?: readonly string[];
+};
+
+type PlayedPoll = {
+	/** What was dispatched as the answer, with the time. */
+	readonly polled: ReadonlyArray<{readonly atMs: number; readonly type: string}>;
+	/** Tasks that a later report lists as done. */
+	readonly doneLate: readonly string[];
+};
+
+/** Polls one worker until it has been reported on or given up. */
+const playPoll = async (answers: readonly PlayedAnswer[]): Promise<PlayedPoll> => {
 	const clock = new VirtualClock();
 	const state = new SchedulerState();
 	reduceScheduler(state, {
@@ -67,12 +81,13 @@
 	reduceScheduler(state, {
 		type: 'leaseWon', fencingToken: 1, nowMs: 0, wallMs: 0,
 	});
-	const dispatched: Array<{readonly atMs: number; readonly type: string}> = [];
+	const polled: Array<{readonly atMs: number; readonly type: string}> = [];
+	const doneLate: string[] = [];
 	let sent = 0;
 	const poller = new WorkerPoller({
 		control: {
-			async poll() {
-				const {afterMs, type} = answers[sent]!;
+			async poll(): Promise<PollAnswer> {
+				const {afterMs, type, done = []} = answers[sent]!;
 				sent++;
 				await new Promise<void>(resolve => {
 					clock.schedule(afterMs, resolve);
@@ -81,14 +96,18 @@
 					? {type}
 					: {
 						type, report: {
-							clockMs: 0, bornWallMs: 1, running: [], finished: [],
+							clockMs: 0, bornWallMs: 1, running: [], finished: done.map(taskKey => ({
+								sequence: 1, taskKey, attempt: 1, end: 'done', checkpoint: '',
+							})),
 						},
 					};
 			},
 		} as unknown as WorkerControl,
 		clock, state: () => state, pauseMs: () => pollPauseMs, dispatch(event) {
 			if (event.type === 'polled') {
-				dispatched.push({atMs: clock.nowMs(), type: event.answer.type});
+				polled.push({atMs: clock.nowMs(), type: event.answer.type});
+			} else if (event.type === 'reportedLate') {
+				doneLate.push(...event.report.finished.map(({taskKey}) => taskKey));
 			}
 		},
 	});
@@ -101,7 +120,12 @@
 	}
 
 	expect(sent).toBe(answers.length);
-	return dispatched;
+	return {polled, doneLate};
+};
+
+const pollOnce = async (answers: readonly PlayedAnswer[]): Promise<PlayedPoll['polled']> => {
+	const {polled} = await playPoll(answers);
+	return polled;
 };
 
 test('the ends of a worker that leaves one poll without an answer are known soon', async () => {
@@ -114,47 +138,8 @@
 });
 
 test('the ends of a report that comes after the repeated poll was answered are passed on', async () => {
-	const clock = new VirtualClock();
-	const state = new SchedulerState();
-	reduceScheduler(state, {
-		type: 'workersListed', workers: [entryOf('busy')], nowMs: 0, wallMs: 0,
-	});
-	reduceScheduler(state, {
-		type: 'leaseWon', fencingToken: 1, nowMs: 0, wallMs: 0,
-	});
-	const listed = [['late'], []];
-	const passedOn: string[] = [];
-	const poller = new WorkerPoller({
-		control: {
-			async poll() {
-				const finished = listed.shift()!;
-				await new Promise<void>(resolve => {
-					clock.schedule(finished.length === 0 ? 5 : 300, resolve);
-				});
-				return {
-					type: 'report', report: {
-						clockMs: 0, bornWallMs: 1, running: [], finished: finished.map(taskKey => ({
-							sequence: 1, taskKey, attempt: 1, end: 'done', checkpoint: '',
-						})),
-					},
-				} satisfies PollAnswer;
-			},
-		} as unknown as WorkerControl,
-		clock, state: () => state, pauseMs: () => pollPauseMs, dispatch(event) {
-			if (event.type === 'reportedLate') {
-				passedOn.push(...event.report.finished.map(({taskKey}) => taskKey));
-			}
-		},
-	});
-	poller.pollDueWorkers(clock.nowMs());
-	for (let elapsedMs = 0; elapsedMs < 500; elapsedMs += 10) {
-		clock.advance(10);
-		await new Promise(resolve => {
-			setImmediate(resolve);
-		});
-	}
-
-	expect(passedOn).toEqual(['late']);
+	const {doneLate} = await playPoll([{afterMs: 300, type: 'report', done: ['late']}, {afterMs: 5, type: 'report'}]);
+	expect(doneLate).toEqual(['late']);
 });
 
 test('a worker counts as unreachable once neither poll was answered', async () => {
