--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -280,6 +280,12 @@
 			});
 		}
 
+		if (note !== undefined) {
+			this.#options.log.info({
+				event: 'ends_left', fencingToken: term?.fencingToken, jobs: Object.keys(note.ends ?? {}).length, openStarts: Object.keys(note.openStarts).length,
+			});
+		}
+
 		const released = this.#leases.withdraw(schedulerLease, note);
 		if (token !== undefined) {
 			await Promise.race([released, this.#pause(maxUnannouncedMs)]);
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -267,6 +267,9 @@
 			.map(([key]): RowChange => ({key, value: undefined, version: revision}));
 		const changed = rows.filter(({key, version}) => version <= revision
 			&& version > Math.max(this.#versions.get(key) ?? 0, this.#removedVersions.get(key) ?? 0));
+		this.#log.info({
+			event: 'replica_listed', prefix: this.#options.prefix, rows: rows.length, changed: changed.length, gone: gone.length, leftToChanges: rows.filter(({version}) => version > revision).length, revision, durationMs: Math.round(this.#clock.nowMs() - sentAtMs),
+		});
 		this.#deliver([...gone, ...changed]);
 		this.#isWhole = false;
 		this.#revision = Math.max(this.#revision ?? 0, revision);
