A takeover waits for the ends that a replaced holder may still store

The holder stands still for 1.2 s while calls to the store take 120 or 240 ms; it has read ends, their workers leave, a successor replaces it on suspicion, hears all workers that are left, settles its takeover and starts the tasks again. The former holder records the ends when it goes on, which is too late.

The next holder now settles such a takeover by reports only once the orders of the replaced holder are over, by its lease, its release or a later run of its process, and once the copy of the job rows holds all that was stored until then.

What stays open: a holder that stands still for longer than its lease, and departures that this process has not seen as drains.

--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -267,6 +267,7 @@
 		case 'tick': {
 			state.areOrdersOutdated = event.areOrdersOutdated === true;
 			state.jobRowsConfirmedAtMs = event.jobRowsConfirmedAtMs;
+			state.jobRowsRevision = event.jobRowsRevision;
 			if (state.term === undefined) {
 				expireWorkers(state, event.nowMs);
 			} else if (state.isSuspended || state.isHandingOver) {
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -127,6 +127,10 @@
 	storedSaveNumber = 0;
 	/** When the newest read of the job rows was sent that found all of them; the copy holds every job that was accepted before. */
 	jobRowsConfirmedAtMs: number | undefined;
+	/** The copy of the job rows holds every change up to this revision. */
+	jobRowsRevision: number | undefined;
+	/** When a worker that drained was last seen to be gone. */
+	lastDepartureAtMs = Number.NEGATIVE_INFINITY;
 	/** Runs of tasks whose jobs have not been read yet. */
 	readonly unresolvedRuns = new Set<TaskRun>();
 	/** Ends of jobs that have not been read yet, which earlier incarnations of workers had listed. No worker lists them any more. */
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -42,6 +42,19 @@
 /** Number of workers with a stated start; `undefined` while there may be others. */
 const statedStarts = (state: SchedulerState, nowMs: number): number | undefined => areEarlierStartsKnown(state, nowMs) ? state.inheritedStarts.size : undefined;
 
+/** A worker that has left longer ago than this has ended nothing that a lease holder could still have to store. */
+const departureMemoryMs = 10_000;
+
+/** Returns true if the holder that was replaced may be alive and know of ends that nobody else will hear of, since their workers have left. It records them when it learns that it was replaced, so what it has stored until its orders are over has to be read. */
+const awaitsEarlierEnds = (state: SchedulerState, nowMs: number): boolean => {
+	const {
+		earlierHolder, earlierOrdersOverAtMs, newJobsAfterRevision, jobRowsRevision = 0, lastDepartureAtMs,
+	} = state;
+	const mayHaveLeft = nowMs - lastDepartureAtMs < departureMemoryMs;
+	const isRead = nowMs >= earlierOrdersOverAtMs && newJobsAfterRevision !== undefined && jobRowsRevision >= newJobsAfterRevision;
+	return earlierHolder !== undefined && mayHaveLeft && !isRead;
+};
+
 /** While a takeover is not settled, it is logged this often what it waits for. */
 const waitLogIntervalMs = 1000;
 
@@ -49,15 +62,16 @@
 	readonly awaited: readonly WorkerRecord[];
 	readonly unregisteredCount: number;
 	readonly areUnreadableKnown: boolean;
+	readonly awaitsHolder: boolean;
 };
 
 /** Logs what the takeover waits for. */
-const logWaiting = (state: SchedulerState, {awaited, unregisteredCount, areUnreadableKnown}: Waiting, nowMs: number): void => {
+const logWaiting = (state: SchedulerState, {awaited, unregisteredCount, areUnreadableKnown, awaitsHolder}: Waiting, nowMs: number): void => {
 	if (nowMs - state.takeoverLoggedAtMs >= waitLogIntervalMs) {
 		state.takeoverLoggedAtMs = nowMs;
 		state.emit({
 			type: 'log', fields: {
-				event: 'takeover_waits_for', afterMs: Math.round(nowMs - state.term!.wonAtMs), awaited: awaited.length, openStarts: statedStarts(state, nowMs), unregistered: unregisteredCount, areMachinesKnown: state.areMachinesOfTerm, areUnreadableKnown, workers: describeUnheard(state, awaited, nowMs),
+				event: 'takeover_waits_for', afterMs: Math.round(nowMs - state.term!.wonAtMs), awaited: awaited.length, openStarts: statedStarts(state, nowMs), unregistered: unregisteredCount, areMachinesKnown: state.areMachinesOfTerm, areUnreadableKnown, awaitsHolder, workers: describeUnheard(state, awaited, nowMs),
 			},
 		});
 	}
@@ -77,7 +91,8 @@
 	// Workers that ended in an earlier term of this process are not polled any more.
 	const isGone = ({entry: {workerId}, isEnded, isListed}: WorkerRecord): boolean => isEnded && !isListed && !machineWorkers.has(workerId);
 	const awaited = workers.filter(worker => !worker.isFenced && !isGone(worker) && !hasNoEarlierStarts(state, worker));
-	const areAllKnown = awaited.length === 0 && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
+	const awaitsHolder = awaitsEarlierEnds(state, nowMs);
+	const areAllKnown = awaited.length === 0 && !awaitsHolder && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
 	const mayHoldLongLease = (worker: WorkerRecord): boolean => !worker.isFenced
 		&& (lastEarlierCallAtMs(worker) ?? Number.NEGATIVE_INFINITY) >= earlierOrdersOverAtMs
 		&& nowMs < longestLeaseExpiryAfter(state, earlierOrdersOverAtMs);
@@ -94,7 +109,7 @@
 			},
 		});
 	} else {
-		logWaiting(state, {awaited, unregisteredCount: unregistered.length, areUnreadableKnown}, nowMs);
+		logWaiting(state, {awaited, unregisteredCount: unregistered.length, areUnreadableKnown, awaitsHolder}, nowMs);
 	}
 };
 
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -101,6 +101,7 @@
 		if (!listed.has(workerId) && worker.isListed) {
 			worker.isListed = false;
 			worker.unlistedAtMs = nowMs;
+			state.lastDepartureAtMs = worker.entry.isDraining ? nowMs : state.lastDepartureAtMs;
 			if (state.term === undefined || worker.isEnded) {
 				continue;
 			}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -430,7 +430,7 @@
 		this.#updateFollowing();
 		this.#term.check(now, pausedMs);
 		this.#runtime.dispatch({
-			type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), jobRowsConfirmedAtMs: this.#jobReplica.confirmedAtMs, ...now,
+			type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), jobRowsConfirmedAtMs: this.#jobReplica.confirmedAtMs, jobRowsRevision: this.#jobReplica.revision, ...now,
 		});
 		this.#termMonitor.recordRound(latenessMs);
 		this.#workerPoller.pollDueWorkers(now.nowMs);
