Ends that were read are recorded beside a save that takes long

One save is under way at a time. If the answer to one of its calls is lost, it awaits the outcome for up to 1.5 s, and nothing that is read meanwhile is stored.

Acknowledgements still wait for the save.

--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -105,7 +105,7 @@
 			}
 
 			case 'recordEnds': {
-				void this.#recordEnds(effect.jobs);
+				void this.#recordEnds(effect.jobs, effect.isBesideSave);
 				break;
 			}
 
@@ -268,7 +268,7 @@
 	}
 
 	/** Repeats the writes while they may still reach another holder in time. A row that is written twice is the same. */
-	async #recordEnds(jobs: readonly JobEnds[]): Promise<void> {
+	async #recordEnds(jobs: readonly JobEnds[], isBesideSave: boolean): Promise<void> {
 		const {clock, log, store} = this.#options;
 		const recordId = `${this.#recorder}.${++this.#recordCount}`;
 		const startedAtMs = clock.nowMs();
@@ -287,6 +287,10 @@
 		if (!isStored) {
 			log.error({event: 'ends_record_abandoned', recordId, jobs: jobs.length});
 		}
+
+		if (isBesideSave) {
+			this.#options.dispatch({type: 'recordEnded', ...this.#now()});
+		}
 	}
 
 	#isSavePending(save: ProgressSave, fencingToken: number): boolean {
