An order is sent only while its term is known to be in force

A holder checked its lease once a round. A standstill of the process between that check and the sending of an order, at any of the hundreds of orders of a round, let the rest of the round out on a lapsed lease when it went on, before anything else ran; and an order that waited for a connection was sent up to 1 s later, when the process already knew that its term was superseded. Workers that the next holder has polled refuse such a start; one that has started again meanwhile has seen no token and carries it out. A machine that the next holder has not ordered carries a move or upkeep out, and ends its worker with what has just ended there and is not stored.

An order that is dropped has not been sent, and is decided anew.

--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -45,6 +45,9 @@
 	readonly address: string;
 };
 
+/** Asked right before an order is sent, which may wait for a connection: the sender may have been replaced meanwhile. If it returns false, the order is dropped and counts as not sent. */
+export type MayBeSent = () => boolean;
+
 export type StartOrder = {
 	readonly taskKey: string;
 	readonly attempt: number;
@@ -85,7 +88,7 @@
 
 /** Sends orders and polls to workers. No call throws: a missing answer is reported as a result of its own. */
 export interface WorkerControl {
-	start(worker: WorkerAddress, order: StartOrder): Promise<StartAnswer>;
+	start(worker: WorkerAddress, order: StartOrder, mayBeSent: MayBeSent): Promise<StartAnswer>;
 	stop(worker: WorkerAddress, order: StopOrder): Promise<OrderAnswer>;
 	poll(worker: WorkerAddress, order: PollOrder): Promise<PollAnswer>;
 	pace(worker: WorkerAddress, order: StopOrder & {readonly percent: number}): Promise<OrderAnswer>;
@@ -98,6 +101,7 @@
 export type MachineHolder = {
 	readonly holder: string;
 	readonly fencingToken: number;
+	readonly mayBeSent: MayBeSent;
 };
 
 /** A machine whose entry cannot be read. It may be up, and its worker with it. */
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -33,6 +33,8 @@
 	readonly state: () => SchedulerState;
 	/** The fence of the present term, which is a condition of every save. */
 	readonly fence: () => RowCondition | undefined;
+	/** Whether orders under this token may be sent at this moment. */
+	readonly mayOrder: (fencingToken: number) => boolean;
 	/** Called when another process is known to hold the lease of the term with this token. */
 	readonly abandonTerm: (fencingToken: number) => void;
 	readonly dispatch: (event: SchedulerEvent) => void;
@@ -167,7 +169,8 @@
 		const {workerId, taskKey, attempt} = order;
 		const worker = this.#addressOf(workerId);
 		const sentAtMs = this.#options.clock.nowMs();
-		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.start(worker, {...order, fencingToken: orderToken});
+		const mayBeSent = (): boolean => this.#options.mayOrder(order.fencingToken);
+		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.start(worker, {...order, fencingToken: orderToken}, mayBeSent);
 		const durationMs = this.#options.clock.nowMs() - sentAtMs;
 		this.#options.metrics.recordMs('task_wait_ms', waitedMs);
 		this.#options.metrics.recordMs('worker_start_ms', durationMs);
@@ -225,7 +228,8 @@
 
 	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
 		const sentAtMs = this.#options.clock.nowMs();
-		const holder = {holder: this.#options.processId, fencingToken: effect.fencingToken};
+		const {fencingToken} = effect;
+		const holder = {holder: this.#options.processId, fencingToken, mayBeSent: () => this.#options.mayOrder(fencingToken)};
 		const answer = effect.type === 'move'
 			? await this.#options.machineControl.move(effect.machineId, effect.pool, holder)
 			: await this.#options.machineControl.maintain(effect.machineId, effect.waveId, holder);
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -168,6 +168,7 @@
 			readRevision: async () => table.readRevision(),
 			state: () => this.#runtime.state,
 			fence: () => this.#term.fence,
+			mayOrder: fencingToken => this.#term.mayOrder(fencingToken),
 			abandonTerm: fencingToken => {
 				this.#term.abandonTerm(fencingToken);
 			},
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -136,6 +136,14 @@
 		}
 	}
 
+	/** Whether the term was found to be in force so recently that no other process can have replaced this one on suspicion. Asked right before something is ordered: the process may have stood still since the order was decided. */
+	mayOrder(fencingToken: number): boolean {
+		const {term, isSuspended} = this.#state;
+		const now = this.#now();
+		const lastCheck = this.#lastCheck ?? now;
+		return term?.fencingToken === fencingToken && !isSuspended && now.nowMs - lastCheck.nowMs <= pauseThresholdMs && !hasClockJumpedBetween(lastCheck, now);
+	}
+
 	/** Whether this process has a term, or is about to begin one. */
 	get isHolder(): boolean {
 		return this.#state.term !== undefined || this.#beginningToken !== undefined;
--- /dev/null
+++ b/packages/scheduler/tests/orders-of-a-replaced-holder.test.ts
@@ -0,0 +1,83 @@
+/**
+Orders that wait for a connection while their holder stands still and is replaced. Guards against orders on a lapsed lease to workers and machines that know of no later holder (TWICE): a worker that has started again carries out a start, and a machine ends its worker with what has just ended there.
+*/
+import {describe, expect, test} from 'vitest';
+import {jobOf, stepOf} from './support/jobs.js';
+import {configurationWithoutStandby, SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
+
+const runMs = 300;
+const connectMs = 20;
+const standstillMs = 1500;
+const workers = ['w-0', 'w-1', 'w-2', 'w-3'];
+
+let simulation: SchedulerSimulation;
+let former: SchedulerSimulation['processes'][number];
+
+const begin = async (): Promise<void> => {
+	simulation = new SchedulerSimulation({
+		seed: 64, processes: 4, workersPerPool: workers.length, standbyMachines: 0, successors: 4,
+	});
+	simulation.configure(configurationWithoutStandby(2));
+	simulation.fleet.behaviour.runMs = () => runMs;
+	await simulation.run(takeoverMs);
+	former = simulation.holder!;
+};
+
+const submit = async (): Promise<void> => {
+	await Promise.all([
+		simulation.submit(jobOf(1, {acceptedWallMs: simulation.clock.wallTimeMs(), steps: [stepOf({taskCount: workers.length})]}), simulation.processes.find(process => process !== former)),
+		simulation.run(connectMs),
+	]);
+};
+
+/** Lets the orders of the holder wait for a connection, and the holder stand still as soon as one does. */
+const standStillAtOrder = async (kind: 'machine' | 'process'): Promise<void> => {
+	const token = former.scheduler.state.term!.fencingToken;
+	let isWaiting = false;
+	simulation.connectMsOf = fencingToken => {
+		const isOfFormer = fencingToken === token || Math.floor(fencingToken / 1000) === token;
+		isWaiting ||= isOfFormer;
+		return isOfFormer ? connectMs : 0;
+	};
+
+	for (let waitedMs = 0; !isWaiting && waitedMs < 20_000; waitedMs += 5) {
+		await simulation.run(5);
+	}
+
+	expect(isWaiting).toBe(true);
+	former.clock.freeze(standstillMs, kind);
+};
+
+const finish = async (): Promise<void> => {
+	await simulation.run(6000);
+	simulation.close();
+	expect(simulation.fleet.brokenPromises).toEqual([]);
+	expect(simulation.fleet.starts).toHaveLength(workers.length);
+};
+
+// The clock of the machine stops, or only the process does.
+describe.each(['machine', 'process'] as const)('after a standstill of the %s', kind => {
+	test('a start is not sent to a worker that has started again', async () => {
+		await begin();
+		const submitted = submit();
+		await standStillAtOrder(kind);
+		await submitted;
+		await simulation.run(standstillMs - 200);
+		for (const workerId of workers) {
+			simulation.restartWorkerLate(workerId, 100, 800);
+		}
+
+		await finish();
+	});
+
+	test('a machine is not ordered away under the tasks of the next holder', async () => {
+		await begin();
+		simulation.orderWave({
+			waveId: 1, machineIds: ['m-0'], withinMs: 20_000, concurrency: 1,
+		});
+		await standStillAtOrder(kind);
+		await simulation.run(standstillMs - 200);
+		await submit();
+		await finish();
+	});
+});
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -201,6 +201,8 @@
 	readonly datagrams = new DatagramNetwork(this.clock);
 	/** Returns true if the process's orders do not reach the worker. */
 	isOrderLost = loseNoOrder;
+	/** How long an order under this token waits for a connection before it is sent. */
+	connectMsOf: (fencingToken: number) => number = () => 0;
 	/** Returns how late a call is carried out, without an answer, by the incarnation that its worker has by then; `undefined` for a call that is answered. */
 	lateMsOf = delayNoCall;
 	/** Accepted orders to machines. */
@@ -319,12 +321,12 @@
 						await clock.wait(orderLatencyMs);
 						return {machines: [...this.machines.values()].map(({entry}) => entry), unreadable: [], isOfOneMoment: true};
 					},
-					move: async (machineId, target, {fencingToken}) => this.#orderMachine(clock, {
+					move: async (machineId, target, {fencingToken, mayBeSent}) => this.#orderMachine(clock, {
 						machineId, fencingToken, forMs: moveMs, target,
-					}),
-					maintain: async (machineId, waveId, {fencingToken}) => this.#orderMachine(clock, {
+					}, mayBeSent),
+					maintain: async (machineId, waveId, {fencingToken, mayBeSent}) => this.#orderMachine(clock, {
 						machineId, fencingToken, forMs: maintenanceMs, waveId,
-					}),
+					}, mayBeSent),
 				},
 				advisor: {
 					advise: async (stepKey, workerIds) => {
@@ -727,7 +729,12 @@
 		}
 	}
 
-	async #orderMachine(clock: HostClock, order: MachineOrder): Promise<MachineAnswer> {
+	async #orderMachine(clock: HostClock, order: MachineOrder, mayBeSent: () => boolean): Promise<MachineAnswer> {
+		await this.#connect(clock, order.fencingToken);
+		if (!mayBeSent()) {
+			return 'refused';
+		}
+
 		await clock.wait(orderLatencyMs + (this.faults.machineOrderDelayMs ?? 0));
 		const {lostMachineAnswerRate} = this.faults;
 		const isLost = lostMachineAnswerRate > 0 && this.random.next() < lostMachineAnswerRate;
@@ -859,11 +866,21 @@
 		});
 	}
 
+	async #connect(clock: HostClock, fencingToken: number): Promise<void> {
+		const connectMs = this.connectMsOf(fencingToken);
+		if (connectMs > 0) {
+			await clock.wait(connectMs);
+		}
+	}
+
 	#controlFor(name: string, clock: HostClock): WorkerControl {
 		const sender = {name, clock};
 		const ordering = () => ({...sender, lostRate: this.faults.areOrdersUnanswered === true ? 1 : undefined});
 		return {
-			start: async ({workerId}, order) => this.#deliver<StartAnswer>(ordering(), {type: 'start', workerId, order}, target => target.start(order), 'unknown'),
+			start: async ({workerId}, order, mayBeSent) => {
+				await this.#connect(clock, order.fencingToken);
+				return mayBeSent() ? this.#deliver<StartAnswer>(ordering(), {type: 'start', workerId, order}, target => target.start(order), 'unknown') : 'not-sent';
+			},
 			stop: async ({workerId}, order) => this.#deliver<OrderAnswer>(ordering(), {type: 'stop', workerId, order}, target => target.stop(order), 'unknown'),
 			pace: async ({workerId}, order) => this.#deliver<OrderAnswer>(sender, {type: 'pace', workerId, order}, target => target.pace(order), 'unknown'),
 			poll: async ({workerId}, order) => {
