--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -158,6 +158,7 @@
 	configurationOf(version, {pools: new Map([[pool, {name: pool, isStandby: false, enforcesCapacity: false}]])});
 
 const loseNoOrder: (processName: string, workerId: string) => boolean = () => false;
+const connectAtOnce: (fencingToken: number) => number = () => 0;
 const delayNoCall: (call: SentCall) => number | undefined = () => undefined;
 
 /** How often a process's copy of the operators' rows is confirmed while the store answers. */
@@ -202,7 +203,7 @@
 	/** Returns true if the process's orders do not reach the worker. */
 	isOrderLost = loseNoOrder;
 	/** How long an order under this token waits for a connection before it is sent. */
-	connectMsOf: (fencingToken: number) => number = () => 0;
+	connectMsOf = connectAtOnce;
 	/** Returns how late a call is carried out, without an answer, by the incarnation that its worker has by then; `undefined` for a call that is answered. */
 	lateMsOf = delayNoCall;
 	/** Accepted orders to machines. */
