A worker that drains and is gone at once has not crashed

The end of a draining worker was taken for a crash unless this process had seen it drain for 1.5 s, the shortest notice. That time began when the registration was read, by a copy that may be up to a second old, and later still on one whose path to the store is slow.

Now the end of a worker whose registration says that it drains is never a crash, so the time at which that was noticed is not kept any more. A task that does crash a worker as it drains is not blamed for that run alone: nothing is started on a draining worker, so its next run is elsewhere, and counts.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -54,9 +54,6 @@
 /** A run of this length clears its task of earlier crashes. */
 export const clearedAfterMs = 10_000;
 
-/** A draining worker serves for at least this long; one that is gone earlier has crashed. */
-export const minDrainMs = 1500;
-
 /** How long starts and ends are gathered that share a log line. */
 export const logGatherMs = 50;
 
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -236,8 +236,6 @@
 	isMaintenanceDue: boolean;
 	/** The worker gets no new tasks because its machine is about to be maintained or moved. */
 	isReserved: boolean;
-	/** When this process first saw the worker draining; `undefined` if it does not drain. */
-	drainNoticedAtMs: number | undefined;
 	/** Target pace of all filling tasks on the worker. */
 	fillingPacePercent: number;
 	paceSampledAtMs: number;
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -2,7 +2,7 @@
 Tracks workers: which ones are registered, which ones answer polls, and when everything on a silent worker has definitely ended.
 */
 import {
-	leaseMarginMs, clockDriftFactor, maxLoggedRuns, minDrainMs, workerSilenceTimeoutMs, taskLeaseMs,
+	leaseMarginMs, clockDriftFactor, maxLoggedRuns, workerSilenceTimeoutMs, taskLeaseMs,
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
 import {attributeCrash, giveUpIfExhausted} from './crash-attribution.js';
@@ -52,7 +52,6 @@
 	isEnded: false,
 	isMaintenanceDue: false,
 	isReserved: false,
-	drainNoticedAtMs: entry.isDraining ? nowMs - minDrainMs : undefined,
 	fillingPacePercent: 100,
 	paceSampledAtMs: 0,
 	fillingPausedSinceMs: undefined,
@@ -89,10 +88,6 @@
 			beginIncarnation(state, known, entry.bornWallMs, nowMs);
 		}
 
-		if (hasDrainChanged) {
-			known.drainNoticedAtMs = entry.isDraining ? nowMs : undefined;
-		}
-
 		known.entry = entry;
 		known.isEvacuated = state.evacuations.has(entry.dataCentre);
 	}
@@ -138,7 +133,7 @@
 	}
 
 	// The crash of a worker that was taken for ended has been attributed.
-	const wasLeaving = worker.restart?.wasLeaving ?? (worker.isEnded || isLeaving(state, worker, nowMs));
+	const wasLeaving = worker.restart?.wasLeaving ?? (worker.isEnded || isLeaving(state, worker));
 	worker.restart = {wasLeaving, hasReported: false};
 	reopenStarts(worker, nowMs);
 	worker.incarnation = ++state.incarnationCount;
@@ -225,12 +220,11 @@
 	}
 };
 
-/** Returns true if the worker may have ended because it was drained or its machine was ordered away. */
-const isLeaving = (state: SchedulerState, worker: WorkerRecord, nowMs: number): boolean => {
-	const isDrained = worker.drainNoticedAtMs !== undefined && nowMs - worker.drainNoticedAtMs >= minDrainMs;
+/** Returns true if the worker may have ended because it was drained or its machine was ordered away. How long it has been known to drain tells nothing: its registration may be read only as it leaves. */
+const isLeaving = (state: SchedulerState, worker: WorkerRecord): boolean => {
 	const order = worker.machineId === undefined ? undefined : state.machines.get(worker.machineId)?.order;
 	const isOrderedAway = order?.endsIncarnation?.incarnation === worker.incarnation;
-	return isDrained || isOrderedAway;
+	return worker.entry.isDraining || isOrderedAway;
 };
 
 /** Names the runs with their attempts, ages and phases, the youngest first, and marks those whose start may still be carried out. */
@@ -250,7 +244,7 @@
 
 /** Removes runs of a worker that have definitely ended with an unknown result. */
 export const loseRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number, {
-	reason, lost = [...worker.runs.values()], undecided = [], wasLeaving = isLeaving(state, worker, nowMs),
+	reason, lost = [...worker.runs.values()], undecided = [], wasLeaving = isLeaving(state, worker),
 }: Loss): void => {
 	if (lost.length > 0) {
 		state.emit({
--- a/packages/scheduler/tests/crashing-tasks.test.ts
+++ b/packages/scheduler/tests/crashing-tasks.test.ts
@@ -377,6 +377,12 @@
 		});
 	});
 
+	test('are gone shortly after their drain is read', async () => {
+		await disturbRepeatedly(workerId => {
+			simulation.takeAwayWorker(workerId, 100);
+		});
+	});
+
 	test('are drained and restarted under their ids', async () => {
 		await disturbRepeatedly(workerId => {
 			simulation.announceDrain(workerId);
