A trial that was planned and never begun does not count as a crash

A trial is stored before its start is ordered, so that a holder that dies as the trial crashes its worker does not hide that. The next holder presumes a crash of each trial whose outcome nobody reports. It cannot tell a trial that was never begun from one that crashed its worker, so three holders in a row that plan a trial and are ended make, with the first crash, the four that give a task up.

The plan now names its worker with the time of its birth. A next holder that has had a report of the same incarnation knows that nothing crashed it, and settles the trial; so does one whose registrations say that the worker drains. Weighed: naming trials in the note of the lease; holders that are killed leave none.

--- a/packages/scheduler/src/core/crash-attribution.ts
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -172,11 +172,27 @@
 	}
 };
 
-/** Presumes that the trials of an earlier lease holder whose outcome nobody reports crashed their workers. Called once every worker has reported or its leases have expired. */
+/** Returns true if the trial cannot have crashed the worker that it was planned for: the same incarnation of it has reported in this term, or it drains. */
+const hasSparedWorker = (state: SchedulerState, {crashRecord: {trialWorker}}: Task): boolean => {
+	if (trialWorker === undefined) {
+		return false;
+	}
+
+	const worker = state.workers.get(trialWorker.workerId);
+	return worker?.bornWallMs === trialWorker.bornWallMs && (worker.entry.isDraining || (worker.isFenced && !worker.isEnded));
+};
+
+/** Presumes that the trials of an earlier lease holder whose outcome nobody reports crashed their workers, unless these are known to have gone on. Called once every worker has reported or its leases have expired. */
 export const resolveLostTrials = (state: SchedulerState): void => {
 	for (const job of state.openJobs) {
 		for (const task of stepsOf(job).flatMap(({tasks}) => tasks)) {
-			if (task.phase === 'waiting' && isTrialUnresolved(task.crashRecord)) {
+			if (task.phase !== 'waiting' || !isTrialUnresolved(task.crashRecord)) {
+				continue;
+			}
+
+			if (hasSparedWorker(state, task)) {
+				settleTrial(state, task, task.crashRecord.trialAttempt);
+			} else {
 				state.emit({type: 'log', fields: {event: 'trial_outcome_unknown', taskKey: task.key, attempt: task.crashRecord.trialAttempt}});
 				recordCrash(state, task, {attempt: task.crashRecord.trialAttempt, isObserved: false, wasAlone: true});
 			}
--- a/packages/scheduler/src/core/crash-record.ts
+++ b/packages/scheduler/src/core/crash-record.ts
@@ -44,6 +44,7 @@
 	crashedAttempts: unionOf(a.crashedAttempts, b.crashedAttempts),
 	presumedAttempts: unionOf(a.presumedAttempts, b.presumedAttempts),
 	trialAttempt: Math.max(a.trialAttempt, b.trialAttempt),
+	trialWorker: (a.trialAttempt < b.trialAttempt ? b : a).trialWorker,
 	settledTrialAttempt: Math.max(a.settledTrialAttempt, b.settledTrialAttempt),
 	provenAttempt: Math.max(a.provenAttempt, b.provenAttempt),
 	clearedAttempt: Math.max(a.clearedAttempt, b.clearedAttempt),
--- a/packages/scheduler/src/core/trials.ts
+++ b/packages/scheduler/src/core/trials.ts
@@ -72,8 +72,9 @@
 		worker.trial = trial;
 	}
 
-	for (const task of tasks) {
-		task.crashRecord = {...task.crashRecord, trialAttempt: attempt};
+	for (const [index, task] of tasks.entries()) {
+		const {entry: {workerId}, bornWallMs} = workers[index]!;
+		task.crashRecord = {...task.crashRecord, trialAttempt: attempt, trialWorker: bornWallMs === undefined ? undefined : {workerId, bornWallMs}};
 		state.dirtyJobs.add(task.step.job);
 	}
 
--- a/packages/scheduler/src/jobs/rows.ts
+++ b/packages/scheduler/src/jobs/rows.ts
@@ -103,6 +103,7 @@
 	crashedAttempts: z.array(z.number().int()).default([]),
 	presumedAttempts: z.array(z.number().int()).default([]),
 	trialAttempt: z.number().int().default(0),
+	trialWorker: z.object({workerId: z.string(), bornWallMs: z.number()}).optional(),
 	settledTrialAttempt: z.number().int().default(0),
 	provenAttempt: z.number().int().default(0),
 	clearedAttempt: z.number().int().default(0),
@@ -149,7 +150,7 @@
 
 /** Few jobs have crash records, so the field is left out where it is empty. */
 const crashRecordsToJson = (records: JobProgress['crashRecords']): JsonObject => {
-	const entries = Object.entries(records).map(([key, record]): [string, JsonObject] => [key, withoutDefaults(record)]);
+	const entries = Object.entries(records).map(([key, {trialWorker, ...record}]): [string, JsonObject] => [key, {...withoutDefaults(record), ...(trialWorker === undefined ? {} : {trialWorker})}]);
 	return entries.length === 0 ? {} : {crashRecords: Object.fromEntries(entries)};
 };
 
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -130,6 +130,12 @@
 export type JobOutcome = 'completed' | 'failed' | 'cancelled';
 export type JobState = 'queued' | 'running' | JobOutcome;
 
+/** One incarnation of a worker, as every process knows it. */
+export type WorkerLife = {
+	readonly workerId: string;
+	readonly bornWallMs: number;
+};
+
 /** What is known about crashes of workers under one task. Each field only grows, so that records of two lease holders can be merged. Attempt numbers rise from holder to holder; 0 means none. */
 export type CrashRecord = {
 	/** Attempts that ran on a worker as it crashed and may have caused it. */
@@ -138,6 +144,8 @@
 	readonly presumedAttempts: readonly number[];
 	/** Last attempt that was planned as a trial. It is stored before the start order is sent, so a successor knows of a trial whose outcome it never learns. */
 	readonly trialAttempt: number;
+	/** The worker that the trial was planned for, if it tells when it was born. */
+	readonly trialWorker?: WorkerLife | undefined;
 	/** Last trial that is known to have ended without a crash. */
 	readonly settledTrialAttempt: number;
 	/** Last attempt that its worker was seen to survive for as long as a trial takes. */
--- a/packages/scheduler/tests/crashing-tasks.test.ts
+++ b/packages/scheduler/tests/crashing-tasks.test.ts
@@ -342,6 +342,32 @@
 	});
 });
 
+test('a job is not given up because holders in a row plan its trial and are killed before that begins', async () => {
+	const job = jobWithTasks(1, 1);
+	simulation.fleet.behaviour.runMs = () => 5000;
+	submit(job);
+	await simulation.run(1000);
+	simulation.loseWorkerOf(`${job.jobId}.0.0.0`);
+	const storedTrial = (): number => {
+		const progress = simulation.table.valueOf(progressKey(job.jobId)) as {readonly crashRecords?: Readonly<Record<string, {readonly trialAttempt?: number}>>} | undefined;
+		return progress?.crashRecords?.['0.0.0']?.trialAttempt ?? 0;
+	};
+
+	for (let count = 0; count < 3; count++) {
+		const earlierTrial = storedTrial();
+		for (let waitedMs = 0; storedTrial() === earlierTrial && waitedMs < 9000; waitedMs += 5) {
+			await simulation.run(5);
+		}
+
+		expect(storedTrial()).toBeGreaterThan(earlierTrial);
+		killHolder();
+	}
+
+	expect(simulation.fleet.starts).toHaveLength(1);
+	await simulation.run(20_000);
+	expect(await stateOf(job)).toBe('completed');
+});
+
 describe('a job is not given up because its workers', () => {
 	const job = jobOf(1, {steps: [stepOf({taskCount: 1})]});
 	const taskKey = `${job.jobId}.0.0.0`;
--- a/packages/scheduler/tests/jobs/rows.test.ts
+++ b/packages/scheduler/tests/jobs/rows.test.ts
@@ -30,7 +30,7 @@
 	const taskRecords = {
 		doneTasks: {'0.0': [0, 1, 2]}, failures: {'0.1.0': [1001]}, crashRecords: {
 			'0.1.0': {
-				crashedAttempts: [1001, 1002], presumedAttempts: [1003], trialAttempt: 1002, settledTrialAttempt: 0, provenAttempt: 0, clearedAttempt: 0, isGivenUp: true,
+				crashedAttempts: [1001, 1002], presumedAttempts: [1003], trialAttempt: 1002, trialWorker: {workerId: 'w1', bornWallMs: 900_000}, settledTrialAttempt: 0, provenAttempt: 0, clearedAttempt: 0, isGivenUp: true,
 			},
 		},
 	};
