A machine that was removed or moved has not crashed its worker

Callers would see a job fail, or a lasting task given up, after its machines had been taken away or moved.

A worker that no machine runs any more was taken for crashed unless the list showed its machine as moving or in maintenance just then, or an order of this holder was open. A list that is read late shows only what follows: the machine in its new pool, perhaps with another worker. finishOrder also closes an order of unknown answer by that same list, before the loss is judged. A machine that is not in the list at all was taken for crashed as well, though one that has crashed is listed as down.

Now a machine in another pool than its worker counts as ordered away, and one that is missing as removed (runs_lost reason=machine-removed).

An upkeep that begins and ends between two lists is not told from a crash: the machine stays in its pool.

--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -198,10 +198,15 @@
 	}
 };
 
-/** Tells a crash of one worker from an order of an earlier lease holder and from the loss of a whole rack, for which no task is to blame. */
+/** Tells a crash of one worker from an order of this or an earlier lease holder, from the removal of the machine, and from the loss of a whole rack, for which no task is to blame. */
 const lossReasonOf = (state: SchedulerState, worker: WorkerRecord, ended: readonly WorkerRecord[]): LossReason => {
 	const machine = worker.machineId === undefined ? undefined : state.machines.get(worker.machineId);
-	if (machine?.entry.state === 'moving' || machine?.entry.state === 'maintenance') {
+	if (worker.machineId !== undefined && machine === undefined) {
+		return 'machine-removed';
+	}
+
+	// A list that was read late shows a move by the new pool alone.
+	if (machine?.entry.state === 'moving' || machine?.entry.state === 'maintenance' || (machine !== undefined && machine.entry.pool !== worker.entry.pool)) {
 		return 'machine-ordered-away';
 	}
 
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -170,7 +170,7 @@
 export const isPresent = ({worker, incarnation}: WorkerIncarnation): boolean => worker.incarnation === incarnation;
 
 /** Why a worker's runs ended with an unknown result. */
-export type LossReason = 'machine-ordered-away' | 'machine-runs-another-worker' | 'rack-lost' | 'worker-restarted' | 'worker-replaced' | 'silent-past-lease' | 'unlisted-past-lease';
+export type LossReason = 'machine-ordered-away' | 'machine-removed' | 'machine-runs-another-worker' | 'rack-lost' | 'worker-restarted' | 'worker-replaced' | 'silent-past-lease' | 'unlisted-past-lease';
 
 /** A worker that is gone for one of these reasons has crashed, unless it was leaving. */
 const crashReasons: ReadonlySet<LossReason> = new Set(['machine-runs-another-worker', 'worker-restarted', 'worker-replaced']);
--- a/packages/scheduler/tests/crashing-tasks.test.ts
+++ b/packages/scheduler/tests/crashing-tasks.test.ts
@@ -418,6 +418,20 @@
 		});
 	});
 
+	test('are removed with their machines', async () => {
+		await disturbRepeatedly(workerId => {
+			simulation.removeWorker(workerId);
+		});
+	});
+
+	test('are lost by moves of their machines that are over when the list is read', async () => {
+		await disturbRepeatedly(workerId => {
+			const machine = [...simulation.machines.values()].find(({entry}) => entry.workerId === workerId)!;
+			machine.entry = {...machine.entry, pool: 'elsewhere', workerId: undefined};
+			simulation.crashWorker(workerId);
+		});
+	});
+
 	test('are lost with their whole rack', async () => {
 		await disturbRepeatedly(workerId => {
 			simulation.loseRack(simulation.fleet.workers.get(workerId)!.entry.rack);
