--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -54,9 +54,6 @@
 /** A run of this length clears its task of earlier crashes. */
 export const clearedAfterMs = 10_000;
 
-/** A draining worker serves for at least this long; one that is gone earlier has crashed. */
-export const minDrainMs = 1500;
-
 /** How long starts and ends are gathered that share a log line. */
 export const logGatherMs = 50;
 
@@ -67,6 +64,13 @@
 export const maxCrashesInTrial = 2;
 export const maxCrashes = 3;
 
+/** Workers that crash within this time of each other may have been lost to one cause outside of their tasks. A task is given up this long after its last crash, when that is known. */
+export const sharedLossMs = 500;
+
+/** How many others, and which share of all workers, must have crashed as well for that. */
+export const minSharedLosses = 3;
+export const sharedLossShare = 0.05;
+
 /** Number of crashes after which a task is given up although some of them are only presumed. */
 export const maxPossibleCrashes = 4;
 
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -11,7 +11,7 @@
 import {type SchedulerState} from './scheduler-state.js';
 import {stepDown} from './terms.js';
 import {
-	endWorker, isPresent, loseRuns, type LossReason, presentIncarnation, returnToService, splitByReturn,
+	endWorker, isPresent, loseRuns, type LossReason, noteCrash, presentIncarnation, returnToService, splitByReturn,
 } from './workers.js';
 
 /** A list of machines, and when it was requested and arrived. One that is not of one moment may lack a machine that is there. */
@@ -186,6 +186,11 @@
 	}
 
 	const losses = [...ended].filter(([{isEnded}]) => !isEnded).map(([worker, sinceMs], _index, all) => ({worker, sinceMs, reason: lossReasonOf(state, worker, all.map(([other]) => other))}));
+	// Whether a crash was shared is judged with all of the list's.
+	for (const {worker, reason} of losses) {
+		noteCrash(state, worker, nowMs, {reason});
+	}
+
 	for (const {worker, sinceMs, reason} of losses) {
 		const ordered = [...worker.runs.values()].filter(({orderedAtMs, startedAtMs = sinceMs}) => orderedAtMs <= sinceMs && startedAtMs <= sinceMs);
 		if (ordered.length === worker.runs.size) {
@@ -198,10 +203,15 @@
 	}
 };
 
-/** Tells a crash of one worker from an order of an earlier lease holder and from the loss of a whole rack, for which no task is to blame. */
+/** Tells a crash of one worker from an order of this or an earlier lease holder, from the removal of the machine, and from the loss of a whole rack, for which no task is to blame. */
 const lossReasonOf = (state: SchedulerState, worker: WorkerRecord, ended: readonly WorkerRecord[]): LossReason => {
 	const machine = worker.machineId === undefined ? undefined : state.machines.get(worker.machineId);
-	if (machine?.entry.state === 'moving' || machine?.entry.state === 'maintenance') {
+	if (worker.machineId !== undefined && machine === undefined) {
+		return 'machine-removed';
+	}
+
+	// A list that was read late shows a move by the new pool alone.
+	if (machine?.entry.state === 'moving' || machine?.entry.state === 'maintenance' || (machine !== undefined && machine.entry.pool !== worker.entry.pool)) {
 		return 'machine-ordered-away';
 	}
 
