An empty answer does not confirm a copy that is behind the newest revision

A refresh reads the newest revision beside the changes, and took an answer without changes for the whole also where it ended before that revision. A table service that is slow to tell its watchers of changes, as the users' disruptions include for about a second, so made a term begin with a copy that lacks stored ends.

Evidence: the new test of table-replica.test.ts resolves without the row on the code before.

--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -35,6 +35,12 @@
 	readonly log?: Logger;
 };
 
+/** How long a call waits for changes that the table service owes, once it has answered twice without them. */
+const behindWaitMs = 50;
+
+/** Number of such answers after which the copy is used as it is. */
+const maxEmptyAnswers = 40;
+
 /** The default of `maxConfirmationAgeMs`, as a multiple of the time that a call waits. */
 const defaultConfirmationAgeFactor = 2;
 
@@ -198,7 +204,7 @@
 			[newestRevision, outcome] = await Promise.all([this.#options.table.readRevision(), this.#readPage(0, pages)]);
 		}
 
-		while (outcome !== 'whole') {
+		for (let emptyAnswers = 0; ;) {
 			if (outcome === 'listed') {
 				newestRevision = await this.#options.table.readRevision();
 			}
@@ -207,7 +213,16 @@
 				break;
 			}
 
-			outcome = await this.#readPage(0, pages);
+			// An answer without changes that ends before the newest revision says only that the table service has not told of them yet.
+			emptyAnswers += outcome === 'whole' ? 1 : 0;
+			if (emptyAnswers > maxEmptyAnswers) {
+				this.#log.warn({
+					event: 'changes_not_told', prefix: this.#options.prefix, revision: this.#revision, newestRevision,
+				});
+				break;
+			}
+
+			outcome = await this.#readPage(emptyAnswers > 1 ? behindWaitMs : 0, pages);
 		}
 
 		this.#isWhole = true;
--- a/packages/state/tests/replicas/table-replica.test.ts
+++ b/packages/state/tests/replicas/table-replica.test.ts
@@ -331,3 +331,20 @@
 	replica.stop();
 	expect([...rows.keys()]).toEqual([]);
 });
+
+test('an answer without changes does not confirm a copy that is behind the newest revision', async () => {
+	let calls = 0;
+	const {replica, rows} = replicaOf({
+		listRows: async () => ({rows: [], revision: 3}),
+		readRevision: async () => calls === 0 ? 3 : 5,
+		async waitForChanges(revision) {
+			calls++;
+			const isTold = calls > 4;
+			return {changes: isTold ? [{key: 'jobs/a', value: 'done', version: 5}] : [], revision: isTold ? 5 : revision, hasMore: isTold};
+		},
+	});
+	await replica.refresh();
+	calls = 1;
+	await replica.refresh();
+	expect([...rows]).toEqual([['jobs/a', 'done']]);
+});
