Soak: TWICE counts ends that were listed for 100 ms before their lease lapsed or their worker crashed, and starts of completed jobs

- An end counts as taken note of 100 ms after it was listed with no disruption near, and a lapse of the lease ends that only if it comes before ("that stands for good" is said of what lies between the end and its being taken note of).
The soak forgave every end with a lapse, however long it had been listed.
- The same for an end that is listed and never acknowledged while its worker stays, which was passed over, and for a crash over `contact_ms` after the 100 ms.
A crash within that time is a disruption near it.
- A disruption counts as near up to `contact_ms` after the 100 ms, not up to whenever the worker leaves.
- A start by a daemon in touch, not carried out late, over a second after the job was shown as `completed`.
It was not judged.

Ends that an order for their machine took along count as before.

`hasLapsed` is `lapsedAtMs` now; the tests that named it name the new field.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -4,7 +4,7 @@
 import {type Deployment} from './deployment.js';
 import {type LastingSteps, type Span} from './lasting-steps.js';
 import {
-	isLasting, isListedLongAndLost, isNoted, type Job, type Look, occurrencesOf, parseTask, type Run,
+	isLasting, isListedLong, isNoted, type Job, keptUntilMs, type Look, notedAfterListingMs, occurrencesOf, parseTask, type Run,
 } from './ledger.js';
 import {bounds, maxAttempts, workerCapacity} from './settings.js';
 import {type Troubles} from './troubles.js';
@@ -34,20 +34,18 @@
 /** Time after which an answer about an ended job is no longer owed. */
 const statusMs = bounds.status_s * 1000;
 
-const describeAcknowledgement = ({deployment: {record}}: Evidence, {notedAtMs, listedAtMs, lostAtMs, lostBy}: Run): string => {
-	if (notedAtMs !== undefined) {
-		return `acknowledged at ${record.secondsAt(notedAtMs)}`;
-	}
-
-	const listing = listedAtMs === undefined ? 'not listed' : `listed at ${record.secondsAt(listedAtMs)} and not acknowledged`;
-	return lostAtMs === undefined ? listing : `${listing}, worker ${lostBy} at ${record.secondsAt(lostAtMs)}`;
-};
+const describeAcknowledgement = ({deployment: {record}}: Evidence, {notedAtMs, listedAtMs, lapsedAtMs, lostAtMs, lostBy}: Run): string => [
+	listedAtMs === undefined ? 'not listed' : `listed at ${record.secondsAt(listedAtMs)}`,
+	notedAtMs === undefined ? 'not acknowledged' : `acknowledged at ${record.secondsAt(notedAtMs)}`,
+	...(lapsedAtMs === undefined ? [] : [`lease lapsed at ${record.secondsAt(lapsedAtMs)}`]),
+	...(lostAtMs === undefined ? [] : [`worker ${lostBy} at ${record.secondsAt(lostAtMs)}`]),
+].join(', ');
 
 const describeRun = (evidence: Evidence, run: Run): string => {
 	const {deployment} = evidence;
-	const {task, attempt, worker, fence, startedAtMs, endedAtMs, how} = run;
+	const {task, attempt, worker, fence, startedAtMs, isLate, endedAtMs, how} = run;
 	return [
-		`${task}#${attempt} on ${worker} by ${deployment.daemonOfFence(fence)?.name} (fencing token ${fence}), from ${deployment.record.secondsAt(startedAtMs)}`,
+		`${task}#${attempt} on ${worker} by ${deployment.daemonOfFence(fence)?.name} (fencing token ${fence}), ${isLate ? 'late, ' : ''}from ${deployment.record.secondsAt(startedAtMs)}`,
 		endedAtMs === undefined ? 'still at work' : `until ${deployment.record.secondsAt(endedAtMs)} ${how}`,
 		describeAcknowledgement(evidence, run),
 	].join(', ');
@@ -55,15 +53,46 @@
 
 const jobOf = ({deployment: {ledger}}: Evidence, run: Run): Job | undefined => ledger.jobs.get(parseTask(run.task).id);
 
-/** Whether an end that was listed for 100 ms counts though its worker went with it: if the daemons ordered the machine away, or if the worker left by itself with nothing but planned work near. A crash is a disruption. */
-const countsThoughLost = ({troubles}: Evidence, run: Run): boolean => isListedLongAndLost(run)
-	&& (run.lostBy === 'ordered away' || (run.lostBy === 'left' && troubles.hasOnlyPlannedWork(run.listedAtMs!, run.lostAtMs!)));
+/** Whether an end counts since it was listed for 100 ms: always if the daemons then ordered its machine away, otherwise with nothing but planned work near. A crash that follows the listing is a disruption near it. */
+const countsByListing = ({troubles}: Evidence, run: Run): boolean => {
+	if (!isListedLong(run)) {
+		return false;
+	}
+
+	const {listedAtMs = Number.NaN, lapsedAtMs, lostBy} = run;
+	const isLost = lapsedAtMs === undefined;
+	const nearUntilMs = listedAtMs + notedAfterListingMs + bounds.contact_ms;
+	if (isLost && lostBy === 'crashed' && keptUntilMs(run) <= nearUntilMs) {
+		return false;
+	}
+
+	return (isLost && lostBy === 'ordered away') || troubles.hasOnlyPlannedWork(listedAtMs, Math.min(keptUntilMs(run), nearUntilMs));
+};
 
-const isTakenNoteOf = (evidence: Evidence, run: Run): boolean => isNoted(run) || countsThoughLost(evidence, run);
+const isTakenNoteOf = (evidence: Evidence, run: Run): boolean => isNoted(run) || countsByListing(evidence, run);
+
+/** Time after which no daemon in touch may start a task of a job that was shown as completed. */
+const afterCompletedMs = 1000;
+
+/** When each job was first shown as completed. */
+const completedTimes = ({deployment: {ledger}}: Evidence): ReadonlyMap<string, number> => {
+	const times = new Map<string, number>();
+	for (const {job, atMs} of ledger.looks.filter(({state}) => state === 'completed')) {
+		times.set(job.id, Math.min(times.get(job.id) ?? Number.POSITIVE_INFINITY, atMs));
+	}
+
+	return times;
+};
+
+const isStarterInTouch = ({deployment, troubles}: Evidence, {fence, startedAtMs}: Run): boolean => {
+	const starter = deployment.daemonOfFence(fence)?.name;
+	return starter !== undefined && troubles.isInTouch(starter, startedAtMs, startedAtMs);
+};
 
-/** Two runs of one task at once, or a start after an end `done` that is taken note of then or later. */
+/** Two runs of one task at once, a start after an end `done` that is taken note of then or later, or one by a daemon in touch over a second after the job was shown as completed. */
 const checkTwice: Check = evidence => {
 	const {ledger} = evidence.deployment;
+	const completed = completedTimes(evidence);
 	const broken: string[] = [];
 	for (const runs of ledger.runsByTask.values()) {
 		for (const run of runs) {
@@ -73,6 +102,8 @@
 				broken.push(`two at once: ${describeRun(evidence, earlier)}; ${describeRun(evidence, run)}`);
 			} else if (done !== undefined) {
 				broken.push(`started after its end: ${describeRun(evidence, done)}; ${describeRun(evidence, run)}`);
+			} else if (run.startedAtMs > (completed.get(parseTask(run.task).id) ?? Number.POSITIVE_INFINITY) + afterCompletedMs && !run.isLate && isStarterInTouch(evidence, run)) {
+				broken.push(`started after its job was shown as completed: ${describeRun(evidence, run)}`);
 			}
 		}
 	}
@@ -283,28 +314,28 @@
 
 /** Why nobody had to take note of an end. */
 const reasonNotTaken = (run: Run): string => {
-	if (run.hasLapsed) {
-		return 'with a lease that lapsed';
+	if (run.lapsedAtMs !== undefined) {
+		return run.wasIdleAtLapse ? 'with a lease that lapsed while the worker ran nothing' : 'with a lease that lapsed';
 	}
 
 	const loss = `on a worker that ${run.lostBy === undefined ? 'is there' : (run.lostBy === 'ordered away' ? 'was ordered away' : run.lostBy)}`;
-	return isListedLongAndLost(run) ? `listed for 100 ms, ${loss}` : `not listed for 100 ms, ${loss}`;
+	return isListedLong(run) ? `listed for 100 ms, ${loss}` : `not listed for 100 ms, ${loss}`;
 };
 
-/** Starts after an end `done` that the check TWICE passes over, counted by the reason. No rule is judged by them. */
-export const startsAfterOtherEnds = (evidence: Evidence): ReadonlyMap<string, number> => {
-	const counts = new Map<string, number>();
+/** Starts after an end `done` that the check TWICE passes over, by the reason. No rule is judged by them. */
+export const startsAfterOtherEnds = (evidence: Evidence): ReadonlyMap<string, readonly string[]> => {
+	const starts = new Map<string, string[]>();
 	for (const runs of evidence.deployment.ledger.runsByTask.values()) {
 		for (const run of runs) {
 			const ends = runs.filter(({how, endedAtMs}) => how === 'done' && endedAtMs! < run.startedAtMs);
 			if (ends.length > 0 && !ends.some(end => isTakenNoteOf(evidence, end))) {
 				const reason = reasonNotTaken(ends[0]!);
-				counts.set(reason, (counts.get(reason) ?? 0) + 1);
+				starts.set(reason, [...(starts.get(reason) ?? []), `${describeRun(evidence, ends[0]!)}; ${describeRun(evidence, run)}`]);
 			}
 		}
 	}
 
-	return counts;
+	return starts;
 };
 
 export const checks: Readonly<Record<string, Check>> = {
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -56,6 +56,8 @@
 	/** The worker's service. */
 	readonly service: string;
 	readonly startedAtMs: number;
+	/** Whether the order was carried out late. */
+	readonly isLate: boolean;
 	/** Millicores and megabytes in use on the worker with this run, for the check of its capacity. */
 	readonly usedCpu: number;
 	readonly usedMemoryMb: number;
@@ -65,8 +67,10 @@
 	sequence: number | undefined;
 	/** When the end was acknowledged. */
 	notedAtMs: number | undefined;
-	/** True if the worker's lease lapsed between the end and its acknowledgement. */
-	hasLapsed: boolean;
+	/** When the worker's lease lapsed between the end and its acknowledgement. */
+	lapsedAtMs: number | undefined;
+	/** Whether the worker ran nothing then. */
+	wasIdleAtLapse: boolean;
 	/** When an answer of the worker first listed the end. */
 	listedAtMs: number | undefined;
 	/** When and how its worker went, which kept the end until then. */
@@ -106,14 +110,16 @@
 export const occurrencesOf = (job: Job): number => job.body.repeat_count ?? 1;
 
 /** An end that was acknowledged, with the worker's lease in force all the while. */
-export const isNoted = (run: Run): boolean => run.notedAtMs !== undefined && !run.hasLapsed;
+export const isNoted = (run: Run): boolean => run.notedAtMs !== undefined && run.lapsedAtMs === undefined;
 
-/** By the users' rules an end counts as acknowledged this long after its worker has listed it. */
-const notedAfterListingMs = 100;
+/** By the users' rules an end counts as acknowledged this long after its worker has listed it, with no disruption near. */
+export const notedAfterListingMs = 100;
 
-/** An end that was listed for so long, and went with its worker before it was acknowledged. */
-export const isListedLongAndLost = ({notedAtMs, hasLapsed, listedAtMs = Number.POSITIVE_INFINITY, lostAtMs = Number.NEGATIVE_INFINITY}: Run): boolean =>
-	notedAtMs === undefined && !hasLapsed && listedAtMs + notedAfterListingMs <= lostAtMs;
+/** Until when the worker kept the end with its lease in force. */
+export const keptUntilMs = ({lapsedAtMs = Number.POSITIVE_INFINITY, lostAtMs = Number.POSITIVE_INFINITY}: Run): number => Math.min(lapsedAtMs, lostAtMs);
+
+/** An end that was listed for so long. */
+export const isListedLong = (run: Run): boolean => run.listedAtMs !== undefined && run.listedAtMs + notedAfterListingMs <= keptUntilMs(run);
 
 export class Ledger {
 	readonly jobs = new Map<string, Job>();
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -61,7 +61,11 @@
 		return [`  ${result} ${rule} (${judged} ${what}, ${broken.length} broken)`, ...shown];
 	});
 	const failed = results.filter(({broken}) => broken.length > 0).length;
-	const others = [...startsAfterOtherEnds(evidence)].map(([reason, count]) => `  seen   ${count} starts after an end as done that nobody had to take note of, ${reason}`);
+	const others = [...startsAfterOtherEnds(evidence)].map(([reason, starts]) => `  seen   ${starts.length} starts after an end as done that nobody had to take note of, ${reason}`);
+	for (const text of [...startsAfterOtherEnds(evidence)].flatMap(([reason, starts]) => starts.map(start => `${reason}: ${start}`))) {
+		evidence.deployment.record.add(`seen, ${text}`);
+	}
+
 	const {daemons, quota, machines: {standstillsMs}} = evidence.deployment;
 	const seen = [
 		...describeCounts(daemons),
--- a/soak/tests/checks.test.ts
+++ b/soak/tests/checks.test.ts
@@ -22,8 +22,8 @@
 });
 
 const runWith = (fields: Partial<Run> = {}): Run => ({
-	task: 'a.0.0.0', attempt: 1, spec, fence: 1, worker: 'w', service: queues[0].name, startedAtMs: 100, usedCpu: 1500, usedMemoryMb: 500,
-	endedAtMs: 400, how: 'done', sequence: 1, notedAtMs: 450, hasLapsed: false, listedAtMs: undefined, lostAtMs: undefined, lostBy: undefined, ...fields,
+	task: 'a.0.0.0', attempt: 1, spec, fence: 1, worker: 'w', service: queues[0].name, startedAtMs: 100, isLate: false, usedCpu: 1500, usedMemoryMb: 500,
+	endedAtMs: 400, how: 'done', sequence: 1, notedAtMs: 450, lapsedAtMs: undefined, wasIdleAtLapse: false, listedAtMs: undefined, lostAtMs: undefined, lostBy: undefined, ...fields,
 });
 
 /** Two runs, of which the first has ended on a worker whose machine was ordered away, or that went in another way. */
@@ -33,6 +33,9 @@
 	}), runWith({attempt: 2, startedAtMs: 1000, endedAtMs: 1200}),
 ];
 
+/** Two runs, of which the first has ended on a worker that stays. */
+const runsBesideEnd = (fields: Partial<Run>): readonly Run[] => [runWith({listedAtMs: 410, ...fields}), runWith({attempt: 2, startedAtMs: 700, endedAtMs: 800})];
+
 const lookWith = (fields: Partial<Look> = {}): Look => ({
 	job: jobWith(), daemon: 'd', atMs: 50_000, status: 200, state: 'completed', isDone: true, hasFailed: false, ...fields,
 });
@@ -103,7 +106,17 @@
 		['TWICE', 'the same 3 s after the store was away', {runs: runsBesideLoss(510, {lostBy: 'left'}), troubles: [{...trouble, fromMs: -9000, toMs: -2591}]}, 1],
 		['TWICE', 'a start after an end that was listed for less when its worker left', {runs: runsBesideLoss(509, {lostBy: 'left'})}, 0],
 		['TWICE', 'a start after an end that was listed for 100 ms when its worker crashed', {runs: runsBesideLoss(510, {lostBy: 'crashed'})}, 0],
-		['TWICE', 'a start after an end whose lease lapsed', {runs: [runWith({hasLapsed: true}), runWith({attempt: 2, startedAtMs: 500, endedAtMs: 800})]}, 0],
+		['TWICE', 'a start after an end whose lease lapsed', {runs: [runWith({lapsedAtMs: 420}), runWith({attempt: 2, startedAtMs: 500, endedAtMs: 800})]}, 0],
+		['TWICE', 'a start after an end that was listed for 100 ms when its lease lapsed', {runs: runsBesideEnd({lapsedAtMs: 510})}, 1],
+		['TWICE', 'the same beside a store that is away', {runs: runsBesideEnd({lapsedAtMs: 510}), troubles: [trouble]}, 0],
+		['TWICE', 'a start after an end that is listed and not acknowledged', {runs: runsBesideEnd({notedAtMs: undefined})}, 1],
+		['TWICE', 'the same within 3 s before a store is away', {runs: runsBesideEnd({notedAtMs: undefined}), troubles: [{...trouble, fromMs: 3510}]}, 0],
+		['TWICE', 'the same over 3 s before a store is away', {runs: runsBesideEnd({notedAtMs: undefined}), troubles: [{...trouble, fromMs: 3511}]}, 1],
+		['TWICE', 'a start after an end that was listed for over 3 s when its worker crashed', {runs: runsBesideLoss(3511, {lostBy: 'crashed'})}, 1],
+		['TWICE', 'a start over 1 s after the job was shown as completed', {runs: [runWith({startedAtMs: 1501, endedAtMs: 1700})], looks: [lookWith({atMs: 500})]}, 1],
+		['TWICE', 'the same by a daemon that is not in touch', {runs: [runWith({startedAtMs: 1501, endedAtMs: 1700})], looks: [lookWith({atMs: 500})], troubles: [trouble]}, 0],
+		['TWICE', 'the same by an order that was carried out late', {runs: [runWith({startedAtMs: 1501, endedAtMs: 1700, isLate: true})], looks: [lookWith({atMs: 500})]}, 0],
+		['TWICE', 'a start within 1 s after the job was shown as completed', {runs: [runWith({startedAtMs: 1500, endedAtMs: 1700})], looks: [lookWith({atMs: 500})]}, 0],
 		['TWICE', 'a start after a run that was stopped', {runs: [runWith({how: 'stopped'}), runWith({attempt: 2, startedAtMs: 500, endedAtMs: 800})]}, 0],
 		['ORDER', 'a start before the step in `after` is done', {runs: [runWith(), runWith({task: 'a.0.1.0', startedAtMs: 399})]}, 1],
 		['ORDER', 'a start after the step in `after` is done', {runs: [runWith(), runWith({task: 'a.0.1.0', startedAtMs: 401})]}, 0],
@@ -158,10 +171,11 @@
 	['listed for 100 ms, on a worker that left', {lostBy: 'left', notedAtMs: undefined}],
 	['not listed for 100 ms, on a worker that was ordered away', {lostAtMs: 509}],
 	['not listed for 100 ms, on a worker that left', {listedAtMs: undefined, lostBy: 'left'}],
-	['with a lease that lapsed', {hasLapsed: true}],
+	['with a lease that lapsed', {lapsedAtMs: 420}],
+	['with a lease that lapsed while the worker ran nothing', {lapsedAtMs: 420, wasIdleAtLapse: true}],
 ] as const)('a start after an end as done that nobody had to take note of is counted: %s', (reason, fields) => {
-	const counts = startsAfterOtherEnds(evidenceWith({runs: runsBesideLoss(510, fields), troubles: [trouble]}));
-	expect([...counts]).toEqual([[reason, 1]]);
+	const starts = startsAfterOtherEnds(evidenceWith({runs: runsBesideLoss(510, fields), troubles: [trouble]}));
+	expect([...starts].map(([each, {length}]) => [each, length])).toEqual([[reason, 1]]);
 });
 
 it('a start after an end that is taken note of is no such start', () => {
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -30,7 +30,7 @@
 	ack_cursor: z.number().default(0),
 	wait_ms: z.number().int().max(maxHoldWaitMs).default(0),
 });
-type Order = z.infer<typeof orderSchema>;
+type Order = z.infer<typeof orderSchema> & {readonly isLate?: boolean};
 
 /** A run that is at work, with times of its worker's clock. */
 type ActiveRun = {
@@ -217,8 +217,9 @@
 		const nowMs = this.#clockMs;
 		const hasLapsed = nowMs >= this.#incarnation.deadlineMs;
 		if (hasLapsed) {
-			for (const run of this.#incarnation.unacknowledged) {
-				run.hasLapsed = true;
+			for (const run of this.#incarnation.unacknowledged.filter(({lapsedAtMs}) => lapsedAtMs === undefined)) {
+				run.lapsedAtMs = performance.now();
+				run.wasIdleAtLapse = this.#incarnation.active.size === 0;
 			}
 		}
 
@@ -284,7 +285,7 @@
 			this.#lateCalls++;
 			setTimeout(() => {
 				this.#lateCalls--;
-				void this.#carryOut(path, order);
+				void this.#carryOut(path, {...order, isLate: true});
 			}, lateMs);
 			return 'silence';
 		}
@@ -369,7 +370,7 @@
 		return {status: 200, body: {clock_ms: nowMs}};
 	}
 
-	#run({task, attempt, spec, fencing_token: fence}: Order, nowMs: number): void {
+	#run({task, attempt, spec, fencing_token: fence, isLate = false}: Order, nowMs: number): void {
 		const {ledger, record} = this.#options;
 		const {id, step: stepNumber, index} = parseTask(task);
 		const job = ledger.jobs.get(id);
@@ -378,16 +379,18 @@
 		const memoryMb = step?.mem_mb ?? 0;
 		const others = [...this.#incarnation.active.values()];
 		const run: Run = {
-			task, attempt, spec, fence, worker: this.id, service: this.#options.service, startedAtMs: performance.now(),
-			usedCpu: others.reduce((sum, other) => sum + other.cpu, cpu), usedMemoryMb: others.reduce((sum, other) => sum + other.memoryMb, memoryMb),
-			endedAtMs: undefined, how: undefined, sequence: undefined, notedAtMs: undefined, hasLapsed: false, listedAtMs: undefined, lostAtMs: undefined, lostBy: undefined,
+			task, attempt, spec, fence, worker: this.id, service: this.#options.service, startedAtMs: performance.now(), isLate,
+			usedCpu: others.reduce((sum, other) => sum + other.cpu, cpu),
+			usedMemoryMb: others.reduce((sum, other) => sum + other.memoryMb, memoryMb),
+			endedAtMs: undefined, how: undefined, sequence: undefined, notedAtMs: undefined, lapsedAtMs: undefined, wasIdleAtLapse: false,
+			listedAtMs: undefined, lostAtMs: undefined, lostBy: undefined,
 		};
 		this.#incarnation.active.set(task, {
 			run, beganMs: nowMs, endsMs: step?.persistent ? Number.POSITIVE_INFINITY : nowMs + (job?.workMs ?? 0),
 			isFailing: index === 0 && ledger.failedRuns(task) < (job?.failures ?? 0), cpu, memoryMb, isServing: step?.target_ms !== undefined, stopsMs: undefined,
 		});
 		ledger.addRun(run);
-		record.add(`${this.id} ${task}#${attempt} starts, fencing token ${fence}`);
+		record.add(`${this.id} ${task}#${attempt} starts${isLate ? ' late' : ''}, fencing token ${fence}`);
 	}
 
 	#stop({task, attempt}: Order): Answer {
