Soak: all daemons are killed at once, stand still at any instruction, and pass the lease to and fro

- `killall` kills all daemons, which are back after 0.6 to 1.6 s.
`--closings` plays it after the traffic, again and again, each time up to 60 ms after a job was accepted.
- `standstill` pauses single daemons, half of the time the holder, for 20 ms to 3 s each, several a second, beside all other kinds.
- `toandfro` takes the lease from two to four holders by SIGTERM and by a pause of 0.8 to 1.5 s in turn.

All three are drawn only where they are named. Pauses of one process are counted, so that it goes on once all that paused it have resumed it.

--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -60,6 +60,7 @@
 	#throttled: ThrottledProcess | undefined;
 	#isEndExpected = false;
 	#isClosed = false;
+	#pauses = 0;
 	#misses = 0;
 	#probeTimer: NodeJS.Timeout | undefined;
 
@@ -81,6 +82,11 @@
 		return this.#misses < missesUntilOut || this.clients.hasConnection;
 	}
 
+	/** Whether the process has been told to end and has not ended yet. */
+	get isStopping(): boolean {
+		return this.#isEndExpected && this.#child?.exitCode === null && this.#child.signalCode === null;
+	}
+
 	spawn(): void {
 		if (this.#isClosed) {
 			return;
@@ -94,6 +100,7 @@
 		});
 		closeSync(log);
 		this.#child = child;
+		this.#pauses = 0;
 		this.#throttled = this.#quota?.apply(child);
 		child.once('exit', (code, signal) => {
 			this.#record.add(`${this.name} ends with ${signal ?? code}`);
@@ -120,6 +127,24 @@
 		}
 	}
 
+	/** Pauses the process, and returns what resumes it. It goes on once all that paused it have resumed it. */
+	pause(): () => void {
+		const child = this.#child;
+		this.#pauses++;
+		if (this.#pauses === 1) {
+			this.signal('SIGSTOP');
+		}
+
+		return () => {
+			if (child === this.#child) {
+				this.#pauses--;
+				if (this.#pauses === 0) {
+					this.signal('SIGCONT');
+				}
+			}
+		};
+	}
+
 	/** Sends SIGTERM, and SIGKILL after `grace_s`. Resolves once the process has ended. */
 	async terminate(): Promise<void> {
 		const killTimer = setTimeout(() => {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -24,6 +24,7 @@
 	.option('cpuQuota', {type: 'number', default: 0, describe: 'Share of a core that each daemon may use; 0 for no limit'})
 	.option('troubles', {type: 'string', default: defaultKinds.join(','), describe: 'Kinds of troubles, drawn in turn; a kind may stand more than once'})
 	.option('series', {type: 'number', default: 1, describe: 'Series of troubles side by side'})
+	.option('closings', {type: 'number', default: 0, describe: 'How often all daemons are killed at once after the traffic'})
 	.option('out', {type: 'string', describe: 'Folder that keeps the logs of the daemons and the record'})
 	.check(({cpuQuota}) => cpuQuota >= 0 || 'the processor quota is negative')
 	.check(({troubles}) => {
@@ -56,9 +57,9 @@
 };
 
 const playMany = async (): Promise<void> => {
-	const {durationMs, daemons, workers, jobsPerSecond, feedCut, cpuQuota, troubles, series} = parsed;
+	const {durationMs, daemons, workers, jobsPerSecond, feedCut, cpuQuota, troubles, series, closings} = parsed;
 	const passedOn = Object.entries({
-		durationMs, daemons, workers, jobsPerSecond, feedCut, cpuQuota, troubles, series,
+		durationMs, daemons, workers, jobsPerSecond, feedCut, cpuQuota, troubles, series, closings,
 	}).flatMap(([name, value]) => [`--${name}`, String(value)]);
 	const failedSeeds = await playSeeds({
 		firstSeed: parsed.seed, count: parsed.seeds, parallel: parsed.parallel, options: passedOn, out: parsed.out,
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -20,6 +20,8 @@
 	readonly troubles: readonly string[];
 	/** Series of troubles that go on side by side. */
 	readonly series: number;
+	/** How often all daemons are killed at once after the traffic, each time just after a job was accepted. */
+	readonly closings: number;
 };
 
 export type SoakReport = {
@@ -36,12 +38,33 @@
 /** Time that a run may take beyond its traffic. */
 const maxOverrunMs = 120_000;
 
+const maxClosingMs = 40_000;
+
 /** Separates the sequences that are drawn from one seed. */
 const streams = {
-	jobs: 1, calls: 2, troubles: 3, cuts: 4, lastingSteps: 5,
+	jobs: 1, calls: 2, troubles: 3, cuts: 4, lastingSteps: 5, closings: 6,
 } as const;
 const randomOf = (seed: number, stream: keyof typeof streams): SeededRandom => new SeededRandom((seed * 16) + streams[stream]);
 
+/** Time for which jobs are handed in before each closing, and the longest time from the acceptance of its last job to the loss of all daemons. */
+const beforeClosingMs = 1500;
+const maxAfterAcceptanceMs = 60;
+
+/** Hands in jobs and kills all daemons just after the last of them was accepted, again and again. */
+const closeOften = async ({closings, jobsPerSecond, seed}: SoakOptions, traffic: Traffic, troubles: Troubles): Promise<void> => {
+	const random = randomOf(seed, 'closings');
+	for (let left = closings; left > 0; left--) {
+		traffic.start(jobsPerSecond, Date.now() + beforeClosingMs);
+		await sleep(beforeClosingMs);
+		traffic.stop();
+		await traffic.submitLast();
+		await sleep(random.next() * maxAfterAcceptanceMs);
+		await troubles.close();
+	}
+
+	await traffic.finish();
+};
+
 const lookAtAll = async (traffic: Traffic, jobs: readonly Job[]): Promise<readonly Look[]> => {
 	const looks: Look[] = [];
 	const waiting = [...jobs];
@@ -97,6 +120,7 @@
 	await sleep(durationMs);
 	traffic.stop();
 	await Promise.all([disturbed, traffic.finish()]);
+	await closeOften(options, traffic, troubles);
 	deployment.record.add('traffic and troubles are over');
 	await sleep(bounds.finish_s * 1000);
 	const owed = [...deployment.ledger.jobs.values()].filter(({acceptedAtMs, cancelSentAtMs}) => acceptedAtMs !== undefined && cancelSentAtMs === undefined);
@@ -114,7 +138,7 @@
 /** Plays one run and releases all that it started. */
 export const playSoak = async (options: SoakOptions, lifecycle: LifecycleManager): Promise<SoakReport> => {
 	try {
-		return await withTimeLimit(options.durationMs + maxOverrunMs, async () => play(options, lifecycle));
+		return await withTimeLimit(options.durationMs + maxOverrunMs + (options.closings * maxClosingMs), async () => play(options, lifecycle));
 	} finally {
 		await lifecycle.releaseAll();
 	}
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -113,6 +113,11 @@
 		}
 	}
 
+	/** Hands in one more drawn job, and resolves once it is accepted or given up. */
+	async submitLast(): Promise<void> {
+		await this.#submit(this.#drawJob(Date.now()));
+	}
+
 	/** Resolves once all clients have their answers. */
 	async finish(): Promise<void> {
 		await Promise.all(this.#pending);
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -46,8 +46,9 @@
 const minDurationMs = 800;
 const maxDurationMs = 5000;
 
-/** Longest durations of the kinds that have one of their own. */
-const maxDurationsMs: Readonly<Record<string, number>> = {lapse: 12_000};
+/** Durations of the kinds that have ones of their own. */
+const minDurationsMs: Readonly<Record<string, number>> = {killall: 600};
+const maxDurationsMs: Readonly<Record<string, number>> = {lapse: 12_000, killall: 1600};
 
 /** Processes that are stopped together with the holder: those that would follow it. */
 const successors = 3;
@@ -108,6 +109,18 @@
 const minZonePauseMs = 300;
 const maxZonePauseMs = 1500;
 
+/** Pauses of single daemons, and the time from the begin of one to that of the next. */
+const minStandstillMs = 20;
+const maxStandstillMs = 3000;
+const maxBetweenStandstillsMs = 400;
+const holderStandstillShare = 0.5;
+
+/** Number of holders in succession that lose the lease, and the pause of one that is to be suspected. */
+const minPasses = 2;
+const maxPasses = 4;
+const minSuspicionMs = 800;
+const maxSuspicionMs = 1500;
+
 /** Notice of a zone's workers that leave together, and share of them that leave where some stay. */
 const minZoneNoticeMs = 1000;
 const maxZoneNoticeMs = 2500;
@@ -130,12 +143,20 @@
 	},
 });
 
-const pause = (daemons: readonly Daemon[]): Begun => change(isOn => {
-	for (const daemon of daemons) {
-		daemon.isDisturbed = isOn;
-		daemon.signal(isOn ? 'SIGSTOP' : 'SIGCONT');
-	}
-}, {daemons});
+const pause = (daemons: readonly Daemon[]): Begun => {
+	const paused = daemons.map(daemon => {
+		daemon.isDisturbed = true;
+		return {daemon, resume: daemon.pause()};
+	});
+	return {
+		daemons, end() {
+			for (const {daemon, resume} of paused) {
+				daemon.isDisturbed = false;
+				resume();
+			}
+		},
+	};
+};
 
 /** The process has been told to end; it is started again later. */
 const restart = (daemon: Daemon, ended: Promise<void>): Begun => {
@@ -224,12 +245,12 @@
 	await restart(daemon, daemon.terminate()).end();
 };
 
-/** Resolves to the holder once it is another one than those that are being ended, or to `undefined` after a while. */
-const waitForHolder = async (deployment: Deployment): Promise<Daemon | undefined> => {
+/** Resolves to the holder once it is another one than those that are being ended and the former one, or to `undefined` after a while. */
+const waitForHolder = async (deployment: Deployment, former?: Daemon): Promise<Daemon | undefined> => {
 	const untilMs = performance.now() + maxTakeoverMs;
 	while (performance.now() < untilMs) {
 		const {holder} = deployment;
-		if (holder !== undefined && !holder.isDisturbed) {
+		if (holder !== undefined && holder !== former && !holder.isDisturbed) {
 			return holder;
 		}
 
@@ -409,6 +430,75 @@
 	};
 };
 
+/** Kills all daemons at once, as in a loss of power: each is started again with nothing but what is stored. Those that are stopping are started again by the trouble that ended them; those that another trouble has paused stay as they are. */
+const killAll = ({daemons}: Deployment): Begun => {
+	for (const stopping of daemons.filter(({isStopping}) => isStopping)) {
+		stopping.signal('SIGKILL');
+	}
+
+	const killed = daemons.filter(({isDisturbed}) => !isDisturbed).map(daemon => kill(daemon));
+	return {
+		daemons: 'all', async end() {
+			await Promise.all(killed.map(async ({end}) => end()));
+		},
+	};
+};
+
+/** Pauses single daemons again and again, for times whose logarithm is evenly distributed, the holder more often than others. They count as undisturbed, so that other troubles come beside. */
+const pauseAtRandom = ({deployment, random}: Field): Begun => {
+	const pauses: Array<Promise<void>> = [];
+	const over = new AbortController();
+	const pauseOne = async (daemon: Daemon, pauseMs: number): Promise<void> => {
+		const resume = daemon.pause();
+		await sleep(pauseMs);
+		resume();
+	};
+
+	const repeat = async (): Promise<void> => {
+		while (!over.signal.aborted) {
+			const pauseMs = minStandstillMs * ((maxStandstillMs / minStandstillMs) ** random.next());
+			const other = drawOne(random, deployment.daemons);
+			pauses.push(pauseOne(random.next() < holderStandstillShare ? deployment.holder ?? other : other, pauseMs));
+			await sleep(random.next() * maxBetweenStandstillsMs);
+		}
+	};
+
+	const repeated = repeat();
+	return {
+		daemons: 'all', async end() {
+			over.abort();
+			await repeated;
+			await Promise.all(pauses);
+		},
+	};
+};
+
+const pauseForSuspicion = async (daemon: Daemon, random: RandomSource): Promise<void> => {
+	const {end} = pause([daemon]);
+	await sleep(drawBetween(random, minSuspicionMs, maxSuspicionMs));
+	await end();
+};
+
+/** Takes the lease from holders in succession, by SIGTERM and by a pause in turn; a paused one goes on as a former holder. Resolves once all of them are back. */
+const passToAndFro = async ({deployment, random}: Field): Promise<void> => {
+	const changes: Array<Promise<void>> = [];
+	let isPlanned = random.next() < 0.5;
+	let former: Daemon | undefined;
+	for (let left = drawBetween(random, minPasses, maxPasses); left > 0; left--) {
+		const termMs = random.next() * maxTermMs;
+		const holder = await waitForHolder(deployment, former);
+		await sleep(termMs);
+		if (holder !== undefined && !holder.isDisturbed) {
+			changes.push(isPlanned ? terminateAndRestart(holder) : pauseForSuspicion(holder, random));
+			former = holder;
+		}
+
+		isPlanned = !isPlanned;
+	}
+
+	await Promise.all(changes);
+};
+
 export const troubleKinds: Readonly<Record<string, Begin>> = {
 	/** The holder and those that would follow it are stopped together. */
 	race({deployment, holder}) {
@@ -541,16 +631,27 @@
 	zoneleave: field => emptyZone(field),
 	/** A daemon with a smaller share of the processor holds the lease, and yields it as the larger ones are back. */
 	bigreturn: field => endLargeDaemons(field),
+	/** All daemons are killed at once. */
+	killall: ({deployment}) => killAll(deployment),
+	/** Daemons stand still at any instruction, several times a second. */
+	standstill: field => pauseAtRandom(field),
+	/** The lease goes to and fro within seconds, by stops and by suspicions, and the suspected holder is alive. */
+	toandfro: field => waitFor(passToAndFro(field), {daemons: 'all'}),
 	/** All daemons are ended in turn, beside a wave. */
 	rolling: field => waitFor(Promise.all([field.deployment.operator.orderWave(field.random), endInTurn(field)]), {daemons: 'all'}),
 };
 
 /** Kinds that are drawn only where they are named: `crashagain` shows a fault that is known and not mended, and the others would change what each seed draws. */
-const namedKinds: ReadonlySet<string> = new Set(['crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave']);
+const namedKinds: ReadonlySet<string> = new Set(['crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave', 'killall', 'standstill', 'toandfro']);
 
 /** Kinds of work that an operator plans. All others are disruptions. */
 const plannedKinds: ReadonlySet<string> = new Set(['term', 'handovers', 'configure', 'wave', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zoneleave']);
 
+const drawDuration = (kind: string, random: RandomSource): number => {
+	const minMs = minDurationsMs[kind] ?? minDurationMs;
+	return minMs + (random.next() * ((maxDurationsMs[kind] ?? maxDurationMs) - minMs));
+};
+
 export const defaultKinds: readonly string[] = Object.keys(troubleKinds).filter(kind => !namedKinds.has(kind));
 
 export class Troubles {
@@ -571,6 +672,13 @@
 		await Promise.all(this.#pending);
 	}
 
+	/** Kills all daemons at once and starts them again, and resolves once all are back. */
+	async close(): Promise<void> {
+		const random = new SeededRandom(Math.floor(this.#random.next() * maxSeed));
+		const {daemons} = this.#deployment;
+		await this.#playOne('killall', {deployment: this.#deployment, holder: this.#deployment.holder ?? daemons[0]!, random}, drawDuration('killall', random));
+	}
+
 	/** Whether nothing disturbed the daemon, or the store for all of them, in the span and for `contact_ms` before it. */
 	isInTouch(daemon: string, fromMs: number, toMs: number): boolean {
 		return !this.#near(fromMs, toMs).some(({daemons}) => daemons === 'all' || daemons.has(daemon));
@@ -599,7 +707,7 @@
 		for (;;) {
 			await sleep(minPauseMs + (this.#random.next() * (maxPauseMs - minPauseMs)));
 			const kind = kinds[Math.floor(this.#random.next() * kinds.length)];
-			const durationMs = minDurationMs + (this.#random.next() * ((maxDurationsMs[kind ?? ''] ?? maxDurationMs) - minDurationMs));
+			const durationMs = drawDuration(kind ?? '', this.#random);
 			// How much a trouble draws depends on the workers that are there, so it has a sequence of its own.
 			const random = new SeededRandom(Math.floor(this.#random.next() * maxSeed));
 			if (performance.now() >= untilMs || kind === undefined) {
