Soak: transactions without an answer, carried out at once or seconds late, for all daemons

storelate is up to 1.5 s late and never carries a transaction out at once; the users' store does either, for a third of the writes of all processes (platform_lost). So an acquisition, a release or a record of ends whose answer is lost had been played for the holder only.

--- a/soak/store.ts
+++ b/soak/store.ts
@@ -29,8 +29,7 @@
 
 /** Versions of the store are sampled this often, to discard what is older than the retention. */
 const retentionSampleMs = 1000;
-const minLateMs = 100;
-const maxLateMs = 1500;
+const defaultLateMs = {min: 100, max: 1500} as const;
 
 const nameSchema = z.object({table: z.string(), part: z.string().optional(), key: z.string()});
 const transactionSchema = z.object({
@@ -52,6 +51,8 @@
 	slowMs = 0;
 	/** Share of the transactions that are carried out late and without an answer. */
 	lateShare = 0;
+	/** How late that is. */
+	lateMs: {readonly min: number; readonly max: number} = defaultLateMs;
 	/** Called when a daemon has written a row of a lease. */
 	onLeaseWritten: ((daemon: string, ver: number) => void) | undefined;
 	readonly #random: RandomSource;
@@ -129,9 +130,10 @@
 		}
 
 		if (isWrite && this.#random.next() < this.lateShare) {
+			const {min, max} = this.lateMs;
 			setTimeout(() => {
 				this.#transact(daemon, call.body);
-			}, minLateMs + (this.#random.next() * (maxLateMs - minLateMs)));
+			}, min + (this.#random.next() * (max - min)));
 			return 'silence';
 		}
 
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -55,6 +55,8 @@
 const disturbedWorkersShare = 0.15;
 const slowStoreMs = 240;
 const lateStoreShare = 0.35;
+const minVeryLateMs = 1000;
+const maxVeryLateMs = 6000;
 const limitedRatesFactor = 0.05;
 const maxLateStartMs = 1500;
 const minLateCallMs = 500;
@@ -521,6 +523,15 @@
 	storelate: ({deployment: {store}}) => change(isOn => {
 		store.lateShare = isOn ? lateStoreShare : 0;
 	}, {daemons: 'all'}),
+	/** Transactions are carried out at once, or seconds later, and without an answer. */
+	storemute({deployment: {store}, random}) {
+		const {lateMs: defaultLateMs} = store;
+		const muteMs = random.next() < 0.5 ? {min: 0, max: 0} : {min: minVeryLateMs, max: maxVeryLateMs};
+		return change(isOn => {
+			store.lateShare = isOn ? lateStoreShare : 0;
+			store.lateMs = isOn ? muteMs : defaultLateMs;
+		}, {daemons: 'all'});
+	},
 	storelimit: ({deployment: {store}}) => change(isOn => {
 		store.limitRates(isOn ? limitedRatesFactor : 1);
 	}, {daemons: 'all'}),
@@ -642,7 +653,7 @@
 };
 
 /** Kinds that are drawn only where they are named: `crashagain` shows a fault that is known and not mended, and the others would change what each seed draws. */
-const namedKinds: ReadonlySet<string> = new Set(['crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave', 'killall', 'standstill', 'toandfro']);
+const namedKinds: ReadonlySet<string> = new Set(['crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave', 'killall', 'standstill', 'toandfro', 'storemute']);
 
 /** Kinds of work that an operator plans. All others are disruptions. */
 const plannedKinds: ReadonlySet<string> = new Set(['term', 'handovers', 'configure', 'wave', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zoneleave']);
