--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -127,6 +127,8 @@
 	readonly jobEnds = new WakeUp();
 	/** Woken when a worker has answered a holder with its lists. */
 	readonly listings = new WakeUp();
+	/** Woken when a worker has begun a run. */
+	readonly starts = new WakeUp();
 	readonly runsByTask = new Map<string, Run[]>();
 	readonly looks: Look[] = [];
 	/** Answers that no client of a valid queue with a valid key may get. */
@@ -147,6 +149,8 @@
 		} else {
 			runs.push(run);
 		}
+
+		this.starts.notify();
 	}
 
 	/** The names of the tasks of one step and occurrence. */
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -123,6 +123,11 @@
 const minSuspicionMs = 800;
 const maxSuspicionMs = 1500;
 
+/** Pause of a holder among its starts, and share of the workers that crash and start again within it. */
+const minAmongStartsMs = 800;
+const maxAmongStartsMs = 2500;
+const rebornShare = 0.4;
+
 /** Notice of a zone's workers that leave together, and share of them that leave where some stay. */
 const minZoneNoticeMs = 1000;
 const maxZoneNoticeMs = 2500;
@@ -475,6 +480,22 @@
 	};
 };
 
+/** Pauses the holder as soon as one of its starts was carried out, and so among the orders of a round. Some workers crash and start again meanwhile: they have seen no later holder when it goes on. */
+const pauseAmongStarts = async (field: Field): Promise<Begun | undefined> => {
+	const {deployment, random} = field;
+	const pauseMs = drawBetween(random, minAmongStartsMs, maxAmongStartsMs);
+	await deployment.ledger.starts.wait(maxJobWaitMs);
+	const {holder} = deployment;
+	if (holder === undefined || holder.isDisturbed) {
+		return undefined;
+	}
+
+	const {end} = pause([holder]);
+	const workers = pickWorkers(field, rebornShare).filter(worker => mayCrash(worker));
+	const resume = sleep(pauseMs).then(async () => end());
+	return waitFor(Promise.all([resume, ...workers.map(async worker => worker.restart(random.next() * pauseMs))]), {workers, daemons: [holder]});
+};
+
 const pauseForSuspicion = async (daemon: Daemon, random: RandomSource): Promise<void> => {
 	const {end} = pause([daemon]);
 	await sleep(drawBetween(random, minSuspicionMs, maxSuspicionMs));
@@ -646,6 +667,8 @@
 	killall: ({deployment}) => killAll(deployment),
 	/** Daemons stand still at any instruction, several times a second. */
 	standstill: field => pauseAtRandom(field),
+	/** The holder stands still among the orders of a round, and workers start again meanwhile. */
+	reborn: async field => pauseAmongStarts(field),
 	/** The lease goes to and fro within seconds, by stops and by suspicions, and the suspected holder is alive. */
 	toandfro: field => waitFor(passToAndFro(field), {daemons: 'all'}),
 	/** All daemons are ended in turn, beside a wave. */
@@ -653,7 +676,9 @@
 };
 
 /** Kinds that are drawn only where they are named: `crashagain` shows a fault that is known and not mended, and the others would change what each seed draws. */
-const namedKinds: ReadonlySet<string> = new Set(['crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave', 'killall', 'standstill', 'toandfro', 'storemute']);
+const namedKinds: ReadonlySet<string> = new Set([
+	'crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave', 'killall', 'standstill', 'reborn', 'toandfro', 'storemute',
+]);
 
 /** Kinds of work that an operator plans. All others are disruptions. */
 const plannedKinds: ReadonlySet<string> = new Set(['term', 'handovers', 'configure', 'wave', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zoneleave']);
