--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -128,6 +128,11 @@
 const maxAmongStartsMs = 2500;
 const rebornShare = 0.4;
 
+/** Longest time from a worker's crash to the moment at which the holder goes on, and time for which the worker is down. */
+const maxBeforeResumptionMs = 400;
+const minRebornMs = 200;
+const maxRebornMs = 900;
+
 /** Notice of a zone's workers that leave together, and share of them that leave where some stay. */
 const minZoneNoticeMs = 1000;
 const maxZoneNoticeMs = 2500;
@@ -480,7 +485,7 @@
 	};
 };
 
-/** Pauses the holder as soon as one of its starts was carried out, and so among the orders of a round. Some workers crash and start again meanwhile: they have seen no later holder when it goes on. */
+/** Pauses the holder as soon as one of its starts was carried out, and so among the orders of a round. Some workers crash shortly before it goes on and start again shortly after, having seen no later holder. */
 const pauseAmongStarts = async (field: Field): Promise<Begun | undefined> => {
 	const {deployment, random} = field;
 	const pauseMs = drawBetween(random, minAmongStartsMs, maxAmongStartsMs);
@@ -493,7 +498,16 @@
 	const {end} = pause([holder]);
 	const workers = pickWorkers(field, rebornShare).filter(worker => mayCrash(worker));
 	const resume = sleep(pauseMs).then(async () => end());
-	return waitFor(Promise.all([resume, ...workers.map(async worker => worker.restart(random.next() * pauseMs))]), {workers, daemons: [holder]});
+	const restartAround = async (worker: Worker): Promise<void> => {
+		const crashMs = pauseMs - (random.next() * maxBeforeResumptionMs);
+		const downMs = drawBetween(random, minRebornMs, maxRebornMs);
+		await sleep(crashMs);
+		if (worker.isUp) {
+			await worker.restart(downMs);
+		}
+	};
+
+	return waitFor(Promise.all([resume, ...workers.map(async worker => restartAround(worker))]), {workers, daemons: [holder]});
 };
 
 const pauseForSuspicion = async (daemon: Daemon, random: RandomSource): Promise<void> => {
