--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -109,7 +109,9 @@
 			},
 		});
 	} else {
-		logWaiting(state, {awaited, unregisteredCount: unregistered.length, areUnreadableKnown, awaitsHolder}, nowMs);
+		logWaiting(state, {
+			awaited, unregisteredCount: unregistered.length, areUnreadableKnown, awaitsHolder,
+		}, nowMs);
 	}
 };
 
