--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -64,13 +64,6 @@
 export const maxCrashesInTrial = 2;
 export const maxCrashes = 3;
 
-/** Workers that crash within this time of each other may have been lost to one cause outside of their tasks. A task is given up this long after its last crash, when that is known. */
-export const sharedLossMs = 500;
-
-/** How many others, and which share of all workers, must have crashed as well for that. */
-export const minSharedLosses = 3;
-export const sharedLossShare = 0.05;
-
 /** Number of crashes after which a task is given up although some of them are only presumed. */
 export const maxPossibleCrashes = 4;
 
--- a/packages/scheduler/src/core/crash-attribution.ts
+++ b/packages/scheduler/src/core/crash-attribution.ts
@@ -4,17 +4,13 @@
 The load this answers: some jobs have a task that crashes each worker shortly after its start, on workers that run ten to thirty other tasks. Only what the crash can be blamed on is counted. A worker's crash is blamed on its run on trial if there is one, else on the runs that the worker has not been seen to survive, else on all that have not run for long. The tasks blamed are started again on trial (see `trials.ts`), the most likely cause first, which tells the one that crashes workers from those that shared a worker with it. Once the cause is found, the others are cleared.
 */
 import {
-	clearedAfterMs, maxCrashes, maxCrashesInTrial, maxLoggedRuns, maxPossibleCrashes, minSharedLosses, provenAfterMs, sharedLossMs, sharedLossShare,
+	clearedAfterMs, maxCrashes, maxCrashesInTrial, maxLoggedRuns, maxPossibleCrashes, provenAfterMs,
 } from '../constants.js';
-import {type CrashRecord} from '../types.js';
 import {
 	addCrash, countCrashes, hasCrash, isTrialUnresolved, isUnderSuspicion, noCrashRecord,
 } from './crash-record.js';
-import {unionOf} from './merging.js';
 import {stepsOf} from './stored-progress.js';
-import {
-	type PossibleCrash, type TaskRun, type Task, type WorkerRecord,
-} from './records.js';
+import {type TaskRun, type Task, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 
 /** Returns true if a worker has crashed under the task since it was last proven, so that it is only started on trial. */
@@ -39,7 +35,7 @@
 		.toSorted((a, b) => Number(b.isConfirmed) - Number(a.isConfirmed) || b.orderedAtMs - a.orderedAtMs);
 };
 
-const recordedAttempts = ({crashRecord}: Task): readonly number[] => unionOf(crashRecord.crashedAttempts, crashRecord.presumedAttempts);
+const recordedAttempts = ({crashRecord}: Task): readonly number[] => [...crashRecord.crashedAttempts, ...crashRecord.presumedAttempts];
 
 /** Clears the task if this process suspects it of a single crash, of which another task turned out to be the cause. */
 const clearIfCauseFound = (state: SchedulerState, task: Task): void => {
@@ -74,50 +70,29 @@
 	});
 };
 
-const hasReachedLimit = ({crashRecord}: Pick<Task, 'crashRecord'>, maxObserved: number): boolean => {
-	const {observed, possible} = countCrashes(crashRecord);
-	return observed >= maxObserved || possible >= maxPossibleCrashes;
+/** How an attempt ended that may have crashed its worker. */
+type PossibleCrash = {
+	readonly attempt: number;
+	/** The attempt is known to have run as the worker crashed. */
+	readonly isObserved: boolean;
+	/** No other unproven run was on the worker. */
+	readonly wasAlone: boolean;
 };
 
-/** Returns the task's record with the crash, and whether that reaches a limit. */
-const withCrash = ({crashRecord: earlier}: Task, {attempt, isObserved, wasAlone}: PossibleCrash): {readonly crashRecord: CrashRecord; readonly isAtLimit: boolean} => {
-	const crashRecord = addCrash(earlier, attempt, isObserved);
-	return {crashRecord, isAtLimit: hasReachedLimit({crashRecord}, isObserved && wasAlone ? maxCrashesInTrial : maxCrashes)};
+const hasReachedLimit = ({crashRecord}: Task, maxObserved: number): boolean => {
+	const {observed, possible} = countCrashes(crashRecord);
+	return observed >= maxObserved || possible >= maxPossibleCrashes;
 };
 
-const recordCrash = (state: SchedulerState, task: Task, crash: PossibleCrash): void => {
-	const {crashRecord, isAtLimit} = withCrash(task, crash);
-	task.crashRecord = crashRecord;
+const recordCrash = (state: SchedulerState, task: Task, {attempt, isObserved, wasAlone}: PossibleCrash): void => {
+	task.crashRecord = addCrash(task.crashRecord, attempt, isObserved);
 	state.dirtyJobs.add(task.step.job);
 	// A task that has been started again since the crash is judged by its later run.
-	if (isAtLimit && task.phase === 'waiting') {
+	if (hasReachedLimit(task, isObserved && wasAlone ? maxCrashesInTrial : maxCrashes) && task.phase === 'waiting') {
 		giveUp(state, task);
 	}
 };
 
-/** Returns true if so many other workers crashed about then that no task can be the cause. Those that were on trial do not count: several tasks may crash their workers at once. */
-const isSharedLoss = ({workers}: SchedulerState, worker: WorkerRecord, atMs: number): boolean => {
-	const all = [...workers.values()];
-	const others = all.filter(other => other !== worker && Math.abs(atMs - other.crashedAtMs) <= sharedLossMs);
-	return others.length >= Math.max(minSharedLosses, all.filter(({isListed}) => isListed).length * sharedLossShare);
-};
-
-/** Returns true while it is not known whether the task is to be given up for its last crash. */
-export const awaitsVerdict = ({pendingCrashes}: SchedulerState, task: Task): boolean => pendingCrashes.some(pending => pending.task === task);
-
-/** Gives up tasks whose last crash turned out to be the only one about then. */
-export const judgePendingCrashes = (state: SchedulerState, nowMs: number): void => {
-	const due = state.pendingCrashes.filter(({atMs}) => nowMs - atMs >= sharedLossMs);
-	if (due.length > 0) {
-		state.pendingCrashes = state.pendingCrashes.filter(pending => !due.includes(pending));
-		for (const {task, worker, crash, atMs} of due) {
-			if (task.step.job.outcome === undefined && !isSharedLoss(state, worker, atMs)) {
-				recordCrash(state, task, crash);
-			}
-		}
-	}
-};
-
 /** Gives up the run's task if a crash was blamed on the run while its start might still be carried out, and the crashes have reached a limit. */
 export const giveUpIfExhausted = (state: SchedulerState, {task, attempt}: TaskRun): void => {
 	if (task?.phase === 'waiting' && task.step.job.outcome === undefined && hasCrash(task.crashRecord, attempt) && hasReachedLimit(task, maxCrashes)) {
@@ -143,14 +118,13 @@
 const describeSuspects = (runs: readonly TaskRun[]): string =>
 	runs.slice(0, maxLoggedRuns).map(({task, attempt, isTrial, isConfirmed}) => `${task!.key}#${attempt}${isTrial ? ':trial' : ''}${isConfirmed ? '' : ':unconfirmed'}`).join(',');
 
-/** Records the crash of a worker under the given runs, which have been removed from it. One that other workers shared is only presumed to be the fault of a task. */
+/** Records the crash of a worker under the given runs, which have been removed from it. */
 export const attributeCrash = (state: SchedulerState, worker: WorkerRecord, runs: readonly TaskRun[], nowMs: number): void => {
 	const blamed = selectBlamed(runs);
-	const isShared = isSharedLoss(state, worker, nowMs);
 	state.emit({type: 'count', name: 'scheduler_worker_crashes_total'});
 	state.emit({
 		type: 'log', fields: {
-			event: 'worker_crashed', workerId: worker.entry.workerId, runs: runs.length, suspects: describeSuspects(blamed), lastAnswerAgeMs: Math.round(nowMs - worker.lastAnswerAtMs), isShared,
+			event: 'worker_crashed', workerId: worker.entry.workerId, runs: runs.length, suspects: describeSuspects(blamed), lastAnswerAgeMs: Math.round(nowMs - worker.lastAnswerAtMs),
 		},
 	});
 	const runBySuspect = suspectsOf(blamed);
@@ -158,15 +132,7 @@
 	for (const [rank, task] of suspects.entries()) {
 		const run = runBySuspect.get(task)!;
 		task.suspicions = [...task.suspicions, {suspects, rank}];
-		const crash = {attempt: run.attempt, isObserved: run.isConfirmed && !isShared, wasAlone: run.isTrial && !run.isProven};
-		if (crash.isObserved && withCrash(task, crash).isAtLimit) {
-			state.pendingCrashes = [...state.pendingCrashes, {
-				task, worker, crash, atMs: nowMs,
-			}];
-			recordCrash(state, task, {...crash, isObserved: false});
-		} else {
-			recordCrash(state, task, crash);
-		}
+		recordCrash(state, task, {attempt: run.attempt, isObserved: run.isConfirmed, wasAlone: run.isTrial && !run.isProven});
 	}
 };
 
--- a/packages/scheduler/src/core/crash-record.ts
+++ b/packages/scheduler/src/core/crash-record.ts
@@ -12,14 +12,13 @@
 /** Numbers of crashes that count against a task. */
 export type CrashCount = {
 	readonly observed: number;
-	/** The observed ones, and the presumed ones since the task was last proven. */
+	/** The observed and the presumed ones. */
 	readonly possible: number;
 };
 
-export const countCrashes = ({crashedAttempts, presumedAttempts, provenAttempt, clearedAttempt}: CrashRecord): CrashCount => {
+export const countCrashes = ({crashedAttempts, presumedAttempts, clearedAttempt}: CrashRecord): CrashCount => {
 	const observed = crashedAttempts.filter(attempt => attempt > clearedAttempt).length;
-	const trustedAttempt = Math.max(provenAttempt, clearedAttempt);
-	return {observed, possible: observed + presumedAttempts.filter(attempt => attempt > trustedAttempt && !crashedAttempts.includes(attempt)).length};
+	return {observed, possible: observed + presumedAttempts.filter(attempt => attempt > clearedAttempt).length};
 };
 
 /** Returns true if a crash counts against the task that came after the last attempt that was proven. */
--- a/packages/scheduler/src/core/machines.ts
+++ b/packages/scheduler/src/core/machines.ts
@@ -11,7 +11,7 @@
 import {type SchedulerState} from './scheduler-state.js';
 import {stepDown} from './terms.js';
 import {
-	endWorker, isPresent, loseRuns, type LossReason, noteCrash, presentIncarnation, returnToService, splitByReturn,
+	endWorker, isPresent, loseRuns, type LossReason, presentIncarnation, returnToService, splitByReturn,
 } from './workers.js';
 
 /** A list of machines, and when it was requested and arrived. One that is not of one moment may lack a machine that is there. */
@@ -186,11 +186,6 @@
 	}
 
 	const losses = [...ended].filter(([{isEnded}]) => !isEnded).map(([worker, sinceMs], _index, all) => ({worker, sinceMs, reason: lossReasonOf(state, worker, all.map(([other]) => other))}));
-	// Whether a crash was shared is judged with all of the list's.
-	for (const {worker, reason} of losses) {
-		noteCrash(state, worker, nowMs, {reason});
-	}
-
 	for (const {worker, sinceMs, reason} of losses) {
 		const ordered = [...worker.runs.values()].filter(({orderedAtMs, startedAtMs = sinceMs}) => orderedAtMs <= sinceMs && startedAtMs <= sinceMs);
 		if (ordered.length === worker.runs.size) {
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -82,23 +82,6 @@
 	waitingSinceMs: number;
 };
 
-/** How an attempt ended that may have crashed its worker. */
-export type PossibleCrash = {
-	readonly attempt: number;
-	/** The attempt is known to have run as the worker crashed. */
-	readonly isObserved: boolean;
-	/** No other unproven run was on the worker. */
-	readonly wasAlone: boolean;
-};
-
-/** A crash for which a task is to be given up unless other workers turn out to have crashed with this one. */
-export type PendingCrash = {
-	readonly task: Task;
-	readonly worker: WorkerRecord;
-	readonly crash: PossibleCrash;
-	readonly atMs: number;
-};
-
 /** One of the tasks that a crash is blamed on. */
 export type Suspicion = {
 	/** All tasks that the crash is blamed on; one of them is its cause. */
@@ -251,8 +234,6 @@
 	isEnded: boolean;
 	/** The machine is due for maintenance, so lasting tasks prefer other workers. */
 	isMaintenanceDue: boolean;
-	/** When this process learned that the worker had crashed under anything but a trial. */
-	crashedAtMs: number;
 	/** The worker gets no new tasks because its machine is about to be maintained or moved. */
 	isReserved: boolean;
 	/** Target pace of all filling tasks on the worker. */
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -7,7 +7,7 @@
 	type FleetConfiguration, type JobSpec, type Queue, type Resources, type TaskEnds,
 } from '../types.js';
 import {
-	type DetachedRows, type Evacuation, type JobRecord, type ListTimes, type MachineRecord, type PendingCrash, type ReportedEnd, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
+	type DetachedRows, type Evacuation, type JobRecord, type ListTimes, type MachineRecord, type ReportedEnd, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
 } from './records.js';
 import {DurationModel} from './model/duration-model.js';
 import {LikelyInTimeFirst} from './order/likely-in-time-first.js';
@@ -140,8 +140,6 @@
 	readonly unresolvedRuns = new Set<TaskRun>();
 	/** Ends of jobs that have not been read yet, which earlier incarnations of workers had listed. No worker lists them any more. */
 	endsOfEarlierIncarnations: ReadonlyArray<ReportedEnd & {readonly worker: WorkerRecord; readonly isListedAgain?: boolean}> = [];
-	/** Crashes of this term that give their tasks up unless they were shared losses. */
-	pendingCrashes: readonly PendingCrash[] = [];
 	/** Trials of this term that have not ended. */
 	readonly trials = new Set<Trial>();
 	/** Number of orders for machines that were sent, repeated ones included. */
@@ -343,7 +341,6 @@
 	/** Discards all runs and per-term worker state before a new term or after the end of one. */
 	clearRuns(nowMs: number): void {
 		this.trials.clear();
-		this.pendingCrashes = [];
 		this.#deletedWorkers.clear();
 		this.unresolvedRuns.clear();
 		this.endsOfEarlierIncarnations = [];
--- a/packages/scheduler/src/core/trials.ts
+++ b/packages/scheduler/src/core/trials.ts
@@ -6,9 +6,7 @@
 import {
 	storeAwayAfterMs, trialPauseMs, trialPlanTimeoutMs, trialWorkerShare,
 } from '../constants.js';
-import {
-	awaitsVerdict, isSuspect, settleTrial, suspicionRank,
-} from './crash-attribution.js';
+import {isSuspect, settleTrial, suspicionRank} from './crash-attribution.js';
 import {isAllowed} from './placement.js';
 import {
 	type TaskRun, type Task, type Trial, type WorkerRecord,
@@ -51,7 +49,7 @@
 export const planTrials = (state: SchedulerState, suspects: readonly WaitingSuspect[], pool: {readonly usable: readonly WorkerRecord[]; readonly isOtherWaiting: boolean}, nowMs: number): void => {
 	let free = freeTrialWorkers(pool.usable, pool.isOtherWaiting);
 	const rested = pool.usable.filter(({trialEndedAtMs}) => !pool.isOtherWaiting || nowMs - trialEndedAtMs >= trialPauseMs);
-	for (const {task, attempt} of suspects.filter(suspect => !awaitsVerdict(state, suspect.task)).toSorted((a, b) => suspicionRank(a.task) - suspicionRank(b.task))) {
+	for (const {task, attempt} of suspects.toSorted((a, b) => suspicionRank(a.task) - suspicionRank(b.task))) {
 		const worker = free > 0 ? chooseTrialWorker(state, task, rested, nowMs) : undefined;
 		if (worker !== undefined) {
 			free--;
@@ -66,10 +64,6 @@
 
 /** Reserves the workers and schedules the attempt to be stored. */
 export const planTrial = (state: SchedulerState, {tasks, workers, attempt}: TrialPlan, nowMs: number): void => {
-	if (tasks.some(task => awaitsVerdict(state, task))) {
-		return;
-	}
-
 	const trial: Trial = {
 		tasks, workers, attempt, saveNumber: state.saveCount + 1, plannedAtMs: nowMs, isStarted: false,
 	};
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -5,7 +5,7 @@
 	leaseMarginMs, clockDriftFactor, maxLoggedRuns, workerSilenceTimeoutMs, taskLeaseMs,
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
-import {attributeCrash, giveUpIfExhausted, judgePendingCrashes} from './crash-attribution.js';
+import {attributeCrash, giveUpIfExhausted} from './crash-attribution.js';
 import {areTokensUsedUp, isSupersededStart} from './order-tokens.js';
 import {recordEarlierLeases} from './earlier-leases.js';
 import {dropOutdatedEntry} from './outdated-events.js';
@@ -52,7 +52,6 @@
 	isEnded: false,
 	isMaintenanceDue: false,
 	isReserved: false,
-	crashedAtMs: Number.NEGATIVE_INFINITY,
 	fillingPacePercent: 100,
 	paceSampledAtMs: 0,
 	fillingPausedSinceMs: undefined,
@@ -244,21 +243,10 @@
 	readonly wasLeaving?: boolean;
 };
 
-/** Returns true if the end of the worker is a crash, and notes when it crashed, unless a trial on it explains that. */
-export const noteCrash = (state: SchedulerState, worker: WorkerRecord, nowMs: number, {reason, wasLeaving = isLeaving(state, worker)}: Pick<Loss, 'reason' | 'wasLeaving'>): boolean => {
-	const isCrash = crashReasons.has(reason) && !wasLeaving;
-	if (isCrash && ![...worker.runs.values()].some(({isTrial, isProven}) => isTrial && !isProven)) {
-		worker.crashedAtMs = nowMs;
-	}
-
-	return isCrash;
-};
-
 /** Removes runs of a worker that have definitely ended with an unknown result. */
 export const loseRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number, {
 	reason, lost = [...worker.runs.values()], undecided = [], wasLeaving = isLeaving(state, worker),
 }: Loss): void => {
-	const isCrash = noteCrash(state, worker, nowMs, {reason, wasLeaving});
 	if (lost.length > 0) {
 		state.emit({
 			type: 'log', fields: {
@@ -286,7 +274,7 @@
 
 	const underCrash = [...lost, ...undecided, ...worker.expiredRuns];
 	worker.expiredRuns = [];
-	if (underCrash.length > 0 && isCrash) {
+	if (underCrash.length > 0 && crashReasons.has(reason) && !wasLeaving) {
 		attributeCrash(state, worker, underCrash, nowMs);
 	}
 };
@@ -352,7 +340,6 @@
 
 /** Removes the runs of silent or unlisted workers whose leases have expired, and deletes records of workers that are gone. */
 export const expireWorkers = (state: SchedulerState, nowMs: number): void => {
-	judgePendingCrashes(state, nowMs);
 	for (const worker of state.workers.values()) {
 		const isSilent = worker.silentSinceMs !== undefined && nowMs - worker.silentSinceMs >= workerSilenceTimeoutMs;
 		const isLeaseExpired = nowMs >= worker.leaseExpiresAtMs;
--- a/packages/scheduler/tests/crashing-tasks.test.ts
+++ b/packages/scheduler/tests/crashing-tasks.test.ts
@@ -432,38 +432,6 @@
 		});
 	});
 
-	/** Returns the worker, and one of each other rack. */
-	const workersOfRacks = (workerId: string): readonly string[] => {
-		const first = simulation.fleet.workers.get(workerId)!;
-		const racks = new Set([first.entry.rack]);
-		const others = [...simulation.fleet.workers.values()].filter(({isUp, entry: {rack}}) => isUp && !racks.has(rack) && racks.add(rack));
-		return [workerId, ...others.map(({entry}) => entry.workerId)];
-	};
-
-	test('are lost together with others of other racks', async () => {
-		await disturbRepeatedly(workerId => {
-			for (const lost of workersOfRacks(workerId)) {
-				simulation.crashBriefly(lost, 3000);
-			}
-		});
-	});
-
-	test('are restarted together with others, and again during its trial', async () => {
-		for (const count of [1, 2, 3]) {
-			await simulation.run(20);
-			for (const lost of workersOfRacks(workerIdOf())) {
-				simulation.restartWorker(lost);
-			}
-
-			for (let waitedMs = 0; simulation.fleet.starts.length === count && waitedMs < 3000; waitedMs += 5) {
-				await simulation.run(5);
-			}
-		}
-
-		await simulation.run(25_000);
-		expect(await stateOf(job)).toBe('completed');
-	});
-
 	test('are lost with their whole rack', async () => {
 		await disturbRepeatedly(workerId => {
 			simulation.loseRack(simulation.fleet.workers.get(workerId)!.entry.rack);
