A start that was withdrawn does not put its worker out of reach

A start that was not sent takes its worker out of use until the next poll is answered, which is right where there was no connection. One that is withdrawn since the term was not known to be in force says nothing of the worker; a holder that goes on after a short standstill would have lost the use of all workers of the round.

startAnswered and task_not_started now say isWithdrawn. Evidence: the new test of orders-of-a-replaced-holder.test.ts fails for withdrawn starts on the code before.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -71,7 +71,8 @@
 	| (OfTerm & OfIncarnation & {readonly type: 'polled'; readonly workerId: string; readonly answer: PollAnswer; readonly sentAtMs: number; readonly sentAcknowledgement: number; readonly sentDeadlineClockMs?: number | undefined})
 	/** A report that came after another one had answered the same poll. Only its ends are used: it may tell less of what runs than the first one. */
 	| (OfTerm & OfIncarnation & {readonly type: 'reportedLate'; readonly workerId: string; readonly report: WorkerReport})
-	| (OfTerm & Partial<OfIncarnation> & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer})
+	/** `isWithdrawn`: the start was not sent since the term was not known to be in force, which says nothing of the worker. */
+	| (OfTerm & Partial<OfIncarnation> & {readonly type: 'startAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: StartAnswer; readonly isWithdrawn?: boolean})
 	| (OfTerm & OfIncarnation & {readonly type: 'stopAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: OrderAnswer})
 	| (OfTerm & OfIncarnation & {readonly type: 'paceAnswered'; readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly percent: number; readonly orderedAtMs: number; readonly answer: OrderAnswer})
 	| {readonly type: 'adviceAnswered'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]; readonly answer: AdviceAnswer; readonly sentAtMs: number}
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -523,7 +523,7 @@
 
 type OrderAnsweredEvent<Answer> = CurrentTime & {readonly workerId: string; readonly taskKey: string; readonly attempt: number; readonly answer: Answer};
 
-export const applyStartAnswer = (state: SchedulerState, event: OrderAnsweredEvent<StartAnswer>): void => {
+export const applyStartAnswer = (state: SchedulerState, event: OrderAnsweredEvent<StartAnswer> & {readonly isWithdrawn?: boolean}): void => {
 	if (event.answer === 'fenced') {
 		stepDown(state, `worker ${event.workerId} has seen a higher token`, event.nowMs);
 	}
@@ -568,7 +568,7 @@
 				discardTicket(run.task.step, event.workerId);
 			}
 
-			if (event.answer === 'not-sent') {
+			if (event.answer === 'not-sent' && !event.isWithdrawn) {
 				run.worker.unreachedAtMs = event.nowMs;
 			}
 
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -169,7 +169,12 @@
 		const {workerId, taskKey, attempt} = order;
 		const worker = this.#addressOf(workerId);
 		const sentAtMs = this.#options.clock.nowMs();
-		const mayBeSent = (): boolean => this.#options.mayOrder(order.fencingToken);
+		let isWithdrawn = false;
+		const mayBeSent = (): boolean => {
+			isWithdrawn = !this.#options.mayOrder(order.fencingToken);
+			return !isWithdrawn;
+		};
+
 		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.start(worker, {...order, fencingToken: orderToken}, mayBeSent);
 		const durationMs = this.#options.clock.nowMs() - sentAtMs;
 		this.#options.metrics.recordMs('task_wait_ms', waitedMs);
@@ -181,12 +186,12 @@
 			});
 		} else {
 			this.#options.log.info({
-				event: 'task_not_started', taskKey, attempt, workerId, answer, waitedMs, durationMs: Math.round(durationMs), fencingToken,
+				event: 'task_not_started', taskKey, attempt, workerId, answer, isWithdrawn, waitedMs, durationMs: Math.round(durationMs), fencingToken,
 			});
 		}
 
 		this.#options.dispatch({
-			type: 'startAnswered', fencingToken, workerId, incarnation: worker?.incarnation ?? 0, taskKey, attempt, answer, ...this.#now(),
+			type: 'startAnswered', fencingToken, workerId, incarnation: worker?.incarnation ?? 0, taskKey, attempt, answer, isWithdrawn, ...this.#now(),
 		});
 	}
 
--- a/packages/scheduler/tests/orders-of-a-replaced-holder.test.ts
+++ b/packages/scheduler/tests/orders-of-a-replaced-holder.test.ts
@@ -2,7 +2,9 @@
 Orders that wait for a connection while their holder stands still and is replaced. Guards against orders on a lapsed lease to workers and machines that know of no later holder (TWICE): a worker that has started again carries out a start, and a machine ends its worker with what has just ended there.
 */
 import {describe, expect, test} from 'vitest';
-import {jobOf, stepOf} from './support/jobs.js';
+import {noteNaming} from './support/handover-notes.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
+import {NewHolder, wallOffsetMs} from './support/new-holder.js';
 import {configurationWithoutStandby, SchedulerSimulation, takeoverMs} from './support/scheduler-simulation.js';
 
 const runMs = 300;
@@ -84,3 +86,16 @@
 		await finish();
 	});
 });
+
+test.each([[true, false], [false, true]])('a start that was not sent (withdrawn: %s) shows that its worker is out of reach: %s', (isWithdrawn, isUnreached) => {
+	const holder = new NewHolder(['here']);
+	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobOf(1, {acceptedWallMs: wallOffsetMs}))]}, 5);
+	holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
+	holder.settle(20);
+	const start = [40, 60].flatMap(nowMs => holder.dispatch({type: 'tick'}, nowMs)).find(effect => effect.type === 'start')!;
+	const {workerId, taskKey, attempt} = start;
+	holder.dispatch({
+		type: 'startAnswered', fencingToken: 5, workerId, taskKey, attempt, answer: 'not-sent', isWithdrawn,
+	}, 70);
+	expect(holder.state.workers.get(workerId)!.unreachedAtMs !== undefined).toBe(isUnreached);
+});
