A takeover waits for a replaced holder only beside departures of the last 4 s

What such a holder has read longer ago than it has stood still is stored or recorded, so departures of the last 4 s, a second more than its lease, are what matters.

--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -42,8 +42,8 @@
 /** Number of workers with a stated start; `undefined` while there may be others. */
 const statedStarts = (state: SchedulerState, nowMs: number): number | undefined => areEarlierStartsKnown(state, nowMs) ? state.inheritedStarts.size : undefined;
 
-/** A worker that has left longer ago than this has ended nothing that a lease holder could still have to store. */
-const departureMemoryMs = 10_000;
+/** A holder that was replaced has stored or recorded what it read from a worker that left longer ago than this: it has stood still for less. */
+const departureMemoryMs = 4000;
 
 /** Returns true if the holder that was replaced may be alive and know of ends that nobody else will hear of, since their workers have left. It records them when it learns that it was replaced, so what it has stored until its orders are over has to be read. */
 const awaitsEarlierEnds = (state: SchedulerState, nowMs: number): boolean => {
