--- a/packages/scheduler/src/core/recorded-ends.ts
+++ b/packages/scheduler/src/core/recorded-ends.ts
@@ -95,8 +95,8 @@
 /** Time for which ends that were read may be known to this process alone. */
 const maxUnrecordedMs = 100;
 
-/** Records that may be on their way to the store at once. One whose answer is lost stays among them for the time limit of a call. */
-const maxPendingRecords = 12;
+/** Records that may be on their way to the store at once. One without an answer is repeated for a while. */
+const maxPendingRecords = 3;
 
 const without = <Value>(values: readonly Value[], known: readonly Value[] = []): readonly Value[] => values.filter(value => !known.includes(value));
 
