--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -78,8 +78,6 @@
 	| {readonly type: 'adviceAnswered'; readonly requestNumber: number; readonly jobId: string; readonly occurrence: number; readonly stepIndex: number; readonly workers: readonly AdvisedWorker[]; readonly answer: AdviceAnswer; readonly sentAtMs: number}
 	/** The interval since the last save is over. */
 	| (OfTerm & {readonly type: 'saveDue'})
-	/** Ends that were recorded beside a save are stored, or given up. */
-	| {readonly type: 'recordEnded'}
 	/** The jobs and waves whose rows the store refused are not stored. */
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number; readonly refusedJobIds?: readonly string[]; readonly refusedWaveIds?: readonly number[]})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly isOfOneMoment?: boolean; readonly sentAtMs: number}
@@ -116,7 +114,7 @@
 	/** `fencingToken`: the term whose fence is the condition of the save. */
 	| {readonly type: 'save'; readonly save: ProgressSave; readonly fencingToken: number}
 	/** Stores ends without the fence, in rows of their own. The shell retries until they are stored, for a while. */
-	| {readonly type: 'recordEnds'; readonly jobs: readonly JobEnds[]; readonly isBesideSave: boolean}
+	| {readonly type: 'recordEnds'; readonly jobs: readonly JobEnds[]}
 	| {readonly type: 'move'; readonly machineId: string; readonly orderNumber: number; readonly pool: string; readonly fencingToken: number; readonly reason: string}
 	| {readonly type: 'maintain'; readonly machineId: string; readonly orderNumber: number; readonly waveId: number; readonly fencingToken: number}
 	| {readonly type: 'reportWave'; readonly fencingToken: number; readonly waveId: number; readonly state: 'running' | 'completed'}
--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -182,7 +182,6 @@
 const keepRefused = (state: SchedulerState, {refusedJobIds = [], refusedWaveIds = [], nowMs}: SavedEvent): void => {
 	const refusedJobs = new Set(refusedJobIds);
 	for (const job of state.pendingSaveJobs) {
-		state.recordedEnds.delete(job);
 		state.refusedUntilMs.delete(job);
 		if (refusedJobs.has(job.spec.jobId)) {
 			state.refusedUntilMs.set(job, nowMs + refusedSaveRetryMs);
--- a/packages/scheduler/src/core/recorded-ends.ts
+++ b/packages/scheduler/src/core/recorded-ends.ts
@@ -76,9 +76,9 @@
 	return endsByJob(unresolved, ends);
 };
 
-const emitRecord = (state: SchedulerState, jobs: readonly JobEnds[], reason: string, isBesideSave = false): void => {
+const emitRecord = (state: SchedulerState, jobs: readonly JobEnds[], reason: string): void => {
 	if (jobs.length > 0) {
-		state.emit({type: 'recordEnds', jobs, isBesideSave});
+		state.emit({type: 'recordEnds', jobs});
 		state.emit({
 			type: 'log', fields: {
 				event: 'ends_recorded', reason, jobs: jobs.length, first: jobs[0]!.jobId,
@@ -92,46 +92,6 @@
 	emitRecord(state, unstoredTaskEnds(state), reason);
 };
 
-/** Time for which ends that were read may be known to this process alone. */
-const maxUnrecordedMs = 100;
-
-/** Records that may be on their way to the store at once. One without an answer is repeated for a while. */
-const maxPendingRecords = 3;
-
-const without = <Value>(values: readonly Value[], known: readonly Value[] = []): readonly Value[] => values.filter(value => !known.includes(value));
-
-/** Returns the ends that are not among the known ones. */
-const endsBeyond = ({doneTasks, failures}: TaskEnds, known: TaskEnds | undefined): TaskEnds => {
-	const beyond = (ends: TaskEnds['doneTasks'], knownEnds: TaskEnds['doneTasks'] = {}): TaskEnds['doneTasks'] => Object.fromEntries(Object.entries(ends)
-		.map(([key, numbers]) => [key, without(numbers, knownEnds[key])] as const)
-		.filter(([, numbers]) => numbers.length > 0));
-	return {doneTasks: beyond(doneTasks, known?.doneTasks), failures: beyond(failures, known?.failures)};
-};
-
-/** Records the ends that were read and are not stored while a save takes long: it may await the outcome of a call whose answer is lost, and nothing that was read since is stored meanwhile. With the loss of this process, and of the workers, they would be lost. */
-export const recordDelayedEnds = (state: SchedulerState, nowMs: number): void => {
-	const {term, pendingSaveNumber, lastSaveAtMs, lastRecordAtMs, pendingRecords, recordedEnds} = state;
-	if (term === undefined || pendingSaveNumber === undefined || nowMs - Math.max(lastSaveAtMs, lastRecordAtMs) < maxUnrecordedMs || pendingRecords >= maxPendingRecords) {
-		return;
-	}
-
-	const jobs: JobEnds[] = [];
-	for (const {jobId, ends} of unstoredTaskEnds(state)) {
-		const job = state.jobs.get(jobId);
-		const fresh = endsBeyond(ends, job && recordedEnds.get(job));
-		if (job !== undefined && hasEnds(fresh)) {
-			recordedEnds.set(job, mergeEnds(recordedEnds.get(job) ?? fresh, fresh));
-			jobs.push({jobId, ends: fresh});
-		}
-	}
-
-	if (jobs.length > 0) {
-		state.lastRecordAtMs = nowMs;
-		state.pendingRecords++;
-		emitRecord(state, jobs, 'the save takes long', true);
-	}
-};
-
 /** Returns true if the end may matter and is not known to this process. */
 const isNews = (state: SchedulerState, {taskKey, attempt, end}: FinishedEntry, reportedAtMs: number): boolean => {
 	const task = findTask(state, taskKey);
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -18,9 +18,7 @@
 import {poolsLackingRoom} from './pools/pool-capacity.js';
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {dropOutdatedEvent} from './outdated-events.js';
-import {
-	applyInheritedEnds, keepEndsOfDropped, recordDelayedEnds, recordUnstoredEnds,
-} from './recorded-ends.js';
+import {applyInheritedEnds, keepEndsOfDropped, recordUnstoredEnds} from './recorded-ends.js';
 import {reconcileRuns} from './relocation.js';
 import {
 	applyLateReport, applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
@@ -215,7 +213,6 @@
 			applyPollAnswer(state, event);
 			updatePaceAfterPoll(state, event);
 			storeReportedEnds(state, event.nowMs);
-			recordDelayedEnds(state, event.nowMs);
 			break;
 		}
 
@@ -251,11 +248,6 @@
 			break;
 		}
 
-		case 'recordEnded': {
-			state.pendingRecords--;
-			break;
-		}
-
 		case 'saved': {
 			applySaved(state, event);
 			storeReportedEnds(state, event.nowMs);
@@ -284,7 +276,6 @@
 				runSchedulingPass(state, event);
 			}
 
-			recordDelayedEnds(state, event.nowMs);
 			break;
 		}
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -4,7 +4,7 @@
 import {defaultMaxWorkerLeaseMs, maxCallDelayMs} from '../constants.js';
 import {type UnreadableMachine} from '../ports.js';
 import {
-	type FleetConfiguration, type JobSpec, type Queue, type Resources, type TaskEnds,
+	type FleetConfiguration, type JobSpec, type Queue, type Resources,
 } from '../types.js';
 import {
 	type DetachedRows, type Evacuation, type JobRecord, type ListTimes, type MachineRecord, type ReportedEnd, type TaskRun, type StepInstance, type Trial, type WaveRecord, type WorkerRecord,
@@ -120,11 +120,6 @@
 	/** Jobs and waves whose last save the store refused, with the time from which they are saved again. They count as unsaved until a save with them is stored. */
 	readonly refusedUntilMs = new Map<JobRecord | WaveRecord, number>();
 	lastSaveAtMs = 0;
-	/** Ends that were recorded beside saves that take long, while they are not known to be stored with the progress of their jobs. */
-	readonly recordedEnds = new Map<JobRecord, TaskEnds>();
-	/** When ends were last recorded beside a save, and how many of these records are not stored yet. */
-	lastRecordAtMs = Number.NEGATIVE_INFINITY;
-	pendingRecords = 0;
 	/** The next save begins once the interval since the last one is over. */
 	isSaveScheduled = false;
 	saveCount = 0;
--- a/packages/scheduler/src/core/terms.ts
+++ b/packages/scheduler/src/core/terms.ts
@@ -14,7 +14,6 @@
 		recordUnstoredEnds(state, 'the term has ended');
 	}
 
-	state.recordedEnds.clear();
 	state.term = undefined;
 	state.clearRuns(nowMs);
 	resetEvacuationLogs(state);
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -107,7 +107,7 @@
 			}
 
 			case 'recordEnds': {
-				void this.#recordEnds(effect.jobs, effect.isBesideSave);
+				void this.#recordEnds(effect.jobs);
 				break;
 			}
 
@@ -277,7 +277,7 @@
 	}
 
 	/** Repeats the writes while they may still reach another holder in time. A row that is written twice is the same. */
-	async #recordEnds(jobs: readonly JobEnds[], isBesideSave: boolean): Promise<void> {
+	async #recordEnds(jobs: readonly JobEnds[]): Promise<void> {
 		const {clock, log, store} = this.#options;
 		const recordId = `${this.#recorder}.${++this.#recordCount}`;
 		const startedAtMs = clock.nowMs();
@@ -296,10 +296,6 @@
 		if (!isStored) {
 			log.error({event: 'ends_record_abandoned', recordId, jobs: jobs.length});
 		}
-
-		if (isBesideSave) {
-			this.#options.dispatch({type: 'recordEnded', ...this.#now()});
-		}
 	}
 
 	#isSavePending(save: ProgressSave, fencingToken: number): boolean {
