--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -18,7 +18,9 @@
 import {poolsLackingRoom} from './pools/pool-capacity.js';
 import {updateForecast, resizePools} from './pools/pool-sizing.js';
 import {dropOutdatedEvent} from './outdated-events.js';
-import {applyInheritedEnds, keepEndsOfDropped, recordUnstoredEnds} from './recorded-ends.js';
+import {
+	applyInheritedEnds, keepEndsOfDropped, recordDelayedEnds, recordUnstoredEnds,
+} from './recorded-ends.js';
 import {reconcileRuns} from './relocation.js';
 import {
 	applyLateReport, applyPollAnswer, applyStartAnswer, applyStopAnswer, resolveReports,
@@ -213,6 +215,7 @@
 			applyPollAnswer(state, event);
 			updatePaceAfterPoll(state, event);
 			storeReportedEnds(state, event.nowMs);
+			recordDelayedEnds(state, event.nowMs);
 			break;
 		}
 
@@ -248,6 +251,11 @@
 			break;
 		}
 
+		case 'recordEnded': {
+			state.pendingRecords--;
+			break;
+		}
+
 		case 'saved': {
 			applySaved(state, event);
 			storeReportedEnds(state, event.nowMs);
@@ -267,6 +275,7 @@
 		case 'tick': {
 			state.areOrdersOutdated = event.areOrdersOutdated === true;
 			state.jobRowsConfirmedAtMs = event.jobRowsConfirmedAtMs;
+			state.jobRowsRevision = event.jobRowsRevision;
 			if (state.term === undefined) {
 				expireWorkers(state, event.nowMs);
 			} else if (state.isSuspended || state.isHandingOver) {
@@ -275,6 +284,7 @@
 				runSchedulingPass(state, event);
 			}
 
+			recordDelayedEnds(state, event.nowMs);
 			break;
 		}
 
