A takeover waits for a replaced holder also beside workers that started again

The review showed that ends which a replaced holder has read are run again where their workers have restarted under their ids: they report to the next holder and list nothing, so the takeover was settled by reports. A restart now counts like the departure of a drained worker. Workers that go with their machine without a drain are still missed; counting every worker that is gone would make each takeover wait, since machines move all the time.

--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -137,6 +137,7 @@
 	const wasLeaving = worker.restart?.wasLeaving ?? (worker.isEnded || isLeaving(state, worker));
 	worker.restart = {wasLeaving, hasReported: false};
 	reopenStarts(worker, nowMs);
+	state.lastDepartureAtMs = nowMs;
 	worker.incarnation = ++state.incarnationCount;
 	worker.restartCount++;
 	worker.restartedAtMs = nowMs;
--- a/packages/scheduler/tests/orders-of-a-replaced-holder.test.ts
+++ b/packages/scheduler/tests/orders-of-a-replaced-holder.test.ts
@@ -99,3 +99,25 @@
 	}, 70);
 	expect(holder.state.workers.get(workerId)!.unreachedAtMs !== undefined).toBe(isUnreached);
 });
+
+test('ends that a replaced holder has read and not stored are not run again where their workers have started again', async () => {
+	await begin();
+	for (const {table} of simulation.processes) {
+		table.latencyMs = 120;
+	}
+
+	const submitted = submit();
+	const doneCount = (): number => [...former.scheduler.state.jobs.values()].flatMap(job => [...job.occurrences.values()]).flat().reduce((sum, step) => sum + step.doneCount, 0);
+	for (let waitedMs = 0; doneCount() === 0 && waitedMs < 5000; waitedMs++) {
+		await simulation.run(1);
+	}
+
+	former.clock.freeze(standstillMs, 'process');
+	await simulation.run(150);
+	await submitted;
+	for (const workerId of workers) {
+		simulation.restartWorker(workerId);
+	}
+
+	await finish();
+});
