An order to a machine that was withdrawn stands, as one without an answer

Found by the review, by reading: a repeated order that is withdrawn was answered 'refused', and the order was forgotten while its first copy may still be carried out and end a new task's worker. It now counts as unanswered and is repeated. No run shows the case; machine_order says isWithdrawn.

--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -234,12 +234,20 @@
 	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
 		const sentAtMs = this.#options.clock.nowMs();
 		const {fencingToken} = effect;
-		const holder = {holder: this.#options.processId, fencingToken, mayBeSent: () => this.#options.mayOrder(fencingToken)};
-		const answer = effect.type === 'move'
+		let isWithdrawn = false;
+		const holder = {
+			holder: this.#options.processId, fencingToken, mayBeSent: () => {
+				isWithdrawn = !this.#options.mayOrder(fencingToken);
+				return !isWithdrawn;
+			},
+		};
+		const received = effect.type === 'move'
 			? await this.#options.machineControl.move(effect.machineId, effect.pool, holder)
 			: await this.#options.machineControl.maintain(effect.machineId, effect.waveId, holder);
+		// An earlier copy of the order may still be carried out, so the order stands.
+		const answer = isWithdrawn ? 'unknown' : received;
 		this.#options.log.info({
-			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs), fencingToken: effect.fencingToken,
+			event: 'machine_order', order: effect.type, machineId: effect.machineId, answer, isWithdrawn, durationMs: Math.round(this.#options.clock.nowMs() - sentAtMs), fencingToken: effect.fencingToken,
 			...(effect.type === 'move' ? {pool: effect.pool, reason: effect.reason} : {waveId: effect.waveId}),
 		});
 		this.#options.dispatch({
