--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -12,7 +12,7 @@
 import {type SchedulerState} from '../core/scheduler-state.js';
 import {type JobStore} from '../jobs/job-store.js';
 import {
-	type MachineControl, type PlacementAdvisor, type WaveReporter, type WorkerAddress, type WorkerControl,
+	type MachineControl, type MayBeSent, type PlacementAdvisor, type WaveReporter, type WorkerAddress, type WorkerControl,
 } from '../ports.js';
 import {DoneLog} from './done-log.js';
 import {StartLog} from './start-log.js';
@@ -165,17 +165,25 @@
 		return worker === undefined ? undefined : {workerId, address: worker.entry.address, incarnation: worker.incarnation};
 	}
 
+	/** Asks, right before an order is sent, whether it may be, and keeps the answer. */
+	#permissionFor(fencingToken: number): {readonly mayBeSent: MayBeSent; isWithdrawn: boolean} {
+		const permission = {
+			isWithdrawn: false,
+			mayBeSent: (): boolean => {
+				permission.isWithdrawn = !this.#options.mayOrder(fencingToken);
+				return !permission.isWithdrawn;
+			},
+		};
+		return permission;
+	}
+
 	async #start({type: _type, waitedMs, progressVersion, orderToken, ...order}: Extract<SchedulerEffect, {readonly type: 'start'}>): Promise<void> {
 		const {workerId, taskKey, attempt} = order;
 		const worker = this.#addressOf(workerId);
 		const sentAtMs = this.#options.clock.nowMs();
-		let isWithdrawn = false;
-		const mayBeSent = (): boolean => {
-			isWithdrawn = !this.#options.mayOrder(order.fencingToken);
-			return !isWithdrawn;
-		};
-
-		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.start(worker, {...order, fencingToken: orderToken}, mayBeSent);
+		const permission = this.#permissionFor(order.fencingToken);
+		const answer = worker === undefined ? 'wrong-worker' : await this.#options.workerControl.start(worker, {...order, fencingToken: orderToken}, permission.mayBeSent);
+		const {isWithdrawn} = permission;
 		const durationMs = this.#options.clock.nowMs() - sentAtMs;
 		this.#options.metrics.recordMs('task_wait_ms', waitedMs);
 		this.#options.metrics.recordMs('worker_start_ms', durationMs);
@@ -234,16 +242,12 @@
 	async #orderMachine(effect: Extract<SchedulerEffect, {readonly type: 'move' | 'maintain'}>): Promise<void> {
 		const sentAtMs = this.#options.clock.nowMs();
 		const {fencingToken} = effect;
-		let isWithdrawn = false;
-		const holder = {
-			holder: this.#options.processId, fencingToken, mayBeSent: () => {
-				isWithdrawn = !this.#options.mayOrder(fencingToken);
-				return !isWithdrawn;
-			},
-		};
+		const permission = this.#permissionFor(fencingToken);
+		const holder = {holder: this.#options.processId, fencingToken, mayBeSent: permission.mayBeSent};
 		const received = effect.type === 'move'
 			? await this.#options.machineControl.move(effect.machineId, effect.pool, holder)
 			: await this.#options.machineControl.maintain(effect.machineId, effect.waveId, holder);
+		const {isWithdrawn} = permission;
 		// An earlier copy of the order may still be carried out, so the order stands.
 		const answer = isWithdrawn ? 'unknown' : received;
 		this.#options.log.info({
