--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -96,7 +96,10 @@
 		if (!listed.has(workerId) && worker.isListed) {
 			worker.isListed = false;
 			worker.unlistedAtMs = nowMs;
-			state.lastDepartureAtMs = worker.entry.isDraining ? nowMs : state.lastDepartureAtMs;
+			if (worker.entry.isDraining) {
+				state.lastDepartureAtMs = nowMs;
+			}
+
 			if (state.term === undefined || worker.isEnded) {
 				continue;
 			}
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -131,7 +131,7 @@
 export type JobState = 'queued' | 'running' | JobOutcome;
 
 /** One incarnation of a worker, as every process knows it. */
-export type WorkerLife = {
+export type WorkerIdentity = {
 	readonly workerId: string;
 	readonly bornWallMs: number;
 };
@@ -145,7 +145,7 @@
 	/** Last attempt that was planned as a trial. It is stored before the start order is sent, so a successor knows of a trial whose outcome it never learns. */
 	readonly trialAttempt: number;
 	/** The worker that the trial was planned for, if it tells when it was born. */
-	readonly trialWorker?: WorkerLife | undefined;
+	readonly trialWorker?: WorkerIdentity | undefined;
 	/** Last trial that is known to have ended without a crash. */
 	readonly settledTrialAttempt: number;
 	/** Last attempt that its worker was seen to survive for as long as a trial takes. */
--- a/packages/state/src/replicas/table-replica.ts
+++ b/packages/state/src/replicas/table-replica.ts
@@ -282,14 +282,15 @@
 			.map(([key]): RowChange => ({key, value: undefined, version: revision}));
 		const changed = rows.filter(({key, version}) => version <= revision
 			&& version > Math.max(this.#versions.get(key) ?? 0, this.#removedVersions.get(key) ?? 0));
+		// The state of such a row at the listing's revision is not among the changes since then, only the later one is.
+		const later = rows.map(({version}) => version).filter(version => version > revision);
 		this.#log.info({
-			event: 'replica_listed', prefix: this.#options.prefix, rows: rows.length, changed: changed.length, gone: gone.length, leftToChanges: rows.filter(({version}) => version > revision).length, revision, durationMs: Math.round(this.#clock.nowMs() - sentAtMs),
+			event: 'replica_listed', prefix: this.#options.prefix, rows: rows.length, changed: changed.length, gone: gone.length, leftToChanges: later.length, revision, durationMs: Math.round(this.#clock.nowMs() - sentAtMs),
 		});
 		this.#deliver([...gone, ...changed]);
 		this.#isWhole = false;
 		this.#revision = Math.max(this.#revision ?? 0, revision);
-		// The state of such a row at the listing's revision is not among the changes since then, only the later one is.
-		this.#wholeFromRevision = Math.max(0, ...rows.map(({version}) => version).filter(version => version > revision));
+		this.#wholeFromRevision = Math.max(0, ...later);
 	}
 
 	/** Responses of two calls may arrive in either order, so changes that were already applied are skipped. */
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -84,8 +84,9 @@
 		return [`  ${result} ${rule} (${judged} ${what}, ${broken.length} broken)`, ...shown];
 	});
 	const failed = results.filter(({broken}) => broken.length > 0).length;
-	const others = [...startsAfterOtherEnds(evidence)].map(([reason, starts]) => `  seen   ${starts.length} starts after an end as done that nobody had to take note of, ${reason}`);
-	for (const text of [...startsAfterOtherEnds(evidence)].flatMap(([reason, starts]) => starts.map(start => `${reason}: ${start}`))) {
+	const startsByReason = [...startsAfterOtherEnds(evidence)];
+	const others = startsByReason.map(([reason, starts]) => `  seen   ${starts.length} starts after an end as done that nobody had to take note of, ${reason}`);
+	for (const text of startsByReason.flatMap(([reason, starts]) => starts.map(start => `${reason}: ${start}`))) {
 		evidence.deployment.record.add(`seen, ${text}`);
 	}
 
