Name the build in process_started and process_stopped

Cause: no line of a process names its build.

Change: scripts/build.js puts the commit into each bundle (marked -dirty if files differ), or a hash of the sources and the lockfile where there is no .git or no git program. process_started and process_stopped carry it as `build`: the users' record keeps the latter for the word in its name.

A build without the git program was not run.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -2,6 +2,7 @@
 export {
 	BoundedOutput, writeToDescriptor, writeFully, type WriteBytes,
 } from './bounded-output.js';
+export {buildId} from './build-id.js';
 export {
 	SystemClock, VirtualClock, type CancelTimer, type Clock,
 } from './clock.js';
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -2,7 +2,7 @@
 The process of an entry host on the users' platform: answers callers, and schedules the fleet's work while it holds the lease.
 */
 import {
-	type Clock, type JsonValue, LifecycleManager, listenOn, type Logger, type MetricsRegistry, type OperationsRoute, OperationsServer, SystemRandom,
+	buildId, type Clock, type JsonValue, LifecycleManager, listenOn, type Logger, type MetricsRegistry, type OperationsRoute, OperationsServer, SystemRandom,
 } from '@poplarnotch/common';
 import {
 	AdviceHttpClient, createReadinessServer, HttpClient, type HostSettings, JobHttpServer, MachineHttpControl, OperatorRowsWatcher, WaveStatusWriter, TableStore, WorkerRegistryWatcher, WorkerHttpControl,
@@ -219,7 +219,9 @@
 			this.#jobServer.server.close();
 			this.#jobServer.server.closeAllConnections();
 		});
-		log.info({event: 'process_started', host: settings.host, dataCentre: settings.dataCentre});
+		log.info({
+			event: 'process_started', build: buildId, host: settings.host, dataCentre: settings.dataCentre,
+		});
 	}
 
 	/** Releases the lease, finishes the requests received so far and closes. */
@@ -252,7 +254,7 @@
 
 		const failures = await this.#lifecycle.releaseAll();
 		log.info({
-			event: 'process_stopped', inFlight: this.#jobServer.inFlight, failures: failures.length, durationMs: Math.round(clock.nowMs() - startedAtMs),
+			event: 'process_stopped', build: buildId, inFlight: this.#jobServer.inFlight, failures: failures.length, durationMs: Math.round(clock.nowMs() - startedAtMs),
 		});
 	}
 
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,10 +1,13 @@
 /**
-Bundles each binary into a single file. Arguments select binaries by name (default: all); `--out` sets the target folder (default: `dist`).
+Bundles each binary into a single file that names its build. Arguments select binaries by name (default: all); `--out` sets the target folder (default: `dist`).
 */
-import {chmod} from 'node:fs/promises';
+import {execFile} from 'node:child_process';
+import {createHash} from 'node:crypto';
+import {existsSync} from 'node:fs';
+import {chmod, readdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
-import {parseArgs} from 'node:util';
+import {parseArgs, promisify} from 'node:util';
 import {build} from 'esbuild';
 
 /**
@@ -51,7 +54,36 @@
 
 const executableMode = 0o755;
 
-const buildBinary = async ({name, entryPoint, nodeFlags}) => {
+const idLength = 12;
+
+/** Returns a hash of all packages' sources and of the list of their dependencies. */
+const sourcesHash = async () => {
+	const entries = await readdir('packages', {recursive: true, withFileTypes: true});
+	const files = entries.filter(entry => entry.isFile() && entry.name.endsWith('.ts')).map(entry => path.join(entry.parentPath ?? entry.path, entry.name));
+	const sources = files.filter(file => file.split(path.sep)[2] === 'src');
+	const hash = createHash('sha256');
+	for (const file of ['package-lock.json', ...sources.toSorted()]) {
+		hash.update(`${file}\n`).update(await readFile(file));
+	}
+
+	return `src-${hash.digest('hex').slice(0, idLength)}`;
+};
+
+/** Returns the commit, marked if files differ from it. A folder above that is a repository says nothing of these sources. */
+const findBuildId = async () => {
+	if (existsSync('.git')) {
+		try {
+			const {stdout} = await promisify(execFile)('git', ['describe', '--always', '--dirty', '--exclude=*', `--abbrev=${idLength}`]);
+			return stdout.trim();
+		} catch {
+			// There may be a folder without the program.
+		}
+	}
+
+	return sourcesHash();
+};
+
+const buildBinary = async ({name, entryPoint, nodeFlags}, buildId) => {
 	const outfile = path.join(options.out, `${name}.mjs`);
 	await build({
 		entryPoints: [entryPoint],
@@ -62,6 +94,7 @@
 		format: 'esm',
 		minify: true,
 		keepNames: true,
+		define: {POPLARNOTCH_BUILD: JSON.stringify(buildId)},
 		plugins: [withoutTranslations],
 		banner: {js: banner(nodeFlags)},
 		// Optional dependencies of bunyan, which loads them only if they are installed.
@@ -72,7 +105,8 @@
 };
 
 try {
-	await Promise.all(binaries.filter(isWanted).map(buildBinary));
+	const buildId = await findBuildId();
+	await Promise.all(binaries.filter(isWanted).map(async binary => buildBinary(binary, buildId)));
 } catch {
 	process.exitCode = 1;
 }
