Log lines that tell the causes of two runs of a task apart

None of the lines on takeovers and restarted workers has one, and a run of an earlier term that is listed while its task runs elsewhere has no line but its stop.

--- a/packages/scheduler/src/core/progress-persistence.ts
+++ b/packages/scheduler/src/core/progress-persistence.ts
@@ -86,7 +86,7 @@
 	const reportedAtMs = workers.flatMap(worker => [...worker.unacknowledgedEnds, ...worker.unresolvedEnds].map(end => end.reportedAtMs));
 	state.emit({
 		type: 'log', fields: {
-			event: 'term_ended', reason, fencingToken: state.term.fencingToken, termMs: Math.round(nowMs - state.term.wonAtMs), isSettled: state.isSettled, unstoredEnds: workers.reduce((sum, worker) => sum + unstoredEnds(worker), 0), oldestMs: reportedAtMs.length === 0 ? undefined : Math.round(nowMs - Math.min(...reportedAtMs)), pendingSave: state.pendingSaveNumber, workers: workers.slice(0, maxLoggedRuns).map(worker => `${worker.entry.workerId}:${worker.acknowledgedSequence}-${worker.processedSequence}`).join(','),
+			event: 'term_ended', reason, orders: 'stopped', fencingToken: state.term.fencingToken, termMs: Math.round(nowMs - state.term.wonAtMs), isSettled: state.isSettled, unstoredEnds: workers.reduce((sum, worker) => sum + unstoredEnds(worker), 0), oldestMs: reportedAtMs.length === 0 ? undefined : Math.round(nowMs - Math.min(...reportedAtMs)), pendingSave: state.pendingSaveNumber, workers: workers.slice(0, maxLoggedRuns).map(worker => `${worker.entry.workerId}:${worker.acknowledgedSequence}-${worker.processedSequence}`).join(','),
 		},
 	});
 };
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -5,7 +5,7 @@
 import {type FinishedEntry} from '../types.js';
 import {resolveLostTrials} from './crash-attribution.js';
 import {
-	type JobRecord, type StepInstance, type Task, type WorkerRecord,
+	type JobRecord, type MachineRecord, type StepInstance, type Task, type WorkerRecord,
 } from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {foundEndsFields} from './report-logs.js';
@@ -29,16 +29,16 @@
 const hasUnlistedEnds = ({mayLackEnds, silentSinceMs, lastAnswerAtMs}: WorkerRecord, nowMs: number): boolean =>
 	mayLackEnds && (silentSinceMs === undefined || nowMs < leaseExpiryAfter(lastAnswerAtMs));
 
-/** Tells what is known of workers that have not reported all that they have. */
-const describeUnheard = (state: SchedulerState, workers: readonly WorkerRecord[], nowMs: number): string => {
-	const described = workers.slice(0, maxLoggedRuns).map(worker => {
-		const {entry: {workerId}, isEnded, isListed, silentSinceMs} = worker;
-		const reach = silentSinceMs === undefined ? 'unanswered' : `silent-${Math.round(nowMs - silentSinceMs)}ms`;
-		return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}${hasInheritedStart(state, worker, nowMs) ? ':open-start' : ''}`;
-	});
-	return described.join(',');
+/** Tells what is known of a worker that has not reported all that it has. */
+const describeUnheardWorker = (state: SchedulerState, worker: WorkerRecord, nowMs: number): string => {
+	const {entry: {workerId}, isEnded, isListed, silentSinceMs} = worker;
+	const reach = silentSinceMs === undefined ? 'unanswered' : `silent-${Math.round(nowMs - silentSinceMs)}ms`;
+	return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}${hasInheritedStart(state, worker, nowMs) ? ':open-start' : ''}`;
 };
 
+const describeUnheard = (state: SchedulerState, workers: readonly WorkerRecord[], nowMs: number): string =>
+	workers.slice(0, maxLoggedRuns).map(worker => describeUnheardWorker(state, worker, nowMs)).join(',');
+
 /** Number of workers with a stated start; `undefined` while there may be others. */
 const statedStarts = (state: SchedulerState, nowMs: number): number | undefined => areEarlierStartsKnown(state, nowMs) ? state.inheritedStarts.size : undefined;
 
@@ -77,6 +77,34 @@
 	}
 };
 
+/** Why a worker that was not heard counts as one that runs nothing of an earlier holder. */
+type GiveUpBound = 'ended-by-list' | 'ended-unlisted' | 'lease' | 'longest-lease' | 'silent-for-lease';
+
+/** Whom a settled takeover gives up as lost. */
+type GivenUp = {
+	readonly by: 'reports' | 'time';
+	readonly unheard: readonly WorkerRecord[];
+	readonly boundOf: (worker: WorkerRecord) => GiveUpBound;
+	readonly unregistered: readonly MachineRecord[];
+};
+
+/** Logs the workers that were not heard when the takeover was settled, and by which bound their runs count as over. */
+const logGivenUp = (state: SchedulerState, {by, unheard, boundOf, unregistered}: GivenUp, nowMs: number): void => {
+	if (by === 'reports' && unheard.length === 0 && unregistered.length === 0) {
+		return;
+	}
+
+	const described = unheard.slice(0, maxLoggedRuns).map(worker => {
+		const restarted = worker.restartedAtMs === undefined ? '' : `:restarted-${Math.round(nowMs - worker.restartedAtMs)}ms`;
+		return `${describeUnheardWorker(state, worker, nowMs)}${restarted}:by-${boundOf(worker)}`;
+	});
+	state.emit({
+		type: 'log', fields: {
+			event: 'workers_given_up_as_lost', by, count: unheard.length, fencingToken: state.term!.fencingToken, sinceOrdersOverMs: Math.round(nowMs - state.earlierOrdersOverAtMs), leaseBoundMs: Math.round(leaseExpiryAfter(0)), workers: described.join(','), machines: unregistered.slice(0, maxLoggedRuns).map(({entry: {machineId, workerId}}) => `${machineId}:${workerId}`).join(','),
+		},
+	});
+};
+
 /** Marks the takeover as settled once no worker can still run a task of an earlier lease holder that this process has not seen. */
 export const checkTakeoverSettled = (state: SchedulerState, nowMs: number): void => {
 	if (state.term === undefined || state.isSettled) {
@@ -93,10 +121,27 @@
 	const awaited = workers.filter(worker => !worker.isFenced && !isGone(worker) && !hasNoEarlierStarts(state, worker));
 	const awaitsHolder = awaitsEarlierEnds(state, nowMs);
 	const areAllKnown = awaited.length === 0 && !awaitsHolder && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
+	const mayGetLongLease = (worker: WorkerRecord): boolean => (lastEarlierCallAtMs(worker) ?? Number.NEGATIVE_INFINITY) >= earlierOrdersOverAtMs;
 	const mayHoldLongLease = (worker: WorkerRecord): boolean => !worker.isFenced
-		&& (lastEarlierCallAtMs(worker) ?? Number.NEGATIVE_INFINITY) >= earlierOrdersOverAtMs
+		&& mayGetLongLease(worker)
 		&& nowMs < longestLeaseExpiryAfter(state, earlierOrdersOverAtMs);
 	const areLeasesOver = nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs) && !workers.some(worker => hasUnlistedEnds(worker, nowMs) || mayHoldLongLease(worker));
+	const boundOf = (worker: WorkerRecord): GiveUpBound => {
+		if (isGone(worker)) {
+			return 'ended-unlisted';
+		}
+
+		if (hasNoEarlierStarts(state, worker)) {
+			return 'ended-by-list';
+		}
+
+		if (mayGetLongLease(worker)) {
+			return 'longest-lease';
+		}
+
+		return worker.mayLackEnds ? 'silent-for-lease' : 'lease';
+	};
+
 	if (areAllKnown || areLeasesOver) {
 		state.isSettled = true;
 		resolveLostTrials(state);
@@ -108,6 +153,9 @@
 				unheard: describeUnheard(state, [...awaited, ...passedOver], nowMs), ...foundEndsFields(state),
 			},
 		});
+		logGivenUp(state, {
+			by: areAllKnown ? 'reports' : 'time', unheard: [...awaited, ...passedOver], boundOf, unregistered,
+		}, nowMs);
 	} else {
 		logWaiting(state, {
 			awaited, unregisteredCount: unregistered.length, areUnreadableKnown, awaitsHolder,
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -20,7 +20,7 @@
 import {
 	type ReportedEnd, type StepInstance, type TaskRun, type Task, type WorkerRecord,
 } from './records.js';
-import {countFoundEnd, logUnknownEnd} from './report-logs.js';
+import {countFoundEnd, logLostRuns, logUnknownEnd} from './report-logs.js';
 import {noResources} from './resources.js';
 import {resourcesOccupiedBy, type SchedulerState} from './scheduler-state.js';
 import {isStartedAfterEnd, logStartedAfterEnd} from './takeover.js';
@@ -85,8 +85,10 @@
 	}
 
 	worker.bornWallMs ??= report.bornWallMs;
-	if (worker.silentSinceMs !== undefined) {
-		state.emit({type: 'log', fields: {event: 'worker_answers', workerId: event.workerId, silentMs: Math.round(event.nowMs - worker.silentSinceMs)}});
+	const silentMs = worker.silentSinceMs === undefined ? undefined : Math.round(event.nowMs - worker.silentSinceMs);
+	const lastAnswerAgeMs = Math.round(event.nowMs - worker.lastAnswerAtMs);
+	if (silentMs !== undefined) {
+		state.emit({type: 'log', fields: {event: 'worker_answers', workerId: event.workerId, silentMs}});
 	}
 
 	// A report on a poll to an earlier incarnation tells what runs, but not what may still arrive.
@@ -132,6 +134,7 @@
 	}
 
 	applyListedEnds(state, worker, report.finished, event);
+	logLostRuns(state, worker, report.running.filter(({taskKey, attempt}) => attempt > (worker.runs.get(taskKey)?.attempt ?? 0)), {nowMs: event.nowMs, silentMs, lastAnswerAgeMs});
 	const listed = new Set<string>();
 	for (const entry of report.running) {
 		listed.add(entry.taskKey);
@@ -333,6 +336,7 @@
 			state.unresolvedRuns.delete(run);
 		} else if (!isUnresolved(state, {taskKey: run.taskKey, reportedAtMs: run.orderedAtMs})) {
 			state.unresolvedRuns.delete(run);
+			logLostRuns(state, run.worker, [run], now);
 			adoptRun(state, run.worker, {entry: run, reportedAtMs: run.orderedAtMs}, now.nowMs);
 		}
 	}
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -167,6 +167,19 @@
 
 	worker.recentFailuresMs.length = 0;
 	worker.quarantinedUntilMs = 0;
+	logUnansweredAtRestart(state, worker, nowMs);
+};
+
+/** Names the starts that a restart leaves open. They are no part of a line `runs_lost`, since the new incarnation may carry them out. */
+const logUnansweredAtRestart = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
+	const unanswered = [...worker.runs.values()].filter(({mayArrive}) => mayArrive);
+	if (state.term !== undefined && unanswered.length > 0) {
+		state.emit({
+			type: 'log', fields: {
+				event: 'restart_may_have_lost_runs', workerId: worker.entry.workerId, runs: worker.runs.size, unanswered: unanswered.length, incarnation: worker.incarnation, bornWallMs: worker.bornWallMs, lastAnswerAgeMs: Math.round(nowMs - worker.lastAnswerAtMs), leaseLeftMs: Math.round(worker.leaseExpiresAtMs - nowMs), tasks: describeRuns(unanswered, nowMs),
+			},
+		});
+	}
 };
 
 export const presentIncarnation = (worker: WorkerRecord): WorkerIncarnation => ({worker, incarnation: worker.incarnation});
@@ -193,12 +206,15 @@
 export const endWorker = (state: SchedulerState, worker: WorkerRecord, nowMs: number, {reason, mayReturn = false}: {readonly reason: LossReason; readonly mayReturn?: boolean}): void => {
 	if (!worker.isEnded) {
 		const {lost, open} = splitByReturn(worker, mayReturn);
+		const {leaseExpiresAtMs} = worker;
 		worker.isEnded = true;
 		// A takeover waits for a worker that may return: it may carry out a start of the earlier holder.
 		worker.isFenced = !mayReturn;
 		worker.mayLackEnds = false;
 		worker.leaseExpiresAtMs = Math.max(nowMs, ...open.map(({orderedAtMs}) => leaseExpiryAfter(orderedAtMs)));
-		loseRuns(state, worker, nowMs, {reason, lost, undecided: open});
+		loseRuns(state, worker, nowMs, {
+			reason, lost, undecided: open, leaseExpiresAtMs,
+		});
 	}
 };
 
@@ -232,10 +248,10 @@
 	return worker.entry.isDraining || isOrderedAway;
 };
 
-/** Names the runs with their attempts, ages and phases, the youngest first, and marks those whose start may still be carried out. */
+/** Names the runs with their attempts, ages and phases, the youngest first, whether the present incarnation of their worker has listed them, and marks those whose start may still be carried out. */
 const describeRuns = (runs: readonly TaskRun[], nowMs: number): string => runs.toSorted((a, b) => b.orderedAtMs - a.orderedAtMs)
 	.slice(0, maxLoggedRuns)
-	.map(run => `${run.taskKey}#${run.attempt}:${Math.round(nowMs - run.orderedAtMs)}ms:${run.phase}${run.mayArrive ? ':unanswered' : ''}`)
+	.map(run => `${run.taskKey}#${run.attempt}:${Math.round(nowMs - run.orderedAtMs)}ms:${run.phase}:${run.listedIncarnation === run.worker.incarnation ? 'listed' : 'unlisted'}${run.mayArrive ? ':unanswered' : ''}`)
 	.join(',');
 
 /** Why runs of a worker are lost, and which; by default all. */
@@ -245,11 +261,13 @@
 	/** Runs that may go on, but may also have crashed the worker. */
 	readonly undecided?: readonly TaskRun[];
 	readonly wasLeaving?: boolean;
+	/** Until when leases counted before the loss, if it has changed that. */
+	readonly leaseExpiresAtMs?: number;
 };
 
 /** Removes runs of a worker that have definitely ended with an unknown result. */
 export const loseRuns = (state: SchedulerState, worker: WorkerRecord, nowMs: number, {
-	reason, lost = [...worker.runs.values()], undecided = [], wasLeaving = isLeaving(state, worker),
+	reason, lost = [...worker.runs.values()], undecided = [], wasLeaving = isLeaving(state, worker), leaseExpiresAtMs = worker.leaseExpiresAtMs,
 }: Loss): void => {
 	if (lost.length > 0) {
 		state.emit({
@@ -261,6 +279,12 @@
 				isDraining: worker.entry.isDraining,
 				isReserved: worker.isReserved,
 				silentMs: worker.silentSinceMs === undefined ? undefined : Math.round(nowMs - worker.silentSinceMs),
+				lastAnswerAgeMs: Math.round(nowMs - worker.lastAnswerAtMs),
+				leaseOverForMs: Math.round(nowMs - leaseExpiresAtMs),
+				incarnation: worker.incarnation,
+				bornWallMs: worker.bornWallMs,
+				restartedAgoMs: worker.restartedAtMs === undefined ? undefined : Math.round(nowMs - worker.restartedAtMs),
+				fencingToken: state.term?.fencingToken,
 				tasks: describeRuns(lost, nowMs),
 			},
 		});
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -397,9 +397,11 @@
 	}
 
 	get #observedTerm(): ObservedTerm | undefined {
-		const {term, inheritedStarts, unknownStartsUntilMs, openJobs} = this.state;
+		const {
+			term, inheritedStarts, unknownStartsUntilMs, openJobs, earlierHolder,
+		} = this.state;
 		return term && {
-			...term, openStarts: inheritedStarts.size, unknownStartsUntilMs, openJobs: openJobs.size,
+			...term, openStarts: inheritedStarts.size, unknownStartsUntilMs, openJobs: openJobs.size, isEarlierHolderLost: earlierHolder !== undefined,
 		};
 	}
 
--- a/packages/scheduler/src/shell/term-monitor.ts
+++ b/packages/scheduler/src/shell/term-monitor.ts
@@ -14,6 +14,8 @@
 	readonly openStarts: number;
 	readonly unknownStartsUntilMs: number;
 	readonly openJobs: number;
+	/** The holder before may be alive: it was replaced on suspicion, or its lease ran out, without a word of it. */
+	readonly isEarlierHolderLost: boolean;
 };
 
 export type TermMonitorOptions = {
@@ -58,9 +60,9 @@
 		this.#standstillCount = 0;
 		this.#standstillMs = 0;
 		if (term !== undefined) {
-			const {fencingToken, wonAtMs, openStarts, unknownStartsUntilMs, openJobs} = term;
+			const {fencingToken, wonAtMs, openStarts, unknownStartsUntilMs, openJobs, isEarlierHolderLost} = term;
 			this.#options.log.info({
-				event: 'term_began', fencingToken, sinceEarlierTermMs: this.#endedAtMs === undefined ? undefined : Math.round(wonAtMs - this.#endedAtMs), openStarts, unknownForMs: Math.max(0, Math.round(unknownStartsUntilMs - nowMs)), openJobs,
+				event: 'term_began', fencingToken, sinceEarlierTermMs: this.#endedAtMs === undefined ? undefined : Math.round(wonAtMs - this.#endedAtMs), openStarts, unknownForMs: Math.max(0, Math.round(unknownStartsUntilMs - nowMs)), openJobs, earlierHolder: isEarlierHolderLost ? 'lost' : 'stopped-or-none',
 			});
 		}
 	}
--- a/packages/scheduler/tests/term-monitor.test.ts
+++ b/packages/scheduler/tests/term-monitor.test.ts
@@ -18,7 +18,7 @@
 	});
 	const begin = (fencingToken: number): void => {
 		term = {
-			fencingToken, wonAtMs: clock.nowMs(), openStarts: 2, unknownStartsUntilMs: clock.nowMs() + 300, openJobs: 7,
+			fencingToken, wonAtMs: clock.nowMs(), openStarts: 2, unknownStartsUntilMs: clock.nowMs() + 300, openJobs: 7, isEarlierHolderLost: fencingToken === 9,
 		};
 	};
 
@@ -26,7 +26,7 @@
 	begin(9);
 	monitor.recordRound(400);
 	expect(lines).toEqual([{
-		event: 'term_began', fencingToken: 9, sinceEarlierTermMs: undefined, openStarts: 2, unknownForMs: 300, openJobs: 7,
+		event: 'term_began', fencingToken: 9, sinceEarlierTermMs: undefined, openStarts: 2, unknownForMs: 300, openJobs: 7, earlierHolder: 'lost',
 	}]);
 	for (const latenessMs of [0, 350, 20, 120]) {
 		clock.advance(500);
@@ -41,6 +41,8 @@
 	clock.advance(1200);
 	begin(14);
 	monitor.recordRound(0);
-	expect(lines.at(-1)).toMatchObject({event: 'term_began', fencingToken: 14, sinceEarlierTermMs: 1200});
+	expect(lines.at(-1)).toMatchObject({
+		event: 'term_began', fencingToken: 14, sinceEarlierTermMs: 1200, earlierHolder: 'stopped-or-none',
+	});
 	expect(lines).toHaveLength(3);
 });
