A run that no report lists may last the longest lease, for the holder and for the next one

Cause: a worker that starts again has a clock that starts anew. A deadline of its earlier clock is far ahead on the new one, so it grants its longest lease, hold_max_ms (10 s), to a start that reaches it before the holder knows of the restart. If its answer is lost and it is then out of reach, the holder started the task elsewhere 5.4 s after the last sending, and so did the next holder, 5.4 s after the last order of the former one, for each worker that it had not seen start again.

Change: `core/unheard-runs.ts` holds all bounds after which a run counts as over that nobody has heard end, in place of three modules. The short bound needs a proof of the incarnation: - for the holder, a report of the present incarnation that lists the run; a start that was answered proves nothing, since the answer does not name the incarnation; - for the next holder, the note of one that released the lease and has no open start on the worker, or a registration that was written after the orders of earlier holders were over, by an incarnation that began so long before that no call to an earlier one can have reached it. A new holder is told of each heartbeat for that until its takeover is settled; the version of the row, compared with the store's revision after those orders, says when it was written. Without a proof the longest lease counts, also for workers of which only the machine is known. A worker that has ended by lists of machines counts as before.

Why it works: a lease is granted by the clock of one incarnation. On the one that a deadline was meant for, it is over 5.4 s after the sending whatever the rate of the clock; on any other one it cannot outlast hold_max_ms from the last arrival. There is no third case.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -17,6 +17,12 @@
 /** A call to a worker that got no answer may be carried out this long after it was sent. */
 export const maxCallDelayMs = 15_000;
 
+/** A lease deadline can arrive this long after it was drawn up, unless the worker carries the call out late: a poll is sent once more after its wait, and given up, with its connection closed, within a second of that. */
+export const maxUnansweredCallMs = 2500;
+
+/** Wall clocks of workers and of this process differ by less than this, also while one of them is set. */
+export const maxWallClockErrorMs = 3000;
+
 /** How long a busy worker may wait for a run to end before it answers a poll. This is also the sampling interval of its progress. */
 export const busyPollWaitMs = 500;
 
--- a/packages/scheduler/src/core/dispatch.ts
+++ b/packages/scheduler/src/core/dispatch.ts
@@ -18,7 +18,8 @@
 import {
 	canPlanTrials, canStartTrial, endFinishedTrials, findTrial, freeTrialWorkers, planTrial, planTrials, skipAttempt, type TrialPlan, type WaitingSuspect,
 } from './trials.js';
-import {deadlineClockMs, isUsable, recordLeaseSent} from './workers.js';
+import {recordLeaseSent} from './unheard-runs.js';
+import {deadlineClockMs, isUsable} from './workers.js';
 
 /** Tasks of one pool that could not be placed for lack of capacity. */
 export type Shortage = {
--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -31,14 +31,6 @@
 	return noted;
 };
 
-/** Applies what the last holder left. Without a note, or beside a replaced holder that may still order starts, any start may be under way. */
-export const receiveNote = (state: SchedulerState, note: HandoverNote | undefined, nowMs: number): void => {
-	const isUsed = note !== undefined && state.earlierHolder === undefined;
-	state.unknownStartsUntilMs = isUsed ? nowMs + note.unknownForMs : state.earlierOrdersOverAtMs + maxCallDelayMs;
-	state.unlistedUntilMs = nowMs + (note?.unlistedForMs ?? 0);
-	state.inheritedStarts = new Map(Object.entries(note?.openStarts ?? {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
-};
-
 /** Until when a start on the worker may be carried out that has no answer. */
 const openUntilMs = ({runs}: WorkerRecord): number =>
 	Math.max(0, ...[...runs.values()].map(({mayArrive, orderedAtMs}) => mayArrive ? orderedAtMs + maxCallDelayMs : 0));
@@ -83,19 +75,3 @@
 		ends,
 	};
 };
-
-/** Returns true if the starts of earlier holders that may still be carried out are known. */
-export const areEarlierStartsKnown = ({unknownStartsUntilMs}: SchedulerState, nowMs: number): boolean => nowMs >= unknownStartsUntilMs;
-
-/** Returns true if the earlier holder stated a start on the worker that may be carried out after this time. */
-export const hasInheritedStart = ({inheritedStarts}: SchedulerState, {entry}: WorkerRecord, afterMs: number): boolean =>
-	(inheritedStarts.get(entry.workerId) ?? Number.NEGATIVE_INFINITY) > afterMs;
-
-/** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. The list must have been asked for after all such starts, since an earlier one may lack an incarnation that has carried one out. */
-export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord): boolean => {
-	const {isEnded, missingSince} = worker;
-	return state.areMachinesOfTerm && isEnded && missingSince !== undefined
-		&& missingSince.sentAtMs >= Math.max(state.term!.wonAtMs, state.unlistedUntilMs)
-		&& areEarlierStartsKnown(state, missingSince.sentAtMs)
-		&& !hasInheritedStart(state, worker, missingSince.sentAtMs);
-};
--- a/packages/scheduler/src/core/records.ts
+++ b/packages/scheduler/src/core/records.ts
@@ -204,6 +204,8 @@
 	clock: WorkerClock | undefined;
 	/** Time, on this process's clock, until which tasks may keep running on the worker without another lease renewal. */
 	leaseExpiresAtMs: number;
+	/** When a lease deadline was last sent to the worker. */
+	lastLeaseSentAtMs: number;
 	lastAnswerAtMs: number;
 	/** When the last report was asked for. */
 	lastReportSentAtMs: number;
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -5,7 +5,7 @@
 import {type WaveOrder} from '../types.js';
 import {applyAdvice} from './placement-advice.js';
 import {dispatchTasks} from './dispatch.js';
-import {receiveNote} from './handover.js';
+import {receiveNote} from './inherited-starts.js';
 import {applyEvacuationOrders, logEvacuations} from './evacuation.js';
 import {type SchedulerEffect, type SchedulerEvent} from './events.js';
 import {
@@ -50,7 +50,7 @@
 const runSchedulingPass = (state: SchedulerState, now: CurrentTime): void => {
 	const {nowMs} = now;
 	expireWorkers(state, nowMs);
-	checkTakeoverSettled(state, nowMs);
+	checkTakeoverSettled(state, now);
 	requestRevision(state, nowMs);
 	updateOpenJobs(state, now);
 	resolveReports(state, now);
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -5,13 +5,13 @@
 import {type FinishedEntry} from '../types.js';
 import {resolveLostTrials} from './crash-attribution.js';
 import {
-	type JobRecord, type MachineRecord, type StepInstance, type Task, type WorkerRecord,
+	type JobRecord, type StepInstance, type Task, type WorkerRecord,
 } from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
 import {foundEndsFields} from './report-logs.js';
-import {areEarlierStartsKnown, hasInheritedStart, hasNoEarlierStarts} from './handover.js';
-import {lastEarlierCallAtMs, longestLeaseExpiryAfter} from './earlier-leases.js';
-import {leaseExpiryAfter} from './workers.js';
+import {areEarlierStartsKnown, hasInheritedStart, hasNoEarlierStarts} from './inherited-starts.js';
+import {type CurrentTime} from './jobs.js';
+import {earlierRunsOverAtMs, leaseExpiryAfter, unknownRunsOverAtMs} from './unheard-runs.js';
 
 /** Returns true unless an earlier lease holder may have started the job, which could then be running on a worker that has not reported to this process yet. The job's version decides, since this process may have read the job long after an earlier holder did. */
 export const canStartJob = ({isSettled, newJobsAfterRevision}: SchedulerState, {storedVersion}: JobRecord): boolean =>
@@ -58,20 +58,54 @@
 /** While a takeover is not settled, it is logged this often what it waits for. */
 const waitLogIntervalMs = 1000;
 
-type Waiting = {
-	readonly awaited: readonly WorkerRecord[];
-	readonly unregisteredCount: number;
-	readonly areUnreadableKnown: boolean;
+/** What a takeover waits for. */
+type Awaited = {
+	/** Workers that may run tasks of an earlier holder and have not been heard. */
+	readonly workers: readonly WorkerRecord[];
+	/** Workers that machines run and that are not registered. */
+	readonly unregistered: ReadonlyArray<{readonly machineId: string; readonly workerId: string}>;
+	/** There may be workers of which not even the id is known. */
+	readonly areOthersPossible: boolean;
 	readonly awaitsHolder: boolean;
 };
 
+const workersOnMachines = ({machines}: SchedulerState): ReadonlySet<string | undefined> => new Set([...machines.values()].map(({entry}) => entry.workerId));
+
+/** Returns true if the worker ended in an earlier term of this process, which does not poll it any more, and no machine runs it. */
+const isGone = ({entry: {workerId}, isEnded, isListed}: WorkerRecord, onMachines: ReadonlySet<string | undefined>): boolean =>
+	isEnded && !isListed && !onMachines.has(workerId);
+
+const findAwaited = (state: SchedulerState, nowMs: number): Awaited => {
+	const onMachines = workersOnMachines(state);
+	const areUnreadableKnown = state.unreadableMachines.every(({workerId}) => workerId !== undefined && state.workers.has(workerId));
+	return {
+		workers: [...state.workers.values()].filter(worker => !worker.isFenced && !isGone(worker, onMachines) && !hasNoEarlierStarts(state, worker)),
+		unregistered: [...state.machines.values()].flatMap(({entry: {machineId, workerId, pool, state: machineState}}) => {
+			const isUnregistered = workerId !== undefined && machineState === 'up' && !state.workers.has(workerId);
+			return isUnregistered && state.configuration.pools.get(pool)?.isStandby !== true ? [{machineId, workerId}] : [];
+		}),
+		areOthersPossible: !state.areMachinesOfTerm || !areUnreadableKnown,
+		awaitsHolder: awaitsEarlierEnds(state, nowMs),
+	};
+};
+
+const isNothingAwaited = ({workers, unregistered, areOthersPossible, awaitsHolder}: Awaited): boolean =>
+	workers.length === 0 && unregistered.length === 0 && !areOthersPossible && !awaitsHolder;
+
+/** Returns when the last run of an earlier holder is over, whether it is heard of or not. */
+const awaitedRunsOverAtMs = (state: SchedulerState, {workers, unregistered, areOthersPossible, awaitsHolder}: Awaited, now: CurrentTime): number => Math.max(
+	...workers.map(worker => earlierRunsOverAtMs(state, worker, now)),
+	unregistered.length > 0 || areOthersPossible ? unknownRunsOverAtMs(state) : Number.NEGATIVE_INFINITY,
+	awaitsHolder ? leaseExpiryAfter(state.earlierOrdersOverAtMs) : Number.NEGATIVE_INFINITY,
+);
+
 /** Logs what the takeover waits for. */
-const logWaiting = (state: SchedulerState, {awaited, unregisteredCount, areUnreadableKnown, awaitsHolder}: Waiting, nowMs: number): void => {
+const logWaiting = (state: SchedulerState, awaited: Awaited, overAtMs: number, nowMs: number): void => {
 	if (nowMs - state.takeoverLoggedAtMs >= waitLogIntervalMs) {
 		state.takeoverLoggedAtMs = nowMs;
 		state.emit({
 			type: 'log', fields: {
-				event: 'takeover_waits_for', afterMs: Math.round(nowMs - state.term!.wonAtMs), awaited: awaited.length, openStarts: statedStarts(state, nowMs), unregistered: unregisteredCount, areMachinesKnown: state.areMachinesOfTerm, areUnreadableKnown, awaitsHolder, workers: describeUnheard(state, awaited, nowMs),
+				event: 'takeover_waits_for', afterMs: Math.round(nowMs - state.term!.wonAtMs), awaited: awaited.workers.length, openStarts: statedStarts(state, nowMs), unregistered: awaited.unregistered.length, areMachinesKnown: state.areMachinesOfTerm, areOthersPossible: awaited.areOthersPossible, awaitsHolder: awaited.awaitsHolder, leasesLeftMs: Math.round(overAtMs - nowMs), workers: describeUnheard(state, awaited.workers, nowMs),
 			},
 		});
 	}
@@ -80,87 +114,70 @@
 /** Why a worker that was not heard counts as one that runs nothing of an earlier holder. */
 type GiveUpBound = 'ended-by-list' | 'ended-unlisted' | 'lease' | 'longest-lease' | 'silent-for-lease';
 
-/** Whom a settled takeover gives up as lost. */
-type GivenUp = {
-	readonly by: 'reports' | 'time';
-	readonly unheard: readonly WorkerRecord[];
-	readonly boundOf: (worker: WorkerRecord) => GiveUpBound;
-	readonly unregistered: readonly MachineRecord[];
+const boundOf = (state: SchedulerState, worker: WorkerRecord, onMachines: ReadonlySet<string | undefined>, now: CurrentTime): GiveUpBound => {
+	if (isGone(worker, onMachines)) {
+		return 'ended-unlisted';
+	}
+
+	if (hasNoEarlierStarts(state, worker)) {
+		return 'ended-by-list';
+	}
+
+	if (worker.mayLackEnds) {
+		return 'silent-for-lease';
+	}
+
+	return earlierRunsOverAtMs(state, worker, now) > leaseExpiryAfter(state.earlierOrdersOverAtMs) ? 'longest-lease' : 'lease';
 };
 
 /** Logs the workers that were not heard when the takeover was settled, and by which bound their runs count as over. */
-const logGivenUp = (state: SchedulerState, {by, unheard, boundOf, unregistered}: GivenUp, nowMs: number): void => {
-	if (by === 'reports' && unheard.length === 0 && unregistered.length === 0) {
+const logGivenUp = (state: SchedulerState, by: 'reports' | 'time', unheard: readonly WorkerRecord[], {unregistered}: Awaited, now: CurrentTime): void => {
+	if (by === 'reports' && unheard.length === 0) {
 		return;
 	}
 
+	const {nowMs} = now;
+	const onMachines = workersOnMachines(state);
 	const described = unheard.slice(0, maxLoggedRuns).map(worker => {
 		const restarted = worker.restartedAtMs === undefined ? '' : `:restarted-${Math.round(nowMs - worker.restartedAtMs)}ms`;
-		return `${describeUnheardWorker(state, worker, nowMs)}${restarted}:by-${boundOf(worker)}`;
+		return `${describeUnheardWorker(state, worker, nowMs)}${restarted}:by-${boundOf(state, worker, onMachines, now)}`;
 	});
 	state.emit({
 		type: 'log', fields: {
-			event: 'workers_given_up_as_lost', by, count: unheard.length, fencingToken: state.term!.fencingToken, sinceOrdersOverMs: Math.round(nowMs - state.earlierOrdersOverAtMs), leaseBoundMs: Math.round(leaseExpiryAfter(0)), workers: described.join(','), machines: unregistered.slice(0, maxLoggedRuns).map(({entry: {machineId, workerId}}) => `${machineId}:${workerId}`).join(','),
+			event: 'workers_given_up_as_lost', by, count: unheard.length, fencingToken: state.term!.fencingToken, sinceOrdersOverMs: Math.round(nowMs - state.earlierOrdersOverAtMs), workers: described.join(','), machines: unregistered.slice(0, maxLoggedRuns).map(({machineId, workerId}) => `${machineId}:${workerId}`).join(','),
 		},
 	});
 };
 
 /** Marks the takeover as settled once no worker can still run a task of an earlier lease holder that this process has not seen. */
-export const checkTakeoverSettled = (state: SchedulerState, nowMs: number): void => {
+export const checkTakeoverSettled = (state: SchedulerState, now: CurrentTime): void => {
 	if (state.term === undefined || state.isSettled) {
 		return;
 	}
 
+	const {nowMs} = now;
 	const {term: {wonAtMs}, earlierOrdersOverAtMs} = state;
 	const workers = [...state.workers.values()];
-	const unregistered = [...state.machines.values()].filter(({entry}) => entry.workerId !== undefined && entry.state === 'up' && !state.workers.has(entry.workerId));
-	const areUnreadableKnown = state.unreadableMachines.every(({workerId}) => workerId !== undefined && state.workers.has(workerId));
-	const machineWorkers = new Set([...state.machines.values()].map(({entry}) => entry.workerId));
-	// Workers that ended in an earlier term of this process are not polled any more.
-	const isGone = ({entry: {workerId}, isEnded, isListed}: WorkerRecord): boolean => isEnded && !isListed && !machineWorkers.has(workerId);
-	const awaited = workers.filter(worker => !worker.isFenced && !isGone(worker) && !hasNoEarlierStarts(state, worker));
-	const awaitsHolder = awaitsEarlierEnds(state, nowMs);
-	const areAllKnown = awaited.length === 0 && !awaitsHolder && state.areMachinesOfTerm && areUnreadableKnown && unregistered.every(({entry}) => state.configuration.pools.get(entry.pool)?.isStandby === true);
-	const mayGetLongLease = (worker: WorkerRecord): boolean => (lastEarlierCallAtMs(worker) ?? Number.NEGATIVE_INFINITY) >= earlierOrdersOverAtMs;
-	const mayHoldLongLease = (worker: WorkerRecord): boolean => !worker.isFenced
-		&& mayGetLongLease(worker)
-		&& nowMs < longestLeaseExpiryAfter(state, earlierOrdersOverAtMs);
-	const areLeasesOver = nowMs >= leaseExpiryAfter(earlierOrdersOverAtMs) && !workers.some(worker => hasUnlistedEnds(worker, nowMs) || mayHoldLongLease(worker));
-	const boundOf = (worker: WorkerRecord): GiveUpBound => {
-		if (isGone(worker)) {
-			return 'ended-unlisted';
-		}
-
-		if (hasNoEarlierStarts(state, worker)) {
-			return 'ended-by-list';
-		}
-
-		if (mayGetLongLease(worker)) {
-			return 'longest-lease';
-		}
-
-		return worker.mayLackEnds ? 'silent-for-lease' : 'lease';
-	};
-
-	if (areAllKnown || areLeasesOver) {
-		state.isSettled = true;
-		resolveLostTrials(state);
-		const unheard = workers.filter(worker => !worker.isFenced);
-		const passedOver = unheard.filter(worker => !awaited.includes(worker));
-		state.emit({
-			type: 'log', fields: {
-				event: 'takeover_settled', by: areAllKnown ? 'reports' : 'time', workers: workers.length, unanswered: unheard.length, unregistered: unregistered.length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs), awaited: awaited.length, openStarts: statedStarts(state, nowMs),
-				unheard: describeUnheard(state, [...awaited, ...passedOver], nowMs), ...foundEndsFields(state),
-			},
-		});
-		logGivenUp(state, {
-			by: areAllKnown ? 'reports' : 'time', unheard: [...awaited, ...passedOver], boundOf, unregistered,
-		}, nowMs);
-	} else {
-		logWaiting(state, {
-			awaited, unregisteredCount: unregistered.length, areUnreadableKnown, awaitsHolder,
-		}, nowMs);
+	const awaited = findAwaited(state, nowMs);
+	const areAllKnown = isNothingAwaited(awaited);
+	const overAtMs = awaitedRunsOverAtMs(state, awaited, now);
+	if (!areAllKnown && (nowMs < overAtMs || workers.some(worker => hasUnlistedEnds(worker, nowMs)))) {
+		logWaiting(state, awaited, overAtMs, nowMs);
+		return;
 	}
+
+	state.isSettled = true;
+	resolveLostTrials(state);
+	const passedOver = workers.filter(worker => !worker.isFenced && !awaited.workers.includes(worker));
+	const unheard = [...awaited.workers, ...passedOver];
+	const by = areAllKnown ? 'reports' : 'time';
+	state.emit({
+		type: 'log', fields: {
+			event: 'takeover_settled', by, workers: workers.length, unanswered: unheard.length, unregistered: awaited.unregistered.length, afterMs: Math.round(nowMs - wonAtMs), overlapMs: Math.round(earlierOrdersOverAtMs - wonAtMs), awaited: awaited.workers.length, openStarts: statedStarts(state, nowMs),
+			unheard: describeUnheard(state, unheard, nowMs), ...foundEndsFields(state),
+		},
+	});
+	logGivenUp(state, by, unheard, awaited, now);
 };
 
 /** Logs the steps of which a round has started tasks although a worker of an earlier holder may not have reported yet, with the versions that say why their jobs are new. */
--- /dev/null
+++ b/packages/scheduler/src/core/unheard-runs.ts
@@ -0,0 +1,76 @@
+/**
+When runs count as over that nobody has heard end. Each bound after which a task is started elsewhere although its worker is out of reach stands here; `docs/design/unheard-runs.md` has them side by side with the other proofs that a run has ended.
+
+A lease is a deadline on the clock of the incarnation that it was sent to. There it is over a lease time after the last sending, whatever the rate of the clock. The next incarnation of the worker, whose clock starts anew, takes such a deadline for one far ahead, and grants its longest lease. It does so until it has seen a higher token. So the shorter bound needs a proof of the incarnation: a report that lists the run, what the last holder has left, or a registration that was written after the orders of earlier holders were over.
+*/
+import {
+	clockDriftFactor, leaseMarginMs, maxCallDelayMs, maxUnansweredCallMs, maxWallClockErrorMs, taskLeaseMs,
+} from '../constants.js';
+import {areStartsAccountedFor} from './inherited-starts.js';
+import {type CurrentTime} from './jobs.js';
+import {type TaskRun, type WorkerRecord} from './records.js';
+import {type SchedulerState} from './scheduler-state.js';
+
+/** Returns when a lease that was sent at this time is over on the incarnation that it was meant for, whatever the rate of its clock. */
+export const leaseExpiryAfter = (sentAtMs: number): number => sentAtMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs;
+
+/** Returns when the longest lease that workers grant is over if it was granted at this time. */
+export const longestLeaseExpiryAfter = ({maxWorkerLeaseMs}: SchedulerState, grantedAtMs: number): number =>
+	grantedAtMs + (maxWorkerLeaseMs * clockDriftFactor) + leaseMarginMs;
+
+/** Records that a lease deadline was sent: tasks may run on the worker until then. */
+export const recordLeaseSent = (worker: WorkerRecord, nowMs: number): void => {
+	worker.lastLeaseSentAtMs = Math.max(worker.lastLeaseSentAtMs, nowMs);
+	worker.leaseExpiresAtMs = Math.max(worker.leaseExpiresAtMs, leaseExpiryAfter(nowMs));
+};
+
+/** Counts with calls to the earlier incarnation of a worker that has not answered under its own token: unanswered starts among them begin with the longest lease. */
+export const recordEarlierLeases = (state: SchedulerState, worker: WorkerRecord, nowMs: number): void => {
+	const openArrivals = [...worker.runs.values()].flatMap(({mayArrive, orderedAtMs}) => mayArrive ? orderedAtMs + maxCallDelayMs : []);
+	worker.leaseExpiresAtMs = Math.max(worker.leaseExpiresAtMs, longestLeaseExpiryAfter(state, Math.max(nowMs, ...openArrivals)));
+};
+
+/** Counts with the leases that the worker was granted before it answered under its own token: it refuses all later calls to its earlier incarnation. */
+export const endEarlierLeases = (state: SchedulerState, worker: WorkerRecord, {sentLeaseExpiresAtMs, nowMs}: {readonly sentLeaseExpiresAtMs: number; readonly nowMs: number}): void => {
+	worker.leaseExpiresAtMs = worker.restartedAtMs === undefined
+		? Math.min(worker.leaseExpiresAtMs, sentLeaseExpiresAtMs)
+		: Math.max(sentLeaseExpiresAtMs, longestLeaseExpiryAfter(state, Math.min(nowMs, worker.restartedAtMs + maxCallDelayMs)));
+};
+
+/** Returns when the run is over if its worker is not heard any more. A run that no report of the present incarnation lists may be one of the next incarnation, of which this process does not know: an answer to a start does not name the incarnation. */
+export const runOverAtMs = (state: SchedulerState, {listedIncarnation, worker}: TaskRun): number => worker.isEnded || listedIncarnation === worker.incarnation
+	? worker.leaseExpiresAtMs
+	: Math.max(worker.leaseExpiresAtMs, longestLeaseExpiryAfter(state, worker.lastLeaseSentAtMs + maxUnansweredCallMs));
+
+/** Returns true if the worker has registered itself, as the incarnation that this process knows, after the orders of earlier holders were over. */
+const isIncarnationConfirmed = ({newJobsAfterRevision}: SchedulerState, {entry, bornWallMs}: WorkerRecord): boolean => bornWallMs !== undefined
+	&& entry.bornWallMs === bornWallMs
+	&& newJobsAfterRevision !== undefined
+	&& (entry.registeredVersion ?? 0) > newJobsAfterRevision;
+
+/** Returns until when calls to an earlier incarnation of the worker may have reached the present one. */
+const earlierCallsUntilMs = (state: SchedulerState, worker: WorkerRecord, {nowMs, wallMs}: CurrentTime): number => {
+	// Nothing runs on a worker that has ended, and only a report tells what its next incarnation runs.
+	if (worker.isEnded || areStartsAccountedFor(state, worker)) {
+		return Number.NEGATIVE_INFINITY;
+	}
+
+	if (!isIncarnationConfirmed(state, worker)) {
+		return Number.POSITIVE_INFINITY;
+	}
+
+	const bornAtMs = nowMs - (wallMs - worker.bornWallMs!) + maxWallClockErrorMs;
+	return Math.min(worker.firstSeenAtMs, bornAtMs) + maxCallDelayMs;
+};
+
+/** Returns when the runs of earlier holders are over on a worker that this process has not heard. */
+export const earlierRunsOverAtMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number => {
+	const {earlierOrdersOverAtMs} = state;
+	return Math.max(
+		leaseExpiryAfter(earlierOrdersOverAtMs),
+		longestLeaseExpiryAfter(state, Math.min(earlierOrdersOverAtMs, earlierCallsUntilMs(state, worker, now))),
+	);
+};
+
+/** Returns when the runs of earlier holders are over on a worker of which this process knows at most the id. */
+export const unknownRunsOverAtMs = (state: SchedulerState): number => longestLeaseExpiryAfter(state, state.earlierOrdersOverAtMs);
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -10,7 +10,6 @@
 import {giveUpIfExhausted, recordSurvival, settleTrial} from './crash-attribution.js';
 import {isSupersededStart} from './order-tokens.js';
 import {discardTicket} from './placement-advice.js';
-import {endEarlierLeases, recordEarlierLeases} from './earlier-leases.js';
 import {findTask, isUnresolved} from './unresolved-tasks.js';
 import {type SchedulerEvent} from './events.js';
 import {
@@ -26,7 +25,10 @@
 import {isStartedAfterEnd, logStartedAfterEnd} from './takeover.js';
 import {stepDown} from './terms.js';
 import {
-	beginIncarnation, leaseExpiryAfter, loseEarlierRuns, loseRuns, recordLeaseSent, settleRestart,
+	endEarlierLeases, leaseExpiryAfter, recordEarlierLeases, recordLeaseSent,
+} from './unheard-runs.js';
+import {
+	beginIncarnation, loseEarlierRuns, loseRuns, settleRestart,
 } from './workers.js';
 
 type PolledEvent = Extract<SchedulerEvent, {readonly type: 'polled'}>;
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -2,16 +2,16 @@
 Tracks workers: which ones are registered, which ones answer polls, and when everything on a silent worker has definitely ended.
 */
 import {
-	leaseMarginMs, clockDriftFactor, maxLoggedRuns, workerSilenceTimeoutMs, taskLeaseMs,
+	maxLoggedRuns, workerSilenceTimeoutMs, taskLeaseMs,
 } from '../constants.js';
 import {type WorkerEntry} from '../types.js';
 import {attributeCrash, giveUpIfExhausted} from './crash-attribution.js';
 import {areTokensUsedUp, isSupersededStart} from './order-tokens.js';
-import {recordEarlierLeases} from './earlier-leases.js';
 import {dropOutdatedEntry} from './outdated-events.js';
 import {unstoredEnds} from './progress-persistence.js';
 import {type TaskRun, type WorkerIncarnation, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {leaseExpiryAfter, recordEarlierLeases, runOverAtMs} from './unheard-runs.js';
 
 const newWorker = (state: SchedulerState, entry: WorkerEntry, nowMs: number, restartCount = state.takeRestartCount(entry.workerId)): WorkerRecord => ({
 	entry,
@@ -34,6 +34,7 @@
 	mayLackEnds: false,
 	clock: undefined,
 	leaseExpiresAtMs: nowMs,
+	lastLeaseSentAtMs: Number.NEGATIVE_INFINITY,
 	lastAnswerAtMs: nowMs,
 	lastReportSentAtMs: Number.NEGATIVE_INFINITY,
 	silentSinceMs: undefined,
@@ -345,14 +346,6 @@
 export const deadlineClockMs = (worker: WorkerRecord, nowMs: number): number | undefined =>
 	worker.clock === undefined ? undefined : Math.floor(worker.clock.clockMs + (nowMs - worker.clock.readAtMs) + taskLeaseMs);
 
-/** Returns when a lease that was sent at this time is over on its worker, whatever the rate of the worker's clock. */
-export const leaseExpiryAfter = (sentAtMs: number): number => sentAtMs + (taskLeaseMs * clockDriftFactor) + leaseMarginMs;
-
-/** Records that a lease deadline was sent: tasks may run on the worker until then. */
-export const recordLeaseSent = (worker: WorkerRecord, nowMs: number): void => {
-	worker.leaseExpiresAtMs = Math.max(worker.leaseExpiresAtMs, leaseExpiryAfter(nowMs));
-};
-
 /** Returns true if the worker can be assigned tasks. */
 export const isUsable = (worker: WorkerRecord, nowMs: number): boolean => worker.isListed
 	&& !worker.isEnded
@@ -370,12 +363,14 @@
 export const expireWorkers = (state: SchedulerState, nowMs: number): void => {
 	for (const worker of state.workers.values()) {
 		const isSilent = worker.silentSinceMs !== undefined && nowMs - worker.silentSinceMs >= workerSilenceTimeoutMs;
-		const isLeaseExpired = nowMs >= worker.leaseExpiresAtMs;
 		// A worker that was taken for ended has no runs but those whose start may still be carried out.
-		if (isLeaseExpired && (isSilent || !worker.isListed || worker.isEnded)) {
-			loseRuns(state, worker, nowMs, {reason: worker.isListed ? 'silent-past-lease' : 'unlisted-past-lease'});
+		const isUnheard = isSilent || !worker.isListed || worker.isEnded;
+		const over = isUnheard ? [...worker.runs.values()].filter(run => nowMs >= runOverAtMs(state, run)) : [];
+		if (over.length > 0) {
+			loseRuns(state, worker, nowMs, {reason: worker.isListed ? 'silent-past-lease' : 'unlisted-past-lease', lost: over});
 		}
 
+		const isLeaseExpired = nowMs >= worker.leaseExpiresAtMs;
 		// A worker may answer without being registered, and list what has ended on it.
 		const goneSinceMs = Math.max(worker.unlistedAtMs ?? nowMs, worker.lastAnswerAtMs);
 		if (!worker.isListed && worker.runs.size === 0 && (isLeaseExpired || state.term === undefined) && nowMs - goneSinceMs > taskLeaseMs * 2) {
--- a/packages/scheduler/src/ports.ts
+++ b/packages/scheduler/src/ports.ts
@@ -22,8 +22,8 @@
 	refresh(): Promise<RefreshRecord | undefined>;
 }
 
-/** How closely a process follows the registered workers, of which each heartbeat is a change: not at all, as a likely successor of the lease holder, or as the holder, which assigns work to them. */
-export type WorkerWatchMode = 'suspended' | 'standby' | 'scheduling';
+/** How closely a process follows the registered workers, of which each heartbeat is a change: not at all, as a likely successor of the lease holder, as the holder, which assigns work to them, or as a new holder, which is told of each heartbeat as well: it proves that a worker has not started again. */
+export type WorkerWatchMode = 'suspended' | 'standby' | 'scheduling' | 'taking-over';
 
 /** Watches the registered workers. */
 export interface WorkerSource extends RefreshableSource<readonly WorkerEntry[]> {
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -374,7 +374,8 @@
 		}
 
 		const standbyMode = isFollowing ? 'standby' : 'suspended';
-		this.#options.workers.setMode(isHolder ? 'scheduling' : standbyMode);
+		const holderMode = this.state.isSettled ? 'scheduling' : 'taking-over';
+		this.#options.workers.setMode(isHolder ? holderMode : standbyMode);
 	}
 
 	#now(): {readonly nowMs: number; readonly wallMs: number} {
--- a/packages/scheduler/src/shell/worker-poller.ts
+++ b/packages/scheduler/src/shell/worker-poller.ts
@@ -9,7 +9,8 @@
 import {orderTokenFor} from '../core/order-tokens.js';
 import {type WorkerRecord} from '../core/records.js';
 import {type SchedulerState} from '../core/scheduler-state.js';
-import {deadlineClockMs, recordLeaseSent} from '../core/workers.js';
+import {recordLeaseSent} from '../core/unheard-runs.js';
+import {deadlineClockMs} from '../core/workers.js';
 import {
 	type PollAnswer, type PollOrder, type WorkerAddress, type WorkerControl,
 } from '../ports.js';
@@ -91,7 +92,7 @@
 		for (const worker of state.workers.values()) {
 			const pollState = this.#pollStateOf(worker);
 			const dueMs = needsPoll(worker) ? pollState.nextPollAtMs : Math.max(pollState.nextPollAtMs, worker.lastAnswerAtMs + idlePollIntervalMs);
-			const mayHaveRuns = !worker.isEnded && (worker.isListed || nowMs < worker.leaseExpiresAtMs || !worker.isFenced);
+			const mayHaveRuns = !worker.isEnded && (worker.isListed || nowMs < worker.leaseExpiresAtMs || worker.runs.size > 0 || !worker.isFenced);
 			if (!pollState.isPolling && mayHaveRuns && nowMs >= dueMs) {
 				void this.#poll(worker, pollState, {fencingToken: state.term.fencingToken, checkedAtMs});
 			}
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -187,6 +187,8 @@
 	readonly bornWallMs: number | undefined;
 	/** Time for which the worker remains slow after its start, as of its last registration; 0 once it is warm. */
 	readonly coldLeftMs: number;
+	/** Version of the row with which the worker has registered itself, which rises with each heartbeat; it may lag behind while nobody takes the lease over. */
+	readonly registeredVersion?: number | undefined;
 };
 
 /** How a run on a worker ended. */
--- a/packages/scheduler/tests/takeover-with-leavers.test.ts
+++ b/packages/scheduler/tests/takeover-with-leavers.test.ts
@@ -5,7 +5,7 @@
 import {
 	reduceScheduler, type SchedulerEffect, SchedulerState, type WorkerEntry,
 } from '../src/index.js';
-import {areEarlierStartsKnown} from '../src/core/handover.js';
+import {areEarlierStartsKnown} from '../src/core/inherited-starts.js';
 import {type TaskRun} from '../src/core/records.js';
 import {type EventBody} from './support/event-body.js';
 import {listOpenStarts, noteNaming} from './support/handover-notes.js';
--- /dev/null
+++ b/packages/scheduler/tests/unheard-runs.test.ts
@@ -0,0 +1,139 @@
+/**
+Runs on workers out of reach. Each test guards against a task that is started elsewhere while its run goes on: a worker that has started again unseen takes a deadline of its earlier clock for one far ahead, and grants its longest lease.
+*/
+import {beforeEach, expect, test} from 'vitest';
+import {type SchedulerEffect, type WorkerEntry} from '../src/index.js';
+import {type EventBody} from './support/event-body.js';
+import {noteNaming} from './support/handover-notes.js';
+import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
+import {NewHolder, startedTasks, wallOffsetMs} from './support/new-holder.js';
+
+const fencingToken = 5;
+const job = jobOf(1, {steps: [stepOf({taskCount: 1})]});
+const taskKey = `${job.jobId}.0.0.0`;
+const shortLeaseMs = (5000 * 1.03) + 250;
+const longestLeaseMs = (10_000 * 1.03) + 250;
+
+/** A start, or a poll that is sent twice, can arrive so long after its deadline was drawn up. */
+const maxArrivalMs = 2500;
+
+let holder: NewHolder;
+
+beforeEach(() => {
+	holder = new NewHolder(['w1', 'w2']);
+});
+
+const tick = (nowMs: number): readonly SchedulerEffect[] => holder.dispatch({type: 'tick', jobRowsConfirmedAtMs: nowMs, jobRowsRevision: 100}, nowMs);
+
+const missPoll = (workerId: string, sentAtMs: number): void => {
+	const {term, workers} = holder.state;
+	holder.dispatch({
+		type: 'polled', fencingToken: term!.fencingToken, workerId, incarnation: workers.get(workerId)!.incarnation, sentAtMs, sentAcknowledgement: 0, answer: {type: 'unreachable'},
+	}, sentAtMs + 5);
+};
+
+/** Ticks until the task is started, and returns when that is. */
+const startsAgainAtMs = (fromMs: number): number | undefined => {
+	for (let nowMs = fromMs; nowMs < fromMs + 30_000; nowMs += 10) {
+		if (startedTasks(tick(nowMs)).includes(taskKey)) {
+			return nowMs;
+		}
+	}
+
+	return undefined;
+};
+
+/** The worker that is out of reach registers itself. */
+const register = (changes: Partial<WorkerEntry>, nowMs: number): void => {
+	holder.dispatch({type: 'workersListed', workers: [...holder.state.workers.values()].map(({entry}) => entry.workerId === 'w2' ? {...entry, ...changes} : entry)}, nowMs);
+};
+
+/** Starts the task, and returns the order. */
+const startTask = (nowMs: number): Extract<SchedulerEffect, {readonly type: 'start'}> => {
+	holder.dispatch({type: 'leaseWon', fencingToken}, 0);
+	holder.settle(10);
+	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(job, {rowKey: 'row'})]}, nowMs - 5);
+	const start = tick(nowMs).find(effect => effect.type === 'start');
+	expect(start).toMatchObject({taskKey});
+	return start!;
+};
+
+const answerStart = ({workerId, attempt}: {readonly workerId: string; readonly attempt: number}, answer: 'started' | 'unknown', nowMs: number): void => {
+	holder.dispatch({
+		type: 'startAnswered', fencingToken, workerId, taskKey, attempt, answer,
+	}, nowMs);
+};
+
+test.each(['started', 'unknown'] as const)('a start that no report lists is not repeated elsewhere while a later incarnation of its worker may run it: answered %s', answer => {
+	const start = startTask(100);
+	answerStart(start, answer, 200);
+	missPoll(start.workerId, 1000);
+	expect(startsAgainAtMs(1010)).toBe(100 + maxArrivalMs + longestLeaseMs);
+});
+
+test('a run that its worker has listed counts as over a short lease after the last sending', () => {
+	const start = startTask(100);
+	answerStart(start, 'started', 110);
+	holder.report(start.workerId, 150, {
+		running: [{
+			taskKey, attempt: start.attempt, checkpoint: '', percent: 1, figure: 0,
+		}],
+	});
+	missPoll(start.workerId, 1000);
+	expect(startsAgainAtMs(1010)).toBe(100 + shortLeaseMs);
+});
+
+/** Takes over a job of before while one of the workers does not answer. */
+const takeOver = (changes: Partial<Extract<EventBody, {readonly type: 'leaseWon'}>> = {}): void => {
+	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(job, {rowKey: 'row', version: 10})]}, 0);
+	holder.dispatch({type: 'leaseWon', fencingToken, ...changes}, 0);
+	holder.report('w1', 10);
+	holder.list(10);
+	missPoll('w2', 20);
+	holder.dispatch({type: 'revisionRead', fencingToken, revision: 100}, 30);
+};
+
+test('a takeover waits for the longest lease of a worker that may have started again unseen', () => {
+	takeOver();
+	expect(startsAgainAtMs(40)).toBe(longestLeaseMs);
+});
+
+test('a takeover waits for the short lease of a worker that goes on registering itself as the incarnation of long before', () => {
+	takeOver();
+	register({registeredVersion: 101}, 50);
+	expect(startsAgainAtMs(60)).toBe(shortLeaseMs);
+});
+
+test.each([
+	{about: 'was written before the orders of the earlier holder were over', version: 100, changes: {}},
+	{about: 'is of an incarnation that began a few seconds before', version: 101, changes: {bornWallMs: wallOffsetMs - 4000}},
+])('a registration that $about does not shorten the wait of a takeover', ({version, changes}) => {
+	register(changes, 0);
+	takeOver();
+	register({...changes, registeredVersion: version}, 50);
+	expect(startsAgainAtMs(60)).toBe(longestLeaseMs);
+});
+
+test.each([
+	{about: 'named no start on it', note: noteNaming(), overAtMs: shortLeaseMs},
+	{about: 'named a start on it', note: noteNaming('w2'), overAtMs: longestLeaseMs},
+	{about: 'did not know of all starts', note: {...noteNaming(), unknownForMs: 4000}, overAtMs: longestLeaseMs},
+])('a takeover beside a worker out of reach, from a holder that $about', ({note, overAtMs}) => {
+	takeOver({note});
+	expect(startsAgainAtMs(40)).toBe(overAtMs);
+});
+
+test('a note of a replaced holder that may still be alive shortens no wait', () => {
+	takeOver({note: noteNaming(), earlierHolder: {mayOrderUntilMs: 1000, mayOrderMachinesUntilMs: 1000}});
+	expect(startsAgainAtMs(40)).toBe(1000 + longestLeaseMs);
+});
+
+test('a takeover waits for the longest lease of a worker that a machine runs and that is not registered', () => {
+	holder.dispatch({type: 'workersListed', workers: [holder.state.workers.get('w1')!.entry]}, 0);
+	holder.state.workers.delete('w2');
+	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(job, {rowKey: 'row', version: 10})]}, 0);
+	holder.dispatch({type: 'leaseWon', fencingToken}, 0);
+	holder.report('w1', 10);
+	holder.list(10);
+	expect(startsAgainAtMs(40)).toBe(longestLeaseMs);
+});
