A series of hand-overs does not begin the wait for a worker out of reach anew

Cause: a holder knows how long runs may go on at a worker that it does not hear, and sends nothing there that extends it, but the note beside the released lease did not say so.

Change: the note names the workers that do not answer, with the time that is left until everything is over there (`unheard`); the next holder takes it for its bound, also for a worker that is no longer registered. Workers that have ended are left out: a start may still reach their next incarnation. A note beside a replaced holder is not used, as before, and beyond 200 such workers it names none.

Why it works: the note is received with the acquisition that is conditional on the row, so no other holder was in between, and nothing is started after it was drawn up.

Tests call `noteForNextHolder` with both clocks.

--- a/packages/scheduler/src/core/handover-note.ts
+++ b/packages/scheduler/src/core/handover-note.ts
@@ -12,6 +12,8 @@
 	unknownForMs: z.number(),
 	/** For how much longer lists of machines may lack a worker that is not named and has started again just before. */
 	unlistedForMs: z.number().default(0),
+	/** For how much longer runs may go on, on workers that the holder has not heard, by worker id. It has sent them nothing that extends that. */
+	unheard: z.record(z.string(), z.number()).optional(),
 	/** Ends that the holder has read and could not store, by job id. */
 	ends: z.record(z.string(), z.object({doneTasks: taskNumbersSchema, failures: taskNumbersSchema})).optional(),
 });
--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -3,9 +3,11 @@
 */
 import {maxCallDelayMs, maxListingDelayMs} from '../constants.js';
 import {type HandoverNote} from './handover-note.js';
+import {type CurrentTime} from './jobs.js';
 import {unstoredTaskEnds} from './recorded-ends.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
+import {unheardUntilMs} from './unheard-runs.js';
 
 /** More workers with open starts are not listed, so that the note fits into a row; the next holder then waits as it does without a note. */
 const maxOpenStarts = 1000;
@@ -13,6 +15,9 @@
 /** More workers that may have started again are not listed; the next holder then relies on no list of machines of the first moments. */
 const maxUncertainWorkers = 200;
 
+/** More workers that are out of reach are not listed; the next holder then counts anew for each of them. */
+const maxUnheardWorkers = 200;
+
 /** Size of the JSON text of the ends in a note, beside the starts in the same row. Further ends are recorded as the term ends. */
 const maxEndsTextLength = 16_000;
 
@@ -41,8 +46,18 @@
 	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs, startedAtMs = orderedAtMs}) => !mayArrive && listedIncarnation === undefined ? startedAtMs : Number.NEGATIVE_INFINITY),
 );
 
+/** Names the workers that do not answer this holder and have not ended, with the time for which runs may go on there. Nothing is sent to them that extends it. */
+const unheardWorkers = (state: SchedulerState, now: CurrentTime): Readonly<Record<string, number>> => {
+	const bounds = [...state.workers.values()].flatMap(worker => {
+		const untilMs = worker.isEnded ? undefined : unheardUntilMs(state, worker, now);
+		return untilMs === undefined ? [] : [[worker.entry.workerId, Math.max(0, Math.ceil(untilMs - now.nowMs))] as const];
+	});
+	return bounds.length > maxUnheardWorkers ? {} : Object.fromEntries(bounds);
+};
+
 /** Names the workers on which a start of this term, or of an earlier one, may still be carried out, and those that may have just started again. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well, and so does one that was left to this holder: the next incarnation of the worker knows of none of that. Only time ends them. */
-export const noteForNextHolder = (state: SchedulerState, nowMs: number): HandoverNote => {
+export const noteForNextHolder = (state: SchedulerState, now: CurrentTime): HandoverNote => {
+	const {nowMs} = now;
 	const workers = [...state.workers.values()];
 	const forMs = new Map<string, number>();
 	const name = (workerId: string, untilMs: number): void => {
@@ -72,6 +87,7 @@
 		openStarts: Object.fromEntries(forMs),
 		unknownForMs: Math.max(0, state.unknownStartsUntilMs - nowMs),
 		unlistedForMs: areNamed ? Math.max(0, state.unlistedUntilMs - nowMs) : maxListingDelayMs,
+		unheard: unheardWorkers(state, now),
 		ends,
 	};
 };
--- a/packages/scheduler/src/core/inherited-starts.ts
+++ b/packages/scheduler/src/core/inherited-starts.ts
@@ -11,6 +11,7 @@
 	const isUsed = note !== undefined && state.earlierHolder === undefined;
 	state.unknownStartsUntilMs = isUsed ? nowMs + note.unknownForMs : state.earlierOrdersOverAtMs + maxCallDelayMs;
 	state.unlistedUntilMs = nowMs + (note?.unlistedForMs ?? 0);
+	state.inheritedBounds = new Map(Object.entries(isUsed ? note.unheard ?? {} : {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
 	state.inheritedStarts = new Map(Object.entries(note?.openStarts ?? {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
 };
 
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -95,7 +95,8 @@
 /** Returns when the last run of an earlier holder is over, whether it is heard of or not. */
 const awaitedRunsOverAtMs = (state: SchedulerState, {workers, unregistered, areOthersPossible, awaitsHolder}: Awaited, now: CurrentTime): number => Math.max(
 	...workers.map(worker => earlierRunsOverAtMs(state, worker, now)),
-	unregistered.length > 0 || areOthersPossible ? unknownRunsOverAtMs(state) : Number.NEGATIVE_INFINITY,
+	...unregistered.map(({workerId}) => unknownRunsOverAtMs(state, workerId)),
+	areOthersPossible ? unknownRunsOverAtMs(state) : Number.NEGATIVE_INFINITY,
 	awaitsHolder ? leaseExpiryAfter(state.earlierOrdersOverAtMs) : Number.NEGATIVE_INFINITY,
 );
 
@@ -112,7 +113,7 @@
 };
 
 /** Why a worker that was not heard counts as one that runs nothing of an earlier holder. */
-type GiveUpBound = 'ended-by-list' | 'ended-unlisted' | 'lease' | 'longest-lease' | 'silent-for-lease';
+type GiveUpBound = 'ended-by-list' | 'ended-unlisted' | 'lease' | 'longest-lease' | 'silent-for-lease' | 'note';
 
 const boundOf = (state: SchedulerState, worker: WorkerRecord, onMachines: ReadonlySet<string | undefined>, now: CurrentTime): GiveUpBound => {
 	if (isGone(worker, onMachines)) {
@@ -127,6 +128,10 @@
 		return 'silent-for-lease';
 	}
 
+	if (state.inheritedBounds.has(worker.entry.workerId)) {
+		return 'note';
+	}
+
 	return earlierRunsOverAtMs(state, worker, now) > leaseExpiryAfter(state.earlierOrdersOverAtMs) ? 'longest-lease' : 'lease';
 };
 
--- a/packages/scheduler/src/core/unheard-runs.ts
+++ b/packages/scheduler/src/core/unheard-runs.ts
@@ -65,12 +65,24 @@
 
 /** Returns when the runs of earlier holders are over on a worker that this process has not heard. */
 export const earlierRunsOverAtMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number => {
-	const {earlierOrdersOverAtMs} = state;
-	return Math.max(
+	const {earlierOrdersOverAtMs, inheritedBounds} = state;
+	return inheritedBounds.get(worker.entry.workerId) ?? Math.max(
 		leaseExpiryAfter(earlierOrdersOverAtMs),
 		longestLeaseExpiryAfter(state, Math.min(earlierOrdersOverAtMs, earlierCallsUntilMs(state, worker, now))),
 	);
 };
 
 /** Returns when the runs of earlier holders are over on a worker of which this process knows at most the id. */
-export const unknownRunsOverAtMs = (state: SchedulerState): number => longestLeaseExpiryAfter(state, state.earlierOrdersOverAtMs);
+export const unknownRunsOverAtMs = (state: SchedulerState, workerId?: string): number =>
+	(workerId === undefined ? undefined : state.inheritedBounds.get(workerId)) ?? longestLeaseExpiryAfter(state, state.earlierOrdersOverAtMs);
+
+/** Returns when everything is over that runs on a worker that does not answer, if nobody sends it any more leases; `undefined` for one that answers. */
+export const unheardUntilMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number | undefined => {
+	if (!worker.isFenced && worker.clock === undefined) {
+		return earlierRunsOverAtMs(state, worker, now);
+	}
+
+	return worker.silentSinceMs === undefined
+		? undefined
+		: Math.max(worker.leaseExpiresAtMs, ...[...worker.runs.values()].map(run => runOverAtMs(state, run)));
+};
--- a/packages/scheduler/src/shell/term-keeper.ts
+++ b/packages/scheduler/src/shell/term-keeper.ts
@@ -281,7 +281,7 @@
 		const heldToken = this.#leases.unconfirmedLease(schedulerLease)?.fence.version;
 		const token = heldToken ?? term?.fencingToken;
 		this.#beginningToken = undefined;
-		const note = term !== undefined && term.fencingToken === heldToken ? noteForNextHolder(this.#state, this.#now().nowMs) : undefined;
+		const note = term !== undefined && term.fencingToken === heldToken ? noteForNextHolder(this.#state, this.#now()) : undefined;
 		if (term !== undefined) {
 			this.#options.dispatch({
 				type: 'leaseLost', fencingToken: term.fencingToken, reason, ...this.#now(),
--- a/packages/scheduler/tests/recorded-ends.test.ts
+++ b/packages/scheduler/tests/recorded-ends.test.ts
@@ -2,12 +2,11 @@
 Ends of tasks that a process has read and cannot store under its fence: they are left to the next holder, or recorded without the fence, so that no task is started after them.
 */
 import {describe, expect, test} from 'vitest';
-import {noteForNextHolder} from '../src/core/handover.js';
 import {
 	type FinishedEntry, type JobChange, type StepSpec,
 } from '../src/index.js';
 import {endsKey, endsToJson, jobChangeFrom} from '../src/jobs/rows.js';
-import {noteNaming} from './support/handover-notes.js';
+import {noteAt, noteNaming} from './support/handover-notes.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {
 	NewHolder, recordsOf, startedTasks, wallOffsetMs,
@@ -109,7 +108,7 @@
 	});
 
 	test('are known to the next holder from the note, and stored by it', () => {
-		const note = noteForNextHolder(holderWithUnstored().state, 25);
+		const note = noteAt(holderWithUnstored().state, 25);
 		const next = new NewHolder(['there']);
 		next.dispatch({type: 'jobsChanged', changes: [acceptedChange(job)]}, 5);
 		next.dispatch({type: 'leaseWon', fencingToken: 9, note}, 30);
@@ -130,7 +129,7 @@
 			finished: jobs.slice(0, 499).map(({jobId}, index) => ({...endOf(0), sequence: index + 1, taskKey: `${jobId}.0.0.${index % 32}`})),
 		});
 		const maxRowBytes = 65_536;
-		expect(4 * Math.ceil(JSON.stringify({handover: noteForNextHolder(holder.state, 25)}).length / 3)).toBeLessThan(maxRowBytes / 2);
+		expect(4 * Math.ceil(JSON.stringify({handover: noteAt(holder.state, 25)}).length / 3)).toBeLessThan(maxRowBytes / 2);
 		expect(recordsOf(holder.dispatch({type: 'leaseLost', fencingToken: 5}, 30))).toHaveLength(499);
 	});
 });
--- a/packages/scheduler/tests/review-of-recorded-ends.test.ts
+++ b/packages/scheduler/tests/review-of-recorded-ends.test.ts
@@ -5,7 +5,6 @@
 import {type Logger, VirtualClock} from '@poplarnotch/common';
 import {RejectedError, type TableService} from '@poplarnotch/platform';
 import {pollPauseMs} from '../src/constants.js';
-import {noteForNextHolder} from '../src/core/handover.js';
 import {
 	type FinishedEntry, type JobChange, type JobSpec, type StepSpec, type WorkerControl,
 } from '../src/index.js';
@@ -13,7 +12,7 @@
 import {endsKey, endsToJson} from '../src/jobs/rows.js';
 import {ReleasePreparation} from '../src/shell/release-preparation.js';
 import {WorkerPoller} from '../src/shell/worker-poller.js';
-import {noteNaming} from './support/handover-notes.js';
+import {noteAt, noteNaming} from './support/handover-notes.js';
 import {
 	acceptedChange, jobOf, lastingStepOf, stepOf,
 } from './support/jobs.js';
@@ -61,7 +60,7 @@
 		const former = new NewHolder(['here']);
 		former.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
 		former.report('here', 20, {finished: [endOf(0)]});
-		const note = noteForNextHolder(former.state, 25);
+		const note = noteAt(former.state, 25);
 		const next = new NewHolder(['here', 'there']);
 		next.dispatch({type: 'jobsChanged', changes: [acceptedChange(jobWith(lastingStepOf({taskCount: 2, mayMiss: 0})))]}, 5);
 		next.dispatch({type: 'leaseWon', fencingToken: 9, note}, 30);
@@ -76,7 +75,7 @@
 	former.dispatch({type: 'jobsChanged', changes: [acceptedChange(scheduled)]}, 5);
 	former.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 210);
 	former.report('here', 220, {finished: [endOf(0)]});
-	const note = noteForNextHolder(former.state, 225);
+	const note = noteAt(former.state, 225);
 	expect(note.ends).toEqual({[jobId]: {doneTasks: {'0.0': [0]}, failures: {}}});
 	// The clock of the next holder is 190 ms behind.
 	const next = new NewHolder(['there']);
@@ -145,7 +144,7 @@
 	holder.dispatch({type: 'jobsChanged', changes: [acceptedChange(large), acceptedChange(small)]}, 5);
 	holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming()}, 10);
 	holder.report('here', 20, {finished: [endOf(0), {...endOf(0, 'done', 2), taskKey: `${small.jobId}.0.0.0`}]});
-	expect(Object.keys(noteForNextHolder(holder.state, 25).ends ?? {})).toContain(small.jobId);
+	expect(Object.keys(noteAt(holder.state, 25).ends ?? {})).toContain(small.jobId);
 });
 
 test('one record that the store refuses keeps no other one from being stored', async () => {
--- a/packages/scheduler/tests/review-of-unstored-ends.test.ts
+++ b/packages/scheduler/tests/review-of-unstored-ends.test.ts
@@ -7,9 +7,8 @@
 import {
 	type FinishedEntry, type RunningEntry, type SchedulerEffect,
 } from '../src/index.js';
-import {noteForNextHolder} from '../src/core/handover.js';
 import {isProgressStored} from '../src/core/progress-persistence.js';
-import {listOpenStarts, noteNaming} from './support/handover-notes.js';
+import {listOpenStarts, noteAt, noteNaming} from './support/handover-notes.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {NewHolder, wallOffsetMs} from './support/new-holder.js';
 import {NotedEnds} from './support/noted-ends.js';
@@ -546,7 +545,7 @@
 		const ids = Array.from({length: count}, (_value, index) => idOf(index));
 		const holder = new NewHolder(['here']);
 		holder.dispatch({type: 'leaseWon', fencingToken: 5, note: noteNaming(...ids)}, 10);
-		const note = noteForNextHolder(holder.state, 10 + (1000 / 3));
+		const note = noteAt(holder.state, 10 + (1000 / 3));
 		expect(4 * Math.ceil(JSON.stringify({handover: note}).length / 3)).toBeLessThanOrEqual(maxRowBytes);
 	});
 
@@ -572,7 +571,7 @@
 		}
 
 		expect(ids.filter(workerId => holder.state.workers.get(workerId)!.runs.size > 0).length).toBe(fleetSize);
-		expect(noteForNextHolder(holder.state, 70).unknownForMs).toBe(0);
+		expect(noteAt(holder.state, 70).unknownForMs).toBe(0);
 	});
 });
 
--- a/packages/scheduler/tests/unheard-runs.test.ts
+++ b/packages/scheduler/tests/unheard-runs.test.ts
@@ -4,7 +4,7 @@
 import {beforeEach, expect, test} from 'vitest';
 import {type SchedulerEffect, type WorkerEntry} from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
-import {noteNaming} from './support/handover-notes.js';
+import {noteAt, noteNaming} from './support/handover-notes.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
 import {NewHolder, startedTasks, wallOffsetMs} from './support/new-holder.js';
 
@@ -117,6 +117,7 @@
 test.each([
 	{about: 'named no start on it', note: noteNaming(), overAtMs: shortLeaseMs},
 	{about: 'named a start on it', note: noteNaming('w2'), overAtMs: longestLeaseMs},
+	{about: 'had not heard it for long', note: {...noteNaming(), unheard: {w2: 700}}, overAtMs: 700},
 	{about: 'did not know of all starts', note: {...noteNaming(), unknownForMs: 4000}, overAtMs: longestLeaseMs},
 ])('a takeover beside a worker out of reach, from a holder that $about', ({note, overAtMs}) => {
 	takeOver({note});
@@ -124,10 +125,34 @@
 });
 
 test('a note of a replaced holder that may still be alive shortens no wait', () => {
-	takeOver({note: noteNaming(), earlierHolder: {mayOrderUntilMs: 1000, mayOrderMachinesUntilMs: 1000}});
+	takeOver({note: {...noteNaming(), unheard: {w2: 700}}, earlierHolder: {mayOrderUntilMs: 1000, mayOrderMachinesUntilMs: 1000}});
 	expect(startsAgainAtMs(40)).toBe(1000 + longestLeaseMs);
 });
 
+test('a series of hand-overs beside a worker out of reach does not begin the wait anew', () => {
+	takeOver();
+	tick(4000);
+	const {unheard} = noteAt(holder.state, 4000);
+	expect(unheard).toEqual({w2: longestLeaseMs - 4000});
+	holder = new NewHolder(['w1', 'w2']);
+	takeOver({note: {...noteNaming(), unheard}});
+	expect(startsAgainAtMs(40)).toBe(longestLeaseMs - 4000);
+});
+
+test('a holder states how long a start on a silent worker may run that it has not seen listed', () => {
+	const start = startTask(100);
+	answerStart(start, 'unknown', 1100);
+	missPoll(start.workerId, 1000);
+	expect(noteAt(holder.state, 2000)).toMatchObject({unheard: {[start.workerId]: 100 + maxArrivalMs + longestLeaseMs - 2000}});
+});
+
+test('a worker that answers, and one that has ended, are not stated as out of reach', () => {
+	takeOver();
+	expect(noteAt(holder.state, 100).unheard).toEqual({w2: longestLeaseMs - 100});
+	holder.list(1000, ['w2']);
+	expect(noteAt(holder.state, 1100).unheard).toEqual({});
+});
+
 test('a takeover waits for the longest lease of a worker that a machine runs and that is not registered', () => {
 	holder.dispatch({type: 'workersListed', workers: [holder.state.workers.get('w1')!.entry]}, 0);
 	holder.state.workers.delete('w2');
