Runs that a worker lists once count with the longest lease that earlier holders may have granted

The holder counted 5.4 s from the first answer, or from the last order of the earlier holder. Where the worker had started again shortly before, and a fresh process knows its present incarnation only, the run may have been started by a deadline of the earlier clock, and lasts up to hold_max_ms.

Change: the lease of adopted runs is counted as for a worker that was not heard, up to the first answer; that answer proves the incarnation, so the longest lease counts only for one that began within the time in which calls to an earlier one can arrive.

Evidence: takeover-settling.test.ts, a worker that began 1 s before, which counted as over after 5.4 s, is now kept for 10.55 s; one that began a minute before is kept for 5.4 s as before.

--- a/packages/scheduler/src/core/unheard-runs.ts
+++ b/packages/scheduler/src/core/unheard-runs.ts
@@ -48,29 +48,33 @@
 	&& newJobsAfterRevision !== undefined
 	&& (entry.registeredVersion ?? 0) > newJobsAfterRevision;
 
-/** Returns until when calls to an earlier incarnation of the worker may have reached the present one. */
-const earlierCallsUntilMs = (state: SchedulerState, worker: WorkerRecord, {nowMs, wallMs}: CurrentTime): number => {
+/** Returns until when calls to earlier incarnations may reach the one that this process knows, if that is the present one. */
+const earlierCallsUntilMs = ({firstSeenAtMs, bornWallMs}: WorkerRecord, {nowMs, wallMs}: CurrentTime): number => {
+	const bornAtMs = bornWallMs === undefined ? Number.POSITIVE_INFINITY : nowMs - (wallMs - bornWallMs) + maxWallClockErrorMs;
+	return Math.min(firstSeenAtMs, bornAtMs) + maxCallDelayMs;
+};
+
+/** Returns when the leases are over that earlier holders may have granted up to this time on the present incarnation of the worker. */
+const earlierLeasesOverAtMs = (state: SchedulerState, worker: WorkerRecord, {isPresentKnown, untilMs}: {readonly isPresentKnown: boolean; readonly untilMs: number}, now: CurrentTime): number => {
 	// Nothing runs on a worker that has ended, and only a report tells what its next incarnation runs.
 	if (worker.isEnded || areStartsAccountedFor(state, worker)) {
-		return Number.NEGATIVE_INFINITY;
+		return leaseExpiryAfter(untilMs);
 	}
 
-	if (!isIncarnationConfirmed(state, worker)) {
-		return Number.POSITIVE_INFINITY;
-	}
+	const lastGrantAtMs = isPresentKnown ? Math.min(untilMs, earlierCallsUntilMs(worker, now)) : untilMs;
+	return Math.max(leaseExpiryAfter(untilMs), longestLeaseExpiryAfter(state, lastGrantAtMs));
+};
 
-	const bornAtMs = nowMs - (wallMs - worker.bornWallMs!) + maxWallClockErrorMs;
-	return Math.min(worker.firstSeenAtMs, bornAtMs) + maxCallDelayMs;
+/** Counts with the leases that earlier holders may have granted until the worker first answered, on runs that it lists. */
+export const recordLeasesOfEarlierHolders = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): void => {
+	const untilMs = Math.min(now.nowMs, state.earlierOrdersOverAtMs);
+	recordLeaseSent(worker, untilMs);
+	worker.leaseExpiresAtMs = Math.max(worker.leaseExpiresAtMs, earlierLeasesOverAtMs(state, worker, {isPresentKnown: true, untilMs}, now));
 };
 
 /** Returns when the runs of earlier holders are over on a worker that this process has not heard. */
-export const earlierRunsOverAtMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number => {
-	const {earlierOrdersOverAtMs, inheritedBounds} = state;
-	return inheritedBounds.get(worker.entry.workerId) ?? Math.max(
-		leaseExpiryAfter(earlierOrdersOverAtMs),
-		longestLeaseExpiryAfter(state, Math.min(earlierOrdersOverAtMs, earlierCallsUntilMs(state, worker, now))),
-	);
-};
+export const earlierRunsOverAtMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number => state.inheritedBounds.get(worker.entry.workerId)
+	?? earlierLeasesOverAtMs(state, worker, {isPresentKnown: isIncarnationConfirmed(state, worker), untilMs: state.earlierOrdersOverAtMs}, now);
 
 /** Returns when the runs of earlier holders are over on a worker of which this process knows at most the id. */
 export const unknownRunsOverAtMs = (state: SchedulerState, workerId?: string): number =>
--- a/packages/scheduler/src/core/worker-reports.ts
+++ b/packages/scheduler/src/core/worker-reports.ts
@@ -25,7 +25,7 @@
 import {isStartedAfterEnd, logStartedAfterEnd} from './takeover.js';
 import {stepDown} from './terms.js';
 import {
-	endEarlierLeases, leaseExpiryAfter, recordEarlierLeases, recordLeaseSent,
+	endEarlierLeases, leaseExpiryAfter, recordEarlierLeases, recordLeasesOfEarlierHolders,
 } from './unheard-runs.js';
 import {
 	beginIncarnation, loseEarlierRuns, loseRuns, settleRestart,
@@ -103,7 +103,7 @@
 
 	if (!worker.isFenced && report.running.length > 0) {
 		// The earlier holder may have extended the leases until its orders were over or the worker knew the present token.
-		recordLeaseSent(worker, Math.min(event.nowMs, state.earlierOrdersOverAtMs));
+		recordLeasesOfEarlierHolders(state, worker, event);
 	}
 
 	if (worker.restart !== undefined) {
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -156,10 +156,13 @@
 });
 
 // Guards against a task that is started again before the lease is over that a replaced holder sent after the next one had begun.
-test('the runs of a worker that answers once are kept until the last lease is over that the replaced holder may have sent before', () => {
+test.each([
+	{about: 'long before', bornWallMs: wallOffsetMs - 60_000, overAtMs: leaseOverMs(1500)},
+	{about: 'just before', bornWallMs: wallOffsetMs - 1000, overAtMs: longestLeaseOverMs(1500)},
+])('the runs of a worker that began $about and answers once are kept until the last lease is over that the replaced holder may have granted before', ({bornWallMs, overAtMs}) => {
 	const earlierHolder: EarlierHolder = {mayOrderUntilMs: 2000, mayOrderMachinesUntilMs: 3000};
 	dispatch({type: 'configured', configuration: configurationOf(1)}, 0);
-	dispatch({type: 'workersListed', workers: [workerOf('cut', wallOffsetMs - 1000)]}, 0);
+	dispatch({type: 'workersListed', workers: [workerOf('cut', bornWallMs)]}, 0);
 	dispatch({type: 'leaseWon', fencingToken: 5, earlierHolder}, 0);
 	const poll = {
 		type: 'polled', fencingToken: 5, workerId: 'cut', incarnation: 1, sentAcknowledgement: 0,
@@ -167,16 +170,16 @@
 	dispatch({
 		...poll, sentAtMs: 1490, answer: {
 			type: 'report', report: {
-				clockMs: 0, bornWallMs: wallOffsetMs - 1000, finished: [], running: [{
+				clockMs: 0, bornWallMs, finished: [], running: [{
 					taskKey: '1.0.0.0', attempt: 1, checkpoint: '', percent: 0, figure: 0,
 				}],
 			},
 		},
 	}, 1500);
 	dispatch({...poll, sentAtMs: 1600, answer: {type: 'unreachable'}}, 1800);
-	dispatch({type: 'tick'}, leaseOverMs(1500) - 10);
+	dispatch({type: 'tick'}, overAtMs - 10);
 	expect(state.workers.get('cut')!.runs.size).toBe(1);
-	dispatch({type: 'tick'}, leaseOverMs(1500));
+	dispatch({type: 'tick'}, overAtMs);
 	expect(state.workers.get('cut')!.runs.size).toBe(0);
 });
 
