Relocation: draining workers are emptied before any run that may wait is stopped

One round stopped the tasks 2, 3 and 6 of the step as worker-draining and 1 as machine-reserved.

Cause: reconcileRuns goes through the workers in the order of the map. A reserved worker, or an unanswered stop that is repeated, that comes before the draining workers finds the limit of the step unused and uses it up. The limit does not bind the drains, which come on top in the same round: four tasks end where one may.

Change: draining workers are gone through first, so that their tasks count as unavailable by the time a run that may wait is judged. Among the other workers each stop already counts for the next one. An evacuation comes after all of them, waves and moves take idle machines only, and the throttle and the stop of stalled runs end no lasting task that serves.

--- a/packages/scheduler/src/core/relocation.ts
+++ b/packages/scheduler/src/core/relocation.ts
@@ -191,8 +191,10 @@
 export const reconcileRuns = (state: SchedulerState, nowMs: number): readonly Task[] => {
 	const displaced: Task[] = [];
 	const isTakingOver = nowMs - (state.term?.wonAtMs ?? nowMs) < initialPollsMs;
-	const usable = [...state.workers.values()].filter(worker => isUsable(worker, nowMs));
-	for (const worker of state.workers.values()) {
+	const workers = [...state.workers.values()];
+	const usable = workers.filter(worker => isUsable(worker, nowMs));
+	// What leaves draining workers counts against the limits of the steps before any run that may wait is stopped.
+	for (const worker of workers.toSorted((a, b) => Number(b.entry.isDraining) - Number(a.entry.isDraining))) {
 		repeatStops(state, worker, nowMs);
 		stopStalled(state, worker, nowMs);
 		// What is stopped while nothing is started would not be replaced.
