Soak: registrations of workers that no longer write them are removed

What was seen: each registration was written anew every 1.5 s, with the next `seq`, for all workers in one instant. One that was no longer written stayed for ever, unless a trouble or the end of its worker removed it. The users' store removes it after three heartbeat intervals of silence.

Change: each worker writes its registration 1.5 s after it wrote it last, and the registration is removed after 4.5 s without that: while the worker is down, withholds it (`isUnregistered`) or does not reach the store (`isCutFromStore`, for the kinds to come). A removal of a row that is not there no longer makes a version.

--- a/soak/machines.ts
+++ b/soak/machines.ts
@@ -11,16 +11,12 @@
 import {
 	bounds, machineRates, pools, standbyPool, workerCapacity, zones,
 } from './settings.js';
-import {Worker, type WorkerOptions} from './worker.js';
+import {registrationMs, Worker, type WorkerOptions} from './worker.js';
 
 const tickMs = 10;
-const heartbeatMs = 1500;
 const racks = 9;
 const minStandstillMs = 100;
 
-/** Time after which the registration of a worker that has ended is removed. */
-const registrationMs = 3 * heartbeatMs;
-
 const orderSchema = z.object({machine: z.string(), pool: z.string().optional(), wave: z.number().optional()});
 type Order = z.infer<typeof orderSchema>;
 
@@ -105,11 +101,10 @@
 		this.#timers.push(setInterval(() => {
 			this.#noteStandstill();
 			this.#advance();
-		}, tickMs), setInterval(() => {
 			for (const worker of this.workers) {
-				worker.register();
+				worker.keepRegistered(performance.now());
 			}
-		}, heartbeatMs));
+		}, tickMs));
 	}
 
 	/** The ends that workers have listed and no holder has acknowledged. */
--- a/soak/tests/worker.test.ts
+++ b/soak/tests/worker.test.ts
@@ -82,6 +82,70 @@
 	expect(brokenOf('LIMIT')).toBe(1);
 });
 
+const registration = (): {readonly seq?: number; readonly born?: number; readonly ver?: number} => ({
+	...rows.read('servers', 'w1') as {readonly seq: number; readonly born: number} | undefined, ver: rows.live({table: 'servers', key: 'w1'})?.ver,
+});
+
+it('a worker writes its registration anew at each heartbeat, with a new version', () => {
+	const first = registration();
+	workers[0]!.keepRegistered(performance.now() + 1400);
+	expect(registration()).toEqual(first);
+	workers[0]!.keepRegistered(performance.now() + 1500);
+	const second = registration();
+	expect(second).toMatchObject({seq: first.seq! + 1, born: first.born});
+	expect(second.ver).toBeGreaterThan(first.ver!);
+});
+
+it.each(['isUnregistered', 'isCutFromStore'] as const)('a registration is removed after three heartbeat intervals without one (%s), and is back when that is over', flag => {
+	workers[0]![flag] = true;
+	workers[0]!.keepRegistered(performance.now() + 4400);
+	expect(registration()).toMatchObject({seq: 1});
+	workers[0]!.keepRegistered(performance.now() + 4500);
+	expect(registration()).toEqual({ver: undefined});
+	const {ver} = rows;
+	workers[0]!.keepRegistered(performance.now() + 4600);
+	expect(rows.ver).toBe(ver);
+	workers[0]![flag] = false;
+	workers[0]!.keepRegistered(performance.now() + 1500);
+	expect(registration()).toMatchObject({seq: 2});
+});
+
+it('a registration that was removed stays away while its worker runs on and does not register itself', async () => {
+	workers[0]!.isUnregistered = true;
+	workers[0]!.unregister();
+	workers[0]!.keepRegistered(performance.now() + 1500);
+	expect(registration()).toEqual({ver: undefined});
+	expect(await call(0, '/hold', {fencing_token: 5000})).toMatchObject({status: 200});
+});
+
+it('the registration of a crashed worker is that of before the crash until it registers itself, and is removed when that takes too long', async () => {
+	const first = registration();
+	workers[0]!.isCutFromStore = true;
+	await workers[0]!.restart(downMs);
+	workers[0]!.keepRegistered(performance.now() + 1500);
+	expect(registration()).toEqual(first);
+	workers[0]!.isCutFromStore = false;
+	workers[0]!.register();
+	const second = registration();
+	expect(second.born).toBeGreaterThan(first.born!);
+	workers[0]!.end();
+	workers[0]!.keepRegistered(performance.now() + 4500);
+	expect(registration()).toEqual({ver: undefined});
+});
+
+it('a worker whose answers are lost starts again, carries out what is sent, and is not seen to have done so', async () => {
+	const worker = workers[0]!;
+	worker.isCutFromStore = true;
+	worker.muteUpToFence = Number.MAX_SAFE_INTEGER;
+	await worker.restart(downMs);
+	void start(0, 'b.0.0.0');
+	void call(0, '/hold', {fencing_token: 5000});
+	await sleep(lateMs / 4);
+	expect(ledger.runsOf('b.0.0.0')).toMatchObject([{worker: 'w1', listedAtMs: undefined, endedAtMs: undefined}]);
+	worker.muteUpToFence = 0;
+	expect(await call(0, '/hold', {fencing_token: 5000})).toMatchObject({body: {running: [['b.0.0.0', 1, '', expect.any(Number), workerCapacity.cpu]]}});
+});
+
 it('a worker that drains reports it, ends its work before it leaves, and takes the ends along that were listed', async () => {
 	await start(0, 'b.0.0.0');
 	workers[0]!.drain(2000, 20);
--- a/soak/worker.ts
+++ b/soak/worker.ts
@@ -17,6 +17,10 @@
 const stopMs = 50;
 const startupMs = 300;
 
+/** A registration is written anew this often, and removed after three times as long without that. */
+const heartbeatMs = 1500;
+export const registrationMs = 3 * heartbeatMs;
+
 /** What a serving task reports as the tail of its response times. */
 const servingTailMs = 40;
 const maxHoldWaitMs = 2000;
@@ -77,6 +81,8 @@
 export class Worker {
 	/** While set, the worker does not register itself. */
 	isUnregistered = false;
+	/** The same, as the worker does not reach the store. */
+	isCutFromStore = false;
 	/** While set, no call reaches the worker, and it runs on. */
 	isSilent = false;
 	/** Orders with this fencing token or a lower one are carried out, and their answers are lost. */
@@ -94,6 +100,8 @@
 	#leavesAtMs: number | undefined;
 	#lateCalls = 0;
 	#incarnation = newIncarnation();
+	/** When its registration was last written. */
+	#registeredAtMs = Number.NEGATIVE_INFINITY;
 	readonly #ended = new WakeUp();
 
 	constructor(options: WorkerOptions) {
@@ -199,8 +207,9 @@
 	}
 
 	register(): void {
-		if (this.#isUp && !this.isUnregistered) {
+		if (this.#isUp && !this.isUnregistered && !this.isCutFromStore) {
 			this.#incarnation.registrations++;
+			this.#registeredAtMs = performance.now();
 			this.#options.rows.put('servers', this.id, {
 				service: this.#options.service, addr: this.#server!.address, zone: this.zone, version: '1', slots: 8, ...this.#stateFields, cold_left_ms: 0,
 				capacity: workerCapacity, labels: this.labels, seq: this.#incarnation.registrations, born: this.#incarnation.bornWallMs,
@@ -209,7 +218,21 @@
 	}
 
 	unregister(): void {
-		this.#options.rows.apply([], [{table: 'servers', key: this.id}]);
+		const name = {table: 'servers', key: this.id};
+		if (this.#options.rows.live(name) !== undefined) {
+			this.#options.rows.apply([], [name]);
+		}
+	}
+
+	/** Writes its registration anew when that is due; one that has not been written for long is removed. */
+	keepRegistered(nowMs: number): void {
+		if (nowMs - this.#registeredAtMs >= heartbeatMs) {
+			this.register();
+		}
+
+		if (nowMs - this.#registeredAtMs >= registrationMs) {
+			this.unregister();
+		}
 	}
 
 	/** Ends the runs whose time has come. */
