Soak: workers out of reach for longer than a lease, and restarts that nobody sees

What was seen: `workers` and `workercut` last 5 s at most, `zonecut` 1.2 s, so no zone was ever out of reach for longer than a lease of 5.4 s.

Change: four kinds that are drawn only where they are named, so that the seeds of the others draw what they drew: `unseenreturn` (a zone's workers start again within 25 ms, their answers are lost, then they are out of reach for 8.5 to 9.6 s; the holder is killed in half of the draws and stays in the others), `longcut` (a zone is out of reach for 6 to 12 s, half of its workers just after a restart, with and without the store), `workerslong` and `workercutlong` (`workers` and `workercut` for 4 to 14 s).

--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -47,8 +47,10 @@
 const maxDurationMs = 5000;
 
 /** Durations of the kinds that have ones of their own. */
-const minDurationsMs: Readonly<Record<string, number>> = {killall: 600};
-const maxDurationsMs: Readonly<Record<string, number>> = {lapse: 12_000, killall: 1600};
+const minDurationsMs: Readonly<Record<string, number>> = {killall: 600, workerslong: 4000, workercutlong: 4000};
+const maxDurationsMs: Readonly<Record<string, number>> = {
+	lapse: 12_000, killall: 1600, workerslong: 14_000, workercutlong: 14_000,
+};
 
 /** Processes that are stopped together with the holder: those that would follow it. */
 const successors = 3;
@@ -138,6 +140,22 @@
 const maxZoneNoticeMs = 2500;
 const leavingZoneShare = 0.8;
 
+/** Time for which workers are down that nobody sees start again, time for which their answers are then lost, and time for which they are out of reach after that: longer than a lease, and shorter than the longest one. */
+const minUnseenDownMs = 5;
+const maxUnseenDownMs = 25;
+const minLostAnswersMs = 300;
+const maxLostAnswersMs = 800;
+const minUnseenCutMs = 8500;
+const maxUnseenCutMs = 9600;
+
+/** Share of a zone's workers that start again before a long cut, time for which they are down, longest time from their return to the cut, and its length, longer than a lease. */
+const restartedShare = 0.5;
+const minBeforeCutDownMs = 150;
+const maxBeforeCutDownMs = 650;
+const maxUntilCutMs = 700;
+const minLongCutMs = 6000;
+const maxLongCutMs = 12_000;
+
 /** Applies a change at once and takes it back at the end. */
 const change = (apply: (isOn: boolean) => void, scope: Omit<Begun, 'end'>): Begun => {
 	apply(true);
@@ -216,6 +234,26 @@
 	}, [holder]),
 ];
 
+const workersOfZone = ({deployment, random}: Field): readonly Worker[] => {
+	const zone = drawOne(random, zones);
+	return deployment.machines.workers.filter(worker => worker.zone === zone);
+};
+
+/** Some workers are silent. */
+const silenceSome: Begin = field => changeWorkers(pickWorkers(field), (worker, isOn) => {
+	worker.isSilent = isOn;
+});
+
+/** The holder is cut off from the workers of one zone, in one direction or both; a later holder is not. */
+const cutHolderOff: Begin = field => {
+	const {deployment: {lastFenceOfHolder: fence}, holder, random} = field;
+	const workers = workersOfZone(field);
+	const direction = random.next() < 0.5 ? 'muteUpToFence' : 'deafUpToFence';
+	return changeWorkers(workers, (worker, isOn) => {
+		worker[direction] = isOn ? fence : 0;
+	}, [holder]);
+};
+
 const mayCrash = ({isUp, isDraining, isUnderLateCalls, hasLateCalls}: Worker): boolean => isUp && !isDraining && !isUnderLateCalls && !hasLateCalls;
 
 /** Leaves starts, and perhaps stops and polls, unanswered until the worker crashes; half of the time, cuts the worker off soon after its return. Resolves once all calls are carried out. */
@@ -391,6 +429,59 @@
 	await Promise.all(restarts);
 };
 
+/** Workers are out of reach of all daemons, and perhaps of the store, for a while, and then register themselves. */
+const cutOff = async ({deployment: {record}}: Field, workers: readonly Worker[], {cutMs, reachesStore}: {readonly cutMs: number; readonly reachesStore: boolean}): Promise<void> => {
+	record.add(`out of reach for ${cutMs} ms, ${reachesStore ? '' : 'and of the store, '}${workers.length} workers: ${workers.map(({id}) => id).join(' ')}`);
+	for (const worker of workers) {
+		worker.isSilent = true;
+		worker.isCutFromStore = !reachesStore;
+	}
+
+	await sleep(cutMs);
+	for (const worker of workers) {
+		worker.isSilent = false;
+		worker.isCutFromStore = false;
+		worker.register();
+	}
+};
+
+/** Workers start again and do not register themselves; for a while, orders reach them and their answers are lost, so that nobody sees it. */
+const startUnseen = async ({random}: Field, workers: readonly Worker[]): Promise<void> => {
+	const lostAnswersMs = drawBetween(random, minLostAnswersMs, maxLostAnswersMs);
+	await Promise.all(workers.map(async worker => {
+		worker.isCutFromStore = true;
+		worker.muteUpToFence = Number.MAX_SAFE_INTEGER;
+		await worker.restart(drawBetween(random, minUnseenDownMs, maxUnseenDownMs));
+	}));
+	await sleep(lostAnswersMs);
+	for (const worker of workers) {
+		worker.muteUpToFence = 0;
+	}
+};
+
+/** Workers that nobody has seen start again are out of reach; perhaps the holder is killed as that begins. */
+const returnUnseen = async (field: Field, workers: readonly Worker[], isHolderKilled: boolean): Promise<void> => {
+	const {holder, random} = field;
+	const cutMs = drawBetween(random, minUnseenCutMs, maxUnseenCutMs);
+	await startUnseen(field, workers);
+	const cut = cutOff(field, workers, {cutMs, reachesStore: false});
+	const loss = isHolderKilled && !holder.isDisturbed ? kill(holder) : undefined;
+	await cut;
+	await loss?.end();
+};
+
+/** Some workers of a zone start again, and all of them are then out of reach; half of the time they reach the store. */
+const cutLong = async (field: Field, workers: readonly Worker[]): Promise<void> => {
+	const {random} = field;
+	const cutMs = drawBetween(random, minLongCutMs, maxLongCutMs);
+	const reachesStore = random.next() < 0.5;
+	const untilCutMs = random.next() * maxUntilCutMs;
+	const restarted = workers.filter(worker => random.next() < restartedShare && mayCrash(worker));
+	await Promise.all(restarted.map(async worker => worker.restart(drawBetween(random, minBeforeCutDownMs, maxBeforeCutDownMs))));
+	await sleep(untilCutMs);
+	await cutOff(field, workers, {cutMs, reachesStore});
+};
+
 /** All or most workers of one zone and service leave together, while the holder is ended, or several in succession. */
 const emptyZone = (field: Field): Begun => {
 	const {deployment, random} = field;
@@ -573,9 +664,7 @@
 	storeforget: ({deployment: {store}}) => change(() => {
 		store.rows.discardHistory(store.rows.ver);
 	}, {daemons: 'all'}),
-	workers: field => changeWorkers(pickWorkers(field), (worker, isOn) => {
-		worker.isSilent = isOn;
-	}),
+	workers: silenceSome,
 	/** Starts are carried out late, and their answers are lost. */
 	workerlate(field) {
 		const lateMs = 1 + Math.floor(field.random.next() * maxLateStartMs);
@@ -583,14 +672,7 @@
 			worker.lateMsByPath.set('/run-start', isOn ? lateMs : 0);
 		});
 	},
-	/** The holder is cut off from the workers of one zone, in one direction or both; a later holder is not. */
-	workercut({deployment: {machines, lastFenceOfHolder: fence}, holder, random}) {
-		const zone = drawOne(random, zones);
-		const direction = random.next() < 0.5 ? 'muteUpToFence' : 'deafUpToFence';
-		return changeWorkers(machines.workers.filter(worker => worker.zone === zone), (worker, isOn) => {
-			worker[direction] = isOn ? fence : 0;
-		}, [holder]);
-	},
+	workercut: cutHolderOff,
 	/** Workers crash and start again under their ids and addresses. */
 	restart(field) {
 		const workers = pickWorkers(field).filter(worker => mayCrash(worker));
@@ -669,8 +751,7 @@
 	quickseries: field => waitFor(refreshOthers(field).then(async () => endHoldersQuickly(field)), {daemons: 'all'}),
 	/** All workers of a zone are out of reach of all daemons for less than their lease, several times. */
 	zonecut(field) {
-		const zone = drawOne(field.random, zones);
-		const workers = field.deployment.machines.workers.filter(worker => worker.zone === zone);
+		const workers = workersOfZone(field);
 		return waitFor(cutZone(field, workers), {workers, daemons: 'all'});
 	},
 	/** All or most workers of a zone and service leave together, beside hand-overs. */
@@ -685,13 +766,30 @@
 	reborn: async field => pauseAmongStarts(field),
 	/** The lease goes to and fro within seconds, by stops and by suspicions, and the suspected holder is alive. */
 	toandfro: field => waitFor(passToAndFro(field), {daemons: 'all'}),
+	/** `workers` and `workercut`, mostly for longer than a lease. */
+	workerslong: silenceSome,
+	workercutlong: cutHolderOff,
+	/** Workers of a zone start again, get what is sent while their answers are lost, and are out of reach before anyone has seen the restart. Half of the time the holder is killed, else it stays. */
+	unseenreturn(field) {
+		const workers = workersOfZone(field).filter(worker => mayCrash(worker) && !worker.isSilent);
+		const isHolderKilled = field.random.next() < 0.5;
+		return waitFor(returnUnseen(field, workers, isHolderKilled), {workers, daemons: isHolderKilled ? [field.holder] : []});
+	},
+	/** All workers of a zone are out of reach of all daemons for longer than a lease, some of them just after they have started again. */
+	longcut(field) {
+		const workers = workersOfZone(field);
+		return waitFor(cutLong(field, workers), {workers});
+	},
 	/** All daemons are ended in turn, beside a wave. */
 	rolling: field => waitFor(Promise.all([field.deployment.operator.orderWave(field.random), endInTurn(field)]), {daemons: 'all'}),
 };
 
+/** Kinds in which workers are out of reach for longer than a lease. */
+const longKinds = ['workerslong', 'workercutlong', 'unseenreturn', 'longcut'] as const;
+
 /** Kinds that are drawn only where they are named: `crashagain` shows a fault that is known and not mended, and the others would change what each seed draws. */
 const namedKinds: ReadonlySet<string> = new Set([
-	'crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave', 'killall', 'standstill', 'reborn', 'toandfro', 'storemute',
+	'crashagain', 'leave', 'replace', 'bigreturn', 'rolling', 'quickseries', 'zonecut', 'zoneleave', 'killall', 'standstill', 'reborn', 'toandfro', 'storemute', ...longKinds,
 ]);
 
 /** Kinds of work that an operator plans. All others are disruptions. */
