A successor that has followed the registrations knows which workers have started again

A takeover without a release waits 10.55 s for workers out of reach whose incarnation began a few seconds before, though it goes on registering itself. On deployments whose machines change their pool several times a minute that is most of them.

Change: a process that has read the registrations without a gap of 3 s, and for longer than a call may be late, has seen each restart. A worker that it has not seen start again, and that registers itself after the orders of the earlier holder were over, counts with the short lease, however young it is. An incarnation that began and ended between two reads had a clock of at most 3 s, so a deadline by that clock is over 8.4 s after the present one was first seen, however late the call comes; that is counted as well. A standstill of the process, by either clock, is a gap.

Evidence: five cases in unheard-runs.test.ts, which fail without it with 10.55 s after the last order where 5.4 s, or 8.4 s after the first sight, is expected; a gap, a few seconds only, and a seen restart keep the longest lease.

--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -82,8 +82,8 @@
 	| (OfTerm & {readonly type: 'saved'; readonly saveNumber: number; readonly refusedJobIds?: readonly string[]; readonly refusedWaveIds?: readonly number[]})
 	| {readonly type: 'machinesListed'; readonly machines: readonly MachineEntry[]; readonly unreadable?: readonly UnreadableMachine[]; readonly isOfOneMoment?: boolean; readonly sentAtMs: number}
 	| (OfTerm & {readonly type: 'machineAnswered'; readonly machineId: string; readonly orderNumber: number; readonly answer: MachineAnswer})
-	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. `jobRowsConfirmedAtMs`: when the newest read was sent that found all job rows. `jobRowsRevision`: up to which revision the job rows are known. */
-	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean; readonly jobRowsConfirmedAtMs?: number | undefined; readonly jobRowsRevision?: number | undefined}
+	/** `areOrdersOutdated`: an evacuation may have been ordered so long ago without this process knowing of it that nothing may be started anywhere. `jobRowsConfirmedAtMs`: when the newest read was sent that found all job rows. `jobRowsRevision`: up to which revision the job rows are known. `workersFollowedSinceMs`: since when the registrations of workers have been read without a gap. */
+	| {readonly type: 'tick'; readonly areOrdersOutdated?: boolean; readonly jobRowsConfirmedAtMs?: number | undefined; readonly jobRowsRevision?: number | undefined; readonly workersFollowedSinceMs?: number | undefined}
 );
 
 /** Progress to store. The shell retries the save until it succeeds or the lease is lost. `isRetry`: the store has refused the row before, and may refuse it again. */
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -268,6 +268,7 @@
 			state.areOrdersOutdated = event.areOrdersOutdated === true;
 			state.jobRowsConfirmedAtMs = event.jobRowsConfirmedAtMs;
 			state.jobRowsRevision = event.jobRowsRevision;
+			state.workersFollowedSinceMs = event.workersFollowedSinceMs;
 			if (state.term === undefined) {
 				expireWorkers(state, event.nowMs);
 			} else if (state.isSuspended || state.isHandingOver) {
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -131,6 +131,8 @@
 	jobRowsConfirmedAtMs: number | undefined;
 	/** The copy of the job rows holds every change up to this revision. */
 	jobRowsRevision: number | undefined;
+	/** Since when this process has read the registrations of workers without a gap. */
+	workersFollowedSinceMs: number | undefined;
 	/** When a worker that drained was last seen to be gone, or one to have started again, with the list of what had ended there. */
 	lastDepartureAtMs = Number.NEGATIVE_INFINITY;
 	/** Runs of tasks whose jobs have not been read yet. */
--- a/packages/scheduler/src/core/unheard-runs.ts
+++ b/packages/scheduler/src/core/unheard-runs.ts
@@ -4,7 +4,7 @@
 A lease is a deadline on the clock of the incarnation that it was sent to. There it is over a lease time after the last sending, whatever the rate of the clock. The next incarnation of the worker, whose clock starts anew, takes such a deadline for one far ahead, and grants its longest lease. It does so until it has seen a higher token. So the shorter bound needs a proof of the incarnation: a report that lists the run, what the last holder has left, or a registration that was written after the orders of earlier holders were over.
 */
 import {
-	clockDriftFactor, leaseMarginMs, maxCallDelayMs, maxUnansweredCallMs, maxWallClockErrorMs, taskLeaseMs,
+	clockDriftFactor, leaseMarginMs, maxCallDelayMs, maxRegistryGapMs, maxUnansweredCallMs, maxWallClockErrorMs, taskLeaseMs,
 } from '../constants.js';
 import {areStartsAccountedFor} from './inherited-starts.js';
 import {type CurrentTime} from './jobs.js';
@@ -48,12 +48,17 @@
 	&& newJobsAfterRevision !== undefined
 	&& (entry.registeredVersion ?? 0) > newJobsAfterRevision;
 
-/** Returns until when calls to earlier incarnations may reach the one that this process knows, if that is the present one. */
-const earlierCallsUntilMs = ({firstSeenAtMs, bornWallMs}: WorkerRecord, {nowMs, wallMs}: CurrentTime): number => {
+/** Returns until when calls to earlier incarnations may reach the one that this process knows, if that is the present one. A process that follows the registrations has seen each restart since then. */
+const earlierCallsUntilMs = ({workersFollowedSinceMs = Number.POSITIVE_INFINITY}: SchedulerState, {firstSeenAtMs, restartedAtMs, bornWallMs}: WorkerRecord, {nowMs, wallMs}: CurrentTime): number => {
 	const bornAtMs = bornWallMs === undefined ? Number.POSITIVE_INFINITY : nowMs - (wallMs - bornWallMs) + maxWallClockErrorMs;
-	return Math.min(firstSeenAtMs, bornAtMs) + maxCallDelayMs;
+	const followedSinceMs = restartedAtMs === undefined ? workersFollowedSinceMs : Number.POSITIVE_INFINITY;
+	return Math.min(firstSeenAtMs, bornAtMs, followedSinceMs) + maxCallDelayMs;
 };
 
+/** Returns when the leases are over that were granted by deadlines of an incarnation that began and ended between two reads of the registrations: its clock was no further than that. */
+const unseenLeasesOverAtMs = ({workersFollowedSinceMs = Number.POSITIVE_INFINITY}: SchedulerState, {firstSeenAtMs}: WorkerRecord): number =>
+	firstSeenAtMs > workersFollowedSinceMs ? leaseExpiryAfter(firstSeenAtMs + maxRegistryGapMs) : Number.NEGATIVE_INFINITY;
+
 /** Returns when the leases are over that earlier holders may have granted up to this time on the present incarnation of the worker. */
 const earlierLeasesOverAtMs = (state: SchedulerState, worker: WorkerRecord, {isPresentKnown, untilMs}: {readonly isPresentKnown: boolean; readonly untilMs: number}, now: CurrentTime): number => {
 	// Nothing runs on a worker that has ended, and only a report tells what its next incarnation runs.
@@ -61,8 +66,13 @@
 		return leaseExpiryAfter(untilMs);
 	}
 
-	const lastGrantAtMs = isPresentKnown ? Math.min(untilMs, earlierCallsUntilMs(worker, now)) : untilMs;
-	return Math.max(leaseExpiryAfter(untilMs), longestLeaseExpiryAfter(state, lastGrantAtMs));
+	const longestOverAtMs = longestLeaseExpiryAfter(state, untilMs);
+	if (!isPresentKnown) {
+		return longestOverAtMs;
+	}
+
+	const callsUntilMs = Math.min(untilMs, earlierCallsUntilMs(state, worker, now));
+	return Math.max(leaseExpiryAfter(untilMs), longestLeaseExpiryAfter(state, callsUntilMs), Math.min(longestOverAtMs, unseenLeasesOverAtMs(state, worker)));
 };
 
 /** Counts with the leases that earlier holders may have granted until the worker first answered, on runs that it lists. */
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -11,7 +11,7 @@
 	type FailureDetection, type OutageKnowledge, TableClock, TableReplica,
 } from '@poplarnotch/state';
 import {admitAll, type AdmissionControl} from '../admission/admission-control.js';
-import {endedJobRetentionMs} from '../constants.js';
+import {endedJobRetentionMs, maxRegistryGapMs} from '../constants.js';
 import {type SchedulerEffect, type SchedulerEvent} from '../core/events.js';
 import {describeEvacuations} from '../core/evacuation.js';
 import {createOrderPolicy, type OrderPolicyName} from '../core/order/order-policies.js';
@@ -146,6 +146,9 @@
 	/** Until when the process follows jobs and workers. */
 	#followsUntilMs = 0;
 	#isFollowing = false;
+	/** Since when the registrations of workers have been read without a gap. */
+	#workersFollowedSinceMs: number | undefined;
+	#lastTickWallMs: number | undefined;
 	readonly #replicaView: JobView;
 	readonly #storedView: JobView;
 	readonly #publisher: QueuePublisher;
@@ -378,6 +381,15 @@
 		this.#options.workers.setMode(isHolder ? holderMode : standbyMode);
 	}
 
+	/** A standstill of the process is a gap, also one of its machine, which only the wall clock shows. */
+	#updateWorkersFollowed({nowMs, wallMs}: {readonly nowMs: number; readonly wallMs: number}): void {
+		const {confirmedAtMs = Number.NEGATIVE_INFINITY} = this.#options.workers;
+		const pausedMs = wallMs - (this.#lastTickWallMs ?? wallMs);
+		this.#lastTickWallMs = wallMs;
+		const isFollowed = this.#isFollowing && nowMs - confirmedAtMs <= maxRegistryGapMs && pausedMs <= maxRegistryGapMs;
+		this.#workersFollowedSinceMs = isFollowed ? this.#workersFollowedSinceMs ?? nowMs : undefined;
+	}
+
 	#now(): {readonly nowMs: number; readonly wallMs: number} {
 		return {nowMs: this.#options.clock.nowMs(), wallMs: this.#options.clock.wallTimeMs()};
 	}
@@ -432,9 +444,10 @@
 		const latenessMs = Math.max(0, now.nowMs - this.#tickDueAtMs);
 		this.#lastTickAtMs = now.nowMs;
 		this.#updateFollowing();
+		this.#updateWorkersFollowed(now);
 		this.#term.check(now, pausedMs);
 		this.#runtime.dispatch({
-			type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), jobRowsConfirmedAtMs: this.#jobReplica.confirmedAtMs, jobRowsRevision: this.#jobReplica.revision, ...now,
+			type: 'tick', areOrdersOutdated: this.#areOrdersOutdated(now.nowMs), jobRowsConfirmedAtMs: this.#jobReplica.confirmedAtMs, jobRowsRevision: this.#jobReplica.revision, workersFollowedSinceMs: this.#workersFollowedSinceMs, ...now,
 		});
 		this.#termMonitor.recordRound(latenessMs);
 		this.#workerPoller.pollDueWorkers(now.nowMs);
--- a/packages/scheduler/tests/unheard-runs.test.ts
+++ b/packages/scheduler/tests/unheard-runs.test.ts
@@ -21,9 +21,15 @@
 
 beforeEach(() => {
 	holder = new NewHolder(['w1', 'w2']);
+	workersFollowedSinceMs = undefined;
 });
 
-const tick = (nowMs: number): readonly SchedulerEffect[] => holder.dispatch({type: 'tick', jobRowsConfirmedAtMs: nowMs, jobRowsRevision: 100}, nowMs);
+/** Since when the process has followed the registrations without a gap. */
+let workersFollowedSinceMs: number | undefined;
+
+const tick = (nowMs: number): readonly SchedulerEffect[] => holder.dispatch({
+	type: 'tick', jobRowsConfirmedAtMs: nowMs, jobRowsRevision: 100, workersFollowedSinceMs,
+}, nowMs);
 
 const missPoll = (workerId: string, sentAtMs: number): void => {
 	const {term, workers} = holder.state;
@@ -114,6 +120,39 @@
 	expect(startsAgainAtMs(60)).toBe(longestLeaseMs);
 });
 
+// The registration is of an incarnation that began a few seconds before. What began and ended between two reads, which are 3 s apart at most, had a clock that was no further than that.
+test.each([
+	{
+		about: 'for long before the worker was there', followedSinceMs: -20_000, ordersOverAtMs: 4000, overAtMs: 4000 + shortLeaseMs,
+	},
+	{
+		about: 'for long, and has just seen the worker', followedSinceMs: -20_000, ordersOverAtMs: 0, overAtMs: 3000 + shortLeaseMs,
+	},
+	{
+		about: 'for a few seconds', followedSinceMs: -5000, ordersOverAtMs: 4000, overAtMs: 4000 + longestLeaseMs,
+	},
+	{
+		about: 'with a gap', followedSinceMs: undefined, ordersOverAtMs: 4000, overAtMs: 4000 + longestLeaseMs,
+	},
+])('the wait of a takeover by a process that has followed the registrations $about', ({followedSinceMs, ordersOverAtMs, overAtMs}) => {
+	workersFollowedSinceMs = followedSinceMs;
+	const changes = {bornWallMs: wallOffsetMs - 4000};
+	register(changes, 0);
+	holder.state.workers.get('w2')!.restartedAtMs = undefined;
+	takeOver({earlierHolder: {mayOrderUntilMs: ordersOverAtMs, mayOrderMachinesUntilMs: ordersOverAtMs}});
+	register({...changes, registeredVersion: 101}, 50);
+	expect(startsAgainAtMs(60)).toBe(overAtMs);
+});
+
+test('a restart that the process has seen counts although it has followed the registrations for long', () => {
+	workersFollowedSinceMs = -20_000;
+	const changes = {bornWallMs: wallOffsetMs - 4000};
+	register(changes, 0);
+	takeOver();
+	register({...changes, registeredVersion: 101}, 50);
+	expect(startsAgainAtMs(60)).toBe(longestLeaseMs);
+});
+
 test.each([
 	{about: 'named no start on it', note: noteNaming(), overAtMs: shortLeaseMs},
 	{about: 'named a start on it', note: noteNaming('w2'), overAtMs: longestLeaseMs},
