What the last holder leaves tells of every lease that the next one would count too short

And tasks waited longer than they had to beside machines whose worker is not registered, and where no machines can be listed.

Change: the note states, for each worker, until when everything is over there that may run, where the next holder would count otherwise: less on workers that do not answer, more on those that may hold a longer lease, also for workers that only machines name. If it cannot name all of the latter, it says that it does not know all starts. A takeover reads two revisions of the store, after the orders of earlier holders and 3 s later, when their last call has arrived; only a registration after the second one proves the incarnation. A gap in the registrations is also seen by the times of two successive reads.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -18,7 +18,7 @@
 export const maxCallDelayMs = 15_000;
 
 /** A lease deadline can arrive this long after it was drawn up, unless the worker carries the call out late: a poll is sent once more after its wait, and given up, with its connection closed, within a second of that. */
-export const maxUnansweredCallMs = 2500;
+export const maxUnansweredCallMs = 3000;
 
 /** A process follows the registrations of workers without a gap if it has read them at least this often: a read may wait for changes for 1.5 s, and comes a second after the one before. */
 export const maxRegistryGapMs = 3000;
--- a/packages/scheduler/src/core/events.ts
+++ b/packages/scheduler/src/core/events.ts
@@ -15,6 +15,9 @@
 	readonly mayOrderMachinesUntilMs: number;
 };
 
+/** What a takeover asks a revision of the store for: the orders of earlier holders are over, or their last call has arrived. */
+export type AwaitedRevision = 'orders' | 'calls';
+
 /** Time of an event on the process's monotonic clock and on the wall clock. */
 type EventTime = {readonly nowMs: number; readonly wallMs: number};
 
@@ -58,8 +61,8 @@
 	| {readonly type: 'earlierHolderChanged'; readonly earlierHolder: EarlierHolder}
 	/** The lease could not be renewed in time and may pass to another process. */
 	| {readonly type: 'leaseSuspended'}
-	/** The newest revision of the store after the orders of all earlier holders were over. */
-	| (OfTerm & {readonly type: 'revisionRead'; readonly revision: number})
+	/** The newest revision of the store after the orders of all earlier holders were over, by default, or their last call had arrived. */
+	| (OfTerm & {readonly type: 'revisionRead'; readonly revision: number; readonly after?: AwaitedRevision})
 	/** A read from the store has confirmed that no other process holds the lease, so a suspended term goes on. */
 	| (OfTerm & {readonly type: 'leaseConfirmed'})
 	/** Another process holds the lease of the term, or this one gives it up. */
@@ -119,7 +122,7 @@
 	| {readonly type: 'maintain'; readonly machineId: string; readonly orderNumber: number; readonly waveId: number; readonly fencingToken: number}
 	| {readonly type: 'reportWave'; readonly fencingToken: number; readonly waveId: number; readonly state: 'running' | 'completed'}
 	/** Asks for the newest revision of the store. The shell retries the read until it succeeds or the takeover is settled. */
-	| {readonly type: 'readRevision'; readonly fencingToken: number}
+	| {readonly type: 'readRevision'; readonly fencingToken: number; readonly after: AwaitedRevision}
 	/** The term with this token has ended because a higher token was seen. */
 	| {readonly type: 'stepDown'; readonly fencingToken: number; readonly reason: string}
 	/** Asks for the event `saveDue` after this time. */
--- a/packages/scheduler/src/core/handover-note.ts
+++ b/packages/scheduler/src/core/handover-note.ts
@@ -12,8 +12,8 @@
 	unknownForMs: z.number(),
 	/** For how much longer lists of machines may lack a worker that is not named and has started again just before. */
 	unlistedForMs: z.number().default(0),
-	/** For how much longer runs may go on, on workers that the holder has not heard, by worker id. It has sent them nothing that extends that. */
-	unheard: z.record(z.string(), z.number()).optional(),
+	/** For how much longer runs may go on, by worker id, where the next holder would not count so: on workers that do not answer, which get no leases, and on those that may have been granted a longer one. */
+	runsForMs: z.record(z.string(), z.number()).optional(),
 	/** Ends that the holder has read and could not store, by job id. */
 	ends: z.record(z.string(), z.object({doneTasks: taskNumbersSchema, failures: taskNumbersSchema})).optional(),
 });
--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -7,7 +7,7 @@
 import {unstoredTaskEnds} from './recorded-ends.js';
 import {type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
-import {unheardUntilMs} from './unheard-runs.js';
+import {allRunsOverAtMs, leaseExpiryAfter, unregisteredRunsOverAtMs} from './unheard-runs.js';
 
 /** More workers with open starts are not listed, so that the note fits into a row; the next holder then waits as it does without a note. */
 const maxOpenStarts = 1000;
@@ -15,8 +15,8 @@
 /** More workers that may have started again are not listed; the next holder then relies on no list of machines of the first moments. */
 const maxUncertainWorkers = 200;
 
-/** More workers that are out of reach are not listed; the next holder then counts anew for each of them. */
-const maxUnheardWorkers = 200;
+/** More workers with a bound of their own are not listed. */
+const maxBoundWorkers = 200;
 
 /** Size of the JSON text of the ends in a note, beside the starts in the same row. Further ends are recorded as the term ends. */
 const maxEndsTextLength = 16_000;
@@ -46,13 +46,35 @@
 	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs, startedAtMs = orderedAtMs}) => !mayArrive && listedIncarnation === undefined ? startedAtMs : Number.NEGATIVE_INFINITY),
 );
 
-/** Names the workers that do not answer this holder and have not ended, with the time for which runs may go on there. Nothing is sent to them that extends it. */
-const unheardWorkers = (state: SchedulerState, now: CurrentTime): Readonly<Record<string, number>> => {
-	const bounds = [...state.workers.values()].flatMap(worker => {
-		const untilMs = worker.isEnded ? undefined : unheardUntilMs(state, worker, now);
-		return untilMs === undefined ? [] : [[worker.entry.workerId, Math.max(0, Math.ceil(untilMs - now.nowMs))] as const];
-	});
-	return bounds.length > maxUnheardWorkers ? {} : Object.fromEntries(bounds);
+/** Until when runs may go on, on workers for which the next holder would count otherwise. */
+type RunBounds = {
+	readonly runsForMs: Readonly<Record<string, number>>;
+	/** The workers that may hold a longer lease than the next holder would count are all named. */
+	readonly areLongerNamed: boolean;
+};
+
+/** Workers that have ended run nothing. Those that machines run and that are not registered may be out of reach. */
+const runBounds = (state: SchedulerState, now: CurrentTime): RunBounds => {
+	const untilMs = new Map<string, number>();
+	for (const worker of state.workers.values()) {
+		const overAtMs = allRunsOverAtMs(state, worker, now);
+		const isUnheard = !worker.isFenced || worker.silentSinceMs !== undefined;
+		if (!worker.isEnded && (isUnheard || overAtMs > leaseExpiryAfter(now.nowMs))) {
+			untilMs.set(worker.entry.workerId, overAtMs);
+		}
+	}
+
+	for (const {entry: {workerId}} of state.machines.values()) {
+		if (workerId !== undefined && !state.workers.has(workerId)) {
+			untilMs.set(workerId, unregisteredRunsOverAtMs(state, workerId));
+		}
+	}
+
+	const named = [...untilMs].toSorted(([, a], [, b]) => b - a).slice(0, maxBoundWorkers);
+	return {
+		runsForMs: Object.fromEntries(named.map(([workerId, overAtMs]) => [workerId, Math.max(0, Math.ceil(overAtMs - now.nowMs))])),
+		areLongerNamed: [...untilMs.values()].filter(overAtMs => overAtMs > leaseExpiryAfter(now.nowMs)).length <= maxBoundWorkers,
+	};
 };
 
 /** Names the workers on which a start of this term, or of an earlier one, may still be carried out, and those that may have just started again. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well, and so does one that was left to this holder: the next incarnation of the worker knows of none of that. Only time ends them. */
@@ -71,7 +93,8 @@
 	}
 
 	const ends = endsForNote(state);
-	if (forMs.size > maxOpenStarts) {
+	const {runsForMs, areLongerNamed} = runBounds(state, now);
+	if (forMs.size > maxOpenStarts || !areLongerNamed) {
 		return {
 			openStarts: {}, unknownForMs: maxCallDelayMs, unlistedForMs: 0, ends,
 		};
@@ -87,7 +110,7 @@
 		openStarts: Object.fromEntries(forMs),
 		unknownForMs: Math.max(0, state.unknownStartsUntilMs - nowMs),
 		unlistedForMs: areNamed ? Math.max(0, state.unlistedUntilMs - nowMs) : maxListingDelayMs,
-		unheard: unheardWorkers(state, now),
+		runsForMs,
 		ends,
 	};
 };
--- a/packages/scheduler/src/core/inherited-starts.ts
+++ b/packages/scheduler/src/core/inherited-starts.ts
@@ -11,7 +11,7 @@
 	const isUsed = note !== undefined && state.earlierHolder === undefined;
 	state.unknownStartsUntilMs = isUsed ? nowMs + note.unknownForMs : state.earlierOrdersOverAtMs + maxCallDelayMs;
 	state.unlistedUntilMs = nowMs + (note?.unlistedForMs ?? 0);
-	state.inheritedBounds = new Map(Object.entries(isUsed ? note.unheard ?? {} : {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
+	state.inheritedBounds = new Map(Object.entries(isUsed ? note.runsForMs ?? {} : {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
 	state.inheritedStarts = new Map(Object.entries(note?.openStarts ?? {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
 };
 
@@ -31,8 +31,16 @@
 		&& !hasInheritedStart(state, worker, missingSince.sentAtMs);
 };
 
-/** Returns true if, as the last holder has stated, each of its starts on the worker was answered and listed, so that its report names the incarnation of all that runs there. */
-export const areStartsAccountedFor = (state: SchedulerState, worker: WorkerRecord): boolean => {
+const areAllStartsNamed = (state: SchedulerState): boolean => {
 	const {wonAtMs} = state.term!;
-	return areEarlierStartsKnown(state, wonAtMs) && state.unlistedUntilMs <= wonAtMs && !hasInheritedStart(state, worker, wonAtMs);
+	return areEarlierStartsKnown(state, wonAtMs) && state.unlistedUntilMs <= wonAtMs;
 };
+
+const isNamed = ({inheritedStarts, term}: SchedulerState, workerId: string): boolean => (inheritedStarts.get(workerId) ?? Number.NEGATIVE_INFINITY) > term!.wonAtMs;
+
+/** Returns true if, as the last holder has stated, each of its starts on the worker was answered and listed. A lease of another incarnation than the one that has listed it is stated as a bound. */
+export const areStartsAccountedFor = (state: SchedulerState, workerId: string): boolean => areAllStartsNamed(state) && !isNamed(state, workerId);
+
+/** Returns true if that holds for each worker. */
+export const areAllStartsAccountedFor = (state: SchedulerState): boolean =>
+	areAllStartsNamed(state) && [...state.inheritedStarts.keys()].every(workerId => !isNamed(state, workerId));
--- a/packages/scheduler/src/core/reducer.ts
+++ b/packages/scheduler/src/core/reducer.ts
@@ -25,7 +25,7 @@
 } from './worker-reports.js';
 import {applySaved, storeProgress, storeReportedEnds} from './progress-persistence.js';
 import {type SchedulerState} from './scheduler-state.js';
-import {checkTakeoverSettled, requestRevision} from './takeover.js';
+import {checkTakeoverSettled, requestRevisions} from './takeover.js';
 import {endTerm, resumeTerm} from './terms.js';
 import {advanceWaves} from './waves.js';
 import {applyWorkerList, expireWorkers} from './workers.js';
@@ -51,7 +51,7 @@
 	const {nowMs} = now;
 	expireWorkers(state, nowMs);
 	checkTakeoverSettled(state, now);
-	requestRevision(state, nowMs);
+	requestRevisions(state, nowMs);
 	updateOpenJobs(state, now);
 	resolveReports(state, now);
 	const displaced = reconcileRuns(state, nowMs);
@@ -167,7 +167,12 @@
 		}
 
 		case 'revisionRead': {
-			state.newJobsAfterRevision = event.revision;
+			if (event.after === 'calls') {
+				state.registrationsAfterRevision = event.revision;
+			} else {
+				state.newJobsAfterRevision = event.revision;
+			}
+
 			break;
 		}
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -15,7 +15,7 @@
 import {createDemandForecast, type DemandForecast, type PoolForecastName} from './pools/demand-forecast.js';
 import {PoolLoadLog} from './pools/pool-load-log.js';
 import {addResources, noResources, subtractResources} from './resources.js';
-import {type EarlierHolder, type SchedulerEffect} from './events.js';
+import {type AwaitedRevision, type EarlierHolder, type SchedulerEffect} from './events.js';
 import {ShareMeter} from './share-meter.js';
 
 const emptyConfiguration: FleetConfiguration = {
@@ -56,8 +56,10 @@
 	isSettled = false;
 	/** Jobs that were stored after this revision cannot have been read while an earlier holder gave orders; `undefined` until the store has named a revision after that. */
 	newJobsAfterRevision: number | undefined;
-	/** The store was asked for that revision in this term. */
-	isRevisionRequested = false;
+	/** Registrations that were stored after this revision were written after the last call of earlier holders had arrived; `undefined` until the store has named a revision after that. */
+	registrationsAfterRevision: number | undefined;
+	/** The revisions that the store was asked for in this term. */
+	readonly requestedRevisions = new Set<AwaitedRevision>();
 	/** The holder that this term's holder replaced on suspicion, while it may still be alive. */
 	earlierHolder: EarlierHolder | undefined;
 	/** Until when a start of earlier holders may still be carried out, by worker id, as the last one stated when it released the lease. */
@@ -184,7 +186,8 @@
 		this.takeoverLoggedAtMs = nowMs;
 		this.foundEnds = {stored: 0, unstored: 0, unstoredJobIds: new Set()};
 		this.newJobsAfterRevision = undefined;
-		this.isRevisionRequested = false;
+		this.registrationsAfterRevision = undefined;
+		this.requestedRevisions.clear();
 		this.isSuspended = false;
 		this.isReleasePlanned = false;
 		this.isPollingEnded = false;
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -11,17 +11,23 @@
 import {foundEndsFields} from './report-logs.js';
 import {areEarlierStartsKnown, hasInheritedStart, hasNoEarlierStarts} from './inherited-starts.js';
 import {type CurrentTime} from './jobs.js';
-import {earlierRunsOverAtMs, leaseExpiryAfter, unknownRunsOverAtMs} from './unheard-runs.js';
+import {
+	earlierCallsOverAtMs, earlierRunsOverAtMs, leaseExpiryAfter, unknownRunsOverAtMs, unregisteredRunsOverAtMs,
+} from './unheard-runs.js';
 
 /** Returns true unless an earlier lease holder may have started the job, which could then be running on a worker that has not reported to this process yet. The job's version decides, since this process may have read the job long after an earlier holder did. */
 export const canStartJob = ({isSettled, newJobsAfterRevision}: SchedulerState, {storedVersion}: JobRecord): boolean =>
 	isSettled || (newJobsAfterRevision !== undefined && storedVersion > newJobsAfterRevision);
 
-/** Asks the store for a revision once the orders of earlier holders are over. */
-export const requestRevision = (state: SchedulerState, nowMs: number): void => {
-	if (!state.isSettled && !state.isRevisionRequested && nowMs >= state.earlierOrdersOverAtMs) {
-		state.isRevisionRequested = true;
-		state.emit({type: 'readRevision', fencingToken: state.term!.fencingToken});
+/** Asks the store for a revision once the orders of earlier holders are over, and for another one once their last call has arrived. */
+export const requestRevisions = (state: SchedulerState, nowMs: number): void => {
+	const {isSettled, requestedRevisions, term, earlierOrdersOverAtMs} = state;
+	const dueAtMs = {orders: earlierOrdersOverAtMs, calls: earlierCallsOverAtMs(state)} as const;
+	for (const after of ['orders', 'calls'] as const) {
+		if (!isSettled && !requestedRevisions.has(after) && nowMs >= dueAtMs[after]) {
+			requestedRevisions.add(after);
+			state.emit({type: 'readRevision', fencingToken: term!.fencingToken, after});
+		}
 	}
 };
 
@@ -95,7 +101,7 @@
 /** Returns when the last run of an earlier holder is over, whether it is heard of or not. */
 const awaitedRunsOverAtMs = (state: SchedulerState, {workers, unregistered, areOthersPossible, awaitsHolder}: Awaited, now: CurrentTime): number => Math.max(
 	...workers.map(worker => earlierRunsOverAtMs(state, worker, now)),
-	...unregistered.map(({workerId}) => unknownRunsOverAtMs(state, workerId)),
+	...unregistered.map(({workerId}) => unregisteredRunsOverAtMs(state, workerId)),
 	areOthersPossible ? unknownRunsOverAtMs(state) : Number.NEGATIVE_INFINITY,
 	awaitsHolder ? leaseExpiryAfter(state.earlierOrdersOverAtMs) : Number.NEGATIVE_INFINITY,
 );
--- a/packages/scheduler/src/core/unheard-runs.ts
+++ b/packages/scheduler/src/core/unheard-runs.ts
@@ -6,7 +6,7 @@
 import {
 	clockDriftFactor, leaseMarginMs, maxCallDelayMs, maxRegistryGapMs, maxUnansweredCallMs, maxWallClockErrorMs, taskLeaseMs,
 } from '../constants.js';
-import {areStartsAccountedFor} from './inherited-starts.js';
+import {areAllStartsAccountedFor, areStartsAccountedFor} from './inherited-starts.js';
 import {type CurrentTime} from './jobs.js';
 import {type TaskRun, type WorkerRecord} from './records.js';
 import {type SchedulerState} from './scheduler-state.js';
@@ -42,14 +42,17 @@
 	? worker.leaseExpiresAtMs
 	: Math.max(worker.leaseExpiresAtMs, longestLeaseExpiryAfter(state, worker.lastLeaseSentAtMs + maxUnansweredCallMs));
 
-/** Returns true if the worker has registered itself, as the incarnation that this process knows, after the orders of earlier holders were over. */
-const isIncarnationConfirmed = ({newJobsAfterRevision}: SchedulerState, {entry, bornWallMs}: WorkerRecord): boolean => bornWallMs !== undefined
+/** Returns true if the worker has registered itself, as the incarnation that this process knows, after the last call of earlier holders had arrived. */
+const isIncarnationConfirmed = ({registrationsAfterRevision}: SchedulerState, {entry, bornWallMs}: WorkerRecord): boolean => bornWallMs !== undefined
 	&& entry.bornWallMs === bornWallMs
-	&& newJobsAfterRevision !== undefined
-	&& (entry.registeredVersion ?? 0) > newJobsAfterRevision;
+	&& registrationsAfterRevision !== undefined
+	&& (entry.registeredVersion ?? 0) > registrationsAfterRevision;
+
+/** Returns when the last call of earlier holders has arrived, unless a worker carries it out late. */
+export const earlierCallsOverAtMs = ({earlierOrdersOverAtMs}: SchedulerState): number => earlierOrdersOverAtMs + maxUnansweredCallMs;
 
 /** Returns until when calls to earlier incarnations may reach the one that this process knows, if that is the present one. A process that follows the registrations has seen each restart since then. */
-const earlierCallsUntilMs = ({workersFollowedSinceMs = Number.POSITIVE_INFINITY}: SchedulerState, {firstSeenAtMs, restartedAtMs, bornWallMs}: WorkerRecord, {nowMs, wallMs}: CurrentTime): number => {
+const callsToEarlierUntilMs = ({workersFollowedSinceMs = Number.POSITIVE_INFINITY}: SchedulerState, {firstSeenAtMs, restartedAtMs, bornWallMs}: WorkerRecord, {nowMs, wallMs}: CurrentTime): number => {
 	const bornAtMs = bornWallMs === undefined ? Number.POSITIVE_INFINITY : nowMs - (wallMs - bornWallMs) + maxWallClockErrorMs;
 	const followedSinceMs = restartedAtMs === undefined ? workersFollowedSinceMs : Number.POSITIVE_INFINITY;
 	return Math.min(firstSeenAtMs, bornAtMs, followedSinceMs) + maxCallDelayMs;
@@ -59,44 +62,74 @@
 const unseenLeasesOverAtMs = ({workersFollowedSinceMs = Number.POSITIVE_INFINITY}: SchedulerState, {firstSeenAtMs}: WorkerRecord): number =>
 	firstSeenAtMs > workersFollowedSinceMs ? leaseExpiryAfter(firstSeenAtMs + maxRegistryGapMs) : Number.NEGATIVE_INFINITY;
 
-/** Returns when the leases are over that earlier holders may have granted up to this time on the present incarnation of the worker. */
-const earlierLeasesOverAtMs = (state: SchedulerState, worker: WorkerRecord, {isPresentKnown, untilMs}: {readonly isPresentKnown: boolean; readonly untilMs: number}, now: CurrentTime): number => {
+/** Until when earlier holders may have drawn up leases for a worker, until when these may have arrived, and whether the incarnation is known that has them. */
+type EarlierCalls = {
+	readonly sentUntilMs: number;
+	readonly arrivedUntilMs: number;
+	readonly isPresentKnown: boolean;
+};
+
+/** Returns when the leases are over that earlier holders may have granted on the worker. */
+const earlierLeasesOverAtMs = (state: SchedulerState, worker: WorkerRecord, {sentUntilMs, arrivedUntilMs, isPresentKnown}: EarlierCalls, now: CurrentTime): number => {
 	// Nothing runs on a worker that has ended, and only a report tells what its next incarnation runs.
-	if (worker.isEnded || areStartsAccountedFor(state, worker)) {
-		return leaseExpiryAfter(untilMs);
+	if (worker.isEnded || areStartsAccountedFor(state, worker.entry.workerId)) {
+		return leaseExpiryAfter(sentUntilMs);
 	}
 
-	const longestOverAtMs = longestLeaseExpiryAfter(state, untilMs);
+	const longestOverAtMs = longestLeaseExpiryAfter(state, arrivedUntilMs);
 	if (!isPresentKnown) {
 		return longestOverAtMs;
 	}
 
-	const callsUntilMs = Math.min(untilMs, earlierCallsUntilMs(state, worker, now));
-	return Math.max(leaseExpiryAfter(untilMs), longestLeaseExpiryAfter(state, callsUntilMs), Math.min(longestOverAtMs, unseenLeasesOverAtMs(state, worker)));
+	const callsUntilMs = Math.min(arrivedUntilMs, callsToEarlierUntilMs(state, worker, now));
+	return Math.max(leaseExpiryAfter(sentUntilMs), longestLeaseExpiryAfter(state, callsUntilMs), Math.min(longestOverAtMs, unseenLeasesOverAtMs(state, worker)));
 };
 
+const inheritedBoundOf = ({inheritedBounds}: SchedulerState, workerId: string): number => inheritedBounds.get(workerId) ?? Number.NEGATIVE_INFINITY;
+
 /** Counts with the leases that earlier holders may have granted until the worker first answered, on runs that it lists. */
 export const recordLeasesOfEarlierHolders = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): void => {
-	const untilMs = Math.min(now.nowMs, state.earlierOrdersOverAtMs);
-	recordLeaseSent(worker, untilMs);
-	worker.leaseExpiresAtMs = Math.max(worker.leaseExpiresAtMs, earlierLeasesOverAtMs(state, worker, {isPresentKnown: true, untilMs}, now));
+	const sentUntilMs = Math.min(now.nowMs, state.earlierOrdersOverAtMs);
+	const arrivedUntilMs = Math.min(now.nowMs, earlierCallsOverAtMs(state));
+	recordLeaseSent(worker, sentUntilMs);
+	worker.leaseExpiresAtMs = Math.max(
+		worker.leaseExpiresAtMs,
+		inheritedBoundOf(state, worker.entry.workerId),
+		earlierLeasesOverAtMs(state, worker, {sentUntilMs, arrivedUntilMs, isPresentKnown: true}, now),
+	);
 };
 
-/** Returns when the runs of earlier holders are over on a worker that this process has not heard. */
-export const earlierRunsOverAtMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number => state.inheritedBounds.get(worker.entry.workerId)
-	?? earlierLeasesOverAtMs(state, worker, {isPresentKnown: isIncarnationConfirmed(state, worker), untilMs: state.earlierOrdersOverAtMs}, now);
+/** Returns when the runs of earlier holders are over on a worker that this process has not heard. What the last holder has stated says nothing of a start that reaches an incarnation which has begun since. */
+export const earlierRunsOverAtMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number => {
+	const {earlierOrdersOverAtMs, inheritedBounds, term} = state;
+	const {entry: {workerId}, restartedAtMs = Number.NEGATIVE_INFINITY} = worker;
+	const inheritedMs = inheritedBoundOf(state, workerId);
+	if (inheritedBounds.has(workerId) && restartedAtMs < term!.wonAtMs) {
+		return inheritedMs;
+	}
 
-/** Returns when the runs of earlier holders are over on a worker of which this process knows at most the id. */
-export const unknownRunsOverAtMs = (state: SchedulerState, workerId?: string): number =>
-	(workerId === undefined ? undefined : state.inheritedBounds.get(workerId)) ?? longestLeaseExpiryAfter(state, state.earlierOrdersOverAtMs);
+	return Math.max(inheritedMs, earlierLeasesOverAtMs(state, worker, {
+		sentUntilMs: earlierOrdersOverAtMs, arrivedUntilMs: earlierCallsOverAtMs(state), isPresentKnown: isIncarnationConfirmed(state, worker),
+	}, now));
+};
 
-/** Returns when everything is over that runs on a worker that does not answer, if nobody sends it any more leases; `undefined` for one that answers. */
-export const unheardUntilMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number | undefined => {
-	if (!worker.isFenced && worker.clock === undefined) {
-		return earlierRunsOverAtMs(state, worker, now);
+/** Returns when the runs of earlier holders are over on a worker that is not registered. */
+export const unregisteredRunsOverAtMs = (state: SchedulerState, workerId: string): number => {
+	if (state.inheritedBounds.has(workerId)) {
+		return inheritedBoundOf(state, workerId);
 	}
 
-	return worker.silentSinceMs === undefined
-		? undefined
-		: Math.max(worker.leaseExpiresAtMs, ...[...worker.runs.values()].map(run => runOverAtMs(state, run)));
+	return areStartsAccountedFor(state, workerId) ? leaseExpiryAfter(state.earlierOrdersOverAtMs) : longestLeaseExpiryAfter(state, earlierCallsOverAtMs(state));
 };
+
+/** Returns when the runs of earlier holders are over on workers of which not even the ids are known: any that the last holder has named may be among them. */
+export const unknownRunsOverAtMs = (state: SchedulerState): number => areAllStartsAccountedFor(state)
+	? Math.max(leaseExpiryAfter(state.earlierOrdersOverAtMs), ...state.inheritedBounds.values())
+	: longestLeaseExpiryAfter(state, earlierCallsOverAtMs(state));
+
+/** Returns when everything is over that may run on the worker, if nobody sends it any more leases. */
+export const allRunsOverAtMs = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): number => Math.max(
+	worker.leaseExpiresAtMs,
+	...[...worker.runs.values()].map(run => runOverAtMs(state, run)),
+	worker.isFenced ? Number.NEGATIVE_INFINITY : earlierRunsOverAtMs(state, worker, now),
+);
--- a/packages/scheduler/src/shell/effect-performer.ts
+++ b/packages/scheduler/src/shell/effect-performer.ts
@@ -123,7 +123,7 @@
 			}
 
 			case 'readRevision': {
-				void this.#readRevision(effect.fencingToken);
+				void this.#readRevision(effect);
 				break;
 			}
 
@@ -314,18 +314,20 @@
 		return this.#state.term?.fencingToken === fencingToken && this.#state.pendingSaveNumber === save.saveNumber && !this.#options.isClosed();
 	}
 
-	async #readRevision(fencingToken: number): Promise<void> {
+	async #readRevision({fencingToken, after}: Extract<SchedulerEffect, {readonly type: 'readRevision'}>): Promise<void> {
 		let hasFailed = false;
 		await this.#repeat(() => this.#state.term?.fencingToken === fencingToken && !this.#state.isSettled, async () => {
 			const revision = await this.#options.readRevision();
 			this.#options.dispatch({
-				type: 'revisionRead', fencingToken, revision, ...this.#now(),
+				type: 'revisionRead', fencingToken, revision, after, ...this.#now(),
 			});
 		}, error => {
 			const reason = failureReason(this.#options.log, 'read revision', error);
 			if (!hasFailed) {
 				hasFailed = true;
-				this.#options.log.warn({event: 'revision_not_read', fencingToken, reason});
+				this.#options.log.warn({
+					event: 'revision_not_read', fencingToken, after, reason,
+				});
 			}
 		});
 	}
--- a/packages/scheduler/src/shell/scheduler-process.ts
+++ b/packages/scheduler/src/shell/scheduler-process.ts
@@ -149,6 +149,7 @@
 	/** Since when the registrations of workers have been read without a gap. */
 	#workersFollowedSinceMs: number | undefined;
 	#lastTickWallMs: number | undefined;
+	#registryReadAtMs: number | undefined;
 	readonly #replicaView: JobView;
 	readonly #storedView: JobView;
 	readonly #publisher: QueuePublisher;
@@ -385,8 +386,10 @@
 	#updateWorkersFollowed({nowMs, wallMs}: {readonly nowMs: number; readonly wallMs: number}): void {
 		const {confirmedAtMs = Number.NEGATIVE_INFINITY} = this.#options.workers;
 		const pausedMs = wallMs - (this.#lastTickWallMs ?? wallMs);
+		const gapMs = Math.max(nowMs - confirmedAtMs, confirmedAtMs - (this.#registryReadAtMs ?? confirmedAtMs), pausedMs);
 		this.#lastTickWallMs = wallMs;
-		const isFollowed = this.#isFollowing && nowMs - confirmedAtMs <= maxRegistryGapMs && pausedMs <= maxRegistryGapMs;
+		this.#registryReadAtMs = confirmedAtMs;
+		const isFollowed = this.#isFollowing && gapMs <= maxRegistryGapMs;
 		this.#workersFollowedSinceMs = isFollowed ? this.#workersFollowedSinceMs ?? nowMs : undefined;
 	}
 
