A takeover waits no longer than what is known of a worker asks for

Holders start nothing on a worker that is not registered, so the long bound counts from when its registration was seen to be gone, with 3 s for the copy of the earlier holder. The record of a worker is kept while a takeover waits for it, since that time would be forgotten with it.

The workers of the simulation write their registrations anew each 1.5 s, as those of the users do, so that whole processes use them as a proof.

--- a/packages/scheduler/src/core/handover-note.ts
+++ b/packages/scheduler/src/core/handover-note.ts
@@ -14,6 +14,8 @@
 	unlistedForMs: z.number().default(0),
 	/** For how much longer runs may go on, by worker id, where the next holder would not count so: on workers that do not answer, which get no leases, and on those that may have been granted a longer one. */
 	runsForMs: z.record(z.string(), z.number()).optional(),
+	/** The longest such time on workers that are not named, since there are too many. */
+	othersRunForMs: z.number().optional(),
 	/** Ends that the holder has read and could not store, by job id. */
 	ends: z.record(z.string(), z.object({doneTasks: taskNumbersSchema, failures: taskNumbersSchema})).optional(),
 });
--- a/packages/scheduler/src/core/handover.ts
+++ b/packages/scheduler/src/core/handover.ts
@@ -15,7 +15,7 @@
 /** More workers that may have started again are not listed; the next holder then relies on no list of machines of the first moments. */
 const maxUncertainWorkers = 200;
 
-/** More workers with a bound of their own are not listed. */
+/** More workers with a bound of their own are not listed; the next holder then takes the longest of the others' for all that are not named. */
 const maxBoundWorkers = 200;
 
 /** Size of the JSON text of the ends in a note, beside the starts in the same row. Further ends are recorded as the term ends. */
@@ -46,15 +46,8 @@
 	...[...runs.values()].map(({mayArrive, listedIncarnation, orderedAtMs, startedAtMs = orderedAtMs}) => !mayArrive && listedIncarnation === undefined ? startedAtMs : Number.NEGATIVE_INFINITY),
 );
 
-/** Until when runs may go on, on workers for which the next holder would count otherwise. */
-type RunBounds = {
-	readonly runsForMs: Readonly<Record<string, number>>;
-	/** The workers that may hold a longer lease than the next holder would count are all named. */
-	readonly areLongerNamed: boolean;
-};
-
-/** Workers that have ended run nothing. Those that machines run and that are not registered may be out of reach. */
-const runBounds = (state: SchedulerState, now: CurrentTime): RunBounds => {
+/** States until when runs may go on, on workers for which the next holder would count otherwise. Workers that have ended run nothing. Those that machines run and that are not registered may be out of reach. */
+const runBounds = (state: SchedulerState, now: CurrentTime): Pick<HandoverNote, 'runsForMs' | 'othersRunForMs'> => {
 	const untilMs = new Map<string, number>();
 	for (const worker of state.workers.values()) {
 		const overAtMs = allRunsOverAtMs(state, worker, now);
@@ -70,11 +63,9 @@
 		}
 	}
 
-	const named = [...untilMs].toSorted(([, a], [, b]) => b - a).slice(0, maxBoundWorkers);
-	return {
-		runsForMs: Object.fromEntries(named.map(([workerId, overAtMs]) => [workerId, Math.max(0, Math.ceil(overAtMs - now.nowMs))])),
-		areLongerNamed: [...untilMs.values()].filter(overAtMs => overAtMs > leaseExpiryAfter(now.nowMs)).length <= maxBoundWorkers,
-	};
+	const bounds = [...untilMs].map(([workerId, overAtMs]) => [workerId, Math.max(0, Math.ceil(overAtMs - now.nowMs))] as const).toSorted(([, a], [, b]) => b - a);
+	const longestOther = bounds[maxBoundWorkers];
+	return {runsForMs: Object.fromEntries(bounds.slice(0, maxBoundWorkers)), ...(longestOther === undefined ? {} : {othersRunForMs: longestOther[1]})};
 };
 
 /** Names the workers on which a start of this term, or of an earlier one, may still be carried out, and those that may have just started again. A start that was taken for prevented, since its worker had accepted a stop or its deadline had passed, counts as well, and so does one that was left to this holder: the next incarnation of the worker knows of none of that. Only time ends them. */
@@ -93,8 +84,7 @@
 	}
 
 	const ends = endsForNote(state);
-	const {runsForMs, areLongerNamed} = runBounds(state, now);
-	if (forMs.size > maxOpenStarts || !areLongerNamed) {
+	if (forMs.size > maxOpenStarts) {
 		return {
 			openStarts: {}, unknownForMs: maxCallDelayMs, unlistedForMs: 0, ends,
 		};
@@ -110,7 +100,7 @@
 		openStarts: Object.fromEntries(forMs),
 		unknownForMs: Math.max(0, state.unknownStartsUntilMs - nowMs),
 		unlistedForMs: areNamed ? Math.max(0, state.unlistedUntilMs - nowMs) : maxListingDelayMs,
-		runsForMs,
+		...runBounds(state, now),
 		ends,
 	};
 };
--- a/packages/scheduler/src/core/inherited-starts.ts
+++ b/packages/scheduler/src/core/inherited-starts.ts
@@ -12,6 +12,7 @@
 	state.unknownStartsUntilMs = isUsed ? nowMs + note.unknownForMs : state.earlierOrdersOverAtMs + maxCallDelayMs;
 	state.unlistedUntilMs = nowMs + (note?.unlistedForMs ?? 0);
 	state.inheritedBounds = new Map(Object.entries(isUsed ? note.runsForMs ?? {} : {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
+	state.inheritedOthersUntilMs = isUsed && note.othersRunForMs !== undefined ? nowMs + note.othersRunForMs : Number.NEGATIVE_INFINITY;
 	state.inheritedStarts = new Map(Object.entries(note?.openStarts ?? {}).map(([workerId, forMs]) => [workerId, nowMs + forMs]));
 };
 
--- a/packages/scheduler/src/core/scheduler-state.ts
+++ b/packages/scheduler/src/core/scheduler-state.ts
@@ -64,8 +64,10 @@
 	earlierHolder: EarlierHolder | undefined;
 	/** Until when a start of earlier holders may still be carried out, by worker id, as the last one stated when it released the lease. */
 	inheritedStarts: ReadonlyMap<string, number> = new Map();
-	/** When the runs of earlier holders are over on workers that the last one had not heard either, by worker id, as it stated when it released the lease. */
+	/** When the runs of earlier holders are over, by worker id, as the last one stated when it released the lease. */
 	inheritedBounds: ReadonlyMap<string, number> = new Map();
+	/** The same for all workers that it did not name. */
+	inheritedOthersUntilMs = Number.NEGATIVE_INFINITY;
 	/** Until when a start of earlier holders may be carried out that nobody has stated. */
 	unknownStartsUntilMs = 0;
 	/** Until when lists of machines may lack workers that started again before this term. */
--- a/packages/scheduler/src/core/unheard-runs.ts
+++ b/packages/scheduler/src/core/unheard-runs.ts
@@ -62,6 +62,10 @@
 const unseenLeasesOverAtMs = ({workersFollowedSinceMs = Number.POSITIVE_INFINITY}: SchedulerState, {firstSeenAtMs}: WorkerRecord): number =>
 	firstSeenAtMs > workersFollowedSinceMs ? leaseExpiryAfter(firstSeenAtMs + maxRegistryGapMs) : Number.NEGATIVE_INFINITY;
 
+/** Returns until when a start may arrive at a worker that is not registered any more: a holder starts nothing there, and reads the registrations as often as it renews its lease. */
+const startsArriveUntilMs = ({isListed, unlistedAtMs}: WorkerRecord): number =>
+	isListed || unlistedAtMs === undefined ? Number.POSITIVE_INFINITY : unlistedAtMs + maxRegistryGapMs + maxUnansweredCallMs;
+
 /** Until when earlier holders may have drawn up leases for a worker, until when these may have arrived, and whether the incarnation is known that has them. */
 type EarlierCalls = {
 	readonly sentUntilMs: number;
@@ -76,7 +80,7 @@
 		return leaseExpiryAfter(sentUntilMs);
 	}
 
-	const longestOverAtMs = longestLeaseExpiryAfter(state, arrivedUntilMs);
+	const longestOverAtMs = Math.max(leaseExpiryAfter(sentUntilMs), longestLeaseExpiryAfter(state, Math.min(arrivedUntilMs, startsArriveUntilMs(worker))));
 	if (!isPresentKnown) {
 		return longestOverAtMs;
 	}
@@ -85,7 +89,7 @@
 	return Math.max(leaseExpiryAfter(sentUntilMs), longestLeaseExpiryAfter(state, callsUntilMs), Math.min(longestOverAtMs, unseenLeasesOverAtMs(state, worker)));
 };
 
-const inheritedBoundOf = ({inheritedBounds}: SchedulerState, workerId: string): number => inheritedBounds.get(workerId) ?? Number.NEGATIVE_INFINITY;
+const inheritedBoundOf = ({inheritedBounds, inheritedOthersUntilMs}: SchedulerState, workerId: string): number => inheritedBounds.get(workerId) ?? inheritedOthersUntilMs;
 
 /** Counts with the leases that earlier holders may have granted until the worker first answered, on runs that it lists. */
 export const recordLeasesOfEarlierHolders = (state: SchedulerState, worker: WorkerRecord, now: CurrentTime): void => {
@@ -115,16 +119,17 @@
 
 /** Returns when the runs of earlier holders are over on a worker that is not registered. */
 export const unregisteredRunsOverAtMs = (state: SchedulerState, workerId: string): number => {
+	const inheritedMs = inheritedBoundOf(state, workerId);
 	if (state.inheritedBounds.has(workerId)) {
-		return inheritedBoundOf(state, workerId);
+		return inheritedMs;
 	}
 
-	return areStartsAccountedFor(state, workerId) ? leaseExpiryAfter(state.earlierOrdersOverAtMs) : longestLeaseExpiryAfter(state, earlierCallsOverAtMs(state));
+	return Math.max(inheritedMs, areStartsAccountedFor(state, workerId) ? leaseExpiryAfter(state.earlierOrdersOverAtMs) : longestLeaseExpiryAfter(state, earlierCallsOverAtMs(state)));
 };
 
 /** Returns when the runs of earlier holders are over on workers of which not even the ids are known: any that the last holder has named may be among them. */
 export const unknownRunsOverAtMs = (state: SchedulerState): number => areAllStartsAccountedFor(state)
-	? Math.max(leaseExpiryAfter(state.earlierOrdersOverAtMs), ...state.inheritedBounds.values())
+	? Math.max(leaseExpiryAfter(state.earlierOrdersOverAtMs), state.inheritedOthersUntilMs, ...state.inheritedBounds.values())
 	: longestLeaseExpiryAfter(state, earlierCallsOverAtMs(state));
 
 /** Returns when everything is over that may run on the worker, if nobody sends it any more leases. */
--- a/packages/scheduler/src/core/workers.ts
+++ b/packages/scheduler/src/core/workers.ts
@@ -373,7 +373,9 @@
 		const isLeaseExpired = nowMs >= worker.leaseExpiresAtMs;
 		// A worker may answer without being registered, and list what has ended on it.
 		const goneSinceMs = Math.max(worker.unlistedAtMs ?? nowMs, worker.lastAnswerAtMs);
-		if (!worker.isListed && worker.runs.size === 0 && (isLeaseExpired || state.term === undefined) && nowMs - goneSinceMs > taskLeaseMs * 2) {
+		// What is known of a worker bounds how long a takeover waits for it.
+		const isAwaited = state.term !== undefined && !state.isSettled && !worker.isFenced && !worker.isEnded;
+		if (!isAwaited && !worker.isListed && worker.runs.size === 0 && (isLeaseExpired || state.term === undefined) && nowMs - goneSinceMs > taskLeaseMs * 2) {
 			state.deleteWorker(worker, nowMs);
 		}
 	}
--- a/packages/scheduler/tests/support/scheduler-simulation.ts
+++ b/packages/scheduler/tests/support/scheduler-simulation.ts
@@ -31,6 +31,9 @@
 /** Time after which a crashed worker is back on its machine, and after which its old registration has expired. */
 const restartMs = 3000;
 const registrationMs = 4500;
+
+/** Workers write their registrations anew this often. */
+const heartbeatIntervalMs = 1500;
 const maintenanceMs = 2000;
 
 /** Fewer than most scenarios have processes, so that callers also reach processes that do not follow the job rows. */
@@ -267,7 +270,7 @@
 			this.#addMachine(`s-${index}`, standbyPool, `r-s${index}`);
 		}
 
-		this.#publishWorkers();
+		this.#writeRegistrations();
 		for (let index = 0; index < options.processes; index++) {
 			this.addProcess();
 		}
@@ -797,6 +800,21 @@
 		this.fleet.workers.set(workerId, new FakeWorker(this.fleet, {...entry, bornWallMs: this.clock.nowMs()}));
 	}
 
+	/** Each worker that is up writes its registration anew, also one that the hosts do not reach. */
+	#writeRegistrations(): void {
+		const {revision} = this.table.commitNow({conditions: [], writes: [{type: 'put', key: 'servers/heartbeats', value: this.clock.nowMs()}]});
+		for (const worker of this.fleet.workers.values()) {
+			if (worker.isUp) {
+				worker.entry = {...worker.entry, registeredVersion: revision};
+			}
+		}
+
+		this.#publishWorkers();
+		this.clock.schedule(heartbeatIntervalMs, () => {
+			this.#writeRegistrations();
+		});
+	}
+
 	#publishWorkers(): void {
 		const entries = [...this.fleet.workers.values()].filter(worker => this.#isRegistered(worker)).map(({entry, isDraining}) => ({...entry, isDraining}));
 		this.#workers.publish(entries);
--- a/packages/scheduler/tests/unheard-runs.test.ts
+++ b/packages/scheduler/tests/unheard-runs.test.ts
@@ -203,6 +203,14 @@
 	expect(noteAt(holder.state, 1100).runsForMs).toEqual({});
 });
 
+test('a takeover counts the longest lease of a worker whose registration was removed before from then, when holders stopped to start tasks there', () => {
+	const [here, gone] = [...holder.state.workers.values()].map(({entry}) => entry);
+	holder.dispatch({type: 'workersListed', workers: [here!]}, 1000);
+	expect(gone!.workerId).toBe('w2');
+	takeOver({earlierHolder: {mayOrderUntilMs: 6000, mayOrderMachinesUntilMs: 6000}});
+	expect(startsAgainAtMs(1010)).toBe(1000 + 3000 + unknownRunMs);
+});
+
 test('a takeover waits for the longest lease of a worker that a machine runs and that is not registered', () => {
 	holder.dispatch({type: 'workersListed', workers: [holder.state.workers.get('w1')!.entry]}, 0);
 	holder.state.workers.delete('w2');
