--- a/packages/scheduler/src/core/unheard-runs.ts
+++ b/packages/scheduler/src/core/unheard-runs.ts
@@ -1,7 +1,7 @@
 /**
 When runs count as over that nobody has heard end. Each bound after which a task is started elsewhere although its worker is out of reach stands here; `docs/design/unheard-runs.md` has them side by side with the other proofs that a run has ended.
 
-A lease is a deadline on the clock of the incarnation that it was sent to. There it is over a lease time after the last sending, whatever the rate of the clock. The next incarnation of the worker, whose clock starts anew, takes such a deadline for one far ahead, and grants its longest lease. It does so until it has seen a higher token. So the shorter bound needs a proof of the incarnation: a report that lists the run, what the last holder has left, or a registration that was written after the orders of earlier holders were over.
+A lease is a deadline on the clock of the incarnation that it was sent to. There it is over a lease time after the last sending, whatever the rate of the clock. The next incarnation of the worker, whose clock starts anew, takes such a deadline for one far ahead, and grants its longest lease. It does so until it has seen a higher token. So the shorter bound needs a proof of the incarnation: a report that lists the run, what the last holder has left, or a registration that was written after the last call of earlier holders had arrived.
 */
 import {
 	clockDriftFactor, leaseMarginMs, maxCallDelayMs, maxRegistryGapMs, maxUnansweredCallMs, maxWallClockErrorMs, taskLeaseMs,
