--- a/packages/scheduler/src/core/inherited-starts.ts
+++ b/packages/scheduler/src/core/inherited-starts.ts
@@ -20,8 +20,8 @@
 export const areEarlierStartsKnown = ({unknownStartsUntilMs}: SchedulerState, nowMs: number): boolean => nowMs >= unknownStartsUntilMs;
 
 /** Returns true if the earlier holder stated a start on the worker that may be carried out after this time. */
-export const hasInheritedStart = ({inheritedStarts}: SchedulerState, {entry}: WorkerRecord, afterMs: number): boolean =>
-	(inheritedStarts.get(entry.workerId) ?? Number.NEGATIVE_INFINITY) > afterMs;
+export const hasInheritedStart = ({inheritedStarts}: SchedulerState, workerId: string, afterMs: number): boolean =>
+	(inheritedStarts.get(workerId) ?? Number.NEGATIVE_INFINITY) > afterMs;
 
 /** Returns true if no order of an earlier holder can start anything on the worker: lists of this term show that its last incarnation has ended, and the earlier holders had no open start on it, so that one that begins under its id later gets none. The list must have been asked for after all such starts, since an earlier one may lack an incarnation that has carried one out. */
 export const hasNoEarlierStarts = (state: SchedulerState, worker: WorkerRecord): boolean => {
@@ -29,7 +29,7 @@
 	return state.areMachinesOfTerm && isEnded && missingSince !== undefined
 		&& missingSince.sentAtMs >= Math.max(state.term!.wonAtMs, state.unlistedUntilMs)
 		&& areEarlierStartsKnown(state, missingSince.sentAtMs)
-		&& !hasInheritedStart(state, worker, missingSince.sentAtMs);
+		&& !hasInheritedStart(state, worker.entry.workerId, missingSince.sentAtMs);
 };
 
 const areAllStartsNamed = (state: SchedulerState): boolean => {
@@ -37,11 +37,9 @@
 	return areEarlierStartsKnown(state, wonAtMs) && state.unlistedUntilMs <= wonAtMs;
 };
 
-const isNamed = ({inheritedStarts, term}: SchedulerState, workerId: string): boolean => (inheritedStarts.get(workerId) ?? Number.NEGATIVE_INFINITY) > term!.wonAtMs;
-
 /** Returns true if, as the last holder has stated, each of its starts on the worker was answered and listed. A lease of another incarnation than the one that has listed it is stated as a bound. */
-export const areStartsAccountedFor = (state: SchedulerState, workerId: string): boolean => areAllStartsNamed(state) && !isNamed(state, workerId);
+export const areStartsAccountedFor = (state: SchedulerState, workerId: string): boolean => areAllStartsNamed(state) && !hasInheritedStart(state, workerId, state.term!.wonAtMs);
 
 /** Returns true if that holds for each worker. */
 export const areAllStartsAccountedFor = (state: SchedulerState): boolean =>
-	areAllStartsNamed(state) && [...state.inheritedStarts.keys()].every(workerId => !isNamed(state, workerId));
+	areAllStartsNamed(state) && [...state.inheritedStarts.keys()].every(workerId => !hasInheritedStart(state, workerId, state.term!.wonAtMs));
--- a/packages/scheduler/src/core/takeover.ts
+++ b/packages/scheduler/src/core/takeover.ts
@@ -39,7 +39,7 @@
 const describeUnheardWorker = (state: SchedulerState, worker: WorkerRecord, nowMs: number): string => {
 	const {entry: {workerId}, isEnded, isListed, silentSinceMs} = worker;
 	const reach = silentSinceMs === undefined ? 'unanswered' : `silent-${Math.round(nowMs - silentSinceMs)}ms`;
-	return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}${hasInheritedStart(state, worker, nowMs) ? ':open-start' : ''}`;
+	return `${workerId}:${isEnded ? 'ended' : reach}${isListed ? '' : ':unlisted'}${hasInheritedStart(state, workerId, nowMs) ? ':open-start' : ''}`;
 };
 
 const describeUnheard = (state: SchedulerState, workers: readonly WorkerRecord[], nowMs: number): string =>
