Relocation goes through draining workers first without sorting

The round sorted a copy of all workers to have the draining ones first, some forty times a second. Two filters give the same order. No behaviour changes: step-limit, lasting-steps, evacuation and repeated-stops pass.

--- a/packages/scheduler/src/core/relocation.ts
+++ b/packages/scheduler/src/core/relocation.ts
@@ -194,7 +194,7 @@
 	const workers = [...state.workers.values()];
 	const usable = workers.filter(worker => isUsable(worker, nowMs));
 	// What leaves draining workers counts against the limits of the steps before any run that may wait is stopped.
-	for (const worker of workers.toSorted((a, b) => Number(b.entry.isDraining) - Number(a.entry.isDraining))) {
+	for (const worker of [...workers.filter(({entry}) => entry.isDraining), ...workers.filter(({entry}) => !entry.isDraining)]) {
 		repeatStops(state, worker, nowMs);
 		stopStalled(state, worker, nowMs);
 		// What is stopped while nothing is started would not be replaced.
