Tests of leases share the bounds that they expect

Three test files stated the short lease, the longest one and the time of arrival each for themselves; they stand in one support file now, still as numbers of their own and not taken from the code. No expectation changes; the three files pass.

--- a/packages/scheduler/tests/review-of-unheard-runs.test.ts
+++ b/packages/scheduler/tests/review-of-unheard-runs.test.ts
@@ -6,14 +6,12 @@
 import {type HandoverNote} from '../src/core/handover-note.js';
 import {noteAt, noteNaming} from './support/handover-notes.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
+import {longestLeaseMs, maxArrivalMs, shortLeaseMs} from './support/lease-bounds.js';
 import {NewHolder, startedTasks, wallOffsetMs} from './support/new-holder.js';
 
 const fencingToken = 5;
 const job = jobOf(1, {steps: [stepOf({taskCount: 1})]});
 const taskKey = `${job.jobId}.0.0.0`;
-const shortLeaseMs = (5000 * 1.03) + 250;
-const longestLeaseMs = (10_000 * 1.03) + 250;
-const maxArrivalMs = 3000;
 
 type Start = Extract<SchedulerEffect, {readonly type: 'start'}>;
 
--- a/packages/scheduler/tests/takeover-settling.test.ts
+++ b/packages/scheduler/tests/takeover-settling.test.ts
@@ -7,6 +7,7 @@
 import {SchedulerState} from '../src/core/scheduler-state.js';
 import {type MachineEntry, type UnreadableMachine, type WorkerEntry} from '../src/index.js';
 import {type EventBody} from './support/event-body.js';
+import {longestLeaseMs, maxArrivalMs, shortLeaseMs} from './support/lease-bounds.js';
 import {configurationOf, pool} from './support/scheduler-simulation.js';
 
 const capacity = {cpuMillicores: 8000, memoryMb: 16_000, accelerators: 0};
@@ -116,13 +117,10 @@
 });
 
 /** When the last lease that was sent to a worker at this time is over, on the incarnation that it was meant for. */
-const leaseOverMs = (sentAtMs: number): number => sentAtMs + (5000 * 1.03) + 250;
-
-/** For so long the last call of a holder may be under way. */
-const maxArrivalMs = 3000;
+const leaseOverMs = (sentAtMs: number): number => sentAtMs + shortLeaseMs;
 
 /** When the longest lease is over that a worker grants at this time. */
-const longestLeaseOverMs = (grantedAtMs: number): number => grantedAtMs + (10_000 * 1.03) + 250;
+const longestLeaseOverMs = (grantedAtMs: number): number => grantedAtMs + longestLeaseMs;
 
 /** Ticks until the takeover is settled, and returns the time and the line that is logged. */
 const settle = (fromMs: number) => {
--- a/packages/scheduler/tests/unheard-runs.test.ts
+++ b/packages/scheduler/tests/unheard-runs.test.ts
@@ -6,16 +6,12 @@
 import {type EventBody} from './support/event-body.js';
 import {noteAt, noteNaming} from './support/handover-notes.js';
 import {acceptedChange, jobOf, stepOf} from './support/jobs.js';
+import {longestLeaseMs, maxArrivalMs, shortLeaseMs} from './support/lease-bounds.js';
 import {NewHolder, startedTasks, wallOffsetMs} from './support/new-holder.js';
 
 const fencingToken = 5;
 const job = jobOf(1, {steps: [stepOf({taskCount: 1})]});
 const taskKey = `${job.jobId}.0.0.0`;
-const shortLeaseMs = (5000 * 1.03) + 250;
-const longestLeaseMs = (10_000 * 1.03) + 250;
-
-/** A start, or a poll that is sent twice, can arrive so long after its deadline was drawn up. */
-const maxArrivalMs = 3000;
 
 /** When a run that is not known to the next holder is over, counted from the last order of the one before. */
 const unknownRunMs = maxArrivalMs + longestLeaseMs;
